--- /dev/null
+++ b/crates/stairstall-core/src/admission.rs
@@ -0,0 +1,7 @@
+//! Which waiting request goes next, which is refused, and how often to retry.
+
+mod fair_queue;
+mod retry_budget;
+
+pub use fair_queue::{FairQueue, Flow, Refusal, Ticket};
+pub use retry_budget::RetryBudget;
--- /dev/null
+++ b/crates/stairstall-core/src/config.rs
@@ -0,0 +1,35 @@
+//! The operators' configuration and its changes, in revision order.
+
+mod change;
+mod follower;
+mod head;
+mod resource;
+mod state;
+
+pub use change::{Assignment, Change, Operation};
+pub use follower::{Follower, Offer};
+pub use head::{Head, HeadError, TailEntry};
+pub use resource::{Customer, Guarantee, Kind, PriorityClass, Resource, Rule, RuleEffect, Service};
+pub use state::{Configuration, Invalid};
+
+use serde::{Deserialize, Serialize};
+
+/// Counts accepted changes; a daemon never applies a lower one after a higher.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Revision(pub u64);
+
+impl Revision {
+    /// Returns the revision after this one.
+    #[must_use]
+    pub const fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
+impl std::fmt::Display for Revision {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
--- /dev/null
+++ b/crates/stairstall-core/src/config/state.rs
@@ -0,0 +1,274 @@
+use std::collections::BTreeMap;
+
+use quick_error::quick_error;
+use serde::{Deserialize, Serialize};
+
+use super::{
+    Assignment, Change, Customer, Guarantee, Kind, Operation, PriorityClass, Resource, Revision,
+    Rule, RuleEffect, Service,
+};
+use crate::{ClassId, CustomerId, GuaranteeId, Labels, RuleId, ServiceId, ZoneId};
+
+quick_error! {
+    /// A change that can't be applied.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum Invalid {
+        /// A resource is not there.
+        Missing(kind: Kind, name: String) {
+            display("there is no {kind} {name:?}")
+        }
+        /// A name is not allowed.
+        Name(name: String) {
+            display("{name:?} is not an allowed name or value")
+        }
+        /// A field does not belong to the kind.
+        Field(kind: Kind, assignment: String) {
+            display("{assignment}: a {kind} has no such field")
+        }
+        /// A value is out of bounds.
+        Value(what: String) {
+            display("{what}")
+        }
+        /// A resource is still in use.
+        InUse(kind: Kind, name: String, by: String) {
+            display("{kind} {name:?} is still named by {by}")
+        }
+    }
+}
+
+/// The whole configuration at one revision.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Configuration {
+    /// Which change was the last.
+    pub revision: Revision,
+    /// Customers by name.
+    pub customers: BTreeMap<CustomerId, Customer>,
+    /// Priority classes by name.
+    pub classes: BTreeMap<ClassId, PriorityClass>,
+    /// Guarantees by name.
+    pub guarantees: BTreeMap<GuaranteeId, Guarantee>,
+    /// Placement rules by name.
+    pub rules: BTreeMap<RuleId, Rule>,
+    /// Services by name.
+    pub services: BTreeMap<ServiceId, Service>,
+}
+
+impl Configuration {
+    /// Returns the configuration with `change` applied, one revision on.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is wrong; the configuration then stays as it is.
+    pub fn apply(&self, change: &Change) -> Result<Self, Invalid> {
+        let mut next = self.clone();
+        for operation in &change.operations {
+            next.apply_operation(operation)?;
+        }
+        next.check()?;
+        next.revision = self.revision.next();
+        Ok(next)
+    }
+
+    /// Returns the resources of one kind, in order of name.
+    #[must_use]
+    pub fn resources(&self, kind: Kind) -> Vec<Resource> {
+        match kind {
+            Kind::Customer => self
+                .customers
+                .values()
+                .cloned()
+                .map(Resource::Customer)
+                .collect(),
+            Kind::PriorityClass => self
+                .classes
+                .values()
+                .cloned()
+                .map(Resource::PriorityClass)
+                .collect(),
+            Kind::Guarantee => self
+                .guarantees
+                .values()
+                .cloned()
+                .map(Resource::Guarantee)
+                .collect(),
+            Kind::Rule => self.rules.values().cloned().map(Resource::Rule).collect(),
+            Kind::Service => self
+                .services
+                .values()
+                .cloned()
+                .map(Resource::Service)
+                .collect(),
+        }
+    }
+
+    /// Returns what the rules say about work with these labels.
+    #[must_use]
+    pub fn effect_on(&self, labels: &Labels) -> RuleEffect {
+        let mut rules: Vec<&Rule> = self
+            .rules
+            .values()
+            .filter(|rule| rule.selector.matches(labels))
+            .collect();
+        rules.sort_by_key(|rule| rule.order);
+        rules
+            .into_iter()
+            .fold(RuleEffect::default(), |effect, rule| RuleEffect {
+                class: rule.effect.class.clone().or(effect.class),
+                zones: rule.effect.zones.clone().or(effect.zones),
+                hold: rule.effect.hold.or(effect.hold),
+            })
+    }
+
+    /// Returns the guarantees kept in `zone`.
+    #[must_use]
+    pub fn guarantees_in(&self, zone: &ZoneId) -> Vec<Guarantee> {
+        self.guarantees
+            .values()
+            .filter(|g| g.zone == *zone)
+            .cloned()
+            .collect()
+    }
+
+    fn apply_operation(&mut self, operation: &Operation) -> Result<(), Invalid> {
+        match operation {
+            Operation::Put { resource } => {
+                self.put(resource.clone());
+                Ok(())
+            }
+            Operation::Delete { kind, name } => self.delete(*kind, name),
+            Operation::Set {
+                kind,
+                selector,
+                assignment,
+            } => {
+                for mut resource in self.resources(*kind) {
+                    if selector.matches(resource.labels()) {
+                        assign(&mut resource, assignment)?;
+                        self.put(resource);
+                    }
+                }
+                Ok(())
+            }
+        }
+    }
+
+    fn put(&mut self, resource: Resource) {
+        match resource {
+            Resource::Customer(r) => drop(self.customers.insert(r.name.clone(), r)),
+            Resource::PriorityClass(r) => drop(self.classes.insert(r.name.clone(), r)),
+            Resource::Guarantee(r) => drop(self.guarantees.insert(r.name.clone(), r)),
+            Resource::Rule(r) => drop(self.rules.insert(r.name.clone(), r)),
+            Resource::Service(r) => drop(self.services.insert(r.name.clone(), r)),
+        }
+    }
+
+    fn delete(&mut self, kind: Kind, name: &str) -> Result<(), Invalid> {
+        let bad_name = |_| Invalid::Name(name.to_owned());
+        let found = match kind {
+            Kind::Customer => self
+                .customers
+                .remove(&name.parse().map_err(bad_name)?)
+                .is_some(),
+            Kind::PriorityClass => self
+                .classes
+                .remove(&name.parse().map_err(bad_name)?)
+                .is_some(),
+            Kind::Guarantee => self
+                .guarantees
+                .remove(&name.parse().map_err(bad_name)?)
+                .is_some(),
+            Kind::Rule => self
+                .rules
+                .remove(&name.parse().map_err(bad_name)?)
+                .is_some(),
+            Kind::Service => self
+                .services
+                .remove(&name.parse().map_err(bad_name)?)
+                .is_some(),
+        };
+        if found {
+            Ok(())
+        } else {
+            Err(Invalid::Missing(kind, name.to_owned()))
+        }
+    }
+
+    /// Checks what the resources say of one another.
+    fn check(&self) -> Result<(), Invalid> {
+        for customer in self.customers.values() {
+            check_weight("customer", customer.name.as_str(), customer.weight)?;
+        }
+        for class in self.classes.values() {
+            check_weight("priority-class", class.name.as_str(), class.weight)?;
+        }
+        for guarantee in self.guarantees.values() {
+            if !self.customers.contains_key(&guarantee.customer) {
+                let by = format!("guarantee {:?}", guarantee.name.as_str());
+                return Err(Invalid::InUse(
+                    Kind::Customer,
+                    guarantee.customer.to_string(),
+                    by,
+                ));
+            }
+            guarantee
+                .shape
+                .check()
+                .map_err(|e| Invalid::Value(format!("guarantee {}: {e}", guarantee.name)))?;
+        }
+        for rule in self.rules.values() {
+            if let Some(class) = rule
+                .effect
+                .class
+                .as_ref()
+                .filter(|c| !self.classes.contains_key(*c))
+            {
+                let by = format!("rule {:?}", rule.name.as_str());
+                return Err(Invalid::InUse(Kind::PriorityClass, class.to_string(), by));
+            }
+        }
+        for service in self.services.values() {
+            if service.slots == 0 || service.deadline_ms == 0 {
+                let what = format!(
+                    "service {}: slots and deadline-ms are at least 1",
+                    service.name
+                );
+                return Err(Invalid::Value(what));
+            }
+        }
+        Ok(())
+    }
+}
+
+fn check_weight(kind: &str, name: &str, weight: u32) -> Result<(), Invalid> {
+    if (1..=1_000).contains(&weight) {
+        return Ok(());
+    }
+    Err(Invalid::Value(format!(
+        "{kind} {name}: weight is from 1 to 1000, not {weight}"
+    )))
+}
+
+fn assign(resource: &mut Resource, assignment: &Assignment) -> Result<(), Invalid> {
+    let kind = resource.kind();
+    if let Assignment::Label(name, value) = assignment {
+        let labels = resource.labels_mut();
+        let changed = std::mem::take(labels).with(name, value);
+        *labels = changed.map_err(|e| Invalid::Value(format!("label.{name}={value}: {e}")))?;
+        return Ok(());
+    }
+    match (resource, assignment) {
+        (Resource::Customer(r), Assignment::Weight(n)) => r.weight = *n,
+        (Resource::Customer(r), Assignment::Quota(n)) => r.quota = *n,
+        (Resource::PriorityClass(r), Assignment::Weight(n)) => r.weight = *n,
+        (Resource::PriorityClass(r), Assignment::Level(n)) => r.level = *n,
+        (Resource::PriorityClass(r), Assignment::Preempts(b)) => r.preempts = *b,
+        (Resource::Guarantee(r), Assignment::Zone(zone)) => r.zone = zone.clone(),
+        (Resource::Guarantee(r), Assignment::Members(n)) => r.shape.members = *n,
+        (Resource::Rule(r), Assignment::Order(n)) => r.order = *n,
+        (Resource::Rule(r), Assignment::Hold(b)) => r.effect.hold = Some(*b),
+        (Resource::Service(r), Assignment::Slots(n)) => r.slots = *n,
+        (Resource::Service(r), Assignment::DeadlineMs(n)) => r.deadline_ms = *n,
+        _ => return Err(Invalid::Field(kind, assignment.to_string())),
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/stairstall-core/src/membership.rs
@@ -0,0 +1,80 @@
+//! Which daemons are alive, told by their heartbeats.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::protocol::Heartbeat;
+use crate::{Timestamp, VmId, ZoneId};
+
+/// The daemons that were heard from, and when.
+///
+/// The platform's list says where to send heartbeats; only heartbeats say who
+/// is alive. A wrong guess costs slots for a while, never a promise: a daemon
+/// wrongly taken for dead is still bounded by the minions and fenced by the
+/// workers.
+#[derive(Debug, Clone, Default)]
+pub struct Members {
+    heard: BTreeMap<VmId, (Timestamp, Heartbeat)>,
+}
+
+impl Members {
+    /// How often each daemon sends its heartbeat.
+    pub const INTERVAL: Duration = Duration::from_millis(500);
+    /// How long a daemon counts as alive after its last heartbeat.
+    pub const TIMEOUT: Duration = Duration::from_secs(2);
+    /// How long a silent daemon is remembered at all.
+    const FORGET: Duration = Duration::from_secs(600);
+
+    /// Creates a table in which nobody was heard from.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes a heartbeat.
+    pub fn note(&mut self, heartbeat: Heartbeat, now: Timestamp) {
+        self.heard
+            .insert(heartbeat.daemon.clone(), (now, heartbeat));
+        self.heard.retain(|_, (at, _)| now - *at < Self::FORGET);
+    }
+
+    /// Iterates over the daemons that are alive at `now`.
+    pub fn live(&self, now: Timestamp) -> impl Iterator<Item = &Heartbeat> {
+        self.heard
+            .values()
+            .filter(move |(at, _)| now - *at < Self::TIMEOUT)
+            .map(|(_, h)| h)
+    }
+
+    /// Returns the live daemons of `zone` that take requests, and `me`.
+    #[must_use]
+    pub fn in_zone(&self, zone: &ZoneId, me: &VmId, now: Timestamp) -> Vec<VmId> {
+        let mut members: Vec<VmId> = self
+            .live(now)
+            .filter(|h| h.zone == *zone)
+            .map(|h| h.daemon.clone())
+            .collect();
+        members.push(me.clone());
+        members.sort();
+        members.dedup();
+        members
+    }
+
+    /// Returns the live daemon that holds placement in `zone`, the newest tenure first.
+    #[must_use]
+    pub fn holder(&self, zone: &ZoneId, now: Timestamp) -> Option<&Heartbeat> {
+        self.live(now)
+            .filter(|h| h.zone == *zone && h.token.is_some())
+            .max_by_key(|h| h.token)
+    }
+
+    /// Returns how long no holder of `zone` was heard, if one ever was.
+    #[must_use]
+    pub fn holder_silent_for(&self, zone: &ZoneId, now: Timestamp) -> Option<Duration> {
+        self.heard
+            .values()
+            .filter(|(_, h)| h.zone == *zone && h.token.is_some())
+            .map(|(at, _)| now - *at)
+            .min()
+    }
+}
--- /dev/null
+++ b/crates/stairstall-core/src/placement/run.rs
@@ -0,0 +1,466 @@
+use std::time::Duration;
+
+use super::Attempt;
+use crate::{Timestamp, Verdict, WorkerId};
+
+/// Where a member stands, as last reported by its worker.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub enum MemberPhase {
+    /// Nothing was heard yet.
+    Unknown,
+    /// The worker knows nothing of it.
+    Absent,
+    /// Resources are set aside.
+    Reserved,
+    /// The worker had no room.
+    Refused,
+    /// It runs under a short lease.
+    Started,
+    /// It runs, and the worker knows that all members do.
+    Confirmed,
+    /// Its progress is saved.
+    Checkpointed,
+    /// It was stopped; whether it ever started is known.
+    Stopped {
+        /// Whether it ever started.
+        started: bool,
+    },
+    /// It ended by itself.
+    Finished {
+        /// Whether it did what it should.
+        success: bool,
+    },
+    /// Its worker is lost, and its lease surely ended.
+    Lost,
+}
+
+impl MemberPhase {
+    /// Tells whether the member holds nothing any more and never will.
+    #[must_use]
+    pub const fn is_over(&self) -> bool {
+        matches!(
+            self,
+            Self::Stopped { .. } | Self::Finished { .. } | Self::Lost | Self::Refused
+        )
+    }
+
+    /// Tells whether the member's worker said that it runs.
+    #[must_use]
+    pub const fn is_running(&self) -> bool {
+        matches!(self, Self::Started | Self::Confirmed | Self::Checkpointed)
+    }
+
+    /// Tells whether the member surely never started.
+    const fn never_started(&self) -> bool {
+        matches!(
+            self,
+            Self::Absent | Self::Reserved | Self::Refused | Self::Stopped { started: false }
+        )
+    }
+}
+
+/// One member of a run.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Member {
+    /// Its worker.
+    pub worker: WorkerId,
+    /// The worker's incarnation that was given the member.
+    pub incarnation: u64,
+    /// Accelerators, one bit each.
+    pub mask: u64,
+    /// Where it stands.
+    pub phase: MemberPhase,
+}
+
+impl Member {
+    /// Creates a member that nothing was heard of.
+    #[must_use]
+    pub const fn new(worker: WorkerId, incarnation: u64, mask: u64) -> Self {
+        Self {
+            worker,
+            incarnation,
+            mask,
+            phase: MemberPhase::Unknown,
+        }
+    }
+}
+
+/// Why a run is stopped.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum StopReason {
+    /// Not all members could be reserved or started.
+    NotStarted,
+    /// A member was lost or stopped by itself.
+    MemberLost,
+    /// A member failed.
+    MemberFailed,
+    /// It gives way to other work.
+    GaveWay,
+    /// Its caller wants it ended.
+    Cancelled,
+}
+
+/// Where a run stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Phase {
+    /// The placement is being recorded, and earlier work cleared away.
+    Preparing,
+    /// A new holder waits to hear of every member.
+    Recovering,
+    /// Members are being reserved.
+    Reserving {
+        /// When it is given up.
+        until: Timestamp,
+    },
+    /// Members are being started.
+    Starting {
+        /// When it is given up.
+        until: Timestamp,
+    },
+    /// All members run.
+    Running,
+    /// Progress is being saved before the stop.
+    Checkpointing {
+        /// When the stop follows in any case.
+        until: Timestamp,
+    },
+    /// Members are being stopped.
+    Stopping {
+        /// Why.
+        reason: StopReason,
+    },
+    /// It is over.
+    Over {
+        /// How.
+        ending: Ending,
+    },
+}
+
+/// How a run ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Ending {
+    /// All members ended by themselves.
+    Finished {
+        /// Whether all did what they should.
+        success: bool,
+    },
+    /// It was stopped.
+    Stopped {
+        /// Why.
+        reason: StopReason,
+        /// Whether any member may have run.
+        verdict: Verdict,
+    },
+}
+
+/// What a member's worker should be told next.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Wish {
+    /// Reserve it.
+    Reserve,
+    /// Start it under a short lease.
+    Start,
+    /// Confirm it.
+    Confirm,
+    /// Save its progress.
+    Checkpoint,
+    /// Stop it.
+    Stop,
+}
+
+/// One attempt at a gang job: all members run, or none does.
+///
+/// Every member is reserved before any is started, and each starts under a
+/// lease that is too short to do harm; only when all are known to run are they
+/// confirmed. Whatever goes wrong before or after stops all. The run is driven
+/// by the workers' reports alone, so lost and repeated messages do no harm.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Run {
+    attempt: Attempt,
+    members: Vec<Member>,
+    phase: Phase,
+    start_sent: bool,
+    recorded: bool,
+    cleared: bool,
+    recovered: bool,
+}
+
+impl Run {
+    /// How long members may take to be reserved.
+    pub const RESERVE_TIMEOUT: Duration = Duration::from_secs(4);
+    /// How long members may take to start, once all are reserved.
+    pub const START_TIMEOUT: Duration = Duration::from_secs(3);
+    /// Lease of a started member until it is confirmed; longer than the start may take.
+    pub const START_LEASE: Duration = Duration::from_secs(6);
+    /// Lease of a reservation; longer than reserving and starting may take.
+    pub const RESERVE_LEASE: Duration = Duration::from_secs(10);
+    /// How long work that gives way has to save its progress.
+    pub const GRACE: Duration = Duration::from_secs(3);
+
+    /// Creates a run that waits to be recorded and for its places to be cleared.
+    #[must_use]
+    pub const fn new(attempt: Attempt, members: Vec<Member>) -> Self {
+        Self {
+            attempt,
+            members,
+            phase: Phase::Preparing,
+            start_sent: false,
+            recorded: false,
+            cleared: false,
+            recovered: false,
+        }
+    }
+
+    /// Creates the run of an earlier holder, about which the workers are still asked.
+    #[must_use]
+    pub const fn recover(attempt: Attempt, members: Vec<Member>) -> Self {
+        let mut run = Self::new(attempt, members);
+        run.phase = Phase::Recovering;
+        run.recorded = true;
+        run.cleared = true;
+        run.recovered = true;
+        run
+    }
+
+    /// Returns the attempt.
+    #[must_use]
+    pub const fn attempt(&self) -> Attempt {
+        self.attempt
+    }
+
+    /// Returns the members.
+    #[must_use]
+    pub fn members(&self) -> &[Member] {
+        &self.members
+    }
+
+    /// Returns the phase.
+    #[must_use]
+    pub const fn phase(&self) -> Phase {
+        self.phase
+    }
+
+    /// Returns how the run ended, if it did.
+    #[must_use]
+    pub const fn ending(&self) -> Option<Ending> {
+        match self.phase {
+            Phase::Over { ending } => Some(ending),
+            _ => None,
+        }
+    }
+
+    /// Notes that the placement is recorded, or need not be.
+    pub const fn note_recorded(&mut self) {
+        self.recorded = true;
+    }
+
+    /// Tells whether the placement is recorded.
+    #[must_use]
+    pub const fn is_recorded(&self) -> bool {
+        self.recorded
+    }
+
+    /// Notes that nothing stands in the way any more.
+    pub const fn note_cleared(&mut self) {
+        self.cleared = true;
+    }
+
+    /// Tells whether the places are clear.
+    #[must_use]
+    pub const fn is_cleared(&self) -> bool {
+        self.cleared
+    }
+
+    /// Takes what a worker says of a member; a member that is over stays so.
+    pub fn report(&mut self, member: u16, phase: MemberPhase) {
+        let Some(found) = self.members.get_mut(usize::from(member)) else {
+            return;
+        };
+        if !found.phase.is_over() {
+            found.phase = phase;
+        }
+    }
+
+    /// Begins to stop the run, whatever it does now.
+    pub fn stop(&mut self, reason: StopReason) {
+        match self.phase {
+            Phase::Over { .. } | Phase::Stopping { .. } => {}
+            Phase::Preparing => self.end(reason),
+            _ => self.phase = Phase::Stopping { reason },
+        }
+    }
+
+    /// Makes the run give way: saves progress first, where `checkpoints` says it can.
+    pub fn give_way(&mut self, now: Timestamp, checkpoints: bool) {
+        match self.phase {
+            Phase::Running if checkpoints => {
+                self.phase = Phase::Checkpointing {
+                    until: now + Self::GRACE,
+                };
+            }
+            Phase::Checkpointing { .. } => {}
+            _ => self.stop(StopReason::GaveWay),
+        }
+    }
+
+    /// Moves on as far as the reports allow; true where the phase changed.
+    pub fn advance(&mut self, now: Timestamp) -> bool {
+        let before = self.phase;
+        while self.step(now) {}
+        self.phase != before
+    }
+
+    fn step(&mut self, now: Timestamp) -> bool {
+        let before = self.phase;
+        match self.phase {
+            Phase::Preparing => self.step_preparing(now),
+            Phase::Recovering => self.step_recovering(),
+            Phase::Reserving { until } => self.step_reserving(now, until),
+            Phase::Starting { until } => self.step_starting(now, until),
+            Phase::Running => self.step_running(),
+            Phase::Checkpointing { until } => self.step_checkpointing(now, until),
+            Phase::Stopping { reason } => self.step_stopping(reason),
+            Phase::Over { .. } => {}
+        }
+        self.phase != before
+    }
+
+    fn step_preparing(&mut self, now: Timestamp) {
+        if self.recorded && self.cleared {
+            self.phase = Phase::Reserving {
+                until: now + Self::RESERVE_TIMEOUT,
+            };
+        }
+    }
+
+    fn step_recovering(&mut self) {
+        if self.any(|p| *p == MemberPhase::Unknown) {
+            return;
+        }
+        if self.all(|p| p.is_running() || matches!(p, MemberPhase::Finished { .. })) {
+            self.phase = Phase::Running;
+        } else {
+            self.phase = Phase::Stopping {
+                reason: StopReason::MemberLost,
+            };
+        }
+    }
+
+    fn step_reserving(&mut self, now: Timestamp, until: Timestamp) {
+        if self.any(MemberPhase::is_over) || now >= until {
+            self.phase = Phase::Stopping {
+                reason: StopReason::NotStarted,
+            };
+        } else if self.all(|p| *p == MemberPhase::Reserved) {
+            self.start_sent = true;
+            self.phase = Phase::Starting {
+                until: now + Self::START_TIMEOUT,
+            };
+        }
+    }
+
+    fn step_starting(&mut self, now: Timestamp, until: Timestamp) {
+        let ended = |p: &MemberPhase| matches!(p, MemberPhase::Finished { success: true });
+        if self.any(|p| p.is_over() && !ended(p)) || now >= until {
+            self.phase = Phase::Stopping {
+                reason: StopReason::NotStarted,
+            };
+        } else if self.all(|p| p.is_running() || ended(p)) {
+            self.phase = Phase::Running;
+        }
+    }
+
+    fn step_running(&mut self) {
+        if self.all(|p| *p == MemberPhase::Finished { success: true }) {
+            self.phase = Phase::Over {
+                ending: Ending::Finished { success: true },
+            };
+        } else if self.any(|p| *p == MemberPhase::Finished { success: false }) {
+            self.phase = Phase::Stopping {
+                reason: StopReason::MemberFailed,
+            };
+        } else if self.any(|p| matches!(p, MemberPhase::Stopped { .. } | MemberPhase::Lost)) {
+            self.phase = Phase::Stopping {
+                reason: StopReason::MemberLost,
+            };
+        }
+    }
+
+    fn step_checkpointing(&mut self, now: Timestamp, until: Timestamp) {
+        if self.all(|p| *p == MemberPhase::Finished { success: true }) {
+            self.phase = Phase::Over {
+                ending: Ending::Finished { success: true },
+            };
+        } else if self.any(|p| matches!(p, MemberPhase::Stopped { .. } | MemberPhase::Lost)) {
+            self.phase = Phase::Stopping {
+                reason: StopReason::MemberLost,
+            };
+        } else if now >= until || self.all(|p| *p == MemberPhase::Checkpointed || p.is_over()) {
+            self.phase = Phase::Stopping {
+                reason: StopReason::GaveWay,
+            };
+        }
+    }
+
+    fn step_stopping(&mut self, reason: StopReason) {
+        // An absent member was never reserved, or its reservation is refused below.
+        if !self.all(|p| p.is_over() || (*p == MemberPhase::Absent && !self.start_sent)) {
+            return;
+        }
+        if self.all(|p| matches!(p, MemberPhase::Finished { .. })) {
+            let success = self.all(|p| *p == MemberPhase::Finished { success: true });
+            self.phase = Phase::Over {
+                ending: Ending::Finished { success },
+            };
+        } else {
+            self.end(reason);
+        }
+    }
+
+    fn end(&mut self, reason: StopReason) {
+        let verdict = self.verdict();
+        self.phase = Phase::Over {
+            ending: Ending::Stopped { reason, verdict },
+        };
+    }
+
+    /// Returns what is known about whether any member ran.
+    #[must_use]
+    pub fn verdict(&self) -> Verdict {
+        let fresh = !self.recovered && !self.start_sent;
+        if fresh || self.all(MemberPhase::never_started) {
+            Verdict::NotRun
+        } else {
+            Verdict::MayHaveRun
+        }
+    }
+
+    /// Returns what the member's worker should be told next, if anything.
+    #[must_use]
+    pub fn wish(&self, member: u16) -> Option<Wish> {
+        let phase = &self.members.get(usize::from(member))?.phase;
+        match (self.phase, phase) {
+            (_, p) if p.is_over() => None,
+            (Phase::Reserving { .. }, MemberPhase::Unknown | MemberPhase::Absent) => {
+                Some(Wish::Reserve)
+            }
+            (Phase::Starting { .. }, MemberPhase::Reserved) => Some(Wish::Start),
+            (Phase::Running, MemberPhase::Started) => Some(Wish::Confirm),
+            (Phase::Checkpointing { .. }, MemberPhase::Started | MemberPhase::Confirmed) => {
+                Some(Wish::Checkpoint)
+            }
+            (Phase::Stopping { .. }, p) if *p != MemberPhase::Absent || self.start_sent => {
+                Some(Wish::Stop)
+            }
+            _ => None,
+        }
+    }
+
+    fn all(&self, test: impl Fn(&MemberPhase) -> bool) -> bool {
+        self.members.iter().all(|m| test(&m.phase))
+    }
+
+    fn any(&self, test: impl Fn(&MemberPhase) -> bool) -> bool {
+        self.members.iter().any(|m| test(&m.phase))
+    }
+}
--- /dev/null
+++ b/crates/stairstall-core/src/placement/scheduler/plan.rs
@@ -0,0 +1,469 @@
+//! Chooses which waiting jobs start, where, and who gives way.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, HashSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::entry::{Entry, Stage};
+use super::{DecisionKind, Scheduler, UseId};
+use crate::placement::{
+    Access, Attempt, Block, Cell, JobKey, JobOrder, JobSpec, JobState, Member, Room, Run, Shape,
+    Use,
+};
+use crate::{CustomerId, GuaranteeId, Timestamp, Verdict};
+
+/// Waiting that outweighs one accelerator in use, when customers' shares are compared.
+const AGING: Duration = Duration::from_secs(30);
+/// Of a block that is opened by moves, at most one part in this many may be in use.
+const MOVED_SHARE: u32 = 2;
+
+/// A waiting job with all that ranks it.
+struct Candidate {
+    key: JobKey,
+    spec: Arc<JobSpec>,
+    level: u8,
+    preempts: bool,
+    borrow: bool,
+    left: Duration,
+    accepted_ms: u64,
+    waits_since: Timestamp,
+}
+
+/// A block kept for the first job that finds none, and from when.
+struct Reservation {
+    block: Block,
+    shape: Shape,
+    from: Timestamp,
+}
+
+/// A block for a job, and on what grounds.
+struct Choice {
+    block: Block,
+    home: Option<GuaranteeId>,
+    grounds: &'static str,
+}
+
+impl Scheduler {
+    /// Looks at every waiting job once, in order.
+    pub(super) fn plan(&mut self, now: Timestamp) {
+        self.cancel_waiting(now);
+        let mut reservation = None;
+        let mut failed: HashSet<(Shape, bool, u8)> = HashSet::new();
+        let mut used = self.accelerators_in_use();
+        for candidate in self.candidates(now, &used) {
+            if let Some(choice) = self.claim_home(&candidate) {
+                self.place(&candidate, &choice, now);
+                continue;
+            }
+            let needed = candidate.spec.shape.total_accelerators();
+            let customer = &candidate.spec.customer;
+            let in_use = used.get(customer).copied().unwrap_or(0);
+            if let Some(reason) = self.quota_reason(customer, in_use + needed) {
+                self.decide(&candidate.key, DecisionKind::Waits, now, &reason);
+                continue;
+            }
+            let memo = (candidate.spec.shape, candidate.borrow, candidate.level);
+            let choice = if failed.contains(&memo) {
+                None
+            } else {
+                self.choose(&candidate, reservation.as_ref(), now)
+            };
+            if let Some(choice) = choice {
+                *used.entry(customer.clone()).or_default() += needed;
+                self.place(&candidate, &choice, now);
+                continue;
+            }
+            if reservation.is_none() && self.policy.reserves {
+                reservation = self.reserve(&candidate, now);
+            } else {
+                failed.insert(memo);
+            }
+            self.explain_wait(&candidate, reservation.as_ref(), now);
+        }
+    }
+
+    fn cancel_waiting(&mut self, now: Timestamp) {
+        let waiting = |e: &Entry| matches!(e.stage, Stage::Waiting) && e.cancel && !e.adopted;
+        let keys: Vec<JobKey> = self
+            .jobs
+            .iter()
+            .filter(|(_, e)| waiting(e))
+            .map(|(k, _)| k.clone())
+            .collect();
+        for key in keys {
+            let started = self.jobs.get(&key).is_some_and(|e| e.started);
+            let verdict = if started {
+                Verdict::MayHaveRun
+            } else {
+                Verdict::NotRun
+            };
+            let state = JobState::Ended {
+                verdict,
+                reason: "cancelled".to_owned(),
+            };
+            self.close(&key, state, now, "its caller cancelled it");
+        }
+    }
+
+    /// Returns accelerators in use by customer, claims of guarantees left out.
+    fn accelerators_in_use(&self) -> BTreeMap<CustomerId, u32> {
+        let mut used = BTreeMap::new();
+        for index in 0..self.inventory.len() {
+            for one in self
+                .inventory
+                .uses(index)
+                .iter()
+                .filter(|u| u.home.is_none())
+            {
+                if let Some(key) = self.uses.get(&one.id) {
+                    *used.entry(key.customer.clone()).or_default() += one.mask.count_ones();
+                }
+            }
+        }
+        used
+    }
+
+    /// Returns the jobs that may start now, in the order of the policy.
+    fn candidates(&self, now: Timestamp, used: &BTreeMap<CustomerId, u32>) -> Vec<Candidate> {
+        let mut found: Vec<Candidate> = self
+            .jobs
+            .iter()
+            .filter(|(_, e)| matches!(e.stage, Stage::Waiting) && !e.superseded && !e.adopted)
+            .filter(|(_, e)| e.not_before <= now)
+            .filter_map(|(key, entry)| self.candidate(key, entry))
+            .collect();
+        match self.policy.order {
+            JobOrder::Fifo => found.sort_by(|a, b| by_age(a).cmp(&by_age(b))),
+            JobOrder::Level => {
+                found.sort_by(|a, b| {
+                    (Reverse(a.level), by_age(a)).cmp(&(Reverse(b.level), by_age(b)))
+                });
+            }
+            JobOrder::Fair => self.sort_fairly(&mut found, now, used),
+        }
+        found
+    }
+
+    /// Returns a candidate unless a rule holds the job back or keeps it out of this zone.
+    fn candidate(&self, key: &JobKey, entry: &Entry) -> Option<Candidate> {
+        let spec = &entry.spec;
+        let effect = self.configuration.effect_on(&spec.all_labels());
+        let barred = effect
+            .zones
+            .is_some_and(|zones| !zones.contains(&self.zone));
+        if effect.hold == Some(true) || barred {
+            return None;
+        }
+        let class = effect.class.unwrap_or_else(|| spec.class.clone());
+        let class = self.configuration.classes.get(&class);
+        Some(Candidate {
+            key: key.clone(),
+            spec: Arc::clone(spec),
+            level: class.map_or(0, |c| c.level),
+            preempts: class.is_some_and(|c| c.preempts),
+            borrow: entry.gives_way(),
+            left: entry.left(),
+            accepted_ms: entry.accepted_ms,
+            waits_since: entry.waits_since,
+        })
+    }
+
+    /// Orders by level, then by what the customer would use for its weight, less its waiting.
+    fn sort_fairly(
+        &self,
+        found: &mut Vec<Candidate>,
+        now: Timestamp,
+        used: &BTreeMap<CustomerId, u32>,
+    ) {
+        found.sort_by(|a, b| (Reverse(a.level), by_age(a)).cmp(&(Reverse(b.level), by_age(b))));
+        let mut ahead: BTreeMap<CustomerId, u64> = used
+            .iter()
+            .map(|(c, n)| (c.clone(), u64::from(*n)))
+            .collect();
+        let mut ranked: Vec<(u64, Candidate)> = Vec::with_capacity(found.len());
+        for candidate in found.drain(..) {
+            let customer = self.configuration.customers.get(&candidate.spec.customer);
+            let weight = u64::from(customer.map_or(1, |c| c.weight));
+            let before = ahead.entry(candidate.spec.customer.clone()).or_default();
+            let waited = now.since(candidate.waits_since).as_millis() * 1_000 / AGING.as_millis();
+            let waited = u64::try_from(waited).unwrap_or(u64::MAX);
+            let share = (*before * 1_000 / weight).saturating_sub(waited);
+            *before += u64::from(candidate.spec.shape.total_accelerators());
+            ranked.push((share, candidate));
+        }
+        ranked.sort_by(|(share_a, a), (share_b, b)| {
+            (Reverse(a.level), share_a, by_age(a)).cmp(&(Reverse(b.level), share_b, by_age(b)))
+        });
+        found.extend(ranked.into_iter().map(|(_, candidate)| candidate));
+    }
+
+    fn quota_reason(&self, customer: &CustomerId, needed: u32) -> Option<String> {
+        let quota = self.configuration.customers.get(customer)?.quota?;
+        (needed > quota).then(|| {
+            format!("it waits: customer {customer} would use {needed} accelerators, its quota is {quota}")
+        })
+    }
+
+    /// Returns free cells in one of the customer's home blocks.
+    fn claim_home(&self, candidate: &Candidate) -> Option<Choice> {
+        self.homes.of(&candidate.spec.customer).find_map(|home| {
+            let block = home.claim(&candidate.spec.shape, &self.inventory)?;
+            Some(Choice {
+                block,
+                home: Some(home.guarantee.name.clone()),
+                grounds: "claims its guarantee",
+            })
+        })
+    }
+
+    /// Looks for a block: free, then by preemption, then by moves.
+    fn choose(
+        &self,
+        candidate: &Candidate,
+        reservation: Option<&Reservation>,
+        now: Timestamp,
+    ) -> Option<Choice> {
+        let find = |access: Access| {
+            let mut rooms = self.inventory.rooms(access);
+            if let Some(reservation) = reservation.filter(|r| now + candidate.left > r.from) {
+                reservation.keep_out_of(&mut rooms);
+            }
+            Block::find(&rooms, &candidate.spec.shape, self.policy.fit)
+        };
+        let free = if candidate.borrow {
+            Access::Borrow
+        } else {
+            Access::Fixed
+        };
+        if let Some(block) = find(free) {
+            return Some(Choice {
+                block,
+                home: None,
+                grounds: "best free block",
+            });
+        }
+        let (level, borrow) = (candidate.level, candidate.borrow);
+        if self.policy.preempts
+            && candidate.preempts
+            && let Some(block) = find(Access::Preempt { level, borrow })
+        {
+            return Some(Choice {
+                block,
+                home: None,
+                grounds: "lower levels give way",
+            });
+        }
+        if self.policy.moves && reservation.is_none() && candidate.spec.shape.adjacent {
+            let block = find(Access::Move { level, borrow })?;
+            if self.moves_pay(&block, candidate) {
+                return Some(Choice {
+                    block,
+                    home: None,
+                    grounds: "smaller jobs move away",
+                });
+            }
+        }
+        None
+    }
+
+    /// Tells whether the jobs that a block would displace are few and fit elsewhere now.
+    fn moves_pay(&self, block: &Block, candidate: &Candidate) -> bool {
+        let owners = self.displaced(block, &candidate.spec.shape, UseId(0));
+        let keys: BTreeSet<&JobKey> = owners.iter().filter_map(|id| self.uses.get(id)).collect();
+        let moved: Vec<&Entry> = keys.iter().filter_map(|key| self.jobs.get(*key)).collect();
+        let total: u32 = moved
+            .iter()
+            .map(|e| e.spec.shape.total_accelerators())
+            .sum();
+        let smaller = |e: &&Entry| {
+            e.spec.shape.total_accelerators() * MOVED_SHARE
+                <= candidate.spec.shape.total_accelerators()
+        };
+        if total * MOVED_SHARE > candidate.spec.shape.total_accelerators()
+            || !moved.iter().all(smaller)
+        {
+            return false;
+        }
+        let mut rooms = self.inventory.rooms(Access::Borrow);
+        for cell in &block.cells {
+            rooms[cell.worker].mask &= !cell.mask;
+        }
+        moved.iter().all(|entry| {
+            let Some(place) = Block::find(&rooms, &entry.spec.shape, self.policy.fit) else {
+                return false;
+            };
+            for cell in &place.cells {
+                rooms[cell.worker].mask &= !cell.mask;
+            }
+            true
+        })
+    }
+
+    /// Returns whose work stands in the way on a block.
+    fn displaced(&self, block: &Block, shape: &Shape, owner: UseId) -> BTreeSet<UseId> {
+        let in_the_way = |cell: &Cell| self.inventory.in_the_way(*cell, shape, owner);
+        block.cells.iter().flat_map(in_the_way).collect()
+    }
+
+    /// Gives a job its block, and makes whoever stands there give way.
+    fn place(&mut self, candidate: &Candidate, choice: &Choice, now: Timestamp) {
+        self.next_use += 1;
+        let owner = UseId(self.next_use);
+        let shape = candidate.spec.shape;
+        let victims = self.displaced(&choice.block, &shape, owner);
+        let mut members = Vec::with_capacity(choice.block.cells.len());
+        for cell in &choice.block.cells {
+            let Some(worker) = self.inventory.worker_at(cell.worker).map(|w| w.id.clone()) else {
+                return;
+            };
+            let incarnation = self
+                .contacts
+                .get(&worker)
+                .and_then(|c| c.incarnation)
+                .unwrap_or(0);
+            members.push(Member::new(worker, incarnation, cell.mask));
+        }
+        for cell in &choice.block.cells {
+            let used = self.use_of(candidate, owner, cell.mask, choice.home.clone(), now);
+            self.inventory.occupy(cell.worker, used);
+        }
+        self.next_serial += 1;
+        let run = Run::new(Attempt::new(self.token, self.next_serial), members);
+        let text = placed_text(choice, &run, victims.len());
+        self.begin_run(&candidate.key, run, owner);
+        self.decide(&candidate.key, DecisionKind::Placed, now, &text);
+        for victim in victims {
+            self.make_way(victim, &candidate.key, now);
+        }
+    }
+
+    fn use_of(
+        &self,
+        candidate: &Candidate,
+        id: UseId,
+        mask: u64,
+        home: Option<GuaranteeId>,
+        now: Timestamp,
+    ) -> Use {
+        let entry = self.jobs.get(&candidate.key);
+        Use {
+            id,
+            mask,
+            processors: candidate.spec.shape.processors,
+            memory_mb: candidate.spec.shape.memory_mb,
+            gives_way: candidate.borrow,
+            movable: entry.is_some_and(Entry::is_movable),
+            level: candidate.level,
+            ends_at: now + candidate.left,
+            home,
+        }
+    }
+
+    fn make_way(&mut self, victim: UseId, for_whom: &JobKey, now: Timestamp) {
+        let Some(key) = self.uses.get(&victim).cloned() else {
+            return;
+        };
+        let Some(entry) = self.jobs.get_mut(&key) else {
+            return;
+        };
+        let checkpoints = entry.is_movable();
+        if let Stage::Running(running) = &mut entry.stage {
+            running.run.give_way(now, checkpoints);
+        }
+        self.decide(
+            &key,
+            DecisionKind::GivesWay,
+            now,
+            &format!("it gives way to {for_whom}"),
+        );
+        let workers: Vec<_> = match self.jobs.get(&key).map(|e| &e.stage) {
+            Some(Stage::Running(r)) => r.run.members().iter().map(|m| m.worker.clone()).collect(),
+            _ => Vec::new(),
+        };
+        for worker in workers {
+            self.mark_wishes(&worker);
+        }
+    }
+
+    /// Finds where the job could start first as work ends, and keeps that block for it.
+    fn reserve(&self, candidate: &Candidate, now: Timestamp) -> Option<Reservation> {
+        let mut ends: Vec<Timestamp> = (0..self.inventory.len())
+            .flat_map(|i| self.inventory.uses(i).iter().map(|u| u.ends_at.max(now)))
+            .collect();
+        ends.sort_unstable();
+        ends.dedup();
+        let borrow = candidate.borrow;
+        let find = |time: Timestamp| {
+            let rooms = self.inventory.rooms(Access::Until { time, borrow });
+            Block::find(&rooms, &candidate.spec.shape, self.policy.fit)
+        };
+        let (mut low, mut high) = (0, ends.len());
+        while low < high {
+            let middle = usize::midpoint(low, high);
+            if find(ends[middle]).is_some() {
+                high = middle;
+            } else {
+                low = middle + 1;
+            }
+        }
+        let from = *ends.get(low)?;
+        Some(Reservation {
+            block: find(from)?,
+            shape: candidate.spec.shape,
+            from,
+        })
+    }
+
+    fn explain_wait(
+        &mut self,
+        candidate: &Candidate,
+        reservation: Option<&Reservation>,
+        now: Timestamp,
+    ) {
+        let shape = &candidate.spec.shape;
+        let text = match reservation {
+            Some(r) if r.shape == *shape && r.from > now => {
+                format!(
+                    "it waits: no free block for {shape}; one is reserved for the first in line"
+                )
+            }
+            Some(_) => format!("it waits: no block for {shape} that leaves the reserved one free"),
+            None => format!("it waits: no block for {shape}, now or by expected ends"),
+        };
+        self.decide(&candidate.key, DecisionKind::Waits, now, &text);
+    }
+}
+
+impl Reservation {
+    /// Takes the reserved block out of what others may use.
+    fn keep_out_of(&self, rooms: &mut [Room]) {
+        for cell in &self.block.cells {
+            let Some(room) = rooms.get_mut(cell.worker) else {
+                continue;
+            };
+            room.mask &= !cell.mask;
+            room.processors = room.processors.saturating_sub(self.shape.processors);
+            room.memory_mb = room.memory_mb.saturating_sub(self.shape.memory_mb);
+        }
+    }
+}
+
+fn by_age(candidate: &Candidate) -> (u64, &JobKey) {
+    (candidate.accepted_ms, &candidate.key)
+}
+
+fn placed_text(choice: &Choice, run: &Run, victims: usize) -> String {
+    let workers: BTreeSet<&str> = run.members().iter().map(|m| m.worker.as_str()).collect();
+    let workers: Vec<&str> = workers.into_iter().collect();
+    let home = choice
+        .home
+        .as_ref()
+        .map_or(String::new(), |g| format!(" {g}"));
+    format!(
+        "{}{home}: attempt {} on {}; {victims} runs give way",
+        choice.grounds,
+        run.attempt(),
+        workers.join(",")
+    )
+}
--- /dev/null
+++ b/crates/stairstall-core/src/placement/scheduler/recovery.rs
@@ -0,0 +1,199 @@
+//! Takes over what an earlier holder left: from the store's records and the workers' tasks.
+
+use super::entry::{Entry, Running, Stage};
+use super::{Decision, DecisionKind, Effect, Scheduler, UseId};
+use crate::claim::Mark;
+use crate::placement::{
+    Attempt, Home, JobKey, JobRecord, JobSpec, JobState, Member, MemberPhase, PlacedMember, Run,
+    Use,
+};
+use crate::protocol::{SyncReply, TaskId, TaskPhase, TaskReport};
+use crate::{ClassId, GuaranteeId, Labels, Timestamp, VmId, ZoneId};
+
+/// Level of adopted jobs, whose class is not known: they are not preempted.
+const ADOPTED_LEVEL: u8 = u8::MAX;
+
+impl Scheduler {
+    /// Takes the home blocks of the last tenure, so that they stay where they are.
+    ///
+    /// Call it once the workers were asked, and before the records are taken.
+    pub fn restore_homes(&mut self, homes: Vec<Home>) {
+        self.homes.restore(homes, &mut self.inventory);
+        self.homes_stale = true;
+    }
+
+    /// Makes the tenure one without the store: running tasks are kept alive as their
+    /// workers describe them, and nothing is started.
+    pub const fn adopt_tasks(&mut self) {
+        self.adopts = true;
+    }
+
+    /// Rebuilds the run that a record tells of; the workers' reports fill it in.
+    ///
+    /// Call it after the workers were asked once, so that their tasks are known.
+    pub(super) fn recover_run(
+        &mut self,
+        entry: &mut Entry,
+        attempt: Attempt,
+        placed: &[PlacedMember],
+    ) {
+        let key = entry.spec.key();
+        let members = placed.iter().enumerate().map(|(index, member)| {
+            let member_index = u16::try_from(index).unwrap_or(u16::MAX);
+            let report = self.report_of(&key, attempt, member_index, member);
+            let mask = report.map_or(0, |r| r.spec.accelerators);
+            Member::new(member.worker.clone(), member.incarnation, mask)
+        });
+        let members: Vec<Member> = members.collect();
+        let run = Run::recover(attempt, members);
+        let owner = self.occupy_run(entry, &run);
+        self.register_run(&key, &run, owner);
+        let mut running = Running::new(run, owner);
+        for (index, member) in placed.iter().enumerate() {
+            let index = u16::try_from(index).unwrap_or(u16::MAX);
+            self.fill_in(&key, &mut running, index, member);
+        }
+        entry.stage = Stage::Running(running);
+        let text = format!("attempt {attempt} of an earlier holder was found in the store");
+        entry.note(Timestamp::default(), &text);
+        self.effects.push(Effect::Decide(Decision {
+            job: key,
+            kind: DecisionKind::TakenOver,
+            text,
+        }));
+    }
+
+    /// Tells a recovered run what is known of one member by now.
+    fn fill_in(&self, key: &JobKey, running: &mut Running, index: u16, member: &PlacedMember) {
+        let Some(contact) = self.contacts.get(&member.worker) else {
+            return;
+        };
+        let Some(incarnation) = contact.incarnation else {
+            return;
+        };
+        let attempt = running.run.attempt();
+        let phase = match self.report_of(key, attempt, index, member) {
+            _ if incarnation != member.incarnation => MemberPhase::Lost,
+            Some(report) => MemberPhase::from(&report.phase),
+            None => MemberPhase::Absent,
+        };
+        if let Some(report) = self.report_of(key, attempt, index, member) {
+            running.saved[usize::from(index)] = report.saved_ms;
+            if let TaskPhase::Finished { output, .. } = &report.phase
+                && index == 0
+            {
+                running.output.clone_from(output);
+            }
+        }
+        running.run.report(index, phase);
+    }
+
+    fn report_of(
+        &self,
+        key: &JobKey,
+        attempt: Attempt,
+        index: u16,
+        member: &PlacedMember,
+    ) -> Option<&TaskReport> {
+        let task = TaskId::new(key.clone(), attempt, index);
+        self.contacts.get(&member.worker)?.tasks.get(&task)
+    }
+
+    /// Occupies the places of a run that is already there.
+    fn occupy_run(&mut self, entry: &Entry, run: &Run) -> UseId {
+        self.next_use += 1;
+        let owner = UseId(self.next_use);
+        for member in run.members() {
+            let Some(index) = self.inventory.index_of(&member.worker) else {
+                continue;
+            };
+            let home = self.home_under(entry, index, member.mask);
+            self.inventory.occupy(
+                index,
+                Use {
+                    id: owner,
+                    mask: member.mask,
+                    processors: entry.spec.shape.processors,
+                    memory_mb: entry.spec.shape.memory_mb,
+                    gives_way: entry.gives_way(),
+                    movable: entry.is_movable(),
+                    level: self.level_of(&entry.spec),
+                    ends_at: entry.waits_since + entry.left(),
+                    home,
+                },
+            );
+        }
+        owner
+    }
+
+    /// Returns the customer's own guarantee whose home block holds these accelerators.
+    fn home_under(&self, entry: &Entry, index: usize, mask: u64) -> Option<GuaranteeId> {
+        let worker = &self.inventory.worker_at(index)?.id;
+        self.homes
+            .of(&entry.spec.customer)
+            .find(|home| {
+                home.cells
+                    .iter()
+                    .any(|c| c.worker == *worker && c.mask & mask != 0)
+            })
+            .map(|home| home.guarantee.name.clone())
+    }
+
+    /// Adopts running tasks of jobs that are not known, while the store can't be read.
+    ///
+    /// Without the store a new holder keeps gangs alive that it knows only from
+    /// their workers; it starts nothing that it finds no record of.
+    pub(super) fn adopt_unknown(&mut self, reply: &SyncReply) {
+        for report in &reply.tasks {
+            if self.jobs.contains_key(&report.task.job) {
+                continue;
+            }
+            let placed = &report.spec.members;
+            let mut entry = Entry::new(&adopted_record(report, &self.zone), Timestamp::default());
+            entry.recorded = true;
+            entry.adopted = true;
+            self.recover_run(&mut entry, report.task.attempt, placed);
+            self.jobs.insert(report.task.job.clone(), entry);
+        }
+    }
+
+    pub(super) fn level_of(&self, spec: &JobSpec) -> u8 {
+        let class = self.class_of(spec);
+        self.configuration
+            .classes
+            .get(&class)
+            .map_or(ADOPTED_LEVEL, |c| c.level)
+    }
+
+    pub(super) fn class_of(&self, spec: &JobSpec) -> ClassId {
+        let effect = self.configuration.effect_on(&spec.all_labels());
+        effect.class.unwrap_or_else(|| spec.class.clone())
+    }
+}
+
+/// Makes up a record for a task whose job is known from its worker only.
+fn adopted_record(report: &TaskReport, zone: &ZoneId) -> JobRecord {
+    let spec = &report.spec;
+    let customer = report.task.job.customer.clone();
+    JobRecord {
+        spec: JobSpec {
+            customer,
+            id: report.task.job.id.clone(),
+            class: ClassId::unknown(),
+            labels: Labels::default(),
+            shape: spec.shape,
+            repeatable: spec.repeatable,
+            checkpoint_ms: spec.checkpoint_ms,
+            expected_ms: spec.work_ms,
+            zone: Some(zone.clone()),
+            payload: spec.payload.clone(),
+        },
+        zone: zone.clone(),
+        mark: Mark::new(VmId::unknown(), 0, 0),
+        accepted_ms: 0,
+        cancel: false,
+        saved_ms: spec.resume_ms,
+        started: true,
+        state: JobState::Accepted,
+    }
+}
--- /dev/null
+++ b/crates/stairstall-core/src/placement/scheduler/runs.rs
@@ -0,0 +1,538 @@
+//! Carries runs from their placement to their end.
+
+use std::time::Duration;
+
+use super::contact::{Contact, News};
+use super::entry::{Entry, Running, Stage};
+use super::{Decision, DecisionKind, Effect, Scheduler, WriteId};
+use crate::placement::{
+    Cell, Ending, JobKey, JobState, Member, MemberPhase, Phase, PlacedMember, Run, StopReason, Wish,
+};
+use crate::protocol::{Command, Order, SyncReply, TaskId, TaskPhase, TaskReport, TaskSpec};
+use crate::{Timestamp, Verdict, WorkerId};
+
+/// First pause before a job that failed to start is tried again; it doubles each time.
+const FIRST_BACKOFF: Duration = Duration::from_millis(200);
+/// How often that pause doubles at most.
+const MAX_DOUBLINGS: u32 = 6;
+
+impl From<&TaskPhase> for MemberPhase {
+    fn from(phase: &TaskPhase) -> Self {
+        match phase {
+            TaskPhase::Reserved => Self::Reserved,
+            TaskPhase::Refused => Self::Refused,
+            TaskPhase::Started => Self::Started,
+            TaskPhase::Confirmed => Self::Confirmed,
+            TaskPhase::Checkpointed => Self::Checkpointed,
+            TaskPhase::Stopped { started } => Self::Stopped { started: *started },
+            TaskPhase::Finished { success, .. } => Self::Finished { success: *success },
+        }
+    }
+}
+
+impl Scheduler {
+    /// Returns the orders for one worker: what its runs wish, and what strays get.
+    pub(super) fn commands_for(&self, worker: &WorkerId) -> Vec<Command> {
+        let Some(contact) = self.contacts.get(worker) else {
+            return Vec::new();
+        };
+        let mut commands = Vec::new();
+        for key in &contact.runs {
+            let Some(entry) = self.jobs.get(key) else {
+                continue;
+            };
+            if let Stage::Running(running) = &entry.stage {
+                run_commands(key, entry, running, worker, &mut commands);
+            }
+        }
+        for report in contact.tasks.values() {
+            commands.extend(self.stray_command(report));
+        }
+        commands
+    }
+
+    /// Returns the order for a task that no current run speaks for, if it is one.
+    fn stray_command(&self, report: &TaskReport) -> Option<Command> {
+        let may_forget = match self.jobs.get(&report.task.job) {
+            None => self.knows_store,
+            Some(entry) if entry.superseded => return None,
+            Some(entry) => match &entry.stage {
+                Stage::Running(r) if r.run.attempt() == report.task.attempt => return None,
+                Stage::Running(r) => entry.recorded && r.run.is_recorded(),
+                Stage::Waiting => !entry.recorded && entry.pending_write.is_none(),
+                Stage::Closing => false,
+            },
+        };
+        if !self.knows_store && !self.jobs.contains_key(&report.task.job) {
+            return None;
+        }
+        Contact::order_for_stray(report, may_forget)
+    }
+
+    /// Brings a worker's next sync forward where there are orders for it.
+    pub(super) fn mark_wishes(&mut self, worker: &WorkerId) {
+        if self.commands_for(worker).is_empty() {
+            return;
+        }
+        if let Some(contact) = self.contacts.get_mut(worker) {
+            contact.hasten();
+        }
+    }
+
+    /// Takes what a worker says of its tasks.
+    pub(super) fn apply_reports(&mut self, worker: &WorkerId, reply: &SyncReply, news: &News) {
+        if self.adopts {
+            self.adopt_unknown(reply);
+        }
+        for report in &reply.tasks {
+            let Some(entry) = self.jobs.get_mut(&report.task.job) else {
+                continue;
+            };
+            let Stage::Running(running) = &mut entry.stage else {
+                continue;
+            };
+            if running.run.attempt() == report.task.attempt {
+                apply_report(running, report);
+            }
+        }
+        let absent = |task: &TaskId| !reply.tasks.iter().any(|r| r.task == *task);
+        for task in news.commanded.iter().filter(|task| absent(task)) {
+            self.note_absent(task);
+        }
+        if let Some(contact) = self.contacts.get_mut(worker) {
+            contact
+                .tasks
+                .retain(|task, _| !news.commanded.contains(task) || !absent(task));
+        }
+        if news.first {
+            self.note_unlisted(worker, reply);
+        }
+    }
+
+    fn note_absent(&mut self, task: &TaskId) {
+        let Some(entry) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let Stage::Running(running) = &mut entry.stage else {
+            return;
+        };
+        if running.run.attempt() == task.attempt {
+            running.run.report(task.member, MemberPhase::Absent);
+        }
+    }
+
+    /// Marks members absent that a worker's whole list does not name.
+    fn note_unlisted(&mut self, worker: &WorkerId, reply: &SyncReply) {
+        let Some(contact) = self.contacts.get(worker) else {
+            return;
+        };
+        for key in contact.runs.clone() {
+            let Some(Entry {
+                stage: Stage::Running(running),
+                ..
+            }) = self.jobs.get_mut(&key)
+            else {
+                continue;
+            };
+            let attempt = running.run.attempt();
+            for member in members_on(&running.run, worker) {
+                let task = TaskId::new(key.clone(), attempt, member);
+                if !reply.tasks.iter().any(|r| r.task == task) {
+                    running.run.report(member, MemberPhase::Absent);
+                }
+            }
+        }
+    }
+
+    /// Marks a worker's members lost: all, or those of other incarnations than `known`.
+    pub(super) fn lose_members(&mut self, worker: &WorkerId, known: Option<u64>) {
+        let Some(contact) = self.contacts.get(worker) else {
+            return;
+        };
+        for key in contact.runs.clone() {
+            let Some(Entry {
+                stage: Stage::Running(running),
+                ..
+            }) = self.jobs.get_mut(&key)
+            else {
+                continue;
+            };
+            for member in members_on(&running.run, worker) {
+                let incarnation = running.run.members()[usize::from(member)].incarnation;
+                if known != Some(incarnation) {
+                    running.run.report(member, MemberPhase::Lost);
+                }
+            }
+        }
+    }
+
+    pub(super) fn lose_silent_workers(&mut self, now: Timestamp) {
+        let lost: Vec<WorkerId> = self
+            .contacts
+            .iter_mut()
+            .filter_map(|(id, contact)| contact.became_lost(now).then(|| id.clone()))
+            .collect();
+        for worker in lost {
+            self.effects.push(Effect::Alarm(format!(
+                "worker {worker} is lost: it was silent until every lease on it ended"
+            )));
+            self.lose_members(&worker, None);
+        }
+    }
+
+    /// Advances every run, frees places and settles runs that are over.
+    pub(super) fn advance_runs(&mut self, now: Timestamp) {
+        let keys: Vec<JobKey> = self
+            .jobs
+            .iter()
+            .filter(|(_, e)| e.is_running() && !e.superseded)
+            .map(|(k, _)| k.clone())
+            .collect();
+        for key in keys {
+            self.advance_run(&key, now);
+        }
+    }
+
+    fn advance_run(&mut self, key: &JobKey, now: Timestamp) {
+        let clear = self.is_clear(key);
+        let Some(entry) = self.jobs.get_mut(key) else {
+            return;
+        };
+        let cancel = entry.cancel;
+        let Stage::Running(running) = &mut entry.stage else {
+            return;
+        };
+        if cancel {
+            running.run.stop(StopReason::Cancelled);
+        }
+        if clear && !running.run.is_cleared() {
+            running.run.note_cleared();
+        }
+        let changed = running.run.advance(now);
+        let members = if changed {
+            running.run.members().to_vec()
+        } else {
+            Vec::new()
+        };
+        self.release_over(key);
+        for member in members {
+            self.mark_wishes(&member.worker);
+        }
+        let ending = match &self.jobs.get(key).map(|e| &e.stage) {
+            Some(Stage::Running(running)) => running.run.ending(),
+            _ => None,
+        };
+        if let Some(ending) = ending {
+            self.settle(key, ending, now);
+        }
+    }
+
+    /// Tells whether nothing stands in the way of a run any more.
+    fn is_clear(&self, key: &JobKey) -> bool {
+        let Some(Entry {
+            stage: Stage::Running(running),
+            spec,
+            ..
+        }) = self.jobs.get(key)
+        else {
+            return false;
+        };
+        if running.run.is_cleared() {
+            return true;
+        }
+        running.run.members().iter().all(|member| {
+            self.inventory
+                .index_of(&member.worker)
+                .is_none_or(|worker| {
+                    let cell = Cell {
+                        worker,
+                        mask: member.mask,
+                    };
+                    self.inventory
+                        .in_the_way(cell, &spec.shape, running.owner)
+                        .is_empty()
+                })
+        })
+    }
+
+    /// Frees the places of members that are over.
+    fn release_over(&mut self, key: &JobKey) {
+        let Some(entry) = self.jobs.get_mut(key) else {
+            return;
+        };
+        let Stage::Running(running) = &mut entry.stage else {
+            return;
+        };
+        let over = running.run.ending().is_some();
+        for (index, member) in running.run.members().iter().enumerate() {
+            if (over || member.phase.is_over()) && !running.released[index] {
+                running.released[index] = true;
+                self.inventory
+                    .release(&member.worker, member.mask, running.owner);
+                self.replan = true;
+            }
+        }
+    }
+
+    /// Decides what follows from the end of a run.
+    fn settle(&mut self, key: &JobKey, ending: Ending, now: Timestamp) {
+        let Some(entry) = self.jobs.get_mut(key) else {
+            return;
+        };
+        let Stage::Running(running) = std::mem::replace(&mut entry.stage, Stage::Waiting) else {
+            return;
+        };
+        self.uses.remove(&running.owner);
+        for member in running.run.members() {
+            if let Some(contact) = self.contacts.get_mut(&member.worker) {
+                contact.runs.remove(key);
+            }
+        }
+        entry.saved_ms = running
+            .saved
+            .iter()
+            .copied()
+            .min()
+            .unwrap_or(0)
+            .max(entry.saved_ms);
+        match ending {
+            Ending::Finished { success } => {
+                let state = JobState::Finished {
+                    success,
+                    output: running.output,
+                };
+                self.close(key, state, now, "all members ended by themselves");
+            }
+            Ending::Stopped { reason, verdict } => {
+                entry.started |= verdict == Verdict::MayHaveRun;
+                self.settle_stopped(key, reason, verdict, running.output, now);
+            }
+        }
+        for member in running.run.members() {
+            self.mark_wishes(&member.worker);
+        }
+    }
+
+    fn settle_stopped(
+        &mut self,
+        key: &JobKey,
+        reason: StopReason,
+        verdict: Verdict,
+        output: String,
+        now: Timestamp,
+    ) {
+        let Some(entry) = self.jobs.get_mut(key) else {
+            return;
+        };
+        let overall = if entry.started {
+            Verdict::MayHaveRun
+        } else {
+            Verdict::NotRun
+        };
+        match reason {
+            StopReason::Cancelled => {
+                let state = JobState::Ended {
+                    verdict: overall,
+                    reason: "cancelled".to_owned(),
+                };
+                self.close(key, state, now, "its caller cancelled it");
+            }
+            StopReason::MemberFailed => {
+                let state = JobState::Finished {
+                    success: false,
+                    output,
+                };
+                self.close(key, state, now, "a member failed");
+            }
+            _ if verdict.allows_retry(entry.spec.repeatable) => {
+                if reason == StopReason::NotStarted {
+                    entry.failures += 1;
+                    let doublings = (entry.failures - 1).min(MAX_DOUBLINGS);
+                    entry.not_before = now + FIRST_BACKOFF * 2_u32.pow(doublings);
+                }
+                entry.waits_since = now;
+                self.decide(
+                    key,
+                    DecisionKind::Stopped,
+                    now,
+                    &format!("{}; it waits again", describe(reason)),
+                );
+                self.write(key, JobState::Accepted);
+                self.replan = true;
+            }
+            _ => {
+                let text = format!(
+                    "{}; not repeatable, so it is not tried again",
+                    describe(reason)
+                );
+                let state = JobState::Ended {
+                    verdict: overall,
+                    reason: text.clone(),
+                };
+                self.close(key, state, now, &text);
+            }
+        }
+    }
+
+    /// Ends a job for good.
+    pub(super) fn close(&mut self, key: &JobKey, state: JobState, now: Timestamp, why: &str) {
+        let verdict = state.verdict().unwrap_or(Verdict::MayHaveRun);
+        self.decide(
+            key,
+            DecisionKind::Over,
+            now,
+            &format!("{why}; verdict {verdict}"),
+        );
+        if let Some(entry) = self.jobs.get_mut(key) {
+            entry.stage = Stage::Closing;
+        }
+        self.write(key, state);
+        self.replan = true;
+    }
+
+    /// Asks for a job's state to be written.
+    pub(super) fn write(&mut self, key: &JobKey, state: JobState) {
+        let Some(entry) = self.jobs.get_mut(key) else {
+            return;
+        };
+        self.next_write += 1;
+        let id = WriteId(self.next_write);
+        entry.pending_write = Some(id);
+        self.effects.push(Effect::Write {
+            id,
+            job: key.clone(),
+            state,
+            saved_ms: entry.saved_ms,
+            started: entry.started,
+        });
+    }
+
+    /// Notes a decision for the log and for `explain`, unless it was the last one too.
+    pub(super) fn decide(&mut self, key: &JobKey, kind: DecisionKind, now: Timestamp, text: &str) {
+        let Some(entry) = self.jobs.get_mut(key) else {
+            return;
+        };
+        if entry.note(now, text) {
+            let decision = Decision {
+                job: key.clone(),
+                kind,
+                text: text.to_owned(),
+            };
+            self.effects.push(Effect::Decide(decision));
+        }
+    }
+
+    /// Begins a run on the members' places, which must be occupied already.
+    pub(super) fn begin_run(&mut self, key: &JobKey, run: Run, owner: super::UseId) {
+        let state = JobState::Placed {
+            attempt: run.attempt(),
+            members: placed_members(&run),
+        };
+        self.register_run(key, &run, owner);
+        if let Some(entry) = self.jobs.get_mut(key) {
+            entry.stage = Stage::Running(Running::new(run, owner));
+        }
+        self.write(key, state);
+    }
+
+    /// Enters a run into the indexes.
+    pub(super) fn register_run(&mut self, key: &JobKey, run: &Run, owner: super::UseId) {
+        self.uses.insert(owner, key.clone());
+        for member in run.members() {
+            if let Some(contact) = self.contacts.get_mut(&member.worker) {
+                contact.runs.insert(key.clone());
+            }
+        }
+    }
+}
+
+fn describe(reason: StopReason) -> &'static str {
+    match reason {
+        StopReason::NotStarted => "not all members could be started",
+        StopReason::MemberLost => "a member was lost",
+        StopReason::MemberFailed => "a member failed",
+        StopReason::GaveWay => "it gave way",
+        StopReason::Cancelled => "its caller cancelled it",
+    }
+}
+
+fn members_on<'a>(run: &'a Run, worker: &'a WorkerId) -> Vec<u16> {
+    let on = |(index, member): (usize, &Member)| {
+        (member.worker == *worker).then(|| u16::try_from(index).unwrap_or(u16::MAX))
+    };
+    run.members().iter().enumerate().filter_map(on).collect()
+}
+
+fn apply_report(running: &mut Running, report: &TaskReport) {
+    let member = report.task.member;
+    running.run.report(member, MemberPhase::from(&report.phase));
+    if let Some(saved) = running.saved.get_mut(usize::from(member)) {
+        *saved = report.saved_ms;
+    }
+    if let TaskPhase::Finished { output, .. } = &report.phase
+        && member == 0
+    {
+        running.output.clone_from(output);
+    }
+}
+
+/// Adds what a run wishes of its members on one worker.
+fn run_commands(
+    key: &JobKey,
+    entry: &Entry,
+    running: &Running,
+    worker: &WorkerId,
+    commands: &mut Vec<Command>,
+) {
+    let run = &running.run;
+    if matches!(run.phase(), Phase::Preparing | Phase::Recovering) || entry.superseded {
+        return;
+    }
+    for member in members_on(run, worker) {
+        let Some(wish) = run.wish(member) else {
+            continue;
+        };
+        let order = match wish {
+            Wish::Reserve => Order::Reserve {
+                spec: Box::new(task_spec(entry, run, member)),
+                lease_ms: millis(Run::RESERVE_LEASE),
+            },
+            Wish::Start => Order::Start {
+                lease_ms: millis(Run::START_LEASE),
+            },
+            Wish::Confirm => Order::Confirm,
+            Wish::Checkpoint => Order::Checkpoint,
+            Wish::Stop => Order::Stop,
+        };
+        commands.push(Command {
+            task: TaskId::new(key.clone(), run.attempt(), member),
+            order,
+        });
+    }
+}
+
+fn placed_members(run: &Run) -> Vec<PlacedMember> {
+    let place = |m: &Member| PlacedMember {
+        worker: m.worker.clone(),
+        incarnation: m.incarnation,
+    };
+    run.members().iter().map(place).collect()
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn task_spec(entry: &Entry, run: &Run, member: u16) -> TaskSpec {
+    let spec = &entry.spec;
+    TaskSpec {
+        shape: spec.shape,
+        members: placed_members(run),
+        accelerators: run.members()[usize::from(member)].mask,
+        repeatable: spec.repeatable,
+        checkpoint_ms: spec.checkpoint_ms,
+        work_ms: spec.expected_ms,
+        resume_ms: entry.saved_ms,
+        payload: spec.payload.clone(),
+    }
+}
--- /dev/null
+++ b/crates/stairstall-core/src/placement/scheduler/summary.rs
@@ -0,0 +1,147 @@
+use std::collections::BTreeSet;
+
+use super::Scheduler;
+use super::entry::Stage;
+use crate::Timestamp;
+use crate::placement::{Access, Block, Fit, JobKey, Shape};
+use crate::protocol::{Explanation, Stage as ExplainedStage};
+
+/// How broken up the free accelerators are.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Fragmentation {
+    /// Accelerators of usable workers.
+    pub total: u32,
+    /// Free accelerators.
+    pub free: u32,
+    /// Free accelerators that no waiting or guaranteed shape can use.
+    pub unusable: u32,
+    /// Accelerators of the largest free run of neighbouring, wholly free workers.
+    pub largest_free: u32,
+}
+
+/// Counts of one zone's jobs.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Summary {
+    /// Jobs that wait.
+    pub waiting: usize,
+    /// Jobs with a run.
+    pub running: usize,
+    /// Jobs that are over and whose end is being recorded.
+    pub closing: usize,
+    /// Guarantees without a home block.
+    pub broken_guarantees: usize,
+    /// Workers that answer.
+    pub usable_workers: usize,
+}
+
+impl Scheduler {
+    /// Counts jobs and workers.
+    #[must_use]
+    pub fn summary(&self) -> Summary {
+        let mut summary = Summary {
+            broken_guarantees: self.homes.broken().len(),
+            usable_workers: self.contacts.values().filter(|c| c.takes_work()).count(),
+            ..Summary::default()
+        };
+        for entry in self.jobs.values() {
+            match entry.stage {
+                Stage::Waiting => summary.waiting += 1,
+                Stage::Running(_) => summary.running += 1,
+                Stage::Closing => summary.closing += 1,
+            }
+        }
+        summary
+    }
+
+    /// Measures how broken up the free accelerators are.
+    #[must_use]
+    pub fn fragmentation(&self) -> Fragmentation {
+        let rooms = self.inventory.rooms(Access::Borrow);
+        let free: u32 = rooms.iter().map(|r| r.mask.count_ones()).sum();
+        let total = (0..self.inventory.len())
+            .filter_map(|i| self.inventory.worker_at(i))
+            .filter(|w| self.inventory.is_usable(&w.id))
+            .map(|w| u32::from(w.capacity.accelerators))
+            .sum();
+        let mut unused: Vec<u64> = rooms.iter().map(|r| r.mask).collect();
+        for shape in self.wanted_shapes() {
+            let mut left = rooms.clone();
+            while let Some(block) = Block::find(&left, &shape, Fit::Aligned) {
+                for cell in &block.cells {
+                    left[cell.worker].mask &= !cell.mask;
+                    unused[cell.worker] &= !cell.mask;
+                }
+            }
+        }
+        let unusable = unused.iter().map(|mask| mask.count_ones()).sum();
+        Fragmentation {
+            total,
+            free,
+            unusable,
+            largest_free: self.largest_free(),
+        }
+    }
+
+    fn wanted_shapes(&self) -> BTreeSet<Shape> {
+        let waiting = self
+            .jobs
+            .values()
+            .filter(|e| matches!(e.stage, Stage::Waiting));
+        let guaranteed = self.homes.iter().map(|home| home.guarantee.shape);
+        waiting
+            .map(|e| e.spec.shape)
+            .chain(guaranteed)
+            .filter(|shape| shape.accelerators > 0)
+            .collect()
+    }
+
+    fn largest_free(&self) -> u32 {
+        let rooms = self.inventory.rooms(Access::Borrow);
+        let mut largest = 0;
+        let mut run = 0;
+        for (index, room) in rooms.iter().enumerate() {
+            let whole = self
+                .inventory
+                .worker_at(index)
+                .map_or(0, |w| w.capacity.mask());
+            let follows = index > 0
+                && rooms[index - 1].rack == room.rack
+                && rooms[index - 1].position + 1 == room.position;
+            let all_free = whole != 0 && room.mask == whole;
+            run = match (all_free, follows) {
+                (true, true) => run + whole.count_ones(),
+                (true, false) => whole.count_ones(),
+                (false, _) => 0,
+            };
+            largest = largest.max(run);
+        }
+        largest
+    }
+
+    /// Explains where a job stands and what was decided about it.
+    #[must_use]
+    pub fn explain(&self, key: &JobKey, now: Timestamp) -> Option<Explanation> {
+        let entry = self.jobs.get(key)?;
+        let summary = match &entry.stage {
+            Stage::Waiting => format!("waits for {}", entry.spec.shape),
+            Stage::Running(running) => {
+                format!(
+                    "attempt {} is {:?}",
+                    running.run.attempt(),
+                    running.run.phase()
+                )
+            }
+            Stage::Closing => "over; its end is being recorded".to_owned(),
+        };
+        let stage = |(at, text): &(Timestamp, String)| ExplainedStage {
+            age_ms: u64::try_from(now.since(*at).as_millis()).unwrap_or(u64::MAX),
+            text: text.clone(),
+        };
+        let stages = entry.history.iter().map(stage).collect();
+        Some(Explanation {
+            job: key.clone(),
+            summary,
+            stages,
+        })
+    }
+}
--- /dev/null
+++ b/crates/stairstall-core/src/protocol/peer.rs
@@ -0,0 +1,56 @@
+use serde::{Deserialize, Serialize};
+
+use crate::config::{Guarantee, Revision};
+use crate::{ServiceId, VmId, ZoneId};
+
+/// What a daemon could take on for one service.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceLoad {
+    /// The service.
+    pub service: ServiceId,
+    /// Slots that are free now.
+    pub free: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+}
+
+/// What a daemon tells its peers twice a second.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// Who speaks.
+    pub daemon: VmId,
+    /// In which zone.
+    pub zone: ZoneId,
+    /// Address for requests passed on by other zones.
+    pub address: std::net::SocketAddr,
+    /// Newest configuration in force there.
+    pub revision: Revision,
+    /// The fencing token, where it holds placement in its zone.
+    pub token: Option<u64>,
+    /// Whether it is about to stop.
+    pub leaving: bool,
+    /// Load by service.
+    pub services: Vec<ServiceLoad>,
+}
+
+/// Asks a placement holder whether guarantees can all be kept at once.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WitnessQuestion {
+    /// Every guarantee of the zone after the change.
+    pub guarantees: Vec<Guarantee>,
+}
+
+/// Whether the guarantees can be kept.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "answer", rename_all = "kebab-case")]
+pub enum WitnessAnswer {
+    /// Every guarantee has a home block.
+    Kept,
+    /// This guarantee found none.
+    NotKept {
+        /// The first guarantee without a home block, and why.
+        reason: String,
+    },
+    /// The daemon does not hold placement in its zone.
+    NotHolder,
+}
--- /dev/null
+++ b/crates/stairstall-core/src/time.rs
@@ -0,0 +1,52 @@
+//! Time as a value.
+
+use std::ops::{Add, Sub};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// A point on one process's monotonic clock, in milliseconds since its start.
+///
+/// Timestamps of different processes are not comparable; messages carry
+/// durations instead.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Timestamp(u64);
+
+impl Timestamp {
+    /// Creates a timestamp from milliseconds since the process started.
+    #[must_use]
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(millis)
+    }
+
+    /// Returns the milliseconds since the process started.
+    #[must_use]
+    pub const fn as_millis(self) -> u64 {
+        self.0
+    }
+
+    /// Returns the time from `earlier` to `self`, or zero where `earlier` is later.
+    #[must_use]
+    pub const fn since(self, earlier: Self) -> Duration {
+        Duration::from_millis(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for Timestamp {
+    type Output = Self;
+
+    fn add(self, duration: Duration) -> Self {
+        let millis = u64::try_from(duration.as_millis()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_add(millis))
+    }
+}
+
+impl Sub for Timestamp {
+    type Output = Duration;
+
+    fn sub(self, earlier: Self) -> Duration {
+        self.since(earlier)
+    }
+}
--- /dev/null
+++ b/crates/stairstall-standin/src/lib.rs
@@ -0,0 +1,24 @@
+//! Small stand-ins for the platform, minions and workers, for tests and the main job.
+//!
+//! Each runs inside the process that starts it, on a loopback address, and
+//! records what it was asked to do, so that checks read what really ran.
+//!
+//! - [`StoreStandin`]: compare-and-swap, leases and watches; every call counted.
+//! - [`VmListStandin`]: the platform's lagging list of VMs.
+//! - [`MinionStandin`]: eight slots, records each request id that it ran.
+//! - [`WorkerStandin`]: tasks under leases and fencing tokens, records every start.
+//! - [`Link`]: a TCP link that can be cut or delayed.
+
+mod link;
+mod minion;
+mod server;
+mod store;
+mod vm_list;
+mod worker;
+
+pub use link::{Link, LinkMode};
+pub use minion::{ANSWER_BYTES, BREAK, MinionRecord, MinionStandin, WORK_MS};
+pub use server::Server;
+pub use store::{StoreFaults, StoreStandin};
+pub use vm_list::VmListStandin;
+pub use worker::{StartRecord, WorkerStandin, WorkerState};
--- /dev/null
+++ b/crates/stairstall-standin/src/link.rs
@@ -0,0 +1,119 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::{JoinHandle, JoinSet};
+
+/// What a link does with the bytes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LinkMode {
+    /// Passes them on.
+    Pass,
+    /// Passes them on late.
+    Delay(Duration),
+    /// Breaks every connection and takes no new one.
+    Cut,
+    /// Passes requests on and swallows the answers.
+    LoseAnswers,
+    /// Keeps connections open and passes nothing on.
+    Silent,
+}
+
+/// A TCP link to one address that can be cut, delayed or made deaf.
+#[derive(Debug)]
+pub struct Link {
+    address: SocketAddr,
+    mode: Arc<watch::Sender<LinkMode>>,
+    task: JoinHandle<()>,
+}
+
+impl Link {
+    /// Starts a link to `target`.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no port could be bound.
+    pub async fn start(target: SocketAddr) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+        let address = listener.local_addr()?;
+        let (mode, _) = watch::channel(LinkMode::Pass);
+        let mode = Arc::new(mode);
+        let task = tokio::spawn(accept(listener, target, Arc::clone(&mode)));
+        Ok(Self {
+            address,
+            mode,
+            task,
+        })
+    }
+
+    /// Returns where the link listens.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Changes what the link does, for open connections too.
+    pub fn set(&self, mode: LinkMode) {
+        self.mode.send_replace(mode);
+    }
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn accept(listener: TcpListener, target: SocketAddr, mode: Arc<watch::Sender<LinkMode>>) {
+    let mut connections = JoinSet::new();
+    while let Ok((inner, _)) = listener.accept().await {
+        while connections.try_join_next().is_some() {}
+        let mode = mode.subscribe();
+        if *mode.borrow() == LinkMode::Cut {
+            continue;
+        }
+        connections.spawn(async move {
+            let Ok(outer) = TcpStream::connect(target).await else {
+                return;
+            };
+            let _ = (inner.set_nodelay(true), outer.set_nodelay(true));
+            let (inner_read, inner_write) = inner.into_split();
+            let (outer_read, outer_write) = outer.into_split();
+            tokio::select! {
+                () = pump(inner_read, outer_write, mode.clone(), false) => {}
+                () = pump(outer_read, inner_write, mode.clone(), true) => {}
+                () = until_cut(mode) => {}
+            }
+        });
+    }
+}
+
+async fn until_cut(mut mode: watch::Receiver<LinkMode>) {
+    let _ = mode.wait_for(|mode| *mode == LinkMode::Cut).await;
+}
+
+async fn pump<R, W>(mut from: R, mut to: W, mode: watch::Receiver<LinkMode>, answers: bool)
+where
+    R: AsyncReadExt + Unpin,
+    W: AsyncWriteExt + Unpin,
+{
+    let mut buffer = vec![0; 16 * 1024];
+    while let Ok(count) = from.read(&mut buffer).await {
+        if count == 0 {
+            return;
+        }
+        let now = *mode.borrow();
+        match now {
+            LinkMode::Delay(delay) => tokio::time::sleep(delay).await,
+            LinkMode::LoseAnswers if answers => continue,
+            LinkMode::Silent => continue,
+            _ => {}
+        }
+        if to.write_all(&buffer[..count]).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/stairstall-standin/src/vm_list.rs
@@ -0,0 +1,94 @@
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use hyper::StatusCode;
+use stairstall_core::protocol::{VmEntry, VmList, VmState};
+use tokio::time::Instant;
+
+use crate::server::{Server, json};
+
+/// A list as it will be from some time on.
+#[derive(Debug, Clone)]
+struct Version {
+    visible_at: Instant,
+    list: VmList,
+}
+
+/// The platform's list of VMs; changes show after a lag.
+#[derive(Debug)]
+pub struct VmListStandin {
+    server: Server,
+    versions: Arc<Mutex<Vec<Version>>>,
+    lag: Duration,
+}
+
+impl VmListStandin {
+    /// Starts a list that lags by `lag`.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no port could be bound.
+    pub async fn start(lag: Duration) -> std::io::Result<Self> {
+        let first = Version {
+            visible_at: Instant::now(),
+            list: VmList::default(),
+        };
+        let versions = Arc::new(Mutex::new(vec![first]));
+        let shown = Arc::clone(&versions);
+        let server = Server::start(move |_| {
+            let list = visible(&shown);
+            Box::pin(async move { Some(json(StatusCode::OK, &list)) })
+        });
+        Ok(Self {
+            server: server.await?,
+            versions,
+            lag,
+        })
+    }
+
+    /// Returns where it listens.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Adds a VM or replaces the one of its name; shows at once.
+    pub fn put(&self, vm: VmEntry) {
+        self.change(Duration::ZERO, |list| {
+            list.vms.retain(|other| other.id != vm.id);
+            list.vms.push(vm);
+        });
+    }
+
+    /// Says that a VM leaves; shows after the lag.
+    pub fn set_leaving(&self, id: &str) {
+        self.change(self.lag, |list| {
+            for vm in list.vms.iter_mut().filter(|vm| vm.id.as_str() == id) {
+                vm.state = VmState::Leaving;
+            }
+        });
+    }
+
+    /// Takes a VM from the list; shows after the lag.
+    pub fn remove(&self, id: &str) {
+        self.change(self.lag, |list| list.vms.retain(|vm| vm.id.as_str() != id));
+    }
+
+    fn change(&self, lag: Duration, change: impl FnOnce(&mut VmList)) {
+        let mut versions = self.versions.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut list = versions.last().map(|v| v.list.clone()).unwrap_or_default();
+        change(&mut list);
+        versions.push(Version {
+            visible_at: Instant::now() + lag,
+            list,
+        });
+    }
+}
+
+fn visible(versions: &Mutex<Vec<Version>>) -> VmList {
+    let now = Instant::now();
+    let versions = versions.lock().unwrap_or_else(PoisonError::into_inner);
+    let shown = versions.iter().rev().find(|v| v.visible_at <= now);
+    shown.map(|v| v.list.clone()).unwrap_or_default()
+}
