--- a/crates/stairstall-core/src/admission/fair_queue.rs
+++ b/crates/stairstall-core/src/admission/fair_queue.rs
@@ -193,14 +193,22 @@
         Duration::from_micros(turns * self.interval_micros)
     }
 
-    /// Takes the request whose turn it is; its flow is charged.
-    pub fn pop(&mut self, now: Timestamp) -> Option<Ticket> {
-        let flow = self
-            .flows
+    fn next_flow(&self) -> Option<(&Flow, &FlowState)> {
+        self.flows
             .iter()
             .filter(|(_, state)| !state.waiting.is_empty())
             .min_by_key(|(_, state)| state.finish)
-            .map(|(flow, _)| flow.clone())?;
+    }
+
+    /// Returns the request whose turn it is.
+    #[must_use]
+    pub fn peek(&self) -> Option<Ticket> {
+        self.next_flow()?.1.waiting.front().map(|w| w.ticket)
+    }
+
+    /// Takes the request whose turn it is; its flow is charged.
+    pub fn pop(&mut self, now: Timestamp) -> Option<Ticket> {
+        let flow = self.next_flow()?.0.clone();
         let state = self.flows.get_mut(&flow)?;
         let waiting = state.waiting.pop_front()?;
         self.virtual_time = self.virtual_time.max(state.finish);
--- a/crates/stairstall-core/src/membership.rs
+++ b/crates/stairstall-core/src/membership.rs
@@ -68,6 +68,16 @@
             .max_by_key(|h| h.token)
     }
 
+    /// Returns the highest token that any daemon of `zone` was heard to hold.
+    #[must_use]
+    pub fn last_token(&self, zone: &ZoneId) -> Option<u64> {
+        self.heard
+            .values()
+            .filter(|(_, h)| h.zone == *zone)
+            .filter_map(|(_, h)| h.token)
+            .max()
+    }
+
     /// Returns how long no holder of `zone` was heard, if one ever was.
     #[must_use]
     pub fn holder_silent_for(&self, zone: &ZoneId, now: Timestamp) -> Option<Duration> {
--- a/crates/stairstall-core/src/placement.rs
+++ b/crates/stairstall-core/src/placement.rs
@@ -22,6 +22,7 @@
 pub use policy::{JobOrder, Policy};
 pub use run::{Ending, Member, MemberPhase, Phase, Run, StopReason, Wish};
 pub use scheduler::{
-    Decision, DecisionKind, Effect, Fragmentation, Scheduler, Summary, WriteAnswer, WriteId,
+    Decision, DecisionKind, Effect, Fragmentation, SYNC_TIMEOUT, Scheduler, Summary, WriteAnswer,
+    WriteId,
 };
 pub use shape::{MAX_ACCELERATORS, MAX_MEMBERS, Shape, ShapeError};
--- a/crates/stairstall-core/src/placement/scheduler.rs
+++ b/crates/stairstall-core/src/placement/scheduler.rs
@@ -18,6 +18,7 @@
 mod summary;
 
 use contact::Contact;
+pub use contact::SYNC_TIMEOUT;
 pub use effect::{Decision, DecisionKind, Effect, WriteAnswer, WriteId};
 use entry::{Entry, Stage};
 pub use summary::{Fragmentation, Summary};
--- a/crates/stairstall-core/src/placement/scheduler/contact.rs
+++ b/crates/stairstall-core/src/placement/scheduler/contact.rs
@@ -183,4 +183,4 @@
 }
 
 /// How long a worker may take to answer; the daemon gives a request up after that.
-pub(crate) const SYNC_TIMEOUT: Duration = Duration::from_secs(1);
+pub const SYNC_TIMEOUT: Duration = Duration::from_secs(1);
--- a/crates/stairstall-core/src/protocol/peer.rs
+++ b/crates/stairstall-core/src/protocol/peer.rs
@@ -14,6 +14,17 @@
     pub waiting: u32,
 }
 
+/// What a placement holder could take on.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlacementLoad {
+    /// Accelerators that are free.
+    pub free_accelerators: u32,
+    /// Accelerators in all.
+    pub total_accelerators: u32,
+    /// Jobs that wait.
+    pub waiting_jobs: u32,
+}
+
 /// What a daemon tells its peers twice a second.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Heartbeat {
@@ -27,6 +38,8 @@
     pub revision: Revision,
     /// The fencing token, where it holds placement in its zone.
     pub token: Option<u64>,
+    /// Free accelerators and waiting jobs of the zone, where it holds placement.
+    pub placement: Option<PlacementLoad>,
     /// Whether it is about to stop.
     pub leaving: bool,
     /// Load by service.
--- a/crates/stairstall-core/src/routing/minions.rs
+++ b/crates/stairstall-core/src/routing/minions.rs
@@ -32,6 +32,8 @@
     Leaving,
     /// It could not be reached, or broke off.
     Fault,
+    /// Nobody waited for its answer any more; that says nothing of the minion.
+    Abandoned,
 }
 
 /// A minion chosen for one request; give it back through [`MinionTable::release`].
@@ -195,6 +197,7 @@
             Outcome::Busy => minion.busy_until = now + Self::BUSY_PAUSE,
             Outcome::Leaving => minion.said_leaving = true,
             Outcome::Fault => minion.circuit.note_fault(now),
+            Outcome::Abandoned => {}
         }
     }
 
--- a/crates/stairstall-standin/src/lib.rs
+++ b/crates/stairstall-standin/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`WorkerStandin`]: tasks under leases and fencing tokens, records every start.
 //! - [`Link`]: a TCP link that can be cut or delayed.
 
+mod cluster;
 mod link;
 mod minion;
 mod server;
@@ -16,6 +17,10 @@
 mod vm_list;
 mod worker;
 
+pub use cluster::{
+    Caller, CallerError, Cluster, ClusterMinion, ClusterPlan, ClusterWorker, DaemonProcess, Reply,
+    wait_until,
+};
 pub use link::{Link, LinkMode};
 pub use minion::{ANSWER_BYTES, BREAK, MinionRecord, MinionStandin, WORK_MS};
 pub use server::Server;
--- a/crates/stairstall-standin/src/server.rs
+++ b/crates/stairstall-standin/src/server.rs
@@ -68,9 +68,9 @@
         let handler = Arc::clone(&handler);
         connections.spawn(async move {
             let service = service_fn(move |request| {
-                let answer = handler(request);
+                let reply = handler(request);
                 async move {
-                    handled
+                    reply
                         .await
                         .ok_or_else(|| std::io::Error::other("no answer"))
                 }
--- /dev/null
+++ b/crates/stairstalld/src/api.rs
@@ -0,0 +1,220 @@
+//! The HTTP interface for callers and operators; docs/INTERFACE.md describes it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use stairstall_core::claim::ClaimRecord;
+use stairstall_core::config::Revision;
+use stairstall_core::protocol::Heartbeat;
+use stairstall_core::{CustomerId, RequestId, Verdict};
+use viz::{Request, RequestExt, Response, Result, Router, StatusCode};
+
+use crate::answer::{Failure, json};
+use crate::daemon::{Daemon, lock};
+use crate::peers::own_heartbeat;
+use crate::{call, configure, jobs, keys};
+
+/// How long a JSON body may take.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// How soon it is worth coming back while the store is silent.
+const STORE_RETRY: Duration = Duration::from_secs(2);
+
+/// What the balancer and operators see of one daemon.
+#[derive(Debug, Serialize)]
+struct Status {
+    daemon: Heartbeat,
+    peers: Vec<Heartbeat>,
+    store_silent_ms: Option<u64>,
+    in_flight: usize,
+    store_calls: u64,
+}
+
+#[derive(Debug, Serialize)]
+struct Health {
+    state: &'static str,
+    revision: Revision,
+}
+
+/// Makes a route's handler of a function of the daemon and the request.
+macro_rules! route {
+    ($daemon:expr, $call:expr) => {{
+        let daemon = Arc::clone($daemon);
+        move |request: Request| {
+            let daemon = Arc::clone(&daemon);
+            async move { Ok::<Response, viz::Error>(settle($call(daemon, request).await)) }
+        }
+    }};
+}
+
+/// Returns the routes of one daemon.
+pub(crate) fn router(daemon: &Arc<Daemon>) -> Router {
+    let calls = Arc::clone(daemon);
+    let call = move |request: Request| {
+        let daemon = Arc::clone(&calls);
+        async move { Result::Ok(call::serve(daemon, request).await) }
+    };
+    Router::new()
+        .get(
+            "/health",
+            route!(daemon, async |d: Arc<Daemon>, _| Ok(health(&d))),
+        )
+        .get(
+            "/v1/status",
+            route!(daemon, async |d: Arc<Daemon>, _| Ok(status(&d))),
+        )
+        .get(
+            "/v1/config/:kind",
+            route!(daemon, async |d: Arc<Daemon>, r| configure::get(&d, &r)),
+        )
+        .post(
+            "/v1/config",
+            route!(daemon, async |d: Arc<Daemon>, mut r| configure::change(
+                &d, &mut r
+            )
+            .await),
+        )
+        .post(
+            "/v1/jobs",
+            route!(daemon, async |d: Arc<Daemon>, mut r| jobs::submit(
+                &d, &mut r
+            )
+            .await),
+        )
+        .get(
+            "/v1/jobs",
+            route!(daemon, async |d: Arc<Daemon>, r| jobs::list(&d, &r).await),
+        )
+        .get(
+            "/v1/jobs/:customer/:id",
+            route!(daemon, async |d: Arc<Daemon>, r| jobs::status(&d, &r).await),
+        )
+        .delete(
+            "/v1/jobs/:customer/:id",
+            route!(daemon, async |d: Arc<Daemon>, r| jobs::cancel(&d, &r).await),
+        )
+        .get(
+            "/v1/jobs/:customer/:id/explain",
+            route!(daemon, async |d: Arc<Daemon>, r| jobs::explain(&d, &r)
+                .await),
+        )
+        .get(
+            "/v1/requests/:customer/:id",
+            route!(daemon, async |d: Arc<Daemon>, r| claimed(&d, &r).await),
+        )
+        .any("/call/:service", call.clone())
+        .any("/call/:service/*", call)
+}
+
+fn settle(result: std::result::Result<Response, Failure>) -> Response {
+    result.unwrap_or_else(Into::into)
+}
+
+fn health(daemon: &Daemon) -> Response {
+    let revision = daemon.configuration().revision;
+    if daemon.is_leaving() {
+        let health = Health {
+            state: "leaving",
+            revision,
+        };
+        return json(StatusCode::SERVICE_UNAVAILABLE, &health);
+    }
+    json(
+        StatusCode::OK,
+        &Health {
+            state: "serving",
+            revision,
+        },
+    )
+}
+
+fn status(daemon: &Daemon) -> Response {
+    let now = daemon.clock.now();
+    let status = Status {
+        daemon: own_heartbeat(daemon),
+        peers: lock(&daemon.members).live(now).cloned().collect(),
+        store_silent_ms: daemon.store_silent_for().map(crate::clock::millis),
+        in_flight: daemon.dispatcher.in_flight(),
+        store_calls: daemon.store.calls(),
+    };
+    json(StatusCode::OK, &status)
+}
+
+/// Tells what is kept of a not-repeatable request.
+async fn claimed(daemon: &Daemon, request: &Request) -> std::result::Result<Response, Failure> {
+    let customer: CustomerId = request
+        .param("customer")
+        .map_err(|e| Failure::bad("customer", e.to_string()))?;
+    let id: RequestId = request
+        .param("id")
+        .map_err(|e| Failure::bad("id", e.to_string()))?;
+    let entry = daemon.store.get(&keys::claim(&customer, &id)).await;
+    daemon.note_store(entry.is_ok());
+    let entry = entry.map_err(|e| {
+        Failure::unavailable(format!("the store can't be read: {e}"), STORE_RETRY)
+            .with_verdict(Verdict::MayHaveRun)
+    })?;
+    let record = entry.and_then(|entry| entry.read::<ClaimRecord>());
+    let missing = || Failure::missing(format!("no not-repeatable request {id} is known"));
+    Ok(json(StatusCode::OK, &record.ok_or_else(missing)?))
+}
+
+/// Returns one value of a request's query, decoded.
+pub(crate) fn query_value(request: &Request, name: &str) -> Option<String> {
+    let query = request.uri().query()?;
+    form_urlencoded::parse(query.as_bytes())
+        .find(|(key, _)| key == name)
+        .map(|(_, value)| value.into_owned())
+}
+
+/// Reads a JSON body; a mistake names the field.
+pub(crate) async fn read_json<T: DeserializeOwned>(
+    daemon: &Daemon,
+    request: &mut Request,
+) -> std::result::Result<T, Failure> {
+    let limit = daemon.settings.max_body_bytes;
+    let body = std::mem::take(request.body_mut());
+    let collected = tokio::time::timeout(BODY_TIMEOUT, Limited::new(body, limit).collect()).await;
+    let collected = collected.map_err(|_| {
+        let error = format!("the body took longer than {} ms", BODY_TIMEOUT.as_millis());
+        Failure::new(StatusCode::REQUEST_TIMEOUT, Verdict::NotRun, error).with_field("body")
+    })?;
+    let bytes = collected
+        .map_err(|error| too_long(error.as_ref(), limit))?
+        .to_bytes();
+    let mut reader = serde_json::Deserializer::from_slice(&bytes);
+    let value = serde_path_to_error::deserialize(&mut reader).map_err(|error| {
+        let path = error.path().to_string();
+        Failure::bad(
+            field_of(&path, error.inner()).as_str(),
+            error.into_inner().to_string(),
+        )
+    })?;
+    reader
+        .end()
+        .map_err(|e| Failure::bad("body", e.to_string()))?;
+    Ok(value)
+}
+
+/// Names the field that an error is about; an unknown one stands in its text.
+fn field_of(path: &str, error: &serde_json::Error) -> String {
+    let text = error.to_string();
+    let quoted = text.split('`').nth(1).filter(|_| text.contains("field"));
+    match (path, quoted) {
+        (".", Some(name)) => name.to_owned(),
+        (".", None) => "body".to_owned(),
+        (path, Some(name)) if !path.ends_with(name) => format!("{path}.{name}"),
+        (path, _) => path.to_owned(),
+    }
+}
+
+fn too_long(error: &(dyn std::error::Error + Send + Sync + 'static), limit: usize) -> Failure {
+    if error.is::<LengthLimitError>() {
+        let error = format!("the body is longer than {limit} bytes");
+        let failure = Failure::new(StatusCode::PAYLOAD_TOO_LARGE, Verdict::NotRun, error);
+        return failure.with_field("body");
+    }
+    Failure::bad("body", "the body broke off")
+}
--- /dev/null
+++ b/crates/stairstalld/src/call.rs
@@ -0,0 +1,211 @@
+//! The request path: from a caller to a minion and back.
+
+mod attempt;
+mod body;
+mod claims;
+mod parse;
+mod spill;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use stairstall_core::Verdict;
+use stairstall_core::protocol::header;
+use viz::{Request, Response, StatusCode};
+
+use crate::answer::{Failure, set};
+use crate::daemon::{Daemon, lock};
+use crate::dispatch::{NoSlot, Permit, Wanted};
+use attempt::Attempted;
+use claims::Claimed;
+use parse::Call;
+
+/// How long a caller may take to send its body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Most minions that one request is sent to.
+const MAX_ATTEMPTS: usize = 4;
+/// How soon it is worth coming back after a fault.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Serves one request.
+pub(crate) async fn serve(daemon: Arc<Daemon>, mut request: Request) -> Response {
+    let started = daemon.clock.now();
+    let call = match parse::parse(&daemon, &request) {
+        Ok(call) => call,
+        Err(failure) => return failure.into(),
+    };
+    let body = match read_body(&daemon, &mut request).await {
+        Ok(body) => body,
+        Err(failure) => return failure.with_request(&call.id).into(),
+    };
+    let call = Arc::new(call.with_body(body));
+    lock(&daemon.retries).note_request();
+    let mut response = if call.repeatable {
+        answer(&daemon, &call).await
+    } else {
+        // Not-repeatable work is seen to its end also when its caller goes away.
+        let (daemon, call) = (Arc::clone(&daemon), Arc::clone(&call));
+        let task = tokio::spawn(async move { answer(&daemon, &call).await });
+        task.await.unwrap_or_else(|_| lost_task().into())
+    };
+    set(response.headers_mut(), header::REQUEST_ID, call.id.as_str());
+    set(response.headers_mut(), header::DAEMON, daemon.me().as_str());
+    daemon
+        .metrics
+        .time("call.head", daemon.clock.now() - started);
+    response
+}
+
+fn lost_task() -> Failure {
+    let status = StatusCode::INTERNAL_SERVER_ERROR;
+    Failure::new(
+        status,
+        Verdict::MayHaveRun,
+        "the request's task ended without an answer",
+    )
+}
+
+async fn read_body(daemon: &Daemon, request: &mut Request) -> Result<Bytes, Failure> {
+    let limit = daemon.settings.max_body_bytes;
+    let body = std::mem::take(request.body_mut());
+    let collected = tokio::time::timeout(BODY_TIMEOUT, Limited::new(body, limit).collect()).await;
+    let Ok(collected) = collected else {
+        let error = format!("the body took longer than {} ms", BODY_TIMEOUT.as_millis());
+        return Err(
+            Failure::new(StatusCode::REQUEST_TIMEOUT, Verdict::NotRun, error).with_field("body"),
+        );
+    };
+    collected
+        .map(http_body_util::Collected::to_bytes)
+        .map_err(|error| {
+            if error.is::<LengthLimitError>() {
+                let error = format!("the body is longer than {limit} bytes");
+                return Failure::new(StatusCode::PAYLOAD_TOO_LARGE, Verdict::NotRun, error)
+                    .with_field("body");
+            }
+            Failure::bad("body", "the body broke off")
+        })
+}
+
+/// Tries minions until one answers, the verdict forbids it, or the budget is used up.
+async fn answer(daemon: &Arc<Daemon>, call: &Arc<Call>) -> Response {
+    let mut wanted = call.wanted();
+    let mut verdict = Verdict::NotRun;
+    let mut claimed = None;
+    for attempt in 1..=MAX_ATTEMPTS {
+        if attempt == 1
+            && let Some(response) = spill::before_waiting(daemon, call, &wanted).await
+        {
+            return response;
+        }
+        let permit = match daemon.dispatcher.acquire(wanted.clone()).await {
+            Ok(permit) => permit,
+            Err(no_slot) => {
+                return give_up(daemon, call, claimed, verdict, no_slot_failure(no_slot));
+            }
+        };
+        log_decision(daemon, call, &permit, attempt);
+        if !call.repeatable && claimed.is_none() {
+            match claims::claim(daemon, call).await {
+                Claimed::Held(claim) => claimed = Some(claim),
+                Claimed::Answered(response) => {
+                    permit.finish(stairstall_core::routing::Outcome::Answered);
+                    return response;
+                }
+            }
+        }
+        wanted.avoid.push(permit.pick.minion.clone());
+        let failed = match attempt::attempt(daemon, call, permit, claimed.take()).await {
+            Attempted::Answered(response) => return *response,
+            Attempted::Failed(failed) => failed,
+        };
+        claimed = failed.claim;
+        verdict = verdict.and(failed.verdict);
+        log::info!(target: "decision", request:% = call.id, verdict:% = failed.verdict, attempt;
+            "attempt failed: {}", failed.error);
+        let more = failed.verdict.allows_retry(call.repeatable)
+            && attempt < MAX_ATTEMPTS
+            && lock(&daemon.retries).try_retry(daemon.clock.now());
+        if !more {
+            return give_up(daemon, call, claimed, verdict, failed_failure(failed.error));
+        }
+        daemon.metrics.count("call.retry");
+    }
+    give_up(
+        daemon,
+        call,
+        claimed,
+        verdict,
+        failed_failure("no minion took it".to_owned()),
+    )
+}
+
+fn log_decision(daemon: &Daemon, call: &Call, permit: &Permit, attempt: usize) {
+    let pick = &permit.pick;
+    log::info!(target: "decision",
+        request:% = call.id, customer:% = call.flow.customer, class:% = call.flow.class,
+        service:% = call.service, minion:% = pick.minion, zone:% = daemon.settings.zone, attempt,
+        in_flight = pick.in_flight, share = pick.share, passed_over = pick.passed_over;
+        "routed to the minion with the least in flight for its share");
+}
+
+fn no_slot_failure(no_slot: NoSlot) -> Failure {
+    match no_slot {
+        NoSlot::Refused(refusal) => {
+            let error = refusal.to_string();
+            let status = StatusCode::TOO_MANY_REQUESTS;
+            Failure::new(status, refusal.verdict(), error).with_retry_after(refusal.retry_after())
+        }
+        NoSlot::Expired => {
+            let error = "the deadline passed while waiting for a slot";
+            Failure::new(StatusCode::GATEWAY_TIMEOUT, Verdict::NotRun, error)
+                .with_retry_after(RETRY_AFTER)
+        }
+        NoSlot::NoMinion => Failure::unavailable("no minion takes work now", RETRY_AFTER),
+    }
+}
+
+fn failed_failure(error: String) -> Failure {
+    Failure::new(StatusCode::BAD_GATEWAY, Verdict::MayHaveRun, error).with_retry_after(RETRY_AFTER)
+}
+
+/// Answers a request for good, at once, with all that is known.
+fn give_up(
+    daemon: &Arc<Daemon>,
+    call: &Call,
+    claimed: Option<claims::Claim>,
+    verdict: Verdict,
+    failure: Failure,
+) -> Response {
+    if verdict == Verdict::NotRun
+        && let Some(claim) = claimed
+    {
+        claim.release(daemon);
+    }
+    let mut failure = failure.with_verdict(verdict).with_request(&call.id);
+    if verdict == Verdict::NotRun && failure.status == StatusCode::BAD_GATEWAY {
+        failure.status = StatusCode::SERVICE_UNAVAILABLE;
+    }
+    daemon.metrics.count(match verdict {
+        Verdict::NotRun => "call.gave_up.not_run",
+        _ => "call.gave_up.may_have_run",
+    });
+    log::info!(target: "decision", request:% = call.id, verdict:% = verdict,
+        status = failure.status.as_u16(); "given up: {}", failure.body.error);
+    failure.into()
+}
+
+impl Call {
+    fn wanted(&self) -> Wanted {
+        Wanted {
+            service: self.service.clone(),
+            slots: self.slots,
+            flow: self.flow.clone(),
+            weight: self.weight,
+            deadline: self.deadline,
+            avoid: Vec::new(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/stairstalld/src/call/parse.rs
@@ -0,0 +1,191 @@
+//! Reads a request's headers; every mistake names its header.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use stairstall_core::admission::Flow;
+use stairstall_core::protocol::header;
+use stairstall_core::{ClassId, CustomerId, Labels, RequestId, ServiceId, Timestamp, Verdict};
+use viz::header::HeaderMap;
+use viz::{Method, Request, RequestExt, StatusCode};
+
+use crate::answer::Failure;
+use crate::daemon::Daemon;
+
+/// Longest deadline that a caller may ask for.
+const MAX_DEADLINE: Duration = Duration::from_secs(24 * 3600);
+/// Headers that belong to one connection and are not passed on.
+const HOP_BY_HOP: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "host",
+];
+
+/// A request with all that routing needs.
+#[derive(Debug)]
+pub(super) struct Call {
+    pub(super) id: RequestId,
+    pub(super) service: ServiceId,
+    pub(super) slots: u16,
+    pub(super) flow: Flow,
+    pub(super) weight: u32,
+    pub(super) deadline: Timestamp,
+    pub(super) repeatable: bool,
+    pub(super) hopped: bool,
+    pub(super) method: Method,
+    /// Path and query at the minion.
+    pub(super) path: String,
+    /// Path and query at a daemon.
+    pub(super) full_path: String,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+}
+
+impl Call {
+    pub(super) fn with_body(mut self, body: Bytes) -> Self {
+        self.body = body;
+        self
+    }
+}
+
+/// Returns the headers that are passed on to the next party.
+pub(super) fn end_to_end(headers: &HeaderMap) -> HeaderMap {
+    let mut kept = headers.clone();
+    for name in HOP_BY_HOP {
+        kept.remove(name);
+    }
+    kept
+}
+
+pub(super) fn parse(daemon: &Daemon, request: &Request) -> Result<Call, Failure> {
+    let headers = request.headers();
+    let configuration = daemon.configuration();
+    let id = match optional::<RequestId>(headers, header::REQUEST_ID)? {
+        Some(id) => id,
+        None => made_up_id(daemon)?,
+    };
+    let fail = |failure: Failure| failure.with_request(&id);
+    let service: ServiceId = request
+        .param("service")
+        .map_err(|e| fail(Failure::bad("service", e.to_string())))?;
+    let Some(service_config) = configuration.services.get(&service) else {
+        let error = format!("there is no service {:?}", service.as_str());
+        return Err(fail(Failure::missing(error).with_field("service")));
+    };
+    let customer = required::<CustomerId>(headers, header::CUSTOMER).map_err(fail)?;
+    let Some(customer_config) = configuration.customers.get(&customer) else {
+        let error = format!("there is no customer {:?}", customer.as_str());
+        let failure = Failure::new(StatusCode::FORBIDDEN, Verdict::NotRun, error);
+        return Err(fail(failure.with_field(header::CUSTOMER)));
+    };
+    let class = required::<ClassId>(headers, header::CLASS).map_err(fail)?;
+    let labels = optional::<Labels>(headers, header::LABELS)
+        .map_err(fail)?
+        .unwrap_or_default();
+    let effect = configuration.effect_on(&with_names(labels, &customer, &class));
+    let class = effect.class.unwrap_or(class);
+    let Some(class_config) = configuration.classes.get(&class) else {
+        let error = format!("there is no priority class {:?}", class.as_str());
+        return Err(fail(Failure::bad(header::CLASS, error)));
+    };
+    let deadline = deadline(headers, service_config.deadline_ms).map_err(fail)?;
+    let repeatable = repeatable(headers).map_err(fail)?;
+    let (path, full_path) = paths(request, &service);
+    Ok(Call {
+        id: id.clone(),
+        slots: service_config.slots,
+        weight: class_config.weight.saturating_mul(customer_config.weight),
+        flow: Flow::new(class, customer),
+        service,
+        deadline: daemon.clock.now() + deadline,
+        repeatable,
+        hopped: headers.contains_key(header::HOP),
+        method: request.method().clone(),
+        path,
+        full_path,
+        headers: end_to_end(headers),
+        body: Bytes::new(),
+    })
+}
+
+fn made_up_id(daemon: &Daemon) -> Result<RequestId, Failure> {
+    let mark = daemon.next_mark();
+    let text = format!("{:016x}-{:x}", mark.instance, mark.serial);
+    text.parse()
+        .map_err(|_| Failure::bad(header::REQUEST_ID, "no id could be made up"))
+}
+
+fn with_names(labels: Labels, customer: &CustomerId, class: &ClassId) -> Labels {
+    let named = labels.clone().with("customer", customer.as_str());
+    let named = named.and_then(|l| l.with("class", class.as_str()));
+    named.unwrap_or(labels)
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Failure> {
+    let Some(value) = headers.get(name) else {
+        return Ok(None);
+    };
+    value
+        .to_str()
+        .map(Some)
+        .map_err(|_| Failure::bad(name, format!("{name} is not plain text")))
+}
+
+fn optional<T>(headers: &HeaderMap, name: &str) -> Result<Option<T>, Failure>
+where
+    T: std::str::FromStr,
+    T::Err: std::fmt::Display,
+{
+    let Some(value) = text(headers, name)? else {
+        return Ok(None);
+    };
+    value
+        .parse()
+        .map(Some)
+        .map_err(|e: T::Err| Failure::bad(name, format!("{name}: {e}")))
+}
+
+fn required<T>(headers: &HeaderMap, name: &str) -> Result<T, Failure>
+where
+    T: std::str::FromStr,
+    T::Err: std::fmt::Display,
+{
+    optional(headers, name)?.ok_or_else(|| Failure::bad(name, format!("{name} is missing")))
+}
+
+fn deadline(headers: &HeaderMap, default_ms: u64) -> Result<Duration, Failure> {
+    let millis = optional::<u64>(headers, header::DEADLINE_MS)?.unwrap_or(default_ms);
+    let deadline = Duration::from_millis(millis);
+    if millis == 0 || deadline > MAX_DEADLINE {
+        let most = MAX_DEADLINE.as_millis();
+        let error = format!("{} is from 1 to {most}", header::DEADLINE_MS);
+        return Err(Failure::bad(header::DEADLINE_MS, error));
+    }
+    Ok(deadline)
+}
+
+fn repeatable(headers: &HeaderMap) -> Result<bool, Failure> {
+    match text(headers, header::REPEATABLE)? {
+        None | Some("yes") => Ok(true),
+        Some("no") => Ok(false),
+        Some(other) => {
+            let error = format!("{} is yes or no, not {other:?}", header::REPEATABLE);
+            Err(Failure::bad(header::REPEATABLE, error))
+        }
+    }
+}
+
+/// Returns path and query at the minion, and at a daemon.
+fn paths(request: &Request, service: &ServiceId) -> (String, String) {
+    let full = request.uri().path_and_query().map_or("/", |p| p.as_str());
+    let prefix = format!("/call/{service}");
+    let rest = full.strip_prefix(&prefix).unwrap_or("/");
+    let slash = if rest.starts_with('/') { "" } else { "/" };
+    (format!("{slash}{rest}"), full.to_owned())
+}
--- /dev/null
+++ b/crates/stairstalld/src/lib.rs
@@ -0,0 +1,31 @@
+//! The stairstall daemon, the same on every entry VM.
+//!
+//! Sockets, timers and processes' messages live here; every decision is made by
+//! `stairstall-core`. [`run`] serves until it is told to stop:
+//!
+//! - [`settings`] reads and checks flags and environment variables.
+//! - `api` serves callers and operators over HTTP; `call` is the request path,
+//!   `jobs` and `configure` the other two.
+//! - `dispatch` shares out minions' slots.
+//! - `holder` carries the placement role of the zone.
+//! - `peers` exchanges heartbeats and configuration with other daemons.
+//! - `follow` keeps the configuration and the VM list up to date.
+
+mod answer;
+mod api;
+mod call;
+mod clock;
+mod configure;
+mod daemon;
+mod dispatch;
+mod follow;
+mod holder;
+mod jobs;
+mod keys;
+mod metrics;
+mod peers;
+mod retention;
+mod serve;
+pub mod settings;
+
+pub use serve::{RunError, run};
--- /dev/null
+++ b/crates/stairstalld/src/serve.rs
@@ -0,0 +1,145 @@
+//! Starts the parts of a daemon and stops them without cutting anything off.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use hyper_util::server::conn::auto::Builder;
+use quick_error::quick_error;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc;
+
+use crate::daemon::Daemon;
+use crate::dispatch::PUMP_INTERVAL;
+use crate::metrics::Metrics;
+use crate::settings::Settings;
+use crate::{api, follow, holder, peers};
+
+/// How long a caller may take to send a request's head.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// How often a stopping daemon looks whether requests are still in flight.
+const DRAIN_INTERVAL: Duration = Duration::from_millis(20);
+/// Questions that wait for the placement role.
+const QUERIES: usize = 64;
+
+quick_error! {
+    /// Why a daemon ended other than by a stop.
+    #[derive(Debug)]
+    pub enum RunError {
+        /// Something of the operating system failed.
+        System(what: &'static str, source: std::io::Error) {
+            display("{what}: {source}")
+            source(source)
+        }
+        /// Requests in flight took longer than allowed.
+        Cut(in_flight: usize) {
+            display("stopped with {in_flight} requests in flight: the drain limit was reached")
+        }
+    }
+}
+
+fn system(what: &'static str) -> impl Fn(std::io::Error) -> RunError {
+    move |source| RunError::System(what, source)
+}
+
+/// Serves until a signal asks for a stop and everything in flight has ended.
+///
+/// # Errors
+///
+/// Returns what failed at the start, or that the drain limit cut requests off.
+pub fn run(settings: Settings) -> Result<(), RunError> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build();
+    runtime
+        .map_err(system("runtime"))?
+        .block_on(serve(settings))
+}
+
+async fn serve(settings: Settings) -> Result<(), RunError> {
+    let listener = TcpListener::bind(settings.listen)
+        .await
+        .map_err(system("--listen"))?;
+    let address = listener.local_addr().map_err(system("--listen"))?;
+    let metrics = Metrics::new(settings.statsd).map_err(system("--statsd"))?;
+    let (queries, inbox) = mpsc::channel(QUERIES);
+    let daemon = Arc::new(Daemon::new(settings, address, metrics, queries));
+    let (rpc_address, rpc) = peers::serve(Arc::clone(&daemon))
+        .await
+        .map_err(system("--rpc-listen"))?;
+    log::info!(target: "start", vm:% = daemon.me(), zone:% = daemon.settings.zone,
+        listen:% = address, rpc:% = rpc_address; "serving");
+    start_background(&daemon, inbox);
+
+    let mut builder = Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT);
+    let stop = stop_asked(Arc::clone(&daemon));
+    let server = viz::Server::with_builder(listener, api::router(&daemon), builder).signal(stop);
+    let serving = tokio::spawn(server.into_future());
+    let result = drain(&daemon, serving).await;
+    let _ = rpc.stop();
+    result
+}
+
+fn start_background(daemon: &Arc<Daemon>, inbox: mpsc::Receiver<holder::Query>) {
+    tokio::spawn(follow::follow_vms(Arc::clone(daemon)));
+    tokio::spawn(follow::follow_configuration(Arc::clone(daemon)));
+    tokio::spawn(peers::beat(Arc::clone(daemon)));
+    tokio::spawn(holder::run(Arc::clone(daemon), inbox));
+    let pumping = Arc::clone(daemon);
+    tokio::spawn(async move {
+        loop {
+            tokio::time::sleep(PUMP_INTERVAL).await;
+            pumping.dispatcher.pump();
+        }
+    });
+}
+
+/// Ends once a stop was asked for and the balancer has had time to notice.
+async fn stop_asked(daemon: Arc<Daemon>) {
+    let (Ok(mut terminate), Ok(mut interrupt)) = (
+        signal(SignalKind::terminate()),
+        signal(SignalKind::interrupt()),
+    ) else {
+        log::error!(target: "stop", vm:% = daemon.me(); "signals can't be received");
+        return std::future::pending().await;
+    };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    log::info!(target: "stop", vm:% = daemon.me(),
+        delay_ms = crate::clock::millis(daemon.settings.drain_delay);
+        "a stop was asked for: health fails from now on, requests are still taken");
+    daemon.leaving.send_replace(true);
+    tokio::time::sleep(daemon.settings.drain_delay).await;
+}
+
+/// Waits for the server to finish what is in flight, up to the limit.
+async fn drain(
+    daemon: &Arc<Daemon>,
+    mut served: tokio::task::JoinHandle<std::io::Result<()>>,
+) -> Result<(), RunError> {
+    let mut leaving = daemon.leaving.subscribe();
+    let limit = async {
+        let _ = leaving.wait_for(|leaving| *leaving).await;
+        tokio::time::sleep(daemon.settings.drain_delay + daemon.settings.drain_limit).await;
+    };
+    tokio::select! {
+        ended = &mut served => match ended {
+            Ok(result) => result.map_err(system("serving"))?,
+            Err(error) => return Err(RunError::System("serving", std::io::Error::other(error))),
+        },
+        () = limit => return Err(RunError::Cut(daemon.dispatcher.in_flight())),
+    }
+    // Not-repeatable requests are seen to their end also after their callers left.
+    while daemon.dispatcher.in_flight() > 0 {
+        tokio::time::sleep(DRAIN_INTERVAL).await;
+    }
+    log::info!(target: "stop", vm:% = daemon.me(); "nothing is in flight: stopped");
+    Ok(())
+}
--- /dev/null
+++ b/crates/stairstalld/src/settings.rs
@@ -0,0 +1,322 @@
+//! Settings from flags and environment variables, checked before anything starts.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bpaf::{OptionParser, Parser, construct, long};
+use stairstall_core::{VmId, ZoneId};
+
+/// Settings as they were given, unchecked.
+#[derive(Debug, Clone)]
+struct Raw {
+    vm: String,
+    zone: String,
+    listen: String,
+    rpc_listen: String,
+    store: String,
+    vm_list: String,
+    statsd: Option<String>,
+    store_timeout_ms: String,
+    drain_delay_ms: String,
+    drain_limit_ms: String,
+    max_body_bytes: String,
+    max_waiting: String,
+    log: String,
+}
+
+/// Checked settings of one daemon.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Name of this VM.
+    pub vm: VmId,
+    /// Availability zone of this VM.
+    pub zone: ZoneId,
+    /// Where callers and operators are served.
+    pub listen: SocketAddr,
+    /// Where peers are served.
+    pub rpc_listen: SocketAddr,
+    /// The platform's store.
+    pub store: SocketAddr,
+    /// The platform's list of VMs.
+    pub vm_list: SocketAddr,
+    /// Where metrics go, if anywhere.
+    pub statsd: Option<SocketAddr>,
+    /// Longest call to the store.
+    pub store_timeout: Duration,
+    /// How long new requests are still taken after a stop was asked for.
+    pub drain_delay: Duration,
+    /// How long requests in flight may take after that.
+    pub drain_limit: Duration,
+    /// Longest request body, in bytes.
+    pub max_body_bytes: usize,
+    /// Most requests of one service that wait at a time.
+    pub max_waiting: usize,
+    /// Log filter, as in `info` or `stairstalld=debug`.
+    pub log: String,
+}
+
+/// One setting that is not allowed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Mistake {
+    /// The flag.
+    pub flag: &'static str,
+    /// The value as given.
+    pub value: String,
+    /// What is allowed.
+    pub allowed: String,
+}
+
+/// Every setting that is not allowed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Mistakes(pub Vec<Mistake>);
+
+impl fmt::Display for Mistakes {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for mistake in &self.0 {
+            let Mistake {
+                flag,
+                value,
+                allowed,
+            } = mistake;
+            writeln!(
+                f,
+                "stairstalld: {flag}: {value:?} is not allowed: {allowed}"
+            )?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for Mistakes {}
+
+fn text(flag: &'static str, env: &'static str, help: &'static str) -> impl Parser<String> {
+    long(flag).env(env).help(help).argument::<String>("VALUE")
+}
+
+fn parser() -> OptionParser<Raw> {
+    let vm = text("vm", "STAIRSTALL_VM", "Name of this VM");
+    let zone = text("zone", "STAIRSTALL_ZONE", "Availability zone of this VM");
+    let listen = text(
+        "listen",
+        "STAIRSTALL_LISTEN",
+        "IP:PORT for callers and operators",
+    );
+    let rpc_listen = text(
+        "rpc-listen",
+        "STAIRSTALL_RPC_LISTEN",
+        "IP:PORT for other daemons",
+    );
+    let store = text(
+        "store",
+        "STAIRSTALL_STORE",
+        "IP:PORT of the platform's store",
+    );
+    let vm_list = text(
+        "vm-list",
+        "STAIRSTALL_VM_LIST",
+        "IP:PORT of the platform's list of VMs",
+    );
+    let statsd = text(
+        "statsd",
+        "STAIRSTALL_STATSD",
+        "IP:PORT that metrics go to over UDP",
+    )
+    .optional();
+    let store_timeout_ms = text(
+        "store-timeout-ms",
+        "STAIRSTALL_STORE_TIMEOUT_MS",
+        "Longest call to the store",
+    )
+    .fallback("1000".to_owned());
+    let drain_delay_ms = text(
+        "drain-delay-ms",
+        "STAIRSTALL_DRAIN_DELAY_MS",
+        "How long requests are still taken after a stop was asked for",
+    )
+    .fallback("5000".to_owned());
+    let drain_limit_ms = text(
+        "drain-limit-ms",
+        "STAIRSTALL_DRAIN_LIMIT_MS",
+        "How long requests in flight may take after that",
+    )
+    .fallback("900000".to_owned());
+    let max_body_bytes = text(
+        "max-body-bytes",
+        "STAIRSTALL_MAX_BODY_BYTES",
+        "Longest request body",
+    )
+    .fallback("1048576".to_owned());
+    let max_waiting = text(
+        "max-waiting",
+        "STAIRSTALL_MAX_WAITING",
+        "Most requests of a service that wait",
+    )
+    .fallback("1000".to_owned());
+    let log = text(
+        "log",
+        "STAIRSTALL_LOG",
+        "Log filter, as in 'info' or 'stairstalld=debug'",
+    )
+    .fallback("info".to_owned());
+    construct!(Raw {
+        vm,
+        zone,
+        listen,
+        rpc_listen,
+        store,
+        vm_list,
+        statsd,
+        store_timeout_ms,
+        drain_delay_ms,
+        drain_limit_ms,
+        max_body_bytes,
+        max_waiting,
+        log,
+    })
+    .to_options()
+    .descr("The stairstall daemon: routes requests and places jobs in one availability zone")
+    .version(env!("CARGO_PKG_VERSION"))
+}
+
+/// Collects mistakes while settings are read one by one.
+#[derive(Debug, Default)]
+struct Checks(Vec<Mistake>);
+
+impl Checks {
+    fn refuse(&mut self, flag: &'static str, value: &str, allowed: impl Into<String>) {
+        self.0.push(Mistake {
+            flag,
+            value: value.to_owned(),
+            allowed: allowed.into(),
+        });
+    }
+
+    fn name<T>(&mut self, flag: &'static str, value: &str) -> Option<T>
+    where
+        T: std::str::FromStr,
+        T::Err: fmt::Display,
+    {
+        value
+            .parse()
+            .map_err(|e| self.refuse(flag, value, format!("{e}")))
+            .ok()
+    }
+
+    fn address(&mut self, flag: &'static str, value: &str) -> Option<SocketAddr> {
+        let allowed = "an IP number and a port, as in 127.0.0.1:7000";
+        value
+            .parse()
+            .map_err(|_| self.refuse(flag, value, allowed))
+            .ok()
+    }
+
+    fn number(&mut self, flag: &'static str, value: &str, least: u64, most: u64) -> Option<u64> {
+        let found = value.parse().ok().filter(|n| (least..=most).contains(n));
+        if found.is_none() {
+            self.refuse(
+                flag,
+                value,
+                format!("a whole number from {least} to {most}"),
+            );
+        }
+        found
+    }
+
+    fn millis(
+        &mut self,
+        flag: &'static str,
+        value: &str,
+        least: u64,
+        most: u64,
+    ) -> Option<Duration> {
+        self.number(flag, value, least, most)
+            .map(Duration::from_millis)
+    }
+
+    fn size(&mut self, flag: &'static str, value: &str, least: u64, most: u64) -> Option<usize> {
+        self.number(flag, value, least, most)
+            .and_then(|n| usize::try_from(n).ok())
+    }
+}
+
+impl Settings {
+    /// Reads the settings of this process; `--help` and `--version` end it.
+    ///
+    /// # Errors
+    ///
+    /// Returns every setting that is not allowed.
+    pub fn from_process() -> Result<Self, Mistakes> {
+        Self::check(&parser().run())
+    }
+
+    /// Reads the settings from arguments, for tests.
+    ///
+    /// # Errors
+    ///
+    /// Returns every setting that is not allowed, or that the arguments can't be read.
+    pub fn from_arguments(arguments: &[&str]) -> Result<Self, Mistakes> {
+        let raw = parser().run_inner(arguments).map_err(|failure| {
+            let value = arguments.join(" ");
+            let allowed = failure.unwrap_stderr();
+            Mistakes(vec![Mistake {
+                flag: "arguments",
+                value,
+                allowed,
+            }])
+        })?;
+        Self::check(&raw)
+    }
+
+    fn check(raw: &Raw) -> Result<Self, Mistakes> {
+        let mut checks = Checks::default();
+        let settings = Self::read(raw, &mut checks);
+        match settings {
+            Some(settings) if checks.0.is_empty() => Ok(settings),
+            _ => Err(Mistakes(checks.0)),
+        }
+    }
+
+    /// Reads every field before the first missing one can end the reading.
+    fn read(raw: &Raw, checks: &mut Checks) -> Option<Self> {
+        let day = 24 * 3600 * 1000;
+        let vm = checks.name("--vm", &raw.vm);
+        let zone = checks.name("--zone", &raw.zone);
+        let listen = checks.address("--listen", &raw.listen);
+        let rpc_listen = checks.address("--rpc-listen", &raw.rpc_listen);
+        let store = checks.address("--store", &raw.store);
+        let vm_list = checks.address("--vm-list", &raw.vm_list);
+        let statsd = raw
+            .statsd
+            .as_ref()
+            .map(|value| checks.address("--statsd", value));
+        let store_timeout = checks.millis("--store-timeout-ms", &raw.store_timeout_ms, 10, 10_000);
+        let drain_delay = checks.millis("--drain-delay-ms", &raw.drain_delay_ms, 0, day);
+        let drain_limit = checks.millis("--drain-limit-ms", &raw.drain_limit_ms, 0, day);
+        let max_body_bytes =
+            checks.size("--max-body-bytes", &raw.max_body_bytes, 1, 64 * 1024 * 1024);
+        let max_waiting = checks.size("--max-waiting", &raw.max_waiting, 1, 1_000_000);
+        if listen.is_some() && listen == rpc_listen && listen.is_some_and(|a| a.port() != 0) {
+            checks.refuse(
+                "--rpc-listen",
+                &raw.rpc_listen,
+                "another address than --listen",
+            );
+        }
+        Some(Self {
+            vm: vm?,
+            zone: zone?,
+            listen: listen?,
+            rpc_listen: rpc_listen?,
+            store: store?,
+            vm_list: vm_list?,
+            statsd: statsd.flatten(),
+            store_timeout: store_timeout?,
+            drain_delay: drain_delay?,
+            drain_limit: drain_limit?,
+            max_body_bytes: max_body_bytes?,
+            max_waiting: max_waiting?,
+            log: raw.log.clone(),
+        })
+    }
+}
