--- a/crates/stairstall-core/src/config/head.rs
+++ b/crates/stairstall-core/src/config/head.rs
@@ -11,6 +11,10 @@
         Conflict(current: Revision) {
             display("the configuration is at revision {current} by now; look at it and try again")
         }
+        /// The head or the configuration was read too early; read both again.
+        OutOfStep {
+            display("the configuration moved on meanwhile")
+        }
         /// The change itself is wrong.
         Invalid(source: Invalid) {
             display("{source}")
@@ -69,8 +73,10 @@
         current: &Configuration,
         change: &Change,
     ) -> Result<(Self, Configuration), HeadError> {
-        let stale = change.base.is_some_and(|base| base != self.revision);
-        if stale || current.revision != self.revision {
+        if current.revision != self.revision {
+            return Err(HeadError::OutOfStep);
+        }
+        if change.base.is_some_and(|base| base != self.revision) {
             return Err(HeadError::Conflict(self.revision));
         }
         let next = current.apply(change)?;
--- a/crates/stairstall-standin/src/minion.rs
+++ b/crates/stairstall-standin/src/minion.rs
@@ -18,6 +18,8 @@
 pub const BREAK: &str = "standin-break";
 /// Header that asks for an answer of so many bytes.
 pub const ANSWER_BYTES: &str = "standin-answer-bytes";
+/// How long the stand-in waits before it breaks off an answer.
+const BREAK_PAUSE: Duration = Duration::from_millis(50);
 /// Pieces that a long answer is sent in.
 const CHUNK_BYTES: usize = 16 * 1024;
 
@@ -194,7 +196,11 @@
             }
             Ok(Frame::data(piece))
         });
-    let end = futures::stream::iter(broken.then(|| Err(std::io::Error::other("broken off"))));
+    let end = futures::stream::iter(broken.then_some(())).then(|()| async {
+        // The head and the first pieces are on their way before the connection breaks.
+        tokio::time::sleep(BREAK_PAUSE).await;
+        Err(std::io::Error::other("broken off"))
+    });
     let body = StreamBody::new(sent.chain(end));
     let mut response = Response::new(BodyExt::boxed(body));
     response
--- a/crates/stairstalld/src/configure.rs
+++ b/crates/stairstalld/src/configure.rs
@@ -20,6 +20,8 @@
 
 /// How often a change without a base is tried against other operators' changes.
 const APPEND_TRIES: u32 = 8;
+/// Pause before the head is read again.
+const APPEND_PAUSE: Duration = Duration::from_millis(10);
 /// How soon it is worth coming back while the store is silent.
 const STORE_RETRY: Duration = Duration::from_secs(2);
 
@@ -90,7 +92,10 @@
         let current = daemon.configuration();
         let (next_head, next) = match head.append(&current, &change) {
             Ok(appended) => appended,
-            Err(HeadError::Conflict(_)) if change.base.is_none() => continue,
+            Err(HeadError::OutOfStep) => {
+                tokio::time::sleep(APPEND_PAUSE).await;
+                continue;
+            }
             Err(HeadError::Conflict(revision)) => return Ok(conflict(&head, &change, revision)),
             Err(HeadError::Invalid(error)) => {
                 return Err(Failure::bad("operations", error.to_string()));
