--- a/crates/stairstall-core/src/claim.rs
+++ b/crates/stairstall-core/src/claim.rs
@@ -33,7 +33,7 @@
 }
 
 /// The whole answer to a claimed request, kept for callers that lost theirs.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct KeptAnswer {
     /// HTTP status.
     pub status: u16,
@@ -44,7 +44,7 @@
 }
 
 /// What the store keeps for one not-repeatable request id.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct ClaimRecord {
     /// Who claimed it.
     pub mark: Mark,
--- a/crates/stairstall-core/src/placement/homes.rs
+++ b/crates/stairstall-core/src/placement/homes.rs
@@ -145,7 +145,7 @@
             .collect();
         for id in unsound {
             self.homes.remove(&id);
-            inventory.clear_homes(Some(&id));
+            inventory.clear_home(&id);
         }
     }
 
@@ -187,7 +187,7 @@
             .collect();
         for id in movable {
             self.homes.remove(&id);
-            inventory.clear_homes(Some(&id));
+            inventory.clear_home(&id);
         }
         let still_missing = self.place_missing(guarantees, inventory);
         if still_missing.len() < missing.len() {
--- a/crates/stairstall-core/src/placement/inventory.rs
+++ b/crates/stairstall-core/src/placement/inventory.rs
@@ -420,16 +420,19 @@
         worker.refresh();
     }
 
-    /// Takes away the home cells of one guarantee, or of all.
-    pub fn clear_homes(&mut self, guarantee: Option<&GuaranteeId>) {
+    /// Takes away the home cells of one guarantee.
+    ///
+    /// What its owner runs there goes on as any other work: the next home block
+    /// has to leave it alone.
+    pub fn clear_home(&mut self, guarantee: &GuaranteeId) {
         for worker in &mut self.workers {
-            let before = worker.homes.len();
-            worker
-                .homes
-                .retain(|h| guarantee.is_some_and(|g| h.guarantee != *g));
-            if worker.homes.len() != before {
-                worker.refresh();
+            worker.homes.retain(|h| h.guarantee != *guarantee);
+            for used in &mut worker.uses {
+                if used.home.as_ref() == Some(guarantee) {
+                    used.home = None;
+                }
             }
+            worker.refresh();
         }
     }
 
--- a/crates/stairstall-core/src/placement/scheduler/summary.rs
+++ b/crates/stairstall-core/src/placement/scheduler/summary.rs
@@ -3,7 +3,7 @@
 use super::Scheduler;
 use super::entry::Stage;
 use crate::Timestamp;
-use crate::placement::{Access, Block, Fit, JobKey, Shape};
+use crate::placement::{Access, Block, Fit, Homes, Inventory, JobKey, Phase, Shape};
 use crate::protocol::{Explanation, Stage as ExplainedStage};
 
 /// How broken up the free accelerators are.
@@ -118,6 +118,27 @@
         largest
     }
 
+    /// Returns where a job's run stands; none while it has no run.
+    #[must_use]
+    pub fn phase_of(&self, key: &JobKey) -> Option<Phase> {
+        match &self.jobs.get(key)?.stage {
+            Stage::Running(running) => Some(running.run.phase()),
+            _ => None,
+        }
+    }
+
+    /// Returns the home blocks in force.
+    #[must_use]
+    pub const fn homes(&self) -> &Homes {
+        &self.homes
+    }
+
+    /// Returns the workers and what occupies them.
+    #[must_use]
+    pub const fn inventory(&self) -> &Inventory {
+        &self.inventory
+    }
+
     /// Explains where a job stands and what was decided about it.
     #[must_use]
     pub fn explain(&self, key: &JobKey, now: Timestamp) -> Option<Explanation> {
--- a/crates/stairstall-standin/src/lib.rs
+++ b/crates/stairstall-standin/src/lib.rs
@@ -7,6 +7,8 @@
 //! - [`VmListStandin`]: the platform's lagging list of VMs.
 //! - [`MinionStandin`]: eight slots, records each request id that it ran.
 //! - [`WorkerStandin`]: tasks under leases and fencing tokens, records every start.
+//! - [`VirtualZone`]: a scheduler and its workers on a clock that tests move.
+//! - [`Cluster`]: daemons as processes among all of these.
 //! - [`Link`]: a TCP link that can be cut or delayed.
 
 mod cluster;
@@ -14,6 +16,7 @@
 mod minion;
 mod server;
 mod store;
+mod virtual_zone;
 mod vm_list;
 mod worker;
 
@@ -25,5 +28,6 @@
 pub use minion::{ANSWER_BYTES, BREAK, MinionRecord, MinionStandin, WORK_MS};
 pub use server::Server;
 pub use store::{StoreFaults, StoreStandin};
+pub use virtual_zone::{Ended, VirtualZone};
 pub use vm_list::VmListStandin;
 pub use worker::{StartRecord, WorkerStandin, WorkerState};
--- /dev/null
+++ b/crates/stairstall-standin/src/virtual_zone.rs
@@ -0,0 +1,271 @@
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use stairstall_core::claim::Mark;
+use stairstall_core::config::Configuration;
+use stairstall_core::placement::{
+    Capacity, Effect, JobKey, JobRecord, JobSpec, JobState, Policy, Scheduler, WriteAnswer,
+};
+use stairstall_core::protocol::VmState;
+use stairstall_core::{RackId, Timestamp, VmId, WorkerId, ZoneId};
+
+use crate::WorkerState;
+
+/// Where a worker stands in a [`VirtualZone`].
+#[derive(Debug, Clone)]
+struct Place {
+    rack: RackId,
+    position: u16,
+    state: WorkerState,
+    dead: bool,
+}
+
+/// How a job ended in a [`VirtualZone`].
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Ended {
+    /// The job.
+    pub job: JobKey,
+    /// When.
+    pub at: Timestamp,
+    /// Its last state.
+    pub state: JobState,
+}
+
+/// One zone's scheduler and its workers, on a clock that only the caller moves.
+///
+/// It is no model of a cluster: messages arrive at once and the store answers
+/// each write. It drives the decisions themselves, fast and repeatably.
+#[derive(Debug, Clone)]
+pub struct VirtualZone {
+    /// The scheduler.
+    pub scheduler: Scheduler,
+    /// Jobs that ended, in order.
+    pub ended: Vec<Ended>,
+    /// Alarms, in order.
+    pub alarms: Vec<String>,
+    /// Decisions by kind.
+    pub decisions: BTreeMap<&'static str, u64>,
+    /// Syncs with workers so far.
+    pub syncs: u64,
+    /// Bytes of requests and answers of those syncs, as JSON, where counted.
+    pub sync_bytes: u64,
+    /// Whether bytes are counted; it costs time.
+    pub count_bytes: bool,
+    zone: ZoneId,
+    places: BTreeMap<WorkerId, Place>,
+    now: Timestamp,
+    token: u64,
+}
+
+impl VirtualZone {
+    /// Shortest step of time.
+    pub const STEP: Duration = Duration::from_millis(100);
+
+    /// Creates a zone of `workers`, `per_rack` to a rack, that were all asked once.
+    ///
+    /// # Panics
+    ///
+    /// Panics where a made-up name is not allowed.
+    #[must_use]
+    pub fn new(
+        workers: u16,
+        per_rack: u16,
+        capacity: Capacity,
+        policy: Policy,
+        configuration: Configuration,
+    ) -> Self {
+        let zone: ZoneId = named("zone-a");
+        let me: VmId = named("vm-1");
+        let mut scheduler = Scheduler::new(me, zone.clone(), 1, policy);
+        scheduler.set_configuration(Arc::new(configuration));
+        let mut places = BTreeMap::new();
+        let now = Timestamp::default();
+        for index in 0..workers {
+            let id: WorkerId = named(&format!("worker-{index:04}"));
+            let rack: RackId = named(&format!("rack-{:04}", index / per_rack));
+            let position = index % per_rack;
+            scheduler.list_worker(id.clone(), rack.clone(), position, VmState::Live, now);
+            let state = WorkerState::new(u64::from(index) + 1, capacity, 1);
+            places.insert(
+                id,
+                Place {
+                    rack,
+                    position,
+                    state,
+                    dead: false,
+                },
+            );
+        }
+        let mut virtual_zone = Self {
+            scheduler,
+            ended: Vec::new(),
+            alarms: Vec::new(),
+            decisions: BTreeMap::new(),
+            syncs: 0,
+            sync_bytes: 0,
+            count_bytes: false,
+            zone,
+            places,
+            now,
+            token: 1,
+        };
+        virtual_zone.exchange();
+        virtual_zone.scheduler.note_store_read();
+        virtual_zone.step();
+        virtual_zone
+    }
+
+    /// Returns the time.
+    #[must_use]
+    pub const fn now(&self) -> Timestamp {
+        self.now
+    }
+
+    /// Returns the workers' names.
+    #[must_use]
+    pub fn workers(&self) -> Vec<WorkerId> {
+        self.places.keys().cloned().collect()
+    }
+
+    /// Returns a worker's state.
+    #[must_use]
+    pub fn worker(&self, id: &WorkerId) -> Option<&WorkerState> {
+        self.places.get(id).map(|place| &place.state)
+    }
+
+    /// Accepts a job.
+    pub fn submit(&mut self, spec: JobSpec) {
+        let record = JobRecord {
+            spec,
+            zone: self.zone.clone(),
+            mark: Mark::new(VmId::unknown(), 0, 0),
+            accepted_ms: self.now.as_millis(),
+            cancel: false,
+            saved_ms: 0,
+            started: false,
+            state: JobState::Accepted,
+        };
+        self.scheduler.take_record(&record, self.now);
+    }
+
+    /// Makes a worker silent for good, or brings a new process in its place.
+    pub fn set_dead(&mut self, id: &WorkerId, dead: bool) {
+        let Some(place) = self.places.get_mut(id) else {
+            return;
+        };
+        if place.dead && !dead {
+            let (incarnation, capacity) = (place.state.incarnation(), place.state.capacity());
+            place.state = WorkerState::new(incarnation + 10_000, capacity, 1);
+        }
+        place.dead = dead;
+    }
+
+    /// Moves on by one step.
+    pub fn step(&mut self) {
+        self.now = self.now + Self::STEP;
+        self.settle();
+        self.exchange();
+        self.settle();
+    }
+
+    /// Moves on by at least `time`.
+    pub fn run_for(&mut self, time: Duration) {
+        let until = self.now + time;
+        while self.now < until {
+            self.step();
+        }
+    }
+
+    /// Exchanges messages with each worker that is due.
+    fn exchange(&mut self) {
+        let elapsed = Duration::from_millis(self.now.as_millis());
+        for worker in self.scheduler.due(self.now) {
+            let Some(request) = self.scheduler.next_sync(&worker, self.now) else {
+                continue;
+            };
+            self.syncs += 1;
+            let place = self.places.get_mut(&worker).filter(|place| !place.dead);
+            match place.map(|place| place.state.sync(&request, elapsed)) {
+                Some(Ok(reply)) => {
+                    if self.count_bytes {
+                        self.sync_bytes += json_length(&request) + json_length(&reply);
+                    }
+                    self.scheduler.sync_done(&worker, &reply, self.now);
+                }
+                _ => self.scheduler.sync_failed(&worker, self.now),
+            }
+        }
+    }
+
+    /// Lets the scheduler move on and carries out what it asks for.
+    fn settle(&mut self) {
+        for effect in self.scheduler.tick(self.now) {
+            match effect {
+                Effect::Write { id, job, state, .. } => {
+                    if state.is_final() {
+                        self.ended.push(Ended {
+                            job: job.clone(),
+                            at: self.now,
+                            state,
+                        });
+                    }
+                    self.scheduler.take_answer(&job, id, WriteAnswer::Done);
+                }
+                Effect::Decide(decision) => {
+                    *self.decisions.entry(decision.kind.as_str()).or_default() += 1;
+                }
+                Effect::Alarm(text) => self.alarms.push(text),
+                Effect::KeepHomes(_) => {}
+            }
+        }
+        if self.now.as_millis().is_multiple_of(1_000) {
+            self.scheduler.request_replan();
+        }
+    }
+
+    /// Replaces the scheduler by a successor that knows only the workers and `records`.
+    pub fn succeed(&mut self, records: &[JobRecord], configuration: Configuration) {
+        self.token += 1;
+        let homes = self.scheduler.homes().iter().cloned().collect();
+        let me: VmId = named("vm-2");
+        let mut next = Scheduler::new(me, self.zone.clone(), self.token, Policy::standard());
+        next.set_configuration(Arc::new(configuration));
+        for (id, place) in &self.places {
+            next.list_worker(
+                id.clone(),
+                place.rack.clone(),
+                place.position,
+                VmState::Live,
+                self.now,
+            );
+        }
+        self.scheduler = next;
+        self.exchange();
+        self.scheduler.restore_homes(homes);
+        for record in records {
+            self.scheduler.take_record(record, self.now);
+        }
+        self.scheduler.note_store_read();
+    }
+
+    /// Returns the jobs that have a task on any worker.
+    #[must_use]
+    pub fn running_jobs(&self) -> BTreeSet<JobKey> {
+        let running = |place: &Place| place.state.running_tasks();
+        self.places
+            .values()
+            .flat_map(running)
+            .map(|task| task.job)
+            .collect()
+    }
+}
+
+fn json_length<T: serde::Serialize>(value: &T) -> u64 {
+    serde_json::to_vec(value).map_or(0, |bytes| bytes.len() as u64)
+}
+
+fn named<T: std::str::FromStr>(text: &str) -> T {
+    text.parse()
+        .unwrap_or_else(|_| panic!("{text:?} is not an allowed name"))
+}
--- a/crates/stairstall-standin/src/worker/state.rs
+++ b/crates/stairstall-standin/src/worker/state.rs
@@ -100,6 +100,28 @@
         (self.served, self.refused)
     }
 
+    /// Returns the tasks that run.
+    #[must_use]
+    pub fn running_tasks(&self) -> Vec<TaskId> {
+        self.tasks
+            .iter()
+            .filter(|(_, t)| t.is_running())
+            .map(|(id, _)| id.clone())
+            .collect()
+    }
+
+    /// Returns the incarnation.
+    #[must_use]
+    pub const fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
+    /// Returns the capacity.
+    #[must_use]
+    pub const fn capacity(&self) -> Capacity {
+        self.capacity
+    }
+
     /// Returns how many tasks run.
     #[must_use]
     pub fn running(&self) -> usize {
