feat(standin): run both deployments' work and check what really ran

Cause: single tests don't show that the promises hold together. Found on the way: a body that is no JSON at all was refused with the field '?', exit codes of a command line that can't be read were 1 instead of 2, and of several missing settings only the first was told.

Change: the main job (web desk, radio burst, routed replies, drafts, previews, paid gangs, claims of guarantees) against daemons as processes, with a check of minions' and workers' records against what callers were told; placement policies against baselines on a virtual clock; tests of bad input and of the command line.

--- a/crates/stairstall-core/src/placement/scheduler/summary.rs
+++ b/crates/stairstall-core/src/placement/scheduler/summary.rs
@@ -3,7 +3,7 @@
 use super::Scheduler;
 use super::entry::Stage;
 use crate::Timestamp;
-use crate::placement::{Access, Block, Fit, Homes, Inventory, JobKey, Phase, Shape};
+use crate::placement::{Access, Block, Fit, Homes, Inventory, JobKey, Phase, Room, Shape};
 use crate::protocol::{Explanation, Stage as ExplainedStage};
 
 /// How broken up the free accelerators are.
@@ -15,6 +15,8 @@
     pub free: u32,
     /// Free accelerators that no waiting or guaranteed shape can use.
     pub unusable: u32,
+    /// Free accelerators that no waiting shape can use, while a job waits; else none.
+    pub lost: u32,
     /// Accelerators of the largest free run of neighbouring, wholly free workers.
     pub largest_free: u32,
 }
@@ -63,34 +65,31 @@
             .filter(|w| self.inventory.is_usable(&w.id))
             .map(|w| u32::from(w.capacity.accelerators))
             .sum();
-        let mut unused: Vec<u64> = rooms.iter().map(|r| r.mask).collect();
-        for shape in self.wanted_shapes() {
-            let mut left = rooms.clone();
-            while let Some(block) = Block::find(&left, &shape, Fit::Aligned) {
-                for cell in &block.cells {
-                    left[cell.worker].mask &= !cell.mask;
-                    unused[cell.worker] &= !cell.mask;
-                }
-            }
-        }
-        let unusable = unused.iter().map(|mask| mask.count_ones()).sum();
+        let waiting = self.waiting_shapes();
+        let guaranteed = self.homes.iter().map(|home| home.guarantee.shape);
+        let wanted = waiting.iter().copied().chain(guaranteed).collect();
+        let unusable = unusable_by(&rooms, &wanted);
+        let lost = if waiting.is_empty() {
+            0
+        } else {
+            unusable_by(&rooms, &waiting)
+        };
         Fragmentation {
             total,
             free,
             unusable,
+            lost,
             largest_free: self.largest_free(),
         }
     }
 
-    fn wanted_shapes(&self) -> BTreeSet<Shape> {
+    fn waiting_shapes(&self) -> BTreeSet<Shape> {
         let waiting = self
             .jobs
             .values()
             .filter(|e| matches!(e.stage, Stage::Waiting));
-        let guaranteed = self.homes.iter().map(|home| home.guarantee.shape);
         waiting
             .map(|e| e.spec.shape)
-            .chain(guaranteed)
             .filter(|shape| shape.accelerators > 0)
             .collect()
     }
@@ -166,3 +165,18 @@
         })
     }
 }
+
+/// Returns how many free accelerators no block of any of the shapes covers.
+fn unusable_by(rooms: &[Room], shapes: &BTreeSet<Shape>) -> u32 {
+    let mut unused: Vec<u64> = rooms.iter().map(|r| r.mask).collect();
+    for shape in shapes.iter().filter(|shape| shape.accelerators > 0) {
+        let mut left = rooms.to_vec();
+        while let Some(block) = Block::find(&left, shape, Fit::Aligned) {
+            for cell in &block.cells {
+                left[cell.worker].mask &= !cell.mask;
+                unused[cell.worker] &= !cell.mask;
+            }
+        }
+    }
+    unused.iter().map(|mask| mask.count_ones()).sum()
+}
--- a/crates/stairstall-core/src/protocol/peer.rs
+++ b/crates/stairstall-core/src/protocol/peer.rs
@@ -23,6 +23,12 @@
     pub total_accelerators: u32,
     /// Jobs that wait.
     pub waiting_jobs: u32,
+    /// Free accelerators that no waiting or guaranteed shape can use.
+    pub unusable_accelerators: u32,
+    /// Free accelerators that no waiting shape can use, while a job waits.
+    pub lost_accelerators: u32,
+    /// Accelerators of the largest free run of neighbouring, wholly free workers.
+    pub largest_free: u32,
 }
 
 /// What a daemon tells its peers twice a second.
--- a/crates/stairstall-standin/src/cluster.rs
+++ b/crates/stairstall-standin/src/cluster.rs
@@ -254,13 +254,22 @@
             .find(|d| d.is_running())
             .map(DaemonProcess::address);
         let Some(first) = first else { return 0 };
-        let reply = self.caller.post(first, "/v1/config", &change).await;
-        let revision = reply
-            .as_ref()
-            .ok()
-            .and_then(|r| r.json()["revision"].as_u64());
-        let Some(revision) = revision else {
-            panic!("the configuration is refused: {reply:?}")
+        let started = Instant::now();
+        let revision = loop {
+            let reply = self.caller.post(first, "/v1/config", &change).await;
+            let reply = reply.unwrap_or_else(|error| panic!("no answer: {error:?}"));
+            let body = reply.json();
+            if let Some(revision) = body["revision"].as_u64().filter(|_| reply.status == 200) {
+                break revision;
+            }
+            // An operator comes back when it is told that that is worth it.
+            let again = body["retry_after_ms"]
+                .as_u64()
+                .filter(|_| started.elapsed() < PATIENCE);
+            let Some(after) = again else {
+                panic!("the change is refused: {body}")
+            };
+            tokio::time::sleep(Duration::from_millis(after).min(GLANCE * 10)).await;
         };
         self.wait_for_revision(revision).await;
         revision
--- a/crates/stairstall-standin/src/lib.rs
+++ b/crates/stairstall-standin/src/lib.rs
@@ -9,16 +9,19 @@
 //! - [`WorkerStandin`]: tasks under leases and fencing tokens, records every start.
 //! - [`VirtualZone`]: a scheduler and its workers on a clock that tests move.
 //! - [`Cluster`]: daemons as processes among all of these.
+//! - [`main_job`]: both deployments' work against a cluster, with a check of what ran.
 //! - [`Link`]: a TCP link that can be cut or delayed.
 
 mod cluster;
 mod link;
+pub mod main_job;
 mod minion;
 mod server;
 mod store;
 mod virtual_zone;
 mod vm_list;
 mod worker;
+mod workload;
 
 pub use cluster::{
     Caller, CallerError, Cluster, ClusterMinion, ClusterPlan, ClusterWorker, DaemonProcess, Reply,
@@ -31,3 +34,4 @@
 pub use virtual_zone::{Ended, VirtualZone};
 pub use vm_list::VmListStandin;
 pub use worker::{StartRecord, WorkerStandin, WorkerState};
+pub use workload::{Arrival, Measured, Workload, WorkloadPlan};
--- a/crates/stairstall-standin/src/virtual_zone.rs
+++ b/crates/stairstall-standin/src/virtual_zone.rs
@@ -55,11 +55,12 @@
     zone: ZoneId,
     places: BTreeMap<WorkerId, Place>,
     now: Timestamp,
+    step: Duration,
     token: u64,
 }
 
 impl VirtualZone {
-    /// Shortest step of time.
+    /// Step of time unless another is set.
     pub const STEP: Duration = Duration::from_millis(100);
 
     /// Creates a zone of `workers`, `per_rack` to a rack, that were all asked once.
@@ -108,6 +109,7 @@
             zone,
             places,
             now,
+            step: Self::STEP,
             token: 1,
         };
         virtual_zone.exchange();
@@ -116,6 +118,11 @@
         virtual_zone
     }
 
+    /// Sets the step of time.
+    pub const fn set_step(&mut self, step: Duration) {
+        self.step = step;
+    }
+
     /// Returns the time.
     #[must_use]
     pub const fn now(&self) -> Timestamp {
@@ -163,7 +170,7 @@
 
     /// Moves on by one step.
     pub fn step(&mut self) {
-        self.now = self.now + Self::STEP;
+        self.now = self.now + self.step;
         self.settle();
         self.exchange();
         self.settle();
--- a/crates/stairstall/src/cli.rs
+++ b/crates/stairstall/src/cli.rs
@@ -2,12 +2,15 @@
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::process::ExitCode;
 
-use bpaf::{OptionParser, Parser, construct, long, positional};
+use bpaf::{OptionParser, ParseFailure, Parser, construct, long, positional};
 use stairstall_core::config::{Kind, Revision};
 use stairstall_core::placement::JobKey;
 use stairstall_core::{ChangeId, ClassId, CustomerId, Labels, RequestId, Selector, ServiceId};
 
+use crate::exit;
+
 /// How answers are printed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Output {
@@ -138,9 +141,27 @@
     pub command: Command,
 }
 
-/// Reads the command line of this process; help, version and mistakes end it.
-pub fn options() -> Options {
-    parser().fallback_to_usage().run()
+/// Width of help and messages, in characters.
+const WIDTH: usize = 100;
+
+/// Reads the command line of this process.
+///
+/// # Errors
+///
+/// Returns the exit code after help, version or a mistake was printed.
+pub fn options() -> Result<Options, ExitCode> {
+    let read = parser()
+        .fallback_to_usage()
+        .run_inner(bpaf::Args::current_args());
+    read.map_err(|failure| {
+        let shown = matches!(failure, ParseFailure::Stdout(..));
+        failure.print_message(WIDTH);
+        if shown {
+            ExitCode::SUCCESS
+        } else {
+            ExitCode::from(exit::USAGE)
+        }
+    })
 }
 
 fn servers() -> impl Parser<Vec<SocketAddr>> {
--- a/crates/stairstall/src/exit.rs
+++ b/crates/stairstall/src/exit.rs
@@ -6,16 +6,20 @@
 use stairstall_core::Verdict;
 use stairstall_core::protocol::ErrorBody;
 
-/// Exit codes beside 0 for success and 2 for a command line that can't be read.
-mod code {
-    pub(super) const LOCAL: u8 = 1;
-    pub(super) const USAGE: u8 = 2;
-    pub(super) const NOT_RUN: u8 = 3;
-    pub(super) const CONFLICT: u8 = 4;
-    pub(super) const MAY_HAVE_RUN: u8 = 5;
-    pub(super) const NOT_FOUND: u8 = 6;
-    pub(super) const FAILED: u8 = 7;
-}
+/// Trouble on this side.
+const LOCAL: u8 = 1;
+/// A command line or a value that is not allowed.
+pub const USAGE: u8 = 2;
+/// Nothing ran; it is worth trying again.
+const NOT_RUN: u8 = 3;
+/// Somebody else was first.
+const CONFLICT: u8 = 4;
+/// It may have run.
+const MAY_HAVE_RUN: u8 = 5;
+/// There is no such thing.
+const NOT_FOUND: u8 = 6;
+/// A job ended without success.
+const FAILED: u8 = 7;
 
 quick_error! {
     /// Why a command did not succeed.
@@ -66,14 +70,14 @@
     /// Returns the exit code that docs/INTERFACE.md lists.
     pub fn exit_code(&self) -> ExitCode {
         ExitCode::from(match self {
-            Self::Local(_) => code::LOCAL,
-            Self::Usage(_) | Self::Refused(400, _) => code::USAGE,
-            Self::Broken(_) => code::MAY_HAVE_RUN,
-            Self::JobFailed(_) => code::FAILED,
-            Self::Refused(404, _) => code::NOT_FOUND,
-            Self::Refused(_, body) if body.verdict != Verdict::NotRun => code::MAY_HAVE_RUN,
-            Self::Refused(409, _) => code::CONFLICT,
-            Self::Unreachable(_) | Self::Refused(..) => code::NOT_RUN,
+            Self::Local(_) => LOCAL,
+            Self::Usage(_) | Self::Refused(400, _) => USAGE,
+            Self::Broken(_) => MAY_HAVE_RUN,
+            Self::JobFailed(_) => FAILED,
+            Self::Refused(404, _) => NOT_FOUND,
+            Self::Refused(_, body) if body.verdict != Verdict::NotRun => MAY_HAVE_RUN,
+            Self::Refused(409, _) => CONFLICT,
+            Self::Unreachable(_) | Self::Refused(..) => NOT_RUN,
         })
     }
 }
--- a/crates/stairstall/src/main.rs
+++ b/crates/stairstall/src/main.rs
@@ -11,7 +11,10 @@
 use exit::Trouble;
 
 fn main() -> ExitCode {
-    let options = cli::options();
+    let options = match cli::options() {
+        Ok(options) => options,
+        Err(code) => return code,
+    };
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build();
--- a/crates/stairstalld/src/api.rs
+++ b/crates/stairstalld/src/api.rs
@@ -204,7 +204,8 @@
     let quoted = text.split('`').nth(1).filter(|_| text.contains("field"));
     match (path, quoted) {
         (".", Some(name)) => name.to_owned(),
-        (".", None) => "body".to_owned(),
+        // What is not JSON at all has no path.
+        (".", None) | ("?", _) => "body".to_owned(),
         (path, Some(name)) if !path.ends_with(name) => format!("{path}.{name}"),
         (path, _) => path.to_owned(),
     }
--- a/crates/stairstalld/src/holder/tenure.rs
+++ b/crates/stairstalld/src/holder/tenure.rs
@@ -408,6 +408,9 @@
             free_accelerators: fragmentation.free,
             total_accelerators: fragmentation.total,
             waiting_jobs: u32::try_from(summary.waiting).unwrap_or(u32::MAX),
+            unusable_accelerators: fragmentation.unusable,
+            lost_accelerators: fragmentation.lost,
+            largest_free: fragmentation.largest_free,
         };
         *lock(&self.daemon.role) = Role {
             token: Some(self.scheduler.token()),
--- a/crates/stairstalld/src/settings.rs
+++ b/crates/stairstalld/src/settings.rs
@@ -4,9 +4,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bpaf::{OptionParser, Parser, construct, long};
+use bpaf::{OptionParser, ParseFailure, Parser, construct, long};
 use stairstall_core::{VmId, ZoneId};
 
+/// Width of help, in characters.
+const WIDTH: usize = 100;
+
 /// Settings as they were given, unchecked.
 #[derive(Debug, Clone)]
 struct Raw {
@@ -79,10 +82,12 @@
                 value,
                 allowed,
             } = mistake;
-            writeln!(
-                f,
-                "stairstalld: {flag}: {value:?} is not allowed: {allowed}"
-            )?;
+            let given = if value.is_empty() {
+                String::new()
+            } else {
+                format!("{value:?} is not allowed: ")
+            };
+            writeln!(f, "stairstalld: {flag}: {given}{allowed}")?;
         }
         Ok(())
     }
@@ -90,33 +95,49 @@
 
 impl std::error::Error for Mistakes {}
 
+impl Mistakes {
+    /// A command line that can't be read at all.
+    fn unreadable(allowed: String) -> Self {
+        Self(vec![Mistake {
+            flag: "command line",
+            value: String::new(),
+            allowed,
+        }])
+    }
+}
+
 fn text(flag: &'static str, env: &'static str, help: &'static str) -> impl Parser<String> {
     long(flag).env(env).help(help).argument::<String>("VALUE")
 }
 
 fn parser() -> OptionParser<Raw> {
-    let vm = text("vm", "STAIRSTALL_VM", "Name of this VM");
-    let zone = text("zone", "STAIRSTALL_ZONE", "Availability zone of this VM");
+    let vm = text("vm", "STAIRSTALL_VM", "Name of this VM").fallback(String::new());
+    let zone =
+        text("zone", "STAIRSTALL_ZONE", "Availability zone of this VM").fallback(String::new());
     let listen = text(
         "listen",
         "STAIRSTALL_LISTEN",
         "IP:PORT for callers and operators",
-    );
+    )
+    .fallback(String::new());
     let rpc_listen = text(
         "rpc-listen",
         "STAIRSTALL_RPC_LISTEN",
         "IP:PORT for other daemons",
-    );
+    )
+    .fallback(String::new());
     let store = text(
         "store",
         "STAIRSTALL_STORE",
         "IP:PORT of the platform's store",
-    );
+    )
+    .fallback(String::new());
     let vm_list = text(
         "vm-list",
         "STAIRSTALL_VM_LIST",
         "IP:PORT of the platform's list of VMs",
-    );
+    )
+    .fallback(String::new());
     let statsd = text(
         "statsd",
         "STAIRSTALL_STATSD",
@@ -192,11 +213,30 @@
         });
     }
 
+    /// Notes a flag without a value; true where there is none.
+    fn is_missing(&mut self, flag: &'static str, value: &str) -> bool {
+        if value.is_empty() {
+            let variable = flag
+                .trim_start_matches('-')
+                .replace('-', "_")
+                .to_uppercase();
+            self.refuse(
+                flag,
+                "",
+                format!("must be set, by the flag or by STAIRSTALL_{variable}"),
+            );
+        }
+        value.is_empty()
+    }
+
     fn name<T>(&mut self, flag: &'static str, value: &str) -> Option<T>
     where
         T: std::str::FromStr,
         T::Err: fmt::Display,
     {
+        if self.is_missing(flag, value) {
+            return None;
+        }
         value
             .parse()
             .map_err(|e| self.refuse(flag, value, format!("{e}")))
@@ -204,6 +244,9 @@
     }
 
     fn address(&mut self, flag: &'static str, value: &str) -> Option<SocketAddr> {
+        if self.is_missing(flag, value) {
+            return None;
+        }
         let allowed = "an IP number and a port, as in 127.0.0.1:7000";
         value
             .parse()
@@ -247,7 +290,14 @@
     ///
     /// Returns every setting that is not allowed.
     pub fn from_process() -> Result<Self, Mistakes> {
-        Self::check(&parser().run())
+        match parser().run_inner(bpaf::Args::current_args()) {
+            Ok(raw) => Self::check(&raw),
+            Err(ParseFailure::Stderr(doc)) => Err(Mistakes::unreadable(doc.to_string())),
+            Err(help) => {
+                help.print_message(WIDTH);
+                std::process::exit(0);
+            }
+        }
     }
 
     /// Reads the settings from arguments, for tests.
