fix(holder): let a daemon with the store take over from a holder without it

Cause: a holder that lost its way to the store alone kept announcing the role, and its peers, who reached the store, left it alone. Jobs accepted meanwhile were not placed: the holder could not hear of them. Ruled out: the lease in the store (it had expired) and the workers (they answered).

Change: heartbeats say whether the holder's lease is in force.

--- a/crates/stairstall-core/src/membership.rs
+++ b/crates/stairstall-core/src/membership.rs
@@ -68,6 +68,16 @@
             .max_by_key(|h| h.token)
     }
 
+    /// Tells whether a live daemon of `zone` holds placement under a lease in force.
+    ///
+    /// A holder that is cut off from the store goes on, but a daemon that
+    /// reaches the store may take the role once the lease ended.
+    #[must_use]
+    pub fn is_held(&self, zone: &ZoneId, now: Timestamp) -> bool {
+        self.live(now)
+            .any(|h| h.zone == *zone && h.token.is_some() && h.confirmed)
+    }
+
     /// Returns the highest token that any daemon of `zone` was heard to hold.
     #[must_use]
     pub fn last_token(&self, zone: &ZoneId) -> Option<u64> {
--- a/crates/stairstall-core/src/protocol/peer.rs
+++ b/crates/stairstall-core/src/protocol/peer.rs
@@ -44,6 +44,8 @@
     pub revision: Revision,
     /// The fencing token, where it holds placement in its zone.
     pub token: Option<u64>,
+    /// Whether its lease of the role is in force; without the store it may not be.
+    pub confirmed: bool,
     /// Free accelerators and waiting jobs of the zone, where it holds placement.
     pub placement: Option<PlacementLoad>,
     /// Whether it is about to stop.
--- a/crates/stairstalld/src/daemon.rs
+++ b/crates/stairstalld/src/daemon.rs
@@ -33,6 +33,8 @@
 pub(crate) struct Role {
     /// Fencing token while the role is held.
     pub(crate) token: Option<u64>,
+    /// Whether its lease is in force.
+    pub(crate) confirmed: bool,
     /// What the zone could take on.
     pub(crate) load: PlacementLoad,
 }
--- a/crates/stairstalld/src/holder.rs
+++ b/crates/stairstalld/src/holder.rs
@@ -124,9 +124,7 @@
 async fn look(daemon: &Arc<Daemon>, memory: &Memory) -> Result<Taken, Duration> {
     let now = daemon.clock.now();
     let listening = now < Timestamp::default() + LISTEN_FIRST;
-    let held = lock(&daemon.members)
-        .holder(&daemon.settings.zone, now)
-        .is_some();
+    let held = lock(&daemon.members).is_held(&daemon.settings.zone, now);
     if daemon.is_leaving() || listening || held {
         return Err(IDLE_INTERVAL);
     }
--- a/crates/stairstalld/src/holder/tenure.rs
+++ b/crates/stairstalld/src/holder/tenure.rs
@@ -412,8 +412,11 @@
             lost_accelerators: fragmentation.lost,
             largest_free: fragmentation.largest_free,
         };
+        let confirmed = self.lease.is_some_and(|role| role.lease.is_valid(now));
+        let token = Some(self.scheduler.token());
         *lock(&self.daemon.role) = Role {
-            token: Some(self.scheduler.token()),
+            token,
+            confirmed,
             load,
         };
         let metrics = &self.daemon.metrics;
--- a/crates/stairstalld/src/peers.rs
+++ b/crates/stairstalld/src/peers.rs
@@ -125,6 +125,7 @@
         address: daemon.address,
         revision: configuration.revision,
         token: role.token,
+        confirmed: role.confirmed,
         placement: role.token.map(|_| role.load),
         leaving: daemon.is_leaving(),
         services: daemon.dispatcher.load(&configuration),
