fix(placement): clear room for all members of a gang on a worker together

Cause: a claim with two members on one worker asked for room for each by itself. What the other needed was left out, so too few runs gave way; the worker refused the second member, the claim was stopped, and its next try took it past 4.4 s. Ruled out: the witness (the home block had room for both) and the grace (the first try ended after 3 s).

Change: what is in the way of a gang is worked out for all of its members on a worker at once, when it is placed and when it is checked to be clear. A request whose deadline passes just before it is sent is now proved not to have run; it was sent with no time left and called may-have-run.

--- a/crates/stairstall-core/src/placement.rs
+++ b/crates/stairstall-core/src/placement.rs
@@ -15,7 +15,7 @@
 
 pub use block::{Block, Cell, Fit, Room};
 pub use homes::{Home, Homes, NoWitness};
-pub use inventory::{Access, Capacity, Inventory, Use, UseId, WorkerInfo};
+pub use inventory::{Access, Capacity, Demand, Inventory, Use, UseId, WorkerInfo};
 pub use job::{
     Attempt, JobError, JobKey, JobRecord, JobSpec, JobState, MAX_PAYLOAD_BYTES, PlacedMember,
 };
--- a/crates/stairstall-core/src/placement/inventory.rs
+++ b/crates/stairstall-core/src/placement/inventory.rs
@@ -436,16 +436,16 @@
         }
     }
 
-    /// Returns who must give way so that `owner` can use a cell of the worker at `index`.
+    /// Returns who must give way so that `owner` can have a demand met.
     ///
     /// Whoever overlaps the accelerators does; then, while processors or memory
     /// are short, those that can, lowest level first.
     #[must_use]
-    pub fn in_the_way(&self, cell: Cell, shape: &Shape, owner: UseId) -> Vec<UseId> {
-        let worker = &self.workers[cell.worker];
+    pub fn in_the_way(&self, demand: &Demand, shape: &Shape, owner: UseId) -> Vec<UseId> {
+        let worker = &self.workers[demand.worker];
         let others = || worker.uses.iter().filter(|u| u.id != owner);
         let mut out: Vec<UseId> = others()
-            .filter(|u| u.mask & cell.mask != 0)
+            .filter(|u| u.mask & demand.mask != 0)
             .map(|u| u.id)
             .collect();
         let left = |out: &[UseId]| {
@@ -458,7 +458,11 @@
                     )
                 })
         };
-        let own: (u32, u64) = (u32::from(shape.processors), u64::from(shape.memory_mb));
+        let members = demand.members;
+        let own = (
+            u32::from(shape.processors) * u32::from(members),
+            u64::from(shape.memory_mb) * u64::from(members),
+        );
         let capacity = &worker.info.capacity;
         let fits = |sum: (u32, u64)| {
             sum.0 + own.0 <= u32::from(capacity.processors)
@@ -479,3 +483,33 @@
         out
     }
 }
+
+/// What a gang wants of one worker: the accelerators of all its members there.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Demand {
+    /// Index of the worker.
+    pub worker: usize,
+    /// Accelerators of all members, one bit each.
+    pub mask: u64,
+    /// Members on the worker.
+    pub members: u16,
+}
+
+impl Demand {
+    /// Adds up cells by worker.
+    #[must_use]
+    pub fn of(cells: impl IntoIterator<Item = Cell>) -> Vec<Self> {
+        let mut demands: BTreeMap<usize, Self> = BTreeMap::new();
+        for cell in cells {
+            let empty = Self {
+                worker: cell.worker,
+                mask: 0,
+                members: 0,
+            };
+            let demand = demands.entry(cell.worker).or_insert(empty);
+            demand.mask |= cell.mask;
+            demand.members += 1;
+        }
+        demands.into_values().collect()
+    }
+}
--- a/crates/stairstall-core/src/placement/scheduler/plan.rs
+++ b/crates/stairstall-core/src/placement/scheduler/plan.rs
@@ -6,7 +6,7 @@
 use super::queue::Candidate;
 use super::{DecisionKind, Scheduler, UseId};
 use crate::placement::{
-    Access, Attempt, Block, Cell, JobKey, JobState, Member, Room, Run, Shape, Use,
+    Access, Attempt, Block, Demand, JobKey, JobState, Member, Room, Run, Shape, Use,
 };
 use crate::{GuaranteeId, Timestamp, Verdict};
 
@@ -187,8 +187,11 @@
 
     /// Returns whose work stands in the way on a block.
     fn displaced(&self, block: &Block, shape: &Shape, owner: UseId) -> BTreeSet<UseId> {
-        let in_the_way = |cell: &Cell| self.inventory.in_the_way(*cell, shape, owner);
-        block.cells.iter().flat_map(in_the_way).collect()
+        let demands = Demand::of(block.cells.iter().copied());
+        demands
+            .iter()
+            .flat_map(|d| self.inventory.in_the_way(d, shape, owner))
+            .collect()
     }
 
     /// Gives a job its block, and makes whoever stands there give way.
--- a/crates/stairstall-core/src/placement/scheduler/runs.rs
+++ b/crates/stairstall-core/src/placement/scheduler/runs.rs
@@ -6,7 +6,8 @@
 use super::entry::{Entry, Running, Stage};
 use super::{Decision, DecisionKind, Effect, Scheduler, WriteId};
 use crate::placement::{
-    Cell, Ending, JobKey, JobState, Member, MemberPhase, Phase, PlacedMember, Run, StopReason, Wish,
+    Cell, Demand, Ending, JobKey, JobState, Member, MemberPhase, Phase, PlacedMember, Run,
+    StopReason, Wish,
 };
 use crate::protocol::{Command, Order, SyncReply, TaskId, TaskPhase, TaskReport, TaskSpec};
 use crate::{Timestamp, Verdict, WorkerId};
@@ -240,19 +241,19 @@
         if running.run.is_cleared() {
             return true;
         }
-        running.run.members().iter().all(|member| {
+        let place = |member: &Member| {
+            let worker = self.inventory.index_of(&member.worker)?;
+            Some(Cell {
+                worker,
+                mask: member.mask,
+            })
+        };
+        let demands = Demand::of(running.run.members().iter().filter_map(place));
+        let in_the_way = |demand: &Demand| {
             self.inventory
-                .index_of(&member.worker)
-                .is_none_or(|worker| {
-                    let cell = Cell {
-                        worker,
-                        mask: member.mask,
-                    };
-                    self.inventory
-                        .in_the_way(cell, &spec.shape, running.owner)
-                        .is_empty()
-                })
-        })
+                .in_the_way(demand, &spec.shape, running.owner)
+        };
+        demands.iter().all(|demand| in_the_way(demand).is_empty())
     }
 
     /// Frees the places of members that are over.
--- a/crates/stairstalld/src/call/attempt.rs
+++ b/crates/stairstalld/src/call/attempt.rs
@@ -57,6 +57,12 @@
             claim,
         );
     }
+    let left = call.deadline.since(daemon.clock.now());
+    if left.is_zero() {
+        permit.finish(Outcome::Abandoned);
+        let error = "the deadline passed before it was sent".to_owned();
+        return failed(Verdict::NotRun, error, claim);
+    }
     let request = match request_to(call, &permit) {
         Ok(request) => request,
         Err(error) => {
@@ -68,7 +74,6 @@
             );
         }
     };
-    let left = call.deadline.since(daemon.clock.now());
     match daemon.http.send(request, left).await {
         Ok(response) => match refusal(&response) {
             Some(outcome) => {
