--- a/crates/stairstall-core/src/placement/scheduler.rs
+++ b/crates/stairstall-core/src/placement/scheduler.rs
@@ -12,9 +12,11 @@
 mod contact;
 mod effect;
 mod entry;
+mod orders;
 mod plan;
 mod queue;
 mod recovery;
+mod reports;
 mod runs;
 mod summary;
 
--- /dev/null
+++ b/crates/stairstall-core/src/placement/scheduler/orders.rs
@@ -0,0 +1,115 @@
+//! Orders for workers: what runs wish of their members, and what strays get.
+
+use std::time::Duration;
+
+use super::Scheduler;
+use super::contact::Contact;
+use super::entry::{Entry, Running, Stage};
+use super::reports::members_on;
+use super::runs::placed_members;
+use crate::WorkerId;
+use crate::placement::{JobKey, Phase, Run, Wish};
+use crate::protocol::{Command, Order, TaskId, TaskReport, TaskSpec};
+
+impl Scheduler {
+    /// Returns the orders for one worker: what its runs wish, and what strays get.
+    pub(super) fn commands_for(&self, worker: &WorkerId) -> Vec<Command> {
+        let Some(contact) = self.contacts.get(worker) else {
+            return Vec::new();
+        };
+        let mut commands = Vec::new();
+        for key in &contact.runs {
+            let Some(entry) = self.jobs.get(key) else {
+                continue;
+            };
+            if let Stage::Running(running) = &entry.stage {
+                run_commands(key, entry, running, worker, &mut commands);
+            }
+        }
+        for report in contact.tasks.values() {
+            commands.extend(self.stray_command(report));
+        }
+        commands
+    }
+
+    /// Returns the order for a task that no current run speaks for, if it is one.
+    fn stray_command(&self, report: &TaskReport) -> Option<Command> {
+        let may_forget = match self.jobs.get(&report.task.job) {
+            None => self.knows_store,
+            Some(entry) if entry.superseded => return None,
+            Some(entry) => match &entry.stage {
+                Stage::Running(r) if r.run.attempt() == report.task.attempt => return None,
+                Stage::Running(r) => entry.recorded && r.run.is_recorded(),
+                Stage::Waiting => !entry.recorded && entry.pending_write.is_none(),
+                Stage::Closing => false,
+            },
+        };
+        if !self.knows_store && !self.jobs.contains_key(&report.task.job) {
+            return None;
+        }
+        Contact::order_for_stray(report, may_forget)
+    }
+
+    /// Brings a worker's next sync forward where there are orders for it.
+    pub(super) fn mark_wishes(&mut self, worker: &WorkerId) {
+        if self.commands_for(worker).is_empty() {
+            return;
+        }
+        if let Some(contact) = self.contacts.get_mut(worker) {
+            contact.hasten();
+        }
+    }
+}
+
+/// Adds what a run wishes of its members on one worker.
+fn run_commands(
+    key: &JobKey,
+    entry: &Entry,
+    running: &Running,
+    worker: &WorkerId,
+    commands: &mut Vec<Command>,
+) {
+    let run = &running.run;
+    if matches!(run.phase(), Phase::Preparing | Phase::Recovering) || entry.superseded {
+        return;
+    }
+    for member in members_on(run, worker) {
+        let Some(wish) = run.wish(member) else {
+            continue;
+        };
+        let order = match wish {
+            Wish::Reserve => Order::Reserve {
+                spec: Box::new(task_spec(entry, run, member)),
+                lease_ms: millis(Run::RESERVE_LEASE),
+            },
+            Wish::Start => Order::Start {
+                lease_ms: millis(Run::START_LEASE),
+            },
+            Wish::Confirm => Order::Confirm,
+            Wish::Checkpoint => Order::Checkpoint,
+            Wish::Stop => Order::Stop,
+        };
+        commands.push(Command {
+            task: TaskId::new(key.clone(), run.attempt(), member),
+            order,
+        });
+    }
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn task_spec(entry: &Entry, run: &Run, member: u16) -> TaskSpec {
+    let spec = &entry.spec;
+    TaskSpec {
+        shape: spec.shape,
+        members: placed_members(run),
+        accelerators: run.members()[usize::from(member)].mask,
+        repeatable: spec.repeatable,
+        checkpoint_ms: spec.checkpoint_ms,
+        work_ms: spec.expected_ms,
+        resume_ms: entry.saved_ms,
+        payload: spec.payload.clone(),
+    }
+}
--- a/crates/stairstall-core/src/placement/scheduler/runs.rs
+++ b/crates/stairstall-core/src/placement/scheduler/runs.rs
@@ -2,185 +2,19 @@
 
 use std::time::Duration;
 
-use super::contact::{Contact, News};
 use super::entry::{Entry, Running, Stage};
 use super::{Decision, DecisionKind, Effect, Scheduler, WriteId};
 use crate::placement::{
-    Cell, Demand, Ending, JobKey, JobState, Member, MemberPhase, Phase, PlacedMember, Run,
-    StopReason, Wish,
+    Cell, Demand, Ending, JobKey, JobState, Member, PlacedMember, Run, StopReason,
 };
-use crate::protocol::{Command, Order, SyncReply, TaskId, TaskPhase, TaskReport, TaskSpec};
-use crate::{Timestamp, Verdict, WorkerId};
+use crate::{Timestamp, Verdict};
 
 /// First pause before a job that failed to start is tried again; it doubles each time.
 const FIRST_BACKOFF: Duration = Duration::from_millis(200);
 /// How often that pause doubles at most.
 const MAX_DOUBLINGS: u32 = 6;
 
-impl From<&TaskPhase> for MemberPhase {
-    fn from(phase: &TaskPhase) -> Self {
-        match phase {
-            TaskPhase::Reserved => Self::Reserved,
-            TaskPhase::Refused => Self::Refused,
-            TaskPhase::Started => Self::Started,
-            TaskPhase::Confirmed => Self::Confirmed,
-            TaskPhase::Checkpointed => Self::Checkpointed,
-            TaskPhase::Stopped { started } => Self::Stopped { started: *started },
-            TaskPhase::Finished { success, .. } => Self::Finished { success: *success },
-        }
-    }
-}
-
 impl Scheduler {
-    /// Returns the orders for one worker: what its runs wish, and what strays get.
-    pub(super) fn commands_for(&self, worker: &WorkerId) -> Vec<Command> {
-        let Some(contact) = self.contacts.get(worker) else {
-            return Vec::new();
-        };
-        let mut commands = Vec::new();
-        for key in &contact.runs {
-            let Some(entry) = self.jobs.get(key) else {
-                continue;
-            };
-            if let Stage::Running(running) = &entry.stage {
-                run_commands(key, entry, running, worker, &mut commands);
-            }
-        }
-        for report in contact.tasks.values() {
-            commands.extend(self.stray_command(report));
-        }
-        commands
-    }
-
-    /// Returns the order for a task that no current run speaks for, if it is one.
-    fn stray_command(&self, report: &TaskReport) -> Option<Command> {
-        let may_forget = match self.jobs.get(&report.task.job) {
-            None => self.knows_store,
-            Some(entry) if entry.superseded => return None,
-            Some(entry) => match &entry.stage {
-                Stage::Running(r) if r.run.attempt() == report.task.attempt => return None,
-                Stage::Running(r) => entry.recorded && r.run.is_recorded(),
-                Stage::Waiting => !entry.recorded && entry.pending_write.is_none(),
-                Stage::Closing => false,
-            },
-        };
-        if !self.knows_store && !self.jobs.contains_key(&report.task.job) {
-            return None;
-        }
-        Contact::order_for_stray(report, may_forget)
-    }
-
-    /// Brings a worker's next sync forward where there are orders for it.
-    pub(super) fn mark_wishes(&mut self, worker: &WorkerId) {
-        if self.commands_for(worker).is_empty() {
-            return;
-        }
-        if let Some(contact) = self.contacts.get_mut(worker) {
-            contact.hasten();
-        }
-    }
-
-    /// Takes what a worker says of its tasks.
-    pub(super) fn apply_reports(&mut self, worker: &WorkerId, reply: &SyncReply, news: &News) {
-        if self.adopts {
-            self.adopt_unknown(reply);
-        }
-        for report in &reply.tasks {
-            let Some(entry) = self.jobs.get_mut(&report.task.job) else {
-                continue;
-            };
-            let Stage::Running(running) = &mut entry.stage else {
-                continue;
-            };
-            if running.run.attempt() == report.task.attempt {
-                apply_report(running, report);
-            }
-        }
-        let absent = |task: &TaskId| !reply.tasks.iter().any(|r| r.task == *task);
-        for task in news.commanded.iter().filter(|task| absent(task)) {
-            self.note_absent(task);
-        }
-        if let Some(contact) = self.contacts.get_mut(worker) {
-            contact
-                .tasks
-                .retain(|task, _| !news.commanded.contains(task) || !absent(task));
-        }
-        if news.first {
-            self.note_unlisted(worker, reply);
-        }
-    }
-
-    fn note_absent(&mut self, task: &TaskId) {
-        let Some(entry) = self.jobs.get_mut(&task.job) else {
-            return;
-        };
-        let Stage::Running(running) = &mut entry.stage else {
-            return;
-        };
-        if running.run.attempt() == task.attempt {
-            running.run.report(task.member, MemberPhase::Absent);
-        }
-    }
-
-    /// Marks members absent that a worker's whole list does not name.
-    fn note_unlisted(&mut self, worker: &WorkerId, reply: &SyncReply) {
-        let Some(contact) = self.contacts.get(worker) else {
-            return;
-        };
-        for key in contact.runs.clone() {
-            let Some(Entry {
-                stage: Stage::Running(running),
-                ..
-            }) = self.jobs.get_mut(&key)
-            else {
-                continue;
-            };
-            let attempt = running.run.attempt();
-            for member in members_on(&running.run, worker) {
-                let task = TaskId::new(key.clone(), attempt, member);
-                if !reply.tasks.iter().any(|r| r.task == task) {
-                    running.run.report(member, MemberPhase::Absent);
-                }
-            }
-        }
-    }
-
-    /// Marks a worker's members lost: all, or those of other incarnations than `known`.
-    pub(super) fn lose_members(&mut self, worker: &WorkerId, known: Option<u64>) {
-        let Some(contact) = self.contacts.get(worker) else {
-            return;
-        };
-        for key in contact.runs.clone() {
-            let Some(Entry {
-                stage: Stage::Running(running),
-                ..
-            }) = self.jobs.get_mut(&key)
-            else {
-                continue;
-            };
-            for member in members_on(&running.run, worker) {
-                let incarnation = running.run.members()[usize::from(member)].incarnation;
-                if known != Some(incarnation) {
-                    running.run.report(member, MemberPhase::Lost);
-                }
-            }
-        }
-    }
-
-    pub(super) fn lose_silent_workers(&mut self, now: Timestamp) {
-        let lost: Vec<WorkerId> = self
-            .contacts
-            .iter_mut()
-            .filter_map(|(id, contact)| contact.became_lost(now).then(|| id.clone()))
-            .collect();
-        for worker in lost {
-            self.effects.push(Effect::Alarm(format!(
-                "worker {worker} is lost: it was silent until every lease on it ended"
-            )));
-            self.lose_members(&worker, None);
-        }
-    }
-
     /// Advances every run, frees places and settles runs that are over.
     pub(super) fn advance_runs(&mut self, now: Timestamp) {
         let keys: Vec<JobKey> = self
@@ -457,83 +291,10 @@
     }
 }
 
-fn members_on<'a>(run: &'a Run, worker: &'a WorkerId) -> Vec<u16> {
-    let on = |(index, member): (usize, &Member)| {
-        (member.worker == *worker).then(|| u16::try_from(index).unwrap_or(u16::MAX))
-    };
-    run.members().iter().enumerate().filter_map(on).collect()
-}
-
-fn apply_report(running: &mut Running, report: &TaskReport) {
-    let member = report.task.member;
-    running.run.report(member, MemberPhase::from(&report.phase));
-    if let Some(saved) = running.saved.get_mut(usize::from(member)) {
-        *saved = report.saved_ms;
-    }
-    if let TaskPhase::Finished { output, .. } = &report.phase
-        && member == 0
-    {
-        running.output.clone_from(output);
-    }
-}
-
-/// Adds what a run wishes of its members on one worker.
-fn run_commands(
-    key: &JobKey,
-    entry: &Entry,
-    running: &Running,
-    worker: &WorkerId,
-    commands: &mut Vec<Command>,
-) {
-    let run = &running.run;
-    if matches!(run.phase(), Phase::Preparing | Phase::Recovering) || entry.superseded {
-        return;
-    }
-    for member in members_on(run, worker) {
-        let Some(wish) = run.wish(member) else {
-            continue;
-        };
-        let order = match wish {
-            Wish::Reserve => Order::Reserve {
-                spec: Box::new(task_spec(entry, run, member)),
-                lease_ms: millis(Run::RESERVE_LEASE),
-            },
-            Wish::Start => Order::Start {
-                lease_ms: millis(Run::START_LEASE),
-            },
-            Wish::Confirm => Order::Confirm,
-            Wish::Checkpoint => Order::Checkpoint,
-            Wish::Stop => Order::Stop,
-        };
-        commands.push(Command {
-            task: TaskId::new(key.clone(), run.attempt(), member),
-            order,
-        });
-    }
-}
-
-fn placed_members(run: &Run) -> Vec<PlacedMember> {
+pub(super) fn placed_members(run: &Run) -> Vec<PlacedMember> {
     let place = |m: &Member| PlacedMember {
         worker: m.worker.clone(),
         incarnation: m.incarnation,
     };
     run.members().iter().map(place).collect()
 }
-
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
-
-fn task_spec(entry: &Entry, run: &Run, member: u16) -> TaskSpec {
-    let spec = &entry.spec;
-    TaskSpec {
-        shape: spec.shape,
-        members: placed_members(run),
-        accelerators: run.members()[usize::from(member)].mask,
-        repeatable: spec.repeatable,
-        checkpoint_ms: spec.checkpoint_ms,
-        work_ms: spec.expected_ms,
-        resume_ms: entry.saved_ms,
-        payload: spec.payload.clone(),
-    }
-}
--- a/crates/stairstall-core/tests/properties/lives.rs
+++ b/crates/stairstall-core/tests/properties/lives.rs
@@ -4,10 +4,10 @@
 use std::time::Duration;
 
 use quickcheck::{Arbitrary, Gen};
-use stairstall_core::config::{Configuration, Customer, Guarantee, PriorityClass, Revision};
+use stairstall_core::config::{Configuration, Guarantee};
 use stairstall_core::placement::{Capacity, JobSpec, JobState, Phase, PlacedMember, Policy, Shape};
-use stairstall_core::{CustomerId, Labels, VmId};
-use stairstall_standin::VirtualZone;
+use stairstall_core::{Labels, VmId};
+use stairstall_standin::{VirtualZone, fixtures};
 
 use super::{check, name};
 
@@ -46,58 +46,15 @@
 }
 
 fn customers() -> Configuration {
-    let mut configuration = Configuration {
-        revision: Revision(1),
-        ..Default::default()
-    };
-    for customer in ["mesa", "fonts", "tenant"] {
-        let name: CustomerId = name(customer);
-        let customer = Customer {
-            name: name.clone(),
-            labels: Labels::default(),
-            weight: 1,
-            quota: None,
-        };
-        configuration.customers.insert(name, customer);
-    }
-    let batch = PriorityClass {
-        name: name("batch"),
-        labels: Labels::default(),
-        level: 10,
-        weight: 1,
-        preempts: false,
-    };
-    configuration.classes.insert(batch.name.clone(), batch);
-    configuration
-}
-
-fn guarantee(id: &str, customer: &str, shape: Shape) -> Guarantee {
-    Guarantee {
-        name: name(id),
-        labels: Labels::default(),
-        customer: name(customer),
-        zone: name("zone-a"),
-        shape,
-    }
+    fixtures::configuration(CUSTOMERS)
 }
 
 fn with_guarantees() -> Configuration {
     let mut configuration = customers();
-    let mesa = guarantee(
-        "mesa-0",
-        "mesa",
-        Shape::new(4, 8).with_processors(8).adjacent(),
-    );
-    let fonts = guarantee(
-        "fonts-1",
-        "fonts",
-        Shape::new(2, 8).with_processors(8).adjacent(),
-    );
-    for guarantee in [mesa, fonts] {
-        configuration
-            .guarantees
-            .insert(guarantee.name.clone(), guarantee);
-    }
+    let mesa = Shape::new(4, 8).with_processors(8).adjacent();
+    let fonts = Shape::new(2, 8).with_processors(8).adjacent();
+    fixtures::guarantee(&mut configuration, "mesa-0", "mesa", mesa);
+    fixtures::guarantee(&mut configuration, "fonts-1", "fonts", fonts);
     configuration
 }
 
--- a/crates/stairstall-core/tests/properties/main.rs
+++ b/crates/stairstall-core/tests/properties/main.rs
@@ -10,13 +10,7 @@
 mod small;
 
 use quickcheck::{Gen, QuickCheck, Testable};
-
-fn name<T: std::str::FromStr>(text: &str) -> T
-where
-    T::Err: std::fmt::Debug,
-{
-    text.parse().unwrap()
-}
+use stairstall_standin::fixtures::named as name;
 
 /// Environment variable that sets the first seed; the default gives the same verdict every time.
 const SEED: &str = "STAIRSTALL_TEST_SEED";
--- a/crates/stairstall-core/tests/reclaim.rs
+++ b/crates/stairstall-core/tests/reclaim.rs
@@ -7,44 +7,19 @@
 use rand::{Rng, RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use stairstall_core::Labels;
-use stairstall_core::config::{Configuration, Customer, Guarantee, PriorityClass, Revision};
+use stairstall_core::config::{Configuration, Guarantee};
 use stairstall_core::placement::{Capacity, JobSpec, Phase, Policy, Shape};
 use stairstall_standin::VirtualZone;
+use stairstall_standin::fixtures::{self, named as name};
 
 /// States of one run.
 const STATES: u64 = 300;
 /// Urgent work starts within this time.
 const LIMIT: Duration = Duration::from_millis(4_400);
 
-fn name<T: std::str::FromStr>(text: &str) -> T {
-    text.parse()
-        .unwrap_or_else(|_| panic!("{text:?} is not an allowed name"))
-}
-
 /// One or two guarantees that fit into two racks of four workers.
 fn configuration(random: &mut impl Rng) -> Configuration {
-    let mut configuration = Configuration {
-        revision: Revision(1),
-        ..Configuration::default()
-    };
-    for customer in ["mesa", "fonts", "tenant"] {
-        let name: stairstall_core::CustomerId = name(customer);
-        let customer = Customer {
-            name: name.clone(),
-            labels: Labels::default(),
-            weight: 1,
-            quota: None,
-        };
-        configuration.customers.insert(name, customer);
-    }
-    let batch = PriorityClass {
-        name: name("batch"),
-        labels: Labels::default(),
-        level: 10,
-        weight: 1,
-        preempts: false,
-    };
-    configuration.classes.insert(batch.name.clone(), batch);
+    let mut configuration = fixtures::configuration(["mesa", "fonts", "tenant"]);
     for customer in ["mesa", "fonts"]
         .into_iter()
         .take(random.random_range(1..=2))
@@ -53,16 +28,7 @@
             .with_processors(random.random_range(0..=16))
             .with_memory_mb(random.random_range(0..=32_768))
             .adjacent();
-        let guarantee = Guarantee {
-            name: name(customer),
-            labels: Labels::default(),
-            customer: name(customer),
-            zone: name("zone-a"),
-            shape,
-        };
-        configuration
-            .guarantees
-            .insert(guarantee.name.clone(), guarantee);
+        fixtures::guarantee(&mut configuration, customer, customer, shape);
     }
     configuration
 }
--- a/crates/stairstall-standin/src/cluster.rs
+++ b/crates/stairstall-standin/src/cluster.rs
@@ -11,6 +11,7 @@
 use stairstall_core::protocol::{VmEntry, VmRole, VmState};
 use tokio::time::Instant;
 
+use crate::fixtures::named;
 use crate::{Link, MinionStandin, StoreStandin, VmListStandin, WorkerStandin};
 pub use caller::{Caller, CallerError, Reply};
 pub use daemon::DaemonProcess;
@@ -319,12 +320,6 @@
     }
 }
 
-/// Makes a name that is known to be allowed.
-fn named<T: std::str::FromStr>(text: &str) -> T {
-    text.parse()
-        .unwrap_or_else(|_| panic!("{text:?} is not an allowed name"))
-}
-
 /// Waits until `test` holds; panics with `what` if it never does.
 ///
 /// # Panics
--- a/crates/stairstall-standin/src/lib.rs
+++ b/crates/stairstall-standin/src/lib.rs
@@ -13,6 +13,7 @@
 //! - [`Link`]: a TCP link that can be cut or delayed.
 
 mod cluster;
+pub mod fixtures;
 mod link;
 pub mod main_job;
 mod minion;
--- a/crates/stairstall-standin/src/virtual_zone.rs
+++ b/crates/stairstall-standin/src/virtual_zone.rs
@@ -11,6 +11,7 @@
 use stairstall_core::{Labels, RackId, Timestamp, VmId, WorkerId, ZoneId};
 
 use crate::WorkerState;
+use crate::fixtures::named;
 
 /// Where a worker stands in a [`VirtualZone`].
 #[derive(Debug, Clone)]
@@ -307,8 +308,3 @@
 fn json_length<T: serde::Serialize>(value: &T) -> u64 {
     serde_json::to_vec(value).map_or(0, |bytes| bytes.len() as u64)
 }
-
-fn named<T: std::str::FromStr>(text: &str) -> T {
-    text.parse()
-        .unwrap_or_else(|_| panic!("{text:?} is not an allowed name"))
-}
--- a/crates/stairstall-standin/src/workload.rs
+++ b/crates/stairstall-standin/src/workload.rs
@@ -6,10 +6,11 @@
 
 use rand::{Rng, RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use stairstall_core::config::{Configuration, Customer, Guarantee, PriorityClass, Revision};
+use stairstall_core::config::Configuration;
 use stairstall_core::placement::{Capacity, JobSpec, Shape};
 use stairstall_core::{Labels, Timestamp};
 
+use crate::fixtures::{self, named};
 pub use measure::Measured;
 
 /// A job and when it arrives.
@@ -227,45 +228,13 @@
 }
 
 fn configuration(plan: &WorkloadPlan) -> Configuration {
-    let mut configuration = Configuration {
-        revision: Revision(1),
-        ..Configuration::default()
-    };
-    for index in 0..plan.customers {
-        let customer = Customer {
-            name: named(&format!("customer-{index}")),
-            labels: Labels::default(),
-            weight: 1,
-            quota: None,
-        };
-        configuration
-            .customers
-            .insert(customer.name.clone(), customer);
-    }
-    let batch = PriorityClass {
-        name: named("batch"),
-        labels: Labels::default(),
-        level: 10,
-        weight: 1,
-        preempts: false,
-    };
-    configuration.classes.insert(batch.name.clone(), batch);
+    let customers: Vec<String> = (0..plan.customers)
+        .map(|index| format!("customer-{index}"))
+        .collect();
+    let mut configuration = fixtures::configuration(customers.iter().map(String::as_str));
     if plan.guarantees {
-        let guarantee = Guarantee {
-            name: named("guarantee-0"),
-            labels: Labels::default(),
-            customer: named("customer-0"),
-            zone: named("zone-a"),
-            shape: Shape::new(4, 8).with_processors(2).adjacent(),
-        };
-        configuration
-            .guarantees
-            .insert(guarantee.name.clone(), guarantee);
+        let shape = Shape::new(4, 8).with_processors(2).adjacent();
+        fixtures::guarantee(&mut configuration, "guarantee-0", "customer-0", shape);
     }
     configuration
 }
-
-fn named<T: std::str::FromStr>(text: &str) -> T {
-    text.parse()
-        .unwrap_or_else(|_| panic!("{text:?} is not an allowed name"))
-}
--- a/crates/stairstalld/src/holder/tenure.rs
+++ b/crates/stairstalld/src/holder/tenure.rs
@@ -1,24 +1,25 @@
 //! One tenure of the placement role, from the first fence to its end.
 
+mod end;
+mod outward;
+
 use std::collections::{BTreeMap, BTreeSet};
-use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
-use stairstall_core::placement::{
-    DecisionKind, Effect, JobKey, JobRecord, Policy, Scheduler, WriteAnswer, WriteId,
-};
-use stairstall_core::protocol::{PlacementLoad, VmRole, WitnessAnswer};
+use stairstall_core::placement::{JobKey, JobRecord, Policy, Scheduler, WriteAnswer, WriteId};
+use stairstall_core::protocol::VmRole;
 use stairstall_core::{Lease, Timestamp, WorkerId};
 use stairstall_store::StoreError;
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 
 use super::Query;
-use super::records::{Records, Write};
+use super::records::Records;
 use super::take::{ROLE_TTL, RoleLease, Taken};
 use super::workers::{Synced, Workers};
-use crate::daemon::{Daemon, Role, lock};
+use crate::daemon::{Daemon, lock};
+pub(super) use end::End;
 
 /// How often the scheduler is asked to move on.
 const TICK: Duration = Duration::from_millis(50);
@@ -26,38 +27,9 @@
 const REPLAN_INTERVAL: Duration = Duration::from_secs(1);
 /// How often the role's lease is renewed.
 const RENEW_INTERVAL: Duration = Duration::from_millis(1_500);
-/// How often the zone's load is measured.
-const LOAD_INTERVAL: Duration = Duration::from_millis(500);
 /// Messages that wait for the tenure.
 const CHANNEL: usize = 1_024;
 
-/// Why a tenure ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum End {
-    /// A worker or peer has seen a higher token.
-    Fenced { highest: u64 },
-    /// The store no longer has the lease.
-    LeaseGone,
-    /// The store answers again, so the role can be taken properly.
-    StoreBack,
-    /// The store could not be read at the start.
-    NoStart,
-    /// The daemon is about to stop.
-    Leaving,
-}
-
-impl fmt::Display for End {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Fenced { highest } => write!(f, "a higher token was seen: {highest}"),
-            Self::LeaseGone => write!(f, "the store no longer has its lease"),
-            Self::StoreBack => write!(f, "the store answers again"),
-            Self::NoStart => write!(f, "the store could not be read at its start"),
-            Self::Leaving => write!(f, "this daemon is about to stop"),
-        }
-    }
-}
-
 /// News of the role's lease.
 #[derive(Debug, Clone, Copy)]
 enum LeaseNews {
@@ -341,53 +313,6 @@
         self.publish(now);
     }
 
-    fn carry_out(&mut self, effect: Effect) {
-        match effect {
-            Effect::Write {
-                id,
-                job,
-                state,
-                saved_ms,
-                started,
-            } => {
-                if self.lease.is_some() {
-                    self.records.write(Write {
-                        id,
-                        job,
-                        state,
-                        saved_ms,
-                        started,
-                    });
-                } else {
-                    self.scheduler
-                        .take_answer(&job, id, WriteAnswer::Unreachable);
-                }
-            }
-            Effect::KeepHomes(homes) => {
-                if self.lease.is_some() {
-                    self.records.write_homes(homes);
-                }
-            }
-            Effect::Decide(decision) => {
-                self.daemon.metrics.count(match decision.kind {
-                    DecisionKind::Placed => "placement.placed",
-                    DecisionKind::Waits => "placement.waits",
-                    DecisionKind::GivesWay => "placement.gives_way",
-                    DecisionKind::Stopped => "placement.stopped",
-                    DecisionKind::Over => "placement.over",
-                    DecisionKind::TakenOver => "placement.taken_over",
-                });
-                log::info!(target: "decision", job:% = decision.job, kind:% = decision.kind,
-                    zone:% = self.daemon.settings.zone, token = self.scheduler.token();
-                    "{}", decision.text);
-            }
-            Effect::Alarm(text) => {
-                self.daemon.metrics.count("placement.alarm");
-                log::error!(target: "alarm", zone:% = self.daemon.settings.zone; "{text}");
-            }
-        }
-    }
-
     fn send_syncs(&mut self, now: Timestamp) {
         for worker in self.scheduler.due(now) {
             if let Some(request) = self.scheduler.next_sync(&worker, now) {
@@ -395,59 +320,4 @@
             }
         }
     }
-
-    /// Tells the rest of the daemon what the zone could take on.
-    fn publish(&mut self, now: Timestamp) {
-        let known = lock(&self.daemon.role).token == Some(self.scheduler.token());
-        if known && now - self.measured_at < LOAD_INTERVAL {
-            return;
-        }
-        self.measured_at = now;
-        let (fragmentation, summary) = (self.scheduler.fragmentation(), self.scheduler.summary());
-        let load = PlacementLoad {
-            free_accelerators: fragmentation.free,
-            total_accelerators: fragmentation.total,
-            waiting_jobs: u32::try_from(summary.waiting).unwrap_or(u32::MAX),
-            unusable_accelerators: fragmentation.unusable,
-            lost_accelerators: fragmentation.lost,
-            largest_free: fragmentation.largest_free,
-        };
-        let confirmed = self.lease.is_some_and(|role| role.lease.is_valid(now));
-        let token = Some(self.scheduler.token());
-        *lock(&self.daemon.role) = Role {
-            token,
-            confirmed,
-            load,
-        };
-        let metrics = &self.daemon.metrics;
-        metrics.gauge("placement.waiting", summary.waiting as u64);
-        metrics.gauge("placement.running", summary.running as u64);
-        metrics.gauge(
-            "placement.broken_guarantees",
-            summary.broken_guarantees as u64,
-        );
-        metrics.gauge("placement.free_accelerators", u64::from(fragmentation.free));
-        metrics.gauge(
-            "placement.unusable_accelerators",
-            u64::from(fragmentation.unusable),
-        );
-    }
-
-    fn answer(&self, query: Query) {
-        match query {
-            Query::Witness { question, answer } => {
-                let checked = self.scheduler.check_guarantees(&question.guarantees);
-                let checked = match checked {
-                    Ok(()) => WitnessAnswer::Kept,
-                    Err(error) => WitnessAnswer::NotKept {
-                        reason: error.to_string(),
-                    },
-                };
-                let _ = answer.send(checked);
-            }
-            Query::Explain { job, answer } => {
-                let _ = answer.send(self.scheduler.explain(&job, self.daemon.clock.now()));
-            }
-        }
-    }
 }
--- /dev/null
+++ b/crates/stairstalld/src/holder/tenure/outward.rs
@@ -0,0 +1,119 @@
+//! What a tenure tells the world: writes, log lines, metrics, answers.
+
+use std::time::Duration;
+
+use stairstall_core::Timestamp;
+use stairstall_core::placement::{DecisionKind, Effect, WriteAnswer};
+use stairstall_core::protocol::{PlacementLoad, WitnessAnswer};
+
+use super::Tenure;
+use crate::daemon::{Role, lock};
+use crate::holder::Query;
+use crate::holder::records::Write;
+
+/// How often the zone's load is measured.
+const LOAD_INTERVAL: Duration = Duration::from_millis(500);
+
+impl Tenure {
+    pub(super) fn carry_out(&mut self, effect: Effect) {
+        match effect {
+            Effect::Write {
+                id,
+                job,
+                state,
+                saved_ms,
+                started,
+            } => {
+                if self.lease.is_some() {
+                    self.records.write(Write {
+                        id,
+                        job,
+                        state,
+                        saved_ms,
+                        started,
+                    });
+                } else {
+                    self.scheduler
+                        .take_answer(&job, id, WriteAnswer::Unreachable);
+                }
+            }
+            Effect::KeepHomes(homes) => {
+                if self.lease.is_some() {
+                    self.records.write_homes(homes);
+                }
+            }
+            Effect::Decide(decision) => {
+                self.daemon.metrics.count(match decision.kind {
+                    DecisionKind::Placed => "placement.placed",
+                    DecisionKind::Waits => "placement.waits",
+                    DecisionKind::GivesWay => "placement.gives_way",
+                    DecisionKind::Stopped => "placement.stopped",
+                    DecisionKind::Over => "placement.over",
+                    DecisionKind::TakenOver => "placement.taken_over",
+                });
+                log::info!(target: "decision", job:% = decision.job, kind:% = decision.kind,
+                    zone:% = self.daemon.settings.zone, token = self.scheduler.token();
+                    "{}", decision.text);
+            }
+            Effect::Alarm(text) => {
+                self.daemon.metrics.count("placement.alarm");
+                log::error!(target: "alarm", zone:% = self.daemon.settings.zone; "{text}");
+            }
+        }
+    }
+
+    /// Tells the rest of the daemon what the zone could take on.
+    pub(super) fn publish(&mut self, now: Timestamp) {
+        let known = lock(&self.daemon.role).token == Some(self.scheduler.token());
+        if known && now - self.measured_at < LOAD_INTERVAL {
+            return;
+        }
+        self.measured_at = now;
+        let (fragmentation, summary) = (self.scheduler.fragmentation(), self.scheduler.summary());
+        let load = PlacementLoad {
+            free_accelerators: fragmentation.free,
+            total_accelerators: fragmentation.total,
+            waiting_jobs: u32::try_from(summary.waiting).unwrap_or(u32::MAX),
+            unusable_accelerators: fragmentation.unusable,
+            lost_accelerators: fragmentation.lost,
+            largest_free: fragmentation.largest_free,
+        };
+        let confirmed = self.lease.is_some_and(|role| role.lease.is_valid(now));
+        let token = Some(self.scheduler.token());
+        *lock(&self.daemon.role) = Role {
+            token,
+            confirmed,
+            load,
+        };
+        let metrics = &self.daemon.metrics;
+        metrics.gauge("placement.waiting", summary.waiting as u64);
+        metrics.gauge("placement.running", summary.running as u64);
+        metrics.gauge(
+            "placement.broken_guarantees",
+            summary.broken_guarantees as u64,
+        );
+        metrics.gauge("placement.free_accelerators", u64::from(fragmentation.free));
+        metrics.gauge(
+            "placement.unusable_accelerators",
+            u64::from(fragmentation.unusable),
+        );
+    }
+
+    pub(super) fn answer(&self, query: Query) {
+        match query {
+            Query::Witness { question, answer } => {
+                let checked = self.scheduler.check_guarantees(&question.guarantees);
+                let checked = match checked {
+                    Ok(()) => WitnessAnswer::Kept,
+                    Err(error) => WitnessAnswer::NotKept {
+                        reason: error.to_string(),
+                    },
+                };
+                let _ = answer.send(checked);
+            }
+            Query::Explain { job, answer } => {
+                let _ = answer.send(self.scheduler.explain(&job, self.daemon.clock.now()));
+            }
+        }
+    }
+}
--- a/crates/stairstalld/tests/common/mod.rs
+++ b/crates/stairstalld/tests/common/mod.rs
@@ -5,7 +5,9 @@
 
 use hyper::Method;
 use serde_json::{Value, json};
-use stairstall_standin::{Caller, CallerError, Cluster, ClusterPlan, MinionStandin, Reply};
+use stairstall_standin::{
+    Caller, CallerError, Cluster, ClusterPlan, MinionStandin, Reply, StartRecord, wait_until,
+};
 
 pub fn plan() -> ClusterPlan {
     ClusterPlan::small(env!("CARGO_BIN_EXE_stairstalld"))
@@ -109,3 +111,63 @@
         .filter(|r| r.request == request)
         .count()
 }
+
+/// A gang of whole workers.
+pub fn gang(members: u16) -> Value {
+    json!({"members": members, "accelerators": 8, "processors": 8, "adjacent": true})
+}
+
+/// Returns a daemon that runs.
+pub fn running(cluster: &Cluster) -> SocketAddr {
+    cluster
+        .daemons
+        .iter()
+        .find(|d| d.is_running())
+        .expect("a daemon runs")
+        .address()
+}
+
+/// Submits a job to a daemon that runs.
+pub async fn submit(cluster: &Cluster, body: &Value) {
+    submit_at(cluster, running(cluster), body).await;
+}
+
+/// Submits a job to one daemon.
+pub async fn submit_at(cluster: &Cluster, at: SocketAddr, body: &Value) {
+    let reply = cluster
+        .caller
+        .post(at, "/v1/jobs", body)
+        .await
+        .expect("an answer");
+    assert!(reply.status.is_success(), "{}", reply.text());
+}
+
+/// Returns the starts of a job's members.
+pub fn starts_of(cluster: &Cluster, job: &str) -> Vec<StartRecord> {
+    cluster
+        .starts()
+        .into_iter()
+        .filter(|s| s.task.job.to_string() == job)
+        .collect()
+}
+
+/// Waits until one attempt at a job has so many confirmed members.
+pub async fn wait_for_confirmed(cluster: &Cluster, job: &str, members: usize) {
+    wait_until(&format!("{members} members of {job}"), async || {
+        let starts = starts_of(cluster, job);
+        let last = starts.iter().map(|s| s.task.attempt).max();
+        let of_last = |s: &&StartRecord| Some(s.task.attempt) == last && s.confirmed;
+        starts.iter().filter(of_last).count() == members
+    })
+    .await;
+}
+
+/// Waits until a job is over and returns its record.
+pub async fn wait_for_end(cluster: &Cluster, at: SocketAddr, job: &str) -> Value {
+    wait_until(&format!("the end of {job}"), async || {
+        let state = job_state(cluster, at, job).await["state"].clone();
+        state == "finished" || state == "ended"
+    })
+    .await;
+    job_state(cluster, at, job).await
+}
--- a/crates/stairstalld/tests/faults.rs
+++ b/crates/stairstalld/tests/faults.rs
@@ -4,60 +4,20 @@
 
 use std::time::Duration;
 
-use common::{TestCall, job, job_state, plan, runs_of, start};
+use common::{
+    TestCall, gang, job, plan, runs_of, start, starts_of, submit_at, wait_for_confirmed,
+    wait_for_end,
+};
 use futures::future::join_all;
-use serde_json::{Value, json};
-use stairstall_standin::{Cluster, LinkMode, StartRecord, WorkerStandin, wait_until};
-
-fn gang(members: u16) -> Value {
-    json!({"members": members, "accelerators": 8, "processors": 8, "adjacent": true})
-}
-
-fn starts_of(cluster: &Cluster, job: &str) -> Vec<StartRecord> {
-    cluster
-        .starts()
-        .into_iter()
-        .filter(|s| s.task.job.to_string() == job)
-        .collect()
-}
-
-async fn submit(cluster: &Cluster, at: usize, body: &Value) {
-    let at = cluster.daemons[at].address();
-    let reply = cluster
-        .caller
-        .post(at, "/v1/jobs", body)
-        .await
-        .expect("an answer");
-    assert!(reply.status.is_success(), "{}", reply.text());
-}
-
-async fn wait_for_confirmed(cluster: &Cluster, job: &str, members: usize) {
-    wait_until(&format!("{members} members of {job}"), async || {
-        starts_of(cluster, job)
-            .iter()
-            .filter(|s| s.confirmed)
-            .count()
-            == members
-    })
-    .await;
-}
-
-async fn wait_for_end(cluster: &Cluster, at: usize, job: &str) -> Value {
-    let at = cluster.daemons[at].address();
-    wait_until(&format!("the end of {job}"), async || {
-        let state = job_state(cluster, at, job).await["state"].clone();
-        state == "finished" || state == "ended"
-    })
-    .await;
-    job_state(cluster, at, job).await
-}
+use serde_json::json;
+use stairstall_standin::{LinkMode, WorkerStandin, wait_until};
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_worker_whose_answers_are_lost_stops_its_member_before_the_place_is_used_again() {
     let cluster = start(plan().with_sizes(2, 1, 3)).await;
     let mut body = job("fonts", "draft", &gang(2), 40_000);
     body["repeatable"] = json!(true);
-    submit(&cluster, 0, &body).await;
+    submit_at(&cluster, cluster.daemons[0].address(), &body).await;
     wait_for_confirmed(&cluster, "fonts/draft", 2).await;
     let cut = cluster
         .workers
@@ -95,12 +55,22 @@
     let cluster = start(plan()).await;
     let holder = cluster.holder_of("zone-a").await.expect("a holder");
     let other = 1 - holder;
-    submit(&cluster, other, &job("fonts", "running", &gang(2), 12_000)).await;
+    submit_at(
+        &cluster,
+        cluster.daemons[other].address(),
+        &job("fonts", "running", &gang(2), 12_000),
+    )
+    .await;
     wait_for_confirmed(&cluster, "fonts/running", 2).await;
     cluster.daemons[holder].store.set(LinkMode::Silent);
-    submit(&cluster, other, &job("fonts", "waiting", &gang(2), 500)).await;
+    submit_at(
+        &cluster,
+        cluster.daemons[other].address(),
+        &job("fonts", "waiting", &gang(2), 500),
+    )
+    .await;
     for id in ["fonts/waiting", "fonts/running"] {
-        let record = wait_for_end(&cluster, other, id).await;
+        let record = wait_for_end(&cluster, cluster.daemons[other].address(), id).await;
         assert_eq!(record["success"], true, "{record}");
         assert_eq!(starts_of(&cluster, id).len(), 2, "{id} started once");
     }
@@ -119,10 +89,15 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_holder_and_a_worker_that_die_together_leave_no_part_of_a_gang() {
     let mut cluster = start(plan()).await;
-    submit(&cluster, 0, &job("fonts", "paid", &gang(2), 20_000)).await;
+    submit_at(
+        &cluster,
+        cluster.daemons[0].address(),
+        &job("fonts", "paid", &gang(2), 20_000),
+    )
+    .await;
     let mut draft = job("mesa", "draft", &gang(2), 3_000);
     draft["repeatable"] = json!(true);
-    submit(&cluster, 0, &draft).await;
+    submit_at(&cluster, cluster.daemons[0].address(), &draft).await;
     wait_for_confirmed(&cluster, "fonts/paid", 2).await;
     wait_for_confirmed(&cluster, "mesa/draft", 2).await;
     let paid = starts_of(&cluster, "fonts/paid");
@@ -141,7 +116,7 @@
         .expect("started");
     cluster.daemons[holder].kill().await;
     let survivor = 1 - holder;
-    let record = wait_for_end(&cluster, survivor, "fonts/paid").await;
+    let record = wait_for_end(&cluster, cluster.daemons[survivor].address(), "fonts/paid").await;
     assert_eq!(
         (&record["state"], &record["verdict"]),
         (&json!("ended"), &json!("may-have-run"))
@@ -151,7 +126,7 @@
         left.iter().all(|s| s.ended.is_some()),
         "no part runs on: {left:?}"
     );
-    let record = wait_for_end(&cluster, survivor, "mesa/draft").await;
+    let record = wait_for_end(&cluster, cluster.daemons[survivor].address(), "mesa/draft").await;
     assert_eq!(record["success"], true, "{record}");
 }
 
@@ -162,7 +137,7 @@
     let zone_b = cluster.daemons_of("zone-b");
     let mut body = job("fonts", "running", &gang(2), 26_000);
     body["zone"] = json!("zone-b");
-    submit(&cluster, zone_b[0], &body).await;
+    submit_at(&cluster, cluster.daemons[zone_b[0]].address(), &body).await;
     wait_for_confirmed(&cluster, "fonts/running", 2).await;
     for index in &zone_b {
         cluster.daemons[*index].store.set(LinkMode::Cut);
@@ -191,7 +166,12 @@
     for index in &zone_b {
         cluster.daemons[*index].store.set(LinkMode::Pass);
     }
-    let record = wait_for_end(&cluster, zone_b[0], "fonts/running").await;
+    let record = wait_for_end(
+        &cluster,
+        cluster.daemons[zone_b[0]].address(),
+        "fonts/running",
+    )
+    .await;
     assert_eq!(record["success"], true, "{record}");
     assert_eq!(starts_of(&cluster, "fonts/running").len(), 2);
 }
@@ -243,7 +223,12 @@
 async fn every_daemon_is_replaced_under_load_without_one_cut_request() {
     let mut cluster = start(plan().with_sizes(2, 2, 4)).await;
     cluster.wait_for_slots().await;
-    submit(&cluster, 0, &job("fonts", "running", &gang(4), 12_000)).await;
+    submit_at(
+        &cluster,
+        cluster.daemons[0].address(),
+        &job("fonts", "running", &gang(4), 12_000),
+    )
+    .await;
     wait_for_confirmed(&cluster, "fonts/running", 4).await;
     for round in 0..2 {
         let name = format!("zone-a-vm-new-{round}");
@@ -279,7 +264,7 @@
         assert_eq!(cluster.daemons[round].stop().await, Some(0));
         cluster.vm_list.remove(&format!("zone-a-vm-{round}"));
     }
-    let record = wait_for_end(&cluster, 2, "fonts/running").await;
+    let record = wait_for_end(&cluster, cluster.daemons[2].address(), "fonts/running").await;
     assert_eq!(record["success"], true, "{record}");
     assert_eq!(starts_of(&cluster, "fonts/running").len(), 4);
 }
@@ -291,7 +276,7 @@
     for number in 0..12 {
         let body = job("fonts", &format!("paid-{number}"), &gang(1), 400);
         cluster.store.faults().lose_answers(1);
-        submit(&cluster, number % 3, &body).await;
+        submit_at(&cluster, cluster.daemons[number % 3].address(), &body).await;
     }
     let holder = cluster.holder_of("zone-a").await.expect("a holder");
     cluster.daemons[holder].kill().await;
@@ -299,7 +284,7 @@
     let survivor = (holder + 1) % 3;
     for number in 0..12 {
         let id = format!("fonts/paid-{number}");
-        let record = wait_for_end(&cluster, survivor, &id).await;
+        let record = wait_for_end(&cluster, cluster.daemons[survivor].address(), &id).await;
         let starts = starts_of(&cluster, &id).len();
         assert!(starts <= 1, "{id} started {starts} times");
         if record["state"] == "finished" {
--- a/crates/stairstalld/tests/jobs.rs
+++ b/crates/stairstalld/tests/jobs.rs
@@ -5,18 +5,16 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use common::{job, job_state, plan, start};
+use common::{
+    gang, job, job_state, plan, running, start, starts_of, submit, wait_for_confirmed, wait_for_end,
+};
 use serde_json::{Value, json};
 use stairstall_standin::{Cluster, LinkMode, StartRecord, wait_until};
 
 /// Starts of a job's members, by attempt.
 fn attempts(cluster: &Cluster, job: &str) -> BTreeMap<String, Vec<StartRecord>> {
     let mut attempts: BTreeMap<String, Vec<StartRecord>> = BTreeMap::new();
-    for start in cluster
-        .starts()
-        .into_iter()
-        .filter(|s| s.task.job.to_string() == job)
-    {
+    for start in starts_of(cluster, job) {
         attempts
             .entry(start.task.attempt.to_string())
             .or_default()
@@ -25,47 +23,10 @@
     attempts
 }
 
-async fn submit(cluster: &Cluster, body: &Value) {
-    let at = cluster
-        .daemons
-        .iter()
-        .find(|d| d.is_running())
-        .expect("a daemon")
-        .address();
-    let reply = cluster
-        .caller
-        .post(at, "/v1/jobs", body)
-        .await
-        .expect("an answer");
-    assert!(reply.status.is_success(), "{}", reply.text());
-}
-
 async fn wait_for_state(cluster: &Cluster, job: &str, state: &str) -> Value {
-    let at = cluster
-        .daemons
-        .iter()
-        .find(|d| d.is_running())
-        .expect("a daemon")
-        .address();
-    wait_until(&format!("{job} to be {state}"), async || {
-        job_state(cluster, at, job).await["state"] == state
-    })
-    .await;
-    job_state(cluster, at, job).await
-}
-
-async fn wait_for_confirmed(cluster: &Cluster, job: &str, members: usize) {
-    wait_until(&format!("{members} members of {job}"), async || {
-        let attempts = attempts(cluster, job);
-        attempts
-            .values()
-            .any(|a| a.iter().filter(|s| s.confirmed).count() == members)
-    })
-    .await;
-}
-
-fn gang(members: u16) -> Value {
-    json!({"members": members, "accelerators": 8, "processors": 8, "adjacent": true})
+    let record = wait_for_end(cluster, running(cluster), job).await;
+    assert_eq!(record["state"], state, "{record}");
+    record
 }
 
 #[tokio::test(flavor = "multi_thread")]
