perf(peers): exchange heartbeats with other zones less often as zones are added

Cause: every daemon sent its heartbeat to every other twice a second. With three daemons in each of 8 zones that is 46 exchanges a second of about 0.9 KB for each daemon, 41 KB/s, twice the budget of a node. Ruled out: smaller heartbeats (half of an exchange is heads).

Change: within a zone nothing changes; to other zones the time between exchanges is 200 ms for each daemon there, 1 s to 6 s, one exchange tells both sides, and a heartbeat says when the next is due at the latest. Syncs are 50 ms for each worker apart instead of 40.

--- a/crates/stairstall-core/src/membership.rs
+++ b/crates/stairstall-core/src/membership.rs
@@ -18,10 +18,19 @@
 }
 
 impl Members {
-    /// How often each daemon sends its heartbeat.
+    /// How often daemons of one zone exchange heartbeats.
     pub const INTERVAL: Duration = Duration::from_millis(500);
-    /// How long a daemon counts as alive after its last heartbeat.
+    /// How long a daemon counts as alive after its last heartbeat, at the least.
     pub const TIMEOUT: Duration = Duration::from_secs(2);
+    /// What each daemon of other zones adds to the time between their heartbeats, so
+    /// that a daemon's traffic stays bounded as zones are added.
+    pub const FAR_INTERVAL_PER_DAEMON: Duration = Duration::from_millis(200);
+    /// Shortest time between heartbeats to other zones.
+    pub const MIN_FAR_INTERVAL: Duration = Duration::from_secs(1);
+    /// Longest such time.
+    pub const MAX_FAR_INTERVAL: Duration = Duration::from_secs(6);
+    /// So many heartbeats may be missed.
+    const MISSED: u32 = 3;
     /// How long a silent daemon is remembered at all.
     const FORGET: Duration = Duration::from_secs(600);
 
@@ -38,14 +47,32 @@
         self.heard.retain(|_, (at, _)| now - *at < Self::FORGET);
     }
 
+    /// Returns the time between heartbeats to so many daemons of other zones.
+    #[must_use]
+    pub fn far_interval(daemons: usize) -> Duration {
+        let daemons = u32::try_from(daemons).unwrap_or(u32::MAX);
+        let interval = Self::FAR_INTERVAL_PER_DAEMON.saturating_mul(daemons);
+        interval.clamp(Self::MIN_FAR_INTERVAL, Self::MAX_FAR_INTERVAL)
+    }
+
+    /// Returns how long ago a daemon was heard, if it ever was.
+    #[must_use]
+    pub fn heard_before(&self, daemon: &VmId, now: Timestamp) -> Option<Duration> {
+        self.heard.get(daemon).map(|(at, _)| now - *at)
+    }
+
     /// Iterates over the daemons that are alive at `now`.
     pub fn live(&self, now: Timestamp) -> impl Iterator<Item = &Heartbeat> {
         self.heard
             .values()
-            .filter(move |(at, _)| now - *at < Self::TIMEOUT)
+            .filter(move |(at, h)| now - *at < Self::timeout(h))
             .map(|(_, h)| h)
     }
 
+    fn timeout(heartbeat: &Heartbeat) -> Duration {
+        Self::TIMEOUT.max(Duration::from_millis(heartbeat.every_ms) * Self::MISSED)
+    }
+
     /// Returns the live daemons of `zone` that take requests, and `me`.
     #[must_use]
     pub fn in_zone(&self, zone: &ZoneId, me: &VmId, now: Timestamp) -> Vec<VmId> {
--- a/crates/stairstall-core/src/placement/scheduler.rs
+++ b/crates/stairstall-core/src/placement/scheduler.rs
@@ -60,7 +60,7 @@
     /// Shortest time between two syncs of a worker that has nothing to do.
     pub const MIN_SYNC_INTERVAL: Duration = Duration::from_millis(500);
     /// What each worker adds to that time, so that a holder's traffic stays bounded.
-    pub const SYNC_INTERVAL_PER_WORKER: Duration = Duration::from_millis(40);
+    pub const SYNC_INTERVAL_PER_WORKER: Duration = Duration::from_millis(50);
     /// Longest time between two syncs, whatever the number of workers.
     pub const MAX_SYNC_INTERVAL: Duration = Duration::from_secs(6);
     /// Time between two syncs while orders are being carried out.
--- a/crates/stairstall-core/src/protocol/peer.rs
+++ b/crates/stairstall-core/src/protocol/peer.rs
@@ -31,13 +31,15 @@
     pub largest_free: u32,
 }
 
-/// What a daemon tells its peers twice a second.
+/// What a daemon tells its peers: twice a second in its zone, less often in others.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Heartbeat {
     /// Who speaks.
     pub daemon: VmId,
     /// In which zone.
     pub zone: ZoneId,
+    /// Milliseconds until it is heard again at the latest, while all is well.
+    pub every_ms: u64,
     /// Address for requests passed on by other zones.
     pub address: std::net::SocketAddr,
     /// Newest configuration in force there.
--- a/crates/stairstall-core/tests/policy.rs
+++ b/crates/stairstall-core/tests/policy.rs
@@ -55,3 +55,39 @@
         "{large:?} against {large_first_fit:?}"
     );
 }
+
+#[test]
+fn syncs_of_running_tasks_stay_within_their_budget() {
+    use stairstall_core::placement::{Capacity, JobSpec, Shape};
+    use stairstall_standin::VirtualZone;
+    use stairstall_standin::fixtures::{configuration, named};
+
+    // An eighth of 750 workers with 12 tasks each.
+    let capacity = Capacity::new(1, 64, 128 * 1024);
+    let mut zone = VirtualZone::new(94, 8, capacity, Policy::standard(), configuration(["mesa"]));
+    for number in 0..70 {
+        zone.submit(JobSpec {
+            customer: named("mesa"),
+            id: named(&format!("job-{number}")),
+            class: named("batch"),
+            labels: stairstall_core::Labels::default(),
+            shape: Shape::new(16, 0).with_processors(4),
+            repeatable: true,
+            checkpoint_ms: None,
+            expected_ms: 24 * 3_600_000,
+            zone: None,
+            payload: "x".repeat(200),
+        });
+    }
+    zone.run_for(Duration::from_secs(30));
+    zone.count_bytes = true;
+    let (syncs, bytes) = (zone.syncs, zone.sync_bytes);
+    zone.run_for(Duration::from_secs(100));
+    let (syncs, bytes) = (zone.syncs - syncs, zone.sync_bytes - bytes);
+    println!("{syncs} syncs and {bytes} bytes in 100 s for 1,120 tasks");
+    assert!(syncs <= 2_200, "{syncs} syncs");
+    assert!(
+        bytes <= 260 * syncs,
+        "{bytes} bytes: running tasks cost nothing but their renewal"
+    );
+}
--- a/crates/stairstalld/src/jobs.rs
+++ b/crates/stairstalld/src/jobs.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use stairstall_core::membership::Members;
 use stairstall_core::placement::{JobKey, JobRecord, JobSpec, JobState};
 use stairstall_core::protocol::{Explanation, Heartbeat, JobPage, Stage};
 use stairstall_core::{Selector, Verdict, ZoneId};
@@ -14,7 +15,7 @@
 use crate::clock::unix_millis;
 use crate::daemon::{Daemon, lock};
 use crate::keys;
-use crate::peers::{PeerClient, ask_explanation, client};
+use crate::peers::{PeerClient, ask_explanation, client, own_heartbeat};
 
 /// How often an acceptance is written before the caller is told that it is not known.
 const ACCEPT_WRITES: u32 = 3;
@@ -94,7 +95,7 @@
     let needed = spec.shape.total_accelerators();
     let own = &daemon.settings.zone;
     let mut members = lock(&daemon.members);
-    members.note(crate::peers::own_heartbeat(daemon), now);
+    members.note(own_heartbeat(daemon, Members::INTERVAL), now);
     let room = |h: &Heartbeat| {
         let load = h.placement?;
         let starts = load.free_accelerators >= needed && load.waiting_jobs == 0;
--- a/crates/stairstalld/src/peers.rs
+++ b/crates/stairstalld/src/peers.rs
@@ -12,10 +12,13 @@
 use stairstall_core::config::Configuration;
 use stairstall_core::membership::Members;
 use stairstall_core::placement::JobKey;
-use stairstall_core::protocol::{Explanation, Heartbeat, VmRole, WitnessAnswer, WitnessQuestion};
-use stairstall_core::{Timestamp, VmId};
+use stairstall_core::protocol::{
+    Explanation, Heartbeat, VmEntry, VmRole, WitnessAnswer, WitnessQuestion,
+};
+use stairstall_core::{Timestamp, VmId, ZoneId};
 use tokio::sync::oneshot;
 
+use crate::clock::millis;
 use crate::daemon::{Daemon, lock};
 use crate::follow::note_revision;
 use crate::holder::Query;
@@ -53,8 +56,9 @@
 impl PeerServer for PeerService {
     async fn heartbeat(&self, heartbeat: Heartbeat) -> RpcResult<Heartbeat> {
         let now = self.0.clock.now();
+        let every = interval_to(&self.0, &heartbeat.zone);
         lock(&self.0.members).note(heartbeat, now);
-        Ok(own_heartbeat(&self.0))
+        Ok(own_heartbeat(&self.0, every))
     }
 
     async fn configuration(&self) -> RpcResult<Configuration> {
@@ -116,12 +120,13 @@
         .ok()
 }
 
-pub(crate) fn own_heartbeat(daemon: &Daemon) -> Heartbeat {
+pub(crate) fn own_heartbeat(daemon: &Daemon, every: Duration) -> Heartbeat {
     let configuration = daemon.configuration();
     let role = *lock(&daemon.role);
     Heartbeat {
         daemon: daemon.me().clone(),
         zone: daemon.settings.zone.clone(),
+        every_ms: millis(every),
         address: daemon.address,
         revision: configuration.revision,
         token: role.token,
@@ -132,9 +137,21 @@
     }
 }
 
+/// Returns how often this daemon and one of `zone` exchange heartbeats.
+fn interval_to(daemon: &Daemon, zone: &ZoneId) -> Duration {
+    if *zone == daemon.settings.zone {
+        return Members::INTERVAL;
+    }
+    let list = daemon.vms.borrow().clone();
+    let far =
+        |vm: &&VmEntry| vm.zone != daemon.settings.zone && matches!(vm.role, VmRole::Entry { .. });
+    Members::far_interval(list.vms.iter().filter(far).count())
+}
+
 /// One peer as the platform lists it.
 struct Listed {
     id: VmId,
+    zone: ZoneId,
     rpc: SocketAddr,
     client: Option<HttpClient>,
 }
@@ -146,7 +163,7 @@
     for round in 0_u64.. {
         let now = daemon.clock.now();
         if now - last > Members::TIMEOUT {
-            log::warn!(target: "peers", paused_ms = crate::clock::millis(now - last);
+            log::warn!(target: "peers", paused_ms = millis(now - last);
                 "this process was paused; its shares of slots are given up");
             daemon.dispatcher.suspend();
         }
@@ -154,7 +171,7 @@
         refresh(&daemon, &mut peers);
         let beats = peers
             .iter()
-            .filter(|p| worth_asking(&daemon, &p.id, round, now));
+            .filter(|p| worth_asking(&daemon, p, round, now));
         let replies = join_all(beats.map(|p| beat_one(&daemon, p))).await;
         let now = daemon.clock.now();
         for heartbeat in replies.into_iter().flatten() {
@@ -173,16 +190,23 @@
 fn refresh(daemon: &Daemon, peers: &mut Vec<Listed>) {
     let list = daemon.vms.borrow().clone();
     let entries = list.vms.iter().filter(|vm| vm.id != *daemon.me());
-    let entries = entries.filter_map(|vm| match vm.role {
-        VmRole::Entry { rpc } => Some((vm.id.clone(), rpc)),
-        _ => None,
+    let entries: Vec<(&VmEntry, SocketAddr)> = entries
+        .filter_map(|vm| match vm.role {
+            VmRole::Entry { rpc } => Some((vm, rpc)),
+            _ => None,
+        })
+        .collect();
+    peers.retain(|p| {
+        entries
+            .iter()
+            .any(|(vm, rpc)| vm.id == p.id && *rpc == p.rpc)
     });
-    let entries: Vec<(VmId, SocketAddr)> = entries.collect();
-    peers.retain(|p| entries.iter().any(|(id, rpc)| *id == p.id && *rpc == p.rpc));
-    for (id, rpc) in entries {
-        if !peers.iter().any(|p| p.id == id) {
+    for (vm, rpc) in entries {
+        if !peers.iter().any(|p| p.id == vm.id) {
+            let (id, zone) = (vm.id.clone(), vm.zone.clone());
             peers.push(Listed {
                 id,
+                zone,
                 rpc,
                 client: client(rpc),
             });
@@ -190,18 +214,24 @@
     }
 }
 
-/// Asks live peers each time and silent ones now and then.
-fn worth_asking(daemon: &Daemon, peer: &VmId, round: u64, now: Timestamp) -> bool {
-    let live = lock(&daemon.members).live(now).any(|h| h.daemon == *peer);
-    live || round.is_multiple_of(SILENT_PEER_STRIDE)
+/// Tells whether a peer's turn has come: each time in this zone, now and then where it
+/// is silent, and in other zones unless it was heard lately, since one exchange tells both.
+fn worth_asking(daemon: &Daemon, peer: &Listed, round: u64, now: Timestamp) -> bool {
+    let members = lock(&daemon.members);
+    let live = members.live(now).any(|h| h.daemon == peer.id);
+    if !live {
+        return round.is_multiple_of(SILENT_PEER_STRIDE);
+    }
+    if peer.zone == daemon.settings.zone {
+        return true;
+    }
+    let heard = members.heard_before(&peer.id, now);
+    heard.is_none_or(|ago| ago >= interval_to(daemon, &peer.zone))
 }
 
 async fn beat_one(daemon: &Daemon, peer: &Listed) -> Option<Heartbeat> {
-    peer.client
-        .as_ref()?
-        .heartbeat(own_heartbeat(daemon))
-        .await
-        .ok()
+    let heartbeat = own_heartbeat(daemon, interval_to(daemon, &peer.zone));
+    peer.client.as_ref()?.heartbeat(heartbeat).await.ok()
 }
 
 /// Takes a peer's configuration where it is newer: this zone may be cut off from the store.
@@ -229,10 +259,7 @@
 }
 
 /// Returns where a zone's live placement holder listens for its peers.
-pub(crate) fn holder_address(
-    daemon: &Daemon,
-    zone: &stairstall_core::ZoneId,
-) -> Option<SocketAddr> {
+pub(crate) fn holder_address(daemon: &Daemon, zone: &ZoneId) -> Option<SocketAddr> {
     let holder = lock(&daemon.members)
         .holder(zone, daemon.clock.now())?
         .daemon
