fix(daemon): take a new store lease where the store lost the old one

Cause: claims and ended jobs are kept under a lease that is shared for an hour. A store that lost its leases, as one restored from an older copy does, refused every write under it, and not-repeatable requests were refused as not-run until the hour was over. Found by reading the retention; ruled out: the placement role, whose holder notices and takes a new lease.

Change: a write that the store refuses makes the daemon forget the lease. The stand-in store refuses writes under unknown leases, as the real one does.

Measured: the new test failed before (503 after the leases were dropped) and passes now; a running job goes on and starts once.

--- a/crates/stairstall-standin/src/store.rs
+++ b/crates/stairstall-standin/src/store.rs
@@ -133,6 +133,11 @@
         )
     }
 
+    /// Loses every lease, as a store that is restored from an older copy does.
+    pub fn drop_leases(&self) {
+        self.shared.update(State::drop_leases);
+    }
+
     /// Returns all keys with a prefix and their values as text.
     #[must_use]
     pub fn dump(&self, prefix: &str) -> Vec<(String, String)> {
@@ -173,6 +178,9 @@
         }
         "/v3/kv/txn" => {
             let txn: TxnRequest = read_json(request).await?;
+            if !shared.lock().has_leases(&txn) {
+                return Some(answer(StatusCode::NOT_FOUND, "requested lease not found"));
+            }
             write(&shared, |state| state.transact(&txn))
         }
         "/v3/lease/grant" => {
--- a/crates/stairstall-standin/src/store/state.rs
+++ b/crates/stairstall-standin/src/store/state.rs
@@ -63,6 +63,24 @@
         }
     }
 
+    /// Tells whether every lease that a transaction names is there.
+    pub(super) fn has_leases(&self, request: &TxnRequest) -> bool {
+        let puts = request
+            .success
+            .iter()
+            .filter_map(|op| op.request_put.as_ref());
+        puts.map(|put| put.lease.0)
+            .all(|id| id == 0 || self.leases.contains_key(&id))
+    }
+
+    /// Loses every lease, and the keys under them.
+    pub(super) fn drop_leases(&mut self) {
+        let ids: Vec<u64> = self.leases.keys().copied().collect();
+        for id in ids {
+            self.revoke(id);
+        }
+    }
+
     pub(super) fn transact(&mut self, request: &TxnRequest) -> TxnResponse {
         let succeeded = request.compare.iter().all(|compare| {
             let found = self
--- a/crates/stairstalld/benches/daemon.rs
+++ b/crates/stairstalld/benches/daemon.rs
@@ -85,7 +85,9 @@
     tokio::time::sleep(IDLE).await;
     let seconds = IDLE.as_secs_f64();
     let now = cluster.store.calls();
-    println!("\nidle, 3 zones, each with {daemons} daemons, {workers} workers and {minions} minions");
+    println!(
+        "\nidle, 3 zones, each with {daemons} daemons, {workers} workers and {minions} minions"
+    );
     println!(
         "  store calls a second: {:.2} reads, {:.2} writes, {:.2} new watches; syncs a second: {:.1}",
         per_second(now.0 - calls.0, seconds),
--- a/crates/stairstalld/src/api.rs
+++ b/crates/stairstalld/src/api.rs
@@ -152,7 +152,7 @@
         .param("id")
         .map_err(|e| Failure::bad("id", e.to_string()))?;
     let entry = daemon.store.get(&keys::claim(&customer, &id)).await;
-    daemon.note_store(entry.is_ok());
+    daemon.note_answer(&entry);
     let entry = entry.map_err(|e| {
         Failure::unavailable(format!("the store can't be read: {e}"), STORE_RETRY)
             .with_verdict(Verdict::MayHaveRun)
--- a/crates/stairstalld/src/call/claims.rs
+++ b/crates/stairstalld/src/call/claims.rs
@@ -72,19 +72,22 @@
     key: String,
     mut attempt: ClaimAttempt,
 ) -> Claimed {
-    let lease = match daemon.retention.lease().await {
-        Ok(lease) => lease,
-        Err(error) => {
-            daemon.note_store(false);
-            return no_claim(call, &error.to_string());
-        }
-    };
     loop {
+        let lease = match daemon.retention.lease().await {
+            Ok(lease) => lease,
+            Err(error) => {
+                daemon.note_store(false);
+                return no_claim(call, &error.to_string());
+            }
+        };
         let swapped = daemon
             .store
             .swap(&key, Expect::Absent, &attempt.record(), Some(lease))
             .await;
-        daemon.note_store(swapped.is_ok());
+        daemon.note_answer(&swapped);
+        if matches!(swapped, Err(StoreError::Status(_))) {
+            daemon.retention.forget(lease).await;
+        }
         let (answer, revision) = read_answer(swapped);
         match attempt.on_answer(answer) {
             ClaimStep::Held => {
--- a/crates/stairstalld/src/configure.rs
+++ b/crates/stairstalld/src/configure.rs
@@ -130,7 +130,7 @@
     let silent =
         |e: StoreError| Failure::unavailable(format!("the store can't be read: {e}"), STORE_RETRY);
     let entry = daemon.store.get(keys::CONFIG_HEAD).await;
-    daemon.note_store(entry.is_ok());
+    daemon.note_answer(&entry);
     let Some(entry) = entry.map_err(silent)? else {
         return Ok((Head::default(), Expect::Absent));
     };
@@ -182,7 +182,7 @@
         }
     }
     let swapped = daemon.store.swap(keys::CONFIG_HEAD, at, &head, None).await;
-    daemon.note_store(swapped.is_ok());
+    daemon.note_answer(&swapped);
     let error = match swapped {
         Ok(Swap::Applied(_)) => {
             let _ = take_head(daemon, &head).await;
--- a/crates/stairstalld/src/daemon.rs
+++ b/crates/stairstalld/src/daemon.rs
@@ -13,7 +13,7 @@
 use stairstall_core::protocol::{PlacementLoad, VmList};
 use stairstall_core::{Timestamp, VmId};
 use stairstall_http::HttpClient;
-use stairstall_store::Store;
+use stairstall_store::{Store, StoreError};
 use tokio::sync::{mpsc, watch};
 
 use crate::clock::Clock;
@@ -141,6 +141,11 @@
         }
     }
 
+    /// Notes whether the store answered a call at all, be it with an error.
+    pub(crate) fn note_answer<T>(&self, answer: &Result<T, StoreError>) {
+        self.note_store(!matches!(answer, Err(StoreError::Call(_))));
+    }
+
     /// Returns how long the store has not answered, while calls to it fail.
     pub(crate) fn store_silent_for(&self) -> Option<Duration> {
         if !self.store_failing.load(Ordering::Relaxed) {
--- a/crates/stairstalld/src/holder/records.rs
+++ b/crates/stairstalld/src/holder/records.rs
@@ -188,8 +188,7 @@
 
     async fn try_write(&self, write: &Write) -> Result<Tried, StoreError> {
         let tried = self.swap(write).await;
-        self.daemon
-            .note_store(!matches!(tried, Err(StoreError::Call(_))));
+        self.daemon.note_answer(&tried);
         tried
     }
 
@@ -203,11 +202,12 @@
             lease = Some(self.daemon.retention.lease().await?);
         }
         let key = keys::job(&write.job);
-        match self
-            .store()
-            .swap(&key, Expect::Revision(known.revision), &record, lease)
-            .await?
-        {
+        let expect = Expect::Revision(known.revision);
+        let swapped = self.store().swap(&key, expect, &record, lease).await;
+        if let (Err(StoreError::Status(_)), Some(lease)) = (&swapped, lease) {
+            self.daemon.retention.forget(lease).await;
+        }
+        match swapped? {
             Swap::Applied(revision) => {
                 lock(&self.known).insert(write.job.clone(), Known { record, revision });
                 Ok(Tried::Done)
--- a/crates/stairstalld/src/holder/take.rs
+++ b/crates/stairstalld/src/holder/take.rs
@@ -43,7 +43,7 @@
 /// Takes the role from the store; none where somebody else has it.
 pub(super) async fn from_store(daemon: &Daemon) -> Result<Option<Taken>, StoreError> {
     let taken = try_store(daemon).await;
-    daemon.note_store(!matches!(taken, Err(StoreError::Call(_))));
+    daemon.note_answer(&taken);
     taken
 }
 
--- a/crates/stairstalld/src/holder/tenure.rs
+++ b/crates/stairstalld/src/holder/tenure.rs
@@ -138,7 +138,7 @@
                 tokio::time::sleep(RENEW_INTERVAL).await;
                 let requested_at = daemon.clock.now();
                 let renewed = daemon.store.keep_alive(role.id).await;
-                daemon.note_store(!matches!(renewed, Err(StoreError::Call(_))));
+                daemon.note_answer(&renewed);
                 let news = match renewed {
                     Ok(true) => LeaseNews::Renewed(Lease::new(requested_at, ROLE_TTL)),
                     Ok(false) => LeaseNews::Gone,
--- a/crates/stairstalld/src/jobs.rs
+++ b/crates/stairstalld/src/jobs.rs
@@ -117,7 +117,7 @@
     let mut verdict = Verdict::NotRun;
     for _ in 0..ACCEPT_WRITES {
         let swapped = daemon.store.swap(&key, Expect::Absent, &record, None).await;
-        daemon.note_store(swapped.is_ok());
+        daemon.note_answer(&swapped);
         match swapped {
             Ok(Swap::Applied(_)) => return Ok((StatusCode::CREATED, record)),
             Ok(Swap::Conflict(Some(entry))) => {
@@ -177,7 +177,7 @@
 
 async fn read(daemon: &Daemon, key: &JobKey) -> Result<(JobRecord, u64), Failure> {
     let entry = daemon.store.get(&keys::job(key)).await;
-    daemon.note_store(entry.is_ok());
+    daemon.note_answer(&entry);
     let entry = entry.map_err(|e| {
         Failure::unavailable(format!("the store can't be read: {e}"), STORE_RETRY)
             .with_verdict(Verdict::MayHaveRun)
@@ -203,7 +203,7 @@
 pub(crate) async fn list(daemon: &Daemon, request: &Request) -> Result<Response, Failure> {
     let selector = selector_of(request)?;
     let listing = daemon.store.list(keys::JOBS).await;
-    daemon.note_store(listing.is_ok());
+    daemon.note_answer(&listing);
     let listing = listing
         .map_err(|e| Failure::unavailable(format!("the store can't be read: {e}"), STORE_RETRY))?;
     let records = listing
--- a/crates/stairstalld/src/retention.rs
+++ b/crates/stairstalld/src/retention.rs
@@ -42,4 +42,12 @@
         *current = Some((lease, now));
         Ok(lease)
     }
+
+    /// Forgets a lease that the store no longer has, so that the next call takes another.
+    pub(crate) async fn forget(&self, lease: LeaseId) {
+        let mut current = self.current.lock().await;
+        if current.is_some_and(|(known, _)| known == lease) {
+            *current = None;
+        }
+    }
 }
--- a/crates/stairstalld/tests/faults.rs
+++ b/crates/stairstalld/tests/faults.rs
@@ -294,3 +294,30 @@
         }
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn leases_that_the_store_lost_are_taken_anew() {
+    let cluster = start(plan()).await;
+    cluster.wait_for_slots().await;
+    let at = cluster.daemons[0].address();
+    let warm = TestCall::new("warm")
+        .not_repeatable()
+        .send(&cluster.caller, at)
+        .await;
+    assert_eq!(warm.expect("an answer").status, 200);
+    submit_at(&cluster, at, &job("fonts", "before", &gang(1), 4_000)).await;
+    wait_for_confirmed(&cluster, "fonts/before", 1).await;
+    cluster.store.drop_leases();
+    let paid = TestCall::new("paid")
+        .not_repeatable()
+        .send(&cluster.caller, at)
+        .await;
+    let paid = paid.expect("an answer");
+    assert_eq!(paid.status, 200, "{}", paid.text());
+    submit_at(&cluster, at, &job("fonts", "after", &gang(1), 300)).await;
+    for id in ["fonts/after", "fonts/before"] {
+        let record = wait_for_end(&cluster, at, id).await;
+        assert_eq!(record["success"], true, "{record}");
+        assert_eq!(starts_of(&cluster, id).len(), 1, "{id} started once");
+    }
+}
