test(daemon): stop with the store down, leave with the holder dead, lose the daemon that took a change

Cause: cells of docs/PROOF.md were empty: a planned stop while the store is down and a peer dies, a worker that leaves as the holder dies, a change whose daemon is killed while another is frozen.

Change: a process test for each.

The third was not tried without its mechanism.

--- a/crates/stairstalld/tests/faults.rs
+++ b/crates/stairstalld/tests/faults.rs
@@ -321,3 +321,93 @@
         assert_eq!(starts_of(&cluster, id).len(), 1, "{id} started once");
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_cuts_off_nothing_while_the_store_is_down_and_a_peer_dies() {
+    let mut cluster = start(plan().with_sizes(3, 2, 2)).await;
+    cluster.wait_for_slots().await;
+    submit_at(
+        &cluster,
+        cluster.daemons[0].address(),
+        &job("fonts", "running", &gang(2), 9_000),
+    )
+    .await;
+    wait_for_confirmed(&cluster, "fonts/running", 2).await;
+    let at = cluster.daemons[0].address();
+    let ids: Vec<String> = (0..8).map(|i| format!("in-flight-{i}")).collect();
+    let calls: Vec<TestCall<'_>> = ids
+        .iter()
+        .map(|id| TestCall::new(id).with_work_ms(3_000))
+        .collect();
+    let caller = cluster.caller.clone();
+    let sends = join_all(calls.iter().map(|call| call.send(&caller, at)));
+    let stopping = async {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        cluster.store.faults().set_down(true);
+        cluster.daemons[0].ask_to_stop();
+        cluster.daemons[1].kill().await;
+    };
+    let (replies, ()) = tokio::join!(sends, stopping);
+    for reply in replies {
+        assert_eq!(reply.expect("a whole answer").status, 200);
+    }
+    assert_eq!(cluster.daemons[0].stop().await, Some(0));
+    cluster.store.faults().set_down(false);
+    let at = cluster.daemons[2].address();
+    let record = wait_for_end(&cluster, at, "fonts/running").await;
+    assert_eq!(record["success"], true, "{record}");
+    assert_eq!(starts_of(&cluster, "fonts/running").len(), 2);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_worker_gets_no_new_member_though_the_holder_dies() {
+    let mut cluster = start(plan()).await;
+    cluster.vm_list.set_leaving(&cluster.workers[0].name);
+    // The list lags by 5 s and is read each second.
+    tokio::time::sleep(Duration::from_millis(6_500)).await;
+    let holder = cluster.holder_of("zone-a").await.expect("a holder");
+    cluster.daemons[holder].kill().await;
+    let at = cluster.daemons[1 - holder].address();
+    for number in 0..6 {
+        submit_at(
+            &cluster,
+            at,
+            &job("fonts", &format!("job-{number}"), &gang(1), 500),
+        )
+        .await;
+    }
+    for number in 0..6 {
+        wait_for_end(&cluster, at, &format!("fonts/job-{number}")).await;
+    }
+    let leaving = cluster.workers[0].standin.as_ref().expect("it runs");
+    assert!(leaving.starts().is_empty(), "{:?}", leaving.starts());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_accepted_change_survives_the_daemon_that_took_it() {
+    let mut cluster = start(plan().with_zones(2)).await;
+    for round in 0..2_usize {
+        let at = cluster.daemons[round].address();
+        let change = json!({"id": format!("weight-{round}"), "operations": [{
+            "operation": "set", "of": "customer", "selector": "",
+            "assignment": {"field": "weight", "value": round + 5}}]});
+        let reply = cluster
+            .caller
+            .post(at, "/v1/config", &change)
+            .await
+            .expect("an answer");
+        assert_eq!(reply.status, 200, "{}", reply.text());
+        cluster.daemons[round].kill().await;
+        // The other zone's daemons, and one of them frozen meanwhile.
+        cluster.daemons[2].freeze();
+        tokio::time::sleep(Duration::from_millis(2_500)).await;
+        cluster.daemons[2].thaw();
+        cluster.wait_for_revision(round as u64 + 2).await;
+        let get = cluster
+            .caller
+            .get(cluster.daemons[2].address(), "/v1/config/customer")
+            .await;
+        let weight = get.expect("an answer").json()["resources"][0]["weight"].clone();
+        assert_eq!(weight, round + 5);
+    }
+}
