feat(cli): read every flag from the environment too

Cause: docs/INTERFACE.md promises a variable for each flag; those of the subcommands had none.

Change: they have, and a test reads one.

--- a/crates/stairstall/src/cli.rs
+++ b/crates/stairstall/src/cli.rs
@@ -191,14 +191,17 @@
 
 fn change_options() -> impl Parser<ChangeOptions> {
     let dry_run = long("dry-run")
+        .env("STAIRSTALL_DRY_RUN")
         .help("Only say what the change would do")
         .switch();
     let base = long("base")
+        .env("STAIRSTALL_BASE")
         .help("Refuse unless the configuration is at this revision")
         .argument::<u64>("REVISION")
         .map(Revision)
         .optional();
     let id = long("change-id")
+        .env("STAIRSTALL_CHANGE_ID")
         .help("Name of the change; sent again it takes effect once")
         .argument::<ChangeId>("ID")
         .optional();
@@ -207,6 +210,7 @@
 
 fn selector() -> impl Parser<Selector> {
     long("selector")
+        .env("STAIRSTALL_SELECTOR")
         .help("Conditions over labels, as in 'team=web,class in (batch,paid)'")
         .argument::<Selector>("SELECTOR")
 }
@@ -278,6 +282,7 @@
 
 fn wait() -> impl Parser<Command> {
     let timeout_ms = long("timeout-ms")
+        .env("STAIRSTALL_TIMEOUT_MS")
         .help("Longest wait")
         .argument::<u64>("MILLISECONDS")
         .fallback(600_000);
@@ -290,27 +295,34 @@
 
 fn call() -> impl Parser<Command> {
     let customer = long("customer")
+        .env("STAIRSTALL_CUSTOMER")
         .help("The customer")
         .argument::<CustomerId>("NAME");
     let class = long("class")
+        .env("STAIRSTALL_CLASS")
         .help("The priority class")
         .argument::<ClassId>("NAME");
     let id = long("id")
+        .env("STAIRSTALL_ID")
         .help("Name of the request; the same when it is tried again")
         .argument::<RequestId>("ID")
         .optional();
     let labels = long("labels")
+        .env("STAIRSTALL_LABELS")
         .help("name=value,…")
         .argument::<Labels>("LABELS")
         .optional();
     let deadline_ms = long("deadline-ms")
+        .env("STAIRSTALL_DEADLINE_MS")
         .help("Longest wait")
         .argument::<u64>("MILLISECONDS")
         .optional();
     let not_repeatable = long("not-repeatable")
+        .env("STAIRSTALL_NOT_REPEATABLE")
         .help("It must not run twice")
         .switch();
     let data = long("data")
+        .env("STAIRSTALL_DATA")
         .help("The body")
         .argument::<String>("TEXT")
         .fallback(String::new());
--- a/crates/stairstall/tests/cli.rs
+++ b/crates/stairstall/tests/cli.rs
@@ -154,6 +154,19 @@
     assert!(succeed(at, &["get", "rules"]).contains("book=swahili"));
 }
 
+#[test]
+fn flags_are_read_from_the_environment_too() {
+    let read = Command::new(env!("CARGO_BIN_EXE_stairstall"))
+        .env("STAIRSTALL_SERVER", "127.0.0.1:1")
+        .env("STAIRSTALL_SELECTOR", "a b c")
+        .args(["get", "customers"])
+        .output()
+        .expect("the command runs");
+    let error = String::from_utf8_lossy(&read.stderr).into_owned();
+    assert_eq!(read.status.code(), Some(2), "{error}");
+    assert!(error.contains("a b c"), "{error}");
+}
+
 #[test]
 fn a_daemon_that_can_not_be_reached_means_not_run() {
     let nowhere: SocketAddr = "127.0.0.1:1".parse().expect("an address");
