refactor: read bodies and reports in one place

Cause: read once more as a whole, the change read a request's body twice over (for calls and for JSON), filled a recovered member in by hand beside the function that takes a report, named one retry hint three times, noted a revision that taking the head had noted, and kept two functions that nobody calls and one that only called another.

Change: one reader of bodies, one way to take a report, one hint; the dead ones are gone. No behaviour, check or expectation changes.

--- a/crates/stairstall-core/src/label/set.rs
+++ b/crates/stairstall-core/src/label/set.rs
@@ -35,13 +35,6 @@
         self.0.get(name).map(String::as_str)
     }
 
-    /// Returns these labels with those of `other` added or replaced.
-    #[must_use]
-    pub fn merged(mut self, other: &Self) -> Self {
-        self.0.extend(other.0.clone());
-        self
-    }
-
     /// Returns these labels with one added or replaced.
     ///
     /// # Errors
--- a/crates/stairstall-core/src/placement/scheduler.rs
+++ b/crates/stairstall-core/src/placement/scheduler.rs
@@ -283,12 +283,6 @@
         std::mem::take(&mut self.effects)
     }
 
-    /// Returns when the next plan may bring something new without any other event.
-    #[must_use]
-    pub const fn wants_replan(&self) -> bool {
-        self.replan
-    }
-
     /// Makes the next tick look at every waiting job again.
     pub const fn request_replan(&mut self) {
         self.replan = true;
--- a/crates/stairstall-core/src/placement/scheduler/recovery.rs
+++ b/crates/stairstall-core/src/placement/scheduler/recovery.rs
@@ -2,13 +2,14 @@
 
 use super::contact::Contact;
 use super::entry::{Entry, Running, Stage};
+use super::reports::apply_report;
 use super::{Decision, DecisionKind, Effect, Scheduler, UseId};
 use crate::claim::Mark;
 use crate::placement::{
     Attempt, Home, JobKey, JobRecord, JobSpec, JobState, Member, MemberPhase, PlacedMember, Run,
     Use,
 };
-use crate::protocol::{SyncReply, TaskId, TaskPhase, TaskReport};
+use crate::protocol::{SyncReply, TaskId, TaskReport};
 use crate::{ClassId, GuaranteeId, Labels, RackId, Timestamp, VmId, ZoneId};
 
 /// Level of adopted jobs, whose class is not known: they are not preempted.
@@ -86,20 +87,14 @@
             return;
         };
         let attempt = running.run.attempt();
-        let phase = match self.report_of(key, attempt, index, member) {
-            _ if incarnation != member.incarnation => MemberPhase::Lost,
-            Some(report) => MemberPhase::from(&report.phase),
-            None => MemberPhase::Absent,
-        };
-        if let Some(report) = self.report_of(key, attempt, index, member) {
-            running.saved[usize::from(index)] = report.saved_ms;
-            if let TaskPhase::Finished { output, .. } = &report.phase
-                && index == 0
-            {
-                running.output.clone_from(output);
-            }
+        if incarnation != member.incarnation {
+            running.run.report(index, MemberPhase::Lost);
+            return;
+        }
+        match self.report_of(key, attempt, index, member) {
+            Some(report) => apply_report(running, report),
+            None => running.run.report(index, MemberPhase::Absent),
         }
-        running.run.report(index, phase);
     }
 
     fn report_of(
--- a/crates/stairstall-core/src/placement/scheduler/reports.rs
+++ b/crates/stairstall-core/src/placement/scheduler/reports.rs
@@ -144,7 +144,8 @@
     run.members().iter().enumerate().filter_map(on).collect()
 }
 
-fn apply_report(running: &mut Running, report: &TaskReport) {
+/// Takes what a worker says of one member of a run.
+pub(super) fn apply_report(running: &mut Running, report: &TaskReport) {
     let member = report.task.member;
     running.run.report(member, MemberPhase::from(&report.phase));
     if let Some(saved) = running.saved.get_mut(usize::from(member)) {
--- a/crates/stairstalld/src/answer.rs
+++ b/crates/stairstalld/src/answer.rs
@@ -11,6 +11,9 @@
 
 use crate::clock::millis;
 
+/// How soon it is worth coming back while the store is silent.
+pub(crate) const STORE_RETRY: Duration = Duration::from_secs(2);
+
 /// An error as a caller sees it.
 #[derive(Debug, Clone)]
 pub(crate) struct Failure {
--- a/crates/stairstalld/src/api.rs
+++ b/crates/stairstalld/src/api.rs
@@ -1,9 +1,7 @@
 //! The HTTP interface for callers and operators; docs/INTERFACE.md describes it.
 
 use std::sync::Arc;
-use std::time::Duration;
 
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use stairstall_core::claim::ClaimRecord;
@@ -13,16 +11,12 @@
 use stairstall_core::{CustomerId, RequestId, Verdict};
 use viz::{Request, RequestExt, Response, Result, Router, StatusCode};
 
-use crate::answer::{Failure, json};
+use crate::answer::{Failure, STORE_RETRY, json};
 use crate::daemon::{Daemon, lock};
+use crate::incoming::read_body;
 use crate::peers::own_heartbeat;
 use crate::{call, configure, jobs, keys};
 
-/// How long a JSON body may take.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-/// How soon it is worth coming back while the store is silent.
-const STORE_RETRY: Duration = Duration::from_secs(2);
-
 /// What the balancer and operators see of one daemon.
 #[derive(Debug, Serialize)]
 struct Status {
@@ -175,16 +169,7 @@
     daemon: &Daemon,
     request: &mut Request,
 ) -> std::result::Result<T, Failure> {
-    let limit = daemon.settings.max_body_bytes;
-    let body = std::mem::take(request.body_mut());
-    let collected = tokio::time::timeout(BODY_TIMEOUT, Limited::new(body, limit).collect()).await;
-    let collected = collected.map_err(|_| {
-        let error = format!("the body took longer than {} ms", BODY_TIMEOUT.as_millis());
-        Failure::new(StatusCode::REQUEST_TIMEOUT, Verdict::NotRun, error).with_field("body")
-    })?;
-    let bytes = collected
-        .map_err(|error| too_long(error.as_ref(), limit))?
-        .to_bytes();
+    let bytes = read_body(daemon, request).await?;
     let mut reader = serde_json::Deserializer::from_slice(&bytes);
     let value = serde_path_to_error::deserialize(&mut reader).map_err(|error| {
         let path = error.path().to_string();
@@ -211,12 +196,3 @@
         (path, _) => path.to_owned(),
     }
 }
-
-fn too_long(error: &(dyn std::error::Error + Send + Sync + 'static), limit: usize) -> Failure {
-    if error.is::<LengthLimitError>() {
-        let error = format!("the body is longer than {limit} bytes");
-        let failure = Failure::new(StatusCode::PAYLOAD_TOO_LARGE, Verdict::NotRun, error);
-        return failure.with_field("body");
-    }
-    Failure::bad("body", "the body broke off")
-}
--- a/crates/stairstalld/src/call.rs
+++ b/crates/stairstalld/src/call.rs
@@ -9,8 +9,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use stairstall_core::Verdict;
 use stairstall_core::protocol::header;
 use viz::{Request, Response, StatusCode};
@@ -19,12 +17,11 @@
 use crate::clock::millis;
 use crate::daemon::{Daemon, lock};
 use crate::dispatch::{NoSlot, Permit, Wanted};
+use crate::incoming::read_body;
 use attempt::Attempted;
 use claims::Claimed;
 use parse::Call;
 
-/// How long a caller may take to send its body.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Most minions that one request is sent to.
 const MAX_ATTEMPTS: usize = 4;
 /// How long the store may be silent before not-repeatable requests are refused at once.
@@ -70,28 +67,6 @@
     )
 }
 
-async fn read_body(daemon: &Daemon, request: &mut Request) -> Result<Bytes, Failure> {
-    let limit = daemon.settings.max_body_bytes;
-    let body = std::mem::take(request.body_mut());
-    let collected = tokio::time::timeout(BODY_TIMEOUT, Limited::new(body, limit).collect()).await;
-    let Ok(collected) = collected else {
-        let error = format!("the body took longer than {} ms", BODY_TIMEOUT.as_millis());
-        return Err(
-            Failure::new(StatusCode::REQUEST_TIMEOUT, Verdict::NotRun, error).with_field("body"),
-        );
-    };
-    collected
-        .map(http_body_util::Collected::to_bytes)
-        .map_err(|error| {
-            if error.is::<LengthLimitError>() {
-                let error = format!("the body is longer than {limit} bytes");
-                return Failure::new(StatusCode::PAYLOAD_TOO_LARGE, Verdict::NotRun, error)
-                    .with_field("body");
-            }
-            Failure::bad("body", "the body broke off")
-        })
-}
-
 /// Tries minions until one answers, the verdict forbids it, or the budget is used up.
 async fn answer(daemon: &Arc<Daemon>, call: &Arc<Call>) -> Response {
     if !call.repeatable
--- a/crates/stairstalld/src/call/attempt.rs
+++ b/crates/stairstalld/src/call/attempt.rs
@@ -7,7 +7,7 @@
 use stairstall_core::protocol::header;
 use stairstall_core::routing::Outcome;
 use stairstall_http::Body as RequestBody;
-use viz::header::{CONTENT_LENGTH, HeaderMap};
+use viz::header::CONTENT_LENGTH;
 use viz::{Response, StatusCode};
 
 use super::body::Tracked;
@@ -141,12 +141,8 @@
     };
     let mut answer = Response::new(body);
     *answer.status_mut() = head.status;
-    *answer.headers_mut() = answer_headers(&head.headers);
+    *answer.headers_mut() = end_to_end(&head.headers);
     set(answer.headers_mut(), header::VERDICT, Verdict::Ran.as_str());
     set(answer.headers_mut(), header::MINION, minion.as_str());
     answer
 }
-
-fn answer_headers(headers: &HeaderMap) -> HeaderMap {
-    end_to_end(headers)
-}
--- a/crates/stairstalld/src/configure.rs
+++ b/crates/stairstalld/src/configure.rs
@@ -10,10 +10,10 @@
 use stairstall_store::{Expect, StoreError, Swap};
 use viz::{Request, RequestExt, Response, StatusCode};
 
-use crate::answer::{Failure, json};
+use crate::answer::{Failure, STORE_RETRY, json};
 use crate::api::{query_value, read_json};
 use crate::daemon::Daemon;
-use crate::follow::{note_revision, take_head};
+use crate::follow::take_head;
 use crate::jobs::selector_of;
 use crate::keys;
 use crate::peers::{PeerClient, ask_witness, client, holder_address};
@@ -22,8 +22,6 @@
 const APPEND_TRIES: u32 = 8;
 /// Pause before the head is read again.
 const APPEND_PAUSE: Duration = Duration::from_millis(10);
-/// How soon it is worth coming back while the store is silent.
-const STORE_RETRY: Duration = Duration::from_secs(2);
 
 /// What became of a change.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -186,7 +184,6 @@
     let error = match swapped {
         Ok(Swap::Applied(_)) => {
             let _ = take_head(daemon, &head).await;
-            note_revision(daemon);
             return Ok(Appended::Done(head.revision));
         }
         Ok(Swap::Conflict(_)) => return Ok(Appended::Raced),
--- /dev/null
+++ b/crates/stairstalld/src/incoming.rs
@@ -0,0 +1,33 @@
+//! Bodies of callers' and operators' requests.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Collected, LengthLimitError, Limited};
+use stairstall_core::Verdict;
+use viz::{Request, StatusCode};
+
+use crate::answer::Failure;
+use crate::daemon::Daemon;
+
+/// How long a caller may take to send its body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Reads a request's whole body, within the bounds of size and time.
+pub(crate) async fn read_body(daemon: &Daemon, request: &mut Request) -> Result<Bytes, Failure> {
+    let limit = daemon.settings.max_body_bytes;
+    let body = std::mem::take(request.body_mut());
+    let refuse = |status, error| Failure::new(status, Verdict::NotRun, error).with_field("body");
+    let collected = tokio::time::timeout(BODY_TIMEOUT, Limited::new(body, limit).collect()).await;
+    let collected = collected.map_err(|_| {
+        let error = format!("the body took longer than {} ms", BODY_TIMEOUT.as_millis());
+        refuse(StatusCode::REQUEST_TIMEOUT, error)
+    })?;
+    collected.map(Collected::to_bytes).map_err(|error| {
+        if error.is::<LengthLimitError>() {
+            let error = format!("the body is longer than {limit} bytes");
+            return refuse(StatusCode::PAYLOAD_TOO_LARGE, error);
+        }
+        Failure::bad("body", "the body broke off")
+    })
+}
--- a/crates/stairstalld/src/jobs.rs
+++ b/crates/stairstalld/src/jobs.rs
@@ -1,7 +1,6 @@
 //! Accepts jobs and tells where they stand.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use stairstall_core::membership::Members;
 use stairstall_core::placement::{JobKey, JobRecord, JobSpec, JobState};
@@ -10,7 +9,7 @@
 use stairstall_store::{Expect, Swap};
 use viz::{Request, RequestExt, Response, StatusCode};
 
-use crate::answer::{Failure, json};
+use crate::answer::{Failure, STORE_RETRY, json};
 use crate::api::{query_value, read_json};
 use crate::clock::unix_millis;
 use crate::daemon::{Daemon, lock};
@@ -21,8 +20,6 @@
 const ACCEPT_WRITES: u32 = 3;
 /// How often a cancellation is tried against other writers.
 const CANCEL_TRIES: u32 = 5;
-/// How soon it is worth coming back while the store is silent.
-const STORE_RETRY: Duration = Duration::from_secs(2);
 
 /// Accepts a job: it is durable in the store before the caller is told so.
 pub(crate) async fn submit(
--- a/crates/stairstalld/src/lib.rs
+++ b/crates/stairstalld/src/lib.rs
@@ -20,6 +20,7 @@
 mod dispatch;
 mod follow;
 mod holder;
+mod incoming;
 mod jobs;
 mod keys;
 mod listener;
