--- /dev/null
+++ b/crates/stairstall-core/src/batch.rs
@@ -0,0 +1,30 @@
+//! Jobs made of steps of tasks, and the planner that runs them on workers of all zones.
+//!
+//! A job is a list of [`StepSpec`]s; each step is a number of like tasks. The
+//! [`Planner`] decides for one tenure which task starts where, which gives way
+//! and what is written down. It has no input or output: the daemon feeds it
+//! records, the workers' reports and the time, and carries out its [`Order`]s.
+//!
+//! What must last is the [`AcceptedJob`], written once before the caller hears
+//! of it, and the [`Progress`], written before a worker may forget an end.
+
+mod catalog;
+mod decision;
+mod planner;
+mod record;
+mod resources;
+mod spec;
+mod task;
+mod worker;
+
+pub use catalog::{Access, Catalog, Customer, Queue, Route};
+pub use decision::{Decision, DecisionKind};
+pub use planner::{Bounds, Now, Order, OrderKind, Planner, WorkerPhase, Write};
+pub use record::{AcceptedJob, CallerState, GroupProgress, Outcome, Progress};
+pub use resources::Resources;
+pub use spec::{BatchSpec, Schedule, SpecError, StepSpec};
+pub use task::{GroupKey, TaskKey};
+pub use worker::{
+    End, EndKind, HoldReport, HoldRequest, ListedWorker, RefusalReason, RunningTask, StartOutcome,
+    StopOutcome,
+};
--- /dev/null
+++ b/crates/stairstall-core/src/batch/decision.rs
@@ -0,0 +1,118 @@
+use std::fmt;
+
+use super::TaskKey;
+use crate::{JobId, WorkerId};
+
+/// What the planner decided.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum DecisionKind {
+    /// A task was given a place.
+    Place,
+    /// A task was told to start.
+    Start,
+    /// A run is stopped.
+    Stop,
+    /// A run ended, or is known to be over.
+    End,
+    /// A run that another planner started was taken over.
+    Adopt,
+    /// A job ended.
+    Outcome,
+    /// A worker gets nothing new for a while, or again.
+    Worker,
+}
+
+impl DecisionKind {
+    /// Returns the word used in logs.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Place => "place",
+            Self::Start => "start",
+            Self::Stop => "stop",
+            Self::End => "end",
+            Self::Adopt => "adopt",
+            Self::Outcome => "outcome",
+            Self::Worker => "worker",
+        }
+    }
+}
+
+/// One decision with what decided it, for the log and for explanations.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Decision {
+    /// What was decided.
+    pub kind: DecisionKind,
+    /// The job, where it touches one.
+    pub job: Option<JobId>,
+    /// The task, where it touches one.
+    pub task: Option<TaskKey>,
+    /// The run, where it touches one.
+    pub run: u32,
+    /// The worker, where it touches one.
+    pub worker: Option<WorkerId>,
+    /// Why, in words.
+    pub why: String,
+}
+
+impl Decision {
+    /// Creates a decision about a run of a task.
+    #[must_use]
+    pub fn of_run(
+        kind: DecisionKind,
+        task: &TaskKey,
+        run: u32,
+        worker: &WorkerId,
+        why: impl Into<String>,
+    ) -> Self {
+        Self {
+            kind,
+            job: Some(task.group.job.clone()),
+            task: Some(task.clone()),
+            run,
+            worker: Some(worker.clone()),
+            why: why.into(),
+        }
+    }
+
+    /// Creates a decision about a job.
+    #[must_use]
+    pub fn of_job(kind: DecisionKind, job: &JobId, why: impl Into<String>) -> Self {
+        Self {
+            kind,
+            job: Some(job.clone()),
+            task: None,
+            run: 0,
+            worker: None,
+            why: why.into(),
+        }
+    }
+
+    /// Creates a decision about a worker.
+    #[must_use]
+    pub fn of_worker(worker: &WorkerId, why: impl Into<String>) -> Self {
+        Self {
+            kind: DecisionKind::Worker,
+            job: None,
+            task: None,
+            run: 0,
+            worker: Some(worker.clone()),
+            why: why.into(),
+        }
+    }
+}
+
+impl fmt::Display for Decision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.kind.as_str())?;
+        if let Some(task) = &self.task {
+            write!(f, " {task} run {}", self.run)?;
+        } else if let Some(job) = &self.job {
+            write!(f, " {job}")?;
+        }
+        if let Some(worker) = &self.worker {
+            write!(f, " on {worker}")?;
+        }
+        write!(f, ": {}", self.why)
+    }
+}
--- /dev/null
+++ b/crates/stairstall-core/src/batch/planner.rs
@@ -0,0 +1,375 @@
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::{
+    AcceptedJob, CallerState, Catalog, Decision, DecisionKind, GroupKey, ListedWorker, Outcome,
+    Progress, TaskKey,
+};
+use crate::{JobId, Timestamp, WorkerId};
+
+mod contact;
+mod ends;
+mod evacuate;
+mod fit;
+mod job;
+mod orders;
+mod pool;
+mod progress;
+mod queue;
+mod starts;
+mod stuck;
+mod victims;
+
+use job::Job;
+pub use orders::{Order, OrderKind};
+use pool::Worker;
+pub use pool::WorkerPhase;
+pub use progress::Write;
+
+/// Both clocks at one moment.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Now {
+    /// The process's monotonic clock.
+    pub at: Timestamp,
+    /// The time of day, in milliseconds since the Unix epoch.
+    pub unix_ms: u64,
+}
+
+impl Now {
+    /// Creates a moment.
+    #[must_use]
+    pub const fn new(at: Timestamp, unix_ms: u64) -> Self {
+        Self { at, unix_ms }
+    }
+}
+
+/// Times that the workers keep to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Bounds {
+    /// Longest time that a worker runs on without being renewed.
+    pub hold_max: Duration,
+    /// Longest time that a stop takes.
+    pub stop_max: Duration,
+    /// How many times as long a task takes away from its rack.
+    pub far_factor: u32,
+    /// How long an ended job is answered for.
+    pub keep_ended: Duration,
+}
+
+/// Decides for one tenure which tasks start, wait and give way.
+///
+/// Feed it records, reports and the time; call [`Planner::tick`] after each of
+/// them and carry out the orders it returns.
+#[derive(Debug, Clone)]
+pub struct Planner {
+    token: u64,
+    bounds: Bounds,
+    catalog: Arc<Catalog>,
+    jobs: BTreeMap<JobId, Job>,
+    workers: BTreeMap<WorkerId, Worker>,
+    planned: BTreeSet<GroupKey>,
+    orders: Vec<Order>,
+    decisions: Vec<Decision>,
+    changed: BTreeSet<JobId>,
+    /// Until when tasks of an earlier planner may run at workers that did not answer yet.
+    inherited_until: Option<Timestamp>,
+    replan: bool,
+    deposed: bool,
+}
+
+impl Planner {
+    /// How much slower a worker's clock may run, as a divisor.
+    const CLOCK_DRIFT_DIVISOR: u32 = 50;
+    /// What a message may take beside.
+    const MESSAGE_MARGIN: Duration = Duration::from_millis(300);
+
+    /// Creates the planner of one tenure, which `token` fences.
+    ///
+    /// Where `inherits`, an earlier planner may have started tasks: what it may
+    /// have started is not started again until every listed worker has
+    /// answered, or every lease it gave is over.
+    #[must_use]
+    pub fn new(token: u64, bounds: Bounds, inherits: bool, now: Now) -> Self {
+        let inherited_until = inherits.then(|| now.at + Self::lease_span(bounds.hold_max));
+        Self {
+            token,
+            bounds,
+            catalog: Arc::default(),
+            jobs: BTreeMap::new(),
+            workers: BTreeMap::new(),
+            planned: BTreeSet::new(),
+            orders: Vec::new(),
+            decisions: Vec::new(),
+            changed: BTreeSet::new(),
+            inherited_until,
+            replan: true,
+            deposed: false,
+        }
+    }
+
+    /// Longest real time that a lease of `granted` on a worker's clock lasts from the request on.
+    fn lease_span(granted: Duration) -> Duration {
+        granted + granted / Self::CLOCK_DRIFT_DIVISOR + Self::MESSAGE_MARGIN
+    }
+
+    /// Returns the fencing token.
+    #[must_use]
+    pub const fn token(&self) -> u64 {
+        self.token
+    }
+
+    /// Tells whether a worker has seen a higher token: another planner has taken over.
+    #[must_use]
+    pub const fn is_deposed(&self) -> bool {
+        self.deposed
+    }
+
+    /// Takes a newer configuration.
+    pub fn set_catalog(&mut self, catalog: Arc<Catalog>) {
+        if catalog.version >= self.catalog.version {
+            self.catalog = catalog;
+            self.replan = true;
+        }
+    }
+
+    /// Takes a job as an earlier planner left it.
+    pub fn load(
+        &mut self,
+        accepted: AcceptedJob,
+        progress: Option<&Progress>,
+        cancelled: bool,
+        now: Now,
+    ) {
+        let id = accepted.id.clone();
+        if self.jobs.contains_key(&id) {
+            return;
+        }
+        let mut job = Job::new(Arc::new(accepted), now, true);
+        job.raise_runs((self.token.saturating_sub(1)).saturating_mul(Self::RUNS_PER_TENURE));
+        if let Some(progress) = progress {
+            job.restore(progress, now);
+        }
+        self.jobs.insert(id.clone(), job);
+        if cancelled {
+            self.cancel(&id, now);
+        }
+        self.replan = true;
+    }
+
+    /// Run numbers set apart for each tenure, so that no two planners give the same one.
+    const RUNS_PER_TENURE: u64 = 1000;
+
+    /// Takes a job that was accepted just now; a known one changes nothing.
+    pub fn submit(&mut self, accepted: AcceptedJob, now: Now) {
+        if self.jobs.contains_key(&accepted.id) {
+            return;
+        }
+        let id = accepted.id.clone();
+        let mut job = Job::new(Arc::new(accepted), now, false);
+        job.raise_runs((self.token.saturating_sub(1)).saturating_mul(Self::RUNS_PER_TENURE));
+        self.jobs.insert(id, job);
+        self.replan = true;
+    }
+
+    /// Ends a job for its caller; false where it is not known.
+    pub fn cancel(&mut self, id: &JobId, now: Now) -> bool {
+        let Some(job) = self.jobs.get(id) else {
+            return false;
+        };
+        if job.outcome.is_none() {
+            self.end_job(id, Outcome::Cancelled, "its caller cancelled it", now);
+        }
+        true
+    }
+
+    /// Takes a worker from the directory.
+    pub fn list_worker(&mut self, listed: ListedWorker, now: Now) {
+        self.replan = true;
+        self.retire_earlier_lives(&listed);
+        let id = listed.id.clone();
+        let worker = self
+            .workers
+            .entry(id.clone())
+            .or_insert_with(|| Worker::new(listed.clone(), now.at));
+        let was_draining = worker.listed.draining;
+        worker.relist(listed, now.at);
+        if worker.listed.draining && !was_draining {
+            self.decisions
+                .push(Decision::of_worker(&id, "it is leaving"));
+            self.evacuate(&id, now);
+        }
+    }
+
+    /// Another life at the same address says that earlier ones are over.
+    fn retire_earlier_lives(&mut self, listed: &ListedWorker) {
+        let over: Vec<WorkerId> = self
+            .workers
+            .values()
+            .filter(|w| w.listed.address == listed.address && w.listed.id != listed.id)
+            .filter(|w| !w.is_listed)
+            .map(|w| w.listed.id.clone())
+            .collect();
+        for id in over {
+            self.life_over(&id, "another life listens at its address");
+        }
+    }
+
+    /// Takes word that the directory lists a worker no longer.
+    pub fn unlist_worker(&mut self, id: &WorkerId, now: Now) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        worker.is_listed = false;
+        let has_left = worker.listed.draining && worker.may_have_left(now.at);
+        if has_left && !worker.is_in_contact() {
+            self.life_over(id, "it has left");
+        } else if worker.runs.is_empty() {
+            self.workers.remove(id);
+        }
+        self.replan = true;
+    }
+
+    /// Decides what is to be done now.
+    pub fn tick(&mut self, now: Now) -> Vec<Order> {
+        self.end_leases(now);
+        self.resend(now);
+        self.start_due_occurrences(now);
+        self.find_stuck(now);
+        if self.replan {
+            self.replan = false;
+            self.plan(now);
+        }
+        self.emit_starts(now);
+        std::mem::take(&mut self.orders)
+    }
+
+    /// Returns when the next tick is due, if nothing happens before.
+    #[must_use]
+    pub fn next_tick(&self, now: Now) -> Duration {
+        let due = self
+            .jobs
+            .values()
+            .filter_map(|job| job.next_due_unix_ms())
+            .min()
+            .map(|due| Duration::from_millis(due.saturating_sub(now.unix_ms)));
+        due.unwrap_or(Self::IDLE_TICK)
+            .clamp(Duration::from_millis(1), Self::IDLE_TICK)
+    }
+
+    /// Longest time between two ticks.
+    const IDLE_TICK: Duration = Duration::from_millis(250);
+
+    /// Tells whether something happened that asks for a tick.
+    #[must_use]
+    pub fn wants_tick(&self) -> bool {
+        self.replan || !self.orders.is_empty()
+    }
+
+    /// Returns what a caller is told of a job; an end only once it is written down.
+    #[must_use]
+    pub fn caller_state(&self, id: &JobId) -> Option<CallerState> {
+        let job = self.jobs.get(id)?;
+        Some(match job.outcome {
+            Some(outcome) if job.is_written() => CallerState::Ended(outcome),
+            _ if job.begun => CallerState::Running,
+            _ => CallerState::Queued,
+        })
+    }
+
+    /// Returns whose job it is; none inside where it is nobody's.
+    #[must_use]
+    pub fn accepted(&self, id: &JobId) -> Option<&AcceptedJob> {
+        self.jobs.get(id).map(|job| job.accepted.as_ref())
+    }
+
+    /// Counts the open jobs of a queue of which no task has begun.
+    #[must_use]
+    pub fn pending(&self, queue: &str) -> u64 {
+        let waiting = self
+            .jobs
+            .values()
+            .filter(|job| job.accepted.queue.name == queue)
+            .filter(|job| job.outcome.is_none() && !job.begun);
+        waiting.count() as u64
+    }
+
+    /// Counts jobs that have not ended.
+    #[must_use]
+    pub fn open_jobs(&self) -> usize {
+        self.jobs
+            .values()
+            .filter(|job| job.outcome.is_none())
+            .count()
+    }
+
+    /// Counts the runs at workers.
+    #[must_use]
+    pub fn runs(&self) -> usize {
+        self.workers.values().map(|w| w.runs.len()).sum()
+    }
+
+    /// Takes the decisions since the last call, oldest first.
+    pub fn take_decisions(&mut self) -> Vec<Decision> {
+        std::mem::take(&mut self.decisions)
+    }
+
+    /// Forgets jobs that ended longer ago than they are answered for, and names them.
+    pub fn take_expired(&mut self, now: Now) -> Vec<JobId> {
+        let keep = self.bounds.keep_ended;
+        let running: BTreeSet<JobId> = self
+            .workers
+            .values()
+            .flat_map(|w| w.runs.keys().map(|task| task.group.job.clone()))
+            .collect();
+        let expired: Vec<JobId> = self
+            .jobs
+            .values()
+            .filter(|job| job.is_written() && !running.contains(&job.accepted.id))
+            .filter(|job| job.ended_at.is_some_and(|ended| now.at - ended > keep))
+            .map(|job| job.accepted.id.clone())
+            .collect();
+        for id in &expired {
+            self.jobs.remove(id);
+        }
+        expired
+    }
+
+    /// Ends a job: what runs of it is stopped.
+    fn end_job(&mut self, id: &JobId, outcome: Outcome, why: &str, now: Now) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        job.end(outcome, now);
+        self.changed.insert(id.clone());
+        self.decisions.push(Decision::of_job(
+            DecisionKind::Outcome,
+            id,
+            format!("{outcome:?}: {why}").to_lowercase(),
+        ));
+        self.planned.retain(|group| group.job != *id);
+        let running: Vec<(WorkerId, TaskKey)> = self
+            .workers
+            .iter()
+            .flat_map(|(worker, w)| {
+                w.runs
+                    .keys()
+                    .map(move |task| (worker.clone(), task.clone()))
+            })
+            .filter(|(_, task)| task.group.job == *id)
+            .collect();
+        let reason = if outcome == Outcome::Failed {
+            "its job has failed"
+        } else {
+            "its job was cancelled"
+        };
+        for (worker, task) in running {
+            if outcome == Outcome::Completed {
+                self.note_unwanted(&worker, &task, now);
+            } else {
+                self.stop_run(&worker, &task, reason, now);
+            }
+        }
+        self.replan = true;
+    }
+}
--- /dev/null
+++ b/crates/stairstall-core/src/batch/planner/contact.rs
@@ -0,0 +1,280 @@
+//! What workers are asked, and what their answers and silence say.
+
+use std::time::Duration;
+
+use super::pool::{Run, RunState};
+use super::{Now, Planner, Worker};
+use crate::batch::{
+    Decision, DecisionKind, EndKind, HoldReport, HoldRequest, RunningTask, TaskKey,
+};
+use crate::{Timestamp, WorkerId};
+
+impl Planner {
+    /// Returns what to ask of a worker now; none where there is nothing to ask.
+    ///
+    /// A deadline counts as sent from this moment on.
+    pub fn hold_request(&mut self, id: &WorkerId, now: Now) -> Option<HoldRequest> {
+        let jobs = &self.jobs;
+        let worker = self.workers.get_mut(id)?;
+        let last_seen =
+            worker.forgettable(|job, change| jobs.get(job).is_none_or(|job| job.written >= change));
+        let deadline_ms = worker
+            .clock_at(now.at)
+            .map(|clock| clock.saturating_add(millis(self.bounds.hold_max)));
+        let request = worker.hold_request(self.token, last_seen, deadline_ms)?;
+        if request.deadline_ms.is_some() {
+            worker.extend_lease(now.at + Self::lease_span(self.bounds.hold_max));
+        }
+        Some(request)
+    }
+
+    /// Returns the workers, and where each listens.
+    pub fn workers(&self) -> impl Iterator<Item = (&WorkerId, &str, super::WorkerPhase)> {
+        self.workers
+            .iter()
+            .map(|(id, w)| (id, w.listed.address.as_str(), w.phase()))
+    }
+
+    /// Takes the answer to a request that left at `sent_at`.
+    pub fn take_hold(
+        &mut self,
+        id: &WorkerId,
+        request: &HoldRequest,
+        sent_at: Timestamp,
+        report: HoldReport,
+        now: Now,
+    ) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        worker.read_clock(report.clock_ms, now.at);
+        worker.note_told(request.last_seen);
+        if !worker.is_in_contact() || !worker.fenced {
+            self.replan = true;
+        }
+        worker.fenced = true;
+        worker.set_contact(true);
+        let seen = worker.seen;
+        let mut absent = worker.answered_before(sent_at);
+        for running in &report.running {
+            absent.retain(|task| *task != running.task);
+            self.take_running(id, running, now);
+        }
+        for end in report.ended {
+            absent.retain(|task| *task != end.task);
+            if end.number > seen {
+                self.take_end(id, end, now);
+            }
+        }
+        if !report.more {
+            for task in absent {
+                self.run_over(
+                    id,
+                    &task,
+                    EndKind::Lapsed,
+                    "the worker does not know it",
+                    now,
+                );
+            }
+        }
+        self.forget_if_gone(id);
+    }
+
+    /// Takes word that a worker did not answer.
+    pub fn hold_failed(&mut self, id: &WorkerId) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        if worker.is_in_contact() {
+            worker.set_contact(false);
+            self.decisions
+                .push(Decision::of_worker(id, "it does not answer"));
+        }
+        self.forget_if_gone(id);
+    }
+
+    /// Takes word that a worker has seen a higher token.
+    pub const fn note_fenced(&mut self) {
+        self.deposed = true;
+    }
+
+    /// Takes word that this life of a worker is over: nothing of it runs.
+    pub fn life_over(&mut self, id: &WorkerId, why: &str) {
+        let Some(mut worker) = self.workers.remove(id) else {
+            return;
+        };
+        self.decisions
+            .push(Decision::of_worker(id, format!("its life is over: {why}")));
+        let runs = std::mem::take(&mut worker.runs);
+        for (task, run) in runs {
+            self.release(id, &task, &run, "its worker's life is over");
+        }
+        self.replan = true;
+    }
+
+    /// Drops a worker that is listed no longer and has nothing.
+    fn forget_if_gone(&mut self, id: &WorkerId) {
+        let is_gone = self
+            .workers
+            .get(id)
+            .is_some_and(|w| !w.is_listed && w.runs.is_empty());
+        if is_gone {
+            self.workers.remove(id);
+        }
+    }
+
+    /// Takes what runs on silent workers for over once their leases are.
+    pub(super) fn end_leases(&mut self, now: Now) {
+        if self.inherited_until.is_some_and(|until| now.at >= until)
+            || self.workers.values().all(|w| w.fenced || !w.is_listed)
+        {
+            self.replan |= self.inherited_until.take().is_some();
+        }
+        let over: Vec<(WorkerId, TaskKey)> = self
+            .workers
+            .iter()
+            .filter(|(_, w)| !w.is_in_contact())
+            .filter(|(_, w)| w.lease_until.is_none_or(|until| now.at > until))
+            .flat_map(|(id, w)| w.runs.keys().map(move |task| (id.clone(), task.clone())))
+            .collect();
+        for (id, task) in over {
+            self.run_over(&id, &task, EndKind::Lapsed, "its lease is over", now);
+            self.forget_if_gone(&id);
+        }
+    }
+
+    fn take_running(&mut self, id: &WorkerId, running: &RunningTask, now: Now) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        match worker.runs.get_mut(&running.task) {
+            Some(run) if run.number == running.run => {
+                run.note_running(running, now.at);
+                self.note_progress(running);
+            }
+            Some(run) if run.number > running.run => {}
+            _ => self.adopt(id, running, now),
+        }
+    }
+
+    fn note_progress(&mut self, running: &RunningTask) {
+        let key = &running.task.group;
+        let Some(job) = self.jobs.get_mut(&key.job) else {
+            return;
+        };
+        job.begun = true;
+        let Some(group) = job.group_mut(key) else {
+            return;
+        };
+        group.percent = group.percent.max(running.percent);
+        if running.checkpoint.is_some()
+            && let Some(task) = group.tasks.get_mut(running.task.index as usize)
+        {
+            task.checkpoint.clone_from(&running.checkpoint);
+        }
+    }
+
+    /// Takes over a run that another planner started, or stops one that should not be.
+    fn adopt(&mut self, id: &WorkerId, running: &RunningTask, now: Now) {
+        let key = &running.task.group;
+        let wanted = self.jobs.get(&key.job).is_some_and(|job| {
+            let task = job
+                .group(key)
+                .and_then(|group| group.tasks.get(running.task.index as usize));
+            job.outcome.is_none() && task.is_some_and(super::job::Task::is_waiting)
+        });
+        let run = self.adopted_run(id, running, now);
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        worker.insert(running.task.clone(), run);
+        // The earlier planner's largest lease counts from before this one began.
+        worker.extend_lease(now.at + Self::lease_span(self.bounds.hold_max));
+        let why = if wanted {
+            "it runs"
+        } else {
+            "it should not run"
+        };
+        self.decisions.push(Decision::of_run(
+            DecisionKind::Adopt,
+            &running.task,
+            running.run,
+            id,
+            why,
+        ));
+        if !wanted {
+            self.stop_run(id, &running.task, "it is not wanted", now);
+            return;
+        }
+        if let Some(job) = self.jobs.get_mut(&key.job) {
+            job.begun = true;
+            if let Some(group) = job.group_mut(key) {
+                group.last_run = group.last_run.max(running.run);
+                group.tasks[running.task.index as usize].place = Some(id.clone());
+            }
+        }
+        self.note_progress(running);
+    }
+
+    fn adopted_run(&self, id: &WorkerId, running: &RunningTask, now: Now) -> Run {
+        let key = &running.task.group;
+        let job = self.jobs.get(&key.job);
+        let step = job
+            .and_then(|job| job.step(key))
+            .cloned()
+            .unwrap_or_default();
+        let mut run = Run {
+            number: running.run,
+            room: step.room(),
+            state: RunState::Running,
+            rank: job.map_or(u8::MAX, |job| job.accepted.queue.priority.saturating_add(1)),
+            gang: step.gang,
+            checkpoints: step.checkpoints,
+            expected_ms: self.expected_ms(&step, id),
+            since: now.at,
+            ordered_at: now.at,
+            answered_at: Some(now.at),
+            tries: 1,
+            percent: running.percent,
+            progressed_at: now.at,
+            reported_at: now.at,
+            unwanted_since: None,
+            began: Some((now.at, running.percent)),
+        };
+        run.note_running(running, now.at);
+        run
+    }
+}
+
+impl Worker {
+    /// Names runs that a request sent at `sent_at` must find, as the worker had answered for them.
+    fn answered_before(&self, sent_at: Timestamp) -> Vec<TaskKey> {
+        self.runs
+            .iter()
+            .filter(|(_, run)| run.answered_at.is_some_and(|at| at < sent_at))
+            .map(|(task, _)| task.clone())
+            .collect()
+    }
+}
+
+impl Run {
+    fn note_running(&mut self, running: &RunningTask, at: Timestamp) {
+        if matches!(self.state, RunState::Starting | RunState::Planned) {
+            self.enter(RunState::Running, at);
+        }
+        if self.began.is_none() {
+            self.began = Some((at, running.percent));
+            self.progressed_at = at;
+        }
+        self.answered_at = self.answered_at.or(Some(at));
+        self.reported_at = at;
+        if running.percent > self.percent {
+            self.percent = running.percent;
+            self.progressed_at = at;
+        }
+    }
+}
+
+pub(super) fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/stairstall-core/src/batch/planner/ends.rs
@@ -0,0 +1,263 @@
+//! What the end of a run means for its task, its gang and its job.
+
+use std::time::Duration;
+
+use super::contact::millis;
+use super::pool::{Run, RunState};
+use super::{Now, Planner};
+use crate::batch::{Decision, DecisionKind, End, EndKind, Outcome, TaskKey};
+use crate::{JobId, WorkerId};
+
+/// How long a worker gets nothing new after a failure, unless something succeeds there.
+const SUSPECT_AFTER_FAILURE: Duration = Duration::from_secs(6);
+
+impl Planner {
+    /// Takes an end that a worker lists; it is told to forget it once the change lasts.
+    pub(super) fn take_end(&mut self, id: &WorkerId, end: End, now: Now) {
+        let change = self.apply_end(id, &end, now);
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.note_end(end.number, change);
+        }
+        self.replan = true;
+    }
+
+    fn apply_end(&mut self, id: &WorkerId, end: &End, now: Now) -> Option<(JobId, u64)> {
+        let worker = self.workers.get_mut(id)?;
+        let is_present = worker
+            .runs
+            .get(&end.task)
+            .is_some_and(|run| run.number <= end.run && run.state != RunState::Planned);
+        let run = if is_present {
+            worker.remove(&end.task)
+        } else {
+            None
+        };
+        self.note_health(id, end, now);
+        let detail = run.as_ref().map_or_else(
+            || "it was not expected there".to_owned(),
+            |run| describe(run, now),
+        );
+        self.decisions.push(Decision::of_run(
+            DecisionKind::End,
+            &end.task,
+            end.run,
+            id,
+            format!("{}; {detail}", end.kind.as_str()),
+        ));
+        let change = match end.kind {
+            EndKind::Done => self.take_done(&end.task, now),
+            EndKind::Failed => self.take_failure(id, &end.task, end.run, now),
+            _ => None,
+        };
+        self.keep_checkpoint(end);
+        if let Some(run) = run {
+            self.release(id, &end.task, &run, end.kind.as_str());
+        }
+        if end.kind != EndKind::Done {
+            self.stop_gang(&end.task, end.run, "another member of its gang ended", now);
+        }
+        change
+    }
+
+    fn keep_checkpoint(&mut self, end: &End) {
+        if end.checkpoint.is_none() {
+            return;
+        }
+        let key = &end.task.group;
+        if let Some(group) = self.jobs.get_mut(&key.job).and_then(|j| j.group_mut(key))
+            && let Some(task) = group.tasks.get_mut(end.task.index as usize)
+        {
+            task.checkpoint.clone_from(&end.checkpoint);
+        }
+    }
+
+    /// Notes what a run's end says of its worker.
+    fn note_health(&mut self, id: &WorkerId, end: &End, now: Now) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        match end.kind {
+            EndKind::Done => {
+                worker.succeeded_at = Some(now.at);
+                worker.failed_jobs.clear();
+                worker.suspect_until = None;
+            }
+            EndKind::Failed => {
+                let job = &end.task.group.job;
+                if !worker.failed_jobs.contains(job) {
+                    worker.failed_jobs.push(job.clone());
+                }
+                worker.suspect_until = Some(now.at + SUSPECT_AFTER_FAILURE);
+                self.decisions.push(Decision::of_worker(
+                    id,
+                    "a task failed there: nothing new for a while",
+                ));
+            }
+            _ => {}
+        }
+    }
+
+    fn take_done(&mut self, task: &TaskKey, now: Now) -> Option<(JobId, u64)> {
+        let key = &task.group;
+        let job = self.jobs.get_mut(&key.job)?;
+        let is_gang = job.step(key)?.gang;
+        if job.outcome.is_some() || job.step(key)?.lasts {
+            return None;
+        }
+        let group = job.group_mut(key)?;
+        if is_gang {
+            group.tasks.iter_mut().for_each(|task| task.done = true);
+        } else {
+            group.tasks.get_mut(task.index as usize)?.done = true;
+        }
+        let change = job.change();
+        self.changed.insert(key.job.clone());
+        if job.is_complete() {
+            self.end_job(&key.job, Outcome::Completed, "every task is done", now);
+        } else {
+            self.end_other_runs(task, is_gang, now);
+        }
+        Some((key.job.clone(), change))
+    }
+
+    /// Marks runs at other workers whose tasks are done with this one.
+    fn end_other_runs(&mut self, task: &TaskKey, is_gang: bool, now: Now) {
+        let others: Vec<(WorkerId, TaskKey)> = self
+            .workers
+            .iter()
+            .flat_map(|(id, w)| w.runs.keys().map(move |task| (id, task)))
+            .filter(|(_, other)| *other == task || (is_gang && other.group == task.group))
+            .map(|(id, other)| (id.clone(), other.clone()))
+            .collect();
+        for (id, other) in others {
+            self.note_unwanted(&id, &other, now);
+        }
+    }
+
+    /// Notes that a run's task is done: members of a gang end by themselves soon, others are
+    /// stopped a little later.
+    pub(super) fn note_unwanted(&mut self, id: &WorkerId, task: &TaskKey, now: Now) {
+        let run = self.workers.get_mut(id).and_then(|w| w.runs.get_mut(task));
+        if let Some(run) = run {
+            run.unwanted_since.get_or_insert(now.at);
+        }
+    }
+
+    fn take_failure(
+        &mut self,
+        id: &WorkerId,
+        task: &TaskKey,
+        run: u32,
+        now: Now,
+    ) -> Option<(JobId, u64)> {
+        let key = &task.group;
+        let attempts = self.attempts(&key.job)?;
+        let job = self.jobs.get_mut(&key.job)?;
+        let step = job.step(key)?;
+        let is_gang = step.gang;
+        if job.outcome.is_some() || step.lasts {
+            return None;
+        }
+        let group = job.group_mut(key)?;
+        let failures = if is_gang {
+            if group.counted_failure >= run {
+                return None;
+            }
+            group.counted_failure = run;
+            group.gang_failures += 1;
+            group.gang_failures
+        } else {
+            let task = group.tasks.get_mut(task.index as usize)?;
+            if task.done || task.counted_run >= run {
+                return None;
+            }
+            task.counted_run = run;
+            task.failed_at = Some(id.clone());
+            task.failures += 1;
+            task.failures
+        };
+        let change = job.change();
+        self.changed.insert(key.job.clone());
+        if failures >= attempts {
+            let why = format!("{task} failed {failures} of {attempts} times");
+            self.end_job(&key.job, Outcome::Failed, &why, now);
+        }
+        Some((key.job.clone(), change))
+    }
+
+    /// Returns how many runs of a task may fail, by the newest configuration that has its queue.
+    fn attempts(&self, id: &JobId) -> Option<u32> {
+        let accepted = &self.jobs.get(id)?.accepted;
+        let queue = self.catalog.queue(&accepted.queue.name);
+        Some(queue.unwrap_or(&accepted.queue).attempts.max(1))
+    }
+
+    /// Gives a task whose run is over back to those that wait.
+    pub(super) fn release(&mut self, id: &WorkerId, task: &TaskKey, run: &Run, why: &str) {
+        let key = &task.group;
+        let Some(group) = self.jobs.get_mut(&key.job).and_then(|j| j.group_mut(key)) else {
+            return;
+        };
+        let Some(entry) = group.tasks.get_mut(task.index as usize) else {
+            return;
+        };
+        if entry.place.as_ref() == Some(id) {
+            entry.place = None;
+        }
+        log::trace!(target: "planner", task:% = task, run = run.number; "released: {why}");
+        self.replan = true;
+    }
+
+    /// Takes a run for over that its worker does not list.
+    pub(super) fn run_over(
+        &mut self,
+        id: &WorkerId,
+        task: &TaskKey,
+        kind: EndKind,
+        why: &str,
+        now: Now,
+    ) {
+        let Some(run) = self.workers.get_mut(id).and_then(|w| w.remove(task)) else {
+            return;
+        };
+        self.decisions.push(Decision::of_run(
+            DecisionKind::End,
+            task,
+            run.number,
+            id,
+            format!("{}; {why}; {}", kind.as_str(), describe(&run, now)),
+        ));
+        self.release(id, task, &run, why);
+        if run.state != RunState::Planned {
+            self.stop_gang(task, run.number, "another member of its gang is over", now);
+        }
+    }
+
+    /// Stops the other members of a gang's run: they can't go on alone.
+    pub(super) fn stop_gang(&mut self, task: &TaskKey, run: u32, why: &str, now: Now) {
+        let key = &task.group;
+        let is_gang = self
+            .jobs
+            .get(&key.job)
+            .and_then(|job| job.step(key))
+            .is_some_and(|step| step.gang);
+        if !is_gang {
+            return;
+        }
+        let members: Vec<(WorkerId, TaskKey)> = self
+            .workers
+            .iter()
+            .flat_map(|(id, w)| w.runs.iter().map(move |(task, run)| (id, task, run)))
+            .filter(|(_, task, r)| task.group == *key && r.number <= run)
+            .map(|(id, task, _)| (id.clone(), task.clone()))
+            .collect();
+        for (id, member) in members {
+            self.stop_run(&id, &member, why, now);
+        }
+    }
+}
+
+fn describe(run: &Run, now: Now) -> String {
+    let ran = run.began.map_or(0, |(at, _)| millis(now.at - at));
+    format!("{} percent after {ran} ms", run.percent)
+}
--- /dev/null
+++ b/crates/stairstall-core/src/batch/planner/fit.rs
@@ -0,0 +1,472 @@
+//! Where the tasks of a step are put.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use super::pool::{Run, RunState, Worker};
+use super::queue::{Candidate, URGENT};
+use super::victims::Victims;
+use super::{Now, Planner};
+use crate::batch::{Decision, DecisionKind, GroupKey, Resources, StepSpec, TaskKey};
+use crate::{RackId, Timestamp, WorkerId};
+
+/// Shortest time that a task is taken to need, in milliseconds.
+const MIN_EXPECTED_MS: u64 = 200;
+/// How long urgent work waits for room near its data before it goes elsewhere.
+const URGENT_PATIENCE: Duration = Duration::from_millis(900);
+/// How long other work waits for a worker that is not suspect.
+const SUSPECT_PATIENCE: Duration = Duration::from_secs(3);
+/// How long a gang waits before room is held back for it.
+const HOLD_BACK_AFTER: Duration = Duration::from_millis(1_500);
+/// Most gangs that room is held back for at a time.
+const MAX_HELD_BACK: usize = 2;
+
+/// Workers whose room is kept for gangs that wait.
+#[derive(Debug, Default)]
+pub(super) struct HeldBack {
+    workers: BTreeSet<WorkerId>,
+    gangs: usize,
+}
+
+/// A worker as a place for tasks of one step.
+#[derive(Debug, Clone)]
+pub(super) struct Site {
+    pub(super) worker: WorkerId,
+    pub(super) rack: RackId,
+    pub(super) room: Resources,
+    /// Tasks of the step that may still be put there.
+    pub(super) spread_left: u32,
+    /// What being there costs a task, in core-milliseconds.
+    pub(super) penalty: u64,
+    pub(super) victims: Victims,
+}
+
+/// Places found for tasks, and who has to give way.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Choice {
+    pub(super) cost: u64,
+    pub(super) places: Vec<WorkerId>,
+    pub(super) victims: Vec<(WorkerId, TaskKey)>,
+}
+
+/// Which workers are looked at.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Scope {
+    /// Only those near the data, and a gang that wants it on one rack.
+    pub(super) near: bool,
+    /// Whether lower ranks may be made to give way.
+    pub(super) preempts: bool,
+}
+
+impl Planner {
+    /// Gives places to the waiting tasks of a step, as far as there are any.
+    pub(super) fn place(&mut self, candidate: &Candidate, held_back: &mut HeldBack, now: Now) {
+        let key = &candidate.key;
+        let Some((step, group)) = self
+            .jobs
+            .get(&key.job)
+            .and_then(|job| Some((job.step(key)?.clone(), job.group(key)?)))
+        else {
+            return;
+        };
+        let mut waiting = group.waiting();
+        let ready_since = group.ready_since.unwrap_or(now.at);
+        if step.gang && waiting.len() != group.tasks.len() {
+            return;
+        }
+        for scope in self.scopes(candidate, &step, ready_since, now) {
+            if waiting.is_empty() {
+                break;
+            }
+            let sites = self.sites(candidate, &step, scope, held_back, now);
+            if let Some(choice) = self.search(&step, waiting.len(), scope, &sites) {
+                let taken: Vec<u32> = waiting.drain(..choice.places.len()).collect();
+                self.settle(candidate, &step, &taken, choice, scope, now);
+            }
+        }
+        let waited = now.at - ready_since;
+        if step.gang
+            && !waiting.is_empty()
+            && waited >= HOLD_BACK_AFTER
+            && held_back.gangs < MAX_HELD_BACK
+        {
+            self.hold_back(candidate, &step, held_back, now);
+        }
+    }
+
+    /// Returns the scopes to try, in turn.
+    fn scopes(
+        &self,
+        candidate: &Candidate,
+        step: &StepSpec,
+        ready_since: Timestamp,
+        now: Now,
+    ) -> Vec<Scope> {
+        let urgent = candidate.rank <= URGENT;
+        let mut scopes = vec![Scope {
+            near: true,
+            preempts: false,
+        }];
+        if urgent {
+            scopes.push(Scope {
+                near: true,
+                preempts: true,
+            });
+        }
+        let prefers_near = step.near_rack.is_some() || (step.gang && step.same_rack);
+        let patience = if urgent {
+            URGENT_PATIENCE
+        } else {
+            Duration::from_millis(step.estimate_ms.max(MIN_EXPECTED_MS))
+        };
+        let gives_up = now.at - ready_since >= patience || !self.could_be_near(step);
+        if prefers_near && gives_up {
+            scopes.push(Scope {
+                near: false,
+                preempts: false,
+            });
+            if urgent {
+                scopes.push(Scope {
+                    near: false,
+                    preempts: true,
+                });
+            }
+        }
+        scopes
+    }
+
+    /// Tells whether the step would fit near its data if nothing else ran.
+    fn could_be_near(&self, step: &StepSpec) -> bool {
+        if !step.gang {
+            return true;
+        }
+        let mut by_rack = std::collections::BTreeMap::<&RackId, u32>::new();
+        for worker in self.workers.values() {
+            if worker.takes_tasks() && worker.suits(step) && worker.is_near(step) {
+                let most = step.spread.unwrap_or(step.count);
+                let times = step.room().times_in(&worker.listed.capacity, most);
+                *by_rack.entry(&worker.listed.rack).or_default() += times;
+            }
+        }
+        if step.same_rack {
+            by_rack.values().any(|times| *times >= step.count)
+        } else {
+            by_rack.values().sum::<u32>() >= step.count
+        }
+    }
+
+    /// Returns how long a task should take at a worker, in milliseconds.
+    pub(super) fn expected_ms(&self, step: &StepSpec, id: &WorkerId) -> u64 {
+        let near = self.workers.get(id).is_none_or(|w| w.is_near(step));
+        let factor = if near { 1 } else { self.bounds.far_factor };
+        step.estimate_ms.max(MIN_EXPECTED_MS) * u64::from(factor)
+    }
+
+    fn sites(
+        &self,
+        candidate: &Candidate,
+        step: &StepSpec,
+        scope: Scope,
+        held_back: &HeldBack,
+        now: Now,
+    ) -> Vec<Site> {
+        let urgent = candidate.rank <= URGENT;
+        let waited = self
+            .group_of(&candidate.key)
+            .and_then(|group| group.ready_since)
+            .map_or(Duration::ZERO, |since| now.at - since);
+        let takes_suspects = urgent || waited > SUSPECT_PATIENCE;
+        let service = self.service_of(&candidate.key);
+        let losses = scope.preempts.then(|| self.gang_losses(now));
+        self.workers
+            .iter()
+            .filter(|(_, w)| w.takes_tasks() && w.suits(step))
+            .filter(|(_, w)| service.as_ref() == Some(&w.listed.service))
+            .filter(|(_, w)| !scope.near || w.is_near(step))
+            .filter(|(id, _)| urgent || !held_back.workers.contains(*id))
+            .filter(|(_, w)| takes_suspects || !w.is_suspect(now.at))
+            .map(|(id, w)| Site {
+                worker: id.clone(),
+                rack: w.listed.rack.clone(),
+                room: if scope.preempts {
+                    w.free_soon()
+                } else {
+                    w.free()
+                },
+                spread_left: spread_left(w, step, &candidate.key),
+                penalty: self.penalty(w, step, &candidate.key, now),
+                victims: losses.as_ref().map_or_else(Victims::default, |losses| {
+                    Victims::of(w, candidate.rank, losses, now.at)
+                }),
+            })
+            .filter(|site| site.spread_left > 0)
+            .collect()
+    }
+
+    fn group_of(&self, key: &GroupKey) -> Option<&super::job::Group> {
+        self.jobs.get(&key.job)?.group(key)
+    }
+
+    fn service_of(&self, key: &GroupKey) -> Option<crate::ServiceId> {
+        let queue = &self.jobs.get(&key.job)?.accepted.queue;
+        let newest = self.catalog.queue(&queue.name);
+        Some(newest.unwrap_or(queue).service.clone())
+    }
+
+    /// Returns what makes a worker a worse place, in core-milliseconds of a task.
+    fn penalty(&self, worker: &Worker, step: &StepSpec, key: &GroupKey, now: Now) -> u64 {
+        let work = step
+            .room()
+            .weight()
+            .saturating_mul(step.estimate_ms.max(MIN_EXPECTED_MS))
+            / 1000;
+        let mut penalty = 0;
+        if !worker.is_near(step) {
+            penalty += work * u64::from(self.bounds.far_factor.saturating_sub(1));
+        }
+        if worker.is_suspect(now.at) {
+            penalty += work * 4;
+        }
+        let has_failed = self
+            .group_of(key)
+            .is_some_and(|group| group.worst_failures() > 0);
+        if has_failed && worker.succeeded_at.is_none() {
+            penalty += work;
+        }
+        let failed_here = self.group_of(key).is_some_and(|group| {
+            group
+                .tasks
+                .iter()
+                .any(|t| t.failed_at.as_ref() == Some(&worker.listed.id))
+        });
+        if failed_here {
+            penalty += work * 2;
+        }
+        penalty
+    }
+
+    /// Finds places for `count` tasks; for a gang all or none.
+    fn search(
+        &self,
+        step: &StepSpec,
+        count: usize,
+        scope: Scope,
+        sites: &[Site],
+    ) -> Option<Choice> {
+        let needs = step.room();
+        if step.gang && step.same_rack && scope.near {
+            let racks: BTreeSet<&RackId> = sites.iter().map(|site| &site.rack).collect();
+            return racks
+                .into_iter()
+                .filter_map(|rack| {
+                    let here = sites.iter().filter(|site| site.rack == *rack);
+                    choose(here.cloned().collect(), &needs, count, true)
+                })
+                .min_by_key(|choice| choice.cost);
+        }
+        choose(sites.to_vec(), &needs, count, step.gang)
+    }
+
+    /// Stops the victims and keeps the places.
+    fn settle(
+        &mut self,
+        candidate: &Candidate,
+        step: &StepSpec,
+        tasks: &[u32],
+        choice: Choice,
+        scope: Scope,
+        now: Now,
+    ) {
+        let key = &candidate.key;
+        for (id, task) in &choice.victims {
+            self.stop_run(id, task, &format!("gives way to {key}"), now);
+            if let Some(run) = self.workers.get(id).and_then(|w| w.runs.get(task)) {
+                let number = run.number;
+                self.stop_gang(task, number, "its gang gives way", now);
+            }
+        }
+        let Some(group) = self
+            .jobs
+            .get_mut(&key.job)
+            .and_then(|job| job.group_mut(key))
+        else {
+            return;
+        };
+        group.last_run += 1;
+        let number = group.last_run;
+        let ready_since = group.ready_since.unwrap_or(now.at);
+        if tasks.len() == group.tasks.len() || group.waiting().len() == tasks.len() {
+            group.ready_since = None;
+        }
+        let waited = super::contact::millis(now.at - ready_since);
+        for (index, id) in tasks.iter().zip(&choice.places) {
+            let task = key.task(*index);
+            let run = self.planned_run(candidate.rank, step, id, number, now);
+            if let Some(job) = self.jobs.get_mut(&key.job)
+                && let Some(group) = job.group_mut(key)
+            {
+                group.tasks[*index as usize].place = Some(id.clone());
+            }
+            if let Some(worker) = self.workers.get_mut(id) {
+                worker.insert(task.clone(), run);
+            }
+            let why = format!(
+                "rank {}, waited {waited} ms, {}{}",
+                candidate.rank,
+                if scope.near { "near" } else { "anywhere" },
+                if choice.victims.is_empty() {
+                    ""
+                } else {
+                    ", others give way"
+                }
+            );
+            self.decisions.push(Decision::of_run(
+                DecisionKind::Place,
+                &task,
+                number,
+                id,
+                why,
+            ));
+        }
+        self.planned.insert(key.clone());
+    }
+
+    fn planned_run(&self, rank: u8, step: &StepSpec, id: &WorkerId, number: u32, now: Now) -> Run {
+        Run {
+            number,
+            room: step.room(),
+            state: RunState::Planned,
+            rank,
+            gang: step.gang,
+            checkpoints: step.checkpoints,
+            expected_ms: self.expected_ms(step, id),
+            since: now.at,
+            ordered_at: now.at,
+            answered_at: None,
+            tries: 0,
+            percent: 0,
+            progressed_at: now.at,
+            reported_at: now.at,
+            unwanted_since: None,
+            began: None,
+        }
+    }
+
+    /// Keeps the room that a waiting gang can have soonest from what comes after it.
+    fn hold_back(
+        &self,
+        candidate: &Candidate,
+        step: &StepSpec,
+        held_back: &mut HeldBack,
+        now: Now,
+    ) {
+        let service = self.service_of(&candidate.key);
+        let mut sites: Vec<(u64, &RackId, &WorkerId, u32)> = self
+            .workers
+            .iter()
+            .filter(|(_, w)| w.takes_tasks() && w.suits(step) && w.is_near(step))
+            .filter(|(_, w)| service.as_ref() == Some(&w.listed.service))
+            .filter(|(id, _)| !held_back.workers.contains(*id))
+            .filter_map(|(id, w)| {
+                let times = step.room().times_in(&w.listed.capacity, step.count);
+                (times > 0).then(|| (w.busy_ms(now.at), &w.listed.rack, id, times))
+            })
+            .collect();
+        sites.sort();
+        let racks: Vec<Option<&RackId>> = if step.same_rack {
+            let racks: BTreeSet<&RackId> = sites.iter().map(|site| site.1).collect();
+            racks.into_iter().map(Some).collect()
+        } else {
+            vec![None]
+        };
+        let best = racks
+            .into_iter()
+            .filter_map(|rack| soonest(&sites, rack, step.count))
+            .min();
+        if let Some((_, workers)) = best {
+            held_back.workers.extend(workers);
+            held_back.gangs += 1;
+        }
+    }
+}
+
+/// Returns when `count` tasks could be there, in milliseconds, and the workers for it.
+fn soonest(
+    sites: &[(u64, &RackId, &WorkerId, u32)],
+    rack: Option<&RackId>,
+    count: u32,
+) -> Option<(u64, Vec<WorkerId>)> {
+    let mut left = count;
+    let mut workers = Vec::new();
+    for (busy_ms, here, id, times) in sites {
+        if rack.is_some_and(|rack| rack != *here) {
+            continue;
+        }
+        workers.push((*id).clone());
+        left = left.saturating_sub(*times);
+        if left == 0 {
+            return Some((*busy_ms, workers));
+        }
+    }
+    None
+}
+
+fn spread_left(worker: &Worker, step: &StepSpec, key: &GroupKey) -> u32 {
+    let Some(most) = step.spread else {
+        return u32::MAX;
+    };
+    let there = worker.runs.keys().filter(|task| task.group == *key).count();
+    most.saturating_sub(u32::try_from(there).unwrap_or(u32::MAX))
+}
+
+/// Chooses a place for each of `count` tasks, the cheapest first.
+fn choose(mut sites: Vec<Site>, needs: &Resources, count: usize, whole: bool) -> Option<Choice> {
+    let mut choice = Choice::default();
+    for _ in 0..count {
+        let best = sites
+            .iter()
+            .enumerate()
+            .filter(|(_, site)| site.spread_left > 0)
+            .filter_map(|(index, site)| {
+                let (cost, victims) = site.victims.to_fit(needs, &site.room)?;
+                let left = site.room.minus(needs);
+                let rank = (cost + site.penalty, left.accelerators, left.cpu_millis);
+                Some((rank, index, cost, victims))
+            })
+            .min_by_key(|(rank, index, ..)| (*rank, *index));
+        let Some((_, index, cost, victims)) = best else {
+            break;
+        };
+        choice.cost += cost + sites[index].penalty;
+        for victim in victims {
+            let worker = sites[index].worker.clone();
+            super::victims::give_way(&mut sites, &worker, &victim);
+            choice.victims.push((worker, victim));
+        }
+        let site = &mut sites[index];
+        site.room = site.room.minus(needs);
+        site.spread_left -= 1;
+        choice.places.push(site.worker.clone());
+    }
+    let enough = if whole {
+        choice.places.len() == count
+    } else {
+        !choice.places.is_empty()
+    };
+    enough.then_some(choice)
+}
+
+impl Worker {
+    /// Returns how long what it has should still take, in milliseconds.
+    fn busy_ms(&self, at: Timestamp) -> u64 {
+        let left = self.runs.values().map(|run| run.left_ms(at));
+        left.max().unwrap_or(0)
+    }
+}
+
+impl Run {
+    /// Returns how much longer it should take, in milliseconds.
+    pub(super) fn left_ms(&self, _at: Timestamp) -> u64 {
+        self.expected_ms * u64::from(100_u8.saturating_sub(self.percent)) / 100
+    }
+}
--- /dev/null
+++ b/crates/stairstall-core/src/batch/planner/job.rs
@@ -0,0 +1,214 @@
+use std::sync::Arc;
+
+use crate::batch::{AcceptedJob, GroupKey, Outcome, StepSpec};
+use crate::{Timestamp, WorkerId};
+
+use super::Now;
+
+/// Where one task stands.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub(super) struct Task {
+    /// Whether a run of it ended done.
+    pub(super) done: bool,
+    /// The worker that has its current run.
+    pub(super) place: Option<WorkerId>,
+    /// Runs that failed.
+    pub(super) failures: u32,
+    /// Its last checkpoint.
+    pub(super) checkpoint: Option<String>,
+    /// Last run whose failure was counted.
+    pub(super) counted_run: u32,
+    /// Where its last failed run was.
+    pub(super) failed_at: Option<WorkerId>,
+}
+
+impl Task {
+    pub(super) const fn is_waiting(&self) -> bool {
+        !self.done && self.place.is_none()
+    }
+}
+
+/// The tasks of one step of one time.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Group {
+    pub(super) tasks: Vec<Task>,
+    /// Highest run number given out.
+    pub(super) last_run: u32,
+    /// Runs of the gang that failed.
+    pub(super) gang_failures: u32,
+    /// Last run of the gang whose failure was counted.
+    pub(super) counted_failure: u32,
+    /// Since when it could start.
+    pub(super) ready_since: Option<Timestamp>,
+    /// How much of the work was done when a run last told, in percent.
+    pub(super) percent: u8,
+    /// How often it was moved because it stood still.
+    pub(super) moves: u8,
+}
+
+impl Group {
+    fn new(step: &StepSpec, first_run: u32) -> Self {
+        Self {
+            tasks: vec![Task::default(); step.count as usize],
+            last_run: first_run,
+            ..Self::default()
+        }
+    }
+
+    pub(super) fn is_done(&self) -> bool {
+        self.tasks.iter().all(|task| task.done)
+    }
+
+    /// Returns the tasks that wait for a place.
+    pub(super) fn waiting(&self) -> Vec<u32> {
+        (0..)
+            .zip(&self.tasks)
+            .filter(|(_, task)| task.is_waiting())
+            .map(|(index, _)| index)
+            .collect()
+    }
+
+    /// Returns how often it may still fail before the last allowed failure, over its open tasks.
+    pub(super) fn worst_failures(&self) -> u32 {
+        let tasks = self.tasks.iter().filter(|t| !t.done).map(|t| t.failures);
+        tasks.max().unwrap_or(0).max(self.gang_failures)
+    }
+}
+
+/// One job in memory.
+#[derive(Debug, Clone)]
+pub(super) struct Job {
+    pub(super) accepted: Arc<AcceptedJob>,
+    /// By time of a schedule, then by step; later times are added when they are due.
+    pub(super) occurrences: Vec<Vec<Group>>,
+    pub(super) outcome: Option<Outcome>,
+    pub(super) ended_at: Option<Timestamp>,
+    pub(super) ended_unix_ms: u64,
+    pub(super) begun: bool,
+    /// Whether an earlier planner may have started tasks of it.
+    pub(super) inherited: bool,
+    /// Counts changes that must last, and how many of them do.
+    pub(super) changes: u64,
+    pub(super) written: u64,
+    first_run: u32,
+}
+
+impl Job {
+    pub(super) fn new(accepted: Arc<AcceptedJob>, now: Now, inherited: bool) -> Self {
+        let mut job = Self {
+            accepted,
+            occurrences: Vec::new(),
+            outcome: None,
+            ended_at: None,
+            ended_unix_ms: 0,
+            begun: false,
+            inherited,
+            changes: 0,
+            written: 0,
+            first_run: 0,
+        };
+        job.add_due_occurrences(now);
+        job
+    }
+
+    /// Makes run numbers start above `first`.
+    pub(super) fn raise_runs(&mut self, first: u64) {
+        self.first_run = u32::try_from(first).unwrap_or(u32::MAX / 2);
+        for group in self.occurrences.iter_mut().flatten() {
+            group.last_run = group.last_run.max(self.first_run);
+        }
+    }
+
+    /// Returns the next time that is due later, in milliseconds since the Unix epoch.
+    pub(super) fn next_due_unix_ms(&self) -> Option<u64> {
+        if self.outcome.is_some() || self.occurrences.len() >= self.accepted.spec.times() as usize {
+            return None;
+        }
+        let next = u32::try_from(self.occurrences.len()).unwrap_or(u32::MAX);
+        self.accepted.spec.schedule.map(|s| s.due_unix_ms(next))
+    }
+
+    /// Adds the times that are due; true where there were any.
+    pub(super) fn add_due_occurrences(&mut self, now: Now) -> bool {
+        let before = self.occurrences.len();
+        while self.occurrences.len() < self.accepted.spec.times() as usize {
+            let is_due = self.next_due_unix_ms().is_none_or(|due| due <= now.unix_ms);
+            if !is_due || self.outcome.is_some() {
+                break;
+            }
+            self.add_occurrence();
+        }
+        self.occurrences.len() > before
+    }
+
+    pub(super) fn add_occurrence(&mut self) {
+        let steps = &self.accepted.spec.steps;
+        let groups = steps.iter().map(|step| Group::new(step, self.first_run));
+        self.occurrences.push(groups.collect());
+    }
+
+    pub(super) fn group(&self, key: &GroupKey) -> Option<&Group> {
+        self.occurrences
+            .get(key.occurrence as usize)?
+            .get(key.step as usize)
+    }
+
+    pub(super) fn group_mut(&mut self, key: &GroupKey) -> Option<&mut Group> {
+        self.occurrences
+            .get_mut(key.occurrence as usize)?
+            .get_mut(key.step as usize)
+    }
+
+    pub(super) fn step(&self, key: &GroupKey) -> Option<&StepSpec> {
+        self.accepted.spec.steps.get(key.step as usize)
+    }
+
+    /// Tells whether every step that `step` depends on is done at that time.
+    pub(super) fn is_ready(&self, occurrence: u32, step: usize) -> bool {
+        let groups = &self.occurrences[occurrence as usize];
+        self.accepted.spec.steps[step]
+            .depends_on
+            .iter()
+            .all(|on| groups[*on as usize].is_done())
+    }
+
+    /// Tells whether every task of every time is done.
+    pub(super) fn is_complete(&self) -> bool {
+        self.occurrences.len() >= self.accepted.spec.times() as usize
+            && self.occurrences.iter().flatten().all(Group::is_done)
+    }
+
+    pub(super) const fn is_written(&self) -> bool {
+        self.written >= self.changes
+    }
+
+    /// Notes a change that must last and returns its number.
+    pub(super) const fn change(&mut self) -> u64 {
+        self.changes += 1;
+        self.changes
+    }
+
+    pub(super) const fn end(&mut self, outcome: Outcome, now: Now) {
+        self.outcome = Some(outcome);
+        self.ended_at = Some(now.at);
+        self.ended_unix_ms = now.unix_ms;
+        self.change();
+    }
+
+    /// Returns until when a time should be done, in milliseconds since the Unix epoch.
+    pub(super) fn objective_unix_ms(&self, occurrence: u32) -> u64 {
+        let queue = &self.accepted.queue;
+        let spec = &self.accepted.spec;
+        let from = spec.schedule.map_or(self.accepted.accepted_unix_ms, |s| {
+            s.due_unix_ms(occurrence)
+        });
+        #[allow(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            clippy::cast_precision_loss,
+            reason = "milliseconds of work are far below 2^52"
+        )]
+        let work = (queue.stretch.max(0.0) * spec.chain_ms() as f64) as u64;
+        from.saturating_add(work).saturating_add(queue.target_ms)
+    }
+}
--- /dev/null
+++ b/crates/stairstall-core/src/batch/planner/pool.rs
@@ -0,0 +1,306 @@
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use crate::batch::{HoldRequest, ListedWorker, Resources, StepSpec, TaskKey};
+use crate::{JobId, Timestamp};
+
+/// Where a run stands at its worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum RunState {
+    /// Its place is kept; room may still have to become free.
+    Planned,
+    /// A start was sent.
+    Starting,
+    /// It is there.
+    Running,
+    /// A stop was sent.
+    Stopping,
+}
+
+/// One run of a task at a worker.
+#[derive(Debug, Clone)]
+pub(super) struct Run {
+    pub(super) number: u32,
+    pub(super) room: Resources,
+    pub(super) state: RunState,
+    /// 0 for a customer's own share, else one more than the queue's priority.
+    pub(super) rank: u8,
+    pub(super) gang: bool,
+    pub(super) checkpoints: bool,
+    /// How long it should take here, in milliseconds.
+    pub(super) expected_ms: u64,
+    /// When the present state began.
+    pub(super) since: Timestamp,
+    /// When the last order about it was sent.
+    pub(super) ordered_at: Timestamp,
+    /// When the worker last answered an order about it, so that a later report must name it.
+    pub(super) answered_at: Option<Timestamp>,
+    /// Starts that were sent.
+    pub(super) tries: u8,
+    pub(super) percent: u8,
+    /// When the percentage last rose.
+    pub(super) progressed_at: Timestamp,
+    /// When the worker last reported it.
+    pub(super) reported_at: Timestamp,
+    /// Since when its task is done by another run.
+    pub(super) unwanted_since: Option<Timestamp>,
+    /// When it began, and the percentage it began at.
+    pub(super) began: Option<(Timestamp, u8)>,
+}
+
+impl Run {
+    pub(super) fn enter(&mut self, state: RunState, at: Timestamp) {
+        self.state = state;
+        self.since = at;
+    }
+
+    /// Returns the work that a stop would throw away, in core-milliseconds.
+    pub(super) fn loss(&self, now: Timestamp) -> u64 {
+        let ran = self
+            .began
+            .map_or(0, |(at, _)| millis(now - at))
+            .min(if self.checkpoints {
+                RESTORE_MS
+            } else {
+                u64::MAX
+            });
+        ran.saturating_mul(self.room.weight()) / 1000
+    }
+}
+
+/// What stopping a run with checkpoints costs at most, in milliseconds of its work.
+const RESTORE_MS: u64 = 300;
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// What the planner may do with a worker; for people and metrics.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WorkerPhase {
+    /// It has not answered this planner's token yet.
+    Unfenced,
+    /// It does not answer.
+    Silent,
+    /// It takes tasks.
+    Ready,
+    /// It is leaving.
+    Draining,
+}
+
+/// An end that the worker may forget once the change behind it lasts.
+#[derive(Debug, Clone)]
+struct Unsaved {
+    number: u64,
+    change: Option<(JobId, u64)>,
+}
+
+/// One life of a worker.
+#[derive(Debug, Clone)]
+pub(super) struct Worker {
+    pub(super) listed: ListedWorker,
+    pub(super) is_listed: bool,
+    pub(super) runs: BTreeMap<TaskKey, Run>,
+    /// Room of all runs, planned ones included.
+    claimed: Resources,
+    /// Whether it has answered the present token.
+    pub(super) fenced: bool,
+    contact: bool,
+    /// Its clock in milliseconds, and when that was read.
+    clock: Option<(u64, Timestamp)>,
+    /// Until when anything may run on it, by the largest deadline that was ever sent.
+    pub(super) lease_until: Option<Timestamp>,
+    /// Highest end that was taken in.
+    pub(super) seen: u64,
+    unsaved: VecDeque<Unsaved>,
+    /// Highest end that it was told to forget, as far as it has answered.
+    told_seen: u64,
+    /// Until when it gets nothing new because of what happened there.
+    pub(super) suspect_until: Option<Timestamp>,
+    /// When a task last ended done there.
+    pub(super) succeeded_at: Option<Timestamp>,
+    /// Its earliest end as it was announced.
+    leaves_at: Option<Timestamp>,
+    /// Jobs whose runs failed there since the last success.
+    pub(super) failed_jobs: Vec<JobId>,
+}
+
+impl Worker {
+    /// How long a worker may wait for an end before it answers.
+    const WAIT: Duration = Duration::from_millis(1_000);
+
+    pub(super) fn new(listed: ListedWorker, at: Timestamp) -> Self {
+        let mut worker = Self {
+            listed: listed.clone(),
+            is_listed: true,
+            runs: BTreeMap::new(),
+            claimed: Resources::default(),
+            fenced: false,
+            contact: true,
+            clock: None,
+            lease_until: None,
+            seen: 0,
+            unsaved: VecDeque::new(),
+            told_seen: 0,
+            suspect_until: None,
+            succeeded_at: None,
+            leaves_at: None,
+            failed_jobs: Vec::new(),
+        };
+        worker.relist(listed, at);
+        worker
+    }
+
+    pub(super) fn relist(&mut self, listed: ListedWorker, at: Timestamp) {
+        self.is_listed = true;
+        if listed.draining && !self.listed.draining || self.leaves_at.is_none() {
+            self.leaves_at = listed
+                .remaining_ms
+                .map(|left| at + Duration::from_millis(left));
+        }
+        self.listed = listed;
+    }
+
+    /// Tells whether it has announced an end that is over.
+    pub(super) fn may_have_left(&self, at: Timestamp) -> bool {
+        self.leaves_at.is_none_or(|leaves| leaves <= at)
+    }
+
+    pub(super) fn insert(&mut self, task: TaskKey, run: Run) {
+        self.claimed = self.claimed.plus(&run.room);
+        if let Some(old) = self.runs.insert(task, run) {
+            self.claimed = self.claimed.minus(&old.room);
+        }
+    }
+
+    pub(super) fn remove(&mut self, task: &TaskKey) -> Option<Run> {
+        let run = self.runs.remove(task)?;
+        self.claimed = self.claimed.minus(&run.room);
+        Some(run)
+    }
+
+    /// Returns the room that nothing has or will have.
+    pub(super) fn free(&self) -> Resources {
+        self.listed.capacity.minus(&self.claimed)
+    }
+
+    /// Returns the room that is free once what is being stopped has ended.
+    pub(super) fn free_soon(&self) -> Resources {
+        let leaving = self.sum(|run| run.state == RunState::Stopping);
+        self.listed.capacity.minus(&self.claimed.minus(&leaving))
+    }
+
+    /// Returns the room that nothing takes at this moment.
+    pub(super) fn free_now(&self) -> Resources {
+        let present = self.sum(|run| run.state != RunState::Planned);
+        self.listed.capacity.minus(&present)
+    }
+
+    fn sum(&self, test: impl Fn(&Run) -> bool) -> Resources {
+        self.runs
+            .values()
+            .filter(|run| test(run))
+            .fold(Resources::default(), |sum, run| sum.plus(&run.room))
+    }
+
+    /// Tells whether it may be given tasks.
+    pub(super) fn takes_tasks(&self) -> bool {
+        self.is_listed && self.fenced && self.contact && !self.listed.draining
+    }
+
+    pub(super) fn is_suspect(&self, at: Timestamp) -> bool {
+        self.suspect_until.is_some_and(|until| at < until)
+    }
+
+    /// Tells whether it has the labels that a step asks for.
+    pub(super) fn suits(&self, step: &StepSpec) -> bool {
+        step.required_label
+            .as_ref()
+            .is_none_or(|label| self.listed.labels.contains(label))
+    }
+
+    /// Tells whether the step's data lies on its rack, or nowhere.
+    pub(super) fn is_near(&self, step: &StepSpec) -> bool {
+        step.near_rack
+            .as_ref()
+            .is_none_or(|rack| self.listed.labels.contains(rack))
+    }
+
+    pub(super) const fn is_in_contact(&self) -> bool {
+        self.contact
+    }
+
+    pub(super) const fn set_contact(&mut self, contact: bool) {
+        self.contact = contact;
+    }
+
+    pub(super) const fn read_clock(&mut self, clock_ms: u64, at: Timestamp) {
+        self.clock = Some((clock_ms, at));
+    }
+
+    /// Returns its clock at a moment, once it was read.
+    pub(super) fn clock_at(&self, at: Timestamp) -> Option<u64> {
+        let (clock_ms, read_at) = self.clock?;
+        Some(clock_ms.saturating_add(millis(at - read_at)))
+    }
+
+    pub(super) fn extend_lease(&mut self, until: Timestamp) {
+        self.lease_until = self.lease_until.max(Some(until));
+    }
+
+    pub(super) fn phase(&self) -> WorkerPhase {
+        match (self.fenced, self.contact, self.listed.draining) {
+            (false, ..) => WorkerPhase::Unfenced,
+            (_, false, _) => WorkerPhase::Silent,
+            (.., true) => WorkerPhase::Draining,
+            _ => WorkerPhase::Ready,
+        }
+    }
+
+    /// Notes an end that was taken in, with the change that must last before it is forgotten.
+    pub(super) fn note_end(&mut self, number: u64, change: Option<(JobId, u64)>) {
+        self.seen = number;
+        self.unsaved.push_back(Unsaved { number, change });
+    }
+
+    /// Returns the highest end that it may forget; `lasts` tells which changes are kept.
+    pub(super) fn forgettable(&mut self, lasts: impl Fn(&JobId, u64) -> bool) -> u64 {
+        while let Some(first) = self.unsaved.front() {
+            let kept = first
+                .change
+                .as_ref()
+                .is_none_or(|(job, change)| lasts(job, *change));
+            if !kept {
+                return first.number.saturating_sub(1);
+            }
+            self.unsaved.pop_front();
+        }
+        self.seen
+    }
+
+    pub(super) const fn note_told(&mut self, last_seen: u64) {
+        self.told_seen = last_seen;
+    }
+
+    /// Returns what to ask of it next; none where it need not be asked.
+    pub(super) fn hold_request(
+        &self,
+        token: u64,
+        last_seen: u64,
+        deadline_ms: Option<u64>,
+    ) -> Option<HoldRequest> {
+        let asks_only = !self.fenced || !self.contact;
+        let has_unsaved = !self.unsaved.is_empty();
+        let present = self.runs.values().any(|r| r.state != RunState::Planned);
+        if !asks_only && !present && self.told_seen >= self.seen {
+            return None;
+        }
+        let waits = present && !asks_only && !has_unsaved;
+        Some(HoldRequest {
+            token,
+            deadline_ms: if asks_only { None } else { deadline_ms },
+            last_seen,
+            wait: if waits { Self::WAIT } else { Duration::ZERO },
+        })
+    }
+}
--- /dev/null
+++ b/crates/stairstall-core/src/batch/planner/progress.rs
@@ -0,0 +1,156 @@
+//! What of a job is written down, and how a job is restored from it.
+
+use super::job::{Group, Job};
+use super::{Now, Planner};
+use crate::JobId;
+use crate::batch::{GroupProgress, Progress};
+
+const OPEN: char = '-';
+const DONE: char = 'D';
+const ALL_DONE: &str = "*";
+
+/// One job's progress to write down.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Write {
+    /// The job.
+    pub job: JobId,
+    /// Say this to [`Planner::written`] once it lasts.
+    pub change: u64,
+    /// What to write.
+    pub progress: Progress,
+}
+
+impl Planner {
+    /// Tells whether something waits to be written down.
+    #[must_use]
+    pub fn has_writes(&self) -> bool {
+        !self.changed.is_empty()
+    }
+
+    /// Takes the progress of up to `most` jobs to be written down.
+    pub fn take_writes(&mut self, most: usize) -> Vec<Write> {
+        let ids: Vec<JobId> = self.changed.iter().take(most).cloned().collect();
+        ids.into_iter()
+            .filter_map(|id| {
+                self.changed.remove(&id);
+                let job = self.jobs.get(&id)?;
+                Some(Write {
+                    change: job.changes,
+                    progress: job.progress(),
+                    job: id,
+                })
+            })
+            .collect()
+    }
+
+    /// Takes word that a change lasts.
+    pub fn written(&mut self, id: &JobId, change: u64) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.written = job.written.max(change);
+        }
+    }
+
+    /// Takes word that a write may not have lasted: it is due again.
+    pub fn not_written(&mut self, id: &JobId) {
+        if self.jobs.contains_key(id) {
+            self.changed.insert(id.clone());
+        }
+    }
+
+    pub(super) fn start_due_occurrences(&mut self, now: Now) {
+        for job in self.jobs.values_mut() {
+            if job.add_due_occurrences(now) {
+                self.replan = true;
+            }
+        }
+    }
+}
+
+impl Job {
+    pub(super) fn progress(&self) -> Progress {
+        let occurrences = self.occurrences.iter();
+        Progress {
+            outcome: self.outcome,
+            ended_unix_ms: self.ended_unix_ms,
+            begun: self.begun,
+            occurrences: occurrences
+                .map(|groups| groups.iter().map(Group::progress).collect())
+                .collect(),
+        }
+    }
+
+    pub(super) fn restore(&mut self, progress: &Progress, now: Now) {
+        self.outcome = progress.outcome;
+        self.ended_unix_ms = progress.ended_unix_ms;
+        self.ended_at = progress.outcome.map(|_| now.at);
+        self.begun = progress.begun;
+        while self.occurrences.len() < progress.occurrences.len() {
+            self.add_occurrence();
+        }
+        for (groups, kept) in self.occurrences.iter_mut().zip(&progress.occurrences) {
+            for (group, kept) in groups.iter_mut().zip(kept) {
+                group.restore(kept);
+            }
+        }
+    }
+}
+
+impl Group {
+    fn progress(&self) -> GroupProgress {
+        let tasks = if self.is_done() {
+            ALL_DONE.to_owned()
+        } else {
+            self.tasks.iter().map(mark).collect()
+        };
+        let open = (0..).zip(&self.tasks).filter(|(_, task)| !task.done);
+        GroupProgress {
+            tasks,
+            gang_failures: self.gang_failures,
+            counted_failure: self.counted_failure,
+            counted_runs: (0..)
+                .zip(&self.tasks)
+                .filter(|(_, task)| task.counted_run > 0)
+                .map(|(index, task)| (index, task.counted_run))
+                .collect(),
+            last_run: self.last_run,
+            checkpoints: open
+                .filter_map(|(index, task)| Some((index, task.checkpoint.clone()?)))
+                .collect(),
+        }
+    }
+
+    fn restore(&mut self, kept: &GroupProgress) {
+        self.gang_failures = kept.gang_failures;
+        self.last_run = self.last_run.max(kept.last_run);
+        self.counted_failure = kept.counted_failure;
+        if kept.tasks == ALL_DONE {
+            self.tasks.iter_mut().for_each(|task| task.done = true);
+            return;
+        }
+        for (task, mark) in self.tasks.iter_mut().zip(kept.tasks.chars()) {
+            task.done = mark == DONE;
+            task.failures = mark.to_digit(10).unwrap_or(0);
+        }
+        for (index, run) in &kept.counted_runs {
+            if let Some(task) = self.tasks.get_mut(*index as usize) {
+                task.counted_run = *run;
+            }
+        }
+        for (index, checkpoint) in &kept.checkpoints {
+            if let Some(task) = self.tasks.get_mut(*index as usize) {
+                task.checkpoint = Some(checkpoint.clone());
+            }
+        }
+    }
+}
+
+/// Most failures that one character tells.
+const MAX_FAILURES_MARK: u32 = 9;
+
+fn mark(task: &super::job::Task) -> char {
+    match (task.done, task.failures) {
+        (true, _) => DONE,
+        (_, 0) => OPEN,
+        (_, failures) => char::from_digit(failures.min(MAX_FAILURES_MARK), 10).unwrap_or(OPEN),
+    }
+}
--- /dev/null
+++ b/crates/stairstall-core/src/batch/planner/queue.rs
@@ -0,0 +1,127 @@
+//! Who is considered first, and whose claim on its own share it is.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::job::Job;
+use super::{Now, Planner};
+use crate::batch::GroupKey;
+use crate::{CustomerId, JobId};
+
+/// Rank of a customer's claim on its own share: nothing comes before it.
+pub(super) const CLAIM: u8 = 0;
+/// Rank of urgent work beyond its customer's own share.
+pub(super) const URGENT: u8 = 1;
+
+/// A step whose tasks may start.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Candidate {
+    pub(super) rank: u8,
+    /// Until when it should be done, in milliseconds since the Unix epoch.
+    objective: u64,
+    pub(super) key: GroupKey,
+}
+
+impl Planner {
+    /// Gives places to what waits, in order of rank and objective.
+    pub(super) fn plan(&mut self, now: Now) {
+        let claims = self.claims();
+        self.renew_ranks(&claims);
+        let candidates = self.candidates(&claims, now);
+        let mut held_back = super::fit::HeldBack::default();
+        for candidate in &candidates {
+            self.place(candidate, &mut held_back, now);
+        }
+    }
+
+    /// Returns the urgent jobs that stay within their customers' own shares, oldest first.
+    fn claims(&self) -> BTreeSet<JobId> {
+        let mut urgent: Vec<&Job> = self
+            .jobs
+            .values()
+            .filter(|job| job.outcome.is_none() && job.accepted.queue.priority == 0)
+            .filter(|job| job.accepted.customer.is_some())
+            .collect();
+        urgent.sort_by_key(|job| (job.accepted.accepted_unix_ms, &job.accepted.id));
+        let mut used: BTreeMap<&CustomerId, u32> = BTreeMap::new();
+        let mut claims = BTreeSet::new();
+        for job in urgent {
+            let Some(customer) = &job.accepted.customer else {
+                continue;
+            };
+            let sum = used.entry(customer).or_default();
+            let with = sum.saturating_add(accelerators(job));
+            if with <= self.catalog.guaranteed(customer) {
+                *sum = with;
+                claims.insert(job.accepted.id.clone());
+            }
+        }
+        claims
+    }
+
+    fn renew_ranks(&mut self, claims: &BTreeSet<JobId>) {
+        for worker in self.workers.values_mut() {
+            for (task, run) in &mut worker.runs {
+                if run.rank <= URGENT {
+                    run.rank = if claims.contains(&task.group.job) {
+                        CLAIM
+                    } else {
+                        URGENT
+                    };
+                }
+            }
+        }
+    }
+
+    fn candidates(&mut self, claims: &BTreeSet<JobId>, now: Now) -> Vec<Candidate> {
+        let inherits = self.inherited_until.is_some();
+        let mut found = Vec::new();
+        for (id, job) in &mut self.jobs {
+            if job.outcome.is_some() || (inherits && job.inherited) {
+                continue;
+            }
+            let rank = if claims.contains(id) {
+                CLAIM
+            } else {
+                job.accepted.queue.priority.saturating_add(1)
+            };
+            for key in ready_groups(id, job) {
+                let objective = job.objective_unix_ms(key.occurrence);
+                if let Some(group) = job.group_mut(&key) {
+                    group.ready_since.get_or_insert(now.at);
+                }
+                found.push(Candidate {
+                    rank,
+                    objective,
+                    key,
+                });
+            }
+        }
+        found.sort();
+        found
+    }
+}
+
+/// Returns the steps that have waiting tasks and whose earlier steps are done.
+fn ready_groups(id: &JobId, job: &Job) -> Vec<GroupKey> {
+    let mut ready = Vec::new();
+    for (occurrence, groups) in (0..).zip(&job.occurrences) {
+        for (step, group) in groups.iter().enumerate() {
+            let waits = group.tasks.iter().any(super::job::Task::is_waiting);
+            if waits && job.is_ready(occurrence, step) {
+                ready.push(GroupKey {
+                    job: id.clone(),
+                    occurrence,
+                    step: u32::try_from(step).unwrap_or(u32::MAX),
+                });
+            }
+        }
+    }
+    ready
+}
+
+/// Returns how many accelerators a job may take at a time, at most.
+fn accelerators(job: &Job) -> u32 {
+    job.accepted.spec.steps.iter().fold(0, |sum: u32, step| {
+        sum.saturating_add(step.needs.accelerators.saturating_mul(step.count))
+    })
+}
--- /dev/null
+++ b/crates/stairstall-core/src/batch/planner/starts.rs
@@ -0,0 +1,366 @@
+//! Orders to workers and what became of them.
+
+use std::time::Duration;
+
+use super::contact::millis;
+use super::pool::RunState;
+use super::{Now, Order, OrderKind, Planner};
+use crate::batch::{
+    Decision, DecisionKind, EndKind, GroupKey, RefusalReason, StartOutcome, StopOutcome, TaskKey,
+};
+use crate::{Timestamp, WorkerId};
+
+/// Lease that a start brings; holds extend it.
+const START_LEASE: Duration = Duration::from_secs(4);
+/// Starts of one run that are sent before it is given up.
+const MAX_TRIES: u8 = 4;
+/// How long after a stop should have ended it is sent again.
+const STOP_AGAIN: Duration = Duration::from_millis(400);
+/// How long a worker that calls itself unhealthy gets nothing new.
+const SUSPECT_AFTER_REFUSAL: Duration = Duration::from_secs(2);
+/// How long a run whose task is done may take to end by itself.
+const UNWANTED_PATIENCE: Duration = Duration::from_millis(500);
+/// How much longer than a stop a planned run waits for its room.
+const PLANNED_MARGIN: Duration = Duration::from_millis(500);
+
+impl Planner {
+    /// Sends the starts whose room is free: of a gang all or none.
+    pub(super) fn emit_starts(&mut self, now: Now) {
+        let groups: Vec<GroupKey> = self.planned.iter().cloned().collect();
+        for key in groups {
+            let members = self.planned_members(&key);
+            if members.is_empty() {
+                self.planned.remove(&key);
+                continue;
+            }
+            let is_gang = self.step(&key).is_some_and(|step| step.gang);
+            if is_gang {
+                self.emit_gang(&key, &members, now);
+            } else {
+                for (id, task) in &members {
+                    if self.has_room_for(id, &[task]) {
+                        self.emit_start(id, task, now);
+                    }
+                }
+            }
+        }
+    }
+
+    fn emit_gang(&mut self, key: &GroupKey, members: &[(WorkerId, TaskKey)], now: Now) {
+        let by_worker = |id: &WorkerId| -> Vec<&TaskKey> {
+            let here = members.iter().filter(|(other, _)| other == id);
+            here.map(|(_, task)| task).collect()
+        };
+        let all_fit = members
+            .iter()
+            .all(|(id, _)| self.has_room_for(id, &by_worker(id)));
+        let is_whole = self
+            .jobs
+            .get(&key.job)
+            .and_then(|job| job.group(key))
+            .is_some_and(|group| group.tasks.len() == members.len());
+        if all_fit && is_whole {
+            for (id, task) in members {
+                self.emit_start(id, task, now);
+            }
+        }
+    }
+
+    fn step(&self, key: &GroupKey) -> Option<&crate::batch::StepSpec> {
+        self.jobs.get(&key.job)?.step(key)
+    }
+
+    fn planned_members(&self, key: &GroupKey) -> Vec<(WorkerId, TaskKey)> {
+        let Some(group) = self.jobs.get(&key.job).and_then(|job| job.group(key)) else {
+            return Vec::new();
+        };
+        (0..)
+            .zip(&group.tasks)
+            .filter_map(|(index, task)| Some((task.place.clone()?, key.task(index))))
+            .filter(|(id, task)| self.run_state(id, task) == Some(RunState::Planned))
+            .collect()
+    }
+
+    fn run_state(&self, id: &WorkerId, task: &TaskKey) -> Option<RunState> {
+        Some(self.workers.get(id)?.runs.get(task)?.state)
+    }
+
+    fn has_room_for(&self, id: &WorkerId, tasks: &[&TaskKey]) -> bool {
+        let Some(worker) = self.workers.get(id) else {
+            return false;
+        };
+        let needed = tasks
+            .iter()
+            .filter_map(|task| worker.runs.get(*task))
+            .fold(crate::batch::Resources::default(), |sum, run| {
+                sum.plus(&run.room)
+            });
+        worker.is_in_contact() && needed.fits(&worker.free_now())
+    }
+
+    fn emit_start(&mut self, id: &WorkerId, task: &TaskKey, now: Now) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        let Some(clock_ms) = worker.clock_at(now.at) else {
+            return;
+        };
+        let lease = START_LEASE.min(self.bounds.hold_max);
+        let Some(run) = worker.runs.get_mut(task) else {
+            return;
+        };
+        let waited = millis(now.at - run.since);
+        run.enter(RunState::Starting, now.at);
+        run.ordered_at = now.at;
+        run.tries += 1;
+        let (number, tries) = (run.number, run.tries);
+        worker.extend_lease(now.at + Self::lease_span(lease));
+        let Some(job) = self.jobs.get(&task.group.job) else {
+            return;
+        };
+        self.orders.push(Order {
+            worker: id.clone(),
+            task: task.clone(),
+            run: number,
+            token: self.token,
+            kind: OrderKind::Start {
+                payload: job.accepted.spec.payload.clone(),
+                checkpoint: self.start_checkpoint(task),
+                deadline_ms: clock_ms.saturating_add(millis(lease)),
+            },
+        });
+        self.decisions.push(Decision::of_run(
+            DecisionKind::Start,
+            task,
+            number,
+            id,
+            format!("try {tries}, its room took {waited} ms"),
+        ));
+    }
+
+    /// Returns where a run continues from; all members of a gang from the same.
+    fn start_checkpoint(&self, task: &TaskKey) -> Option<String> {
+        let key = &task.group;
+        let job = self.jobs.get(&key.job)?;
+        let group = job.group(key)?;
+        if job.step(key)?.gang {
+            return group.tasks.iter().find_map(|t| t.checkpoint.clone());
+        }
+        group.tasks.get(task.index as usize)?.checkpoint.clone()
+    }
+
+    /// Stops a run, or drops it where no start was sent.
+    pub(super) fn stop_run(&mut self, id: &WorkerId, task: &TaskKey, why: &str, now: Now) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        let Some(run) = worker.runs.get_mut(task) else {
+            return;
+        };
+        match run.state {
+            RunState::Stopping => {}
+            RunState::Planned => {
+                if let Some(run) = worker.remove(task) {
+                    self.release(id, task, &run, why);
+                }
+            }
+            RunState::Starting | RunState::Running => {
+                run.enter(RunState::Stopping, now.at);
+                let number = run.number;
+                self.send_stop(id, task, number, now);
+                let detail = format!("{why}; {}", self.progress_of(id, task, now));
+                self.decisions.push(Decision::of_run(
+                    DecisionKind::Stop,
+                    task,
+                    number,
+                    id,
+                    detail,
+                ));
+            }
+        }
+    }
+
+    fn progress_of(&self, id: &WorkerId, task: &TaskKey, now: Now) -> String {
+        let run = self.workers.get(id).and_then(|w| w.runs.get(task));
+        run.map_or_else(String::new, |run| {
+            let ran = run.began.map_or(0, |(at, _)| millis(now.at - at));
+            format!("{} percent after {ran} ms", run.percent)
+        })
+    }
+
+    fn send_stop(&mut self, id: &WorkerId, task: &TaskKey, run: u32, now: Now) {
+        if let Some(entry) = self.workers.get_mut(id).and_then(|w| w.runs.get_mut(task)) {
+            entry.ordered_at = now.at;
+            entry.answered_at = None;
+        }
+        self.orders.push(Order {
+            worker: id.clone(),
+            task: task.clone(),
+            run,
+            token: self.token,
+            kind: OrderKind::Stop,
+        });
+    }
+
+    /// Sends stops again that should have ended, and gives up places whose room stays taken.
+    pub(super) fn resend(&mut self, now: Now) {
+        let patience = self.bounds.stop_max + STOP_AGAIN;
+        let planned_patience = self.bounds.stop_max + PLANNED_MARGIN;
+        let mut again = Vec::new();
+        let mut stuck = Vec::new();
+        let mut unwanted = Vec::new();
+        for (id, worker) in &self.workers {
+            for (task, run) in &worker.runs {
+                if run.state == RunState::Planned
+                    && (now.at - run.since > planned_patience || !worker.takes_tasks())
+                {
+                    stuck.push((id.clone(), task.clone()));
+                }
+                let done_since = run.unwanted_since.map(|since| now.at - since);
+                if run.state != RunState::Stopping && done_since > Some(UNWANTED_PATIENCE) {
+                    unwanted.push((id.clone(), task.clone()));
+                }
+                if run.state == RunState::Stopping
+                    && worker.is_in_contact()
+                    && now.at - run.ordered_at > patience
+                {
+                    again.push((id.clone(), task.clone(), run.number));
+                }
+            }
+        }
+        for (id, task, run) in again {
+            self.send_stop(&id, &task, run, now);
+        }
+        for (id, task) in unwanted {
+            self.stop_run(&id, &task, "the task is done", now);
+        }
+        for (id, task) in stuck {
+            self.drop_planned(&id, &task, now);
+        }
+    }
+
+    /// Gives a planned run up, and with it the other planned members of its gang.
+    fn drop_planned(&mut self, id: &WorkerId, task: &TaskKey, now: Now) {
+        let why = "its room did not become free";
+        self.stop_run(id, task, why, now);
+        let is_gang = self.step(&task.group).is_some_and(|step| step.gang);
+        if is_gang {
+            for (id, member) in self.planned_members(&task.group) {
+                self.stop_run(&id, &member, why, now);
+            }
+        }
+    }
+
+    /// Takes what became of a start that left at `sent_at`.
+    pub fn take_start(&mut self, order: &Order, outcome: StartOutcome, now: Now) {
+        let id = &order.worker;
+        let task = &order.task;
+        if outcome == StartOutcome::OtherLife {
+            self.life_over(id, "another life answered a start");
+            return;
+        }
+        if outcome == StartOutcome::Refused(RefusalReason::Fenced) {
+            self.note_fenced();
+            return;
+        }
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        if let StartOutcome::Started { clock_ms } = outcome {
+            worker.read_clock(clock_ms, now.at);
+        }
+        let Some(run) = worker.runs.get_mut(task) else {
+            return;
+        };
+        if run.number != order.run {
+            return;
+        }
+        if let StartOutcome::Started { .. } = outcome {
+            run.answered_at = run.answered_at.or(Some(now.at));
+            if run.state == RunState::Starting {
+                run.enter(RunState::Running, now.at);
+                run.began = Some((now.at, 0));
+                run.progressed_at = now.at;
+            }
+            if let Some(job) = self.jobs.get_mut(&task.group.job) {
+                job.begun = true;
+            }
+            return;
+        }
+        let first_try = run.tries <= 1;
+        if run.state == RunState::Starting {
+            self.start_failed(order, outcome, first_try, now);
+        }
+    }
+
+    fn start_failed(&mut self, order: &Order, outcome: StartOutcome, first_try: bool, now: Now) {
+        let (id, task) = (&order.worker, &order.task);
+        self.decisions.push(Decision::of_run(
+            DecisionKind::Start,
+            task,
+            order.run,
+            id,
+            format!("not started: {outcome:?}").to_lowercase(),
+        ));
+        if outcome == StartOutcome::Unhealthy
+            && let Some(worker) = self.workers.get_mut(id)
+        {
+            worker.suspect_until = Some(now.at + SUSPECT_AFTER_REFUSAL);
+        }
+        let did_nothing = match outcome {
+            StartOutcome::NotSent | StartOutcome::Unhealthy => true,
+            StartOutcome::Refused(reason) => reason != RefusalReason::OldRun,
+            _ => false,
+        };
+        if did_nothing && first_try {
+            self.run_over(id, task, EndKind::Stopped, "it was not started", now);
+        } else if matches!(outcome, StartOutcome::Unknown | StartOutcome::NotSent) {
+            self.try_again(order, now);
+        } else if outcome == StartOutcome::Refused(RefusalReason::OldRun) {
+            // It ended there, or was barred: the next report tells.
+            self.note_answered(id, task, now.at);
+        } else {
+            self.stop_run(id, task, "an earlier try may have started it", now);
+        }
+    }
+
+    fn try_again(&mut self, order: &Order, now: Now) {
+        let (id, task) = (&order.worker, &order.task);
+        let tries = self
+            .workers
+            .get(id)
+            .and_then(|w| w.runs.get(task))
+            .map_or(0, |run| run.tries);
+        if tries < MAX_TRIES {
+            self.emit_start(id, task, now);
+        } else {
+            self.stop_run(id, task, "no answer to its starts", now);
+        }
+    }
+
+    fn note_answered(&mut self, id: &WorkerId, task: &TaskKey, at: Timestamp) {
+        if let Some(run) = self.workers.get_mut(id).and_then(|w| w.runs.get_mut(task)) {
+            run.answered_at = Some(at);
+        }
+    }
+
+    /// Takes what became of a stop.
+    pub fn take_stop(&mut self, order: &Order, outcome: StopOutcome, now: Now) {
+        match outcome {
+            StopOutcome::Taken => {
+                let (id, task) = (&order.worker, &order.task);
+                let matches = self
+                    .workers
+                    .get(id)
+                    .and_then(|w| w.runs.get(task))
+                    .is_some_and(|run| run.number == order.run);
+                if matches {
+                    self.note_answered(id, task, now.at);
+                }
+            }
+            StopOutcome::Fenced => self.note_fenced(),
+            StopOutcome::OtherLife => self.life_over(&order.worker, "another life answered a stop"),
+            StopOutcome::Unknown => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/stairstall-core/src/batch/planner/victims.rs
@@ -0,0 +1,128 @@
+//! Which runs give way, and what that costs.
+
+use std::collections::BTreeMap;
+
+use super::fit::Site;
+use super::pool::{RunState, Worker};
+use super::{Now, Planner};
+use crate::batch::{GroupKey, Resources, TaskKey};
+use crate::{Timestamp, WorkerId};
+
+/// What a stop costs beside the work that is lost, in milliseconds of the run's room.
+const STOP_COST_MS: u64 = 200;
+
+/// One run that may give way.
+#[derive(Debug, Clone)]
+struct Victim {
+    task: TaskKey,
+    room: Resources,
+    cost: u64,
+    gang: bool,
+}
+
+/// The runs of one worker that may give way, cheapest first.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Victims(Vec<Victim>);
+
+impl Victims {
+    /// Returns the runs of a worker that come after `rank`.
+    pub(super) fn of(
+        worker: &Worker,
+        rank: u8,
+        gang_losses: &BTreeMap<GroupKey, u64>,
+        at: Timestamp,
+    ) -> Self {
+        let mut victims: Vec<Victim> = worker
+            .runs
+            .iter()
+            .filter(|(_, run)| run.rank > rank && run.state != RunState::Stopping)
+            .map(|(task, run)| {
+                let lost = if run.gang {
+                    gang_losses.get(&task.group).copied().unwrap_or(0)
+                } else {
+                    run.loss(at)
+                };
+                let stop = run.room.weight() * STOP_COST_MS / 1000;
+                Victim {
+                    task: task.clone(),
+                    room: run.room,
+                    cost: lost + stop,
+                    gang: run.gang,
+                }
+            })
+            .collect();
+        victims.sort_by(|a, b| (a.cost, &a.task).cmp(&(b.cost, &b.task)));
+        Self(victims)
+    }
+
+    /// Returns the cost and the runs that must go so that `needs` fits; none where it can't.
+    pub(super) fn to_fit(
+        &self,
+        needs: &Resources,
+        room: &Resources,
+    ) -> Option<(u64, Vec<TaskKey>)> {
+        let mut free = *room;
+        let mut chosen: Vec<&Victim> = Vec::new();
+        for victim in &self.0 {
+            if needs.fits(&free) {
+                break;
+            }
+            free = free.plus(&victim.room);
+            chosen.push(victim);
+        }
+        if !needs.fits(&free) {
+            return None;
+        }
+        spare_needless(&mut chosen, needs, &mut free);
+        let cost = chosen.iter().map(|v| v.cost).sum();
+        Some((cost, chosen.iter().map(|v| v.task.clone()).collect()))
+    }
+}
+
+/// Drops those, dearest first, whose room is not needed after all.
+fn spare_needless(chosen: &mut Vec<&Victim>, needs: &Resources, free: &mut Resources) {
+    for index in (0..chosen.len()).rev() {
+        let without = free.minus(&chosen[index].room);
+        if needs.fits(&without) {
+            *free = without;
+            chosen.remove(index);
+        }
+    }
+}
+
+/// Takes a victim out, and with a member of a gang all its members, giving their room back.
+pub(super) fn give_way(sites: &mut [Site], worker: &WorkerId, task: &TaskKey) {
+    let is_gang = sites
+        .iter()
+        .filter(|site| site.worker == *worker)
+        .flat_map(|site| &site.victims.0)
+        .any(|v| v.task == *task && v.gang);
+    for site in sites.iter_mut() {
+        let here = site.worker == *worker;
+        let room = &mut site.room;
+        site.victims.0.retain(|victim| {
+            let goes = if is_gang {
+                victim.task.group == task.group
+            } else {
+                here && victim.task == *task
+            };
+            if goes {
+                *room = room.plus(&victim.room);
+            }
+            !goes
+        });
+    }
+}
+
+impl Planner {
+    /// Returns what stopping each gang that runs would throw away.
+    pub(super) fn gang_losses(&self, now: Now) -> BTreeMap<GroupKey, u64> {
+        let mut losses = BTreeMap::new();
+        for worker in self.workers.values() {
+            for (task, run) in worker.runs.iter().filter(|(_, run)| run.gang) {
+                *losses.entry(task.group.clone()).or_insert(0) += run.loss(now.at);
+            }
+        }
+        losses
+    }
+}
--- /dev/null
+++ b/crates/stairstall-core/src/batch/record.rs
@@ -0,0 +1,108 @@
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use super::{BatchSpec, Queue};
+use crate::claim::Mark;
+use crate::{CustomerId, JobId};
+
+/// A job as it was accepted; written once.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct AcceptedJob {
+    /// The caller's name for it.
+    pub id: JobId,
+    /// Whose it is; none on a public route.
+    pub customer: Option<CustomerId>,
+    /// The queue as it was configured at that time.
+    pub queue: Queue,
+    /// When it was accepted, in milliseconds since the Unix epoch.
+    pub accepted_unix_ms: u64,
+    /// What to run.
+    pub spec: BatchSpec,
+    /// Who wrote it; resolves lost answers.
+    pub mark: Mark,
+}
+
+/// How a job ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Outcome {
+    /// Every task is done.
+    Completed,
+    /// A task, or a gang, failed as often as is allowed.
+    Failed,
+    /// Its caller cancelled it.
+    Cancelled,
+}
+
+/// What a caller is told of a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum CallerState {
+    /// No task has begun.
+    Queued,
+    /// A task has begun.
+    Running,
+    /// It ended.
+    Ended(Outcome),
+}
+
+/// What lasts of the tasks of one step of one time.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GroupProgress {
+    /// One character a task: `-` open, `D` done, `1` to `9` failed so often; a
+    /// single `*` says that all are done.
+    pub tasks: String,
+    /// How often the gang failed.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub gang_failures: u32,
+    /// Last run of the gang whose failure was counted.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub counted_failure: u32,
+    /// Last run of each failed task whose failure was counted, by index.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub counted_runs: BTreeMap<u32, u32>,
+    /// Highest run number that was given out.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub last_run: u32,
+    /// Last checkpoint of open tasks, by index.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub checkpoints: BTreeMap<u32, String>,
+}
+
+#[allow(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes a reference"
+)]
+const fn is_zero(value: &u32) -> bool {
+    *value == 0
+}
+
+/// What lasts of a job beside its acceptance.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Progress {
+    /// How it ended.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub outcome: Option<Outcome>,
+    /// When it ended, in milliseconds since the Unix epoch.
+    #[serde(default)]
+    pub ended_unix_ms: u64,
+    /// Whether a task has begun.
+    #[serde(default)]
+    pub begun: bool,
+    /// By time, then by step; times that have not begun may be missing.
+    #[serde(default)]
+    pub occurrences: Vec<Vec<GroupProgress>>,
+}
+
+impl Progress {
+    /// Returns what a caller is told.
+    #[must_use]
+    pub const fn caller_state(&self) -> CallerState {
+        match self.outcome {
+            Some(outcome) => CallerState::Ended(outcome),
+            None if self.begun => CallerState::Running,
+            None => CallerState::Queued,
+        }
+    }
+}
--- a/crates/stairstall-core/src/lib.rs
+++ b/crates/stairstall-core/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`Verdict`] says whether a request may have run.
 //! - [`admission`] orders waiting requests and bounds retries.
 //! - [`routing`] picks a minion without exceeding its slots.
+//! - [`batch`] runs jobs of steps and tasks on workers of all zones.
 //! - [`placement`] places gang jobs on racks and keeps guarantees reclaimable.
 //! - [`config`] applies the operators' changes in revision order.
 //! - [`membership`] derives live daemons from heartbeats.
@@ -23,6 +24,7 @@
 //! ```
 
 pub mod admission;
+pub mod batch;
 pub mod claim;
 pub mod config;
 mod id;
--- a/crates/stairstall-http/src/client.rs
+++ b/crates/stairstall-http/src/client.rs
@@ -41,6 +41,21 @@
     }
 }
 
+/// One request to a service that speaks JSON.
+#[derive(Debug, Clone)]
+pub struct JsonCall<'a> {
+    /// Method.
+    pub method: Method,
+    /// Where the service listens, as `IP:PORT`.
+    pub address: &'a str,
+    /// Path with query.
+    pub path: &'a str,
+    /// Headers beside the content type.
+    pub headers: &'a [(&'static str, &'a str)],
+    /// Body; empty for none.
+    pub body: Vec<u8>,
+}
+
 /// A client with pooled connections; clones share them.
 #[derive(Debug, Clone)]
 pub struct HttpClient {
@@ -93,11 +108,37 @@
             Some(body) => serde_json::to_vec(body).map_err(|e| CallError::Form(e.to_string()))?,
             None => Vec::new(),
         };
-        let request = Request::builder()
-            .method(method)
-            .uri(format!("http://{address}{path}"))
-            .header(header::CONTENT_TYPE, "application/json")
-            .body(Body::from(bytes))
+        let address = address.to_string();
+        let call = JsonCall {
+            method,
+            address: &address,
+            path,
+            headers: &[],
+            body: bytes,
+        };
+        self.exchange(call, timeout).await
+    }
+
+    /// Sends a request and reads the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns what went wrong, with its verdict.
+    pub async fn exchange(
+        &self,
+        call: JsonCall<'_>,
+        timeout: Duration,
+    ) -> Result<JsonAnswer, CallError> {
+        let uri = format!("http://{}{}", call.address, call.path);
+        let mut request = Request::builder().method(call.method).uri(uri);
+        if !call.body.is_empty() {
+            request = request.header(header::CONTENT_TYPE, "application/json");
+        }
+        for (name, value) in call.headers {
+            request = request.header(*name, *value);
+        }
+        let request = request
+            .body(Body::from(call.body))
             .map_err(|e| CallError::Form(e.to_string()))?;
         let whole = async {
             let response = self.client.request(request).await?;
--- /dev/null
+++ b/crates/stairstall-ports/src/lib.rs
@@ -0,0 +1,19 @@
+//! What the daemon needs of the platform it runs on, as traits.
+//!
+//! An adapter knows a platform's names, formats and calls. It decides nothing,
+//! has no retry policy and keeps no state but connections.
+//!
+//! - [`SharedStore`]: what lasts, under conditional writes, with watches and leases.
+//! - [`WorkerCalls`]: orders to workers and their reports.
+//! - [`Dialect`]: names and formats of callers, operators and the directory.
+
+mod dialect;
+mod store;
+mod workers;
+
+pub use dialect::{Dialect, FormError};
+pub use store::{
+    Change, Commit, Committed, Condition, Item, LeaseId, Page, Put, Revision, SharedStore,
+    StoreFault, Watched,
+};
+pub use workers::{WorkerAddress, WorkerCalls, WorkerFault};
--- /dev/null
+++ b/crates/stairstalld/src/batch.rs
@@ -0,0 +1,34 @@
+//! Jobs of steps and tasks over all zones, on a platform with a shared store.
+//!
+//! Each daemon accepts jobs, writes them to the shared store and answers for
+//! them; one of them at a time holds the planner's role and runs them.
+//!
+//! - [`settings`]: checked settings from flags and environment variables.
+//! - `callers`: the HTTP interface; `accept` and `ask` are behind it.
+//! - `catalog`: follows the operators' configuration.
+//! - `role`: takes, renews and gives up the planner's role.
+//! - `tenure`: what the planner does while it holds the role; `links` speak to
+//!   workers, `writer` to the store, `directory` and `intake` bring news.
+//! - `rpc`: what daemons ask each other.
+
+mod accept;
+mod ask;
+mod callers;
+mod catalog;
+mod directory;
+mod health;
+mod intake;
+mod keys;
+mod links;
+mod node;
+mod orders;
+mod role;
+mod rpc;
+mod serve;
+pub mod settings;
+mod store_health;
+mod telemetry;
+mod tenure;
+mod writer;
+
+pub use serve::run;
--- /dev/null
+++ b/crates/stairstalld/src/batch/accept.rs
@@ -0,0 +1,174 @@
+//! Acceptance and cancellation: durable before the caller hears of it.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use stairstall_core::batch::AcceptedJob;
+use stairstall_core::{CustomerId, JobId, Verdict};
+use stairstall_ports::{Commit, Committed, Item, Revision};
+
+use super::keys;
+use super::node::Node;
+use super::rpc::PeerClient;
+
+/// Longest time to settle a write whose answer was lost.
+const SETTLE_LIMIT: Duration = Duration::from_millis(1_600);
+/// Pause between two tries.
+const TRY_AGAIN: Duration = Duration::from_millis(40);
+
+/// What became of handing a job in.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub(crate) enum Acceptance {
+    /// It is kept.
+    Accepted,
+    /// The same name was kept before; it is the same job.
+    Known,
+    /// The name is another customer's job.
+    Foreign,
+    /// It is not kept and never will be by this try.
+    NotKept,
+    /// It may be kept now or later.
+    MayBeKept,
+}
+
+/// What became of a cancellation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub(crate) enum Cancellation {
+    /// It is kept.
+    Cancelled,
+    /// There is no such job.
+    NoJob,
+    /// The job is another customer's.
+    Foreign,
+    /// It is not known whether it is kept.
+    Unsettled,
+}
+
+/// Accepts a job, by way of the planner where the store does not serve this daemon.
+pub(crate) async fn accept(node: &Node, job: &AcceptedJob) -> Acceptance {
+    let held_back = node.store_health.holds_back(node.clock.now());
+    let own = if held_back {
+        Acceptance::NotKept
+    } else {
+        write_job(node, job).await
+    };
+    let settled = !matches!(own, Acceptance::NotKept | Acceptance::MayBeKept);
+    let Some(planner) = node.other_planner().filter(|_| !settled) else {
+        return own;
+    };
+    let Some(client) = node.peers.client(&planner.rpc) else {
+        return own;
+    };
+    match client.accept(job.clone()).await {
+        Ok(Acceptance::NotKept) => own,
+        Ok(acceptance) => acceptance,
+        Err(_) => Acceptance::MayBeKept,
+    }
+}
+
+/// Writes a job to the store under the condition that its name is free.
+pub(crate) async fn write_job(node: &Node, job: &AcceptedJob) -> Acceptance {
+    let Ok(value) = serde_json::to_vec(job) else {
+        return Acceptance::NotKept;
+    };
+    let key = keys::job(&job.id);
+    let started = node.clock.now();
+    let mut may_be_kept = false;
+    loop {
+        let commit = Commit::default()
+            .when(key.clone(), Revision(0))
+            .put(key.clone(), value.clone());
+        match node.stored("accept", node.store.commit(commit)).await {
+            Ok(Committed::Done(_)) => return Acceptance::Accepted,
+            Ok(Committed::Conflict(items)) => return known(job, &items),
+            Ok(Committed::NoLease) => return Acceptance::NotKept,
+            Err(fault) if fault.verdict() == Verdict::NotRun && !may_be_kept => {
+                return Acceptance::NotKept;
+            }
+            Err(fault) => may_be_kept |= fault.verdict() != Verdict::NotRun,
+        }
+        if node.clock.now() - started >= SETTLE_LIMIT {
+            return Acceptance::MayBeKept;
+        }
+        node.pause(TRY_AGAIN).await;
+    }
+}
+
+fn known(job: &AcceptedJob, items: &[Item]) -> Acceptance {
+    let kept = items
+        .first()
+        .and_then(|item| serde_json::from_slice::<AcceptedJob>(&item.value).ok());
+    match kept {
+        Some(kept) if kept.mark == job.mark => Acceptance::Accepted,
+        Some(kept) if kept.customer == job.customer => Acceptance::Known,
+        Some(_) => Acceptance::Foreign,
+        None => Acceptance::MayBeKept,
+    }
+}
+
+/// Cancels a job, by way of the planner where the store does not serve this daemon.
+pub(crate) async fn cancel(node: &Node, id: &JobId, customer: Option<&CustomerId>) -> Cancellation {
+    let held_back = node.store_health.holds_back(node.clock.now());
+    let own = if held_back {
+        Cancellation::Unsettled
+    } else {
+        write_cancel(node, id, customer).await
+    };
+    let Some(planner) = node
+        .other_planner()
+        .filter(|_| own == Cancellation::Unsettled)
+    else {
+        return own;
+    };
+    let Some(client) = node.peers.client(&planner.rpc) else {
+        return own;
+    };
+    let asked = client.cancel(id.clone(), customer.cloned()).await;
+    asked.unwrap_or(Cancellation::Unsettled)
+}
+
+/// Writes a cancellation to the store.
+pub(crate) async fn write_cancel(
+    node: &Node,
+    id: &JobId,
+    customer: Option<&CustomerId>,
+) -> Cancellation {
+    let started = node.clock.now();
+    loop {
+        if let Some(settled) = try_cancel(node, id, customer).await {
+            return settled;
+        }
+        if node.clock.now() - started >= SETTLE_LIMIT {
+            return Cancellation::Unsettled;
+        }
+        node.pause(TRY_AGAIN).await;
+    }
+}
+
+/// Returns what became of it, once that is known.
+async fn try_cancel(
+    node: &Node,
+    id: &JobId,
+    customer: Option<&CustomerId>,
+) -> Option<Cancellation> {
+    let key = keys::job(id);
+    let found = match node.stored("read job", node.store.get(&key)).await {
+        Ok(found) => found,
+        Err(fault) if fault.verdict() == Verdict::NotRun => return Some(Cancellation::Unsettled),
+        Err(_) => return None,
+    };
+    let Some(item) = found else {
+        return Some(Cancellation::NoJob);
+    };
+    let kept: AcceptedJob = serde_json::from_slice(&item.value).ok()?;
+    if kept.customer.as_ref() != customer {
+        return Some(Cancellation::Foreign);
+    }
+    let commit = Commit::default().put(keys::cancel(id), Vec::new());
+    match node.stored("cancel", node.store.commit(commit)).await {
+        Ok(Committed::Done(_)) => Some(Cancellation::Cancelled),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/stairstalld/src/batch/ask.rs
@@ -0,0 +1,109 @@
+//! Where a job stands: the planner's word, else the store's.
+
+use stairstall_core::JobId;
+use stairstall_core::batch::{AcceptedJob, CallerState, Progress};
+use stairstall_ports::StoreFault;
+
+use super::keys;
+use super::node::Node;
+use super::rpc::{JobAnswer, PeerClient};
+
+/// Returns what is known of a job; [`JobAnswer::Unknown`] only where the store has no such job.
+pub(crate) async fn job(node: &Node, id: &JobId) -> Result<JobAnswer, StoreFault> {
+    let answer = from_planner(node, id).await;
+    if matches!(answer, JobAnswer::Known { .. }) {
+        return Ok(answer);
+    }
+    from_store(node, id, answer == JobAnswer::Unknown).await
+}
+
+async fn from_planner(node: &Node, id: &JobId) -> JobAnswer {
+    if let Some(tenure) = node.tenure() {
+        return tenure.job(id);
+    }
+    let Some(planner) = node.other_planner() else {
+        return JobAnswer::NotPlanner;
+    };
+    let Some(client) = node.peers.client(&planner.rpc) else {
+        return JobAnswer::NotPlanner;
+    };
+    match client.job(id.clone()).await {
+        Ok(answer) => answer,
+        Err(error) => {
+            log::debug!(target: "dependency", on = "planner", error:% = error; "no answer");
+            node.peers.forget(&planner.rpc);
+            JobAnswer::NotPlanner
+        }
+    }
+}
+
+async fn from_store(
+    node: &Node,
+    id: &JobId,
+    planner_missed_it: bool,
+) -> Result<JobAnswer, StoreFault> {
+    let key = keys::job(id);
+    let Some(item) = node.stored("read job", node.store.get(&key)).await? else {
+        return Ok(JobAnswer::Unknown);
+    };
+    let unreadable = |e: serde_json::Error| StoreFault::Unexpected(e.to_string());
+    let accepted: AcceptedJob = serde_json::from_slice(&item.value).map_err(unreadable)?;
+    let customer = accepted.customer.clone();
+    if planner_missed_it {
+        tell_planner(node, accepted).await;
+        return Ok(JobAnswer::Known {
+            customer,
+            state: CallerState::Queued,
+        });
+    }
+    let key = keys::progress(id);
+    let item = node.stored("read progress", node.store.get(&key)).await?;
+    let progress: Progress = match item {
+        Some(item) => serde_json::from_slice(&item.value).map_err(unreadable)?,
+        None => Progress::default(),
+    };
+    Ok(JobAnswer::Known {
+        customer,
+        state: progress.caller_state(),
+    })
+}
+
+/// Tells the planner of an accepted job; its own watch finds what it is not told.
+pub(crate) async fn tell_planner(node: &Node, job: AcceptedJob) {
+    if let Some(tenure) = node.tenure() {
+        tenure.submit(job);
+        return;
+    }
+    let Some(planner) = node.other_planner() else {
+        return;
+    };
+    if let Some(client) = node.peers.client(&planner.rpc) {
+        let told = client.submitted(job).await;
+        log::trace!(target: "dependency", on = "planner", told:? = told.ok(); "told");
+    }
+}
+
+/// Tells the planner of a cancellation; its own watch finds what it is not told.
+pub(crate) async fn tell_cancelled(node: &Node, id: JobId) {
+    if let Some(tenure) = node.tenure() {
+        tenure.cancel(&id);
+        return;
+    }
+    let Some(planner) = node.other_planner() else {
+        return;
+    };
+    if let Some(client) = node.peers.client(&planner.rpc) {
+        let told = client.cancelled(id).await;
+        log::trace!(target: "dependency", on = "planner", told:? = told.ok(); "told");
+    }
+}
+
+/// Returns how many jobs of a queue wait; none where the planner can't be asked.
+pub(crate) async fn pending(node: &Node, queue: &str) -> Option<u64> {
+    if let Some(tenure) = node.tenure() {
+        return tenure.pending(queue);
+    }
+    let planner = node.other_planner()?;
+    let client = node.peers.client(&planner.rpc)?;
+    client.pending(queue.to_owned()).await.ok().flatten()
+}
--- /dev/null
+++ b/crates/stairstalld/src/batch/callers.rs
@@ -0,0 +1,302 @@
+//! The HTTP interface for callers; docs/INTERFACE.md describes it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http_body_util::{BodyExt, Collected, Full, LengthLimitError, Limited};
+use stairstall_core::batch::{AcceptedJob, Access, BatchSpec, CallerState, Catalog, Route};
+use stairstall_core::{CustomerId, JobId, Verdict};
+use viz::header::{AUTHORIZATION, CONTENT_TYPE, HOST, HeaderValue};
+use viz::{Body, Method, Request, Response, Result, Router, StatusCode};
+
+use super::accept::{self, Acceptance, Cancellation};
+use super::ask;
+use super::node::Node;
+use super::rpc::JobAnswer;
+use crate::answer::Failure;
+
+/// How soon it is worth coming back while the store does not serve.
+const STORE_RETRY: Duration = Duration::from_secs(1);
+/// How long a caller may take to send its body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Returns the routes of the callers' address.
+pub(crate) fn router(node: &Arc<Node>) -> Router {
+    let node = Arc::clone(node);
+    let handler = move |request: Request| {
+        let node = Arc::clone(&node);
+        async move { Result::Ok(serve(&node, request).await) }
+    };
+    Router::new().any("/", handler.clone()).any("/*", handler)
+}
+
+/// One call on a route that it may use.
+struct Call<'a> {
+    node: &'a Node,
+    catalog: &'a Catalog,
+    route: &'a Route,
+    customer: Option<CustomerId>,
+    /// What follows the route's prefix.
+    rest: String,
+}
+
+async fn serve(node: &Node, request: Request) -> Response {
+    let started = node.clock.now();
+    let kind = kind_of(request.method());
+    let line = format!("{} {}", request.method(), request.uri().path());
+    let outcome = answer(node, request).await;
+    let took = node.clock.now() - started;
+    let (response, why) = match outcome {
+        Ok(response) => (response, String::new()),
+        Err(failure) => {
+            let why = failure.body.error.clone();
+            (failure.into(), why)
+        }
+    };
+    let status = response.status().as_u16();
+    node.telemetry.call(kind, status, took);
+    let version = node.current_catalog().map_or(0, |catalog| catalog.version);
+    let ms = crate::clock::millis(took);
+    if response.status().is_success() && kind == "ask" {
+        log::debug!(target: "call", call:% = line, status, ms, catalog = version; "{why}");
+    } else {
+        log::info!(target: "call", call:% = line, status, ms, catalog = version; "{why}");
+    }
+    response
+}
+
+fn kind_of(method: &Method) -> &'static str {
+    match *method {
+        Method::POST => "submit",
+        Method::DELETE => "cancel",
+        _ => "ask",
+    }
+}
+
+async fn answer(node: &Node, request: Request) -> std::result::Result<Response, Failure> {
+    let Some(catalog) = node.current_catalog() else {
+        return Err(Failure::unavailable(
+            "no configuration is known yet",
+            STORE_RETRY,
+        ));
+    };
+    let path = request.uri().path();
+    let host = host_of(&request);
+    let route = catalog
+        .route(&host, path)
+        .ok_or_else(|| Failure::missing("there is no such queue"))?;
+    let key = bearer(&request, node.dialect.key_scheme());
+    let customer = match catalog.access(route, key.as_deref()) {
+        Access::Customer(customer) => Some(customer),
+        Access::Anonymous => None,
+        Access::Unknown => {
+            return Err(Failure::new(
+                StatusCode::UNAUTHORIZED,
+                Verdict::NotRun,
+                "there is no such key",
+            ));
+        }
+    };
+    let rest = path[route.path_prefix.len()..].to_owned();
+    let call = Call {
+        node,
+        catalog: &catalog,
+        route,
+        customer,
+        rest,
+    };
+    let limit = answer_limit(&call, &request);
+    let answered = tokio::time::timeout(limit, call.dispatch(request)).await;
+    answered.unwrap_or_else(|_| {
+        Err(Failure::new(
+            StatusCode::GATEWAY_TIMEOUT,
+            Verdict::MayHaveRun,
+            "no answer within the time allowed",
+        ))
+    })
+}
+
+/// Part of its caller's time that a call may take, so that the answer still arrives.
+const ANSWER_SHARE: f64 = 0.9;
+
+fn answer_limit(call: &Call<'_>, request: &Request) -> Duration {
+    let asked = request
+        .headers()
+        .get(call.node.dialect.deadline_header())
+        .and_then(|value| value.to_str().ok()?.parse().ok())
+        .unwrap_or(u64::MAX);
+    let limit = asked.min(call.route.timeout_ms);
+    Duration::from_millis(limit).mul_f64(ANSWER_SHARE)
+}
+
+impl Call<'_> {
+    async fn dispatch(&self, request: Request) -> std::result::Result<Response, Failure> {
+        let method = request.method().clone();
+        if self.rest.is_empty() && method == Method::GET {
+            return self.pending().await;
+        }
+        let id: JobId = self
+            .rest
+            .parse()
+            .map_err(|e: stairstall_core::IdError| Failure::bad("id", e.to_string()))?;
+        match method {
+            Method::POST => self.submit(id, request).await,
+            Method::GET => self.state(&id).await,
+            Method::DELETE => self.cancel(&id).await,
+            _ => Err(Failure::new(
+                StatusCode::METHOD_NOT_ALLOWED,
+                Verdict::NotRun,
+                "a job is handed in by POST, asked for by GET, cancelled by DELETE",
+            )),
+        }
+    }
+
+    async fn submit(&self, id: JobId, request: Request) -> std::result::Result<Response, Failure> {
+        let spec = self.read_spec(request).await?;
+        let job = AcceptedJob {
+            id,
+            customer: self.customer.clone(),
+            queue: self.route.queue.clone(),
+            accepted_unix_ms: self.node.now().unix_ms,
+            spec,
+            mark: self.node.next_mark(),
+        };
+        let acceptance = accept::accept(self.node, &job).await;
+        log::info!(target: "accept", job:% = job.id, queue:% = job.queue.name,
+            tasks = job.spec.steps.iter().map(|s| s.count).sum::<u32>();
+            "{acceptance:?}");
+        match acceptance {
+            Acceptance::Accepted | Acceptance::Known => {
+                ask::tell_planner(self.node, job).await;
+                Ok(empty(StatusCode::OK))
+            }
+            Acceptance::Foreign => Err(foreign()),
+            Acceptance::NotKept => Err(Failure::unavailable(
+                "the store does not serve; the job was not taken",
+                STORE_RETRY,
+            )),
+            Acceptance::MayBeKept => Err(Failure::new(
+                StatusCode::GATEWAY_TIMEOUT,
+                Verdict::MayHaveRun,
+                "the store did not answer; hand the job in again under the same name",
+            )
+            .with_retry_after(STORE_RETRY)),
+        }
+    }
+
+    async fn read_spec(&self, mut request: Request) -> std::result::Result<BatchSpec, Failure> {
+        let limit = self.catalog.max_body_bytes;
+        let body = std::mem::take(request.body_mut());
+        let collected = tokio::time::timeout(BODY_TIMEOUT, Limited::new(body, limit).collect());
+        let body = collected
+            .await
+            .map_err(|_| Failure::bad("body", "the body took too long"))?
+            .map(Collected::to_bytes)
+            .map_err(|error| {
+                if error.is::<LengthLimitError>() {
+                    let error = format!("the body is longer than {limit} bytes");
+                    return Failure::new(StatusCode::PAYLOAD_TOO_LARGE, Verdict::NotRun, error);
+                }
+                Failure::bad("body", "the body broke off")
+            })?;
+        let spec = self
+            .node
+            .dialect
+            .read_job(&body)
+            .map_err(|e| Failure::bad("body", e.to_string()))?;
+        spec.check()
+            .map_err(|e| Failure::bad("body", e.to_string()))?;
+        Ok(spec)
+    }
+
+    async fn state(&self, id: &JobId) -> std::result::Result<Response, Failure> {
+        let answer = ask::job(self.node, id).await.map_err(|fault| {
+            Failure::unavailable(format!("the job can't be read: {fault}"), STORE_RETRY)
+        })?;
+        match answer {
+            JobAnswer::Known { customer, state } => {
+                if customer != self.customer {
+                    return Err(foreign());
+                }
+                Ok(self.body_of(state))
+            }
+            JobAnswer::Unknown | JobAnswer::NotPlanner => Err(gone()),
+        }
+    }
+
+    fn body_of(&self, state: CallerState) -> Response {
+        body(self.node.dialect.write_state(state))
+    }
+
+    async fn cancel(&self, id: &JobId) -> std::result::Result<Response, Failure> {
+        let outcome = accept::cancel(self.node, id, self.customer.as_ref()).await;
+        log::info!(target: "cancel", job:% = id; "{outcome:?}");
+        match outcome {
+            Cancellation::Cancelled => {
+                ask::tell_cancelled(self.node, id.clone()).await;
+                Ok(empty(StatusCode::OK))
+            }
+            Cancellation::NoJob => Err(gone()),
+            Cancellation::Foreign => Err(foreign()),
+            Cancellation::Unsettled => Err(Failure::new(
+                StatusCode::SERVICE_UNAVAILABLE,
+                Verdict::MayHaveRun,
+                "the store does not serve; the job may not be cancelled",
+            )
+            .with_retry_after(STORE_RETRY)),
+        }
+    }
+
+    async fn pending(&self) -> std::result::Result<Response, Failure> {
+        let pending = ask::pending(self.node, &self.route.queue.name).await;
+        let pending = pending
+            .ok_or_else(|| Failure::unavailable("the planner can't be asked", STORE_RETRY))?;
+        Ok(body(self.node.dialect.write_pending(pending)))
+    }
+}
+
+fn gone() -> Failure {
+    Failure::new(StatusCode::GONE, Verdict::NotRun, "there is no such job")
+}
+
+fn foreign() -> Failure {
+    Failure::new(
+        StatusCode::FORBIDDEN,
+        Verdict::NotRun,
+        "the job is another customer's",
+    )
+}
+
+fn empty(status: StatusCode) -> Response {
+    let mut response = Response::new(Body::empty());
+    *response.status_mut() = status;
+    response
+}
+
+fn body(bytes: Vec<u8>) -> Response {
+    let mut response = Response::new(Body::from(Full::from(bytes)));
+    response
+        .headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+}
+
+/// Returns the host that a call names, without its port.
+fn host_of(request: &Request) -> String {
+    let named = request
+        .headers()
+        .get(HOST)
+        .and_then(|value| value.to_str().ok())
+        .or_else(|| request.uri().host())
+        .unwrap_or_default();
+    let host = named.rsplit_once(':').map_or(named, |(host, _)| host);
+    host.to_lowercase()
+}
+
+fn bearer(request: &Request, scheme: &str) -> Option<String> {
+    let value = request.headers().get(AUTHORIZATION)?.to_str().ok()?;
+    let (given, key) = value.split_once(' ')?;
+    given
+        .eq_ignore_ascii_case(scheme)
+        .then(|| key.trim().to_owned())
+}
--- /dev/null
+++ b/crates/stairstalld/src/batch/catalog.rs
@@ -0,0 +1,96 @@
+//! Keeps the operators' configuration up to date; never back to an older one.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use stairstall_core::batch::Catalog;
+use stairstall_ports::{Change, Item, Revision, StoreFault};
+
+use super::node::Node;
+use super::rpc::PeerClient;
+
+/// How long one watch waits. A watch that dies without a word holds a change back for no longer.
+const WATCH_WAIT: Duration = Duration::from_millis(4_000);
+/// Pause before the store is asked again after a failure.
+const STORE_PAUSE: Duration = Duration::from_millis(250);
+
+/// Follows the configuration for as long as the daemon runs.
+pub(crate) async fn follow(node: Arc<Node>) {
+    loop {
+        if let Err(fault) = follow_store(&node).await {
+            log::debug!(target: "config", why:% = fault; "following the configuration again");
+        }
+        if node.store_health.is_failing() {
+            ask_planner(&node).await;
+            node.pause(STORE_PAUSE).await;
+        }
+    }
+}
+
+/// Reads the configuration, then watches it until the watch ends.
+async fn follow_store(node: &Node) -> Result<(), StoreFault> {
+    let key = node.dialect.configuration_key();
+    let item = node.stored("read config", node.store.get(key)).await?;
+    let mut at = Revision(0);
+    if let Some(item) = item {
+        at = item.revision;
+        take(node, &item, "read");
+    } else {
+        node.pause(STORE_PAUSE).await;
+    }
+    loop {
+        let watched = node.store.watch(key, at, WATCH_WAIT);
+        let watched = node.stored("watch config", watched).await?;
+        at = watched.at;
+        for change in &watched.changes {
+            if let Change::Written(item) = change {
+                take(node, item, "watch");
+            }
+        }
+    }
+}
+
+fn take(node: &Node, item: &Item, source: &str) {
+    match node.dialect.read_catalog(&item.value) {
+        Ok(catalog) => put_in_force(node, catalog, source),
+        Err(error) => {
+            log::error!(target: "config", revision:% = item.revision, why:% = error;
+                "the configuration can't be read; the one before stays in force");
+        }
+    }
+}
+
+/// Puts a configuration in force unless a newer one is.
+pub(crate) fn put_in_force(node: &Node, catalog: Catalog, source: &str) {
+    let version = catalog.version;
+    let catalog = Arc::new(catalog);
+    let newer = node.catalog.send_if_modified(|current| {
+        let is_newer = current.as_ref().is_none_or(|c| c.version < version);
+        if is_newer {
+            *current = Some(Arc::clone(&catalog));
+        }
+        is_newer
+    });
+    if newer {
+        node.telemetry.catalog(version);
+        log::info!(target: "config", version, source;
+            "in force: {} routes, {} customers", catalog.routes.len(), catalog.customers.len());
+        if let Some(tenure) = node.tenure() {
+            tenure.set_catalog(catalog);
+        }
+    }
+}
+
+/// Asks the planner for a newer configuration while the store does not serve this daemon.
+async fn ask_planner(node: &Node) {
+    let Some(planner) = node.other_planner() else {
+        return;
+    };
+    let Some(client) = node.peers.client(&planner.rpc) else {
+        return;
+    };
+    let version = node.current_catalog().map_or(0, |catalog| catalog.version);
+    if let Ok(Some(catalog)) = client.catalog(version).await {
+        put_in_force(node, catalog, "planner");
+    }
+}
--- /dev/null
+++ b/crates/stairstalld/src/batch/directory.rs
@@ -0,0 +1,100 @@
+//! Keeps the planner's list of workers up to date.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use stairstall_core::WorkerId;
+use stairstall_ports::{Change, Item, Revision, StoreFault};
+
+use super::node::Node;
+use super::tenure::Tenure;
+
+/// How long one watch waits.
+const WATCH_WAIT: Duration = Duration::from_secs(5);
+/// Pause before the store is asked again after a failure.
+const STORE_PAUSE: Duration = Duration::from_millis(200);
+
+/// Reads the whole directory; workers that are not in it are listed no longer.
+pub(crate) async fn load(node: &Node, tenure: &Tenure) -> Result<Revision, StoreFault> {
+    let prefix = node.dialect.directory_prefix();
+    let mut listed = BTreeSet::new();
+    let mut after = String::new();
+    let mut first_at = None;
+    loop {
+        let page = node
+            .stored("list workers", node.store.range(prefix, &after))
+            .await?;
+        first_at.get_or_insert(page.at);
+        for item in &page.items {
+            listed.extend(take(node, tenure, item));
+        }
+        match page.items.last().filter(|_| page.more) {
+            Some(last) => after.clone_from(&last.key),
+            None => break,
+        }
+    }
+    tenure.with(|planner, now| {
+        let known: Vec<WorkerId> = planner.workers().map(|(id, ..)| id.clone()).collect();
+        for id in known.iter().filter(|id| !listed.contains(*id)) {
+            planner.unlist_worker(id, now);
+        }
+    });
+    Ok(first_at.unwrap_or_default())
+}
+
+fn id_of(node: &Node, key: &str) -> Option<WorkerId> {
+    key.strip_prefix(node.dialect.directory_prefix())?
+        .parse()
+        .ok()
+}
+
+fn take(node: &Node, tenure: &Tenure, item: &Item) -> Option<WorkerId> {
+    let id = id_of(node, &item.key)?;
+    match node.dialect.read_worker(id.clone(), &item.value) {
+        Ok(listed) => {
+            tenure.with(|planner, now| planner.list_worker(listed, now));
+            Some(id)
+        }
+        Err(error) => {
+            log::error!(target: "directory", worker:% = id, why:% = error; "the entry can't be read");
+            None
+        }
+    }
+}
+
+/// Follows the directory for as long as the tenure lasts.
+pub(crate) async fn follow(node: Arc<Node>, tenure: Arc<Tenure>, mut at: Revision) {
+    loop {
+        if let Err(fault) = watch(&node, &tenure, at).await {
+            log::debug!(target: "directory", why:% = fault; "reading the directory again");
+        }
+        at = loop {
+            match load(&node, &tenure).await {
+                Ok(at) => break at,
+                Err(_) => node.pause(STORE_PAUSE).await,
+            }
+        };
+    }
+}
+
+async fn watch(node: &Node, tenure: &Tenure, mut at: Revision) -> Result<(), StoreFault> {
+    let prefix = node.dialect.directory_prefix();
+    loop {
+        let watched = node.store.watch(prefix, at, WATCH_WAIT);
+        let watched = node.stored("watch workers", watched).await?;
+        at = watched.at;
+        for change in &watched.changes {
+            match change {
+                Change::Written(item) => {
+                    take(node, tenure, item);
+                }
+                Change::Gone { key, .. } => {
+                    if let Some(id) = id_of(node, key) {
+                        tenure.with(|planner, now| planner.unlist_worker(&id, now));
+                    }
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/stairstalld/src/batch/intake.rs
@@ -0,0 +1,137 @@
+//! Brings the planner the jobs and cancellations that it was not told of.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use stairstall_core::JobId;
+use stairstall_core::batch::{AcceptedJob, Progress};
+use stairstall_ports::{Change, Item, Revision, StoreFault};
+
+use super::keys::{self, JobKeyKind};
+use super::node::Node;
+use super::tenure::Tenure;
+use super::writer::Revisions;
+
+/// How often news are asked for; daemons tell the planner sooner.
+const INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// Reads all keys of a prefix; returns them with the revision of the first page.
+async fn read_all(
+    node: &Node,
+    kind: &'static str,
+    prefix: &str,
+) -> Result<(Vec<Item>, Revision), StoreFault> {
+    let mut items: Vec<Item> = Vec::new();
+    let mut at = None;
+    loop {
+        let after = items
+            .last()
+            .map_or_else(String::new, |item| item.key.clone());
+        let page = node.stored(kind, node.store.range(prefix, &after)).await?;
+        at.get_or_insert(page.at);
+        let is_last = !page.more || page.items.is_empty();
+        items.extend(page.items);
+        if is_last {
+            return Ok((items, at.unwrap_or_default()));
+        }
+    }
+}
+
+/// Loads every job that is kept; returns where news begin, and the revisions of progress.
+pub(crate) async fn load(
+    node: &Node,
+    tenure: &Tenure,
+) -> Result<(Revision, Revisions), StoreFault> {
+    let (items, at) = read_all(node, "list jobs", keys::JOBS).await?;
+    let (kept, _) = read_all(node, "list progress", keys::PROGRESS).await?;
+    let mut revisions = Revisions::new();
+    let mut progress: BTreeMap<JobId, Progress> = BTreeMap::new();
+    for item in kept {
+        let Some(id) = keys::read_progress(&item.key) else {
+            continue;
+        };
+        revisions.insert(id.clone(), item.revision);
+        match serde_json::from_slice(&item.value) {
+            Ok(found) => {
+                progress.insert(id, found);
+            }
+            Err(error) => {
+                log::error!(target: "intake", job:% = id, why:% = error; "its progress can't be read");
+            }
+        }
+    }
+    let cancelled: BTreeSet<JobId> = items
+        .iter()
+        .filter_map(|item| match keys::read_job(&item.key) {
+            Some(JobKeyKind::Cancel(id)) => Some(id),
+            _ => None,
+        })
+        .collect();
+    for job in items.iter().filter_map(read_job) {
+        let id = job.id.clone();
+        tenure.with(|planner, now| {
+            planner.load(job, progress.get(&id), cancelled.contains(&id), now);
+        });
+    }
+    Ok((at, revisions))
+}
+
+fn read_job(item: &Item) -> Option<AcceptedJob> {
+    let Some(JobKeyKind::Accepted(id)) = keys::read_job(&item.key) else {
+        return None;
+    };
+    serde_json::from_slice(&item.value)
+        .inspect_err(|error| {
+            log::error!(target: "intake", job:% = id, why:% = error; "the job can't be read");
+        })
+        .ok()
+}
+
+/// Asks for news for as long as the tenure lasts.
+pub(crate) async fn follow(node: Arc<Node>, tenure: Arc<Tenure>, mut at: Revision) {
+    loop {
+        tokio::time::sleep(INTERVAL).await;
+        let watched = node.store.watch(keys::JOBS, at, Duration::ZERO);
+        match node.stored("watch jobs", watched).await {
+            Ok(watched) => {
+                at = watched.at;
+                for change in &watched.changes {
+                    take(&tenure, change);
+                }
+            }
+            Err(StoreFault::HistoryGone) => {
+                if let Ok(found) = reread(&node, &tenure).await {
+                    at = found;
+                }
+            }
+            Err(_) => {}
+        }
+    }
+}
+
+/// Reads all jobs again after the history was lost.
+async fn reread(node: &Node, tenure: &Tenure) -> Result<Revision, StoreFault> {
+    let (items, at) = read_all(node, "list jobs", keys::JOBS).await?;
+    for item in items {
+        take(tenure, &Change::Written(item));
+    }
+    Ok(at)
+}
+
+fn take(tenure: &Tenure, change: &Change) {
+    let Change::Written(item) = change else {
+        return;
+    };
+    match keys::read_job(&item.key) {
+        Some(JobKeyKind::Accepted(_)) => {
+            if let Some(job) = read_job(item) {
+                tenure.with(|planner, now| planner.submit(job, now));
+            }
+        }
+        Some(JobKeyKind::Cancel(id)) => {
+            tenure.with(|planner, now| planner.cancel(&id, now));
+        }
+        None => {}
+    }
+}
--- /dev/null
+++ b/crates/stairstalld/src/batch/links.rs
@@ -0,0 +1,166 @@
+//! Renews what runs on each worker and brings its reports to the planner.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use stairstall_core::WorkerId;
+use stairstall_core::batch::{HoldRequest, Order, WorkerPhase};
+use stairstall_ports::{WorkerAddress, WorkerFault};
+use tokio::sync::Notify;
+use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
+use tokio::task::JoinSet;
+
+use super::node::Node;
+use super::orders;
+use super::tenure::Tenure;
+
+/// What a report may take beside the time that the worker was told to wait.
+const HOLD_TIMEOUT: Duration = Duration::from_millis(500);
+/// Pause after a worker did not answer.
+const SILENT_PAUSE: Duration = Duration::from_millis(250);
+/// Longest wait for ends to be written before the worker is asked again.
+const WRITE_PATIENCE: Duration = Duration::from_millis(250);
+/// How often an idle worker is looked at in memory.
+const IDLE_INTERVAL: Duration = Duration::from_millis(500);
+/// Pause while the planner's lease is not known to be in force.
+const SUSPENDED_PAUSE: Duration = Duration::from_millis(50);
+
+#[derive(Debug)]
+struct Link {
+    orders: UnboundedSender<Order>,
+    wake: Arc<Notify>,
+}
+
+/// The connections of one tenure to all workers.
+#[derive(Debug)]
+pub(crate) struct Links {
+    node: Arc<Node>,
+    tenure: Arc<Tenure>,
+    links: HashMap<WorkerId, Link>,
+    tasks: JoinSet<()>,
+}
+
+impl Links {
+    pub(crate) fn new(node: Arc<Node>, tenure: Arc<Tenure>) -> Self {
+        Self {
+            node,
+            tenure,
+            links: HashMap::new(),
+            tasks: JoinSet::new(),
+        }
+    }
+
+    /// Opens links to new workers and drops those to workers that are gone.
+    pub(crate) fn keep_up(&mut self) {
+        let known: Vec<(WorkerId, String)> = self.tenure.with(|planner, _| {
+            let workers = planner.workers();
+            workers
+                .map(|(id, address, _)| (id.clone(), address.to_owned()))
+                .collect()
+        });
+        self.links
+            .retain(|id, _| known.iter().any(|(known, _)| known == id));
+        for (id, address) in known {
+            if !self.links.contains_key(&id) {
+                self.open(WorkerAddress { id, address });
+            }
+        }
+        while self.tasks.try_join_next().is_some() {}
+    }
+
+    fn open(&mut self, worker: WorkerAddress) {
+        let (sender, receiver) = unbounded_channel();
+        let wake = Arc::new(Notify::new());
+        self.links.insert(
+            worker.id.clone(),
+            Link {
+                orders: sender,
+                wake: Arc::clone(&wake),
+            },
+        );
+        self.tasks.spawn(orders::run(
+            Arc::clone(&self.node),
+            Arc::clone(&self.tenure),
+            worker.clone(),
+            receiver,
+        ));
+        self.tasks.spawn(hold(
+            Arc::clone(&self.node),
+            Arc::clone(&self.tenure),
+            worker,
+            wake,
+        ));
+    }
+
+    /// Hands orders to the workers they are for.
+    pub(crate) fn send(&self, orders: Vec<Order>) {
+        for order in orders {
+            if let Some(link) = self.links.get(&order.worker) {
+                link.wake.notify_one();
+                if link.orders.send(order).is_err() {
+                    log::error!(target: "orders", "a link has ended");
+                }
+            }
+        }
+    }
+}
+
+/// Asks one worker for as long as the planner knows it.
+async fn hold(node: Arc<Node>, tenure: Arc<Tenure>, worker: WorkerAddress, wake: Arc<Notify>) {
+    loop {
+        if !tenure.is_in_force() {
+            tokio::time::sleep(SUSPENDED_PAUSE).await;
+            continue;
+        }
+        let request = tenure.with(|planner, now| {
+            let known = planner.workers().any(|(id, ..)| *id == worker.id);
+            known.then(|| planner.hold_request(&worker.id, now))
+        });
+        match request {
+            None => return,
+            Some(None) => {
+                let _ = tokio::time::timeout(IDLE_INTERVAL, wake.notified()).await;
+            }
+            Some(Some(request)) => ask(&node, &tenure, &worker, request).await,
+        }
+    }
+}
+
+async fn ask(node: &Node, tenure: &Tenure, worker: &WorkerAddress, request: HoldRequest) {
+    let sent_at = node.clock.now();
+    let timeout = request.wait + HOLD_TIMEOUT;
+    match node.workers.hold(worker, request, timeout).await {
+        Ok(report) => {
+            node.telemetry.hold("ok");
+            let has_ends = !report.ended.is_empty();
+            let written = tenure.written.notified();
+            tenure.with(|planner, now| {
+                planner.take_hold(&worker.id, &request, sent_at, report, now);
+            });
+            if has_ends {
+                let _ = tokio::time::timeout(WRITE_PATIENCE, written).await;
+            }
+        }
+        Err(WorkerFault::OtherLife) => {
+            node.telemetry.hold("other life");
+            tenure.with(|planner, _| planner.life_over(&worker.id, "another life answered"));
+        }
+        Err(WorkerFault::Fenced) => {
+            node.telemetry.hold("fenced");
+            tenure.with(|planner, _| planner.note_fenced());
+        }
+        Err(fault) => {
+            node.telemetry.hold("no answer");
+            log::debug!(target: "hold", worker:% = worker.id, why:% = fault; "no report");
+            tenure.with(|planner, _| planner.hold_failed(&worker.id));
+            node.pause(SILENT_PAUSE).await;
+        }
+    }
+}
+
+/// Counts workers by phase, for the log.
+#[must_use]
+pub(crate) fn count_phase(tenure: &Tenure, phase: WorkerPhase) -> usize {
+    tenure.with(|planner, _| planner.workers().filter(|w| w.2 == phase).count())
+}
--- /dev/null
+++ b/crates/stairstalld/src/batch/node.rs
@@ -0,0 +1,144 @@
+//! What the parts of one daemon share.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use stairstall_core::VmId;
+use stairstall_core::batch::{Catalog, Now};
+use stairstall_core::claim::Mark;
+use stairstall_ports::{Dialect, SharedStore, WorkerCalls};
+use tokio::sync::watch;
+
+use super::rpc::Peers;
+use super::settings::BatchSettings;
+use super::store_health::StoreHealth;
+use super::telemetry::Telemetry;
+use super::tenure::Tenure;
+use crate::clock::{Clock, unix_millis};
+use crate::daemon::lock;
+
+/// Who holds the planner's role, as the store has it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct PlannerRecord {
+    /// The daemon.
+    pub(crate) vm: VmId,
+    /// Where it answers other daemons, as `IP:PORT`.
+    pub(crate) rpc: String,
+    /// Counts tenures; the fencing token.
+    pub(crate) token: u64,
+    /// Names the write, so that a lost answer can be resolved.
+    pub(crate) mark: Mark,
+}
+
+/// Shared state of one daemon.
+#[derive(Debug)]
+pub(crate) struct Node {
+    pub(crate) settings: BatchSettings,
+    pub(crate) clock: Clock,
+    pub(crate) store: Arc<dyn SharedStore>,
+    pub(crate) store_health: StoreHealth,
+    pub(crate) workers: Arc<dyn WorkerCalls>,
+    pub(crate) dialect: Arc<dyn Dialect>,
+    pub(crate) peers: Peers,
+    pub(crate) telemetry: Telemetry,
+    pub(crate) catalog: watch::Sender<Option<Arc<Catalog>>>,
+    /// The planner that was last heard of.
+    pub(crate) planner: watch::Sender<Option<PlannerRecord>>,
+    /// This daemon's own tenure, while it holds the role.
+    tenure: Mutex<Option<Arc<Tenure>>>,
+    pub(crate) leaving: watch::Sender<bool>,
+    instance: u64,
+    serial: AtomicU64,
+}
+
+impl Node {
+    pub(crate) fn new(
+        settings: BatchSettings,
+        store: Arc<dyn SharedStore>,
+        workers: Arc<dyn WorkerCalls>,
+        dialect: Arc<dyn Dialect>,
+    ) -> Self {
+        Self {
+            clock: Clock::new(),
+            store,
+            store_health: StoreHealth::default(),
+            workers,
+            dialect,
+            peers: Peers::default(),
+            telemetry: Telemetry::new(),
+            catalog: watch::channel(None).0,
+            planner: watch::channel(None).0,
+            tenure: Mutex::new(None),
+            leaving: watch::channel(false).0,
+            instance: rand::random(),
+            serial: AtomicU64::new(0),
+            settings,
+        }
+    }
+
+    pub(crate) const fn me(&self) -> &VmId {
+        &self.settings.vm
+    }
+
+    pub(crate) fn now(&self) -> Now {
+        Now::new(self.clock.now(), unix_millis())
+    }
+
+    pub(crate) fn current_catalog(&self) -> Option<Arc<Catalog>> {
+        self.catalog.borrow().clone()
+    }
+
+    pub(crate) fn is_leaving(&self) -> bool {
+        *self.leaving.borrow()
+    }
+
+    /// Returns this daemon's tenure, while it holds the planner's role.
+    pub(crate) fn tenure(&self) -> Option<Arc<Tenure>> {
+        lock(&self.tenure).clone()
+    }
+
+    pub(crate) fn set_tenure(&self, tenure: Option<Arc<Tenure>>) {
+        *lock(&self.tenure) = tenure;
+    }
+
+    /// Returns the planner where it is another daemon.
+    pub(crate) fn other_planner(&self) -> Option<PlannerRecord> {
+        self.planner
+            .borrow()
+            .clone()
+            .filter(|record| record.vm != *self.me())
+    }
+
+    /// Returns a mark that no other write of any daemon carries.
+    pub(crate) fn next_mark(&self) -> Mark {
+        let serial = self.serial.fetch_add(1, Ordering::Relaxed);
+        Mark::new(self.me().clone(), self.instance, serial)
+    }
+
+    /// Carries out a call to the store, with its figures.
+    pub(crate) async fn stored<T>(
+        &self,
+        kind: &'static str,
+        call: impl Future<Output = Result<T, stairstall_ports::StoreFault>>,
+    ) -> Result<T, stairstall_ports::StoreFault> {
+        let started = self.clock.now();
+        let result = call.await;
+        let now = self.clock.now();
+        self.store_health.note(&result, now);
+        let outcome = match &result {
+            Ok(_) => "ok",
+            Err(fault) if fault.is_outage() => "outage",
+            Err(_) => "refused",
+        };
+        self.telemetry.store_call(kind, outcome, now - started);
+        result
+    }
+
+    /// Pauses after a failure, a little differently each time.
+    pub(crate) async fn pause(&self, about: Duration) {
+        let spread = rand::random_range(0.75..1.25);
+        tokio::time::sleep(about.mul_f64(spread)).await;
+    }
+}
--- /dev/null
+++ b/crates/stairstalld/src/batch/orders.rs
@@ -0,0 +1,90 @@
+//! Carries orders to one worker, in turn, past those that get no answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use stairstall_core::batch::{Order, OrderKind, StartOutcome, StopOutcome};
+use stairstall_ports::WorkerAddress;
+use tokio::sync::mpsc::UnboundedReceiver;
+
+use super::node::Node;
+use super::tenure::Tenure;
+
+/// Longest wait for the answer to an order.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(450);
+/// How long an order may be without an answer before the next one overtakes it.
+const OVERTAKE_AFTER: Duration = Duration::from_millis(60);
+
+/// Carries out orders until there can be no more.
+pub(crate) async fn run(
+    node: Arc<Node>,
+    tenure: Arc<Tenure>,
+    worker: WorkerAddress,
+    mut orders: UnboundedReceiver<Order>,
+) {
+    let mut late = FuturesUnordered::new();
+    loop {
+        let order = tokio::select! {
+            order = orders.recv() => order,
+            Some(()) = late.next() => continue,
+        };
+        let Some(order) = order else {
+            return;
+        };
+        let mut carried = Box::pin(carry_out(
+            Arc::clone(&node),
+            Arc::clone(&tenure),
+            worker.clone(),
+            order,
+        ));
+        let in_time = tokio::time::timeout(OVERTAKE_AFTER, &mut carried).await;
+        if in_time.is_err() {
+            late.push(carried);
+        }
+    }
+}
+
+async fn carry_out(node: Arc<Node>, tenure: Arc<Tenure>, worker: WorkerAddress, order: Order) {
+    match order.kind {
+        OrderKind::Start { .. } => {
+            let outcome = if tenure.is_in_force() {
+                node.workers.start(&worker, &order, ORDER_TIMEOUT).await
+            } else {
+                StartOutcome::NotSent
+            };
+            node.telemetry.order("start", start_word(outcome));
+            tenure.with(|planner, now| planner.take_start(&order, outcome, now));
+        }
+        OrderKind::Stop => {
+            let outcome = if tenure.is_in_force() {
+                node.workers.stop(&worker, &order, ORDER_TIMEOUT).await
+            } else {
+                StopOutcome::Unknown
+            };
+            node.telemetry.order("stop", stop_word(outcome));
+            tenure.with(|planner, now| planner.take_stop(&order, outcome, now));
+        }
+    }
+}
+
+const fn start_word(outcome: StartOutcome) -> &'static str {
+    match outcome {
+        StartOutcome::Started { .. } => "started",
+        StartOutcome::Refused(_) => "refused",
+        StartOutcome::Unhealthy => "unhealthy",
+        StartOutcome::OtherLife => "other life",
+        StartOutcome::NotSent => "not sent",
+        StartOutcome::Unknown => "unknown",
+    }
+}
+
+const fn stop_word(outcome: StopOutcome) -> &'static str {
+    match outcome {
+        StopOutcome::Taken => "taken",
+        StopOutcome::Fenced => "fenced",
+        StopOutcome::OtherLife => "other life",
+        StopOutcome::Unknown => "unknown",
+    }
+}
--- /dev/null
+++ b/crates/stairstalld/src/batch/role.rs
@@ -0,0 +1,205 @@
+//! Takes, renews and gives up the planner's role.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use stairstall_core::Lease;
+use stairstall_ports::{Change, Commit, Committed, LeaseId, Revision, StoreFault};
+use tokio::sync::watch;
+
+use super::keys;
+use super::node::{Node, PlannerRecord};
+use super::tenure::{self, Tenure};
+
+/// How long one watch of the role waits.
+const WATCH_WAIT: Duration = Duration::from_secs(15);
+/// Pause before the store is asked again after a failure.
+const STORE_PAUSE: Duration = Duration::from_millis(200);
+/// Longest time by which daemons put off their tries differently.
+const SPREAD: Duration = Duration::from_millis(60);
+/// Renewals within one lease.
+const RENEWALS_PER_LEASE: u32 = 4;
+
+/// The role as it was taken.
+#[derive(Debug, Clone)]
+pub(crate) struct Taken {
+    pub(crate) record: PlannerRecord,
+    /// Revision of the role's key, which each write of this tenure depends on.
+    pub(crate) revision: Revision,
+    pub(crate) lease_id: LeaseId,
+    pub(crate) lease: Lease,
+}
+
+/// Takes the role whenever it is free, for as long as the daemon runs.
+pub(crate) async fn run(node: Arc<Node>) {
+    loop {
+        match try_role(&node).await {
+            Ok(Some(taken)) => hold(&node, taken).await,
+            Ok(None) => {}
+            Err(fault) => {
+                log::debug!(target: "role", why:% = fault; "the role can't be looked at");
+                node.pause(STORE_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Waits while another daemon has the role; returns it once it is this daemon's.
+async fn try_role(node: &Node) -> Result<Option<Taken>, StoreFault> {
+    let item = node
+        .stored("read role", node.store.get(keys::PLANNER))
+        .await?;
+    let Some(item) = item else {
+        note_planner(node, None);
+        if node.is_leaving() {
+            node.pause(STORE_PAUSE).await;
+            return Ok(None);
+        }
+        tokio::time::sleep(SPREAD.mul_f64(rand::random_range(0.0..1.0))).await;
+        return take(node).await;
+    };
+    if let Ok(record) = serde_json::from_slice(&item.value) {
+        note_planner(node, Some(record));
+    }
+    let mut at = item.revision;
+    loop {
+        let watched = node.store.watch(keys::PLANNER, at, WATCH_WAIT);
+        let watched = node.stored("watch role", watched).await?;
+        at = watched.at;
+        for change in watched.changes {
+            match change {
+                Change::Written(item) => {
+                    if let Ok(record) = serde_json::from_slice(&item.value) {
+                        note_planner(node, Some(record));
+                    }
+                }
+                Change::Gone { .. } => return Ok(None),
+            }
+        }
+    }
+}
+
+fn note_planner(node: &Node, record: Option<PlannerRecord>) {
+    let changed = node.planner.send_if_modified(|known| {
+        let changed = record.is_some() && *known != record;
+        if changed {
+            known.clone_from(&record);
+        }
+        changed
+    });
+    if let Some(record) = record.filter(|_| changed) {
+        log::info!(target: "role", planner:% = record.vm, token = record.token; "the planner is known");
+    }
+}
+
+/// Takes the role; none where another daemon was faster.
+async fn take(node: &Node) -> Result<Option<Taken>, StoreFault> {
+    let tenures = node
+        .stored("read tenures", node.store.get(keys::TENURE))
+        .await?;
+    let (count, counted_at) = tenures.map_or((0, Revision(0)), |item| {
+        let count = std::str::from_utf8(&item.value).ok();
+        (
+            count.and_then(|c| c.parse().ok()).unwrap_or(0),
+            item.revision,
+        )
+    });
+    let requested_at = node.clock.now();
+    let grant = node.store.grant(node.settings.role_lease);
+    let (lease_id, ttl) = node.stored("grant", grant).await?;
+    let record = PlannerRecord {
+        vm: node.me().clone(),
+        rpc: node.settings.rpc_listen.to_string(),
+        token: count + 1,
+        mark: node.next_mark(),
+    };
+    let Ok(value) = serde_json::to_vec(&record) else {
+        return Ok(None);
+    };
+    let commit = Commit::default()
+        .when(keys::PLANNER, Revision(0))
+        .when(keys::TENURE, counted_at)
+        .put_leased(keys::PLANNER, value, lease_id)
+        .put(keys::TENURE, record.token.to_string().into_bytes());
+    let taken = |revision| Taken {
+        record: record.clone(),
+        revision,
+        lease_id,
+        lease: Lease::new(requested_at, ttl),
+    };
+    match node.stored("take role", node.store.commit(commit)).await {
+        Ok(Committed::Done(revision)) => Ok(Some(taken(revision))),
+        Ok(Committed::Conflict(_) | Committed::NoLease) => {
+            let _ = node.stored("release", node.store.release(lease_id)).await;
+            Ok(None)
+        }
+        Err(fault) => {
+            log::warn!(target: "role", why:% = fault; "it is not known whether the role was taken");
+            let found = node
+                .stored("read role", node.store.get(keys::PLANNER))
+                .await?;
+            let own = found.filter(|item| {
+                serde_json::from_slice::<PlannerRecord>(&item.value)
+                    .is_ok_and(|found| found.mark == record.mark)
+            });
+            Ok(own.map(|item| taken(item.revision)))
+        }
+    }
+}
+
+/// Plans for as long as the role is held.
+async fn hold(node: &Arc<Node>, taken: Taken) {
+    log::info!(target: "role", token = taken.record.token, lease_ms = crate::clock::millis(node.settings.role_lease);
+        "the planner's role is taken");
+    note_planner(node, Some(taken.record.clone()));
+    let lease_id = taken.lease_id;
+    let tenure = Arc::new(Tenure::new(node, taken));
+    let renewing = tokio::spawn(renew(
+        Arc::clone(node),
+        Arc::clone(&tenure),
+        lease_id,
+        node.leaving.subscribe(),
+    ));
+    let why = tenure::run(node, &tenure).await;
+    renewing.abort();
+    node.set_tenure(None);
+    let token = tenure.token();
+    log::info!(target: "role", token, why; "the planner's role is given up");
+    if let Err(fault) = node.stored("release", node.store.release(lease_id)).await {
+        log::warn!(target: "role", token, why:% = fault; "the lease was not ended; it runs out");
+    }
+}
+
+/// Renews the lease until it is over or the daemon leaves.
+async fn renew(
+    node: Arc<Node>,
+    tenure: Arc<Tenure>,
+    lease_id: LeaseId,
+    mut leaving: watch::Receiver<bool>,
+) {
+    let interval = node.settings.role_lease / RENEWALS_PER_LEASE;
+    loop {
+        tokio::select! {
+            () = tokio::time::sleep(interval) => {}
+            _ = leaving.wait_for(|leaving| *leaving) => {
+                tenure.give_up("the daemon is leaving");
+                return;
+            }
+        }
+        let requested_at = node.clock.now();
+        let kept = tokio::time::timeout(interval * 2, node.store.keep(lease_id)).await;
+        match kept {
+            Ok(Ok(ttl)) => tenure.set_lease(Lease::new(requested_at, ttl)),
+            Ok(Err(StoreFault::LeaseOver)) => {
+                tenure.give_up("its lease is over");
+                return;
+            }
+            Ok(Err(fault)) => {
+                log::warn!(target: "role", token = tenure.token(), why:% = fault; "the lease was not renewed");
+            }
+            Err(_) => {
+                log::warn!(target: "role", token = tenure.token(); "the lease was not renewed: no answer");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/stairstalld/src/batch/rpc.rs
@@ -0,0 +1,153 @@
+//! What daemons ask each other, over JSON-RPC.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use jsonrpsee::core::{RpcResult, async_trait};
+use jsonrpsee::proc_macros::rpc;
+use jsonrpsee::server::{Server, ServerConfig, ServerHandle};
+use jsonrpsee_http_client::{HttpClient, HttpClientBuilder};
+use serde::{Deserialize, Serialize};
+use stairstall_core::batch::{AcceptedJob, CallerState, Catalog};
+use stairstall_core::{CustomerId, JobId};
+
+use super::accept::{self, Acceptance, Cancellation};
+use super::node::Node;
+use crate::daemon::lock;
+
+/// Longest call to a peer.
+const PEER_TIMEOUT: Duration = Duration::from_millis(800);
+/// Clients kept to peers, at most.
+const MAX_CLIENTS: usize = 64;
+
+/// What the planner knows of a job.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub(crate) enum JobAnswer {
+    /// The daemon does not hold the planner's role.
+    NotPlanner,
+    /// The planner does not know the job.
+    Unknown,
+    /// Whose it is, and where it stands.
+    Known {
+        /// Whose it is.
+        customer: Option<CustomerId>,
+        /// Where it stands.
+        state: CallerState,
+    },
+}
+
+/// Calls between daemons.
+#[rpc(server, client)]
+pub(crate) trait Peer {
+    /// Tells the planner of an accepted job; false where the daemon is not the planner.
+    #[method(name = "submitted")]
+    async fn submitted(&self, job: AcceptedJob) -> RpcResult<bool>;
+
+    /// Tells the planner of a cancelled job; false where the daemon is not the planner.
+    #[method(name = "cancelled")]
+    async fn cancelled(&self, id: JobId) -> RpcResult<bool>;
+
+    /// Asks the planner for a job.
+    #[method(name = "job")]
+    async fn job(&self, id: JobId) -> RpcResult<JobAnswer>;
+
+    /// Asks the planner how many jobs of a queue wait; none where it is not the planner.
+    #[method(name = "pending")]
+    async fn pending(&self, queue: String) -> RpcResult<Option<u64>>;
+
+    /// Writes a job to the store for a daemon that the store does not serve.
+    #[method(name = "accept")]
+    async fn accept(&self, job: AcceptedJob) -> RpcResult<Acceptance>;
+
+    /// Writes a cancellation to the store for a daemon that the store does not serve.
+    #[method(name = "cancel")]
+    async fn cancel(&self, id: JobId, customer: Option<CustomerId>) -> RpcResult<Cancellation>;
+
+    /// Returns the configuration in force, where it is newer than `version`.
+    #[method(name = "catalog")]
+    async fn catalog(&self, version: u64) -> RpcResult<Option<Catalog>>;
+}
+
+/// Serves peers.
+#[derive(Debug)]
+struct PeerService(Arc<Node>);
+
+#[async_trait]
+impl PeerServer for PeerService {
+    async fn submitted(&self, job: AcceptedJob) -> RpcResult<bool> {
+        let tenure = self.0.tenure();
+        Ok(tenure.is_some_and(|tenure| tenure.submit(job)))
+    }
+
+    async fn cancelled(&self, id: JobId) -> RpcResult<bool> {
+        let tenure = self.0.tenure();
+        Ok(tenure.is_some_and(|tenure| tenure.cancel(&id)))
+    }
+
+    async fn job(&self, id: JobId) -> RpcResult<JobAnswer> {
+        let tenure = self.0.tenure();
+        Ok(tenure.map_or(JobAnswer::NotPlanner, |tenure| tenure.job(&id)))
+    }
+
+    async fn pending(&self, queue: String) -> RpcResult<Option<u64>> {
+        Ok(self.0.tenure().and_then(|tenure| tenure.pending(&queue)))
+    }
+
+    async fn accept(&self, job: AcceptedJob) -> RpcResult<Acceptance> {
+        Ok(accept::write_job(&self.0, &job).await)
+    }
+
+    async fn cancel(&self, id: JobId, customer: Option<CustomerId>) -> RpcResult<Cancellation> {
+        Ok(accept::write_cancel(&self.0, &id, customer.as_ref()).await)
+    }
+
+    async fn catalog(&self, version: u64) -> RpcResult<Option<Catalog>> {
+        let catalog = self.0.current_catalog();
+        let newer = catalog.filter(|catalog| catalog.version > version);
+        Ok(newer.map(|catalog| Catalog::clone(&catalog)))
+    }
+}
+
+/// Starts to serve peers.
+pub(crate) async fn serve(node: Arc<Node>) -> std::io::Result<(SocketAddr, ServerHandle)> {
+    let config = ServerConfig::builder().http_only().build();
+    let server = Server::builder()
+        .set_config(config)
+        .build(node.settings.rpc_listen)
+        .await?;
+    let address = server.local_addr()?;
+    Ok((address, server.start(PeerService(node).into_rpc())))
+}
+
+/// Clients of peers, kept with their connections.
+#[derive(Debug, Default)]
+pub(crate) struct Peers {
+    clients: Mutex<HashMap<String, HttpClient>>,
+}
+
+impl Peers {
+    /// Returns a client of the daemon that listens at `address`.
+    pub(crate) fn client(&self, address: &str) -> Option<HttpClient> {
+        let mut clients = lock(&self.clients);
+        if let Some(client) = clients.get(address) {
+            return Some(client.clone());
+        }
+        let client = HttpClientBuilder::default()
+            .request_timeout(PEER_TIMEOUT)
+            .build(format!("http://{address}"))
+            .ok()?;
+        if clients.len() >= MAX_CLIENTS {
+            clients.clear();
+        }
+        clients.insert(address.to_owned(), client.clone());
+        Some(client)
+    }
+
+    /// Drops the connections to a daemon, which may be dead without a word.
+    pub(crate) fn forget(&self, address: &str) {
+        lock(&self.clients).remove(address);
+    }
+}
--- /dev/null
+++ b/crates/stairstalld/src/batch/settings.rs
@@ -0,0 +1,258 @@
+//! Settings of a batch daemon from flags and environment variables, checked before it starts.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bpaf::{OptionParser, ParseFailure, Parser, construct};
+use stairstall_core::batch::Bounds;
+use stairstall_core::{VmId, ZoneId};
+
+use crate::settings::{Checks, Mistakes, WIDTH, text};
+
+/// Longest bound that makes sense, in milliseconds.
+const DAY_MS: u64 = 24 * 3600 * 1000;
+
+/// Settings as they were given, unchecked.
+#[derive(Debug, Clone)]
+struct Raw {
+    vm: String,
+    zone: String,
+    listen: String,
+    health_listen: String,
+    rpc_listen: String,
+    metrics_listen: String,
+    store: String,
+    store_timeout_ms: String,
+    role_lease_ms: String,
+    hold_max_ms: String,
+    stop_max_ms: String,
+    far_factor: String,
+    keep_ended_s: String,
+    drain_delay_ms: String,
+    drain_limit_ms: String,
+    log: String,
+}
+
+/// Checked settings of one batch daemon.
+#[derive(Debug, Clone)]
+pub struct BatchSettings {
+    /// Name of this VM.
+    pub vm: VmId,
+    /// Availability zone of this VM.
+    pub zone: ZoneId,
+    /// Where callers are served.
+    pub listen: SocketAddr,
+    /// Where the balancer asks for health.
+    pub health_listen: SocketAddr,
+    /// Where other daemons are served.
+    pub rpc_listen: SocketAddr,
+    /// Where figures are served as text.
+    pub metrics_listen: SocketAddr,
+    /// The platform's shared store.
+    pub store: SocketAddr,
+    /// Longest call to the store.
+    pub store_timeout: Duration,
+    /// Lease of the planner's role.
+    pub role_lease: Duration,
+    /// Times that the workers keep to.
+    pub bounds: Bounds,
+    /// How long new calls are still taken after a stop was asked for.
+    pub drain_delay: Duration,
+    /// How long calls in flight may take after that.
+    pub drain_limit: Duration,
+    /// Log filter.
+    pub log: String,
+}
+
+macro_rules! flag {
+    ($name:literal, $env:literal, $help:literal) => {
+        text($name, $env, $help).fallback(String::new())
+    };
+    ($name:literal, $env:literal, $help:literal, $default:literal) => {
+        text($name, $env, $help).fallback($default.to_owned())
+    };
+}
+
+fn parser() -> OptionParser<Raw> {
+    let vm = flag!("vm", "STAIRSTALL_VM", "Name of this VM");
+    let zone = flag!("zone", "STAIRSTALL_ZONE", "Availability zone of this VM");
+    let listen = flag!("listen", "STAIRSTALL_LISTEN", "IP:PORT for callers");
+    let health_listen = flag!(
+        "health-listen",
+        "STAIRSTALL_HEALTH_LISTEN",
+        "IP:PORT for the balancer's health checks"
+    );
+    let rpc_listen = flag!(
+        "rpc-listen",
+        "STAIRSTALL_RPC_LISTEN",
+        "IP:PORT for other daemons"
+    );
+    let metrics_listen = flag!(
+        "metrics-listen",
+        "STAIRSTALL_METRICS_LISTEN",
+        "IP:PORT for figures as text"
+    );
+    let store = flag!(
+        "store",
+        "STAIRSTALL_STORE",
+        "IP:PORT of the platform's store"
+    );
+    let store_timeout_ms = flag!(
+        "store-timeout-ms",
+        "STAIRSTALL_STORE_TIMEOUT_MS",
+        "Longest call to the store",
+        "700"
+    );
+    let role_lease_ms = flag!(
+        "role-lease-ms",
+        "STAIRSTALL_ROLE_LEASE_MS",
+        "Lease of the planner's role",
+        "2000"
+    );
+    let hold_max_ms = flag!(
+        "hold-max-ms",
+        "STAIRSTALL_HOLD_MAX_MS",
+        "Longest time that a worker runs on without being renewed"
+    );
+    let stop_max_ms = flag!(
+        "stop-max-ms",
+        "STAIRSTALL_STOP_MAX_MS",
+        "Longest time that a worker takes to stop a task"
+    );
+    let far_factor = flag!(
+        "far-factor",
+        "STAIRSTALL_FAR_FACTOR",
+        "How many times as long a task takes away from its rack",
+        "3"
+    );
+    let keep_ended_s = flag!(
+        "keep-ended-s",
+        "STAIRSTALL_KEEP_ENDED_S",
+        "How long an ended job is answered for",
+        "120"
+    );
+    let drain_delay_ms = flag!(
+        "drain-delay-ms",
+        "STAIRSTALL_DRAIN_DELAY_MS",
+        "How long calls are still taken after a stop was asked for",
+        "2500"
+    );
+    let drain_limit_ms = flag!(
+        "drain-limit-ms",
+        "STAIRSTALL_DRAIN_LIMIT_MS",
+        "How long calls in flight may take after that",
+        "3000"
+    );
+    let log = flag!(
+        "log",
+        "STAIRSTALL_LOG",
+        "Log filter, as in 'info' or 'stairstalld=debug'",
+        "info"
+    );
+    construct!(Raw {
+        vm,
+        zone,
+        listen,
+        health_listen,
+        rpc_listen,
+        metrics_listen,
+        store,
+        store_timeout_ms,
+        role_lease_ms,
+        hold_max_ms,
+        stop_max_ms,
+        far_factor,
+        keep_ended_s,
+        drain_delay_ms,
+        drain_limit_ms,
+        log,
+    })
+    .to_options()
+    .descr("The stairstall daemon for jobs of steps and tasks on a platform with a shared store")
+    .version(env!("CARGO_PKG_VERSION"))
+}
+
+impl BatchSettings {
+    /// Reads the settings of this process; `--help` and `--version` end it.
+    ///
+    /// # Errors
+    ///
+    /// Returns every setting that is not allowed.
+    pub fn from_process() -> Result<Self, Mistakes> {
+        let arguments: Vec<String> = std::env::args().skip(2).collect();
+        let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
+        match parser().run_inner(arguments.as_slice()) {
+            Ok(raw) => Self::check(&raw),
+            Err(ParseFailure::Stderr(doc)) => Err(Mistakes::unreadable(doc.to_string())),
+            Err(help) => {
+                help.print_message(WIDTH);
+                std::process::exit(0);
+            }
+        }
+    }
+
+    /// Reads the settings from arguments, for tests.
+    ///
+    /// # Errors
+    ///
+    /// Returns every setting that is not allowed, or that the arguments can't be read.
+    pub fn from_arguments(arguments: &[&str]) -> Result<Self, Mistakes> {
+        match parser().run_inner(arguments) {
+            Ok(raw) => Self::check(&raw),
+            Err(failure) => Err(Mistakes::unreadable(failure.unwrap_stderr())),
+        }
+    }
+
+    fn check(raw: &Raw) -> Result<Self, Mistakes> {
+        let mut checks = Checks::default();
+        let settings = Self::read(raw, &mut checks);
+        match settings {
+            Some(settings) if checks.0.is_empty() => Ok(settings),
+            _ => Err(Mistakes(checks.0)),
+        }
+    }
+
+    /// Reads every field before the first missing one can end the reading.
+    fn read(raw: &Raw, checks: &mut Checks) -> Option<Self> {
+        let vm = checks.name("--vm", &raw.vm);
+        let zone = checks.name("--zone", &raw.zone);
+        let listen = checks.address("--listen", &raw.listen);
+        let health_listen = checks.address("--health-listen", &raw.health_listen);
+        let rpc_listen = checks.address("--rpc-listen", &raw.rpc_listen);
+        let metrics_listen = checks.address("--metrics-listen", &raw.metrics_listen);
+        let store = checks.address("--store", &raw.store);
+        let store_timeout = checks.millis("--store-timeout-ms", &raw.store_timeout_ms, 10, 10_000);
+        let role_lease = checks.millis("--role-lease-ms", &raw.role_lease_ms, 500, 60_000);
+        let bounds = Self::read_bounds(raw, checks);
+        let drain_delay = checks.millis("--drain-delay-ms", &raw.drain_delay_ms, 0, DAY_MS);
+        let drain_limit = checks.millis("--drain-limit-ms", &raw.drain_limit_ms, 0, DAY_MS);
+        Some(Self {
+            vm: vm?,
+            zone: zone?,
+            listen: listen?,
+            health_listen: health_listen?,
+            rpc_listen: rpc_listen?,
+            metrics_listen: metrics_listen?,
+            store: store?,
+            store_timeout: store_timeout?,
+            role_lease: role_lease?,
+            bounds: bounds?,
+            drain_delay: drain_delay?,
+            drain_limit: drain_limit?,
+            log: raw.log.clone(),
+        })
+    }
+
+    fn read_bounds(raw: &Raw, checks: &mut Checks) -> Option<Bounds> {
+        let hold_max = checks.millis("--hold-max-ms", &raw.hold_max_ms, 500, DAY_MS);
+        let stop_max = checks.millis("--stop-max-ms", &raw.stop_max_ms, 1, DAY_MS);
+        let far_factor = checks.number("--far-factor", &raw.far_factor, 1, 1_000);
+        let keep_ended_s = checks.number("--keep-ended-s", &raw.keep_ended_s, 1, DAY_MS);
+        Some(Bounds {
+            hold_max: hold_max?,
+            stop_max: stop_max?,
+            far_factor: u32::try_from(far_factor?).ok()?,
+            keep_ended: Duration::from_secs(keep_ended_s?),
+        })
+    }
+}
--- /dev/null
+++ b/crates/stairstalld/src/batch/store_health.rs
@@ -0,0 +1,67 @@
+//! Whether the shared store serves this daemon, as its own calls have shown.
+
+use std::sync::Mutex;
+use std::time::Duration;
+
+use stairstall_core::Timestamp;
+use stairstall_ports::StoreFault;
+
+use crate::daemon::lock;
+
+/// How long failures without a success have to go on before calls are held back.
+const SILENT_AFTER: Duration = Duration::from_millis(700);
+/// How often a call is let through while the store is silent.
+const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+
+#[derive(Debug, Default)]
+struct State {
+    failing_since: Option<Timestamp>,
+    probed_at: Timestamp,
+}
+
+/// What calls have shown of the store.
+#[derive(Debug, Default)]
+pub(crate) struct StoreHealth {
+    state: Mutex<State>,
+}
+
+impl StoreHealth {
+    /// Notes what became of a call.
+    pub(crate) fn note<T>(&self, result: &Result<T, StoreFault>, now: Timestamp) {
+        let outage = result.as_ref().err().is_some_and(StoreFault::is_outage);
+        let mut state = lock(&self.state);
+        if !outage {
+            if let Some(since) = state.failing_since.take() {
+                let ms = crate::clock::millis(now - since);
+                log::info!(target: "dependency", on = "store", failed_ms = ms; "it serves again");
+            }
+            return;
+        }
+        if state.failing_since.is_none() {
+            let why = result
+                .as_ref()
+                .err()
+                .map_or_else(String::new, ToString::to_string);
+            log::warn!(target: "dependency", on = "store", why:% = why; "it does not serve");
+            state.failing_since = Some(now);
+        }
+    }
+
+    /// Tells whether the store has failed for a while; lets a call through now and then.
+    pub(crate) fn holds_back(&self, now: Timestamp) -> bool {
+        let mut state = lock(&self.state);
+        let silent = state
+            .failing_since
+            .is_some_and(|since| now - since >= SILENT_AFTER);
+        if silent && now - state.probed_at >= PROBE_INTERVAL {
+            state.probed_at = now;
+            return false;
+        }
+        silent
+    }
+
+    /// Tells whether the last call found the store not serving.
+    pub(crate) fn is_failing(&self) -> bool {
+        lock(&self.state).failing_since.is_some()
+    }
+}
--- /dev/null
+++ b/crates/stairstalld/src/batch/telemetry.rs
@@ -0,0 +1,190 @@
+//! Counters and latency histograms, served as text.
+
+use std::time::Duration;
+
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
+};
+
+/// Bounds of the histograms, in seconds.
+const BUCKETS: [f64; 14] = [
+    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0,
+];
+
+/// Figures of one daemon; docs/METRICS.md lists them.
+#[derive(Debug)]
+pub(crate) struct Telemetry {
+    registry: Registry,
+    calls: IntCounterVec,
+    call_time: HistogramVec,
+    store_calls: IntCounterVec,
+    store_time: HistogramVec,
+    decisions: IntCounterVec,
+    orders: IntCounterVec,
+    holds: IntCounterVec,
+    first_start: Histogram,
+    takeover: Histogram,
+    catalog_version: IntGauge,
+    open_jobs: IntGauge,
+    runs: IntGauge,
+    dropped_lines: IntGauge,
+}
+
+fn counters(name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+    IntCounterVec::new(Opts::new(name, help), labels).expect("constant names are valid")
+}
+
+fn histogram_options(name: &str, help: &str) -> HistogramOpts {
+    HistogramOpts::new(name, help).buckets(BUCKETS.to_vec())
+}
+
+fn histograms(name: &str, help: &str, labels: &[&str]) -> HistogramVec {
+    HistogramVec::new(histogram_options(name, help), labels).expect("constant names are valid")
+}
+
+fn histogram(name: &str, help: &str) -> Histogram {
+    Histogram::with_opts(histogram_options(name, help)).expect("constant names are valid")
+}
+
+fn gauge(name: &str, help: &str) -> IntGauge {
+    IntGauge::new(name, help).expect("constant names are valid")
+}
+
+impl Telemetry {
+    pub(crate) fn new() -> Self {
+        let telemetry = Self {
+            registry: Registry::new(),
+            calls: counters(
+                "stairstall_calls_total",
+                "Callers' calls by kind and status",
+                &["kind", "status"],
+            ),
+            call_time: histograms(
+                "stairstall_call_seconds",
+                "Time of callers' calls",
+                &["kind"],
+            ),
+            store_calls: counters(
+                "stairstall_store_calls_total",
+                "Calls to the store by kind and outcome",
+                &["kind", "outcome"],
+            ),
+            store_time: histograms(
+                "stairstall_store_seconds",
+                "Time of calls to the store",
+                &["kind"],
+            ),
+            decisions: counters(
+                "stairstall_decisions_total",
+                "The planner's decisions by kind",
+                &["kind"],
+            ),
+            orders: counters(
+                "stairstall_orders_total",
+                "Orders to workers by kind and outcome",
+                &["kind", "outcome"],
+            ),
+            holds: counters(
+                "stairstall_holds_total",
+                "Renewals and reports of workers by outcome",
+                &["outcome"],
+            ),
+            first_start: histogram(
+                "stairstall_first_start_seconds",
+                "From a job's acceptance to its first start",
+            ),
+            takeover: histogram(
+                "stairstall_takeover_seconds",
+                "From taking the planner's role to the first decision",
+            ),
+            catalog_version: gauge("stairstall_catalog_version", "Configuration in force"),
+            open_jobs: gauge("stairstall_open_jobs", "Jobs that have not ended"),
+            runs: gauge("stairstall_runs", "Runs at workers"),
+            dropped_lines: gauge("stairstall_log_lines_dropped", "Log lines left out"),
+        };
+        telemetry.register();
+        telemetry
+    }
+
+    fn register(&self) {
+        let collectors: [Box<dyn prometheus::core::Collector>; 13] = [
+            Box::new(self.calls.clone()),
+            Box::new(self.call_time.clone()),
+            Box::new(self.store_calls.clone()),
+            Box::new(self.store_time.clone()),
+            Box::new(self.decisions.clone()),
+            Box::new(self.orders.clone()),
+            Box::new(self.holds.clone()),
+            Box::new(self.first_start.clone()),
+            Box::new(self.takeover.clone()),
+            Box::new(self.catalog_version.clone()),
+            Box::new(self.open_jobs.clone()),
+            Box::new(self.runs.clone()),
+            Box::new(self.dropped_lines.clone()),
+        ];
+        for collector in collectors {
+            self.registry
+                .register(collector)
+                .expect("each name is registered once");
+        }
+    }
+
+    pub(crate) fn call(&self, kind: &'static str, status: u16, took: Duration) {
+        let status = status.to_string();
+        self.calls.with_label_values(&[kind, &status]).inc();
+        self.call_time
+            .with_label_values(&[kind])
+            .observe(took.as_secs_f64());
+    }
+
+    pub(crate) fn store_call(&self, kind: &'static str, outcome: &'static str, took: Duration) {
+        self.store_calls.with_label_values(&[kind, outcome]).inc();
+        self.store_time
+            .with_label_values(&[kind])
+            .observe(took.as_secs_f64());
+    }
+
+    pub(crate) fn decision(&self, kind: &'static str) {
+        self.decisions.with_label_values(&[kind]).inc();
+    }
+
+    pub(crate) fn order(&self, kind: &'static str, outcome: &'static str) {
+        self.orders.with_label_values(&[kind, outcome]).inc();
+    }
+
+    pub(crate) fn hold(&self, outcome: &'static str) {
+        self.holds.with_label_values(&[outcome]).inc();
+    }
+
+    pub(crate) fn first_start(&self, after: Duration) {
+        self.first_start.observe(after.as_secs_f64());
+    }
+
+    pub(crate) fn takeover(&self, took: Duration) {
+        self.takeover.observe(took.as_secs_f64());
+    }
+
+    pub(crate) fn catalog(&self, version: u64) {
+        self.catalog_version
+            .set(i64::try_from(version).unwrap_or(i64::MAX));
+    }
+
+    pub(crate) fn load(&self, open_jobs: usize, runs: usize) {
+        self.open_jobs
+            .set(i64::try_from(open_jobs).unwrap_or(i64::MAX));
+        self.runs.set(i64::try_from(runs).unwrap_or(i64::MAX));
+    }
+
+    /// Returns all figures as text.
+    pub(crate) fn text(&self) -> Vec<u8> {
+        let dropped = crate::logging::dropped_lines();
+        self.dropped_lines
+            .set(i64::try_from(dropped).unwrap_or(i64::MAX));
+        let mut text = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            log::warn!(target: "metrics", error:% = error; "figures can't be written");
+        }
+        text
+    }
+}
--- /dev/null
+++ b/crates/stairstalld/src/batch/tenure.rs
@@ -0,0 +1,236 @@
+//! What the planner does while it holds the role.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use stairstall_core::batch::{AcceptedJob, Catalog, Decision, Now, Planner};
+use stairstall_core::{JobId, Lease};
+use stairstall_ports::Revision;
+use tokio::sync::{Notify, watch};
+use tokio::task::JoinSet;
+
+use super::links::Links;
+use super::node::Node;
+use super::role::Taken;
+use super::rpc::JobAnswer;
+use super::{directory, intake, writer};
+use crate::clock::{Clock, unix_millis};
+use crate::daemon::lock;
+
+/// Pause while the lease is not known to be in force.
+const SUSPENDED_PAUSE: Duration = Duration::from_millis(50);
+/// Pause before loading is tried again.
+const LOAD_PAUSE: Duration = Duration::from_millis(100);
+
+/// One tenure of the planner's role.
+#[derive(Debug)]
+pub(crate) struct Tenure {
+    token: u64,
+    clock: Clock,
+    planner: Mutex<Planner>,
+    lease: Mutex<Lease>,
+    /// Revision of the role's key.
+    pub(crate) role_revision: Revision,
+    loaded: AtomicBool,
+    /// Wakes the planning.
+    wake: Notify,
+    /// Wakes the writer.
+    pub(crate) dirty: Notify,
+    /// Says that something was written.
+    pub(crate) written: Notify,
+    ended: watch::Sender<Option<&'static str>>,
+}
+
+impl Tenure {
+    pub(crate) fn new(node: &Node, taken: Taken) -> Self {
+        let token = taken.record.token;
+        let inherits = token > 1;
+        let mut planner = Planner::new(token, node.settings.bounds, inherits, node.now());
+        if let Some(catalog) = node.current_catalog() {
+            planner.set_catalog(catalog);
+        }
+        Self {
+            token,
+            clock: node.clock,
+            planner: Mutex::new(planner),
+            lease: Mutex::new(taken.lease),
+            role_revision: taken.revision,
+            loaded: AtomicBool::new(false),
+            wake: Notify::new(),
+            dirty: Notify::new(),
+            written: Notify::new(),
+            ended: watch::channel(None).0,
+        }
+    }
+
+    pub(crate) const fn token(&self) -> u64 {
+        self.token
+    }
+
+    fn now(&self) -> Now {
+        Now::new(self.clock.now(), unix_millis())
+    }
+
+    pub(crate) fn set_lease(&self, lease: Lease) {
+        *lock(&self.lease) = lease;
+    }
+
+    /// Tells whether orders may be given at this moment.
+    pub(crate) fn is_in_force(&self) -> bool {
+        self.ended.borrow().is_none() && lock(&self.lease).is_valid(self.clock.now())
+    }
+
+    pub(crate) fn give_up(&self, why: &'static str) {
+        self.ended.send_if_modified(|ended| {
+            let first = ended.is_none();
+            if first {
+                *ended = Some(why);
+            }
+            first
+        });
+    }
+
+    /// Does something with the planner and wakes those that have to act on it.
+    pub(crate) fn with<T>(&self, act: impl FnOnce(&mut Planner, Now) -> T) -> T {
+        let now = self.now();
+        let mut planner = lock(&self.planner);
+        let result = act(&mut planner, now);
+        if planner.wants_tick() {
+            self.wake.notify_one();
+        }
+        if planner.has_writes() {
+            self.dirty.notify_one();
+        }
+        if planner.is_deposed() {
+            self.give_up("a worker has seen a higher token");
+        }
+        result
+    }
+
+    fn answers(&self) -> bool {
+        self.loaded.load(Ordering::Acquire) && self.is_in_force()
+    }
+
+    /// Takes an accepted job; false where this tenure is not in force.
+    pub(crate) fn submit(&self, job: AcceptedJob) -> bool {
+        let answers = self.answers();
+        if answers {
+            self.with(|planner, now| planner.submit(job, now));
+        }
+        answers
+    }
+
+    /// Takes a cancellation; false where this tenure is not in force.
+    pub(crate) fn cancel(&self, id: &JobId) -> bool {
+        self.answers() && self.with(|planner, now| planner.cancel(id, now))
+    }
+
+    pub(crate) fn set_catalog(&self, catalog: Arc<Catalog>) {
+        self.with(|planner, _| planner.set_catalog(catalog));
+    }
+
+    pub(crate) fn job(&self, id: &JobId) -> JobAnswer {
+        if !self.answers() {
+            return JobAnswer::NotPlanner;
+        }
+        let planner = lock(&self.planner);
+        match (planner.accepted(id), planner.caller_state(id)) {
+            (Some(accepted), Some(state)) => JobAnswer::Known {
+                customer: accepted.customer.clone(),
+                state,
+            },
+            _ => JobAnswer::Unknown,
+        }
+    }
+
+    pub(crate) fn pending(&self, queue: &str) -> Option<u64> {
+        self.answers().then(|| lock(&self.planner).pending(queue))
+    }
+
+    /// Returns how many jobs are open and how many runs there are.
+    pub(crate) fn load(&self) -> (usize, usize) {
+        let planner = lock(&self.planner);
+        (planner.open_jobs(), planner.runs())
+    }
+}
+
+/// Plans until the tenure ends; returns why it did.
+pub(crate) async fn run(node: &Arc<Node>, tenure: &Arc<Tenure>) -> &'static str {
+    let mut ended = tenure.ended.subscribe();
+    let planning = plan(node, tenure);
+    let stopped = async {
+        let ended = ended.wait_for(Option::is_some).await;
+        ended.ok().and_then(|why| *why)
+    };
+    tokio::select! {
+        why = stopped => why.unwrap_or("the daemon ends"),
+        () = planning => "planning ended",
+    }
+}
+
+async fn plan(node: &Arc<Node>, tenure: &Arc<Tenure>) {
+    let started = node.clock.now();
+    let (directory_at, intake_at, revisions) = load(node, tenure).await;
+    tenure.loaded.store(true, Ordering::Release);
+    node.set_tenure(Some(Arc::clone(tenure)));
+    let took = node.clock.now() - started;
+    node.telemetry.takeover(took);
+    let (open_jobs, _) = tenure.load();
+    log::info!(target: "role", token = tenure.token, open_jobs, ms = crate::clock::millis(took);
+        "jobs and workers are loaded");
+    let mut tasks = JoinSet::new();
+    tasks.spawn(directory::follow(
+        Arc::clone(node),
+        Arc::clone(tenure),
+        directory_at,
+    ));
+    tasks.spawn(intake::follow(
+        Arc::clone(node),
+        Arc::clone(tenure),
+        intake_at,
+    ));
+    tasks.spawn(writer::run(Arc::clone(node), Arc::clone(tenure), revisions));
+    let mut links = Links::new(Arc::clone(node), Arc::clone(tenure));
+    loop {
+        let next = tenure.with(|planner, now| planner.next_tick(now));
+        let _ = tokio::time::timeout(next, tenure.wake.notified()).await;
+        if !tenure.is_in_force() {
+            tokio::time::sleep(SUSPENDED_PAUSE).await;
+            tenure.wake.notify_one();
+            continue;
+        }
+        let (orders, decisions) =
+            tenure.with(|planner, now| (planner.tick(now), planner.take_decisions()));
+        for decision in &decisions {
+            tell(node, tenure.token, decision);
+        }
+        links.keep_up();
+        links.send(orders);
+    }
+}
+
+/// Reads what earlier planners left; tries until it is whole.
+async fn load(node: &Node, tenure: &Tenure) -> (Revision, Revision, writer::Revisions) {
+    loop {
+        let loaded = async {
+            let directory_at = directory::load(node, tenure).await?;
+            let (intake_at, revisions) = intake::load(node, tenure).await?;
+            Ok::<_, stairstall_ports::StoreFault>((directory_at, intake_at, revisions))
+        };
+        match loaded.await {
+            Ok(loaded) => return loaded,
+            Err(fault) => {
+                log::warn!(target: "role", token = tenure.token, why:% = fault; "loading again");
+                node.pause(LOAD_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Writes the line of one decision.
+fn tell(node: &Node, token: u64, decision: &Decision) {
+    node.telemetry.decision(decision.kind.as_str());
+    let target = decision.kind.as_str();
+    log::info!(target: target, token; "{decision}");
+}
--- a/crates/stairstalld/src/lib.rs
+++ b/crates/stairstalld/src/lib.rs
@@ -9,10 +9,13 @@
 //! - `dispatch` shares out minions' slots.
 //! - `holder` carries the placement role of the zone.
 //! - `peers` exchanges heartbeats and configuration with other daemons.
+//! - [`batch`] runs jobs of steps and tasks on a platform with a shared store.
+//! - [`logging`] writes bounded log lines.
 //! - `follow` keeps the configuration and the VM list up to date.
 
 mod answer;
 mod api;
+pub mod batch;
 mod call;
 mod clock;
 mod configure;
@@ -24,6 +27,7 @@
 mod jobs;
 mod keys;
 mod listener;
+pub mod logging;
 mod metrics;
 mod peers;
 mod retention;
--- a/crates/stairstalld/src/main.rs
+++ b/crates/stairstalld/src/main.rs
@@ -2,27 +2,50 @@
 
 use std::process::ExitCode;
 
-use stairstalld::settings::Settings;
+use stairstalld::batch::settings::BatchSettings;
+use stairstalld::logging;
+use stairstalld::settings::{Mistakes, Settings};
 
 /// Exit code for settings that are not allowed.
 const EXIT_SETTINGS: u8 = 2;
+/// First argument that asks for jobs of steps and tasks on a platform with a shared store.
+const BATCH: &str = "batch";
 
 fn main() -> ExitCode {
-    let settings = match Settings::from_process() {
+    if std::env::args().nth(1).as_deref() == Some(BATCH) {
+        return start(
+            BatchSettings::from_process(),
+            |settings| &settings.log,
+            stairstalld::batch::run,
+        );
+    }
+    start(
+        Settings::from_process(),
+        |settings| &settings.log,
+        stairstalld::run,
+    )
+}
+
+/// Runs a daemon whose settings are allowed.
+fn start<S>(
+    settings: Result<S, Mistakes>,
+    log: impl Fn(&S) -> &String,
+    run: impl FnOnce(S) -> Result<(), stairstalld::RunError>,
+) -> ExitCode {
+    let settings = match settings {
         Ok(settings) => settings,
         Err(mistakes) => {
             eprint!("{mistakes}");
             return ExitCode::from(EXIT_SETTINGS);
         }
     };
-    env_logger::Builder::new()
-        .parse_filters(&settings.log)
-        .format_timestamp_millis()
-        .init();
-    match stairstalld::run(settings) {
+    logging::start(log(&settings));
+    match run(settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            log::error!("{error}");
+            log::error!(target: "stop", error:% = error; "ended");
+            // The writing thread gets a moment for the last lines.
+            std::thread::sleep(std::time::Duration::from_millis(20));
             ExitCode::FAILURE
         }
     }
--- a/crates/stairstalld/src/serve.rs
+++ b/crates/stairstalld/src/serve.rs
@@ -40,7 +40,7 @@
     }
 }
 
-fn system(what: &'static str) -> impl Fn(std::io::Error) -> RunError {
+pub(crate) fn system(what: &'static str) -> impl Fn(std::io::Error) -> RunError {
     move |source| RunError::System(what, source)
 }
 
