--- a/crates/stairstalld/src/settings.rs
+++ b/crates/stairstalld/src/settings.rs
@@ -8,7 +8,7 @@
 use stairstall_core::{VmId, ZoneId};
 
 /// Width of help, in characters.
-const WIDTH: usize = 100;
+pub(crate) const WIDTH: usize = 100;
 
 /// Settings as they were given, unchecked.
 #[derive(Debug, Clone)]
@@ -97,7 +97,7 @@
 
 impl Mistakes {
     /// A command line that can't be read at all.
-    fn unreadable(allowed: String) -> Self {
+    pub(crate) fn unreadable(allowed: String) -> Self {
         Self(vec![Mistake {
             flag: "command line",
             value: String::new(),
@@ -106,7 +106,11 @@
     }
 }
 
-fn text(flag: &'static str, env: &'static str, help: &'static str) -> impl Parser<String> {
+pub(crate) fn text(
+    flag: &'static str,
+    env: &'static str,
+    help: &'static str,
+) -> impl Parser<String> {
     long(flag).env(env).help(help).argument::<String>("VALUE")
 }
 
@@ -202,7 +206,7 @@
 
 /// Collects mistakes while settings are read one by one.
 #[derive(Debug, Default)]
-struct Checks(Vec<Mistake>);
+pub(crate) struct Checks(pub(crate) Vec<Mistake>);
 
 impl Checks {
     fn refuse(&mut self, flag: &'static str, value: &str, allowed: impl Into<String>) {
@@ -229,7 +233,7 @@
         value.is_empty()
     }
 
-    fn name<T>(&mut self, flag: &'static str, value: &str) -> Option<T>
+    pub(crate) fn name<T>(&mut self, flag: &'static str, value: &str) -> Option<T>
     where
         T: std::str::FromStr,
         T::Err: fmt::Display,
@@ -243,7 +247,7 @@
             .ok()
     }
 
-    fn address(&mut self, flag: &'static str, value: &str) -> Option<SocketAddr> {
+    pub(crate) fn address(&mut self, flag: &'static str, value: &str) -> Option<SocketAddr> {
         if self.is_missing(flag, value) {
             return None;
         }
@@ -254,7 +258,13 @@
             .ok()
     }
 
-    fn number(&mut self, flag: &'static str, value: &str, least: u64, most: u64) -> Option<u64> {
+    pub(crate) fn number(
+        &mut self,
+        flag: &'static str,
+        value: &str,
+        least: u64,
+        most: u64,
+    ) -> Option<u64> {
         let found = value.parse().ok().filter(|n| (least..=most).contains(n));
         if found.is_none() {
             self.refuse(
@@ -266,7 +276,7 @@
         found
     }
 
-    fn millis(
+    pub(crate) fn millis(
         &mut self,
         flag: &'static str,
         value: &str,
@@ -277,7 +287,13 @@
             .map(Duration::from_millis)
     }
 
-    fn size(&mut self, flag: &'static str, value: &str, least: u64, most: u64) -> Option<usize> {
+    pub(crate) fn size(
+        &mut self,
+        flag: &'static str,
+        value: &str,
+        least: u64,
+        most: u64,
+    ) -> Option<usize> {
         self.number(flag, value, least, most)
             .and_then(|n| usize::try_from(n).ok())
     }
