fix(batch): let no gang member forget its end before the end is written

Cause: only the first member's end carried the change to be written; the others were acknowledged at once, and a successor that found no trace of the end started the gang again. Change: each end of a known job waits for the job's latest change.

--- a/crates/stairstall-core/src/batch/planner/ends.rs
+++ b/crates/stairstall-core/src/batch/planner/ends.rs
@@ -44,11 +44,11 @@
             id,
             format!("{}; {detail}", end.kind.as_str()),
         ));
-        let change = match end.kind {
+        match end.kind {
             EndKind::Done => self.take_done(&end.task, now),
             EndKind::Failed => self.take_failure(id, &end.task, end.run, now),
-            _ => None,
-        };
+            _ => {}
+        }
         self.keep_checkpoint(end);
         if let Some(run) = run {
             self.release(id, &end.task, &run, end.kind.as_str());
@@ -56,7 +56,14 @@
         if end.kind != EndKind::Done {
             self.stop_gang(&end.task, end.run, "another member of its gang ended", now);
         }
-        change
+        self.last_change(&end.task.group.job)
+    }
+
+    /// Returns the change that must last before an end of the job may be forgotten: also an end
+    /// that changes nothing, as that of another member of a gang, stands for one that did.
+    fn last_change(&self, id: &JobId) -> Option<(JobId, u64)> {
+        let job = self.jobs.get(id)?;
+        Some((id.clone(), job.changes))
     }
 
     fn keep_checkpoint(&mut self, end: &End) {
@@ -97,27 +104,32 @@
         }
     }
 
-    fn take_done(&mut self, task: &TaskKey, now: Now) -> Option<(JobId, u64)> {
+    fn take_done(&mut self, task: &TaskKey, now: Now) {
         let key = &task.group;
-        let job = self.jobs.get_mut(&key.job)?;
-        let is_gang = job.step(key)?.gang;
-        if job.outcome.is_some() || job.step(key)?.lasts {
-            return None;
+        let Some(job) = self.jobs.get_mut(&key.job) else {
+            return;
+        };
+        let Some((is_gang, lasts)) = job.step(key).map(|step| (step.gang, step.lasts)) else {
+            return;
+        };
+        if job.outcome.is_some() || lasts {
+            return;
         }
-        let group = job.group_mut(key)?;
-        if is_gang {
-            group.tasks.iter_mut().for_each(|task| task.done = true);
-        } else {
-            group.tasks.get_mut(task.index as usize)?.done = true;
+        let Some(group) = job.group_mut(key) else {
+            return;
+        };
+        let of_run = |index: usize| is_gang || index == task.index as usize;
+        let tasks = group.tasks.iter_mut().enumerate();
+        for (_, task) in tasks.filter(|(index, _)| of_run(*index)) {
+            task.done = true;
         }
-        let change = job.change();
+        job.change();
         self.changed.insert(key.job.clone());
         if job.is_complete() {
             self.end_job(&key.job, Outcome::Completed, "every task is done", now);
         } else {
             self.end_other_runs(task, is_gang, now);
         }
-        Some((key.job.clone(), change))
     }
 
     /// Marks runs at other workers whose tasks are done with this one.
@@ -143,46 +155,32 @@
         }
     }
 
-    fn take_failure(
-        &mut self,
-        id: &WorkerId,
-        task: &TaskKey,
-        run: u32,
-        now: Now,
-    ) -> Option<(JobId, u64)> {
+    fn take_failure(&mut self, id: &WorkerId, task: &TaskKey, run: u32, now: Now) {
         let key = &task.group;
-        let attempts = self.attempts(&key.job)?;
-        let job = self.jobs.get_mut(&key.job)?;
-        let step = job.step(key)?;
-        let is_gang = step.gang;
-        if job.outcome.is_some() || step.lasts {
-            return None;
+        let Some(attempts) = self.attempts(&key.job) else {
+            return;
+        };
+        let Some(job) = self.jobs.get_mut(&key.job) else {
+            return;
+        };
+        let Some((is_gang, lasts)) = job.step(key).map(|step| (step.gang, step.lasts)) else {
+            return;
+        };
+        if job.outcome.is_some() || lasts {
+            return;
         }
-        let group = job.group_mut(key)?;
-        let failures = if is_gang {
-            if group.counted_failure >= run {
-                return None;
-            }
-            group.counted_failure = run;
-            group.gang_failures += 1;
-            group.gang_failures
-        } else {
-            let task = group.tasks.get_mut(task.index as usize)?;
-            if task.done || task.counted_run >= run {
-                return None;
-            }
-            task.counted_run = run;
-            task.failed_at = Some(id.clone());
-            task.failures += 1;
-            task.failures
+        let Some(group) = job.group_mut(key) else {
+            return;
+        };
+        let Some(failures) = group.count_failure(id, task.index, run, is_gang) else {
+            return;
         };
-        let change = job.change();
+        job.change();
         self.changed.insert(key.job.clone());
         if failures >= attempts {
             let why = format!("{task} failed {failures} of {attempts} times");
             self.end_job(&key.job, Outcome::Failed, &why, now);
         }
-        Some((key.job.clone(), change))
     }
 
     /// Returns how many runs of a task may fail, by the newest configuration that has its queue.
--- a/crates/stairstall-core/src/batch/planner/job.rs
+++ b/crates/stairstall-core/src/batch/planner/job.rs
@@ -68,6 +68,33 @@
             .collect()
     }
 
+    /// Counts the failure of a run once; returns how many there are, where it is a new one.
+    pub(super) fn count_failure(
+        &mut self,
+        worker: &WorkerId,
+        index: u32,
+        run: u32,
+        is_gang: bool,
+    ) -> Option<u32> {
+        let task = self.tasks.get_mut(index as usize)?;
+        if is_gang {
+            if self.counted_failure >= run {
+                return None;
+            }
+            task.failed_at = Some(worker.clone());
+            self.counted_failure = run;
+            self.gang_failures += 1;
+            return Some(self.gang_failures);
+        }
+        if task.done || task.counted_run >= run {
+            return None;
+        }
+        task.counted_run = run;
+        task.failed_at = Some(worker.clone());
+        task.failures += 1;
+        Some(task.failures)
+    }
+
     /// Returns how often it may still fail before the last allowed failure, over its open tasks.
     pub(super) fn worst_failures(&self) -> u32 {
         let tasks = self.tasks.iter().filter(|t| !t.done).map(|t| t.failures);
--- /dev/null
+++ b/crates/stairstall-core/tests/batch/harness.rs
@@ -0,0 +1,309 @@
+//! A planner with workers that do as they are told, on a clock that the test moves.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use stairstall_core::batch::{
+    AcceptedJob, BatchSpec, Bounds, Catalog, Customer, End, EndKind, HoldReport, HoldRequest,
+    ListedWorker, Now, Order, OrderKind, Planner, Queue, Resources, Route, RunningTask,
+    StartOutcome, StepSpec, StopOutcome, TaskKey,
+};
+use stairstall_core::claim::Mark;
+use stairstall_core::{CustomerId, JobId, Timestamp, WorkerId};
+
+/// Longest lease of the workers here.
+pub const HOLD_MAX: Duration = Duration::from_secs(6);
+/// Longest stop of the workers here.
+pub const STOP_MAX: Duration = Duration::from_millis(200);
+/// Time of day at the start, in milliseconds since the Unix epoch.
+pub const START_UNIX_MS: u64 = 1_800_000_000_000;
+
+/// A worker that does what it is told at once.
+#[derive(Debug, Default, Clone)]
+pub struct FakeWorker {
+    pub running: BTreeMap<TaskKey, (u32, u8, Option<String>)>,
+    pub ended: Vec<End>,
+    pub forgotten: u64,
+    pub deadline_ms: u64,
+    next_end: u64,
+}
+
+impl FakeWorker {
+    /// Ends a run.
+    pub fn end(&mut self, task: &TaskKey, kind: EndKind) {
+        let (run, _, checkpoint) = self.running.remove(task).expect("the task runs");
+        self.next_end += 1;
+        self.ended.push(End {
+            number: self.next_end,
+            task: task.clone(),
+            run,
+            kind,
+            checkpoint,
+        });
+    }
+}
+
+/// The planner and its workers.
+#[derive(Debug)]
+pub struct Fleet {
+    pub planner: Planner,
+    pub workers: BTreeMap<WorkerId, FakeWorker>,
+    pub at_ms: u64,
+    /// Orders that were given, oldest first.
+    pub given: Vec<Order>,
+}
+
+pub fn worker(id: &str, rack: &str, capacity: Resources) -> ListedWorker {
+    ListedWorker {
+        id: id.parse().expect("an id"),
+        address: format!("10.0.0.1:{}", 1000 + id.len()),
+        service: "desk".parse().expect("an id"),
+        zone: "a".parse().expect("an id"),
+        rack: rack.parse().expect("an id"),
+        labels: BTreeSet::from(["a".to_owned(), rack.to_owned()]),
+        capacity,
+        draining: false,
+        remaining_ms: None,
+    }
+}
+
+pub fn bounds() -> Bounds {
+    Bounds {
+        hold_max: HOLD_MAX,
+        stop_max: STOP_MAX,
+        far_factor: 3,
+        keep_ended: Duration::from_secs(120),
+    }
+}
+
+pub fn queue(priority: u8) -> Queue {
+    Queue {
+        name: format!("q{priority}"),
+        service: "desk".parse().expect("an id"),
+        priority,
+        attempts: 2,
+        stretch: 2.0,
+        target_ms: 500,
+    }
+}
+
+pub fn job(id: &str, priority: u8, steps: Vec<StepSpec>) -> AcceptedJob {
+    AcceptedJob {
+        id: id.parse().expect("an id"),
+        customer: Some("mesa".parse().expect("an id")),
+        queue: queue(priority),
+        accepted_unix_ms: START_UNIX_MS,
+        spec: BatchSpec {
+            payload: "work".to_owned(),
+            steps,
+            schedule: None,
+        },
+        mark: Mark::new("vm-1".parse().expect("an id"), 1, 1),
+    }
+}
+
+pub fn step(count: u32, accelerators: u32) -> StepSpec {
+    StepSpec {
+        count,
+        needs: Resources::new(1000, 1000, accelerators),
+        estimate_ms: 2_000,
+        ..StepSpec::default()
+    }
+}
+
+pub fn gang(count: u32, accelerators: u32) -> StepSpec {
+    StepSpec {
+        gang: true,
+        ..step(count, accelerators)
+    }
+}
+
+pub fn catalog(guaranteed: u32) -> Catalog {
+    Catalog {
+        version: 1,
+        routes: (0..3)
+            .map(|priority| Route {
+                host: "h".to_owned(),
+                path_prefix: format!("/{priority}/"),
+                public: false,
+                timeout_ms: 3_000,
+                queue: queue(priority),
+            })
+            .collect(),
+        customers: vec![Customer {
+            name: "mesa".parse::<CustomerId>().expect("an id"),
+            keys: BTreeSet::from(["key".to_owned()]),
+            guaranteed,
+        }],
+        max_body_bytes: 1000,
+    }
+}
+
+pub fn id(text: &str) -> JobId {
+    text.parse().expect("an id")
+}
+
+pub fn task(job: &str, step: u32, index: u32) -> TaskKey {
+    TaskKey::new(id(job), 0, step, index)
+}
+
+impl Fleet {
+    /// Creates a planner of the first tenure with workers of 8 accelerators.
+    pub fn new(workers: &[(&str, &str)]) -> Self {
+        Self::of_tenure(1, workers)
+    }
+
+    pub fn of_tenure(token: u64, workers: &[(&str, &str)]) -> Self {
+        let now = Now::new(Timestamp::from_millis(0), START_UNIX_MS);
+        let mut planner = Planner::new(token, bounds(), token > 1, now);
+        planner.set_catalog(Arc::new(catalog(0)));
+        let mut fleet = Self {
+            planner,
+            workers: BTreeMap::new(),
+            at_ms: 0,
+            given: Vec::new(),
+        };
+        for (name, rack) in workers {
+            let listed = worker(name, rack, Resources::new(32_000, 64_000, 8));
+            fleet
+                .workers
+                .insert(listed.id.clone(), FakeWorker::default());
+            fleet.planner.list_worker(listed, now);
+        }
+        fleet
+    }
+
+    pub fn now(&self) -> Now {
+        Now::new(
+            Timestamp::from_millis(self.at_ms),
+            START_UNIX_MS + self.at_ms,
+        )
+    }
+
+    pub fn worker(&mut self, name: &str) -> &mut FakeWorker {
+        let id: WorkerId = name.parse().expect("an id");
+        self.workers.get_mut(&id).expect("a worker")
+    }
+
+    /// Asks every worker that wants to be asked.
+    pub fn hold_all(&mut self) {
+        let ids: Vec<WorkerId> = self.workers.keys().cloned().collect();
+        for id in ids {
+            self.hold(&id);
+        }
+    }
+
+    /// Asks one worker, if it wants to be asked; returns what was asked.
+    pub fn hold(&mut self, id: &WorkerId) -> Option<HoldRequest> {
+        let now = self.now();
+        let request = self.planner.hold_request(id, now)?;
+        let clock_ms = self.at_ms;
+        let worker = self.workers.get_mut(id)?;
+        worker.forgotten = worker.forgotten.max(request.last_seen);
+        let forgotten = worker.forgotten;
+        worker.ended.retain(|end| end.number > forgotten);
+        if let Some(deadline) = request.deadline_ms {
+            worker.deadline_ms = worker.deadline_ms.max(deadline);
+        }
+        let report = HoldReport {
+            clock_ms,
+            running: worker
+                .running
+                .iter()
+                .map(|(task, (run, percent, checkpoint))| RunningTask {
+                    task: task.clone(),
+                    run: *run,
+                    checkpoint: checkpoint.clone(),
+                    percent: *percent,
+                })
+                .collect(),
+            ended: worker.ended.clone(),
+            more: false,
+        };
+        self.at_ms += 1;
+        let answered = self.now();
+        self.planner
+            .take_hold(id, &request, now.at, report, answered);
+        Some(request)
+    }
+
+    /// Ticks and carries out what the planner orders, until it orders nothing more.
+    pub fn settle(&mut self) {
+        loop {
+            let now = self.now();
+            let orders = self.planner.tick(now);
+            if orders.is_empty() {
+                return;
+            }
+            for order in orders {
+                self.carry_out(&order);
+            }
+        }
+    }
+
+    /// Carries out one order at its worker and tells the planner.
+    pub fn carry_out(&mut self, order: &Order) {
+        self.given.push(order.clone());
+        let clock_ms = self.at_ms;
+        self.at_ms += 1;
+        let now = self.now();
+        let worker = self.workers.get_mut(&order.worker).expect("a worker");
+        match &order.kind {
+            OrderKind::Start { checkpoint, .. } => {
+                worker
+                    .running
+                    .insert(order.task.clone(), (order.run, 0, checkpoint.clone()));
+                self.planner
+                    .take_start(order, StartOutcome::Started { clock_ms }, now);
+            }
+            OrderKind::Stop => {
+                if worker.running.contains_key(&order.task) {
+                    worker.end(&order.task, EndKind::Stopped);
+                }
+                self.planner.take_stop(order, StopOutcome::Taken, now);
+            }
+        }
+    }
+
+    /// Lets time pass, asking workers and ticking every 100 ms.
+    pub fn pass(&mut self, ms: u64) {
+        let until = self.at_ms + ms;
+        while self.at_ms < until {
+            self.at_ms += 100;
+            self.hold_all();
+            self.settle();
+        }
+    }
+
+    /// Writes down everything that waits for it.
+    pub fn write_all(&mut self) {
+        for write in self.planner.take_writes(1000) {
+            self.planner.written(&write.job, write.change);
+        }
+    }
+
+    pub fn submit(&mut self, job: AcceptedJob) {
+        let now = self.now();
+        self.planner.submit(job, now);
+        self.settle();
+    }
+
+    /// Returns where a task runs.
+    pub fn place_of(&self, task: &TaskKey) -> Option<WorkerId> {
+        self.workers
+            .iter()
+            .find(|(_, worker)| worker.running.contains_key(task))
+            .map(|(id, _)| id.clone())
+    }
+
+    /// Counts the starts of a task.
+    pub fn starts_of(&self, task: &TaskKey) -> usize {
+        let is_start = |order: &&Order| matches!(order.kind, OrderKind::Start { .. });
+        self.given
+            .iter()
+            .filter(is_start)
+            .filter(|order| order.task == *task)
+            .count()
+    }
+}
--- /dev/null
+++ b/crates/stairstall-core/tests/batch/main.rs
@@ -0,0 +1,4 @@
+//! The planner of jobs of steps and tasks, on a virtual clock.
+
+mod ends;
+mod harness;
