fix(batch): write the place of a run down before its start is sent

Cause: a successor did not know what its predecessor had started on workers that it could not reach; the directory drops such workers after some seconds, and then it started their tasks a second time. Ruled out: waiting for every listed worker (the dropped ones are not listed). Change: a job's progress keeps worker and number of each current run; a start waits for that write; a successor restores those runs and frees them by the worker's report or at the end of its lease. Tests: tests/batch/takeover.rs; the silent, unlisted worker failed before.

--- a/crates/stairstall-core/src/batch/planner.rs
+++ b/crates/stairstall-core/src/batch/planner.rs
@@ -72,9 +72,9 @@
     orders: Vec<Order>,
     decisions: Vec<Decision>,
     changed: BTreeSet<JobId>,
-    /// Until when tasks of an earlier planner may run at workers that did not answer yet.
-    inherited_until: Option<Timestamp>,
     replan: bool,
+    /// Whether a planned start may have become possible.
+    emit_due: bool,
     deposed: bool,
 }
 
@@ -86,12 +86,11 @@
 
     /// Creates the planner of one tenure, which `token` fences.
     ///
-    /// Where `inherits`, an earlier planner may have started tasks: what it may
-    /// have started is not started again until every listed worker has
-    /// answered, or every lease it gave is over.
+    /// What an earlier planner may have started it learns from the progress
+    /// that [`Planner::load`] takes: places are written down before a start
+    /// is sent.
     #[must_use]
-    pub fn new(token: u64, bounds: Bounds, inherits: bool, now: Now) -> Self {
-        let inherited_until = inherits.then(|| now.at + Self::lease_span(bounds.hold_max));
+    pub fn new(token: u64, bounds: Bounds) -> Self {
         Self {
             token,
             bounds,
@@ -102,8 +101,8 @@
             orders: Vec::new(),
             decisions: Vec::new(),
             changed: BTreeSet::new(),
-            inherited_until,
             replan: true,
+            emit_due: false,
             deposed: false,
         }
     }
@@ -145,30 +144,27 @@
         if self.jobs.contains_key(&id) {
             return;
         }
-        let mut job = Job::new(Arc::new(accepted), now, true);
-        job.raise_runs((self.token.saturating_sub(1)).saturating_mul(Self::RUNS_PER_TENURE));
+        let mut job = Job::new(Arc::new(accepted), now);
         if let Some(progress) = progress {
             job.restore(progress, now);
         }
         self.jobs.insert(id.clone(), job);
+        if let Some(progress) = progress {
+            self.restore_runs(&id, progress, now);
+        }
         if cancelled {
             self.cancel(&id, now);
         }
         self.replan = true;
     }
 
-    /// Run numbers set apart for each tenure, so that no two planners give the same one.
-    const RUNS_PER_TENURE: u64 = 1000;
-
     /// Takes a job that was accepted just now; a known one changes nothing.
     pub fn submit(&mut self, accepted: AcceptedJob, now: Now) {
         if self.jobs.contains_key(&accepted.id) {
             return;
         }
         let id = accepted.id.clone();
-        let mut job = Job::new(Arc::new(accepted), now, false);
-        job.raise_runs((self.token.saturating_sub(1)).saturating_mul(Self::RUNS_PER_TENURE));
-        self.jobs.insert(id, job);
+        self.jobs.insert(id, Job::new(Arc::new(accepted), now));
         self.replan = true;
     }
 
@@ -240,6 +236,7 @@
             self.replan = false;
             self.plan(now);
         }
+        self.emit_due = false;
         self.emit_starts(now);
         std::mem::take(&mut self.orders)
     }
@@ -263,7 +260,7 @@
     /// Tells whether something happened that asks for a tick.
     #[must_use]
     pub fn wants_tick(&self) -> bool {
-        self.replan || !self.orders.is_empty()
+        self.replan || self.emit_due || !self.orders.is_empty()
     }
 
     /// Returns what a caller is told of a job; an end only once it is written down.
--- a/crates/stairstall-core/src/batch/planner/contact.rs
+++ b/crates/stairstall-core/src/batch/planner/contact.rs
@@ -5,9 +5,9 @@
 use super::pool::{Run, RunState};
 use super::{Now, Planner, Worker};
 use crate::batch::{
-    Decision, DecisionKind, EndKind, HoldReport, HoldRequest, RunningTask, TaskKey,
+    Decision, DecisionKind, EndKind, HoldReport, HoldRequest, Progress, RunningTask, TaskKey,
 };
-use crate::{Timestamp, WorkerId};
+use crate::{JobId, Timestamp, WorkerId};
 
 impl Planner {
     /// Returns what to ask of a worker now; none where there is nothing to ask.
@@ -32,6 +32,7 @@
     pub fn workers(&self) -> impl Iterator<Item = (&WorkerId, &str, super::WorkerPhase)> {
         self.workers
             .iter()
+            .filter(|(_, w)| !w.listed.address.is_empty())
             .map(|(id, w)| (id, w.listed.address.as_str(), w.phase()))
     }
 
@@ -125,11 +126,6 @@
 
     /// Takes what runs on silent workers for over once their leases are.
     pub(super) fn end_leases(&mut self, now: Now) {
-        if self.inherited_until.is_some_and(|until| now.at >= until)
-            || self.workers.values().all(|w| w.fenced || !w.is_listed)
-        {
-            self.replan |= self.inherited_until.take().is_some();
-        }
         let over: Vec<(WorkerId, TaskKey)> = self
             .workers
             .iter()
@@ -210,12 +206,49 @@
             job.begun = true;
             if let Some(group) = job.group_mut(key) {
                 group.last_run = group.last_run.max(running.run);
-                group.tasks[running.task.index as usize].place = Some(id.clone());
+                let task = &mut group.tasks[running.task.index as usize];
+                task.place = Some(id.clone());
+                task.run = running.run;
             }
         }
         self.note_progress(running);
     }
 
+    /// Takes the places that were written down for what may run there.
+    pub(super) fn restore_runs(&mut self, job: &JobId, progress: &Progress, now: Now) {
+        for (occurrence, groups) in (0..).zip(&progress.occurrences) {
+            for (step, group) in (0..).zip(groups) {
+                for (index, (worker, number)) in &group.places {
+                    let task = TaskKey::new(job.clone(), occurrence, step, *index);
+                    self.restore_run(worker, task, *number, now);
+                }
+            }
+        }
+    }
+
+    fn restore_run(&mut self, id: &WorkerId, task: TaskKey, number: u32, now: Now) {
+        let running = RunningTask {
+            task: task.clone(),
+            run: number,
+            checkpoint: None,
+            percent: 0,
+        };
+        let run = self.adopted_run(id, &running, now);
+        let worker = self
+            .workers
+            .entry(id.clone())
+            .or_insert_with(|| Worker::unlisted(id));
+        worker.insert(task.clone(), run);
+        worker.extend_lease(now.at + Self::lease_span(self.bounds.hold_max));
+        let is_over = self
+            .jobs
+            .get(&task.group.job)
+            .is_none_or(|job| job.outcome.is_some());
+        if is_over {
+            self.note_unwanted(id, &task, now);
+        }
+    }
+
     fn adopted_run(&self, id: &WorkerId, running: &RunningTask, now: Now) -> Run {
         let key = &running.task.group;
         let job = self.jobs.get(&key.job);
@@ -240,6 +273,7 @@
             reported_at: now.at,
             unwanted_since: None,
             began: Some((now.at, running.percent)),
+            recorded_by: 0,
         };
         run.note_running(running, now.at);
         run
--- a/crates/stairstall-core/src/batch/planner/fit.rs
+++ b/crates/stairstall-core/src/batch/planner/fit.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use super::job::Job;
 use super::pool::{Run, RunState, Worker};
 use super::queue::{Candidate, URGENT};
 use super::victims::Victims;
@@ -299,13 +300,20 @@
             group.ready_since = None;
         }
         let waited = super::contact::millis(now.at - ready_since);
+        let Some(recorded_by) = self.jobs.get_mut(&key.job).map(Job::change) else {
+            return;
+        };
+        self.changed.insert(key.job.clone());
         for (index, id) in tasks.iter().zip(&choice.places) {
             let task = key.task(*index);
-            let run = self.planned_run(candidate.rank, step, id, number, now);
+            let mut run = self.planned_run(candidate.rank, step, id, number, now);
+            run.recorded_by = recorded_by;
             if let Some(job) = self.jobs.get_mut(&key.job)
                 && let Some(group) = job.group_mut(key)
             {
-                group.tasks[*index as usize].place = Some(id.clone());
+                let task = &mut group.tasks[*index as usize];
+                task.place = Some(id.clone());
+                task.run = number;
             }
             if let Some(worker) = self.workers.get_mut(id) {
                 worker.insert(task.clone(), run);
@@ -349,6 +357,7 @@
             reported_at: now.at,
             unwanted_since: None,
             began: None,
+            recorded_by: 0,
         }
     }
 
--- a/crates/stairstall-core/src/batch/planner/job.rs
+++ b/crates/stairstall-core/src/batch/planner/job.rs
@@ -12,6 +12,8 @@
     pub(super) done: bool,
     /// The worker that has its current run.
     pub(super) place: Option<WorkerId>,
+    /// The number of its current run.
+    pub(super) run: u32,
     /// Runs that failed.
     pub(super) failures: u32,
     /// Its last checkpoint.
@@ -47,10 +49,9 @@
 }
 
 impl Group {
-    fn new(step: &StepSpec, first_run: u32) -> Self {
+    fn new(step: &StepSpec) -> Self {
         Self {
             tasks: vec![Task::default(); step.count as usize],
-            last_run: first_run,
             ..Self::default()
         }
     }
@@ -112,16 +113,13 @@
     pub(super) ended_at: Option<Timestamp>,
     pub(super) ended_unix_ms: u64,
     pub(super) begun: bool,
-    /// Whether an earlier planner may have started tasks of it.
-    pub(super) inherited: bool,
     /// Counts changes that must last, and how many of them do.
     pub(super) changes: u64,
     pub(super) written: u64,
-    first_run: u32,
 }
 
 impl Job {
-    pub(super) fn new(accepted: Arc<AcceptedJob>, now: Now, inherited: bool) -> Self {
+    pub(super) fn new(accepted: Arc<AcceptedJob>, now: Now) -> Self {
         let mut job = Self {
             accepted,
             occurrences: Vec::new(),
@@ -129,23 +127,13 @@
             ended_at: None,
             ended_unix_ms: 0,
             begun: false,
-            inherited,
             changes: 0,
             written: 0,
-            first_run: 0,
         };
         job.add_due_occurrences(now);
         job
     }
 
-    /// Makes run numbers start above `first`.
-    pub(super) fn raise_runs(&mut self, first: u64) {
-        self.first_run = u32::try_from(first).unwrap_or(u32::MAX / 2);
-        for group in self.occurrences.iter_mut().flatten() {
-            group.last_run = group.last_run.max(self.first_run);
-        }
-    }
-
     /// Returns the next time that is due later, in milliseconds since the Unix epoch.
     pub(super) fn next_due_unix_ms(&self) -> Option<u64> {
         if self.outcome.is_some() || self.occurrences.len() >= self.accepted.spec.times() as usize {
@@ -170,7 +158,7 @@
 
     pub(super) fn add_occurrence(&mut self) {
         let steps = &self.accepted.spec.steps;
-        let groups = steps.iter().map(|step| Group::new(step, self.first_run));
+        let groups = steps.iter().map(Group::new);
         self.occurrences.push(groups.collect());
     }
 
--- a/crates/stairstall-core/src/batch/planner/pool.rs
+++ b/crates/stairstall-core/src/batch/planner/pool.rs
@@ -1,8 +1,8 @@
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use crate::batch::{HoldRequest, ListedWorker, Resources, StepSpec, TaskKey};
-use crate::{JobId, Timestamp};
+use crate::{JobId, RackId, ServiceId, Timestamp, WorkerId, ZoneId};
 
 /// Where a run stands at its worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -46,6 +46,8 @@
     pub(super) unwanted_since: Option<Timestamp>,
     /// When it began, and the percentage it began at.
     pub(super) began: Option<(Timestamp, u8)>,
+    /// The change of its job that writes its place down; no start is sent before that lasts.
+    pub(super) recorded_by: u64,
 }
 
 impl Run {
@@ -151,6 +153,25 @@
         worker
     }
 
+    /// A worker that is known only from what was written down.
+    pub(super) fn unlisted(id: &WorkerId) -> Self {
+        let listed = ListedWorker {
+            id: id.clone(),
+            address: String::new(),
+            service: ServiceId::unknown(),
+            zone: ZoneId::unknown(),
+            rack: RackId::unknown(),
+            labels: BTreeSet::new(),
+            capacity: Resources::default(),
+            draining: false,
+            remaining_ms: None,
+        };
+        let mut worker = Self::new(listed, Timestamp::default());
+        worker.is_listed = false;
+        worker.contact = false;
+        worker
+    }
+
     pub(super) fn relist(&mut self, listed: ListedWorker, at: Timestamp) {
         self.is_listed = true;
         if listed.draining && !self.listed.draining || self.leaves_at.is_none() {
--- a/crates/stairstall-core/src/batch/planner/progress.rs
+++ b/crates/stairstall-core/src/batch/planner/progress.rs
@@ -47,6 +47,7 @@
     pub fn written(&mut self, id: &JobId, change: u64) {
         if let Some(job) = self.jobs.get_mut(id) {
             job.written = job.written.max(change);
+            self.emit_due = true;
         }
     }
 
@@ -113,6 +114,10 @@
                 .map(|(index, task)| (index, task.counted_run))
                 .collect(),
             last_run: self.last_run,
+            places: (0..)
+                .zip(&self.tasks)
+                .filter_map(|(index, task)| Some((index, (task.place.clone()?, task.run))))
+                .collect(),
             checkpoints: open
                 .filter_map(|(index, task)| Some((index, task.checkpoint.clone()?)))
                 .collect(),
@@ -131,6 +136,12 @@
             task.done = mark == DONE;
             task.failures = mark.to_digit(10).unwrap_or(0);
         }
+        for (index, (worker, run)) in &kept.places {
+            if let Some(task) = self.tasks.get_mut(*index as usize) {
+                task.place = Some(worker.clone());
+                task.run = *run;
+            }
+        }
         for (index, run) in &kept.counted_runs {
             if let Some(task) = self.tasks.get_mut(*index as usize) {
                 task.counted_run = *run;
--- a/crates/stairstall-core/src/batch/planner/queue.rs
+++ b/crates/stairstall-core/src/batch/planner/queue.rs
@@ -73,10 +73,9 @@
     }
 
     fn candidates(&mut self, claims: &BTreeSet<JobId>, now: Now) -> Vec<Candidate> {
-        let inherits = self.inherited_until.is_some();
         let mut found = Vec::new();
         for (id, job) in &mut self.jobs {
-            if job.outcome.is_some() || (inherits && job.inherited) {
+            if job.outcome.is_some() {
                 continue;
             }
             let rank = if claims.contains(id) {
--- a/crates/stairstall-core/src/batch/planner/starts.rs
+++ b/crates/stairstall-core/src/batch/planner/starts.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::contact::millis;
-use super::pool::RunState;
+use super::pool::{RunState, Worker};
 use super::{Now, Order, OrderKind, Planner};
 use crate::batch::{
     Decision, DecisionKind, EndKind, GroupKey, RefusalReason, StartOutcome, StopOutcome, TaskKey,
@@ -89,13 +89,21 @@
         let Some(worker) = self.workers.get(id) else {
             return false;
         };
+        let is_recorded = tasks.iter().all(|task| self.is_recorded(worker, task));
         let needed = tasks
             .iter()
             .filter_map(|task| worker.runs.get(*task))
             .fold(crate::batch::Resources::default(), |sum, run| {
                 sum.plus(&run.room)
             });
-        worker.is_in_contact() && needed.fits(&worker.free_now())
+        is_recorded && worker.is_in_contact() && needed.fits(&worker.free_now())
+    }
+
+    /// Tells whether a run's place is written down, so that a later planner knows of it.
+    fn is_recorded(&self, worker: &Worker, task: &TaskKey) -> bool {
+        let written = self.jobs.get(&task.group.job).map(|job| job.written);
+        let needed = worker.runs.get(task).map(|run| run.recorded_by);
+        needed <= written
     }
 
     fn emit_start(&mut self, id: &WorkerId, task: &TaskKey, now: Now) {
--- a/crates/stairstall-core/src/batch/record.rs
+++ b/crates/stairstall-core/src/batch/record.rs
@@ -4,7 +4,7 @@
 
 use super::{BatchSpec, Queue};
 use crate::claim::Mark;
-use crate::{CustomerId, JobId};
+use crate::{CustomerId, JobId, WorkerId};
 
 /// A job as it was accepted; written once.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -65,6 +65,9 @@
     /// Highest run number that was given out.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub last_run: u32,
+    /// The worker and the number of each current run, by index; written before it is started.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub places: BTreeMap<u32, (WorkerId, u32)>,
     /// Last checkpoint of open tasks, by index.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub checkpoints: BTreeMap<u32, String>,
--- a/crates/stairstall-core/tests/batch/ends.rs
+++ b/crates/stairstall-core/tests/batch/ends.rs
@@ -18,6 +18,7 @@
         let place = fleet.place_of(&key).expect("it runs");
         fleet.worker(place.as_str()).end(&key, EndKind::Done);
     }
+    fleet.writes = false;
     fleet.hold_all();
     assert_eq!(
         fleet.planner.caller_state(&id("j")),
@@ -41,6 +42,7 @@
         let place = fleet.place_of(&key).expect("it runs");
         fleet.worker(place.as_str()).end(&key, EndKind::Done);
     }
+    fleet.writes = false;
     fleet.pass(300);
     for name in ["w1", "w2"] {
         assert_eq!(fleet.worker(name).forgotten, 0, "{name} forgot too early");
--- a/crates/stairstall-core/tests/batch/harness.rs
+++ b/crates/stairstall-core/tests/batch/harness.rs
@@ -6,7 +6,7 @@
 
 use stairstall_core::batch::{
     AcceptedJob, BatchSpec, Bounds, Catalog, Customer, End, EndKind, HoldReport, HoldRequest,
-    ListedWorker, Now, Order, OrderKind, Planner, Queue, Resources, Route, RunningTask,
+    ListedWorker, Now, Order, OrderKind, Planner, Progress, Queue, Resources, Route, RunningTask,
     StartOutcome, StepSpec, StopOutcome, TaskKey,
 };
 use stairstall_core::claim::Mark;
@@ -52,6 +52,10 @@
     pub at_ms: u64,
     /// Orders that were given, oldest first.
     pub given: Vec<Order>,
+    /// Whether the store takes writes.
+    pub writes: bool,
+    /// What the store has of each job.
+    pub kept: BTreeMap<JobId, Progress>,
 }
 
 pub fn worker(id: &str, rack: &str, capacity: Resources) -> ListedWorker {
@@ -156,13 +160,15 @@
 
     pub fn of_tenure(token: u64, workers: &[(&str, &str)]) -> Self {
         let now = Now::new(Timestamp::from_millis(0), START_UNIX_MS);
-        let mut planner = Planner::new(token, bounds(), token > 1, now);
+        let mut planner = Planner::new(token, bounds());
         planner.set_catalog(Arc::new(catalog(0)));
         let mut fleet = Self {
             planner,
             workers: BTreeMap::new(),
             at_ms: 0,
             given: Vec::new(),
+            writes: true,
+            kept: BTreeMap::new(),
         };
         for (name, rack) in workers {
             let listed = worker(name, rack, Resources::new(32_000, 64_000, 8));
@@ -228,12 +234,16 @@
         Some(request)
     }
 
-    /// Ticks and carries out what the planner orders, until it orders nothing more.
+    /// Ticks, writes and carries out what the planner orders, until it orders nothing more.
     pub fn settle(&mut self) {
         loop {
             let now = self.now();
             let orders = self.planner.tick(now);
-            if orders.is_empty() {
+            let written = self.writes && self.planner.has_writes();
+            if self.writes {
+                self.write_all();
+            }
+            if orders.is_empty() && !written {
                 return;
             }
             for order in orders {
@@ -280,6 +290,7 @@
     pub fn write_all(&mut self) {
         for write in self.planner.take_writes(1000) {
             self.planner.written(&write.job, write.change);
+            self.kept.insert(write.job, write.progress);
         }
     }
 
@@ -289,6 +300,22 @@
         self.settle();
     }
 
+    /// Replaces the planner by one of the next tenure, which knows what was written.
+    pub fn take_over(&mut self, jobs: &[AcceptedJob], listed: &[(&str, &str)]) {
+        let now = self.now();
+        let token = self.planner.token() + 1;
+        self.planner = Planner::new(token, bounds());
+        self.planner.set_catalog(Arc::new(catalog(0)));
+        for (name, rack) in listed {
+            let listed = worker(name, rack, Resources::new(32_000, 64_000, 8));
+            self.planner.list_worker(listed, now);
+        }
+        for job in jobs {
+            let kept = self.kept.get(&job.id);
+            self.planner.load(job.clone(), kept, false, now);
+        }
+    }
+
     /// Returns where a task runs.
     pub fn place_of(&self, task: &TaskKey) -> Option<WorkerId> {
         self.workers
--- a/crates/stairstall-core/tests/batch/main.rs
+++ b/crates/stairstall-core/tests/batch/main.rs
@@ -2,3 +2,4 @@
 
 mod ends;
 mod harness;
+mod takeover;
--- /dev/null
+++ b/crates/stairstall-core/tests/batch/takeover.rs
@@ -0,0 +1,98 @@
+//! A planner that takes over knows what its predecessor may have started.
+
+use stairstall_core::batch::{EndKind, OrderKind};
+
+use crate::harness::{Fleet, HOLD_MAX, gang, job, step, task};
+
+const BOTH: [(&str, &str); 2] = [("w1", "r1"), ("w2", "r1")];
+
+#[test]
+fn no_start_is_sent_before_its_place_is_written_down() {
+    let mut fleet = Fleet::new(&BOTH);
+    fleet.hold_all();
+    fleet.writes = false;
+    fleet.submit(job("j", 2, vec![step(1, 8)]));
+    fleet.pass(300);
+    assert!(fleet.given.is_empty(), "{:?}", fleet.given);
+    fleet.writes = true;
+    fleet.pass(300);
+    assert_eq!(fleet.starts_of(&task("j", 0, 0)), 1);
+}
+
+#[test]
+fn what_runs_on_a_silent_unlisted_worker_is_started_again_only_after_its_lease() {
+    let mut fleet = Fleet::new(&BOTH);
+    fleet.hold_all();
+    let accepted = job("j", 2, vec![step(1, 8)]);
+    fleet.submit(accepted.clone());
+    let key = task("j", 0, 0);
+    let first = fleet.place_of(&key).expect("it runs");
+    let other = if first.as_str() == "w1" {
+        BOTH[1]
+    } else {
+        BOTH[0]
+    };
+    // The worker is cut off, and the directory has dropped it.
+    let cut_off = fleet.workers.remove(&first);
+    assert!(cut_off.is_some());
+    fleet.take_over(&[accepted], &[other]);
+    let span_ms = u64::try_from(HOLD_MAX.as_millis()).expect("small");
+    fleet.pass(span_ms);
+    assert_eq!(fleet.starts_of(&key), 1, "its lease may last");
+    fleet.pass(1_000);
+    assert_eq!(fleet.starts_of(&key), 2, "its lease is over");
+}
+
+#[test]
+fn what_was_never_started_starts_at_once_after_a_takeover() {
+    let mut fleet = Fleet::new(&[("w1", "r1")]);
+    fleet.hold_all();
+    let running = job("a", 2, vec![step(1, 8)]);
+    let waiting = job("b", 2, vec![step(1, 8)]);
+    fleet.submit(running.clone());
+    fleet.submit(waiting.clone());
+    fleet.workers.clear();
+    fleet
+        .workers
+        .insert("w2".parse().expect("an id"), Default::default());
+    fleet.take_over(&[running, waiting], &[("w2", "r1")]);
+    fleet.pass(300);
+    assert_eq!(fleet.starts_of(&task("b", 0, 0)), 1);
+}
+
+#[test]
+fn a_successor_adopts_what_runs_and_takes_its_end() {
+    let mut fleet = Fleet::new(&BOTH);
+    fleet.hold_all();
+    let accepted = job("j", 2, vec![gang(2, 8)]);
+    fleet.submit(accepted.clone());
+    fleet.take_over(&[accepted], &BOTH);
+    fleet.pass(300);
+    let key = task("j", 0, 0);
+    assert_eq!(fleet.starts_of(&key), 1);
+    for index in 0..2 {
+        let key = task("j", 0, index);
+        let place = fleet.place_of(&key).expect("it runs on");
+        fleet.worker(place.as_str()).end(&key, EndKind::Done);
+    }
+    fleet.pass(300);
+    assert_eq!(fleet.planner.open_jobs(), 0);
+    let stops = fleet.given.iter().filter(|o| o.kind == OrderKind::Stop);
+    assert_eq!(stops.count(), 0);
+}
+
+#[test]
+fn a_placed_run_that_never_arrived_is_started_by_the_successor() {
+    let mut fleet = Fleet::new(&[("w1", "r1")]);
+    fleet.hold_all();
+    let accepted = job("j", 2, vec![step(1, 8)]);
+    fleet.submit(accepted.clone());
+    let key = task("j", 0, 0);
+    // The start was written down but lost on its way.
+    fleet.worker("w1").running.clear();
+    fleet.take_over(&[accepted], &[("w1", "r1")]);
+    fleet.pass(300);
+    assert_eq!(fleet.starts_of(&key), 2);
+    let runs: Vec<u32> = fleet.given.iter().map(|order| order.run).collect();
+    assert_eq!(runs, [1, 2], "run numbers rise over tenures");
+}
--- a/crates/stairstalld/src/batch/links.rs
+++ b/crates/stairstalld/src/batch/links.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use stairstall_core::WorkerId;
-use stairstall_core::batch::{HoldRequest, Order, WorkerPhase};
+use stairstall_core::batch::{HoldRequest, Order};
 use stairstall_ports::{WorkerAddress, WorkerFault};
 use tokio::sync::Notify;
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
@@ -158,9 +158,3 @@
         }
     }
 }
-
-/// Counts workers by phase, for the log.
-#[must_use]
-pub(crate) fn count_phase(tenure: &Tenure, phase: WorkerPhase) -> usize {
-    tenure.with(|planner, _| planner.workers().filter(|w| w.2 == phase).count())
-}
--- a/crates/stairstalld/src/batch/tenure.rs
+++ b/crates/stairstalld/src/batch/tenure.rs
@@ -45,8 +45,7 @@
 impl Tenure {
     pub(crate) fn new(node: &Node, taken: Taken) -> Self {
         let token = taken.record.token;
-        let inherits = token > 1;
-        let mut planner = Planner::new(token, node.settings.bounds, inherits, node.now());
+        let mut planner = Planner::new(token, node.settings.bounds);
         if let Some(catalog) = node.current_catalog() {
             planner.set_catalog(catalog);
         }
--- a/crates/stairstalld/src/batch/writer.rs
+++ b/crates/stairstalld/src/batch/writer.rs
@@ -18,7 +18,7 @@
 /// Jobs in one write: the store takes 32 entries, two a job and one for the role.
 const JOBS_PER_WRITE: usize = 15;
 /// How long ends are gathered before they are written together.
-const GATHER: Duration = Duration::from_millis(8);
+const GATHER: Duration = Duration::from_millis(3);
 /// Pause after a failure.
 const PAUSE: Duration = Duration::from_millis(80);
 /// How often ended jobs are looked through for those to forget.
