fix(batch): let a resent stop not put off what a report tells

Cause: each resent stop cleared the moment from which a report must name the run; a run that was not there stayed at its worker for good, and everything planned on its room was dropped and planned again. A successor also stopped members of gangs that were only written down and long gone. Ruled out: silent workers (the stopped runs were on workers in contact). Change: the first answer counts; restored runs are judged by the worker's first report before any stop is sent. Test: a_run_that_is_not_there_is_over_however_often_its_stop_is_sent_again, failed first.

--- a/crates/stairstall-core/src/batch/planner/contact.rs
+++ b/crates/stairstall-core/src/batch/planner/contact.rs
@@ -146,7 +146,11 @@
         match worker.runs.get_mut(&running.task) {
             Some(run) if run.number == running.run => {
                 run.note_running(running, now.at);
+                let was_restored = std::mem::take(&mut run.restored);
                 self.note_progress(running);
+                if was_restored {
+                    self.confirm_restored(id, &running.task, now);
+                }
             }
             Some(run) if run.number > running.run => {}
             _ => self.adopt(id, running, now),
@@ -233,19 +237,30 @@
             checkpoint: None,
             percent: 0,
         };
-        let run = self.adopted_run(id, &running, now);
+        let mut run = self.adopted_run(id, &running, now);
+        run.restored = true;
         let worker = self
             .workers
             .entry(id.clone())
             .or_insert_with(|| Worker::unlisted(id));
         worker.insert(task.clone(), run);
         worker.extend_lease(now.at + Self::lease_span(self.bounds.hold_max));
-        let is_over = self
-            .jobs
-            .get(&task.group.job)
-            .is_none_or(|job| job.outcome.is_some());
-        if is_over {
-            self.note_unwanted(id, &task, now);
+    }
+
+    /// Takes the first report of a run that an earlier planner wrote down.
+    fn confirm_restored(&mut self, id: &WorkerId, task: &TaskKey, now: Now) {
+        let key = &task.group;
+        let Some(job) = self.jobs.get(&key.job) else {
+            return;
+        };
+        let is_broken = job.step(key).is_some_and(|step| step.gang)
+            && job
+                .group(key)
+                .is_some_and(|group| group.tasks.iter().any(super::job::Task::is_waiting));
+        if job.outcome.is_some() {
+            self.stop_run(id, task, "its job has ended", now);
+        } else if is_broken {
+            self.stop_run(id, task, "another member of its gang is over", now);
         }
     }
 
@@ -274,6 +289,7 @@
             unwanted_since: None,
             began: Some((now.at, running.percent)),
             recorded_by: 0,
+            restored: false,
         };
         run.note_running(running, now.at);
         run
--- a/crates/stairstall-core/src/batch/planner/fit.rs
+++ b/crates/stairstall-core/src/batch/planner/fit.rs
@@ -358,6 +358,7 @@
             unwanted_since: None,
             began: None,
             recorded_by: 0,
+            restored: false,
         }
     }
 
--- a/crates/stairstall-core/src/batch/planner/pool.rs
+++ b/crates/stairstall-core/src/batch/planner/pool.rs
@@ -46,6 +46,8 @@
     pub(super) unwanted_since: Option<Timestamp>,
     /// When it began, and the percentage it began at.
     pub(super) began: Option<(Timestamp, u8)>,
+    /// Whether it is known only from what an earlier planner wrote down.
+    pub(super) restored: bool,
     /// The change of its job that writes its place down; no start is sent before that lasts.
     pub(super) recorded_by: u64,
 }
--- a/crates/stairstall-core/src/batch/planner/starts.rs
+++ b/crates/stairstall-core/src/batch/planner/starts.rs
@@ -173,7 +173,12 @@
                 }
             }
             RunState::Starting | RunState::Running => {
+                if run.restored {
+                    // Whether it is there at all, the worker's first report tells.
+                    return;
+                }
                 run.enter(RunState::Stopping, now.at);
+                run.answered_at = None;
                 let number = run.number;
                 self.send_stop(id, task, number, now);
                 let detail = format!("{why}; {}", self.progress_of(id, task, now));
@@ -199,7 +204,6 @@
     fn send_stop(&mut self, id: &WorkerId, task: &TaskKey, run: u32, now: Now) {
         if let Some(entry) = self.workers.get_mut(id).and_then(|w| w.runs.get_mut(task)) {
             entry.ordered_at = now.at;
-            entry.answered_at = None;
         }
         self.orders.push(Order {
             worker: id.clone(),
@@ -346,9 +350,11 @@
         }
     }
 
+    /// Notes an answer about a run: a report that is asked for later must name the run, or it is
+    /// over. A later answer doesn't put that off.
     fn note_answered(&mut self, id: &WorkerId, task: &TaskKey, at: Timestamp) {
         if let Some(run) = self.workers.get_mut(id).and_then(|w| w.runs.get_mut(task)) {
-            run.answered_at = Some(at);
+            run.answered_at.get_or_insert(at);
         }
     }
 
--- a/crates/stairstall-core/tests/batch/takeover.rs
+++ b/crates/stairstall-core/tests/batch/takeover.rs
@@ -96,3 +96,37 @@
     let runs: Vec<u32> = fleet.given.iter().map(|order| order.run).collect();
     assert_eq!(runs, [1, 2], "run numbers rise over tenures");
 }
+
+#[test]
+fn a_run_that_is_not_there_is_over_however_often_its_stop_is_sent_again() {
+    let mut fleet = Fleet::new(&[("w1", "r1")]);
+    fleet.hold_all();
+    let accepted = job("j", 2, vec![step(1, 8)]);
+    fleet.submit(accepted);
+    // The run vanishes, and the worker's reports take longer than stops are sent again.
+    fleet.worker("w1").running.clear();
+    let now = fleet.now();
+    fleet.planner.cancel(&crate::harness::id("j"), now);
+    for _ in 0..4 {
+        let now = fleet.now();
+        let id = "w1".parse().expect("an id");
+        let Some(request) = fleet.planner.hold_request(&id, now) else {
+            break;
+        };
+        for _ in 0..10 {
+            fleet.at_ms += 100;
+            fleet.settle();
+        }
+        let report = stairstall_core::batch::HoldReport {
+            clock_ms: fleet.at_ms,
+            running: Vec::new(),
+            ended: Vec::new(),
+            more: false,
+        };
+        let answered = fleet.now();
+        fleet
+            .planner
+            .take_hold(&id, &request, now.at, report, answered);
+    }
+    assert_eq!(fleet.planner.runs(), 0);
+}
