--- a/crates/stairstall-core/src/batch/decision.rs
+++ b/crates/stairstall-core/src/batch/decision.rs
@@ -1,4 +1,5 @@
 use std::fmt;
+use std::time::Duration;
 
 use super::TaskKey;
 use crate::{JobId, WorkerId};
@@ -10,6 +11,8 @@
     Place,
     /// A task was told to start.
     Start,
+    /// The first task of a job began.
+    Begin,
     /// A run is stopped.
     Stop,
     /// A run ended, or is known to be over.
@@ -29,6 +32,7 @@
         match self {
             Self::Place => "place",
             Self::Start => "start",
+            Self::Begin => "begin",
             Self::Stop => "stop",
             Self::End => "end",
             Self::Adopt => "adopt",
@@ -53,6 +57,8 @@
     pub worker: Option<WorkerId>,
     /// Why, in words.
     pub why: String,
+    /// How long the job had waited, where its first task began.
+    pub after: Option<Duration>,
 }
 
 impl Decision {
@@ -72,6 +78,7 @@
             run,
             worker: Some(worker.clone()),
             why: why.into(),
+            after: None,
         }
     }
 
@@ -85,6 +92,17 @@
             run: 0,
             worker: None,
             why: why.into(),
+            after: None,
+        }
+    }
+
+    /// Says that a job's first task began, so long after the planner heard of the job.
+    #[must_use]
+    pub fn of_begin(job: &JobId, after: Duration) -> Self {
+        let why = format!("its first task began after {} ms", after.as_millis());
+        Self {
+            after: Some(after),
+            ..Self::of_job(DecisionKind::Begin, job, why)
         }
     }
 
@@ -98,6 +116,7 @@
             run: 0,
             worker: Some(worker.clone()),
             why: why.into(),
+            after: None,
         }
     }
 }
--- a/crates/stairstall-core/src/batch/planner.rs
+++ b/crates/stairstall-core/src/batch/planner.rs
@@ -247,7 +247,7 @@
         let due = self
             .jobs
             .values()
-            .filter_map(|job| job.next_due_unix_ms())
+            .filter_map(Job::next_due_unix_ms)
             .min()
             .map(|due| Duration::from_millis(due.saturating_sub(now.unix_ms)));
         due.unwrap_or(Self::IDLE_TICK)
--- a/crates/stairstall-core/src/batch/planner/contact.rs
+++ b/crates/stairstall-core/src/batch/planner/contact.rs
@@ -64,7 +64,7 @@
         for end in report.ended {
             absent.retain(|task| *task != end.task);
             if end.number > seen {
-                self.take_end(id, end, now);
+                self.take_end(id, &end, now);
             }
         }
         if !report.more {
@@ -224,13 +224,13 @@
             for (step, group) in (0..).zip(groups) {
                 for (index, (worker, number)) in &group.places {
                     let task = TaskKey::new(job.clone(), occurrence, step, *index);
-                    self.restore_run(worker, task, *number, now);
+                    self.restore_run(worker, &task, *number, now);
                 }
             }
         }
     }
 
-    fn restore_run(&mut self, id: &WorkerId, task: TaskKey, number: u32, now: Now) {
+    fn restore_run(&mut self, id: &WorkerId, task: &TaskKey, number: u32, now: Now) {
         let running = RunningTask {
             task: task.clone(),
             run: number,
--- a/crates/stairstall-core/src/batch/planner/ends.rs
+++ b/crates/stairstall-core/src/batch/planner/ends.rs
@@ -13,8 +13,8 @@
 
 impl Planner {
     /// Takes an end that a worker lists; it is told to forget it once the change lasts.
-    pub(super) fn take_end(&mut self, id: &WorkerId, end: End, now: Now) {
-        let change = self.apply_end(id, &end, now);
+    pub(super) fn take_end(&mut self, id: &WorkerId, end: &End, now: Now) {
+        let change = self.apply_end(id, end, now);
         if let Some(worker) = self.workers.get_mut(id) {
             worker.note_end(end.number, change);
         }
--- a/crates/stairstall-core/src/batch/planner/fit.rs
+++ b/crates/stairstall-core/src/batch/planner/fit.rs
@@ -80,9 +80,9 @@
                 break;
             }
             let sites = self.sites(candidate, &step, scope, held_back, now);
-            if let Some(choice) = self.search(&step, waiting.len(), scope, &sites) {
+            if let Some(choice) = search(&step, waiting.len(), scope, &sites) {
                 let taken: Vec<u32> = waiting.drain(..choice.places.len()).collect();
-                self.settle(candidate, &step, &taken, choice, scope, now);
+                self.settle(candidate, &step, &taken, &choice, scope, now);
             }
         }
         let waited = now.at - ready_since;
@@ -246,35 +246,13 @@
         penalty
     }
 
-    /// Finds places for `count` tasks; for a gang all or none.
-    fn search(
-        &self,
-        step: &StepSpec,
-        count: usize,
-        scope: Scope,
-        sites: &[Site],
-    ) -> Option<Choice> {
-        let needs = step.room();
-        if step.gang && step.same_rack && scope.near {
-            let racks: BTreeSet<&RackId> = sites.iter().map(|site| &site.rack).collect();
-            return racks
-                .into_iter()
-                .filter_map(|rack| {
-                    let here = sites.iter().filter(|site| site.rack == *rack);
-                    choose(here.cloned().collect(), &needs, count, true)
-                })
-                .min_by_key(|choice| choice.cost);
-        }
-        choose(sites.to_vec(), &needs, count, step.gang)
-    }
-
     /// Stops the victims and keeps the places.
     fn settle(
         &mut self,
         candidate: &Candidate,
         step: &StepSpec,
         tasks: &[u32],
-        choice: Choice,
+        choice: &Choice,
         scope: Scope,
         now: Now,
     ) {
@@ -400,6 +378,22 @@
     }
 }
 
+/// Finds places for `count` tasks; for a gang all or none.
+fn search(step: &StepSpec, count: usize, scope: Scope, sites: &[Site]) -> Option<Choice> {
+    let needs = step.room();
+    if step.gang && step.same_rack && scope.near {
+        let racks: BTreeSet<&RackId> = sites.iter().map(|site| &site.rack).collect();
+        return racks
+            .into_iter()
+            .filter_map(|rack| {
+                let here = sites.iter().filter(|site| site.rack == *rack);
+                choose(here.cloned().collect(), &needs, count, true)
+            })
+            .min_by_key(|choice| choice.cost);
+    }
+    choose(sites.to_vec(), &needs, count, step.gang)
+}
+
 /// Returns when `count` tasks could be there, in milliseconds, and the workers for it.
 fn soonest(
     sites: &[(u64, &RackId, &WorkerId, u32)],
--- a/crates/stairstall-core/src/batch/planner/job.rs
+++ b/crates/stairstall-core/src/batch/planner/job.rs
@@ -113,6 +113,8 @@
     pub(super) ended_at: Option<Timestamp>,
     pub(super) ended_unix_ms: u64,
     pub(super) begun: bool,
+    /// When the planner heard of it.
+    pub(super) arrived_at: Timestamp,
     /// Counts changes that must last, and how many of them do.
     pub(super) changes: u64,
     pub(super) written: u64,
@@ -127,6 +129,7 @@
             ended_at: None,
             ended_unix_ms: 0,
             begun: false,
+            arrived_at: now.at,
             changes: 0,
             written: 0,
         };
--- a/crates/stairstall-core/src/batch/planner/pool.rs
+++ b/crates/stairstall-core/src/batch/planner/pool.rs
@@ -131,7 +131,7 @@
 
 impl Worker {
     /// How long a worker may wait for an end before it answers.
-    const WAIT: Duration = Duration::from_millis(1_000);
+    const WAIT: Duration = Duration::from_secs(1);
 
     pub(super) fn new(listed: ListedWorker, at: Timestamp) -> Self {
         let mut worker = Self {
--- a/crates/stairstall-core/src/batch/planner/starts.rs
+++ b/crates/stairstall-core/src/batch/planner/starts.rs
@@ -8,7 +8,7 @@
 use crate::batch::{
     Decision, DecisionKind, EndKind, GroupKey, RefusalReason, StartOutcome, StopOutcome, TaskKey,
 };
-use crate::{Timestamp, WorkerId};
+use crate::{JobId, Timestamp, WorkerId};
 
 /// Lease that a start brings; holds extend it.
 const START_LEASE: Duration = Duration::from_secs(4);
@@ -294,9 +294,7 @@
                 run.began = Some((now.at, 0));
                 run.progressed_at = now.at;
             }
-            if let Some(job) = self.jobs.get_mut(&task.group.job) {
-                job.begun = true;
-            }
+            self.note_begun(&task.group.job, now);
             return;
         }
         let first_try = run.tries <= 1;
@@ -305,6 +303,15 @@
         }
     }
 
+    fn note_begun(&mut self, id: &JobId, now: Now) {
+        let Some(job) = self.jobs.get_mut(id).filter(|job| !job.begun) else {
+            return;
+        };
+        job.begun = true;
+        let decision = Decision::of_begin(id, now.at - job.arrived_at);
+        self.decisions.push(decision);
+    }
+
     fn start_failed(&mut self, order: &Order, outcome: StartOutcome, first_try: bool, now: Now) {
         let (id, task) = (&order.worker, &order.task);
         self.decisions.push(Decision::of_run(
--- a/crates/stairstall-core/tests/batch/takeover.rs
+++ b/crates/stairstall-core/tests/batch/takeover.rs
@@ -52,9 +52,10 @@
     fleet.submit(running.clone());
     fleet.submit(waiting.clone());
     fleet.workers.clear();
-    fleet
-        .workers
-        .insert("w2".parse().expect("an id"), Default::default());
+    fleet.workers.insert(
+        "w2".parse().expect("an id"),
+        crate::harness::FakeWorker::default(),
+    );
     fleet.take_over(&[running, waiting], &[("w2", "r1")]);
     fleet.pass(300);
     assert_eq!(fleet.starts_of(&task("b", 0, 0)), 1);
--- a/crates/stairstalld/src/batch/catalog.rs
+++ b/crates/stairstalld/src/batch/catalog.rs
@@ -10,7 +10,7 @@
 use super::rpc::PeerClient;
 
 /// How long one watch waits. A watch that dies without a word holds a change back for no longer.
-const WATCH_WAIT: Duration = Duration::from_millis(4_000);
+const WATCH_WAIT: Duration = Duration::from_secs(4);
 /// Pause before the store is asked again after a failure.
 const STORE_PAUSE: Duration = Duration::from_millis(250);
 
--- a/crates/stairstalld/src/batch/intake.rs
+++ b/crates/stairstalld/src/batch/intake.rs
@@ -14,7 +14,7 @@
 use super::writer::Revisions;
 
 /// How often news are asked for; daemons tell the planner sooner.
-const INTERVAL: Duration = Duration::from_millis(1_000);
+const INTERVAL: Duration = Duration::from_secs(1);
 
 /// Reads all keys of a prefix; returns them with the revision of the first page.
 async fn read_all(
--- a/crates/stairstalld/src/batch/links.rs
+++ b/crates/stairstalld/src/batch/links.rs
@@ -37,7 +37,7 @@
 pub(crate) struct Links {
     node: Arc<Node>,
     tenure: Arc<Tenure>,
-    links: HashMap<WorkerId, Link>,
+    open: HashMap<WorkerId, Link>,
     tasks: JoinSet<()>,
 }
 
@@ -46,7 +46,7 @@
         Self {
             node,
             tenure,
-            links: HashMap::new(),
+            open: HashMap::new(),
             tasks: JoinSet::new(),
         }
     }
@@ -59,20 +59,20 @@
                 .map(|(id, address, _)| (id.clone(), address.to_owned()))
                 .collect()
         });
-        self.links
+        self.open
             .retain(|id, _| known.iter().any(|(known, _)| known == id));
         for (id, address) in known {
-            if !self.links.contains_key(&id) {
-                self.open(WorkerAddress { id, address });
+            if !self.open.contains_key(&id) {
+                self.open_link(WorkerAddress { id, address });
             }
         }
         while self.tasks.try_join_next().is_some() {}
     }
 
-    fn open(&mut self, worker: WorkerAddress) {
+    fn open_link(&mut self, worker: WorkerAddress) {
         let (sender, receiver) = unbounded_channel();
         let wake = Arc::new(Notify::new());
-        self.links.insert(
+        self.open.insert(
             worker.id.clone(),
             Link {
                 orders: sender,
@@ -96,7 +96,7 @@
     /// Hands orders to the workers they are for.
     pub(crate) fn send(&self, orders: Vec<Order>) {
         for order in orders {
-            if let Some(link) = self.links.get(&order.worker) {
+            if let Some(link) = self.open.get(&order.worker) {
                 link.wake.notify_one();
                 if link.orders.send(order).is_err() {
                     log::error!(target: "orders", "a link has ended");
--- a/crates/stairstalld/src/batch/role.rs
+++ b/crates/stairstalld/src/batch/role.rs
@@ -153,7 +153,7 @@
         "the planner's role is taken");
     note_planner(node, Some(taken.record.clone()));
     let lease_id = taken.lease_id;
-    let tenure = Arc::new(Tenure::new(node, taken));
+    let tenure = Arc::new(Tenure::new(node, &taken));
     let renewing = tokio::spawn(renew(
         Arc::clone(node),
         Arc::clone(&tenure),
--- a/crates/stairstalld/src/batch/tenure.rs
+++ b/crates/stairstalld/src/batch/tenure.rs
@@ -43,7 +43,7 @@
 }
 
 impl Tenure {
-    pub(crate) fn new(node: &Node, taken: Taken) -> Self {
+    pub(crate) fn new(node: &Node, taken: &Taken) -> Self {
         let token = taken.record.token;
         let mut planner = Planner::new(token, node.settings.bounds);
         if let Some(catalog) = node.current_catalog() {
@@ -230,6 +230,9 @@
 /// Writes the line of one decision.
 fn tell(node: &Node, token: u64, decision: &Decision) {
     node.telemetry.decision(decision.kind.as_str());
+    if let Some(after) = decision.after {
+        node.telemetry.first_start(after);
+    }
     let target = decision.kind.as_str();
     log::info!(target: target, token; "{decision}");
 }
--- a/crates/stairstalld/src/batch/writer.rs
+++ b/crates/stairstalld/src/batch/writer.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use stairstall_core::JobId;
-use stairstall_core::batch::Write;
+use stairstall_core::batch::{Planner, Write};
 use stairstall_ports::{Commit, Committed, Item, Revision};
 
 use super::keys;
@@ -104,7 +104,7 @@
 
 /// Removes jobs that ended long ago.
 async fn forget(node: &Node, tenure: &Tenure, revisions: &mut Revisions) {
-    let expired = tenure.with(|planner, now| planner.take_expired(now));
+    let expired = tenure.with(Planner::take_expired);
     for ids in expired.chunks(JOBS_PER_FORGET) {
         let mut commit = Commit::default().when(keys::PLANNER, tenure.role_revision);
         for id in ids {
