feat(batch): keep room free for urgent work, more where a stop takes longer

Change: accelerators for 0.25 s + 5.3 x the stop time of the urgent demand of the last 10 s stay free of other work.

--- a/crates/stairstall-core/src/batch/planner.rs
+++ b/crates/stairstall-core/src/batch/planner.rs
@@ -12,6 +12,7 @@
 mod ends;
 mod evacuate;
 mod fit;
+mod headroom;
 mod job;
 mod orders;
 mod pool;
@@ -72,6 +73,7 @@
     orders: Vec<Order>,
     decisions: Vec<Decision>,
     changed: BTreeSet<JobId>,
+    demand: headroom::UrgentDemand,
     replan: bool,
     /// Whether a planned start may have become possible.
     emit_due: bool,
@@ -101,6 +103,7 @@
             orders: Vec::new(),
             decisions: Vec::new(),
             changed: BTreeSet::new(),
+            demand: headroom::UrgentDemand::default(),
             replan: true,
             emit_due: false,
             deposed: false,
@@ -164,6 +167,7 @@
             return;
         }
         let id = accepted.id.clone();
+        self.demand.note(&accepted, now);
         self.jobs.insert(id, Job::new(Arc::new(accepted), now));
         self.replan = true;
     }
--- a/crates/stairstall-core/src/batch/planner/fit.rs
+++ b/crates/stairstall-core/src/batch/planner/fit.rs
@@ -71,6 +71,7 @@
             return;
         };
         let mut waiting = group.waiting();
+        let mut allowance = self.allowance(candidate.rank, now);
         let ready_since = group.ready_since.unwrap_or(now.at);
         if step.gang && waiting.len() != group.tasks.len() {
             return;
@@ -80,7 +81,10 @@
                 break;
             }
             let sites = self.sites(candidate, &step, scope, held_back, now);
-            if let Some(choice) = search(&step, waiting.len(), scope, &sites) {
+            let count = allowed(&step, waiting.len(), allowance);
+            if let Some(choice) = search(&step, count, scope, &sites) {
+                let accelerators = step.needs.accelerators * as_u32(choice.places.len());
+                allowance = allowance.saturating_sub(accelerators);
                 let taken: Vec<u32> = waiting.drain(..choice.places.len()).collect();
                 self.settle(candidate, &step, &taken, &choice, scope, now);
             }
@@ -380,6 +384,9 @@
 
 /// Finds places for `count` tasks; for a gang all or none.
 fn search(step: &StepSpec, count: usize, scope: Scope, sites: &[Site]) -> Option<Choice> {
+    if count == 0 {
+        return None;
+    }
     let needs = step.room();
     if step.gang && step.same_rack && scope.near {
         let racks: BTreeSet<&RackId> = sites.iter().map(|site| &site.rack).collect();
@@ -394,6 +401,20 @@
     choose(sites.to_vec(), &needs, count, step.gang)
 }
 
+/// Returns how many of `count` tasks an allowance of accelerators covers; of a gang all or none.
+fn allowed(step: &StepSpec, count: usize, allowance: u32) -> usize {
+    let most = allowance.checked_div(step.needs.accelerators);
+    let most = most.map_or(count, |most| most as usize);
+    if step.gang && most < count {
+        return 0;
+    }
+    count.min(most)
+}
+
+fn as_u32(count: usize) -> u32 {
+    u32::try_from(count).unwrap_or(u32::MAX)
+}
+
 /// Returns when `count` tasks could be there, in milliseconds, and the workers for it.
 fn soonest(
     sites: &[(u64, &RackId, &WorkerId, u32)],
--- /dev/null
+++ b/crates/stairstall-core/src/batch/planner/headroom.rs
@@ -0,0 +1,75 @@
+//! Room that is kept free for urgent work, so that it need not make others give way.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use super::queue::URGENT;
+use super::{Now, Planner};
+use crate::Timestamp;
+use crate::batch::AcceptedJob;
+
+/// How long an arrival counts for the demand to come.
+const WINDOW: Duration = Duration::from_secs(10);
+
+/// Seconds of urgent demand that are kept free.
+const KEPT_SECONDS: f64 = 0.25;
+/// Seconds of urgent demand that are kept free beside, for each second that a stop takes.
+const KEPT_PER_STOP: f64 = 5.3;
+
+/// Accelerators that urgent jobs asked for lately.
+#[derive(Debug, Clone, Default)]
+pub(super) struct UrgentDemand {
+    arrivals: VecDeque<(Timestamp, u32)>,
+}
+
+impl UrgentDemand {
+    /// Notes a job that arrived, if it is urgent.
+    pub(super) fn note(&mut self, job: &AcceptedJob, now: Now) {
+        if job.queue.priority != 0 {
+            return;
+        }
+        let steps = job.spec.steps.iter();
+        let accelerators = steps
+            .map(|step| step.needs.accelerators.saturating_mul(step.count))
+            .max();
+        self.arrivals.push_back((now.at, accelerators.unwrap_or(0)));
+        while self
+            .arrivals
+            .front()
+            .is_some_and(|(at, _)| now.at - *at > WINDOW)
+        {
+            self.arrivals.pop_front();
+        }
+    }
+
+    /// Returns how many accelerators are asked for in a second.
+    fn per_second(&self, now: Now) -> f64 {
+        let recent = self
+            .arrivals
+            .iter()
+            .filter(|(at, _)| now.at - *at <= WINDOW);
+        f64::from(recent.map(|(_, accelerators)| *accelerators).sum::<u32>()) / WINDOW.as_secs_f64()
+    }
+}
+
+impl Planner {
+    /// Returns how many more accelerators work of that rank may take.
+    ///
+    /// What is kept free grows with the time that a stop takes: that is what
+    /// urgent work loses where others have to give way to it.
+    pub(super) fn allowance(&self, rank: u8, now: Now) -> u32 {
+        if rank <= URGENT {
+            return u32::MAX;
+        }
+        let workers = self.workers.values().filter(|w| w.takes_tasks());
+        let free: u32 = workers.map(|w| w.free().accelerators).sum();
+        let seconds = KEPT_SECONDS + KEPT_PER_STOP * self.bounds.stop_max.as_secs_f64();
+        #[allow(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a count of accelerators"
+        )]
+        let kept = (self.demand.per_second(now) * seconds) as u32;
+        free.saturating_sub(kept)
+    }
+}
--- a/crates/stairstall-core/tests/batch/main.rs
+++ b/crates/stairstall-core/tests/batch/main.rs
@@ -2,4 +2,5 @@
 
 mod ends;
 mod harness;
+mod room;
 mod takeover;
--- /dev/null
+++ b/crates/stairstall-core/tests/batch/room.rs
@@ -0,0 +1,86 @@
+//! Who gets room, and who gives way.
+
+use std::sync::Arc;
+
+use stairstall_core::batch::OrderKind;
+
+use crate::harness::{Fleet, catalog, job, step, task};
+
+fn stops(fleet: &Fleet) -> usize {
+    let orders = fleet.given.iter();
+    orders.filter(|order| order.kind == OrderKind::Stop).count()
+}
+
+#[test]
+fn batch_work_takes_everything_while_nothing_urgent_comes() {
+    let mut fleet = Fleet::new(&[("w1", "r1"), ("w2", "r1")]);
+    fleet.hold_all();
+    fleet.submit(job("batch", 2, vec![step(16, 1)]));
+    assert_eq!(fleet.planner.runs(), 16);
+}
+
+#[test]
+fn batch_work_leaves_room_while_urgent_work_keeps_coming() {
+    let mut fleet = Fleet::new(&[("w1", "r1"), ("w2", "r1")]);
+    fleet.hold_all();
+    for number in 0..5 {
+        fleet.submit(job(&format!("urgent-{number}"), 0, vec![step(1, 4)]));
+        fleet.pass(200);
+        let key = task(&format!("urgent-{number}"), 0, 0);
+        let place = fleet.place_of(&key).expect("it runs");
+        fleet
+            .worker(place.as_str())
+            .end(&key, stairstall_core::batch::EndKind::Done);
+        fleet.pass(200);
+    }
+    fleet.submit(job("batch", 2, vec![step(16, 1)]));
+    let taken = fleet.planner.runs();
+    assert!((8..16).contains(&taken), "{taken} of 16 places are taken");
+}
+
+#[test]
+fn a_claim_within_the_guarantee_makes_others_give_way_at_once() {
+    let mut fleet = Fleet::new(&[("w1", "r1")]);
+    fleet.planner.set_catalog(Arc::new(catalog(8)));
+    fleet.hold_all();
+    fleet.submit(job("batch", 2, vec![step(8, 1)]));
+    assert_eq!(fleet.planner.runs(), 8);
+    fleet.submit(job("claim", 0, vec![step(1, 8)]));
+    fleet.pass(300);
+    assert_eq!(stops(&fleet), 8);
+    assert!(fleet.place_of(&task("claim", 0, 0)).is_some());
+}
+
+#[test]
+fn only_as_much_gives_way_as_is_needed() {
+    let mut fleet = Fleet::new(&[("w1", "r1")]);
+    fleet.planner.set_catalog(Arc::new(catalog(8)));
+    fleet.hold_all();
+    fleet.submit(job("batch", 2, vec![step(8, 1)]));
+    fleet.submit(job("claim", 0, vec![step(1, 3)]));
+    fleet.pass(300);
+    assert_eq!(stops(&fleet), 3);
+}
+
+#[test]
+fn a_claim_takes_the_place_of_urgent_work_beyond_a_guarantee_but_not_of_a_claim() {
+    let mut fleet = Fleet::new(&[("w1", "r1")]);
+    fleet.planner.set_catalog(Arc::new(catalog(4)));
+    fleet.hold_all();
+    let mut beyond = job("beyond", 0, vec![step(1, 4)]);
+    beyond.customer = Some("other".parse().expect("an id"));
+    fleet.submit(beyond);
+    fleet.submit(job("claim-1", 0, vec![step(1, 4)]));
+    fleet.pass(300);
+    assert_eq!(stops(&fleet), 0, "both fit");
+    // The guarantee grows: the second claim is within it, and only the other customer is beyond.
+    let mut wider = catalog(8);
+    wider.version = 2;
+    fleet.planner.set_catalog(Arc::new(wider));
+    fleet.submit(job("claim-2", 0, vec![step(1, 4)]));
+    fleet.pass(300);
+    assert_eq!(stops(&fleet), 1);
+    assert!(fleet.place_of(&task("claim-1", 0, 0)).is_some());
+    assert!(fleet.place_of(&task("claim-2", 0, 0)).is_some());
+    assert!(fleet.place_of(&task("beyond", 0, 0)).is_none());
+}
