fix(batch): watch on from the store's revision, gather the directory's news, refuse at once while the store fails

(3) While the store was silent each call waited for it, and once more through the planner. Ruled out: retries of writes (800 of 26,240 calls).

--- a/crates/stairstalld/src/batch/accept.rs
+++ b/crates/stairstalld/src/batch/accept.rs
@@ -12,7 +12,7 @@
 use super::rpc::PeerClient;
 
 /// Longest time to settle a write whose answer was lost.
-const SETTLE_LIMIT: Duration = Duration::from_millis(1_600);
+const SETTLE_LIMIT: Duration = Duration::from_millis(350);
 /// Pause between two tries.
 const TRY_AGAIN: Duration = Duration::from_millis(40);
 
--- a/crates/stairstalld/src/batch/catalog.rs
+++ b/crates/stairstalld/src/batch/catalog.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use stairstall_core::batch::Catalog;
-use stairstall_ports::{Change, Item, Revision, StoreFault};
+use stairstall_ports::{Change, Item, StoreFault};
 
 use super::node::Node;
 use super::rpc::PeerClient;
@@ -30,13 +30,9 @@
 /// Reads the configuration, then watches it until the watch ends.
 async fn follow_store(node: &Node) -> Result<(), StoreFault> {
     let key = node.dialect.configuration_key();
-    let item = node.stored("read config", node.store.get(key)).await?;
-    let mut at = Revision(0);
+    let (item, mut at) = node.read_at("read config", key).await?;
     if let Some(item) = item {
-        at = item.revision;
         take(node, &item, "read");
-    } else {
-        node.pause(STORE_PAUSE).await;
     }
     loop {
         let watched = node.store.watch(key, at, WATCH_WAIT);
--- a/crates/stairstalld/src/batch/directory.rs
+++ b/crates/stairstalld/src/batch/directory.rs
@@ -12,6 +12,8 @@
 
 /// How long one watch waits.
 const WATCH_WAIT: Duration = Duration::from_secs(5);
+/// How long changes are gathered: every heartbeat of a worker is one.
+const GATHER: Duration = Duration::from_millis(400);
 /// Pause before the store is asked again after a failure.
 const STORE_PAUSE: Duration = Duration::from_millis(200);
 
@@ -96,5 +98,6 @@
                 }
             }
         }
+        tokio::time::sleep(GATHER).await;
     }
 }
--- a/crates/stairstalld/src/batch/node.rs
+++ b/crates/stairstalld/src/batch/node.rs
@@ -8,7 +8,7 @@
 use stairstall_core::VmId;
 use stairstall_core::batch::{Catalog, Now};
 use stairstall_core::claim::Mark;
-use stairstall_ports::{Dialect, SharedStore, WorkerCalls};
+use stairstall_ports::{Dialect, Item, Revision, SharedStore, StoreFault, WorkerCalls};
 use tokio::sync::watch;
 
 use super::rpc::Peers;
@@ -121,8 +121,8 @@
     pub(crate) async fn stored<T>(
         &self,
         kind: &'static str,
-        call: impl Future<Output = Result<T, stairstall_ports::StoreFault>>,
-    ) -> Result<T, stairstall_ports::StoreFault> {
+        call: impl Future<Output = Result<T, StoreFault>>,
+    ) -> Result<T, StoreFault> {
         let started = self.clock.now();
         let result = call.await;
         let now = self.clock.now();
@@ -132,10 +132,23 @@
             Err(fault) if fault.is_outage() => "outage",
             Err(_) => "refused",
         };
-        self.telemetry.store_call(kind, outcome, now - started);
+        let took = now - started;
+        log::debug!(target: "store", kind, outcome, ms = crate::clock::millis(took); "");
+        self.telemetry.store_call(kind, outcome, took);
         result
     }
 
+    /// Reads a key together with the store's revision, from which a watch can go on.
+    pub(crate) async fn read_at(
+        &self,
+        kind: &'static str,
+        key: &str,
+    ) -> Result<(Option<Item>, Revision), StoreFault> {
+        let page = self.stored(kind, self.store.range(key, "")).await?;
+        let item = page.items.into_iter().find(|item| item.key == key);
+        Ok((item, page.at))
+    }
+
     /// Pauses after a failure, a little differently each time.
     pub(crate) async fn pause(&self, about: Duration) {
         let spread = rand::random_range(0.75..1.25);
--- a/crates/stairstalld/src/batch/role.rs
+++ b/crates/stairstalld/src/batch/role.rs
@@ -46,9 +46,7 @@
 
 /// Waits while another daemon has the role; returns it once it is this daemon's.
 async fn try_role(node: &Node) -> Result<Option<Taken>, StoreFault> {
-    let item = node
-        .stored("read role", node.store.get(keys::PLANNER))
-        .await?;
+    let (item, mut at) = node.read_at("read role", keys::PLANNER).await?;
     let Some(item) = item else {
         note_planner(node, None);
         if node.is_leaving() {
@@ -61,7 +59,6 @@
     if let Ok(record) = serde_json::from_slice(&item.value) {
         note_planner(node, Some(record));
     }
-    let mut at = item.revision;
     loop {
         let watched = node.store.watch(keys::PLANNER, at, WATCH_WAIT);
         let watched = node.stored("watch role", watched).await?;
--- a/crates/stairstalld/src/batch/rpc.rs
+++ b/crates/stairstalld/src/batch/rpc.rs
@@ -97,10 +97,16 @@
     }
 
     async fn accept(&self, job: AcceptedJob) -> RpcResult<Acceptance> {
+        if self.0.store_health.holds_back(self.0.clock.now()) {
+            return Ok(Acceptance::NotKept);
+        }
         Ok(accept::write_job(&self.0, &job).await)
     }
 
     async fn cancel(&self, id: JobId, customer: Option<CustomerId>) -> RpcResult<Cancellation> {
+        if self.0.store_health.holds_back(self.0.clock.now()) {
+            return Ok(Cancellation::Unsettled);
+        }
         Ok(accept::write_cancel(&self.0, &id, customer.as_ref()).await)
     }
 
--- a/crates/stairstalld/src/batch/settings.rs
+++ b/crates/stairstalld/src/batch/settings.rs
@@ -101,7 +101,7 @@
         "store-timeout-ms",
         "STAIRSTALL_STORE_TIMEOUT_MS",
         "Longest call to the store",
-        "700"
+        "400"
     );
     let role_lease_ms = flag!(
         "role-lease-ms",
--- a/crates/stairstalld/src/batch/store_health.rs
+++ b/crates/stairstalld/src/batch/store_health.rs
@@ -9,14 +9,11 @@
 use crate::daemon::lock;
 
 /// How long failures without a success have to go on before calls are held back.
-const SILENT_AFTER: Duration = Duration::from_millis(700);
-/// How often a call is let through while the store is silent.
-const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+const SILENT_AFTER: Duration = Duration::from_millis(250);
 
 #[derive(Debug, Default)]
 struct State {
     failing_since: Option<Timestamp>,
-    probed_at: Timestamp,
 }
 
 /// What calls have shown of the store.
@@ -47,17 +44,14 @@
         }
     }
 
-    /// Tells whether the store has failed for a while; lets a call through now and then.
+    /// Tells whether the store has failed for a while.
+    ///
+    /// Callers' calls are answered at once then; those that follow the
+    /// configuration and the role find out when it serves again.
     pub(crate) fn holds_back(&self, now: Timestamp) -> bool {
-        let mut state = lock(&self.state);
-        let silent = state
+        lock(&self.state)
             .failing_since
-            .is_some_and(|since| now - since >= SILENT_AFTER);
-        if silent && now - state.probed_at >= PROBE_INTERVAL {
-            state.probed_at = now;
-            return false;
-        }
-        silent
+            .is_some_and(|since| now - since >= SILENT_AFTER)
     }
 
     /// Tells whether the last call found the store not serving.
