fix(batch): tell a planner that the store turns away who has taken its role

Change: a new planner tells the one before it; a daemon that the store does not serve asks the planner it knows for a newer configuration and for the planner. Test: a_planner_that_the_store_turns_away_learns_its_successor_and_still_takes_jobs.

--- a/crates/stairstalld/src/batch/catalog.rs
+++ b/crates/stairstalld/src/batch/catalog.rs
@@ -7,6 +7,7 @@
 use stairstall_ports::{Change, Item, StoreFault};
 
 use super::node::Node;
+use super::role;
 use super::rpc::PeerClient;
 
 /// How long one watch waits. A watch that dies without a word holds a change back for no longer.
@@ -77,7 +78,7 @@
     }
 }
 
-/// Asks the planner for a newer configuration while the store does not serve this daemon.
+/// Asks the planner for a newer configuration, and who plans now, while the store does not serve this daemon.
 async fn ask_planner(node: &Node) {
     let Some(planner) = node.other_planner() else {
         return;
@@ -86,7 +87,13 @@
         return;
     };
     let version = node.current_catalog().map_or(0, |catalog| catalog.version);
-    if let Ok(Some(catalog)) = client.catalog(version).await {
+    let asked = client.news(version).await;
+    node.peers.note(&planner.rpc, &asked);
+    let Ok(news) = asked else {
+        return;
+    };
+    if let Some(catalog) = news.catalog {
         put_in_force(node, catalog, "planner");
     }
+    role::note_planner(node, news.planner);
 }
--- a/crates/stairstalld/src/batch/role.rs
+++ b/crates/stairstalld/src/batch/role.rs
@@ -9,6 +9,7 @@
 
 use super::keys;
 use super::node::{Node, PlannerRecord};
+use super::rpc::PeerClient;
 use super::tenure::{self, Tenure};
 
 /// How long one watch of the role waits.
@@ -48,7 +49,6 @@
 async fn try_role(node: &Node) -> Result<Option<Taken>, StoreFault> {
     let (item, mut at) = node.read_at("read role", keys::PLANNER).await?;
     let Some(item) = item else {
-        note_planner(node, None);
         if node.is_leaving() {
             node.pause(STORE_PAUSE).await;
             return Ok(None);
@@ -76,16 +76,36 @@
     }
 }
 
-fn note_planner(node: &Node, record: Option<PlannerRecord>) {
+/// Notes who plans, unless a later planner is known; an own tenure that it ends is given up.
+pub(crate) fn note_planner(node: &Node, record: Option<PlannerRecord>) {
+    let Some(record) = record else {
+        return;
+    };
     let changed = node.planner.send_if_modified(|known| {
-        let changed = record.is_some() && *known != record;
-        if changed {
-            known.clone_from(&record);
+        let is_later = known.as_ref().is_none_or(|k| k.token < record.token);
+        if is_later {
+            *known = Some(record.clone());
         }
-        changed
+        is_later
     });
-    if let Some(record) = record.filter(|_| changed) {
-        log::info!(target: "role", planner:% = record.vm, token = record.token; "the planner is known");
+    if !changed {
+        return;
+    }
+    log::info!(target: "role", planner:% = record.vm, token = record.token; "the planner is known");
+    if let Some(tenure) = node.tenure().filter(|own| own.token() < record.token) {
+        tenure.give_up("another daemon has taken the role");
+    }
+}
+
+/// Tells the planner before this one, which the store may not serve.
+async fn tell_predecessor(node: &Node, predecessor: Option<PlannerRecord>, own: PlannerRecord) {
+    let Some(predecessor) = predecessor.filter(|p| p.vm != own.vm) else {
+        return;
+    };
+    if let Some(client) = node.peers.client(&predecessor.rpc) {
+        let told = client.taken(own).await;
+        log::info!(target: "role", predecessor:% = predecessor.vm, told = told.is_ok();
+            "the planner before this one is told");
     }
 }
 
@@ -148,7 +168,11 @@
 async fn hold(node: &Arc<Node>, taken: Taken) {
     log::info!(target: "role", token = taken.record.token, lease_ms = crate::clock::millis(node.settings.role_lease);
         "the planner's role is taken");
+    let predecessor = node.planner.borrow().clone();
     note_planner(node, Some(taken.record.clone()));
+    let told = Arc::clone(node);
+    let record = taken.record.clone();
+    tokio::spawn(async move { tell_predecessor(&told, predecessor, record).await });
     let lease_id = taken.lease_id;
     let tenure = Arc::new(Tenure::new(node, &taken));
     let renewing = tokio::spawn(renew(
--- a/crates/stairstalld/src/batch/rpc.rs
+++ b/crates/stairstalld/src/batch/rpc.rs
@@ -15,7 +15,8 @@
 use stairstall_core::{CustomerId, JobId};
 
 use super::accept::{self, Acceptance, Cancellation};
-use super::node::Node;
+use super::node::{Node, PlannerRecord};
+use super::role;
 use crate::daemon::lock;
 
 /// Longest call to a peer.
@@ -67,9 +68,22 @@
     #[method(name = "cancel")]
     async fn cancel(&self, id: JobId, customer: Option<CustomerId>) -> RpcResult<Cancellation>;
 
-    /// Returns the configuration in force, where it is newer than `version`.
-    #[method(name = "catalog")]
-    async fn catalog(&self, version: u64) -> RpcResult<Option<Catalog>>;
+    /// Returns the configuration in force, where it is newer than `version`, and the planner.
+    #[method(name = "news")]
+    async fn news(&self, version: u64) -> RpcResult<News>;
+
+    /// Tells a daemon that held the planner's role who has taken it.
+    #[method(name = "taken")]
+    async fn taken(&self, planner: PlannerRecord) -> RpcResult<()>;
+}
+
+/// What a daemon that the store does not serve asks another one for.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub(crate) struct News {
+    /// The configuration, where it is newer than the asker's.
+    pub(crate) catalog: Option<Catalog>,
+    /// Who holds the planner's role, as far as is known.
+    pub(crate) planner: Option<PlannerRecord>,
 }
 
 /// Serves peers.
@@ -111,10 +125,18 @@
         Ok(accept::write_cancel(&self.0, &id, customer.as_ref()).await)
     }
 
-    async fn catalog(&self, version: u64) -> RpcResult<Option<Catalog>> {
+    async fn news(&self, version: u64) -> RpcResult<News> {
         let catalog = self.0.current_catalog();
         let newer = catalog.filter(|catalog| catalog.version > version);
-        Ok(newer.map(|catalog| Catalog::clone(&catalog)))
+        Ok(News {
+            catalog: newer.map(|catalog| Catalog::clone(&catalog)),
+            planner: self.0.planner.borrow().clone(),
+        })
+    }
+
+    async fn taken(&self, planner: PlannerRecord) -> RpcResult<()> {
+        role::note_planner(&self.0, Some(planner));
+        Ok(())
     }
 }
 
--- a/crates/stairstalld/tests/batch/faults.rs
+++ b/crates/stairstalld/tests/batch/faults.rs
@@ -203,3 +203,22 @@
         assert!(text.contains(name), "{name} is missing in\n{text}");
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planner_that_the_store_turns_away_learns_its_successor_and_still_takes_jobs() {
+    let mut cluster = Cluster::start(3, 2).await;
+    let planner = cluster.planner();
+    cluster.daemons[planner].store.set(LinkMode::Cut);
+    let until = std::time::Instant::now() + crate::cluster::PATIENCE;
+    while cluster.daemons[planner]
+        .log_lines("another daemon has taken the role")
+        .is_empty()
+    {
+        assert!(std::time::Instant::now() < until, "it does not learn it");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let path = format!("/q2/{}", cluster.new_id());
+    let status = cluster.submit(planner, &path, &job(2, "ms=50")).await;
+    assert_eq!(status, Some(StatusCode::OK));
+    cluster.wait_for(&path, "completed").await;
+}
