fix(batch): plan again while something waits; keep what fills away from what serves

Cause: patience runs out with time, but planning ran only when something happened: with all workers suspect and nothing going on, a task waited for ever. Tasks that fill share no worker with tasks that serve (they would disturb them by amounts that nobody tells), what lasts gives way to nothing and is not taken for stuck. Tests: tests/batch/lasting.rs; the restart of what lasts failed before.

--- a/crates/stairstall-core/src/batch/planner.rs
+++ b/crates/stairstall-core/src/batch/planner.rs
@@ -75,6 +75,8 @@
     changed: BTreeSet<JobId>,
     demand: headroom::UrgentDemand,
     replan: bool,
+    /// When to plan again although nothing has happened: patience runs out with time.
+    replan_at: Option<Timestamp>,
     /// Whether a planned start may have become possible.
     emit_due: bool,
     deposed: bool,
@@ -105,6 +107,7 @@
             changed: BTreeSet::new(),
             demand: headroom::UrgentDemand::default(),
             replan: true,
+            replan_at: None,
             emit_due: false,
             deposed: false,
         }
@@ -236,9 +239,11 @@
         self.resend(now);
         self.start_due_occurrences(now);
         self.find_stuck(now);
-        if self.replan {
+        let is_due = self.replan_at.is_some_and(|at| now.at >= at);
+        if self.replan || is_due {
             self.replan = false;
-            self.plan(now);
+            let waits = self.plan(now);
+            self.replan_at = waits.then(|| now.at + Self::IDLE_TICK);
         }
         self.emit_due = false;
         self.emit_starts(now);
--- a/crates/stairstall-core/src/batch/planner/fit.rs
+++ b/crates/stairstall-core/src/batch/planner/fit.rs
@@ -187,6 +187,7 @@
             .iter()
             .filter(|(_, w)| w.takes_tasks() && w.suits(step))
             .filter(|(_, w)| service.as_ref() == Some(&w.listed.service))
+            .filter(|(_, w)| w.is_quiet_for(step))
             .filter(|(_, w)| !scope.near || w.is_near(step))
             .filter(|(id, _)| urgent || !held_back.workers.contains(*id))
             .filter(|(_, w)| takes_suspects || !w.is_suspect(now.at))
@@ -329,6 +330,9 @@
             rank,
             gang: step.gang,
             checkpoints: step.checkpoints,
+            lasts: step.lasts,
+            serves: step.serves(),
+            fills: step.fills,
             expected_ms: self.expected_ms(step, id),
             since: now.at,
             ordered_at: now.at,
--- a/crates/stairstall-core/src/batch/planner/pool.rs
+++ b/crates/stairstall-core/src/batch/planner/pool.rs
@@ -27,6 +27,12 @@
     pub(super) rank: u8,
     pub(super) gang: bool,
     pub(super) checkpoints: bool,
+    /// Whether it runs until its job is cancelled.
+    pub(super) lasts: bool,
+    /// Whether it serves users of its own.
+    pub(super) serves: bool,
+    /// Whether it takes what others leave unused.
+    pub(super) fills: bool,
     /// How long it should take here, in milliseconds.
     pub(super) expected_ms: u64,
     /// When the present state began.
@@ -242,6 +248,14 @@
             .is_none_or(|label| self.listed.labels.contains(label))
     }
 
+    /// Tells whether nothing there would be disturbed by the step, nor disturb it: what fills
+    /// shares no worker with what serves.
+    pub(super) fn is_quiet_for(&self, step: &StepSpec) -> bool {
+        self.runs
+            .values()
+            .all(|run| !(step.fills && run.serves || step.serves() && run.fills))
+    }
+
     /// Tells whether the step's data lies on its rack, or nowhere.
     pub(super) fn is_near(&self, step: &StepSpec) -> bool {
         step.near_rack
--- a/crates/stairstall-core/src/batch/planner/queue.rs
+++ b/crates/stairstall-core/src/batch/planner/queue.rs
@@ -22,8 +22,8 @@
 }
 
 impl Planner {
-    /// Gives places to what waits, in order of rank and objective.
-    pub(super) fn plan(&mut self, now: Now) {
+    /// Gives places to what waits, in order of rank and objective; true where something still does.
+    pub(super) fn plan(&mut self, now: Now) -> bool {
         let claims = self.claims();
         self.renew_ranks(&claims);
         let candidates = self.candidates(&claims, now);
@@ -31,6 +31,11 @@
         for candidate in &candidates {
             self.place(candidate, &mut held_back, now);
         }
+        candidates.iter().any(|candidate| {
+            let key = &candidate.key;
+            let group = self.jobs.get(&key.job).and_then(|job| job.group(key));
+            group.is_some_and(|group| group.tasks.iter().any(super::job::Task::is_waiting))
+        })
     }
 
     /// Returns the urgent jobs that stay within their customers' own shares, oldest first.
--- a/crates/stairstall-core/src/batch/planner/stuck.rs
+++ b/crates/stairstall-core/src/batch/planner/stuck.rs
@@ -58,6 +58,7 @@
         let limit = part.max(STILL_AT_LEAST);
         self.state == RunState::Running
             && self.began.is_some()
+            && !self.lasts
             && self.percent < 100
             && self.reported_at - self.progressed_at > limit
     }
--- a/crates/stairstall-core/src/batch/planner/victims.rs
+++ b/crates/stairstall-core/src/batch/planner/victims.rs
@@ -25,7 +25,7 @@
 pub(super) struct Victims(Vec<Victim>);
 
 impl Victims {
-    /// Returns the runs of a worker that come after `rank`.
+    /// Returns the runs of a worker that come after `rank`; what lasts gives way to nothing.
     pub(super) fn of(
         worker: &Worker,
         rank: u8,
@@ -36,6 +36,7 @@
             .runs
             .iter()
             .filter(|(_, run)| run.rank > rank && run.state != RunState::Stopping)
+            .filter(|(_, run)| !run.lasts)
             .map(|(task, run)| {
                 let lost = if run.gang {
                     gang_losses.get(&task.group).copied().unwrap_or(0)
--- a/crates/stairstall-core/src/batch/spec.rs
+++ b/crates/stairstall-core/src/batch/spec.rs
@@ -75,6 +75,10 @@
     /// Whether the tasks run until the job is cancelled.
     #[serde(default, skip_serializing_if = "is_false")]
     pub lasts: bool,
+    /// What the tail of its answers is to stay under, in milliseconds, where it serves users of
+    /// its own; 0 where it does not.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub target_ms: u64,
     /// Whether the processor it asks for is not counted against a worker's room.
     #[serde(default, skip_serializing_if = "is_false")]
     pub fills: bool,
@@ -88,7 +92,21 @@
     !*value
 }
 
+#[allow(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes a reference"
+)]
+const fn is_zero(value: &u64) -> bool {
+    *value == 0
+}
+
 impl StepSpec {
+    /// Tells whether its tasks serve users of their own.
+    #[must_use]
+    pub const fn serves(&self) -> bool {
+        self.target_ms > 0
+    }
+
     /// Returns what a task takes of a worker's room.
     #[must_use]
     pub const fn room(&self) -> Resources {
--- a/crates/stairstall-core/tests/batch/main.rs
+++ b/crates/stairstall-core/tests/batch/main.rs
@@ -2,5 +2,6 @@
 
 mod ends;
 mod harness;
+mod lasting;
 mod room;
 mod takeover;
