fix(batch): repeat an unanswered stop at once, lease starts for 1.5 s, doubt a zone with several silent workers

Stops whose orders were lost were sent again only after the whole stop time, and the plan on their room was dropped meanwhile; starts into a zone that had just been cut kept their tasks for a lease of 4 s. Ruled out: 326 runs that a worker did not know (all in the first moments of a takeover: places of runs that had ended before). Tests: tests/batch/silence.rs.

--- a/crates/stairstall-core/src/batch/planner/contact.rs
+++ b/crates/stairstall-core/src/batch/planner/contact.rs
@@ -7,7 +7,12 @@
 use crate::batch::{
     Decision, DecisionKind, EndKind, HoldReport, HoldRequest, Progress, RunningTask, TaskKey,
 };
-use crate::{JobId, Timestamp, WorkerId};
+use crate::{JobId, Timestamp, WorkerId, ZoneId};
+
+/// Silent workers of a zone that cast doubt on all of it.
+const DOUBTFUL_ZONE: usize = 3;
+/// A worker that answered within this time is not in doubt with its zone.
+const HEARD_LATELY: Duration = Duration::from_millis(200);
 
 impl Planner {
     /// Returns what to ask of a worker now; none where there is nothing to ask.
@@ -82,16 +87,41 @@
     }
 
     /// Takes word that a worker did not answer.
-    pub fn hold_failed(&mut self, id: &WorkerId) {
+    pub fn hold_failed(&mut self, id: &WorkerId, now: Now) {
+        self.doubt(id, now);
+        self.forget_if_gone(id);
+    }
+
+    /// Gives a worker nothing new until it answers; with several of a zone, the whole zone.
+    pub(super) fn doubt(&mut self, id: &WorkerId, now: Now) {
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        if worker.is_in_contact() {
+        if !worker.is_in_contact() {
+            return;
+        }
+        worker.set_contact(false);
+        let zone = worker.listed.zone.clone();
+        self.decisions
+            .push(Decision::of_worker(id, "it does not answer"));
+        let of_zone = |w: &&Worker| w.is_listed && w.listed.zone == zone;
+        let silent = self.workers.values().filter(of_zone);
+        let silent = silent.filter(|w| !w.is_in_contact()).count();
+        if silent >= DOUBTFUL_ZONE {
+            self.doubt_zone(&zone, now);
+        }
+    }
+
+    /// Asks every worker of a zone that has not answered lately before it gets anything new.
+    fn doubt_zone(&mut self, zone: &ZoneId, now: Now) {
+        let doubtful = self
+            .workers
+            .values_mut()
+            .filter(|w| w.listed.zone == *zone && w.is_in_contact())
+            .filter(|w| w.heard_at.is_none_or(|at| now.at - at > HEARD_LATELY));
+        for worker in doubtful {
             worker.set_contact(false);
-            self.decisions
-                .push(Decision::of_worker(id, "it does not answer"));
         }
-        self.forget_if_gone(id);
     }
 
     /// Takes word that a worker has seen a higher token.
@@ -285,6 +315,7 @@
             since: now.at,
             ordered_at: now.at,
             answered_at: Some(now.at),
+            stops: 0,
             tries: 1,
             percent: running.percent,
             progressed_at: now.at,
--- a/crates/stairstall-core/src/batch/planner/fit.rs
+++ b/crates/stairstall-core/src/batch/planner/fit.rs
@@ -337,6 +337,7 @@
             since: now.at,
             ordered_at: now.at,
             answered_at: None,
+            stops: 0,
             tries: 0,
             percent: 0,
             progressed_at: now.at,
--- a/crates/stairstall-core/src/batch/planner/pool.rs
+++ b/crates/stairstall-core/src/batch/planner/pool.rs
@@ -41,6 +41,8 @@
     pub(super) ordered_at: Timestamp,
     /// When the worker last answered an order about it, so that a later report must name it.
     pub(super) answered_at: Option<Timestamp>,
+    /// Stops that got no answer.
+    pub(super) stops: u8,
     /// Starts that were sent.
     pub(super) tries: u8,
     pub(super) percent: u8,
@@ -116,6 +118,8 @@
     /// Whether it has answered the present token.
     pub(super) fenced: bool,
     contact: bool,
+    /// When it last answered anything.
+    pub(super) heard_at: Option<Timestamp>,
     /// Its clock in milliseconds, and when that was read.
     clock: Option<(u64, Timestamp)>,
     /// Until when anything may run on it, by the largest deadline that was ever sent.
@@ -147,6 +151,7 @@
             claimed: Resources::default(),
             fenced: false,
             contact: true,
+            heard_at: None,
             clock: None,
             lease_until: None,
             seen: 0,
@@ -272,6 +277,7 @@
     }
 
     pub(super) const fn read_clock(&mut self, clock_ms: u64, at: Timestamp) {
+        self.heard_at = Some(at);
         self.clock = Some((clock_ms, at));
     }
 
--- a/crates/stairstall-core/src/batch/planner/starts.rs
+++ b/crates/stairstall-core/src/batch/planner/starts.rs
@@ -11,7 +11,7 @@
 use crate::{JobId, Timestamp, WorkerId};
 
 /// Lease that a start brings; holds extend it.
-const START_LEASE: Duration = Duration::from_secs(4);
+const START_LEASE: Duration = Duration::from_millis(1_500);
 /// Starts of one run that are sent before it is given up.
 const MAX_TRIES: u8 = 4;
 /// How long after a stop should have ended it is sent again.
@@ -331,6 +331,9 @@
             StartOutcome::Refused(reason) => reason != RefusalReason::OldRun,
             _ => false,
         };
+        if outcome == StartOutcome::NotSent {
+            self.doubt(id, now);
+        }
         if did_nothing && first_try {
             self.run_over(id, task, EndKind::Stopped, "it was not started", now);
         } else if matches!(outcome, StartOutcome::Unknown | StartOutcome::NotSent) {
@@ -345,6 +348,7 @@
 
     fn try_again(&mut self, order: &Order, now: Now) {
         let (id, task) = (&order.worker, &order.task);
+        self.doubt(id, now);
         let tries = self
             .workers
             .get(id)
@@ -365,6 +369,20 @@
         }
     }
 
+    /// Sends a stop again at once that got no answer: what waits for the room waits for it.
+    fn stop_again(&mut self, order: &Order, now: Now) {
+        let (id, task) = (&order.worker, &order.task);
+        self.doubt(id, now);
+        let run = self.workers.get_mut(id).and_then(|w| w.runs.get_mut(task));
+        let Some(run) = run.filter(|run| run.number == order.run) else {
+            return;
+        };
+        run.stops = run.stops.saturating_add(1);
+        if run.state == RunState::Stopping && run.stops < MAX_TRIES {
+            self.send_stop(id, task, order.run, now);
+        }
+    }
+
     /// Takes what became of a stop.
     pub fn take_stop(&mut self, order: &Order, outcome: StopOutcome, now: Now) {
         match outcome {
@@ -381,7 +399,7 @@
             }
             StopOutcome::Fenced => self.note_fenced(),
             StopOutcome::OtherLife => self.life_over(&order.worker, "another life answered a stop"),
-            StopOutcome::Unknown => {}
+            StopOutcome::Unknown => self.stop_again(order, now),
         }
     }
 }
--- a/crates/stairstall-core/tests/batch/main.rs
+++ b/crates/stairstall-core/tests/batch/main.rs
@@ -4,4 +4,5 @@
 mod harness;
 mod lasting;
 mod room;
+mod silence;
 mod takeover;
--- /dev/null
+++ b/crates/stairstall-core/tests/batch/silence.rs
@@ -0,0 +1,69 @@
+//! Orders without answers, and workers and zones that do not answer.
+
+use stairstall_core::batch::{OrderKind, StartOutcome, StopOutcome};
+
+use crate::harness::{Fleet, id, job, step, task};
+
+#[test]
+fn a_stop_without_an_answer_is_sent_again_at_once() {
+    let mut fleet = Fleet::new(&[("w1", "r1")]);
+    fleet.hold_all();
+    fleet.submit(job("j", 2, vec![step(1, 8)]));
+    let now = fleet.now();
+    fleet.planner.cancel(&id("j"), now);
+    let orders = fleet.planner.tick(now);
+    assert_eq!(orders.len(), 1);
+    assert_eq!(orders[0].kind, OrderKind::Stop);
+    fleet
+        .planner
+        .take_stop(&orders[0], StopOutcome::Unknown, now);
+    assert_eq!(fleet.planner.tick(now), orders);
+}
+
+#[test]
+fn a_start_without_an_answer_is_sent_again_as_the_same_run_and_then_barred() {
+    let mut fleet = Fleet::new(&[("w1", "r1")]);
+    fleet.hold_all();
+    let now = fleet.now();
+    fleet.planner.submit(job("j", 2, vec![step(1, 8)]), now);
+    fleet.planner.tick(now);
+    fleet.write_all();
+    let mut orders = fleet.planner.tick(now);
+    for _ in 0..3 {
+        assert!(matches!(orders[0].kind, OrderKind::Start { .. }));
+        assert_eq!(orders[0].run, 1);
+        fleet
+            .planner
+            .take_start(&orders[0], StartOutcome::Unknown, now);
+        orders = fleet.planner.tick(now);
+    }
+    fleet
+        .planner
+        .take_start(&orders[0], StartOutcome::Unknown, now);
+    let last = fleet.planner.tick(now);
+    assert_eq!(last[0].kind, OrderKind::Stop);
+    assert_eq!(last[0].run, 1);
+}
+
+#[test]
+fn several_silent_workers_cast_doubt_on_their_zone() {
+    let names = ["w1", "w2", "w3", "w4", "w5"];
+    let workers: Vec<(&str, &str)> = names.iter().map(|name| (*name, "r1")).collect();
+    let mut fleet = Fleet::new(&workers);
+    fleet.hold_all();
+    fleet.at_ms += 1_000;
+    for name in &names[..3] {
+        let id = name.parse().expect("an id");
+        let now = fleet.now();
+        fleet.planner.hold_failed(&id, now);
+    }
+    // The two others have not been heard of since: they are asked before they get anything.
+    fleet.submit(job("j", 0, vec![step(1, 8)]));
+    assert!(fleet.given.is_empty(), "{:?}", fleet.given);
+    fleet.hold(&"w5".parse().expect("an id"));
+    fleet.settle();
+    assert_eq!(
+        fleet.place_of(&task("j", 0, 0)),
+        Some("w5".parse().expect("an id"))
+    );
+}
--- a/crates/stairstalld/src/batch/links.rs
+++ b/crates/stairstalld/src/batch/links.rs
@@ -22,7 +22,7 @@
 /// Longest wait for ends to be written before the worker is asked again.
 const WRITE_PATIENCE: Duration = Duration::from_millis(250);
 /// How often an idle worker is looked at in memory.
-const IDLE_INTERVAL: Duration = Duration::from_millis(500);
+const IDLE_INTERVAL: Duration = Duration::from_millis(150);
 /// Pause while the planner's lease is not known to be in force.
 const SUSPENDED_PAUSE: Duration = Duration::from_millis(50);
 
@@ -153,7 +153,7 @@
         Err(fault) => {
             node.telemetry.hold("no answer");
             log::debug!(target: "hold", worker:% = worker.id, why:% = fault; "no report");
-            tenure.with(|planner, _| planner.hold_failed(&worker.id));
+            tenure.with(|planner, now| planner.hold_failed(&worker.id, now));
             node.pause(SILENT_PAUSE).await;
         }
     }
