fix(batch): give failed tasks and last attempts to healthy workers only

Change: a task that has failed waits up to 1 s (3 s where not urgent) for a worker that is not suspect; a last attempt for one where something has ended done since the last failure. Tests: tests/batch/failures.rs; both failed before.

--- a/crates/stairstall-core/src/batch/planner/ends.rs
+++ b/crates/stairstall-core/src/batch/planner/ends.rs
@@ -184,7 +184,7 @@
     }
 
     /// Returns how many runs of a task may fail, by the newest configuration that has its queue.
-    fn attempts(&self, id: &JobId) -> Option<u32> {
+    pub(super) fn attempts(&self, id: &JobId) -> Option<u32> {
         let accepted = &self.jobs.get(id)?.accepted;
         let queue = self.catalog.queue(&accepted.queue.name);
         Some(queue.unwrap_or(&accepted.queue).attempts.max(1))
--- a/crates/stairstall-core/src/batch/planner/fit.rs
+++ b/crates/stairstall-core/src/batch/planner/fit.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use super::job::Job;
-use super::pool::{Run, RunState, Worker};
+use super::job::{Group, Job};
+use super::pool::{Health, Run, RunState, Worker};
 use super::queue::{Candidate, URGENT};
 use super::victims::Victims;
 use super::{Now, Planner};
@@ -17,6 +17,8 @@
 const URGENT_PATIENCE: Duration = Duration::from_millis(900);
 /// How long other work waits for a worker that is not suspect.
 const SUSPECT_PATIENCE: Duration = Duration::from_secs(3);
+/// How long urgent work that has failed waits for a worker that is not suspect.
+const URGENT_SUSPECT_PATIENCE: Duration = Duration::from_secs(1);
 /// How long a gang waits before room is held back for it.
 const HOLD_BACK_AFTER: Duration = Duration::from_millis(1_500);
 /// Most gangs that room is held back for at a time.
@@ -180,7 +182,7 @@
             .group_of(&candidate.key)
             .and_then(|group| group.ready_since)
             .map_or(Duration::ZERO, |since| now.at - since);
-        let takes_suspects = urgent || waited > SUSPECT_PATIENCE;
+        let demand = self.demanded_health(&candidate.key, urgent, waited);
         let service = self.service_of(&candidate.key);
         let losses = scope.preempts.then(|| self.gang_losses(now));
         self.workers
@@ -190,7 +192,7 @@
             .filter(|(_, w)| w.is_quiet_for(step))
             .filter(|(_, w)| !scope.near || w.is_near(step))
             .filter(|(id, _)| urgent || !held_back.workers.contains(*id))
-            .filter(|(_, w)| takes_suspects || !w.is_suspect(now.at))
+            .filter(|(_, w)| w.is_healthy(demand, now.at))
             .map(|(id, w)| Site {
                 worker: id.clone(),
                 rack: w.listed.rack.clone(),
@@ -209,7 +211,25 @@
             .collect()
     }
 
-    fn group_of(&self, key: &GroupKey) -> Option<&super::job::Group> {
+    /// Returns what a worker must have shown before it gets a task of the step.
+    fn demanded_health(&self, key: &GroupKey, urgent: bool, waited: Duration) -> Health {
+        let failures = self.group_of(key).map_or(0, Group::worst_failures);
+        let attempts = self.attempts(&key.job).unwrap_or(1);
+        let patience = if urgent {
+            URGENT_SUSPECT_PATIENCE
+        } else {
+            SUSPECT_PATIENCE
+        };
+        if waited > patience || (urgent && failures == 0) {
+            Health::Any
+        } else if failures > 0 && failures + 1 >= attempts {
+            Health::Proven
+        } else {
+            Health::NotSuspect
+        }
+    }
+
+    fn group_of(&self, key: &GroupKey) -> Option<&Group> {
         self.jobs.get(&key.job)?.group(key)
     }
 
--- a/crates/stairstall-core/src/batch/planner/pool.rs
+++ b/crates/stairstall-core/src/batch/planner/pool.rs
@@ -17,6 +17,17 @@
     Stopping,
 }
 
+/// What a worker must have shown before it gets a task.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Health {
+    /// Nothing.
+    Any,
+    /// Nothing failed or stood still there lately.
+    NotSuspect,
+    /// Something ended done there, and nothing has failed since: for a last attempt.
+    Proven,
+}
+
 /// One run of a task at a worker.
 #[derive(Debug, Clone)]
 pub(super) struct Run {
@@ -246,6 +257,18 @@
         self.suspect_until.is_some_and(|until| at < until)
     }
 
+    /// Tells whether it has shown what is demanded.
+    pub(super) fn is_healthy(&self, demand: Health, at: Timestamp) -> bool {
+        match demand {
+            Health::Any => true,
+            Health::NotSuspect => !self.is_suspect(at),
+            Health::Proven => {
+                let proven = self.succeeded_at.is_some() && self.failed_jobs.is_empty();
+                proven && !self.is_suspect(at)
+            }
+        }
+    }
+
     /// Tells whether it has the labels that a step asks for.
     pub(super) fn suits(&self, step: &StepSpec) -> bool {
         step.required_label
--- /dev/null
+++ b/crates/stairstall-core/tests/batch/failures.rs
@@ -0,0 +1,47 @@
+//! Workers that fail all that they start do not use up a job's attempts.
+
+use stairstall_core::batch::{CallerState, EndKind, Outcome};
+
+use crate::harness::{Fleet, id, job, step, task};
+
+#[test]
+fn the_last_attempt_of_an_urgent_task_takes_the_place_of_others_on_a_proven_worker() {
+    let mut fleet = Fleet::new(&[("w1", "r1"), ("w2", "r1"), ("w3", "r1")]);
+    fleet.hold_all();
+    fleet.submit(job("first", 2, vec![step(1, 8)]));
+    let first = task("first", 0, 0);
+    let proven = fleet.place_of(&first).expect("it runs");
+    fleet.submit(job("fails", 0, vec![step(1, 8)]));
+    let fails = task("fails", 0, 0);
+    let bad = fleet.place_of(&fails).expect("it runs");
+    fleet.worker(proven.as_str()).end(&first, EndKind::Done);
+    fleet.pass(300);
+    fleet.submit(job("batch", 2, vec![step(1, 8)]));
+    assert_eq!(fleet.place_of(&task("batch", 0, 0)), Some(proven.clone()));
+    // The third worker is free and has shown nothing: it may be as bad as the first.
+    fleet.worker(bad.as_str()).end(&fails, EndKind::Failed);
+    fleet.pass(600);
+    assert_eq!(fleet.place_of(&fails), Some(proven));
+    assert_ne!(
+        fleet.planner.caller_state(&id("fails")),
+        Some(CallerState::Ended(Outcome::Failed))
+    );
+}
+
+#[test]
+fn a_last_attempt_waits_for_a_worker_that_has_done_work() {
+    let mut fleet = Fleet::new(&[("w1", "r1"), ("w2", "r1"), ("w3", "r1")]);
+    fleet.hold_all();
+    fleet.submit(job("good", 2, vec![step(1, 8)]));
+    let good = task("good", 0, 0);
+    let proven = fleet.place_of(&good).expect("it runs");
+    fleet.submit(job("j", 2, vec![step(1, 8)]));
+    let key = task("j", 0, 0);
+    let bad = fleet.place_of(&key).expect("it runs");
+    fleet.worker(bad.as_str()).end(&key, EndKind::Failed);
+    fleet.pass(500);
+    assert_eq!(fleet.place_of(&key), None, "nothing is proven yet");
+    fleet.worker(proven.as_str()).end(&good, EndKind::Done);
+    fleet.pass(500);
+    assert_eq!(fleet.place_of(&key), Some(proven));
+}
--- a/crates/stairstall-core/tests/batch/main.rs
+++ b/crates/stairstall-core/tests/batch/main.rs
@@ -1,6 +1,7 @@
 //! The planner of jobs of steps and tasks, on a virtual clock.
 
 mod ends;
+mod failures;
 mod harness;
 mod lasting;
 mod room;
