perf(batch): wake links instead of polling, look everything through 40 times a second at most

Change: a link sleeps until it is woken or 2 s have passed; links are opened and dropped only when the set of workers changes; what time alone changes is looked through every 25 ms.

--- a/crates/stairstall-core/src/batch/planner.rs
+++ b/crates/stairstall-core/src/batch/planner.rs
@@ -28,6 +28,9 @@
 pub use pool::WorkerPhase;
 pub use progress::Write;
 
+/// How often everything is looked through for what time alone changes.
+const HOUSEKEEPING: Duration = Duration::from_millis(25);
+
 /// Both clocks at one moment.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Now {
@@ -75,6 +78,12 @@
     changed: BTreeSet<JobId>,
     demand: headroom::UrgentDemand,
     replan: bool,
+    /// When everything was last looked through for what time alone changes.
+    kept_house_at: Option<Timestamp>,
+    /// Workers that should be asked now.
+    to_ask: Vec<WorkerId>,
+    /// Counts changes of the set of workers.
+    worker_set: u64,
     /// When to plan again although nothing has happened: patience runs out with time.
     replan_at: Option<Timestamp>,
     /// Whether a planned start may have become possible.
@@ -107,6 +116,9 @@
             changed: BTreeSet::new(),
             demand: headroom::UrgentDemand::default(),
             replan: true,
+            kept_house_at: None,
+            to_ask: Vec::new(),
+            worker_set: 0,
             replan_at: None,
             emit_due: false,
             deposed: false,
@@ -191,6 +203,9 @@
         self.replan = true;
         self.retire_earlier_lives(&listed);
         let id = listed.id.clone();
+        if !self.workers.contains_key(&id) {
+            self.worker_set += 1;
+        }
         let worker = self
             .workers
             .entry(id.clone())
@@ -227,18 +242,41 @@
         let has_left = worker.listed.draining && worker.may_have_left(now.at);
         if has_left && !worker.is_in_contact() {
             self.life_over(id, "it has left");
-        } else if worker.runs.is_empty() {
-            self.workers.remove(id);
+        } else {
+            self.forget_if_gone(id);
         }
         self.replan = true;
     }
 
+    /// Takes the workers that should be asked now rather than in their turn.
+    pub fn take_to_ask(&mut self) -> Vec<WorkerId> {
+        std::mem::take(&mut self.to_ask)
+    }
+
+    /// Tells whether a worker is known.
+    #[must_use]
+    pub fn knows(&self, id: &WorkerId) -> bool {
+        self.workers.contains_key(id)
+    }
+
+    /// Counts changes of the set of workers.
+    #[must_use]
+    pub const fn worker_set(&self) -> u64 {
+        self.worker_set
+    }
+
     /// Decides what is to be done now.
     pub fn tick(&mut self, now: Now) -> Vec<Order> {
-        self.end_leases(now);
-        self.resend(now);
-        self.start_due_occurrences(now);
-        self.find_stuck(now);
+        if self
+            .kept_house_at
+            .is_none_or(|at| now.at - at >= HOUSEKEEPING)
+        {
+            self.kept_house_at = Some(now.at);
+            self.end_leases(now);
+            self.resend(now);
+            self.start_due_occurrences(now);
+            self.find_stuck(now);
+        }
         let is_due = self.replan_at.is_some_and(|at| now.at >= at);
         if self.replan || is_due {
             self.replan = false;
--- a/crates/stairstall-core/src/batch/planner/contact.rs
+++ b/crates/stairstall-core/src/batch/planner/contact.rs
@@ -101,6 +101,7 @@
             return;
         }
         worker.set_contact(false);
+        self.to_ask.push(id.clone());
         let zone = worker.listed.zone.clone();
         self.decisions
             .push(Decision::of_worker(id, "it does not answer"));
@@ -121,6 +122,7 @@
             .filter(|w| w.heard_at.is_none_or(|at| now.at - at > HEARD_LATELY));
         for worker in doubtful {
             worker.set_contact(false);
+            self.to_ask.push(worker.listed.id.clone());
         }
     }
 
@@ -134,6 +136,7 @@
         let Some(mut worker) = self.workers.remove(id) else {
             return;
         };
+        self.worker_set += 1;
         self.decisions
             .push(Decision::of_worker(id, format!("its life is over: {why}")));
         let runs = std::mem::take(&mut worker.runs);
@@ -144,13 +147,14 @@
     }
 
     /// Drops a worker that is listed no longer and has nothing.
-    fn forget_if_gone(&mut self, id: &WorkerId) {
+    pub(super) fn forget_if_gone(&mut self, id: &WorkerId) {
         let is_gone = self
             .workers
             .get(id)
             .is_some_and(|w| !w.is_listed && w.runs.is_empty());
         if is_gone {
             self.workers.remove(id);
+            self.worker_set += 1;
         }
     }
 
--- a/crates/stairstalld/src/batch/links.rs
+++ b/crates/stairstalld/src/batch/links.rs
@@ -22,7 +22,7 @@
 /// Longest wait for ends to be written before the worker is asked again.
 const WRITE_PATIENCE: Duration = Duration::from_millis(250);
 /// How often an idle worker is looked at in memory.
-const IDLE_INTERVAL: Duration = Duration::from_millis(150);
+const IDLE_INTERVAL: Duration = Duration::from_secs(2);
 /// Pause while the planner's lease is not known to be in force.
 const SUSPENDED_PAUSE: Duration = Duration::from_millis(50);
 
@@ -38,6 +38,8 @@
     node: Arc<Node>,
     tenure: Arc<Tenure>,
     open: HashMap<WorkerId, Link>,
+    /// The set of workers that links were last opened for.
+    seen_set: Option<u64>,
     tasks: JoinSet<()>,
 }
 
@@ -47,20 +49,32 @@
             node,
             tenure,
             open: HashMap::new(),
+            seen_set: None,
             tasks: JoinSet::new(),
         }
     }
 
     /// Opens links to new workers and drops those to workers that are gone.
     pub(crate) fn keep_up(&mut self) {
-        let known: Vec<(WorkerId, String)> = self.tenure.with(|planner, _| {
+        let (to_ask, worker_set) = self
+            .tenure
+            .with(|planner, _| (planner.take_to_ask(), planner.worker_set()));
+        for id in to_ask {
+            if let Some(link) = self.open.get(&id) {
+                link.wake.notify_one();
+            }
+        }
+        if self.seen_set == Some(worker_set) {
+            return;
+        }
+        self.seen_set = Some(worker_set);
+        let known: HashMap<WorkerId, String> = self.tenure.with(|planner, _| {
             let workers = planner.workers();
             workers
                 .map(|(id, address, _)| (id.clone(), address.to_owned()))
                 .collect()
         });
-        self.open
-            .retain(|id, _| known.iter().any(|(known, _)| known == id));
+        self.open.retain(|id, _| known.contains_key(id));
         for (id, address) in known {
             if !self.open.contains_key(&id) {
                 self.open_link(WorkerAddress { id, address });
@@ -114,7 +128,7 @@
             continue;
         }
         let request = tenure.with(|planner, now| {
-            let known = planner.workers().any(|(id, ..)| *id == worker.id);
+            let known = planner.knows(&worker.id);
             known.then(|| planner.hold_request(&worker.id, now))
         });
         match request {
