feat(batch): ask an adviser for tickets where a queue demands them

Cause: a queue with advice has every start without a ticket refused; each refusal was planned again at once, so such a queue would have spun. Change: the planner asks about up to 30 workers that suit a step, places only where a ticket holds, remembers who may never run it, asks again when tickets are over; a refused ticket is dropped. A port and the platform's adapter. Tests: tests/batch/advice.rs.

--- a/crates/stairstall-core/src/batch/catalog.rs
+++ b/crates/stairstall-core/src/batch/catalog.rs
@@ -19,6 +19,9 @@
     pub stretch: f64,
     /// Added to the objective, in milliseconds.
     pub target_ms: u64,
+    /// How long an adviser's ticket holds, in milliseconds, where starts need one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub ticket_valid_ms: Option<u64>,
 }
 
 /// Which calls belong to a queue.
--- a/crates/stairstall-core/src/batch/planner.rs
+++ b/crates/stairstall-core/src/batch/planner.rs
@@ -8,6 +8,7 @@
 };
 use crate::{JobId, Timestamp, WorkerId};
 
+mod advice;
 mod contact;
 mod ends;
 mod evacuate;
@@ -22,6 +23,7 @@
 mod stuck;
 mod victims;
 
+pub use advice::AdviceRequest;
 use job::Job;
 pub use orders::{Order, OrderKind};
 use pool::Worker;
@@ -74,6 +76,7 @@
     workers: BTreeMap<WorkerId, Worker>,
     planned: BTreeSet<GroupKey>,
     orders: Vec<Order>,
+    advice_requests: Vec<AdviceRequest>,
     decisions: Vec<Decision>,
     changed: BTreeSet<JobId>,
     demand: headroom::UrgentDemand,
@@ -112,6 +115,7 @@
             workers: BTreeMap::new(),
             planned: BTreeSet::new(),
             orders: Vec::new(),
+            advice_requests: Vec::new(),
             decisions: Vec::new(),
             changed: BTreeSet::new(),
             demand: headroom::UrgentDemand::default(),
--- a/crates/stairstall-core/src/batch/planner/fit.rs
+++ b/crates/stairstall-core/src/batch/planner/fit.rs
@@ -83,6 +83,7 @@
                 break;
             }
             let sites = self.sites(candidate, &step, scope, held_back, now);
+            let sites = self.advised(key, sites, waiting.len(), now);
             let count = allowed(&step, waiting.len(), allowance);
             if let Some(choice) = search(&step, count, scope, &sites) {
                 let accelerators = step.needs.accelerators * as_u32(choice.places.len());
--- a/crates/stairstall-core/src/batch/planner/job.rs
+++ b/crates/stairstall-core/src/batch/planner/job.rs
@@ -4,6 +4,7 @@
 use crate::{Timestamp, WorkerId};
 
 use super::Now;
+use super::advice::Advice;
 
 /// Where one task stands.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -44,6 +45,8 @@
     pub(super) ready_since: Option<Timestamp>,
     /// How much of the work was done when a run last told, in percent.
     pub(super) percent: u8,
+    /// What an adviser has said of it, where it is asked.
+    pub(super) advice: Advice,
     /// Whether a run of it failed so early that its worker is to blame.
     pub(super) failed_early: bool,
     /// How often it was moved because it stood still.
--- a/crates/stairstall-core/src/batch/planner/orders.rs
+++ b/crates/stairstall-core/src/batch/planner/orders.rs
@@ -10,6 +10,8 @@
         payload: String,
         /// Where to continue from.
         checkpoint: Option<String>,
+        /// The adviser's ticket, where the queue asks for one.
+        ticket: Option<String>,
         /// Until when it may run, on the worker's clock, unless it is renewed.
         deadline_ms: u64,
     },
--- a/crates/stairstall-core/src/batch/planner/starts.rs
+++ b/crates/stairstall-core/src/batch/planner/starts.rs
@@ -134,6 +134,7 @@
             kind: OrderKind::Start {
                 payload: job.accepted.spec.payload.clone(),
                 checkpoint: self.start_checkpoint(task),
+                ticket: self.start_ticket(id, task, now),
                 deadline_ms: clock_ms.saturating_add(millis(lease)),
             },
         });
@@ -157,6 +158,11 @@
         group.tasks.get(task.index as usize)?.checkpoint.clone()
     }
 
+    fn start_ticket(&self, id: &WorkerId, task: &TaskKey, now: Now) -> Option<String> {
+        let group = self.jobs.get(&task.group.job)?.group(&task.group)?;
+        group.advice.ticket(id, now.at).map(str::to_owned)
+    }
+
     /// Stops a run, or drops it where no start was sent.
     pub(super) fn stop_run(&mut self, id: &WorkerId, task: &TaskKey, why: &str, now: Now) {
         let Some(worker) = self.workers.get_mut(id) else {
@@ -334,6 +340,9 @@
         if outcome == StartOutcome::NotSent {
             self.doubt(id, now);
         }
+        if outcome == StartOutcome::Refused(RefusalReason::NoTicket) {
+            self.drop_ticket(&task.group, id);
+        }
         if did_nothing && first_try {
             self.run_over(id, task, EndKind::Stopped, "it was not started", now);
         } else if matches!(outcome, StartOutcome::Unknown | StartOutcome::NotSent) {
--- a/crates/stairstall-core/src/batch/worker.rs
+++ b/crates/stairstall-core/src/batch/worker.rs
@@ -126,6 +126,8 @@
     Late,
     /// There is no room.
     NoRoom,
+    /// It brings no ticket that holds.
+    NoTicket,
     /// Anything else.
     Other,
 }
--- a/crates/stairstall-core/tests/batch/harness.rs
+++ b/crates/stairstall-core/tests/batch/harness.rs
@@ -89,6 +89,7 @@
         attempts: 2,
         stretch: 2.0,
         target_ms: 500,
+        ticket_valid_ms: None,
     }
 }
 
--- a/crates/stairstall-core/tests/batch/main.rs
+++ b/crates/stairstall-core/tests/batch/main.rs
@@ -1,5 +1,6 @@
 //! The planner of jobs of steps and tasks, on a virtual clock.
 
+mod advice;
 mod ends;
 mod failures;
 mod harness;
--- a/crates/stairstall-ports/src/lib.rs
+++ b/crates/stairstall-ports/src/lib.rs
@@ -16,4 +16,4 @@
     Change, Commit, Committed, Condition, Item, LeaseId, Page, Put, Revision, SharedStore,
     StoreFault, Watched,
 };
-pub use workers::{WorkerAddress, WorkerCalls, WorkerFault};
+pub use workers::{Adviser, WorkerAddress, WorkerCalls, WorkerFault};
--- a/crates/stairstall-ports/src/workers.rs
+++ b/crates/stairstall-ports/src/workers.rs
@@ -4,7 +4,9 @@
 use futures::future::BoxFuture;
 use quick_error::quick_error;
 use stairstall_core::WorkerId;
-use stairstall_core::batch::{HoldReport, HoldRequest, Order, StartOutcome, StopOutcome};
+use stairstall_core::batch::{
+    AdviceRequest, HoldReport, HoldRequest, Order, StartOutcome, StopOutcome,
+};
 use stairstall_http::CallError;
 
 /// One life of a worker and where it listens.
@@ -67,3 +69,13 @@
         timeout: Duration,
     ) -> BoxFuture<'a, StopOutcome>;
 }
+
+/// An outside service that lets only some workers run a step.
+pub trait Adviser: fmt::Debug + Send + Sync {
+    /// Returns the workers that may run the step, each with its ticket.
+    fn advise<'a>(
+        &'a self,
+        request: &'a AdviceRequest,
+        timeout: Duration,
+    ) -> BoxFuture<'a, Result<Vec<(WorkerId, String)>, CallError>>;
+}
--- a/crates/stairstalld/src/batch/node.rs
+++ b/crates/stairstalld/src/batch/node.rs
@@ -9,7 +9,7 @@
 use stairstall_core::VmId;
 use stairstall_core::batch::{Catalog, Now};
 use stairstall_core::claim::Mark;
-use stairstall_ports::{Dialect, Item, Revision, SharedStore, StoreFault, WorkerCalls};
+use stairstall_ports::{Adviser, Dialect, Item, Revision, SharedStore, StoreFault, WorkerCalls};
 use tokio::sync::watch;
 
 use super::rpc::Peers;
@@ -42,6 +42,7 @@
     pub(crate) store_health: StoreHealth,
     pub(crate) workers: Arc<dyn WorkerCalls>,
     pub(crate) dialect: Arc<dyn Dialect>,
+    pub(crate) adviser: Option<Arc<dyn Adviser>>,
     pub(crate) peers: Peers,
     pub(crate) telemetry: Telemetry,
     pub(crate) catalog: watch::Sender<Option<Arc<Catalog>>>,
@@ -61,6 +62,7 @@
         store: Arc<dyn SharedStore>,
         workers: Arc<dyn WorkerCalls>,
         dialect: Arc<dyn Dialect>,
+        adviser: Option<Arc<dyn Adviser>>,
     ) -> Self {
         Self {
             clock: Clock::new(),
@@ -68,6 +70,7 @@
             store_health: StoreHealth::default(),
             workers,
             dialect,
+            adviser,
             peers: Peers::default(),
             telemetry: Telemetry::new(),
             catalog: watch::channel(None).0,
--- a/crates/stairstalld/src/batch/serve.rs
+++ b/crates/stairstalld/src/batch/serve.rs
@@ -7,7 +7,8 @@
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use hyper_util::server::conn::auto::Builder;
 use stairstall_http::HttpClient;
-use stairstall_platform::{PlatformDialect, PlatformStore, PlatformWorkers};
+use stairstall_platform::{PlatformAdviser, PlatformDialect, PlatformStore, PlatformWorkers};
+use stairstall_ports::Adviser;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -45,12 +46,17 @@
         settings.store.to_string(),
         settings.store_timeout,
     );
+    let adviser = settings.adviser.map(|address| {
+        let adviser = PlatformAdviser::new(http.clone(), address.to_string());
+        Arc::new(adviser) as Arc<dyn Adviser>
+    });
     let workers = PlatformWorkers::new(http);
     Node::new(
         settings,
         Arc::new(store),
         Arc::new(workers),
         Arc::new(PlatformDialect),
+        adviser,
     )
 }
 
--- a/crates/stairstalld/src/batch/settings.rs
+++ b/crates/stairstalld/src/batch/settings.rs
@@ -22,6 +22,7 @@
     rpc_listen: String,
     metrics_listen: String,
     store: String,
+    adviser: String,
     store_timeout_ms: String,
     role_lease_ms: String,
     hold_max_ms: String,
@@ -50,6 +51,8 @@
     pub metrics_listen: SocketAddr,
     /// The platform's shared store.
     pub store: SocketAddr,
+    /// Who says which workers may run a step, where queues ask for that.
+    pub adviser: Option<SocketAddr>,
     /// Longest call to the store.
     pub store_timeout: Duration,
     /// Lease of the planner's role.
@@ -97,6 +100,11 @@
         "STAIRSTALL_STORE",
         "IP:PORT of the platform's store"
     );
+    let adviser = flag!(
+        "adviser",
+        "STAIRSTALL_ADVISER",
+        "IP:PORT of the adviser that gives tickets for starts, where there is one"
+    );
     let store_timeout_ms = flag!(
         "store-timeout-ms",
         "STAIRSTALL_STORE_TIMEOUT_MS",
@@ -157,6 +165,7 @@
         rpc_listen,
         metrics_listen,
         store,
+        adviser,
         store_timeout_ms,
         role_lease_ms,
         hold_max_ms,
@@ -221,6 +230,11 @@
         let rpc_listen = checks.address("--rpc-listen", &raw.rpc_listen);
         let metrics_listen = checks.address("--metrics-listen", &raw.metrics_listen);
         let store = checks.address("--store", &raw.store);
+        let adviser = if raw.adviser.is_empty() {
+            None
+        } else {
+            Some(checks.address("--adviser", &raw.adviser)?)
+        };
         let store_timeout = checks.millis("--store-timeout-ms", &raw.store_timeout_ms, 10, 10_000);
         let role_lease = checks.millis("--role-lease-ms", &raw.role_lease_ms, 500, 60_000);
         let bounds = Self::read_bounds(raw, checks);
@@ -234,6 +248,7 @@
             rpc_listen: rpc_listen?,
             metrics_listen: metrics_listen?,
             store: store?,
+            adviser,
             store_timeout: store_timeout?,
             role_lease: role_lease?,
             bounds: bounds?,
--- a/crates/stairstalld/src/batch/tenure.rs
+++ b/crates/stairstalld/src/batch/tenure.rs
@@ -204,11 +204,43 @@
         for decision in &decisions {
             tell(node, tenure.token, decision);
         }
+        ask_adviser(node, tenure, &mut tasks);
         links.keep_up();
         links.send(orders);
     }
 }
 
+/// Longest wait for the adviser's answer.
+const ADVICE_TIMEOUT: Duration = Duration::from_millis(1_800);
+
+/// Puts the planner's questions to the adviser, each in a task of its own.
+fn ask_adviser(node: &Arc<Node>, tenure: &Arc<Tenure>, tasks: &mut JoinSet<()>) {
+    let requests = tenure.with(|planner, _| planner.take_advice_requests());
+    for request in requests {
+        let Some(adviser) = node.adviser.clone() else {
+            log::warn!(target: "advice", step:% = request.group; "no adviser is set");
+            tenure.with(|planner, _| planner.advice_failed(&request));
+            continue;
+        };
+        let tenure = Arc::clone(tenure);
+        tasks.spawn(async move {
+            let asked = adviser.advise(&request, ADVICE_TIMEOUT).await;
+            match asked {
+                Ok(good) => {
+                    log::info!(target: "advice", step:% = request.group,
+                        asked = request.workers.len(), good = good.len(); "answered");
+                    tenure.with(|planner, now| planner.take_advice(&request, good, now));
+                }
+                Err(error) => {
+                    log::warn!(target: "advice", step:% = request.group, why:% = error; "no answer");
+                    tenure.with(|planner, _| planner.advice_failed(&request));
+                }
+            }
+        });
+    }
+    while tasks.try_join_next().is_some() {}
+}
+
 /// Reads what earlier planners left; tries until it is whole.
 async fn load(node: &Node, tenure: &Tenure) -> (Revision, Revision, writer::Revisions) {
     loop {
