fix(batch): let listings take 5 s

Cause: on the grown sites a machine's link carries 10 Mbit/s; a page of a megabyte takes longer than the store's time limit of 0.4 s, so that a successor never finished loading.

--- a/crates/stairstall-core/tests/batch/advice.rs
+++ b/crates/stairstall-core/tests/batch/advice.rs
@@ -10,7 +10,7 @@
 
 fn advised_job() -> AcceptedJob {
     let mut job = job("j", 2, vec![step(1, 8)]);
-    job.queue.name = "advised".to_owned();
+    "advised".clone_into(&mut job.queue.name);
     job.queue.ticket_valid_ms = Some(TICKET_MS);
     job
 }
--- a/crates/stairstall-ports/src/store.rs
+++ b/crates/stairstall-ports/src/store.rs
@@ -205,11 +205,13 @@
     /// Reads a key.
     fn get<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<Option<Item>, StoreFault>>;
 
-    /// Reads keys that start with `prefix` and come after `after`, in order.
+    /// Reads keys that start with `prefix` and come after `after`, in order, within `timeout`: a
+    /// page may be a megabyte.
     fn range<'a>(
         &'a self,
         prefix: &'a str,
         after: &'a str,
+        timeout: Duration,
     ) -> BoxFuture<'a, Result<Page, StoreFault>>;
 
     /// Waits for changes after `after` under a prefix, for at most `wait`.
--- a/crates/stairstalld/src/batch/directory.rs
+++ b/crates/stairstalld/src/batch/directory.rs
@@ -7,6 +7,7 @@
 use stairstall_core::WorkerId;
 use stairstall_ports::{Change, Item, Revision, StoreFault};
 
+use super::intake::LIST_TIMEOUT;
 use super::node::Node;
 use super::tenure::Tenure;
 
@@ -25,7 +26,10 @@
     let mut first_at = None;
     loop {
         let page = node
-            .stored("list workers", node.store.range(prefix, &after))
+            .stored(
+                "list workers",
+                node.store.range(prefix, &after, LIST_TIMEOUT),
+            )
             .await?;
         first_at.get_or_insert(page.at);
         for item in &page.items {
--- a/crates/stairstalld/src/batch/intake.rs
+++ b/crates/stairstalld/src/batch/intake.rs
@@ -13,6 +13,8 @@
 use super::tenure::Tenure;
 use super::writer::Revisions;
 
+/// Longest wait for a page of a listing, which may be a megabyte over a slow link.
+pub(crate) const LIST_TIMEOUT: Duration = Duration::from_secs(5);
 /// How often news are asked for; daemons tell the planner sooner.
 const INTERVAL: Duration = Duration::from_secs(1);
 
@@ -28,7 +30,9 @@
         let after = items
             .last()
             .map_or_else(String::new, |item| item.key.clone());
-        let page = node.stored(kind, node.store.range(prefix, &after)).await?;
+        let page = node
+            .stored(kind, node.store.range(prefix, &after, LIST_TIMEOUT))
+            .await?;
         at.get_or_insert(page.at);
         let is_last = !page.more || page.items.is_empty();
         items.extend(page.items);
--- a/crates/stairstalld/src/batch/node.rs
+++ b/crates/stairstalld/src/batch/node.rs
@@ -161,7 +161,8 @@
         kind: &'static str,
         key: &str,
     ) -> Result<(Option<Item>, Revision), StoreFault> {
-        let page = self.stored(kind, self.store.range(key, "")).await?;
+        let range = self.store.range(key, "", self.settings.store_timeout);
+        let page = self.stored(kind, range).await?;
         let item = page.items.into_iter().find(|item| item.key == key);
         Ok((item, page.at))
     }
--- a/crates/stairstalld/src/batch/settings.rs
+++ b/crates/stairstalld/src/batch/settings.rs
@@ -76,6 +76,7 @@
     };
 }
 
+#[allow(clippy::too_many_lines, reason = "one statement a flag")]
 fn parser() -> OptionParser<Raw> {
     let vm = flag!("vm", "STAIRSTALL_VM", "Name of this VM");
     let zone = flag!("zone", "STAIRSTALL_ZONE", "Availability zone of this VM");
