fix(batch): let strong machines take the planner's role first

Ruled out: loading (0.35 to 0.76 s), the store. Change: machines with less than a quarter of a core or 100 Mbit/s put off their try by up to 0.25 s; orders wait 0.35 s for an answer. Tests: a_strong_machine_takes_the_role_before_weak_ones, all_wrong_settings_are_named_at_once.

--- a/crates/stairstalld/src/batch/orders.rs
+++ b/crates/stairstalld/src/batch/orders.rs
@@ -13,7 +13,7 @@
 use super::tenure::Tenure;
 
 /// Longest wait for the answer to an order.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(250);
+const ORDER_TIMEOUT: Duration = Duration::from_millis(350);
 /// How long an order may be without an answer before the next one overtakes it.
 const OVERTAKE_AFTER: Duration = Duration::from_millis(60);
 
--- a/crates/stairstalld/src/batch/role.rs
+++ b/crates/stairstalld/src/batch/role.rs
@@ -18,6 +18,12 @@
 const STORE_PAUSE: Duration = Duration::from_millis(200);
 /// Longest time by which daemons put off their tries differently.
 const SPREAD: Duration = Duration::from_millis(60);
+/// How much longer a VM puts it off that is too weak to plan for many workers.
+const WEAK_DELAY: Duration = Duration::from_millis(250);
+/// Processor, in percent of a core, from which a VM is strong.
+const STRONG_CPU_PERCENT: u32 = 25;
+/// Link, in megabits a second, from which a VM is strong.
+const STRONG_LINK_MBPS: u32 = 100;
 /// Renewals within one lease.
 const RENEWALS_PER_LEASE: u32 = 4;
 
@@ -45,6 +51,15 @@
     }
 }
 
+/// Returns how long to wait before trying to take the role: strong VMs go first.
+fn put_off(node: &Node) -> Duration {
+    let settings = &node.settings;
+    let lacking = |has: u32, strong: u32| 1.0 - f64::from(has.min(strong)) / f64::from(strong);
+    let weakness = lacking(settings.cpu_percent, STRONG_CPU_PERCENT)
+        .max(lacking(settings.link_mbps, STRONG_LINK_MBPS));
+    SPREAD.mul_f64(rand::random_range(0.0..1.0)) + WEAK_DELAY.mul_f64(weakness)
+}
+
 /// Waits while another daemon has the role; returns it once it is this daemon's.
 async fn try_role(node: &Node) -> Result<Option<Taken>, StoreFault> {
     let (item, mut at) = node.read_at("read role", keys::PLANNER).await?;
@@ -53,7 +68,7 @@
             node.pause(STORE_PAUSE).await;
             return Ok(None);
         }
-        tokio::time::sleep(SPREAD.mul_f64(rand::random_range(0.0..1.0))).await;
+        tokio::time::sleep(put_off(node)).await;
         return take(node).await;
     };
     if let Ok(record) = serde_json::from_slice(&item.value) {
--- a/crates/stairstalld/src/batch/settings.rs
+++ b/crates/stairstalld/src/batch/settings.rs
@@ -7,7 +7,7 @@
 use stairstall_core::batch::Bounds;
 use stairstall_core::{VmId, ZoneId};
 
-use crate::settings::{Checks, Mistakes, WIDTH, text};
+use crate::settings::{Checks, Mistake, Mistakes, WIDTH, text};
 
 /// Longest bound that makes sense, in milliseconds.
 const DAY_MS: u64 = 24 * 3600 * 1000;
@@ -23,6 +23,8 @@
     metrics_listen: String,
     store: String,
     adviser: String,
+    cpu_percent: String,
+    link_mbps: String,
     store_timeout_ms: String,
     role_lease_ms: String,
     hold_max_ms: String,
@@ -53,6 +55,10 @@
     pub store: SocketAddr,
     /// Who says which workers may run a step, where queues ask for that.
     pub adviser: Option<SocketAddr>,
+    /// Processor of this VM, in percent of a core.
+    pub cpu_percent: u32,
+    /// What this VM's link carries, in megabits a second.
+    pub link_mbps: u32,
     /// Longest call to the store.
     pub store_timeout: Duration,
     /// Lease of the planner's role.
@@ -106,6 +112,18 @@
         "STAIRSTALL_ADVISER",
         "IP:PORT of the adviser that gives tickets for starts, where there is one"
     );
+    let cpu_percent = flag!(
+        "cpu-percent",
+        "STAIRSTALL_CPU_PERCENT",
+        "Processor of this VM, in percent of a core or, up to 1, as a part of one",
+        "100"
+    );
+    let link_mbps = flag!(
+        "link-mbps",
+        "STAIRSTALL_LINK_MBPS",
+        "Megabits a second that this VM's link carries",
+        "1000"
+    );
     let store_timeout_ms = flag!(
         "store-timeout-ms",
         "STAIRSTALL_STORE_TIMEOUT_MS",
@@ -167,6 +185,8 @@
         metrics_listen,
         store,
         adviser,
+        cpu_percent,
+        link_mbps,
         store_timeout_ms,
         role_lease_ms,
         hold_max_ms,
@@ -236,6 +256,8 @@
         } else {
             Some(checks.address("--adviser", &raw.adviser)?)
         };
+        let cpu_percent = share(checks, "--cpu-percent", &raw.cpu_percent);
+        let link_mbps = share(checks, "--link-mbps", &raw.link_mbps);
         let store_timeout = checks.millis("--store-timeout-ms", &raw.store_timeout_ms, 10, 10_000);
         let role_lease = checks.millis("--role-lease-ms", &raw.role_lease_ms, 500, 60_000);
         let bounds = Self::read_bounds(raw, checks);
@@ -250,6 +272,8 @@
             metrics_listen: metrics_listen?,
             store: store?,
             adviser,
+            cpu_percent: cpu_percent?,
+            link_mbps: link_mbps?,
             store_timeout: store_timeout?,
             role_lease: role_lease?,
             bounds: bounds?,
@@ -272,3 +296,33 @@
         })
     }
 }
+
+/// Largest processor share and link that make sense.
+const MAX_SHARE: f64 = 1_000_000.0;
+
+/// Reads a positive number, whole or not; a part of one counts in percent.
+#[allow(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "checked to be from 0 to a million"
+)]
+fn share(checks: &mut Checks, flag: &'static str, value: &str) -> Option<u32> {
+    let found = value
+        .parse::<f64>()
+        .ok()
+        .filter(|n| *n > 0.0 && *n <= MAX_SHARE);
+    let Some(number) = found else {
+        checks.0.push(Mistake {
+            flag,
+            value: value.to_owned(),
+            allowed: "a number over 0 and at most a million".to_owned(),
+        });
+        return None;
+    };
+    let scaled = if number <= 1.0 {
+        number * 100.0
+    } else {
+        number
+    };
+    Some(scaled.ceil() as u32)
+}
--- a/crates/stairstalld/tests/batch/cluster.rs
+++ b/crates/stairstalld/tests/batch/cluster.rs
@@ -36,6 +36,11 @@
 impl Daemon {
     /// Starts a daemon and waits until it serves.
     pub async fn start(name: &str, store: &StandinStore) -> Self {
+        Self::start_with(name, store, &[]).await
+    }
+
+    /// Starts a daemon with further flags and waits until it serves.
+    pub async fn start_with(name: &str, store: &StandinStore, flags: &[&str]) -> Self {
         let link = Link::start(store.address()).await.expect("a link");
         let local = "127.0.0.1:0";
         let mut child = Command::new(env!("CARGO_BIN_EXE_stairstalld"))
@@ -46,6 +51,7 @@
             .args(["--store", &link.address().to_string()])
             .args(["--hold-max-ms", "3000", "--stop-max-ms", "100"])
             .args(["--role-lease-ms", "1000", "--drain-delay-ms", "200"])
+            .args(flags)
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
             .kill_on_drop(true)
--- a/crates/stairstalld/tests/batch/faults.rs
+++ b/crates/stairstalld/tests/batch/faults.rs
@@ -222,3 +222,57 @@
     assert_eq!(status, Some(StatusCode::OK));
     cluster.wait_for(&path, "completed").await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_strong_machine_takes_the_role_before_weak_ones() {
+    let mut cluster = Cluster::start(1, 1).await;
+    for number in 0..3 {
+        let name = format!("weak-{number}");
+        let flags = ["--cpu-percent", "0.01", "--link-mbps", "1"];
+        let weak = Daemon::start_with(&name, &cluster.store, &flags).await;
+        cluster.daemons.push(weak);
+    }
+    let strong = Daemon::start("strong", &cluster.store).await;
+    cluster.daemons.push(strong);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    cluster.daemons[0].kill().await;
+    let until = std::time::Instant::now() + crate::cluster::PATIENCE;
+    while cluster.daemons[4].log_lines("role is taken").is_empty() {
+        assert!(
+            std::time::Instant::now() < until,
+            "it does not take the role"
+        );
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    for weak in &cluster.daemons[1..4] {
+        assert!(weak.log_lines("role is taken").is_empty());
+    }
+}
+
+#[test]
+fn all_wrong_settings_are_named_at_once() {
+    let flags = [
+        "--vm",
+        "bad name",
+        "--listen",
+        "nowhere",
+        "--link-mbps",
+        "none",
+    ];
+    let mistakes = stairstalld::batch::settings::BatchSettings::from_arguments(&flags)
+        .expect_err("they are wrong")
+        .to_string();
+    for flag in [
+        "--vm",
+        "--listen",
+        "--link-mbps",
+        "--zone",
+        "--store",
+        "--hold-max-ms",
+    ] {
+        assert!(
+            mistakes.contains(flag),
+            "{flag} is not named in\n{mistakes}"
+        );
+    }
+}
