fix(batch): open a link to a worker that is listed only after the takeover

Ruled out: the last attempt's wait for a proven worker (it ends after 3 s). Change: a new address is a change of the set of workers. Test: a_worker_that_the_directory_lists_only_later_is_asked_then, failed first.

--- a/crates/stairstall-core/src/batch/planner.rs
+++ b/crates/stairstall-core/src/batch/planner.rs
@@ -207,7 +207,8 @@
         self.replan = true;
         self.retire_earlier_lives(&listed);
         let id = listed.id.clone();
-        if !self.workers.contains_key(&id) {
+        let known = self.workers.get(&id);
+        if known.is_none_or(|known| known.listed.address != listed.address) {
             self.worker_set += 1;
         }
         let worker = self
--- a/crates/stairstall-core/tests/batch/takeover.rs
+++ b/crates/stairstall-core/tests/batch/takeover.rs
@@ -131,3 +131,25 @@
     }
     assert_eq!(fleet.planner.runs(), 0);
 }
+
+#[test]
+fn a_worker_that_the_directory_lists_only_later_is_asked_then() {
+    let mut fleet = Fleet::new(&[("w1", "r1")]);
+    fleet.hold_all();
+    let accepted = job("j", 2, vec![step(1, 8)]);
+    fleet.submit(accepted.clone());
+    // The store was down: at the takeover the directory is empty.
+    fleet.take_over(&[accepted], &[]);
+    assert_eq!(fleet.planner.workers().count(), 0);
+    let before = fleet.planner.worker_set();
+    let now = fleet.now();
+    let capacity = stairstall_core::batch::Resources::new(32_000, 64_000, 8);
+    let listed = crate::harness::worker("w1", "r1", capacity);
+    fleet.planner.list_worker(listed, now);
+    assert_eq!(fleet.planner.workers().count(), 1);
+    assert_ne!(
+        fleet.planner.worker_set(),
+        before,
+        "a link has to be opened"
+    );
+}
