refactor(batch): drop a worker's phase, a second millis and times that nothing read

Found on reading the whole change once more: the planner reported a phase of each worker that every caller threw away, milliseconds were computed by two equal functions, and the time a run has left took a moment that it did not use. Behaviour is as before. Checked: format, lints, the planner's 26 tests, 20 process tests with the soak and the log's test; no bench run.

--- a/crates/stairstall-core/src/batch.rs
+++ b/crates/stairstall-core/src/batch.rs
@@ -19,7 +19,7 @@
 
 pub use catalog::{Access, Catalog, Customer, Queue, Route};
 pub use decision::{Decision, DecisionKind};
-pub use planner::{AdviceRequest, Bounds, Now, Order, OrderKind, Planner, WorkerPhase, Write};
+pub use planner::{AdviceRequest, Bounds, Now, Order, OrderKind, Planner, Write};
 pub use record::{AcceptedJob, CallerState, GroupProgress, Outcome, Progress};
 pub use resources::Resources;
 pub use spec::{BatchSpec, Schedule, SpecError, StepSpec};
--- a/crates/stairstall-core/src/batch/planner.rs
+++ b/crates/stairstall-core/src/batch/planner.rs
@@ -27,7 +27,6 @@
 use job::Job;
 pub use orders::{Order, OrderKind};
 use pool::Worker;
-pub use pool::WorkerPhase;
 pub use progress::Write;
 
 /// How often everything is looked through for what time alone changes.
--- a/crates/stairstall-core/src/batch/planner/contact.rs
+++ b/crates/stairstall-core/src/batch/planner/contact.rs
@@ -34,11 +34,11 @@
     }
 
     /// Returns the workers, and where each listens.
-    pub fn workers(&self) -> impl Iterator<Item = (&WorkerId, &str, super::WorkerPhase)> {
+    pub fn workers(&self) -> impl Iterator<Item = (&WorkerId, &str)> {
         self.workers
             .iter()
             .filter(|(_, w)| !w.listed.address.is_empty())
-            .map(|(id, w)| (id, w.listed.address.as_str(), w.phase()))
+            .map(|(id, w)| (id, w.listed.address.as_str()))
     }
 
     /// Takes the answer to a request that left at `sent_at`.
--- a/crates/stairstall-core/src/batch/planner/evacuate.rs
+++ b/crates/stairstall-core/src/batch/planner/evacuate.rs
@@ -20,7 +20,7 @@
             .runs
             .iter()
             .filter(|(_, run)| {
-                let ends_there = run.left_ms(now.at) + millis(self.bounds.stop_max) < left_ms;
+                let ends_there = run.left_ms() + millis(self.bounds.stop_max) < left_ms;
                 let is_late = run.percent >= NEARLY_DONE;
                 run.state == RunState::Planned || !(ends_there || is_late)
             })
--- a/crates/stairstall-core/src/batch/planner/fit.rs
+++ b/crates/stairstall-core/src/batch/planner/fit.rs
@@ -98,7 +98,7 @@
             && waited >= HOLD_BACK_AFTER
             && held_back.gangs < MAX_HELD_BACK
         {
-            self.hold_back(candidate, &step, held_back, now);
+            self.hold_back(candidate, &step, held_back);
         }
     }
 
@@ -372,13 +372,7 @@
     }
 
     /// Keeps the room that a waiting gang can have soonest from what comes after it.
-    fn hold_back(
-        &self,
-        candidate: &Candidate,
-        step: &StepSpec,
-        held_back: &mut HeldBack,
-        now: Now,
-    ) {
+    fn hold_back(&self, candidate: &Candidate, step: &StepSpec, held_back: &mut HeldBack) {
         let service = self.service_of(&candidate.key);
         let mut sites: Vec<(u64, &RackId, &WorkerId, u32)> = self
             .workers
@@ -388,7 +382,7 @@
             .filter(|(id, _)| !held_back.workers.contains(*id))
             .filter_map(|(id, w)| {
                 let times = step.room().times_in(&w.listed.capacity, step.count);
-                (times > 0).then(|| (w.busy_ms(now.at), &w.listed.rack, id, times))
+                (times > 0).then(|| (w.busy_ms(), &w.listed.rack, id, times))
             })
             .collect();
         sites.sort();
@@ -510,15 +504,15 @@
 
 impl Worker {
     /// Returns how long what it has should still take, in milliseconds.
-    fn busy_ms(&self, at: Timestamp) -> u64 {
-        let left = self.runs.values().map(|run| run.left_ms(at));
+    fn busy_ms(&self) -> u64 {
+        let left = self.runs.values().map(Run::left_ms);
         left.max().unwrap_or(0)
     }
 }
 
 impl Run {
     /// Returns how much longer it should take, in milliseconds.
-    pub(super) fn left_ms(&self, _at: Timestamp) -> u64 {
+    pub(super) fn left_ms(&self) -> u64 {
         self.expected_ms * u64::from(100_u8.saturating_sub(self.percent)) / 100
     }
 }
--- a/crates/stairstall-core/src/batch/planner/pool.rs
+++ b/crates/stairstall-core/src/batch/planner/pool.rs
@@ -1,6 +1,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
+use super::contact::millis;
 use crate::batch::{HoldRequest, ListedWorker, Resources, StepSpec, TaskKey};
 use crate::{JobId, RackId, ServiceId, Timestamp, WorkerId, ZoneId};
 
@@ -94,23 +95,6 @@
 /// What stopping a run with checkpoints costs at most, in milliseconds of its work.
 const RESTORE_MS: u64 = 300;
 
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
-
-/// What the planner may do with a worker; for people and metrics.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum WorkerPhase {
-    /// It has not answered this planner's token yet.
-    Unfenced,
-    /// It does not answer.
-    Silent,
-    /// It takes tasks.
-    Ready,
-    /// It is leaving.
-    Draining,
-}
-
 /// An end that the worker may forget once the change behind it lasts.
 #[derive(Debug, Clone)]
 struct Unsaved {
@@ -311,15 +295,6 @@
         self.lease_until = self.lease_until.max(Some(until));
     }
 
-    pub(super) fn phase(&self) -> WorkerPhase {
-        match (self.fenced, self.contact, self.listed.draining) {
-            (false, ..) => WorkerPhase::Unfenced,
-            (_, false, _) => WorkerPhase::Silent,
-            (.., true) => WorkerPhase::Draining,
-            _ => WorkerPhase::Ready,
-        }
-    }
-
     /// Notes an end that was taken in, with the change that must last before it is forgotten.
     pub(super) fn note_end(&mut self, number: u64, change: Option<(JobId, u64)>) {
         self.seen = number;
--- a/crates/stairstalld/src/batch/directory.rs
+++ b/crates/stairstalld/src/batch/directory.rs
@@ -41,7 +41,7 @@
         }
     }
     tenure.with(|planner, now| {
-        let known: Vec<WorkerId> = planner.workers().map(|(id, ..)| id.clone()).collect();
+        let known: Vec<WorkerId> = planner.workers().map(|(id, _)| id.clone()).collect();
         for id in known.iter().filter(|id| !listed.contains(*id)) {
             planner.unlist_worker(id, now);
         }
--- a/crates/stairstalld/src/batch/links.rs
+++ b/crates/stairstalld/src/batch/links.rs
@@ -71,7 +71,7 @@
         let known: HashMap<WorkerId, String> = self.tenure.with(|planner, _| {
             let workers = planner.workers();
             workers
-                .map(|(id, address, _)| (id.clone(), address.to_owned()))
+                .map(|(id, address)| (id.clone(), address.to_owned()))
                 .collect()
         });
         self.open.retain(|id, _| known.contains_key(id));
