--- a/crates/stairstalld/src/batch/settings.rs
+++ b/crates/stairstalld/src/batch/settings.rs
@@ -34,6 +34,7 @@
     drain_delay_ms: String,
     drain_limit_ms: String,
     log: String,
+    log_lines_per_s: String,
 }
 
 /// Checked settings of one batch daemon.
@@ -71,6 +72,8 @@
     pub drain_limit: Duration,
     /// Log filter.
     pub log: String,
+    /// Log lines of one kind a second, at most.
+    pub log_lines_per_s: u32,
 }
 
 macro_rules! flag {
@@ -128,7 +131,7 @@
         "store-timeout-ms",
         "STAIRSTALL_STORE_TIMEOUT_MS",
         "Longest call to the store",
-        "400"
+        "600"
     );
     let role_lease_ms = flag!(
         "role-lease-ms",
@@ -176,6 +179,12 @@
         "Log filter, as in 'info' or 'stairstalld=debug'",
         "info"
     );
+    let log_lines_per_s = flag!(
+        "log-lines-per-s",
+        "STAIRSTALL_LOG_LINES_PER_S",
+        "Log lines of one kind a second, at most",
+        "150"
+    );
     construct!(Raw {
         vm,
         zone,
@@ -196,6 +205,7 @@
         drain_delay_ms,
         drain_limit_ms,
         log,
+        log_lines_per_s,
     })
     .to_options()
     .descr("The stairstall daemon for jobs of steps and tasks on a platform with a shared store")
@@ -251,17 +261,14 @@
         let rpc_listen = checks.address("--rpc-listen", &raw.rpc_listen);
         let metrics_listen = checks.address("--metrics-listen", &raw.metrics_listen);
         let store = checks.address("--store", &raw.store);
-        let adviser = if raw.adviser.is_empty() {
-            None
-        } else {
-            Some(checks.address("--adviser", &raw.adviser)?)
-        };
+        let adviser = (!raw.adviser.is_empty()).then(|| checks.address("--adviser", &raw.adviser));
         let cpu_percent = share(checks, "--cpu-percent", &raw.cpu_percent);
         let link_mbps = share(checks, "--link-mbps", &raw.link_mbps);
         let store_timeout = checks.millis("--store-timeout-ms", &raw.store_timeout_ms, 10, 10_000);
         let role_lease = checks.millis("--role-lease-ms", &raw.role_lease_ms, 500, 60_000);
         let bounds = Self::read_bounds(raw, checks);
         let drain_delay = checks.millis("--drain-delay-ms", &raw.drain_delay_ms, 0, DAY_MS);
+        let log_lines = checks.number("--log-lines-per-s", &raw.log_lines_per_s, 1, 1_000_000);
         let drain_limit = checks.millis("--drain-limit-ms", &raw.drain_limit_ms, 0, DAY_MS);
         Some(Self {
             vm: vm?,
@@ -271,7 +278,7 @@
             rpc_listen: rpc_listen?,
             metrics_listen: metrics_listen?,
             store: store?,
-            adviser,
+            adviser: adviser.flatten(),
             cpu_percent: cpu_percent?,
             link_mbps: link_mbps?,
             store_timeout: store_timeout?,
@@ -280,6 +287,7 @@
             drain_delay: drain_delay?,
             drain_limit: drain_limit?,
             log: raw.log.clone(),
+            log_lines_per_s: u32::try_from(log_lines?).ok()?,
         })
     }
 
--- a/crates/stairstalld/src/logging.rs
+++ b/crates/stairstalld/src/logging.rs
@@ -15,8 +15,8 @@
 
 /// Lines that wait to be written, at most.
 const QUEUE_LINES: usize = 2_048;
-/// Lines of one kind a second, at most.
-const LINES_PER_KIND: u32 = 150;
+/// Lines of one kind a second, at most, where nothing else is set.
+pub const LINES_PER_KIND: u32 = 150;
 
 static DROPPED: AtomicU64 = AtomicU64::new(0);
 
@@ -47,14 +47,24 @@
 }
 
 /// Counts lines by kind within the running second.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Limits {
+    lines_per_kind: u32,
     second: u64,
     lines: HashMap<String, u32>,
     left_out: u64,
 }
 
 impl Limits {
+    fn new(lines_per_kind: u32) -> Self {
+        Self {
+            lines_per_kind,
+            second: 0,
+            lines: HashMap::new(),
+            left_out: 0,
+        }
+    }
+
     /// Tells whether a line of that kind may be written, and how many were left out before.
     fn admit(&mut self, kind: &str, second: u64) -> Option<u64> {
         if self.second != second {
@@ -63,7 +73,7 @@
         }
         let count = self.lines.entry(kind.to_owned()).or_default();
         *count += 1;
-        if *count > LINES_PER_KIND {
+        if *count > self.lines_per_kind {
             self.left_out += 1;
             DROPPED.fetch_add(1, Ordering::Relaxed);
             return None;
@@ -72,19 +82,19 @@
     }
 }
 
-/// Starts to log to standard output.
-pub fn start(filters: &str) {
-    start_to(filters, Box::new(io::stdout()));
+/// Starts to log to standard output, of each kind at most `lines_per_kind` lines a second.
+pub fn start(filters: &str, lines_per_kind: u32) {
+    start_to(filters, lines_per_kind, Box::new(io::stdout()));
 }
 
 /// Starts to log to `out`, which may block without holding anything else up.
-pub fn start_to(filters: &str, out: Box<dyn Write + Send>) {
+pub fn start_to(filters: &str, lines_per_kind: u32, out: Box<dyn Write + Send>) {
     let (sender, receiver) = sync_channel(QUEUE_LINES);
     let writing = std::thread::Builder::new().name("log".to_owned());
     if let Err(error) = writing.spawn(move || write_lines(&receiver, out)) {
         eprintln!("stairstalld: no thread for log lines: {error}");
     }
-    let limits = Mutex::new(Limits::default());
+    let limits = Mutex::new(Limits::new(lines_per_kind));
     let started = Instant::now();
     env_logger::Builder::new()
         .parse_filters(filters)
--- a/crates/stairstalld/src/main.rs
+++ b/crates/stairstalld/src/main.rs
@@ -15,13 +15,13 @@
     if std::env::args().nth(1).as_deref() == Some(BATCH) {
         return start(
             BatchSettings::from_process(),
-            |settings| &settings.log,
+            |settings| logging::start(&settings.log, settings.log_lines_per_s),
             stairstalld::batch::run,
         );
     }
     start(
         Settings::from_process(),
-        |settings| &settings.log,
+        |settings| logging::start(&settings.log, logging::LINES_PER_KIND),
         stairstalld::run,
     )
 }
@@ -29,7 +29,7 @@
 /// Runs a daemon whose settings are allowed.
 fn start<S>(
     settings: Result<S, Mistakes>,
-    log: impl Fn(&S) -> &String,
+    start_logging: impl FnOnce(&S),
     run: impl FnOnce(S) -> Result<(), stairstalld::RunError>,
 ) -> ExitCode {
     let settings = match settings {
@@ -39,7 +39,7 @@
             return ExitCode::from(EXIT_SETTINGS);
         }
     };
-    logging::start(log(&settings));
+    start_logging(&settings);
     match run(settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
