feat(batch): put work in its caller's zone where that costs nothing

Change: an accepted job carries the zone its caller came to; at equal cost its places are looked for there first.

--- a/crates/stairstall-core/src/batch/planner/fit.rs
+++ b/crates/stairstall-core/src/batch/planner/fit.rs
@@ -41,6 +41,8 @@
     pub(super) spread_left: u32,
     /// What being there costs a task, in core-milliseconds.
     pub(super) penalty: u64,
+    /// Whether it is in another zone than the job's caller.
+    pub(super) abroad: bool,
     pub(super) victims: Victims,
 }
 
@@ -48,6 +50,8 @@
 #[derive(Debug, Clone, Default)]
 pub(super) struct Choice {
     pub(super) cost: u64,
+    /// How many of the places are in another zone than the job's caller.
+    pub(super) abroad: usize,
     pub(super) places: Vec<WorkerId>,
     pub(super) victims: Vec<(WorkerId, TaskKey)>,
 }
@@ -185,6 +189,8 @@
             .map_or(Duration::ZERO, |since| now.at - since);
         let demand = self.demanded_health(&candidate.key, urgent, waited);
         let service = self.service_of(&candidate.key);
+        let job = self.jobs.get(&candidate.key.job);
+        let home = job.and_then(|job| job.accepted.zone.clone());
         let losses = scope.preempts.then(|| self.gang_losses(now));
         self.workers
             .iter()
@@ -204,6 +210,7 @@
                 },
                 spread_left: spread_left(w, step, &candidate.key),
                 penalty: self.penalty(w, step, &candidate.key, now),
+                abroad: home.as_ref().is_some_and(|home| *home != w.listed.zone),
                 victims: losses.as_ref().map_or_else(Victims::default, |losses| {
                     Victims::of(w, candidate.rank, losses, now.at)
                 }),
@@ -418,7 +425,7 @@
                 let here = sites.iter().filter(|site| site.rack == *rack);
                 choose(here.cloned().collect(), &needs, count, true)
             })
-            .min_by_key(|choice| choice.cost);
+            .min_by_key(|choice| (choice.cost, choice.abroad));
     }
     choose(sites.to_vec(), &needs, count, step.gang)
 }
@@ -477,7 +484,8 @@
             .filter_map(|(index, site)| {
                 let (cost, victims) = site.victims.to_fit(needs, &site.room)?;
                 let left = site.room.minus(needs);
-                let rank = (cost + site.penalty, left.accelerators, left.cpu_millis);
+                let cost_there = cost + site.penalty;
+                let rank = (cost_there, site.abroad, left.accelerators, left.cpu_millis);
                 Some((rank, index, cost, victims))
             })
             .min_by_key(|(rank, index, ..)| (*rank, *index));
@@ -485,6 +493,7 @@
             break;
         };
         choice.cost += cost + sites[index].penalty;
+        choice.abroad += usize::from(sites[index].abroad);
         for victim in victims {
             let worker = sites[index].worker.clone();
             super::victims::give_way(&mut sites, &worker, &victim);
--- a/crates/stairstall-core/src/batch/record.rs
+++ b/crates/stairstall-core/src/batch/record.rs
@@ -4,7 +4,7 @@
 
 use super::{BatchSpec, Queue};
 use crate::claim::Mark;
-use crate::{CustomerId, JobId, WorkerId};
+use crate::{CustomerId, JobId, WorkerId, ZoneId};
 
 /// A job as it was accepted; written once.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -21,6 +21,9 @@
     pub spec: BatchSpec,
     /// Who wrote it; resolves lost answers.
     pub mark: Mark,
+    /// The zone that its caller came to; work is put there where that costs nothing.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub zone: Option<ZoneId>,
 }
 
 /// How a job ended.
--- a/crates/stairstall-core/tests/batch/harness.rs
+++ b/crates/stairstall-core/tests/batch/harness.rs
@@ -133,6 +133,7 @@
             schedule: None,
         },
         mark: Mark::new("vm-1".parse().expect("an id"), 1, 1),
+        zone: None,
     }
 }
 
--- a/crates/stairstall-core/tests/batch/room.rs
+++ b/crates/stairstall-core/tests/batch/room.rs
@@ -2,9 +2,9 @@
 
 use std::sync::Arc;
 
-use stairstall_core::batch::OrderKind;
+use stairstall_core::batch::{OrderKind, Resources};
 
-use crate::harness::{Fleet, catalog, job, step, task};
+use crate::harness::{Fleet, catalog, gang, job, step, task, worker};
 
 fn stops(fleet: &Fleet) -> usize {
     let orders = fleet.given.iter();
@@ -84,3 +84,22 @@
     assert!(fleet.place_of(&task("claim-2", 0, 0)).is_some());
     assert!(fleet.place_of(&task("beyond", 0, 0)).is_none());
 }
+
+#[test]
+fn work_goes_to_its_callers_zone_where_that_costs_nothing() {
+    let mut fleet = Fleet::new(&[("w1", "r1"), ("w2", "r1"), ("w3", "r2")]);
+    let now = fleet.now();
+    let mut abroad = worker("w3", "r2", Resources::new(32_000, 64_000, 8));
+    abroad.zone = "b".parse().expect("an id");
+    fleet.planner.list_worker(abroad, now);
+    fleet.hold_all();
+    let mut here = job("here", 0, vec![step(1, 4)]);
+    here.zone = Some("b".parse().expect("an id"));
+    fleet.submit(here);
+    let place = fleet.place_of(&task("here", 0, 0)).expect("it runs");
+    assert_eq!(place.as_str(), "w3");
+    let mut wide = job("wide", 0, vec![gang(2, 8)]);
+    wide.zone = Some("b".parse().expect("an id"));
+    fleet.submit(wide);
+    assert_eq!(fleet.planner.runs(), 3, "elsewhere rather than not at all");
+}
--- a/crates/stairstalld/src/batch/callers.rs
+++ b/crates/stairstalld/src/batch/callers.rs
@@ -160,6 +160,7 @@
             accepted_unix_ms: self.node.now().unix_ms,
             spec,
             mark: self.node.next_mark(),
+            zone: Some(self.node.settings.zone.clone()),
         };
         let acceptance = accept::accept(self.node, &job).await;
         log::info!(target: "accept", job:% = job.id, queue:% = job.queue.name,
