perf(batch): lease the planner's role for 1 s and renew it without waiting for answers

Ruled out: the takeover itself (40 to 70 ms). Change: lease 1 s instead of 2; renewals every 250 ms beside each other, so that a slow or lost answer does not hold the next one up; answers that overtake each other never shorten the lease.

--- a/crates/stairstalld/src/batch/role.rs
+++ b/crates/stairstalld/src/batch/role.rs
@@ -3,9 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use stairstall_core::Lease;
 use stairstall_ports::{Change, Commit, Committed, LeaseId, Revision, StoreFault};
 use tokio::sync::watch;
+use tokio::time::MissedTickBehavior;
 
 use super::keys;
 use super::node::{Node, PlannerRecord};
@@ -207,35 +210,44 @@
 }
 
 /// Renews the lease until it is over or the daemon leaves.
+///
+/// A renewal that is slow or lost does not hold the next one up.
 async fn renew(
     node: Arc<Node>,
     tenure: Arc<Tenure>,
     lease_id: LeaseId,
     mut leaving: watch::Receiver<bool>,
 ) {
-    let interval = node.settings.role_lease / RENEWALS_PER_LEASE;
+    let mut ticks = tokio::time::interval(node.settings.role_lease / RENEWALS_PER_LEASE);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut under_way = FuturesUnordered::new();
     loop {
         tokio::select! {
-            () = tokio::time::sleep(interval) => {}
+            _ = ticks.tick() => under_way.push(renew_once(&node, &tenure, lease_id)),
+            Some(is_over) = under_way.next() => {
+                if is_over {
+                    tenure.give_up("its lease is over");
+                    return;
+                }
+            }
             _ = leaving.wait_for(|leaving| *leaving) => {
                 tenure.give_up("the daemon is leaving");
                 return;
             }
         }
-        let requested_at = node.clock.now();
-        let kept = tokio::time::timeout(interval * 2, node.store.keep(lease_id)).await;
-        match kept {
-            Ok(Ok(ttl)) => tenure.set_lease(Lease::new(requested_at, ttl)),
-            Ok(Err(StoreFault::LeaseOver)) => {
-                tenure.give_up("its lease is over");
-                return;
-            }
-            Ok(Err(fault)) => {
-                log::warn!(target: "role", token = tenure.token(), why:% = fault; "the lease was not renewed");
-            }
-            Err(_) => {
-                log::warn!(target: "role", token = tenure.token(); "the lease was not renewed: no answer");
-            }
+    }
+}
+
+/// Renews the lease once; true where it is over.
+async fn renew_once(node: &Node, tenure: &Tenure, lease_id: LeaseId) -> bool {
+    let requested_at = node.clock.now();
+    let token = tenure.token();
+    match node.store.keep(lease_id).await {
+        Ok(ttl) => tenure.extend_lease(Lease::new(requested_at, ttl)),
+        Err(StoreFault::LeaseOver) => return true,
+        Err(fault) => {
+            log::warn!(target: "role", token, why:% = fault; "the lease was not renewed");
         }
     }
+    false
 }
--- a/crates/stairstalld/src/batch/settings.rs
+++ b/crates/stairstalld/src/batch/settings.rs
@@ -137,7 +137,7 @@
         "role-lease-ms",
         "STAIRSTALL_ROLE_LEASE_MS",
         "Lease of the planner's role",
-        "2000"
+        "1000"
     );
     let hold_max_ms = flag!(
         "hold-max-ms",
--- a/crates/stairstalld/src/batch/tenure.rs
+++ b/crates/stairstalld/src/batch/tenure.rs
@@ -71,8 +71,12 @@
         Now::new(self.clock.now(), unix_millis())
     }
 
-    pub(crate) fn set_lease(&self, lease: Lease) {
-        *lock(&self.lease) = lease;
+    /// Takes a renewal; answers may come in another order than they were asked for.
+    pub(crate) fn extend_lease(&self, renewed: Lease) {
+        let mut lease = lock(&self.lease);
+        if renewed.ends_at() > lease.ends_at() {
+            *lease = renewed;
+        }
     }
 
     /// Tells whether orders may be given at this moment.
