fix(batch): count the pace of what a new planner finds from its first report

Change: the first report says where it began, as for runs that go on from a checkpoint. Test: a_new_planner_judges_what_it_finds_by_what_it_sees, failed before.

--- a/crates/stairstall-core/src/batch/planner/contact.rs
+++ b/crates/stairstall-core/src/batch/planner/contact.rs
@@ -286,6 +286,7 @@
         };
         let mut run = self.adopted_run(id, &running, now);
         run.restored = true;
+        run.resumes = true;
         let worker = self
             .workers
             .entry(id.clone())
--- a/crates/stairstall-core/src/batch/planner/pool.rs
+++ b/crates/stairstall-core/src/batch/planner/pool.rs
@@ -66,7 +66,8 @@
     pub(super) unwanted_since: Option<Timestamp>,
     /// When it began, and the percentage it began at.
     pub(super) began: Option<(Timestamp, u8)>,
-    /// Whether it goes on from a checkpoint, so that only its first report tells where it began.
+    /// Whether it goes on from a checkpoint or under a new planner, so that only its first report
+    /// tells where it began.
     pub(super) resumes: bool,
     /// Whether it is known only from what an earlier planner wrote down.
     pub(super) restored: bool,
--- a/crates/stairstall-core/tests/batch/stuck.rs
+++ b/crates/stairstall-core/tests/batch/stuck.rs
@@ -79,3 +79,23 @@
     assert_eq!(fleet.place_of(&task("j", 0, 0)), Some(slow));
     assert_eq!(stops(&fleet), 0);
 }
+
+#[test]
+fn a_new_planner_judges_what_it_finds_by_what_it_sees() {
+    let mut fleet = Fleet::new(&workers());
+    fleet.hold_all();
+    let batch = job("j", 2, vec![step(3, 8)]);
+    fleet.submit(batch.clone());
+    let odd = fleet.place_of(&task("j", 0, 0)).expect("it runs");
+    fleet.pass(4_000);
+    // The others are ahead of it, but not faster.
+    for worker in fleet.workers.values_mut() {
+        worker.work(9_000);
+    }
+    let behind = fleet.worker(odd.as_str()).running.values_mut().next();
+    behind.expect("it runs").1 = 4_000;
+    fleet.take_over(&[batch], &workers());
+    fleet.pass(2_000);
+    assert_eq!(stops(&fleet), 0);
+    assert_eq!(fleet.place_of(&task("j", 0, 0)), Some(odd));
+}
