--- a/crates/stairstall-core/tests/batch/stuck.rs
+++ b/crates/stairstall-core/tests/batch/stuck.rs
@@ -93,7 +93,7 @@
         worker.work(9_000);
     }
     let behind = fleet.worker(odd.as_str()).running.values_mut().next();
-    behind.expect("it runs").1 = 4_000;
+    behind.expect("it runs").1 = 1_000;
     fleet.take_over(&[batch], &workers());
     fleet.pass(2_000);
     assert_eq!(stops(&fleet), 0);
