fix(batch): let workers report before a new planner places anything

Ruled out: the lease (taken at once), the store (serving). Change: a new planner places nothing until every listed worker has answered, or none has answered for the first time in the last 40 ms, or 300 ms have passed. Tests: two in takeover; the first fails without the change.

--- a/crates/stairstall-core/src/batch/planner.rs
+++ b/crates/stairstall-core/src/batch/planner.rs
@@ -32,6 +32,13 @@
 /// How often everything is looked through for what time alone changes.
 const HOUSEKEEPING: Duration = Duration::from_millis(25);
 
+/// How long a new planner lets workers report before it places anything, at most.
+const REPORTS_PATIENCE: Duration = Duration::from_millis(300);
+/// How long no further worker must have reported for the first time before it does.
+const REPORTS_QUIET: Duration = Duration::from_millis(40);
+/// How often it looks whether it may.
+const REPORTS_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Both clocks at one moment.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Now {
@@ -84,6 +91,10 @@
     kept_house_at: Option<Timestamp>,
     /// When runs that stand still were last looked for.
     looked_for_stuck_at: Option<Timestamp>,
+    /// When it first ticked.
+    first_tick_at: Option<Timestamp>,
+    /// When a worker last reported for the first time.
+    last_new_report_at: Option<Timestamp>,
     /// Workers that should be asked now.
     to_ask: Vec<WorkerId>,
     /// Counts changes of the set of workers.
@@ -123,6 +134,8 @@
             replan: true,
             kept_house_at: None,
             looked_for_stuck_at: None,
+            first_tick_at: None,
+            last_new_report_at: None,
             to_ask: Vec::new(),
             worker_set: 0,
             replan_at: None,
@@ -287,24 +300,40 @@
         let is_due = self.replan_at.is_some_and(|at| now.at >= at);
         if self.replan || is_due {
             self.replan = false;
-            let waits = self.plan(now);
-            self.replan_at = waits.then(|| now.at + Self::IDLE_TICK);
+            self.replan_at = if self.knows_enough(now) {
+                let waits = self.plan(now);
+                waits.then(|| now.at + Self::IDLE_TICK)
+            } else {
+                Some(now.at + REPORTS_INTERVAL)
+            };
         }
         self.emit_due = false;
         self.emit_starts(now);
         std::mem::take(&mut self.orders)
     }
 
+    /// Tells whether the workers have had the time to say what runs on them: a new planner
+    /// that knows only a few of them would put work in bad places and stop what need not stop.
+    fn knows_enough(&mut self, now: Now) -> bool {
+        let first_tick_at = *self.first_tick_at.get_or_insert(now.at);
+        let is_quiet = self
+            .last_new_report_at
+            .is_some_and(|at| now.at - at >= REPORTS_QUIET);
+        is_quiet
+            || now.at - first_tick_at >= REPORTS_PATIENCE
+            || self.workers.values().all(|w| w.fenced || !w.is_listed)
+    }
+
     /// Returns when the next tick is due, if nothing happens before.
     #[must_use]
     pub fn next_tick(&self, now: Now) -> Duration {
-        let due = self
-            .jobs
-            .values()
-            .filter_map(Job::next_due_unix_ms)
+        let due = self.jobs.values().filter_map(Job::next_due_unix_ms).min();
+        let due = due.map(|due| Duration::from_millis(due.saturating_sub(now.unix_ms)));
+        let replan = self.replan_at.map(|at| at - now.at);
+        due.into_iter()
+            .chain(replan)
             .min()
-            .map(|due| Duration::from_millis(due.saturating_sub(now.unix_ms)));
-        due.unwrap_or(Self::IDLE_TICK)
+            .unwrap_or(Self::IDLE_TICK)
             .clamp(Duration::from_millis(1), Self::IDLE_TICK)
     }
 
--- a/crates/stairstall-core/src/batch/planner/contact.rs
+++ b/crates/stairstall-core/src/batch/planner/contact.rs
@@ -71,7 +71,9 @@
         if !worker.is_in_contact() || !worker.fenced {
             self.replan = true;
         }
-        worker.fenced = true;
+        if !std::mem::replace(&mut worker.fenced, true) {
+            self.last_new_report_at = Some(now.at);
+        }
         worker.set_contact(true);
         let seen = worker.seen;
         let mut absent = worker.answered_before(sent_at);
--- a/crates/stairstall-core/tests/batch/takeover.rs
+++ b/crates/stairstall-core/tests/batch/takeover.rs
@@ -153,3 +153,36 @@
         "a link has to be opened"
     );
 }
+
+#[test]
+fn a_new_planner_lets_the_workers_report_before_it_places_anything() {
+    let names = [("w1", "r1"), ("w2", "r1"), ("w3", "r1")];
+    let mut fleet = Fleet::new(&names);
+    fleet.hold_all();
+    let batch = job("batch", 2, vec![step(1, 8)]);
+    fleet.submit(batch.clone());
+    let busy = fleet.place_of(&task("batch", 0, 0)).expect("it runs");
+    let urgent = job("urgent", 0, vec![step(1, 8)]);
+    fleet.take_over(&[batch, urgent], &names);
+    // The one that has no room reports first.
+    fleet.hold(&busy);
+    fleet.settle();
+    assert_eq!(fleet.given.len(), 1, "nothing gives way yet");
+    fleet.hold_all();
+    fleet.settle();
+    let place = fleet.place_of(&task("urgent", 0, 0));
+    assert!(place.is_some_and(|place| place != busy));
+    assert_eq!(fleet.starts_of(&task("batch", 0, 0)), 1);
+}
+
+#[test]
+fn a_new_planner_does_not_wait_long_for_workers_that_say_nothing() {
+    let names = [("w1", "r1"), ("w2", "r1")];
+    let mut fleet = Fleet::new(&names);
+    let silent: stairstall_core::WorkerId = "w2".parse().expect("an id");
+    let waits = job("waits", 0, vec![step(1, 8)]);
+    fleet.take_over(&[waits], &names);
+    fleet.workers.remove(&silent);
+    fleet.pass(400);
+    assert!(fleet.place_of(&task("waits", 0, 0)).is_some());
+}
