fix(batch): judge what runs on a leaving worker by its pace, a gang by its slowest member

Ruled out: the notice (seen within 10 ms), other members' workers. Change: the time left follows from what a run has done so far, once that is 5 percent; a gang needs as long as its slowest member. Tests: three in leaving, each failed before.

--- a/crates/stairstall-core/src/batch/planner/evacuate.rs
+++ b/crates/stairstall-core/src/batch/planner/evacuate.rs
@@ -1,13 +1,16 @@
 //! Moving what runs away from workers that leave.
 
 use super::contact::millis;
-use super::pool::RunState;
+use super::pool::{Run, RunState};
 use super::{Now, Planner};
 use crate::WorkerId;
 use crate::batch::TaskKey;
 
 /// Runs that are nearly done stay to the end, in percent of their work.
 const NEARLY_DONE: u8 = 85;
+/// How much longer than the worker has left such a run may need, in milliseconds: workers go a
+/// little later than they say.
+const LATE_MARGIN_MS: u64 = 500;
 
 impl Planner {
     /// Stops what can't end before a leaving worker goes.
@@ -19,9 +22,10 @@
         let moving: Vec<TaskKey> = worker
             .runs
             .iter()
-            .filter(|(_, run)| {
-                let ends_there = run.left_ms() + millis(self.bounds.stop_max) < left_ms;
-                let is_late = run.percent >= NEARLY_DONE;
+            .filter(|(task, run)| {
+                let needs_ms = self.needs_ms(task, run);
+                let ends_there = needs_ms + millis(self.bounds.stop_max) < left_ms;
+                let is_late = run.percent >= NEARLY_DONE && needs_ms < left_ms + LATE_MARGIN_MS;
                 run.state == RunState::Planned || !(ends_there || is_late)
             })
             .map(|(task, _)| task.clone())
@@ -34,6 +38,21 @@
     }
 }
 
+impl Planner {
+    /// Returns how much longer a run should take, in milliseconds: a gang ends with its slowest.
+    fn needs_ms(&self, task: &TaskKey, run: &Run) -> u64 {
+        if !run.gang {
+            return run.left_ms();
+        }
+        let members = self.workers.values().flat_map(|worker| &worker.runs);
+        members
+            .filter(|(other, _)| other.group == task.group)
+            .map(|(_, run)| run.left_ms())
+            .max()
+            .unwrap_or(0)
+    }
+}
+
 fn worker_run(planner: &Planner, id: &WorkerId, task: &TaskKey) -> u32 {
     let run = planner.workers.get(id).and_then(|w| w.runs.get(task));
     run.map_or(0, |run| run.number)
--- a/crates/stairstall-core/src/batch/planner/fit.rs
+++ b/crates/stairstall-core/src/batch/planner/fit.rs
@@ -21,6 +21,8 @@
 const URGENT_SUSPECT_PATIENCE: Duration = Duration::from_secs(1);
 /// How long a gang waits before room is held back for it.
 const HOLD_BACK_AFTER: Duration = Duration::from_millis(1_500);
+/// Part of the work, in percent, after which a run's pace is relied on.
+const SHOWN_PERCENT: u8 = 5;
 /// Most gangs that room is held back for at a time.
 const MAX_HELD_BACK: usize = 2;
 
@@ -521,8 +523,15 @@
 }
 
 impl Run {
-    /// Returns how much longer it should take, in milliseconds.
+    /// Returns how much longer it should take, in milliseconds: at the pace that it has shown,
+    /// or else by the estimate.
     pub(super) fn left_ms(&self) -> u64 {
-        self.expected_ms * u64::from(100_u8.saturating_sub(self.percent)) / 100
+        let left = u64::from(100_u8.saturating_sub(self.percent));
+        let shown = self.began.and_then(|(began, from)| {
+            let gained = self.percent.saturating_sub(from);
+            let worked_ms = super::contact::millis(self.reported_at - began);
+            (gained >= SHOWN_PERCENT).then(|| worked_ms * left / u64::from(gained))
+        });
+        shown.unwrap_or(self.expected_ms * left / 100)
     }
 }
--- /dev/null
+++ b/crates/stairstall-core/tests/batch/leaving.rs
@@ -0,0 +1,64 @@
+//! Workers that announce that they leave.
+
+use crate::harness::{Fleet, SPAN_MS, gang, job, step, task, worker};
+use stairstall_core::batch::{Resources, StepSpec};
+
+/// Announces that a worker leaves in so many milliseconds.
+fn announce(fleet: &mut Fleet, name: &str, remaining_ms: u64) {
+    let mut leaving = worker(name, "r1", Resources::new(32_000, 64_000, 8));
+    leaving.draining = true;
+    leaving.remaining_ms = Some(remaining_ms);
+    let now = fleet.now();
+    fleet.planner.list_worker(leaving, now);
+    fleet.settle();
+}
+
+fn names() -> [(&'static str, &'static str); 4] {
+    [("w1", "r1"), ("w2", "r1"), ("w3", "r1"), ("w4", "r1")]
+}
+
+#[test]
+fn what_is_slower_than_its_estimate_leaves_in_time() {
+    let mut fleet = Fleet::new(&names());
+    fleet.hold_all();
+    // The estimate is 2 s, the work takes ten times as long.
+    fleet.submit(job("j", 2, vec![step(1, 8)]));
+    let key = task("j", 0, 0);
+    let place = fleet.place_of(&key).expect("it runs");
+    fleet.pass(10_000);
+    announce(&mut fleet, place.as_str(), 2_000);
+    fleet.pass(600);
+    assert!(fleet.place_of(&key).is_some_and(|now| now != place));
+}
+
+#[test]
+fn what_is_faster_than_its_estimate_ends_there() {
+    let mut fleet = Fleet::new(&names());
+    fleet.hold_all();
+    let long = StepSpec {
+        estimate_ms: 10 * SPAN_MS,
+        ..step(1, 8)
+    };
+    fleet.submit(job("j", 2, vec![long]));
+    let key = task("j", 0, 0);
+    let place = fleet.place_of(&key).expect("it runs");
+    fleet.pass(14_000);
+    announce(&mut fleet, place.as_str(), 8_000);
+    fleet.pass(600);
+    assert_eq!(fleet.place_of(&key), Some(place));
+}
+
+#[test]
+fn a_gang_leaves_where_its_slowest_member_would_end_too_late() {
+    let mut fleet = Fleet::new(&names());
+    fleet.hold_all();
+    fleet.submit(job("j", 2, vec![gang(2, 8)]));
+    let slow = fleet.place_of(&task("j", 0, 0)).expect("it runs");
+    let fast = fleet.place_of(&task("j", 0, 1)).expect("it runs");
+    fleet.worker(slow.as_str()).span_ms = Some(2 * SPAN_MS);
+    fleet.pass(17_000);
+    announce(&mut fleet, fast.as_str(), 4_000);
+    fleet.pass(600);
+    let place = fleet.place_of(&task("j", 0, 1));
+    assert!(place.is_some_and(|place| place != fast));
+}
--- a/crates/stairstall-core/tests/batch/main.rs
+++ b/crates/stairstall-core/tests/batch/main.rs
@@ -5,6 +5,7 @@
 mod failures;
 mod harness;
 mod lasting;
+mod leaving;
 mod records;
 mod room;
 mod silence;
