fix(daemon): survive a hang-up; say when a batch daemon's stop cuts calls off

Cause: `stairstalld` without `batch` took no SIGHUP and ended with 129; the signals and the waiting for calls in flight stood twice, and the batch copy ended with 0 when its drain limit had cut calls off. Change: one `shutdown` module serves both. Test: a_hang_up_does_not_end_the_daemon (the older daemon; the batch one had its test).

--- a/crates/stairstall-standin/src/cluster/daemon.rs
+++ b/crates/stairstall-standin/src/cluster/daemon.rs
@@ -152,6 +152,11 @@
         self.signal(Signal::SIGTERM);
     }
 
+    /// Sends it a hang-up.
+    pub fn hang_up(&self) {
+        self.signal(Signal::SIGHUP);
+    }
+
     /// Freezes it.
     pub fn freeze(&self) {
         self.signal(Signal::SIGSTOP);
--- a/crates/stairstalld/src/batch/serve.rs
+++ b/crates/stairstalld/src/batch/serve.rs
@@ -10,13 +10,13 @@
 use stairstall_platform::{PlatformAdviser, PlatformDialect, PlatformStore, PlatformWorkers};
 use stairstall_ports::Adviser;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
 
 use super::node::Node;
 use super::settings::BatchSettings;
 use super::{callers, catalog, health, role, rpc};
 use crate::listener::NoDelayListener;
 use crate::serve::{RunError, system};
+use crate::shutdown::{self, Drained, Shutdown};
 
 /// How long a caller may take to send a request's head, and keep a connection unused.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(20);
@@ -77,17 +77,25 @@
     let role = tokio::spawn(role::run(Arc::clone(&node)));
     tokio::spawn(serve_plain(health, health::health_router(&node)));
     tokio::spawn(serve_plain(metrics, health::metrics_router(&node)));
-    tokio::spawn(reload(Arc::clone(&node)));
+    tokio::spawn(shutdown::log_hang_ups(node.me().clone()));
 
-    let stop = stop_asked(Arc::clone(&node));
-    let server = viz::Server::with_builder(callers, callers::router(&node), builder()).signal(stop);
-    let serving = tokio::spawn(server.into_future());
-    let result = drain(&node, serving).await;
+    let shutdown = Shutdown {
+        vm: node.me().clone(),
+        leaving: node.leaving.clone(),
+        delay: node.settings.drain_delay,
+        limit: node.settings.drain_limit,
+    };
+    let server = viz::Server::with_builder(callers, callers::router(&node), builder())
+        .signal(shutdown.clone().asked());
+    let drained = shutdown.drain(tokio::spawn(server.into_future())).await;
     // The role was given up when the stop was asked for.
     role.abort();
     let _ = rpc.stop();
-    log::info!(target: "stop", vm:% = node.me(); "stopped");
-    result
+    if drained? == Drained::CutOff {
+        return Err(RunError::CutOff);
+    }
+    log::info!(target: "stop", vm:% = node.me(); "nothing is in flight: stopped");
+    Ok(())
 }
 
 async fn bind(
@@ -114,54 +122,3 @@
         log::error!(target: "start", error:% = error; "an address is not served any more");
     }
 }
-
-/// Says that settings were asked to be read again; they are flags, which only a start reads.
-async fn reload(node: Arc<Node>) {
-    let Ok(mut hangups) = signal(SignalKind::hangup()) else {
-        log::error!(target: "reload", "hang-ups can't be received");
-        return;
-    };
-    while hangups.recv().await.is_some() {
-        log::info!(target: "reload", vm:% = node.me();
-            "settings are flags and environment: they hold until the next start");
-    }
-}
-
-/// Ends once a stop was asked for and the balancer has had time to notice.
-async fn stop_asked(node: Arc<Node>) {
-    let (Ok(mut terminate), Ok(mut interrupt)) = (
-        signal(SignalKind::terminate()),
-        signal(SignalKind::interrupt()),
-    ) else {
-        log::error!(target: "stop", vm:% = node.me(); "signals can't be received");
-        return std::future::pending().await;
-    };
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
-    log::info!(target: "stop", vm:% = node.me(),
-        delay_ms = crate::clock::millis(node.settings.drain_delay);
-        "a stop was asked for: not ready from now on, calls are still taken");
-    node.leaving.send_replace(true);
-    tokio::time::sleep(node.settings.drain_delay).await;
-}
-
-/// Waits for the server to finish what is in flight, up to the limit.
-async fn drain(
-    node: &Arc<Node>,
-    mut served: tokio::task::JoinHandle<std::io::Result<()>>,
-) -> Result<(), RunError> {
-    let mut leaving = node.leaving.subscribe();
-    let limit = async {
-        let _ = leaving.wait_for(|leaving| *leaving).await;
-        tokio::time::sleep(node.settings.drain_delay + node.settings.drain_limit).await;
-    };
-    tokio::select! {
-        ended = &mut served => match ended {
-            Ok(result) => result.map_err(system("serving")),
-            Err(error) => Err(RunError::System("serving", std::io::Error::other(error))),
-        },
-        () = limit => Ok(()),
-    }
-}
--- a/crates/stairstalld/src/lib.rs
+++ b/crates/stairstalld/src/lib.rs
@@ -33,5 +33,6 @@
 mod retention;
 mod serve;
 pub mod settings;
+mod shutdown;
 
 pub use serve::{RunError, run};
--- a/crates/stairstalld/src/serve.rs
+++ b/crates/stairstalld/src/serve.rs
@@ -7,14 +7,15 @@
 use hyper_util::server::conn::auto::Builder;
 use quick_error::quick_error;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
 
 use crate::daemon::Daemon;
 use crate::dispatch::PUMP_INTERVAL;
 use crate::listener::NoDelayListener;
 use crate::metrics::Metrics;
 use crate::settings::Settings;
+use crate::shutdown::{self, Drained, Shutdown};
 use crate::{api, follow, holder, peers};
 
 /// How long a caller may take to send a request's head.
@@ -37,6 +38,10 @@
         Cut(in_flight: usize) {
             display("stopped with {in_flight} requests in flight: the drain limit was reached")
         }
+        /// Calls took longer than allowed.
+        CutOff {
+            display("stopped before all calls had their answers: the drain limit was reached")
+        }
     }
 }
 
@@ -78,12 +83,18 @@
         .http1()
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_TIMEOUT);
-    let stop = stop_asked(Arc::clone(&daemon));
+    tokio::spawn(shutdown::log_hang_ups(daemon.me().clone()));
+    let shutdown = Shutdown {
+        vm: daemon.me().clone(),
+        leaving: daemon.leaving.clone(),
+        delay: daemon.settings.drain_delay,
+        limit: daemon.settings.drain_limit,
+    };
     let server =
         viz::Server::with_builder(NoDelayListener(listener), api::router(&daemon), builder)
-            .signal(stop);
+            .signal(shutdown.clone().asked());
     let serving = tokio::spawn(server.into_future());
-    let result = drain(&daemon, serving).await;
+    let result = drain(&daemon, &shutdown, serving).await;
     let _ = rpc.stop();
     result
 }
@@ -102,42 +113,14 @@
     });
 }
 
-/// Ends once a stop was asked for and the balancer has had time to notice.
-async fn stop_asked(daemon: Arc<Daemon>) {
-    let (Ok(mut terminate), Ok(mut interrupt)) = (
-        signal(SignalKind::terminate()),
-        signal(SignalKind::interrupt()),
-    ) else {
-        log::error!(target: "stop", vm:% = daemon.me(); "signals can't be received");
-        return std::future::pending().await;
-    };
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
-    log::info!(target: "stop", vm:% = daemon.me(),
-        delay_ms = crate::clock::millis(daemon.settings.drain_delay);
-        "a stop was asked for: health fails from now on, requests are still taken");
-    daemon.leaving.send_replace(true);
-    tokio::time::sleep(daemon.settings.drain_delay).await;
-}
-
-/// Waits for the server to finish what is in flight, up to the limit.
+/// Waits for everything in flight to end, up to the limit.
 async fn drain(
-    daemon: &Arc<Daemon>,
-    mut served: tokio::task::JoinHandle<std::io::Result<()>>,
+    daemon: &Daemon,
+    shutdown: &Shutdown,
+    serving: JoinHandle<std::io::Result<()>>,
 ) -> Result<(), RunError> {
-    let mut leaving = daemon.leaving.subscribe();
-    let limit = async {
-        let _ = leaving.wait_for(|leaving| *leaving).await;
-        tokio::time::sleep(daemon.settings.drain_delay + daemon.settings.drain_limit).await;
-    };
-    tokio::select! {
-        ended = &mut served => match ended {
-            Ok(result) => result.map_err(system("serving"))?,
-            Err(error) => return Err(RunError::System("serving", std::io::Error::other(error))),
-        },
-        () = limit => return Err(RunError::Cut(daemon.dispatcher.in_flight())),
+    if shutdown.drain(serving).await? == Drained::CutOff {
+        return Err(RunError::Cut(daemon.dispatcher.in_flight()));
     }
     // Not-repeatable requests are seen to their end also after their callers left.
     while daemon.dispatcher.in_flight() > 0 {
--- a/crates/stairstalld/tests/path.rs
+++ b/crates/stairstalld/tests/path.rs
@@ -125,3 +125,15 @@
         .unwrap();
     assert_eq!(again.json()["revision"], 2, "{}", again.text());
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_hang_up_does_not_end_the_daemon() {
+    let mut cluster = start(common::plan()).await;
+    let daemon = &mut cluster.daemons[0];
+    daemon.hang_up();
+    wait_until("the line about it", async || {
+        !daemon.log_lines("hold until the next start").is_empty()
+    })
+    .await;
+    assert_eq!(daemon.stop().await, Some(0), "it stops when it is asked to");
+}
