refactor(batch): split the planner's longest files; say why a place was given up

`fit` leaves the choice among places to `fit::choose`, `starts` the orders that are given again to `resend`, the planner's file its plain types to `bounds`. A place that is given up names its reason: its room, its worker or its ticket. Decisions are the same.

--- a/crates/stairstall-core/src/batch/planner.rs
+++ b/crates/stairstall-core/src/batch/planner.rs
@@ -9,6 +9,7 @@
 use crate::{JobId, Timestamp, WorkerId};
 
 mod advice;
+mod bounds;
 mod contact;
 mod ends;
 mod evacuate;
@@ -19,11 +20,13 @@
 mod pool;
 mod progress;
 mod queue;
+mod resend;
 mod starts;
 mod stuck;
 mod victims;
 
 pub use advice::AdviceRequest;
+pub use bounds::{Bounds, Now};
 use job::Job;
 pub use orders::{Order, OrderKind};
 use pool::Worker;
@@ -39,36 +42,6 @@
 /// How often it looks whether it may.
 const REPORTS_INTERVAL: Duration = Duration::from_millis(10);
 
-/// Both clocks at one moment.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Now {
-    /// The process's monotonic clock.
-    pub at: Timestamp,
-    /// The time of day, in milliseconds since the Unix epoch.
-    pub unix_ms: u64,
-}
-
-impl Now {
-    /// Creates a moment.
-    #[must_use]
-    pub const fn new(at: Timestamp, unix_ms: u64) -> Self {
-        Self { at, unix_ms }
-    }
-}
-
-/// Times that the workers keep to.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Bounds {
-    /// Longest time that a worker runs on without being renewed.
-    pub hold_max: Duration,
-    /// Longest time that a stop takes.
-    pub stop_max: Duration,
-    /// How many times as long a task takes away from its rack.
-    pub far_factor: u32,
-    /// How long an ended job is answered for.
-    pub keep_ended: Duration,
-}
-
 /// Decides for one tenure which tasks start, wait and give way.
 ///
 /// Feed it records, reports and the time; call [`Planner::tick`] after each of
--- /dev/null
+++ b/crates/stairstall-core/src/batch/planner/bounds.rs
@@ -0,0 +1,33 @@
+use std::time::Duration;
+
+use crate::Timestamp;
+
+/// Both clocks at one moment.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Now {
+    /// The process's monotonic clock.
+    pub at: Timestamp,
+    /// The time of day, in milliseconds since the Unix epoch.
+    pub unix_ms: u64,
+}
+
+impl Now {
+    /// Creates a moment.
+    #[must_use]
+    pub const fn new(at: Timestamp, unix_ms: u64) -> Self {
+        Self { at, unix_ms }
+    }
+}
+
+/// Times that the workers keep to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Bounds {
+    /// Longest time that a worker runs on without being renewed.
+    pub hold_max: Duration,
+    /// Longest time that a stop takes.
+    pub stop_max: Duration,
+    /// How many times as long a task takes away from its rack.
+    pub far_factor: u32,
+    /// How long an ended job is answered for.
+    pub keep_ended: Duration,
+}
--- a/crates/stairstall-core/src/batch/planner/fit.rs
+++ b/crates/stairstall-core/src/batch/planner/fit.rs
@@ -8,9 +8,14 @@
 use super::queue::{Candidate, URGENT};
 use super::victims::Victims;
 use super::{Now, Planner};
-use crate::batch::{Decision, DecisionKind, GroupKey, Resources, StepSpec, TaskKey};
+use crate::batch::{Decision, DecisionKind, GroupKey, StepSpec};
 use crate::{RackId, Timestamp, WorkerId};
 
+mod choose;
+
+pub(super) use choose::Site;
+use choose::{Choice, Scope, allowed, search};
+
 /// Shortest time that a task is taken to need, in milliseconds.
 const MIN_EXPECTED_MS: u64 = 200;
 /// How long urgent work waits for room near its data before it goes elsewhere.
@@ -33,40 +38,6 @@
     gangs: usize,
 }
 
-/// A worker as a place for tasks of one step.
-#[derive(Debug, Clone)]
-pub(super) struct Site {
-    pub(super) worker: WorkerId,
-    pub(super) rack: RackId,
-    pub(super) room: Resources,
-    /// Tasks of the step that may still be put there.
-    pub(super) spread_left: u32,
-    /// What being there costs a task, in core-milliseconds.
-    pub(super) penalty: u64,
-    /// Whether it is in another zone than the job's caller.
-    pub(super) abroad: bool,
-    pub(super) victims: Victims,
-}
-
-/// Places found for tasks, and who has to give way.
-#[derive(Debug, Clone, Default)]
-pub(super) struct Choice {
-    pub(super) cost: u64,
-    /// How many of the places are in another zone than the job's caller.
-    pub(super) abroad: usize,
-    pub(super) places: Vec<WorkerId>,
-    pub(super) victims: Vec<(WorkerId, TaskKey)>,
-}
-
-/// Which workers are looked at.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct Scope {
-    /// Only those near the data, and a gang that wants it on one rack.
-    pub(super) near: bool,
-    /// Whether lower ranks may be made to give way.
-    pub(super) preempts: bool,
-}
-
 impl Planner {
     /// Gives places to the waiting tasks of a step, as far as there are any.
     pub(super) fn place(&mut self, candidate: &Candidate, held_back: &mut HeldBack, now: Now) {
@@ -413,35 +384,6 @@
     }
 }
 
-/// Finds places for `count` tasks; for a gang all or none.
-fn search(step: &StepSpec, count: usize, scope: Scope, sites: &[Site]) -> Option<Choice> {
-    if count == 0 {
-        return None;
-    }
-    let needs = step.room();
-    if step.gang && step.same_rack && scope.near {
-        let racks: BTreeSet<&RackId> = sites.iter().map(|site| &site.rack).collect();
-        return racks
-            .into_iter()
-            .filter_map(|rack| {
-                let here = sites.iter().filter(|site| site.rack == *rack);
-                choose(here.cloned().collect(), &needs, count, true)
-            })
-            .min_by_key(|choice| (choice.cost, choice.abroad));
-    }
-    choose(sites.to_vec(), &needs, count, step.gang)
-}
-
-/// Returns how many of `count` tasks an allowance of accelerators covers; of a gang all or none.
-fn allowed(step: &StepSpec, count: usize, allowance: u32) -> usize {
-    let most = allowance.checked_div(step.needs.accelerators);
-    let most = most.map_or(count, |most| most as usize);
-    if step.gang && most < count {
-        return 0;
-    }
-    count.min(most)
-}
-
 fn as_u32(count: usize) -> u32 {
     u32::try_from(count).unwrap_or(u32::MAX)
 }
@@ -475,45 +417,6 @@
     most.saturating_sub(u32::try_from(there).unwrap_or(u32::MAX))
 }
 
-/// Chooses a place for each of `count` tasks, the cheapest first.
-fn choose(mut sites: Vec<Site>, needs: &Resources, count: usize, whole: bool) -> Option<Choice> {
-    let mut choice = Choice::default();
-    for _ in 0..count {
-        let best = sites
-            .iter()
-            .enumerate()
-            .filter(|(_, site)| site.spread_left > 0)
-            .filter_map(|(index, site)| {
-                let (cost, victims) = site.victims.to_fit(needs, &site.room)?;
-                let left = site.room.minus(needs);
-                let cost_there = cost + site.penalty;
-                let rank = (cost_there, site.abroad, left.accelerators, left.cpu_millis);
-                Some((rank, index, cost, victims))
-            })
-            .min_by_key(|(rank, index, ..)| (*rank, *index));
-        let Some((_, index, cost, victims)) = best else {
-            break;
-        };
-        choice.cost += cost + sites[index].penalty;
-        choice.abroad += usize::from(sites[index].abroad);
-        for victim in victims {
-            let worker = sites[index].worker.clone();
-            super::victims::give_way(&mut sites, &worker, &victim);
-            choice.victims.push((worker, victim));
-        }
-        let site = &mut sites[index];
-        site.room = site.room.minus(needs);
-        site.spread_left -= 1;
-        choice.places.push(site.worker.clone());
-    }
-    let enough = if whole {
-        choice.places.len() == count
-    } else {
-        !choice.places.is_empty()
-    };
-    enough.then_some(choice)
-}
-
 impl Worker {
     /// Returns how long what it has should still take, in milliseconds.
     fn busy_ms(&self) -> u64 {
--- /dev/null
+++ b/crates/stairstall-core/src/batch/planner/resend.rs
@@ -0,0 +1,99 @@
+//! Orders that are given again, and places that are given up.
+
+use std::time::Duration;
+
+use super::pool::{Run, RunState, Worker};
+use super::{Now, Planner};
+use crate::WorkerId;
+use crate::batch::TaskKey;
+
+/// How long after a stop should have ended it is sent again.
+const STOP_AGAIN: Duration = Duration::from_millis(400);
+/// How long a run whose task is done may take to end by itself.
+const UNWANTED_PATIENCE: Duration = Duration::from_millis(500);
+/// How much longer than a stop a planned run waits for its room.
+const PLANNED_MARGIN: Duration = Duration::from_millis(500);
+
+impl Planner {
+    /// Sends stops again that should have ended, and gives up places whose room stays taken.
+    pub(super) fn resend(&mut self, now: Now) {
+        let patience = self.bounds.stop_max + STOP_AGAIN;
+        let mut again = Vec::new();
+        let mut in_vain = Vec::new();
+        let mut unwanted = Vec::new();
+        self.count_waits_from_records(now);
+        for (id, worker) in &self.workers {
+            for (task, run) in &worker.runs {
+                if run.state == RunState::Planned
+                    && let Some(why) = self.waits_in_vain(id, worker, task, run, now)
+                {
+                    in_vain.push((id.clone(), task.clone(), why));
+                }
+                let done_since = run.unwanted_since.map(|since| now.at - since);
+                if run.state != RunState::Stopping && done_since > Some(UNWANTED_PATIENCE) {
+                    unwanted.push((id.clone(), task.clone()));
+                }
+                if run.state == RunState::Stopping
+                    && worker.is_in_contact()
+                    && now.at - run.ordered_at > patience
+                {
+                    again.push((id.clone(), task.clone(), run.number));
+                }
+            }
+        }
+        for (id, task, run) in again {
+            self.send_stop(&id, &task, run, now);
+        }
+        for (id, task) in unwanted {
+            self.stop_run(&id, &task, "the task is done", now);
+        }
+        for (id, task, why) in in_vain {
+            self.drop_planned(&id, &task, why, now);
+        }
+    }
+
+    /// Returns why a planned run should look for another place, if it should.
+    fn waits_in_vain(
+        &self,
+        id: &WorkerId,
+        worker: &Worker,
+        task: &TaskKey,
+        run: &Run,
+        now: Now,
+    ) -> Option<&'static str> {
+        if !worker.takes_tasks() {
+            Some("its worker takes no tasks now")
+        } else if self.lacks_ticket(id, &task.group, now) {
+            Some("its ticket is over")
+        } else if now.at - run.since > self.bounds.stop_max + PLANNED_MARGIN {
+            Some("its room did not become free")
+        } else {
+            None
+        }
+    }
+
+    /// Lets the wait of planned runs for their room begin only once their places are written
+    /// down: a slow store is no reason to look for other places.
+    fn count_waits_from_records(&mut self, now: Now) {
+        let jobs = &self.jobs;
+        for worker in self.workers.values_mut() {
+            for (task, run) in &mut worker.runs {
+                let written = jobs.get(&task.group.job).map_or(0, |job| job.written);
+                if run.state == RunState::Planned && run.recorded_by > written {
+                    run.since = now.at;
+                }
+            }
+        }
+    }
+
+    /// Gives a planned run up, and with it the other planned members of its gang.
+    fn drop_planned(&mut self, id: &WorkerId, task: &TaskKey, why: &str, now: Now) {
+        self.stop_run(id, task, why, now);
+        let is_gang = self.step(&task.group).is_some_and(|step| step.gang);
+        if is_gang {
+            for (id, member) in self.planned_members(&task.group) {
+                self.stop_run(&id, &member, why, now);
+            }
+        }
+    }
+}
--- a/crates/stairstall-core/src/batch/planner/starts.rs
+++ b/crates/stairstall-core/src/batch/planner/starts.rs
@@ -14,14 +14,8 @@
 const START_LEASE: Duration = Duration::from_millis(1_500);
 /// Starts of one run that are sent before it is given up.
 const MAX_TRIES: u8 = 4;
-/// How long after a stop should have ended it is sent again.
-const STOP_AGAIN: Duration = Duration::from_millis(400);
 /// How long a worker that calls itself unhealthy gets nothing new.
 const SUSPECT_AFTER_REFUSAL: Duration = Duration::from_secs(2);
-/// How long a run whose task is done may take to end by itself.
-const UNWANTED_PATIENCE: Duration = Duration::from_millis(500);
-/// How much longer than a stop a planned run waits for its room.
-const PLANNED_MARGIN: Duration = Duration::from_millis(500);
 
 impl Planner {
     /// Sends the starts whose room is free: of a gang all or none.
@@ -66,11 +60,11 @@
         }
     }
 
-    fn step(&self, key: &GroupKey) -> Option<&crate::batch::StepSpec> {
+    pub(super) fn step(&self, key: &GroupKey) -> Option<&crate::batch::StepSpec> {
         self.jobs.get(&key.job)?.step(key)
     }
 
-    fn planned_members(&self, key: &GroupKey) -> Vec<(WorkerId, TaskKey)> {
+    pub(super) fn planned_members(&self, key: &GroupKey) -> Vec<(WorkerId, TaskKey)> {
         let Some(group) = self.jobs.get(&key.job).and_then(|job| job.group(key)) else {
             return Vec::new();
         };
@@ -209,7 +203,7 @@
         })
     }
 
-    fn send_stop(&mut self, id: &WorkerId, task: &TaskKey, run: u32, now: Now) {
+    pub(super) fn send_stop(&mut self, id: &WorkerId, task: &TaskKey, run: u32, now: Now) {
         if let Some(entry) = self.workers.get_mut(id).and_then(|w| w.runs.get_mut(task)) {
             entry.ordered_at = now.at;
         }
@@ -222,71 +216,6 @@
         });
     }
 
-    /// Sends stops again that should have ended, and gives up places whose room stays taken.
-    pub(super) fn resend(&mut self, now: Now) {
-        let patience = self.bounds.stop_max + STOP_AGAIN;
-        let planned_patience = self.bounds.stop_max + PLANNED_MARGIN;
-        let mut again = Vec::new();
-        let mut stuck = Vec::new();
-        let mut unwanted = Vec::new();
-        self.count_waits_from_records(now);
-        for (id, worker) in &self.workers {
-            for (task, run) in &worker.runs {
-                let waits_in_vain = now.at - run.since > planned_patience
-                    || !worker.takes_tasks()
-                    || self.lacks_ticket(id, &task.group, now);
-                if run.state == RunState::Planned && waits_in_vain {
-                    stuck.push((id.clone(), task.clone()));
-                }
-                let done_since = run.unwanted_since.map(|since| now.at - since);
-                if run.state != RunState::Stopping && done_since > Some(UNWANTED_PATIENCE) {
-                    unwanted.push((id.clone(), task.clone()));
-                }
-                if run.state == RunState::Stopping
-                    && worker.is_in_contact()
-                    && now.at - run.ordered_at > patience
-                {
-                    again.push((id.clone(), task.clone(), run.number));
-                }
-            }
-        }
-        for (id, task, run) in again {
-            self.send_stop(&id, &task, run, now);
-        }
-        for (id, task) in unwanted {
-            self.stop_run(&id, &task, "the task is done", now);
-        }
-        for (id, task) in stuck {
-            self.drop_planned(&id, &task, now);
-        }
-    }
-
-    /// Lets the wait of planned runs for their room begin only once their places are written
-    /// down: a slow store is no reason to look for other places.
-    fn count_waits_from_records(&mut self, now: Now) {
-        let jobs = &self.jobs;
-        for worker in self.workers.values_mut() {
-            for (task, run) in &mut worker.runs {
-                let written = jobs.get(&task.group.job).map_or(0, |job| job.written);
-                if run.state == RunState::Planned && run.recorded_by > written {
-                    run.since = now.at;
-                }
-            }
-        }
-    }
-
-    /// Gives a planned run up, and with it the other planned members of its gang.
-    fn drop_planned(&mut self, id: &WorkerId, task: &TaskKey, now: Now) {
-        let why = "its room did not become free";
-        self.stop_run(id, task, why, now);
-        let is_gang = self.step(&task.group).is_some_and(|step| step.gang);
-        if is_gang {
-            for (id, member) in self.planned_members(&task.group) {
-                self.stop_run(&id, &member, why, now);
-            }
-        }
-    }
-
     /// Takes what became of a start that left at `sent_at`.
     pub fn take_start(&mut self, order: &Order, outcome: StartOutcome, now: Now) {
         let id = &order.worker;
