fix(batch): stop a gang at once when a member's starts are given up

Ruled out: the worker's answers (it gave none), the others' pace (they can't work alone). Change: giving up a member's starts stops its gang. Test: a_gang_does_not_wait_for_a_member_whose_starts_were_given_up, failed before.

--- a/crates/stairstall-core/src/batch/planner/starts.rs
+++ b/crates/stairstall-core/src/batch/planner/starts.rs
@@ -299,6 +299,7 @@
             self.note_answered(id, task, now.at);
         } else {
             self.stop_run(id, task, "an earlier try may have started it", now);
+            self.stop_gang(task, order.run, "a member of its gang did not start", now);
         }
     }
 
@@ -314,6 +315,7 @@
             self.emit_start(id, task, now);
         } else {
             self.stop_run(id, task, "no answer to its starts", now);
+            self.stop_gang(task, order.run, "a member of its gang did not start", now);
         }
     }
 
--- a/crates/stairstall-core/tests/batch/silence.rs
+++ b/crates/stairstall-core/tests/batch/silence.rs
@@ -1,8 +1,9 @@
 //! Orders without answers, and workers and zones that do not answer.
 
+use stairstall_core::WorkerId;
 use stairstall_core::batch::{OrderKind, StartOutcome, StopOutcome};
 
-use crate::harness::{Fleet, id, job, step, task};
+use crate::harness::{Fleet, gang, id, job, step, task};
 
 #[test]
 fn a_stop_without_an_answer_is_sent_again_at_once() {
@@ -67,3 +68,37 @@
         Some("w5".parse().expect("an id"))
     );
 }
+
+#[test]
+fn a_gang_does_not_wait_for_a_member_whose_starts_were_given_up() {
+    let names = [("w1", "r1"), ("w2", "r1"), ("w3", "r1")];
+    let mut fleet = Fleet::new(&names);
+    fleet.hold_all();
+    let now = fleet.now();
+    fleet.planner.submit(job("j", 0, vec![gang(3, 8)]), now);
+    fleet.planner.tick(now);
+    fleet.write_all();
+    let silent: WorkerId = "w2".parse().expect("an id");
+    let mut stopped = Vec::new();
+    for _ in 0..8 {
+        let now = fleet.now();
+        for order in fleet.planner.tick(now) {
+            let is_start = matches!(order.kind, OrderKind::Start { .. });
+            if order.worker != silent {
+                fleet.carry_out(&order);
+            } else if is_start {
+                fleet.planner.take_start(&order, StartOutcome::Unknown, now);
+            }
+            if !is_start {
+                stopped.push(order.worker.to_string());
+            }
+        }
+        fleet.at_ms += 1;
+    }
+    stopped.sort();
+    assert_eq!(
+        stopped,
+        ["w1", "w2", "w3"],
+        "all of them, within milliseconds"
+    );
+}
