--- a/crates/stairstalld/tests/batch/faults.rs
+++ b/crates/stairstalld/tests/batch/faults.rs
@@ -113,6 +113,28 @@
     cluster.assert_no_violations();
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_slow_store_costs_no_place_that_was_found() {
+    let mut cluster = Cluster::start(1, 2).await;
+    cluster.daemons[0]
+        .store
+        .set(LinkMode::Delay(Duration::from_millis(150)));
+    let paths: Vec<String> = (0..40)
+        .map(|_| format!("/q2/{}", cluster.new_id()))
+        .collect();
+    let body = job(1, "ms=50");
+    let handed_in = paths.iter().map(|path| cluster.submit(0, path, &body));
+    for status in futures::future::join_all(handed_in).await {
+        assert_eq!(status, Some(StatusCode::OK));
+    }
+    for path in &paths {
+        cluster.wait_for(path, "completed").await;
+    }
+    let places = cluster.daemons[0].log_lines(" place ");
+    assert_eq!(places.len(), paths.len(), "{places:#?}");
+    cluster.assert_no_violations();
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_daemon_that_the_store_turns_away_still_takes_jobs() {
     let mut cluster = Cluster::start(2, 2).await;
