--- a/crates/stairstall-core/src/batch/planner/fit.rs
+++ b/crates/stairstall-core/src/batch/planner/fit.rs
@@ -183,7 +183,7 @@
                 },
                 spread_left: spread_left(w, step, &candidate.key),
                 penalty: self.penalty(w, step, &candidate.key, now),
-                abroad: home.as_ref().is_some_and(|home| *home != w.listed.zone),
+                in_other_zone: home.as_ref().is_some_and(|home| *home != w.listed.zone),
                 victims: losses.as_ref().map_or_else(Victims::default, |losses| {
                     Victims::of(w, candidate.rank, losses, now.at)
                 }),
--- a/crates/stairstall-core/src/batch/planner/fit/choose.rs
+++ b/crates/stairstall-core/src/batch/planner/fit/choose.rs
@@ -17,7 +17,7 @@
     /// What being there costs a task, in core-milliseconds.
     pub(in crate::batch::planner) penalty: u64,
     /// Whether it is in another zone than the job's caller.
-    pub(in crate::batch::planner) abroad: bool,
+    pub(in crate::batch::planner) in_other_zone: bool,
     pub(in crate::batch::planner) victims: Victims,
 }
 
@@ -26,7 +26,7 @@
 pub(in crate::batch::planner) struct Choice {
     pub(in crate::batch::planner) cost: u64,
     /// How many of the places are in another zone than the job's caller.
-    pub(in crate::batch::planner) abroad: usize,
+    pub(in crate::batch::planner) in_other_zones: usize,
     pub(in crate::batch::planner) places: Vec<WorkerId>,
     pub(in crate::batch::planner) victims: Vec<(WorkerId, TaskKey)>,
 }
@@ -59,7 +59,7 @@
                 let here = sites.iter().filter(|site| site.rack == *rack);
                 choose(here.cloned().collect(), &needs, count, true)
             })
-            .min_by_key(|choice| (choice.cost, choice.abroad));
+            .min_by_key(|choice| (choice.cost, choice.in_other_zones));
     }
     choose(sites.to_vec(), &needs, count, step.gang)
 }
@@ -86,7 +86,12 @@
                 let (cost, victims) = site.victims.to_fit(needs, &site.room)?;
                 let left = site.room.minus(needs);
                 let cost_there = cost + site.penalty;
-                let rank = (cost_there, site.abroad, left.accelerators, left.cpu_millis);
+                let rank = (
+                    cost_there,
+                    site.in_other_zone,
+                    left.accelerators,
+                    left.cpu_millis,
+                );
                 Some((rank, index, cost, victims))
             })
             .min_by_key(|(rank, index, ..)| (*rank, *index));
@@ -94,7 +99,7 @@
             break;
         };
         choice.cost += cost + sites[index].penalty;
-        choice.abroad += usize::from(sites[index].abroad);
+        choice.in_other_zones += usize::from(sites[index].in_other_zone);
         for victim in victims {
             let worker = sites[index].worker.clone();
             victims::give_way(&mut sites, &worker, &victim);
--- a/crates/stairstall-core/tests/batch/room.rs
+++ b/crates/stairstall-core/tests/batch/room.rs
@@ -89,9 +89,9 @@
 fn work_goes_to_its_callers_zone_where_that_costs_nothing() {
     let mut fleet = Fleet::new(&[("w1", "r1"), ("w2", "r1"), ("w3", "r2")]);
     let now = fleet.now();
-    let mut abroad = worker("w3", "r2", Resources::new(32_000, 64_000, 8));
-    abroad.zone = "b".parse().expect("an id");
-    fleet.planner.list_worker(abroad, now);
+    let mut elsewhere = worker("w3", "r2", Resources::new(32_000, 64_000, 8));
+    elsewhere.zone = "b".parse().expect("an id");
+    fleet.planner.list_worker(elsewhere, now);
     fleet.hold_all();
     let mut here = job("here", 0, vec![step(1, 4)]);
     here.zone = Some("b".parse().expect("an id"));
