refactor(batch): ask one function how much longer a task takes away from its rack

The same choice of factor stood in the expected time, in the paces of runs and in the time that a done task took. Decisions stay as they are. Two blocks of methods of one file are one.

--- a/crates/stairstall-core/src/batch/planner/ends.rs
+++ b/crates/stairstall-core/src/batch/planner/ends.rs
@@ -132,16 +132,12 @@
         };
         let done = u64::from(100_u8.saturating_sub(from)).max(1);
         let key = &task.group;
-        let Some(job) = self.jobs.get_mut(&key.job) else {
+        let step = self.jobs.get(&key.job).and_then(|job| job.step(key));
+        let Some(slowdown) = step.map(|step| self.slowdown(step, id)) else {
             return;
         };
-        let is_far = job.step(key).is_some_and(|step| {
-            let worker = self.workers.get(id);
-            worker.is_some_and(|worker| !worker.is_near(step))
-        });
-        let far = if is_far { self.bounds.far_factor } else { 1 };
-        if let Some(group) = job.group_mut(key) {
-            let span = millis(now.at - began) * 100 / done / u64::from(far);
+        let span = millis(now.at - began) * 100 / done / u64::from(slowdown);
+        if let Some(group) = self.jobs.get_mut(&key.job).and_then(|j| j.group_mut(key)) {
             group.spans_ms.push(span);
         }
     }
--- a/crates/stairstall-core/src/batch/planner/evacuate.rs
+++ b/crates/stairstall-core/src/batch/planner/evacuate.rs
@@ -36,9 +36,7 @@
             self.stop_gang(&task, number, "a member's worker is leaving", now);
         }
     }
-}
 
-impl Planner {
     /// Returns how much longer a run should take, in milliseconds: a gang ends with its slowest.
     fn needs_ms(&self, task: &TaskKey, run: &Run) -> u64 {
         if !run.gang {
--- a/crates/stairstall-core/src/batch/planner/fit.rs
+++ b/crates/stairstall-core/src/batch/planner/fit.rs
@@ -142,9 +142,13 @@
 
     /// Returns how long a task should take at a worker, in milliseconds.
     pub(super) fn expected_ms(&self, step: &StepSpec, id: &WorkerId) -> u64 {
+        step.estimate_ms.max(MIN_EXPECTED_MS) * u64::from(self.slowdown(step, id))
+    }
+
+    /// Returns how many times as long a step's tasks take at a worker because of its rack.
+    pub(super) fn slowdown(&self, step: &StepSpec, id: &WorkerId) -> u32 {
         let near = self.workers.get(id).is_none_or(|w| w.is_near(step));
-        let factor = if near { 1 } else { self.bounds.far_factor };
-        step.estimate_ms.max(MIN_EXPECTED_MS) * u64::from(factor)
+        if near { 1 } else { self.bounds.far_factor }
     }
 
     fn sites(
--- a/crates/stairstall-core/src/batch/planner/stuck.rs
+++ b/crates/stairstall-core/src/batch/planner/stuck.rs
@@ -84,9 +84,7 @@
             .iter()
             .map(|(id, _, run)| {
                 let since = if step.gang { together_since } else { None };
-                let is_far = self.workers.get(*id).is_some_and(|w| !w.is_near(step));
-                let far = if is_far { self.bounds.far_factor } else { 1 };
-                run.pace(since, far)
+                run.pace(since, self.slowdown(step, id))
             })
             .collect();
         let typical = pace::typical_span_ms(&paces, &group.spans_ms);
