--- a/crates/stairstall-core/src/batch.rs
+++ b/crates/stairstall-core/src/batch.rs
@@ -11,6 +11,7 @@
 mod catalog;
 mod decision;
 mod planner;
+mod policy;
 mod record;
 mod resources;
 mod spec;
@@ -20,6 +21,11 @@
 pub use catalog::{Access, Catalog, Customer, Queue, Route};
 pub use decision::{Decision, DecisionKind};
 pub use planner::{AdviceRequest, Bounds, Now, Order, OrderKind, Planner, Write};
+pub use policy::{
+    AcceptancePolicy, AdvicePolicy, HeadroomPolicy, HealthPolicy, LeavingPolicy, LinkPolicy,
+    OrderPolicy, PacePolicy, PlacePolicy, Policy, PolicyError, ReportPolicy, RolePolicy,
+    TakeoverPolicy, VictimPolicy, WritePolicy,
+};
 pub use record::{AcceptedJob, CallerState, GroupProgress, Outcome, Progress};
 pub use resources::Resources;
 pub use spec::{BatchSpec, Schedule, SpecError, StepSpec};
--- a/crates/stairstall-core/src/batch/planner.rs
+++ b/crates/stairstall-core/src/batch/planner.rs
@@ -4,7 +4,7 @@
 
 use super::{
     AcceptedJob, CallerState, Catalog, Decision, DecisionKind, GroupKey, ListedWorker, Outcome,
-    Progress, TaskKey,
+    Policy, Progress, TaskKey,
 };
 use crate::{JobId, Timestamp, WorkerId};
 
@@ -35,10 +35,6 @@
 /// How often everything is looked through for what time alone changes.
 const HOUSEKEEPING: Duration = Duration::from_millis(25);
 
-/// How long a new planner lets workers report before it places anything, at most.
-const REPORTS_PATIENCE: Duration = Duration::from_millis(300);
-/// How long no further worker must have reported for the first time before it does.
-const REPORTS_QUIET: Duration = Duration::from_millis(40);
 /// How often it looks whether it may.
 const REPORTS_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -50,6 +46,7 @@
 pub struct Planner {
     token: u64,
     bounds: Bounds,
+    policy: Policy,
     catalog: Arc<Catalog>,
     jobs: BTreeMap<JobId, Job>,
     workers: BTreeMap<WorkerId, Worker>,
@@ -95,6 +92,7 @@
         Self {
             token,
             bounds,
+            policy: Policy::default(),
             catalog: Arc::default(),
             jobs: BTreeMap::new(),
             workers: BTreeMap::new(),
@@ -122,6 +120,13 @@
         granted + granted / Self::CLOCK_DRIFT_DIVISOR + Self::MESSAGE_MARGIN
     }
 
+    /// Replaces the policy by another one.
+    #[must_use]
+    pub const fn with_policy(mut self, policy: Policy) -> Self {
+        self.policy = policy;
+        self
+    }
+
     /// Returns the fencing token.
     #[must_use]
     pub const fn token(&self) -> u64 {
@@ -174,7 +179,8 @@
             return;
         }
         let id = accepted.id.clone();
-        self.demand.note(&accepted, now);
+        self.demand
+            .note(&accepted, self.policy.headroom.window, now);
         self.jobs.insert(id, Job::new(Arc::new(accepted), now));
         self.replan = true;
     }
@@ -291,9 +297,9 @@
         let first_tick_at = *self.first_tick_at.get_or_insert(now.at);
         let is_quiet = self
             .last_new_report_at
-            .is_some_and(|at| now.at - at >= REPORTS_QUIET);
+            .is_some_and(|at| now.at - at >= self.policy.takeover.reports_quiet);
         is_quiet
-            || now.at - first_tick_at >= REPORTS_PATIENCE
+            || now.at - first_tick_at >= self.policy.takeover.reports_patience
             || self.workers.values().all(|w| w.fenced || !w.is_listed)
     }
 
--- a/crates/stairstall-core/src/batch/planner/advice.rs
+++ b/crates/stairstall-core/src/batch/planner/advice.rs
@@ -5,18 +5,9 @@
 
 use super::fit::Site;
 use super::{Now, Planner};
-use crate::batch::GroupKey;
+use crate::batch::{AdvicePolicy, GroupKey};
 use crate::{Timestamp, WorkerId};
 
-/// Workers that are named in one question.
-const WORKERS_AT_ONCE: usize = 30;
-/// How long a ticket must still hold for a start.
-const TICKET_MARGIN: Duration = Duration::from_millis(400);
-/// How long a question may be without an answer before another one is asked.
-const ANSWER_PATIENCE: Duration = Duration::from_secs(2);
-/// Pause between two questions about one step.
-const ASK_AGAIN: Duration = Duration::from_millis(300);
-
 /// A question to the adviser.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct AdviceRequest {
@@ -38,16 +29,16 @@
 
 impl Advice {
     /// Returns the ticket for a worker that holds long enough for a start.
-    pub(super) fn ticket(&self, id: &WorkerId, at: Timestamp) -> Option<&str> {
+    pub(super) fn ticket(&self, id: &WorkerId, at: Timestamp, margin: Duration) -> Option<&str> {
         let (ticket, until) = self.tickets.get(id)?;
-        (at + TICKET_MARGIN < *until).then_some(ticket.as_str())
+        (at + margin < *until).then_some(ticket.as_str())
     }
 
-    fn may_ask(&self, at: Timestamp) -> bool {
+    fn may_ask(&self, at: Timestamp, policy: &AdvicePolicy) -> bool {
         let pause = if self.is_asking {
-            ANSWER_PATIENCE
+            policy.answer_patience
         } else {
-            ASK_AGAIN
+            policy.ask_again
         };
         self.asked_at.is_none_or(|asked| at - asked >= pause)
     }
@@ -109,9 +100,10 @@
 
     /// Tells whether a start there would be refused for want of a ticket that holds.
     pub(super) fn lacks_ticket(&self, id: &WorkerId, key: &GroupKey, now: Now) -> bool {
+        let margin = self.policy.advice.ticket_margin;
         let group = self.jobs.get(&key.job).and_then(|job| job.group(key));
         self.ticket_validity(key).is_some()
-            && group.is_some_and(|group| group.advice.ticket(id, now.at).is_none())
+            && group.is_some_and(|group| group.advice.ticket(id, now.at, margin).is_none())
     }
 
     /// Keeps the sites that have a ticket, and asks about others where there are too few.
@@ -125,10 +117,12 @@
         if self.ticket_validity(key).is_none() {
             return sites;
         }
+        let policy = self.policy.advice;
+        let margin = policy.ticket_margin;
         let Some(advice) = self.advice_mut(key) else {
             return Vec::new();
         };
-        let has_ticket = |site: &Site| advice.ticket(&site.worker, now.at).is_some();
+        let has_ticket = |site: &Site| advice.ticket(&site.worker, now.at, margin).is_some();
         let enough = sites.iter().filter(|site| has_ticket(site)).count() >= tasks;
         let mut unknown: Vec<&Site> = sites
             .iter()
@@ -137,10 +131,10 @@
         unknown.sort_by_key(|site| (site.penalty, u32::MAX - site.room.accelerators));
         let workers: Vec<WorkerId> = unknown
             .iter()
-            .take(WORKERS_AT_ONCE)
+            .take(usize::from(policy.workers_at_once))
             .map(|site| site.worker.clone())
             .collect();
-        if !enough && !workers.is_empty() && advice.may_ask(now.at) {
+        if !enough && !workers.is_empty() && advice.may_ask(now.at, &policy) {
             advice.asked_at = Some(now.at);
             advice.is_asking = true;
             let group = key.clone();
@@ -149,7 +143,7 @@
         let Some(advice) = self.advice_mut(key) else {
             return Vec::new();
         };
-        sites.retain(|site| advice.ticket(&site.worker, now.at).is_some());
+        sites.retain(|site| advice.ticket(&site.worker, now.at, margin).is_some());
         sites
     }
 }
--- a/crates/stairstall-core/src/batch/planner/contact.rs
+++ b/crates/stairstall-core/src/batch/planner/contact.rs
@@ -9,16 +9,6 @@
 };
 use crate::{JobId, Timestamp, WorkerId, ZoneId};
 
-/// Looks at workers a second, over all of them, that are aimed at.
-const LOOKS_PER_S: u32 = 1_000;
-/// Shortest and longest time that a worker waits for an end before it reports.
-const SHORTEST_WAIT: Duration = Duration::from_millis(300);
-const LONGEST_WAIT: Duration = Duration::from_secs(1);
-/// Silent workers of a zone that cast doubt on all of it.
-const DOUBTFUL_ZONE: usize = 3;
-/// A worker that answered within this time is not in doubt with its zone.
-const HEARD_LATELY: Duration = Duration::from_millis(200);
-
 impl Planner {
     /// Returns what to ask of a worker now; none where there is nothing to ask.
     ///
@@ -42,8 +32,10 @@
     /// Returns how long a worker may wait for an end before it reports: the more often it
     /// reports, the sooner trouble shows there, and the longer its leases outlast a cut.
     fn longest_wait(&self) -> Duration {
+        let policy = &self.policy.reports;
         let workers = u32::try_from(self.workers.len()).unwrap_or(u32::MAX);
-        (Duration::from_secs(1) * workers / LOOKS_PER_S).clamp(SHORTEST_WAIT, LONGEST_WAIT)
+        (Duration::from_secs(1) * workers / policy.looks_per_s)
+            .clamp(policy.shortest_wait, policy.longest_wait)
     }
 
     /// Returns the workers, and where each listens.
@@ -123,18 +115,19 @@
         let of_zone = |w: &&Worker| w.is_listed && w.listed.zone == zone;
         let silent = self.workers.values().filter(of_zone);
         let silent = silent.filter(|w| !w.is_in_contact()).count();
-        if silent >= DOUBTFUL_ZONE {
+        if silent >= usize::from(self.policy.health.doubtful_zone) {
             self.doubt_zone(&zone, now);
         }
     }
 
     /// Asks every worker of a zone that has not answered lately before it gets anything new.
     fn doubt_zone(&mut self, zone: &ZoneId, now: Now) {
+        let heard_lately = self.policy.health.heard_lately;
         let doubtful = self
             .workers
             .values_mut()
             .filter(|w| w.listed.zone == *zone && w.is_in_contact())
-            .filter(|w| w.heard_at.is_none_or(|at| now.at - at > HEARD_LATELY));
+            .filter(|w| w.heard_at.is_none_or(|at| now.at - at > heard_lately));
         for worker in doubtful {
             worker.set_contact(false);
             self.to_ask.push(worker.listed.id.clone());
--- a/crates/stairstall-core/src/batch/planner/ends.rs
+++ b/crates/stairstall-core/src/batch/planner/ends.rs
@@ -8,13 +8,6 @@
 use crate::batch::{Decision, DecisionKind, End, EndKind, Outcome, TaskKey};
 use crate::{JobId, Timestamp, WorkerId};
 
-/// A failure within this time of the start is the worker's.
-const EARLY_FAILURE: Duration = Duration::from_millis(150);
-/// Jobs that fail one after the other at a worker until it is suspect.
-const FAILED_JOBS: usize = 2;
-/// How long a worker gets nothing new after a failure, unless something succeeds there.
-const SUSPECT_AFTER_FAILURE: Duration = Duration::from_secs(6);
-
 impl Planner {
     /// Takes an end that a worker lists; it is told to forget it once the change lasts.
     pub(super) fn take_end(&mut self, id: &WorkerId, end: &End, now: Now) {
@@ -36,7 +29,10 @@
         } else {
             None
         };
-        let early = run.as_ref().is_some_and(|run| run.failed_early(now.at));
+        let early_failure = self.policy.health.early_failure;
+        let early = run
+            .as_ref()
+            .is_some_and(|run| run.failed_early(now.at, early_failure));
         self.note_health(id, end, early, now);
         let detail = run.as_ref().map_or_else(
             || "it was not expected there".to_owned(),
@@ -91,6 +87,7 @@
     /// Work that fails by its own fault fails at any point; a worker that
     /// fails all it starts does so at once.
     fn note_health(&mut self, id: &WorkerId, end: &End, early: bool, now: Now) {
+        let policy = self.policy.health;
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
@@ -105,8 +102,8 @@
                 if !worker.failed_jobs.contains(job) {
                     worker.failed_jobs.push(job.clone());
                 }
-                if early || worker.failed_jobs.len() >= FAILED_JOBS {
-                    worker.suspect_until = Some(now.at + SUSPECT_AFTER_FAILURE);
+                if early || worker.failed_jobs.len() >= usize::from(policy.failed_jobs) {
+                    worker.suspect_until = Some(now.at + policy.suspect_after_failure);
                     let why = "tasks fail there: nothing new for a while";
                     self.decisions.push(Decision::of_worker(id, why));
                 }
@@ -295,9 +292,9 @@
 
 impl Run {
     /// Tells whether a failure now came sooner than the work could have failed by itself.
-    fn failed_early(&self, at: Timestamp) -> bool {
+    fn failed_early(&self, at: Timestamp, early_failure: Duration) -> bool {
         self.began
-            .is_none_or(|(began, _)| at - began < EARLY_FAILURE)
+            .is_none_or(|(began, _)| at - began < early_failure)
     }
 }
 
--- a/crates/stairstall-core/src/batch/planner/evacuate.rs
+++ b/crates/stairstall-core/src/batch/planner/evacuate.rs
@@ -6,18 +6,13 @@
 use crate::WorkerId;
 use crate::batch::TaskKey;
 
-/// Runs that are nearly done stay to the end, in percent of their work.
-const NEARLY_DONE: u8 = 85;
-/// How much longer than the worker has left such a run may need, in milliseconds: workers go a
-/// little later than they say.
-const LATE_MARGIN_MS: u64 = 500;
-
 impl Planner {
     /// Stops what can't end before a leaving worker goes.
     pub(super) fn evacuate(&mut self, id: &WorkerId, now: Now) {
         let Some(worker) = self.workers.get(id) else {
             return;
         };
+        let policy = self.policy.leaving;
         let left_ms = worker.listed.remaining_ms.unwrap_or(0);
         let moving: Vec<TaskKey> = worker
             .runs
@@ -25,7 +20,8 @@
             .filter(|(task, run)| {
                 let needs_ms = self.needs_ms(task, run);
                 let ends_there = needs_ms + millis(self.bounds.stop_max) < left_ms;
-                let is_late = run.percent >= NEARLY_DONE && needs_ms < left_ms + LATE_MARGIN_MS;
+                let is_late = run.percent >= policy.nearly_done
+                    && needs_ms < left_ms + millis(policy.late_margin);
                 run.state == RunState::Planned || !(ends_there || is_late)
             })
             .map(|(task, _)| task.clone())
@@ -39,13 +35,14 @@
 
     /// Returns how much longer a run should take, in milliseconds: a gang ends with its slowest.
     fn needs_ms(&self, task: &TaskKey, run: &Run) -> u64 {
+        let shown_percent = self.policy.places.shown_percent;
         if !run.gang {
-            return run.left_ms();
+            return run.left_ms(shown_percent);
         }
         let members = self.workers.values().flat_map(|worker| &worker.runs);
         members
             .filter(|(other, _)| other.group == task.group)
-            .map(|(_, run)| run.left_ms())
+            .map(|(_, run)| run.left_ms(shown_percent))
             .max()
             .unwrap_or(0)
     }
--- a/crates/stairstall-core/src/batch/planner/fit.rs
+++ b/crates/stairstall-core/src/batch/planner/fit.rs
@@ -16,21 +16,6 @@
 pub(super) use choose::Site;
 use choose::{Choice, Scope, allowed, search};
 
-/// Shortest time that a task is taken to need, in milliseconds.
-const MIN_EXPECTED_MS: u64 = 200;
-/// How long urgent work waits for room near its data before it goes elsewhere.
-const URGENT_PATIENCE: Duration = Duration::from_millis(900);
-/// How long other work waits for a worker that is not suspect.
-const SUSPECT_PATIENCE: Duration = Duration::from_secs(3);
-/// How long urgent work waits for a worker that is not suspect.
-const URGENT_SUSPECT_PATIENCE: Duration = Duration::from_secs(1);
-/// How long a gang waits before room is held back for it.
-const HOLD_BACK_AFTER: Duration = Duration::from_millis(1_500);
-/// Part of the work, in percent, after which a run's pace is relied on.
-const SHOWN_PERCENT: u8 = 5;
-/// Most gangs that room is held back for at a time.
-const MAX_HELD_BACK: usize = 2;
-
 /// Workers whose room is kept for gangs that wait.
 #[derive(Debug, Default)]
 pub(super) struct HeldBack {
@@ -72,8 +57,8 @@
         let waited = now.at - ready_since;
         if step.gang
             && !waiting.is_empty()
-            && waited >= HOLD_BACK_AFTER
-            && held_back.gangs < MAX_HELD_BACK
+            && waited >= self.policy.places.hold_back_after
+            && held_back.gangs < usize::from(self.policy.places.max_held_back)
         {
             self.hold_back(candidate, &step, held_back);
         }
@@ -100,9 +85,9 @@
         }
         let prefers_near = step.near_rack.is_some() || (step.gang && step.same_rack);
         let patience = if urgent {
-            URGENT_PATIENCE
+            self.policy.places.near_patience_urgent
         } else {
-            Duration::from_millis(step.estimate_ms.max(MIN_EXPECTED_MS))
+            Duration::from_millis(self.estimate_ms(step))
         };
         let gives_up = now.at - ready_since >= patience || !self.could_be_near(step);
         if prefers_near && gives_up {
@@ -140,9 +125,14 @@
         }
     }
 
+    fn estimate_ms(&self, step: &StepSpec) -> u64 {
+        step.estimate_ms
+            .max(super::contact::millis(self.policy.places.min_expected))
+    }
+
     /// Returns how long a task should take at a worker, in milliseconds.
     pub(super) fn expected_ms(&self, step: &StepSpec, id: &WorkerId) -> u64 {
-        step.estimate_ms.max(MIN_EXPECTED_MS) * u64::from(self.slowdown(step, id))
+        self.estimate_ms(step) * u64::from(self.slowdown(step, id))
     }
 
     /// Returns how many times as long a step's tasks take at a worker because of its rack.
@@ -167,7 +157,9 @@
         let demand = self.demanded_health(&candidate.key, urgent, waited);
         let service = self.service_of(&candidate.key);
         let job = self.jobs.get(&candidate.key.job);
-        let home = job.and_then(|job| job.accepted.zone.clone());
+        let home = job
+            .and_then(|job| job.accepted.zone.clone())
+            .filter(|_| self.policy.places.prefers_callers_zone);
         let losses = scope.preempts.then(|| self.gang_losses(now));
         self.workers
             .iter()
@@ -189,7 +181,7 @@
                 penalty: self.penalty(w, step, &candidate.key, now),
                 in_other_zone: home.as_ref().is_some_and(|home| *home != w.listed.zone),
                 victims: losses.as_ref().map_or_else(Victims::default, |losses| {
-                    Victims::of(w, candidate.rank, losses, now.at)
+                    Victims::of(w, candidate.rank, losses, now.at, &self.policy.victims)
                 }),
             })
             .filter(|site| site.spread_left > 0)
@@ -202,9 +194,9 @@
         let failed_early = self.group_of(key).is_some_and(|group| group.failed_early);
         let attempts = self.attempts(&key.job).unwrap_or(1);
         let patience = if urgent {
-            URGENT_SUSPECT_PATIENCE
+            self.policy.places.suspect_patience_urgent
         } else {
-            SUSPECT_PATIENCE
+            self.policy.places.suspect_patience
         };
         if waited > patience {
             Health::Any
@@ -227,23 +219,20 @@
 
     /// Returns what makes a worker a worse place, in core-milliseconds of a task.
     fn penalty(&self, worker: &Worker, step: &StepSpec, key: &GroupKey, now: Now) -> u64 {
-        let work = step
-            .room()
-            .weight()
-            .saturating_mul(step.estimate_ms.max(MIN_EXPECTED_MS))
-            / 1000;
+        let work = step.room().weight().saturating_mul(self.estimate_ms(step)) / 1000;
+        let policy = &self.policy.places;
         let mut penalty = 0;
         if !worker.is_near(step) {
             penalty += work * u64::from(self.bounds.far_factor.saturating_sub(1));
         }
         if worker.is_suspect(now.at) {
-            penalty += work * 4;
+            penalty += work * u64::from(policy.suspect_penalty);
         }
         let has_failed = self
             .group_of(key)
             .is_some_and(|group| group.worst_failures() > 0);
         if has_failed && worker.succeeded_at.is_none() {
-            penalty += work;
+            penalty += work * u64::from(policy.unproven_penalty);
         }
         let failed_here = self.group_of(key).is_some_and(|group| {
             group
@@ -252,7 +241,7 @@
                 .any(|t| t.failed_at.as_ref() == Some(&worker.listed.id))
         });
         if failed_here {
-            penalty += work * 2;
+            penalty += work * u64::from(policy.failed_here_penalty);
         }
         penalty
     }
@@ -359,6 +348,7 @@
     /// Keeps the room that a waiting gang can have soonest from what comes after it.
     fn hold_back(&self, candidate: &Candidate, step: &StepSpec, held_back: &mut HeldBack) {
         let service = self.service_of(&candidate.key);
+        let shown_percent = self.policy.places.shown_percent;
         let mut sites: Vec<(u64, &RackId, &WorkerId, u32)> = self
             .workers
             .iter()
@@ -367,7 +357,7 @@
             .filter(|(id, _)| !held_back.workers.contains(*id))
             .filter_map(|(id, w)| {
                 let times = step.room().times_in(&w.listed.capacity, step.count);
-                (times > 0).then(|| (w.busy_ms(), &w.listed.rack, id, times))
+                (times > 0).then(|| (w.busy_ms(shown_percent), &w.listed.rack, id, times))
             })
             .collect();
         sites.sort();
@@ -423,8 +413,8 @@
 
 impl Worker {
     /// Returns how long what it has should still take, in milliseconds.
-    fn busy_ms(&self) -> u64 {
-        let left = self.runs.values().map(Run::left_ms);
+    fn busy_ms(&self, shown_percent: u8) -> u64 {
+        let left = self.runs.values().map(|run| run.left_ms(shown_percent));
         left.max().unwrap_or(0)
     }
 }
@@ -432,12 +422,12 @@
 impl Run {
     /// Returns how much longer it should take, in milliseconds: at the pace that it has shown,
     /// or else by the estimate.
-    pub(super) fn left_ms(&self) -> u64 {
+    pub(super) fn left_ms(&self, shown_percent: u8) -> u64 {
         let left = u64::from(100_u8.saturating_sub(self.percent));
         let shown = self.began.and_then(|(began, from)| {
             let gained = self.percent.saturating_sub(from);
             let worked_ms = super::contact::millis(self.reported_at - began);
-            (gained >= SHOWN_PERCENT).then(|| worked_ms * left / u64::from(gained))
+            (gained >= shown_percent).then(|| worked_ms * left / u64::from(gained))
         });
         shown.unwrap_or(self.expected_ms * left / 100)
     }
--- a/crates/stairstall-core/src/batch/planner/headroom.rs
+++ b/crates/stairstall-core/src/batch/planner/headroom.rs
@@ -8,14 +8,6 @@
 use crate::Timestamp;
 use crate::batch::AcceptedJob;
 
-/// How long an arrival counts for the demand to come.
-const WINDOW: Duration = Duration::from_secs(10);
-
-/// Seconds of urgent demand that are kept free.
-const KEPT_SECONDS: f64 = 0.25;
-/// Seconds of urgent demand that are kept free beside, for each second that a stop takes.
-const KEPT_PER_STOP: f64 = 5.3;
-
 /// Accelerators that urgent jobs asked for lately.
 #[derive(Debug, Clone, Default)]
 pub(super) struct UrgentDemand {
@@ -24,7 +16,7 @@
 
 impl UrgentDemand {
     /// Notes a job that arrived, if it is urgent.
-    pub(super) fn note(&mut self, job: &AcceptedJob, now: Now) {
+    pub(super) fn note(&mut self, job: &AcceptedJob, window: Duration, now: Now) {
         if job.queue.priority != 0 {
             return;
         }
@@ -36,19 +28,20 @@
         while self
             .arrivals
             .front()
-            .is_some_and(|(at, _)| now.at - *at > WINDOW)
+            .is_some_and(|(at, _)| now.at - *at > window)
         {
             self.arrivals.pop_front();
         }
     }
 
     /// Returns how many accelerators are asked for in a second.
-    fn per_second(&self, now: Now) -> f64 {
+    fn per_second(&self, window: Duration, now: Now) -> f64 {
         let recent = self
             .arrivals
             .iter()
-            .filter(|(at, _)| now.at - *at <= WINDOW);
-        f64::from(recent.map(|(_, accelerators)| *accelerators).sum::<u32>()) / WINDOW.as_secs_f64()
+            .filter(|(at, _)| now.at - *at <= window);
+        f64::from(recent.map(|(_, accelerators)| *accelerators).sum::<u32>())
+            / window.as_secs_f64().max(0.001)
     }
 }
 
@@ -63,13 +56,15 @@
         }
         let workers = self.workers.values().filter(|w| w.takes_tasks());
         let free: u32 = workers.map(|w| w.free().accelerators).sum();
-        let seconds = KEPT_SECONDS + KEPT_PER_STOP * self.bounds.stop_max.as_secs_f64();
+        let policy = &self.policy.headroom;
+        let seconds =
+            policy.kept_seconds + policy.kept_per_stop * self.bounds.stop_max.as_secs_f64();
         #[allow(
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss,
             reason = "a count of accelerators"
         )]
-        let kept = (self.demand.per_second(now) * seconds) as u32;
+        let kept = (self.demand.per_second(policy.window, now) * seconds) as u32;
         free.saturating_sub(kept)
     }
 }
--- a/crates/stairstall-core/src/batch/planner/pool.rs
+++ b/crates/stairstall-core/src/batch/planner/pool.rs
@@ -82,12 +82,12 @@
     }
 
     /// Returns the work that a stop would throw away, in core-milliseconds.
-    pub(super) fn loss(&self, now: Timestamp) -> u64 {
+    pub(super) fn loss(&self, now: Timestamp, restore_cost: Duration) -> u64 {
         let ran = self
             .began
             .map_or(0, |(at, _)| millis(now - at))
             .min(if self.checkpoints {
-                RESTORE_MS
+                millis(restore_cost)
             } else {
                 u64::MAX
             });
@@ -95,9 +95,6 @@
     }
 }
 
-/// What stopping a run with checkpoints costs at most, in milliseconds of its work.
-const RESTORE_MS: u64 = 300;
-
 /// An end that the worker may forget once the change behind it lasts.
 #[derive(Debug, Clone)]
 struct Unsaved {
--- a/crates/stairstall-core/src/batch/planner/resend.rs
+++ b/crates/stairstall-core/src/batch/planner/resend.rs
@@ -1,23 +1,14 @@
 //! Orders that are given again, and places that are given up.
 
-use std::time::Duration;
-
 use super::pool::{Run, RunState, Worker};
 use super::{Now, Planner};
 use crate::WorkerId;
 use crate::batch::TaskKey;
 
-/// How long after a stop should have ended it is sent again.
-const STOP_AGAIN: Duration = Duration::from_millis(400);
-/// How long a run whose task is done may take to end by itself.
-const UNWANTED_PATIENCE: Duration = Duration::from_millis(500);
-/// How much longer than a stop a planned run waits for its room.
-const PLANNED_MARGIN: Duration = Duration::from_millis(500);
-
 impl Planner {
     /// Sends stops again that should have ended, and gives up places whose room stays taken.
     pub(super) fn resend(&mut self, now: Now) {
-        let patience = self.bounds.stop_max + STOP_AGAIN;
+        let patience = self.bounds.stop_max + self.policy.orders.stop_again;
         let mut again = Vec::new();
         let mut in_vain = Vec::new();
         let mut unwanted = Vec::new();
@@ -30,7 +21,9 @@
                     in_vain.push((id.clone(), task.clone(), why));
                 }
                 let done_since = run.unwanted_since.map(|since| now.at - since);
-                if run.state != RunState::Stopping && done_since > Some(UNWANTED_PATIENCE) {
+                if run.state != RunState::Stopping
+                    && done_since > Some(self.policy.orders.unwanted_patience)
+                {
                     unwanted.push((id.clone(), task.clone()));
                 }
                 if run.state == RunState::Stopping
@@ -65,7 +58,7 @@
             Some("its worker takes no tasks now")
         } else if self.lacks_ticket(id, &task.group, now) {
             Some("its ticket is over")
-        } else if now.at - run.since > self.bounds.stop_max + PLANNED_MARGIN {
+        } else if now.at - run.since > self.bounds.stop_max + self.policy.orders.planned_margin {
             Some("its room did not become free")
         } else {
             None
--- a/crates/stairstall-core/src/batch/planner/starts.rs
+++ b/crates/stairstall-core/src/batch/planner/starts.rs
@@ -1,7 +1,5 @@
 //! Orders to workers and what became of them.
 
-use std::time::Duration;
-
 use super::contact::millis;
 use super::pool::{RunState, Worker};
 use super::{Now, Order, OrderKind, Planner};
@@ -10,13 +8,6 @@
 };
 use crate::{JobId, Timestamp, WorkerId};
 
-/// Lease that a start brings; holds extend it.
-const START_LEASE: Duration = Duration::from_millis(1_500);
-/// Starts of one run that are sent before it is given up.
-const MAX_TRIES: u8 = 4;
-/// How long a worker that calls itself unhealthy gets nothing new.
-const SUSPECT_AFTER_REFUSAL: Duration = Duration::from_secs(2);
-
 impl Planner {
     /// Sends the starts whose room is free: of a gang all or none.
     pub(super) fn emit_starts(&mut self, now: Now) {
@@ -108,7 +99,7 @@
         let Some(clock_ms) = worker.clock_at(now.at) else {
             return;
         };
-        let lease = START_LEASE.min(self.bounds.hold_max);
+        let lease = self.policy.orders.start_lease.min(self.bounds.hold_max);
         let Some(run) = worker.runs.get_mut(task) else {
             return;
         };
@@ -156,7 +147,8 @@
 
     fn start_ticket(&self, id: &WorkerId, task: &TaskKey, now: Now) -> Option<String> {
         let group = self.jobs.get(&task.group.job)?.group(&task.group)?;
-        group.advice.ticket(id, now.at).map(str::to_owned)
+        let margin = self.policy.advice.ticket_margin;
+        group.advice.ticket(id, now.at, margin).map(str::to_owned)
     }
 
     /// Stops a run, or drops it where no start was sent.
@@ -277,7 +269,7 @@
         if outcome == StartOutcome::Unhealthy
             && let Some(worker) = self.workers.get_mut(id)
         {
-            worker.suspect_until = Some(now.at + SUSPECT_AFTER_REFUSAL);
+            worker.suspect_until = Some(now.at + self.policy.health.suspect_after_refusal);
         }
         let did_nothing = match outcome {
             StartOutcome::NotSent | StartOutcome::Unhealthy => true,
@@ -311,7 +303,7 @@
             .get(id)
             .and_then(|w| w.runs.get(task))
             .map_or(0, |run| run.tries);
-        if tries < MAX_TRIES {
+        if tries < self.policy.orders.max_tries {
             self.emit_start(id, task, now);
         } else {
             self.stop_run(id, task, "no answer to its starts", now);
@@ -330,13 +322,14 @@
     /// Sends a stop again at once that got no answer: what waits for the room waits for it.
     fn stop_again(&mut self, order: &Order, now: Now) {
         let (id, task) = (&order.worker, &order.task);
+        let max_tries = self.policy.orders.max_tries;
         self.doubt(id, now);
         let run = self.workers.get_mut(id).and_then(|w| w.runs.get_mut(task));
         let Some(run) = run.filter(|run| run.number == order.run) else {
             return;
         };
         run.stops = run.stops.saturating_add(1);
-        if run.state == RunState::Stopping && run.stops < MAX_TRIES {
+        if run.state == RunState::Stopping && run.stops < max_tries {
             self.send_stop(id, task, order.run, now);
         }
     }
--- a/crates/stairstall-core/src/batch/planner/stuck.rs
+++ b/crates/stairstall-core/src/batch/planner/stuck.rs
@@ -1,7 +1,6 @@
 //! Runs that stand still, or are far slower than their like, are moved to another worker.
 
 use std::collections::BTreeMap;
-use std::time::Duration;
 
 use super::contact::millis;
 use super::pool::{Run, RunState};
@@ -13,13 +12,6 @@
 
 use pace::{Pace, Verdict};
 
-/// How often runs are looked through.
-const INTERVAL: Duration = Duration::from_millis(100);
-/// How long a worker gets nothing new after something stood still there.
-const SUSPECT_AFTER_STILL: Duration = Duration::from_secs(6);
-/// Most moves of one task, or of one gang.
-const MAX_MOVES: u8 = 4;
-
 /// A run that should go elsewhere.
 struct Misplaced {
     worker: WorkerId,
@@ -33,7 +25,7 @@
     pub(super) fn find_stuck(&mut self, now: Now) {
         if self
             .looked_for_stuck_at
-            .is_some_and(|at| now.at - at < INTERVAL)
+            .is_some_and(|at| now.at - at < self.policy.pace.interval)
         {
             return;
         }
@@ -87,18 +79,19 @@
                 run.pace(since, self.slowdown(step, id))
             })
             .collect();
-        let typical = pace::typical_span_ms(&paces, &group.spans_ms);
+        let typical = pace::typical_span_ms(&paces, &group.spans_ms, &self.policy.pace);
         let any_moves = paces.iter().any(|pace| pace.gained > 0);
         let is_sure = !step.gang || (is_whole && (any_moves || members.len() == 1));
         members
             .iter()
             .zip(&paces)
             .filter_map(|((id, task, run), pace)| {
-                let why = match pace.verdict(is_sure, typical, self.bounds.stop_max) {
-                    Verdict::Fine => return None,
-                    Verdict::Still => "it stands still",
-                    Verdict::Slow => "it is far slower than the others",
-                };
+                let why =
+                    match pace.verdict(is_sure, typical, self.bounds.stop_max, &self.policy.pace) {
+                        Verdict::Fine => return None,
+                        Verdict::Still => "it stands still",
+                        Verdict::Slow => "it is far slower than the others",
+                    };
                 Some(Misplaced {
                     worker: (*id).clone(),
                     task: (*task).clone(),
@@ -119,7 +112,7 @@
                 let why = format!("a task there: {}; nothing new for a while", misplaced.why);
                 self.decisions.push(Decision::of_worker(id, why));
             }
-            worker.suspect_until = Some(now.at + SUSPECT_AFTER_STILL);
+            worker.suspect_until = Some(now.at + self.policy.health.suspect_after_stall);
         }
         self.stop_run(id, task, misplaced.why, now);
         self.stop_gang(
@@ -133,6 +126,7 @@
     /// Counts a move of the task, or of its gang once a run.
     fn may_move(&mut self, task: &TaskKey, run: u32) -> bool {
         let key = &task.group;
+        let max_moves = self.policy.pace.max_moves;
         let Some(job) = self.jobs.get_mut(&key.job) else {
             return false;
         };
@@ -145,7 +139,7 @@
         if entry.moved_run == run {
             return true;
         }
-        if entry.moves >= MAX_MOVES {
+        if entry.moves >= max_moves {
             return false;
         }
         entry.moved_run = run;
--- a/crates/stairstall-core/src/batch/planner/stuck/pace.rs
+++ b/crates/stairstall-core/src/batch/planner/stuck/pace.rs
@@ -3,22 +3,7 @@
 use std::time::Duration;
 
 use super::super::contact::millis;
-
-/// Shortest time without any progress since the start that counts as standing still.
-const STILL_FROM_START_MS: u64 = 700;
-/// Shortest time without further progress that counts as standing still.
-const STILL_LATER_MS: u64 = 1_000;
-/// Part of the expected time, as a divisor, that counts as standing still.
-const STILL_DIVISOR: u64 = 25;
-/// The same where nothing shows that the whole gang works.
-const UNSURE_STILL_MS: u64 = 2_500;
-const UNSURE_STILL_DIVISOR: u64 = 5;
-/// Shortest work from which a pace is taken for one.
-const JUDGED_AFTER_MS: u64 = 700;
-/// How many times as long as is typical a run must take to be slow.
-const SLOW_FACTOR: u64 = 3;
-/// What a move must save, as a divisor of what it costs.
-const GAIN_DIVISOR: u64 = 4;
+use crate::batch::PacePolicy;
 
 /// How fast a run gets on, as its worker last told.
 #[derive(Debug, Clone, Copy)]
@@ -52,16 +37,16 @@
 
 impl Pace {
     /// Returns how long the whole work takes at this pace, near its data, in milliseconds.
-    fn span_ms(&self) -> Option<u64> {
-        let is_judged = self.worked_ms >= JUDGED_AFTER_MS && self.gained > 0;
+    fn span_ms(&self, policy: &PacePolicy) -> Option<u64> {
+        let is_judged = self.worked_ms >= millis(policy.judged_after) && self.gained > 0;
         is_judged.then(|| self.worked_ms * 100 / u64::from(self.gained) / self.far_factor)
     }
 
     /// Returns the least that the whole work takes at this pace there, in milliseconds: the
     /// percentage is cut to a whole number.
-    fn least_span_ms(&self) -> Option<u64> {
+    fn least_span_ms(&self, policy: &PacePolicy) -> Option<u64> {
         let gained = u64::from(self.gained) + 1;
-        (self.worked_ms >= JUDGED_AFTER_MS).then(|| self.worked_ms * 100 / gained)
+        (self.worked_ms >= millis(policy.judged_after)).then(|| self.worked_ms * 100 / gained)
     }
 
     /// Judges a run; `is_sure` tells whether it is known to have had the chance to work, and
@@ -71,31 +56,34 @@
         is_sure: bool,
         typical_ms: Option<u64>,
         stop_max: Duration,
+        policy: &PacePolicy,
     ) -> Verdict {
         if self.left == 0 {
             return Verdict::Fine;
         }
-        if self.still_ms >= self.still_limit_ms(is_sure) {
+        if self.still_ms >= self.still_limit_ms(is_sure, policy) {
             return Verdict::Still;
         }
         match typical_ms {
-            Some(typical_ms) if is_sure && self.is_slow(typical_ms, stop_max) => Verdict::Slow,
+            Some(typical_ms) if is_sure && self.is_slow(typical_ms, stop_max, policy) => {
+                Verdict::Slow
+            }
             _ => Verdict::Fine,
         }
     }
 
-    fn still_limit_ms(&self, is_sure: bool) -> u64 {
+    fn still_limit_ms(&self, is_sure: bool, policy: &PacePolicy) -> u64 {
         let (least, divisor) = match (is_sure, self.gained) {
-            (false, _) => (UNSURE_STILL_MS, UNSURE_STILL_DIVISOR),
-            (true, 0) => (STILL_FROM_START_MS, STILL_DIVISOR),
-            (true, _) => (STILL_LATER_MS, STILL_DIVISOR),
+            (false, _) => (policy.unsure_still, policy.unsure_still_divisor),
+            (true, 0) => (policy.still_from_start, policy.still_divisor),
+            (true, _) => (policy.still_later, policy.still_divisor),
         };
-        least.max(self.expected_ms / divisor)
+        millis(least).max(self.expected_ms / divisor)
     }
 
     /// Tells whether it is far slower than its like, and a move would pay.
-    fn is_slow(&self, typical_ms: u64, stop_max: Duration) -> bool {
-        let Some(span_ms) = self.least_span_ms() else {
+    fn is_slow(&self, typical_ms: u64, stop_max: Duration, policy: &PacePolicy) -> bool {
+        let Some(span_ms) = self.least_span_ms(policy) else {
             return false;
         };
         let left_here = span_ms * u64::from(self.left) / 100;
@@ -105,15 +93,18 @@
             typical_ms
         };
         let cost = millis(stop_max) + left_there;
-        span_ms > typical_ms * self.far_factor * SLOW_FACTOR
-            && left_here > cost + cost / GAIN_DIVISOR
+        span_ms > typical_ms * self.far_factor * policy.slow_factor
+            && left_here > cost + cost / policy.gain_divisor
     }
 }
 
 /// Returns how long the whole work takes most of a step's runs, in milliseconds: the median of
 /// those that get on and of those that are done; none where fewer than two tell.
-pub(super) fn typical_span_ms(paces: &[Pace], done_ms: &[u64]) -> Option<u64> {
-    let mut spans: Vec<u64> = paces.iter().filter_map(Pace::span_ms).collect();
+pub(super) fn typical_span_ms(paces: &[Pace], done_ms: &[u64], policy: &PacePolicy) -> Option<u64> {
+    let mut spans: Vec<u64> = paces
+        .iter()
+        .filter_map(|pace| pace.span_ms(policy))
+        .collect();
     spans.extend(done_ms);
     if spans.len() < 2 {
         return None;
--- a/crates/stairstall-core/src/batch/planner/victims.rs
+++ b/crates/stairstall-core/src/batch/planner/victims.rs
@@ -2,15 +2,13 @@
 
 use std::collections::BTreeMap;
 
+use super::contact::millis;
 use super::fit::Site;
 use super::pool::{RunState, Worker};
 use super::{Now, Planner};
-use crate::batch::{GroupKey, Resources, TaskKey};
+use crate::batch::{GroupKey, Resources, TaskKey, VictimPolicy};
 use crate::{Timestamp, WorkerId};
 
-/// What a stop costs beside the work that is lost, in milliseconds of the run's room.
-const STOP_COST_MS: u64 = 200;
-
 /// One run that may give way.
 #[derive(Debug, Clone)]
 struct Victim {
@@ -31,6 +29,7 @@
         rank: u8,
         gang_losses: &BTreeMap<GroupKey, u64>,
         at: Timestamp,
+        policy: &VictimPolicy,
     ) -> Self {
         let mut victims: Vec<Victim> = worker
             .runs
@@ -41,9 +40,9 @@
                 let lost = if run.gang {
                     gang_losses.get(&task.group).copied().unwrap_or(0)
                 } else {
-                    run.loss(at)
+                    run.loss(at, policy.restore_cost)
                 };
-                let stop = run.room.weight() * STOP_COST_MS / 1000;
+                let stop = run.room.weight() * millis(policy.stop_cost) / 1000;
                 Victim {
                     task: task.clone(),
                     room: run.room,
@@ -121,7 +120,8 @@
         let mut losses = BTreeMap::new();
         for worker in self.workers.values() {
             for (task, run) in worker.runs.iter().filter(|(_, run)| run.gang) {
-                *losses.entry(task.group.clone()).or_insert(0) += run.loss(now.at);
+                *losses.entry(task.group.clone()).or_insert(0) +=
+                    run.loss(now.at, self.policy.victims.restore_cost);
             }
         }
         losses
--- /dev/null
+++ b/crates/stairstall-core/src/batch/policy/daemon.rs
@@ -0,0 +1,133 @@
+//! How the daemon round the planner decides.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// How a job is accepted, or refused.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct AcceptancePolicy {
+    /// Longest time to settle a write whose answer was lost, while the store serves other
+    /// calls.
+    #[serde(with = "super::millis")]
+    pub settle_limit: Duration,
+    /// The same while nothing else is served either.
+    #[serde(with = "super::millis")]
+    pub outage_settle_limit: Duration,
+    /// Pause between two tries of a write.
+    #[serde(with = "super::millis")]
+    pub try_again: Duration,
+    /// How long calls to the store must have failed without a success before callers' calls are
+    /// answered without asking it.
+    #[serde(with = "super::millis")]
+    pub silent_after: Duration,
+    /// Longest call to another daemon.
+    #[serde(with = "super::millis")]
+    pub peer_timeout: Duration,
+    /// Part of its caller's time that a call may take, so that the answer still arrives.
+    pub answer_share: f64,
+}
+
+impl Default for AcceptancePolicy {
+    fn default() -> Self {
+        Self {
+            settle_limit: Duration::from_secs(1),
+            outage_settle_limit: Duration::from_millis(350),
+            try_again: Duration::from_millis(40),
+            silent_after: Duration::from_millis(250),
+            peer_timeout: Duration::from_millis(800),
+            answer_share: 0.9,
+        }
+    }
+}
+
+/// How the planner's role is taken and kept.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct RolePolicy {
+    /// Longest time by which daemons put off their tries differently.
+    #[serde(with = "super::millis")]
+    pub spread: Duration,
+    /// How much longer a VM puts it off that is too weak to plan for many workers.
+    #[serde(with = "super::millis")]
+    pub weak_delay: Duration,
+    /// Processor, in percent of a core, from which a VM is strong.
+    pub strong_cpu_percent: u32,
+    /// Link, in megabits a second, from which a VM is strong.
+    pub strong_link_mbps: u32,
+    /// Renewals within one lease.
+    pub renewals_per_lease: u32,
+}
+
+impl Default for RolePolicy {
+    fn default() -> Self {
+        Self {
+            spread: Duration::from_millis(60),
+            weak_delay: Duration::from_millis(250),
+            strong_cpu_percent: 25,
+            strong_link_mbps: 100,
+            renewals_per_lease: 4,
+        }
+    }
+}
+
+/// How progress is written.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct WritePolicy {
+    /// How long ends are gathered before they are written together.
+    #[serde(with = "super::millis")]
+    pub gather: Duration,
+    /// How long a write may be without an answer before the next one is sent beside it.
+    #[serde(with = "super::millis")]
+    pub overtake_after: Duration,
+    /// Most writes that are under way at a time.
+    pub max_under_way: u16,
+    /// Jobs in one write: the store takes 32 entries, two a job and one for the role.
+    pub jobs_per_write: u16,
+}
+
+impl Default for WritePolicy {
+    fn default() -> Self {
+        Self {
+            gather: Duration::from_millis(3),
+            overtake_after: Duration::from_millis(25),
+            max_under_way: 6,
+            jobs_per_write: 15,
+        }
+    }
+}
+
+/// How workers are called.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct LinkPolicy {
+    /// What a report may take beside the time that the worker was told to wait.
+    #[serde(with = "super::millis")]
+    pub hold_timeout: Duration,
+    /// Pause after a worker did not answer.
+    #[serde(with = "super::millis")]
+    pub silent_pause: Duration,
+    /// Longest wait for ends to be written before the worker is asked again.
+    #[serde(with = "super::millis")]
+    pub write_patience: Duration,
+    /// Longest wait for the answer to a start or stop.
+    #[serde(with = "super::millis")]
+    pub order_timeout: Duration,
+    /// How long an order may be without an answer before the next one is sent beside it.
+    #[serde(with = "super::millis")]
+    pub overtake_after: Duration,
+}
+
+impl Default for LinkPolicy {
+    fn default() -> Self {
+        Self {
+            hold_timeout: Duration::from_millis(500),
+            silent_pause: Duration::from_millis(250),
+            write_patience: Duration::from_millis(250),
+            order_timeout: Duration::from_millis(350),
+            overtake_after: Duration::from_millis(60),
+        }
+    }
+}
--- /dev/null
+++ b/crates/stairstall-core/src/batch/policy/planner.rs
@@ -0,0 +1,316 @@
+//! How the planner decides.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// Where tasks are put.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct PlacePolicy {
+    /// Shortest time that a task is taken to need: estimates go down to nothing.
+    #[serde(with = "super::millis")]
+    pub min_expected: Duration,
+    /// How long urgent work waits for room near its data before it goes elsewhere: a third of
+    /// the work of most urgent jobs on the first sites.
+    #[serde(with = "super::millis")]
+    pub near_patience_urgent: Duration,
+    /// How long other work waits for a worker that is not suspect.
+    #[serde(with = "super::millis")]
+    pub suspect_patience: Duration,
+    /// How long urgent work waits for a worker that is not suspect.
+    #[serde(with = "super::millis")]
+    pub suspect_patience_urgent: Duration,
+    /// How long a gang waits before room is held back for it.
+    #[serde(with = "super::millis")]
+    pub hold_back_after: Duration,
+    /// Most gangs that room is held back for at a time; none switches it off.
+    pub max_held_back: u16,
+    /// Part of the work, in percent, after which a run's pace is relied on.
+    pub shown_percent: u8,
+    /// What a suspect worker costs, in times the work of the task.
+    pub suspect_penalty: u16,
+    /// The same for a worker where nothing has ended done, for work that has failed.
+    pub unproven_penalty: u16,
+    /// The same for the worker where the task failed last.
+    pub failed_here_penalty: u16,
+    /// Whether work goes to the zone of its caller where that costs nothing.
+    pub prefers_callers_zone: bool,
+}
+
+impl Default for PlacePolicy {
+    fn default() -> Self {
+        Self {
+            min_expected: Duration::from_millis(200),
+            near_patience_urgent: Duration::from_millis(900),
+            suspect_patience: Duration::from_secs(3),
+            suspect_patience_urgent: Duration::from_secs(1),
+            hold_back_after: Duration::from_millis(1_500),
+            max_held_back: 2,
+            shown_percent: 5,
+            suspect_penalty: 4,
+            unproven_penalty: 1,
+            failed_here_penalty: 2,
+            prefers_callers_zone: true,
+        }
+    }
+}
+
+/// Who gives way to whom.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct VictimPolicy {
+    /// What a stop costs beside the work that is lost, as time of the run's room.
+    #[serde(with = "super::millis")]
+    pub stop_cost: Duration,
+    /// What stopping a run with checkpoints costs at most, as time of its work.
+    #[serde(with = "super::millis")]
+    pub restore_cost: Duration,
+}
+
+impl Default for VictimPolicy {
+    fn default() -> Self {
+        Self {
+            stop_cost: Duration::from_millis(200),
+            restore_cost: Duration::from_millis(300),
+        }
+    }
+}
+
+/// Room that is kept free for urgent work, so that it need not make others give way.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct HeadroomPolicy {
+    /// How long an arrival counts for the demand to come.
+    #[serde(with = "super::millis")]
+    pub window: Duration,
+    /// Seconds of urgent demand that are kept free.
+    pub kept_seconds: f64,
+    /// Seconds of urgent demand that are kept free beside, for each second that a stop takes.
+    pub kept_per_stop: f64,
+}
+
+impl Default for HeadroomPolicy {
+    fn default() -> Self {
+        Self {
+            window: Duration::from_secs(10),
+            kept_seconds: 0.25,
+            kept_per_stop: 5.3,
+        }
+    }
+}
+
+/// What failures and silence say of a worker.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct HealthPolicy {
+    /// A failure within this time of the start is the worker's.
+    #[serde(with = "super::millis")]
+    pub early_failure: Duration,
+    /// Jobs that fail one after the other at a worker until it is suspect.
+    pub failed_jobs: u16,
+    /// How long a worker gets nothing new after failures, unless something succeeds there; the
+    /// troubles of the first sites last about as long.
+    #[serde(with = "super::millis")]
+    pub suspect_after_failure: Duration,
+    /// The same after it called itself unhealthy.
+    #[serde(with = "super::millis")]
+    pub suspect_after_refusal: Duration,
+    /// The same after something stood still or was slow there.
+    #[serde(with = "super::millis")]
+    pub suspect_after_stall: Duration,
+    /// Silent workers of a zone that cast doubt on all of it.
+    pub doubtful_zone: u16,
+    /// A worker that answered within this time is not in doubt with its zone.
+    #[serde(with = "super::millis")]
+    pub heard_lately: Duration,
+}
+
+impl Default for HealthPolicy {
+    fn default() -> Self {
+        Self {
+            early_failure: Duration::from_millis(150),
+            failed_jobs: 2,
+            suspect_after_failure: Duration::from_secs(6),
+            suspect_after_refusal: Duration::from_secs(2),
+            suspect_after_stall: Duration::from_secs(6),
+            doubtful_zone: 3,
+            heard_lately: Duration::from_millis(200),
+        }
+    }
+}
+
+/// When a run is taken to stand still or to be slow, and is moved.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct PacePolicy {
+    /// How often runs are looked through.
+    #[serde(with = "super::millis")]
+    pub interval: Duration,
+    /// Most moves of one task, or of one gang; none switches them off.
+    pub max_moves: u8,
+    /// Shortest time without any progress since the start that counts as standing still.
+    #[serde(with = "super::millis")]
+    pub still_from_start: Duration,
+    /// Shortest time without further progress that counts as standing still.
+    #[serde(with = "super::millis")]
+    pub still_later: Duration,
+    /// Part of the expected time, as a divisor, that counts as standing still.
+    pub still_divisor: u64,
+    /// The shortest time where nothing shows that the whole gang works.
+    #[serde(with = "super::millis")]
+    pub unsure_still: Duration,
+    /// The part of the expected time there, as a divisor.
+    pub unsure_still_divisor: u64,
+    /// Shortest work from which a pace is taken for one.
+    #[serde(with = "super::millis")]
+    pub judged_after: Duration,
+    /// How many times as long as is typical a run must take to be slow.
+    pub slow_factor: u64,
+    /// What a move must save, as a divisor of what it costs.
+    pub gain_divisor: u64,
+}
+
+impl Default for PacePolicy {
+    fn default() -> Self {
+        Self {
+            interval: Duration::from_millis(100),
+            max_moves: 4,
+            still_from_start: Duration::from_millis(700),
+            still_later: Duration::from_secs(1),
+            still_divisor: 25,
+            unsure_still: Duration::from_millis(2_500),
+            unsure_still_divisor: 5,
+            judged_after: Duration::from_millis(700),
+            slow_factor: 3,
+            gain_divisor: 4,
+        }
+    }
+}
+
+/// How often workers report: the oftener, the sooner trouble shows and the longer leases
+/// outlast a cut; each report is paid for.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ReportPolicy {
+    /// Reports a second, over all workers, that are aimed at.
+    pub looks_per_s: u32,
+    /// Shortest time that a worker waits for an end before it reports.
+    #[serde(with = "super::millis")]
+    pub shortest_wait: Duration,
+    /// Longest time that a worker waits for an end before it reports.
+    #[serde(with = "super::millis")]
+    pub longest_wait: Duration,
+}
+
+impl Default for ReportPolicy {
+    fn default() -> Self {
+        Self {
+            looks_per_s: 1_000,
+            shortest_wait: Duration::from_millis(300),
+            longest_wait: Duration::from_secs(1),
+        }
+    }
+}
+
+/// Starts and stops that get no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct OrderPolicy {
+    /// Lease that a start brings; reports extend it.
+    #[serde(with = "super::millis")]
+    pub start_lease: Duration,
+    /// Starts of one run that are sent before it is given up.
+    pub max_tries: u8,
+    /// How long after a stop should have ended it is sent again.
+    #[serde(with = "super::millis")]
+    pub stop_again: Duration,
+    /// How long a run whose task is done may take to end by itself.
+    #[serde(with = "super::millis")]
+    pub unwanted_patience: Duration,
+    /// How much longer than a stop a planned run waits for its room.
+    #[serde(with = "super::millis")]
+    pub planned_margin: Duration,
+}
+
+impl Default for OrderPolicy {
+    fn default() -> Self {
+        Self {
+            start_lease: Duration::from_millis(1_500),
+            max_tries: 4,
+            stop_again: Duration::from_millis(400),
+            unwanted_patience: Duration::from_millis(500),
+            planned_margin: Duration::from_millis(500),
+        }
+    }
+}
+
+/// What stays on a worker that leaves.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct LeavingPolicy {
+    /// Runs that are nearly done stay to the end, in percent of their work.
+    pub nearly_done: u8,
+    /// How much longer than the worker has left such a run may need: workers go a little later
+    /// than they say.
+    #[serde(with = "super::millis")]
+    pub late_margin: Duration,
+}
+
+impl Default for LeavingPolicy {
+    fn default() -> Self {
+        Self {
+            nearly_done: 85,
+            late_margin: Duration::from_millis(500),
+        }
+    }
+}
+
+/// What a new planner waits for before it places anything.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct TakeoverPolicy {
+    /// How long it lets workers report, at most; none switches the wait off.
+    #[serde(with = "super::millis")]
+    pub reports_patience: Duration,
+    /// How long no further worker must have reported for the first time before it goes on.
+    #[serde(with = "super::millis")]
+    pub reports_quiet: Duration,
+}
+
+impl Default for TakeoverPolicy {
+    fn default() -> Self {
+        Self {
+            reports_patience: Duration::from_millis(300),
+            reports_quiet: Duration::from_millis(40),
+        }
+    }
+}
+
+/// How the adviser is asked.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct AdvicePolicy {
+    /// Workers that one question names.
+    pub workers_at_once: u16,
+    /// A ticket that is over within this time is not used.
+    #[serde(with = "super::millis")]
+    pub ticket_margin: Duration,
+    /// How long an answer is waited for.
+    #[serde(with = "super::millis")]
+    pub answer_patience: Duration,
+    /// Pause before the adviser is asked again after a failure.
+    #[serde(with = "super::millis")]
+    pub ask_again: Duration,
+}
+
+impl Default for AdvicePolicy {
+    fn default() -> Self {
+        Self {
+            workers_at_once: 30,
+            ticket_margin: Duration::from_millis(400),
+            answer_patience: Duration::from_secs(2),
+            ask_again: Duration::from_millis(300),
+        }
+    }
+}
--- a/crates/stairstalld/src/batch/accept.rs
+++ b/crates/stairstalld/src/batch/accept.rs
@@ -1,7 +1,5 @@
 //! Acceptance and cancellation: durable before the caller hears of it.
 
-use std::time::Duration;
-
 use serde::{Deserialize, Serialize};
 use stairstall_core::batch::AcceptedJob;
 use stairstall_core::{CustomerId, JobId, Timestamp, Verdict};
@@ -11,13 +9,6 @@
 use super::node::Node;
 use super::rpc::PeerClient;
 
-/// Longest time to settle a write whose answer was lost, while the store serves other calls.
-const SETTLE_LIMIT: Duration = Duration::from_secs(1);
-/// The same while nothing else is served either.
-const OUTAGE_SETTLE_LIMIT: Duration = Duration::from_millis(350);
-/// Pause between two tries.
-const TRY_AGAIN: Duration = Duration::from_millis(40);
-
 /// What became of handing a job in.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -96,16 +87,17 @@
         if is_time_to_give_up(node, started) {
             return Acceptance::MayBeKept;
         }
-        node.pause(TRY_AGAIN).await;
+        node.pause(node.settings.policy.acceptance.try_again).await;
     }
 }
 
 fn is_time_to_give_up(node: &Node, started: Timestamp) -> bool {
+    let policy = &node.settings.policy.acceptance;
     let now = node.clock.now();
     let limit = if node.store_health.holds_back(now) {
-        OUTAGE_SETTLE_LIMIT
+        policy.outage_settle_limit
     } else {
-        SETTLE_LIMIT
+        policy.settle_limit
     };
     now - started >= limit
 }
@@ -158,7 +150,7 @@
         if is_time_to_give_up(node, started) {
             return Cancellation::Unsettled;
         }
-        node.pause(TRY_AGAIN).await;
+        node.pause(node.settings.policy.acceptance.try_again).await;
     }
 }
 
--- a/crates/stairstalld/src/batch/callers.rs
+++ b/crates/stairstalld/src/batch/callers.rs
@@ -116,9 +116,6 @@
     })
 }
 
-/// Part of its caller's time that a call may take, so that the answer still arrives.
-const ANSWER_SHARE: f64 = 0.9;
-
 fn answer_limit(call: &Call<'_>, request: &Request) -> Duration {
     let asked = request
         .headers()
@@ -126,7 +123,7 @@
         .and_then(|value| value.to_str().ok()?.parse().ok())
         .unwrap_or(u64::MAX);
     let limit = asked.min(call.route.timeout_ms);
-    Duration::from_millis(limit).mul_f64(ANSWER_SHARE)
+    Duration::from_millis(limit).mul_f64(call.node.settings.policy.acceptance.answer_share)
 }
 
 impl Call<'_> {
--- a/crates/stairstalld/src/batch/links.rs
+++ b/crates/stairstalld/src/batch/links.rs
@@ -15,12 +15,6 @@
 use super::orders;
 use super::tenure::Tenure;
 
-/// What a report may take beside the time that the worker was told to wait.
-const HOLD_TIMEOUT: Duration = Duration::from_millis(500);
-/// Pause after a worker did not answer.
-const SILENT_PAUSE: Duration = Duration::from_millis(250);
-/// Longest wait for ends to be written before the worker is asked again.
-const WRITE_PATIENCE: Duration = Duration::from_millis(250);
 /// How often an idle worker is looked at in memory.
 const IDLE_INTERVAL: Duration = Duration::from_secs(2);
 /// Pause while the planner's lease is not known to be in force.
@@ -142,8 +136,9 @@
 }
 
 async fn ask(node: &Node, tenure: &Tenure, worker: &WorkerAddress, request: HoldRequest) {
+    let policy = &node.settings.policy.links;
     let sent_at = node.clock.now();
-    let timeout = request.wait + HOLD_TIMEOUT;
+    let timeout = request.wait + policy.hold_timeout;
     match node.workers.hold(worker, request, timeout).await {
         Ok(report) => {
             node.telemetry.hold("ok");
@@ -153,7 +148,7 @@
                 planner.take_hold(&worker.id, &request, sent_at, report, now);
             });
             if has_ends {
-                let _ = tokio::time::timeout(WRITE_PATIENCE, written).await;
+                let _ = tokio::time::timeout(policy.write_patience, written).await;
             }
         }
         Err(WorkerFault::OtherLife) => {
@@ -168,7 +163,7 @@
             node.telemetry.hold("no answer");
             log::debug!(target: "hold", worker:% = worker.id, why:% = fault; "no report");
             tenure.with(|planner, now| planner.hold_failed(&worker.id, now));
-            node.pause(SILENT_PAUSE).await;
+            node.pause(policy.silent_pause).await;
         }
     }
 }
--- a/crates/stairstalld/src/batch/node.rs
+++ b/crates/stairstalld/src/batch/node.rs
@@ -67,11 +67,11 @@
         Self {
             clock: Clock::new(),
             store,
-            store_health: StoreHealth::default(),
+            store_health: StoreHealth::new(settings.policy.acceptance.silent_after),
             workers,
             dialect,
             adviser,
-            peers: Peers::default(),
+            peers: Peers::new(settings.policy.acceptance.peer_timeout),
             telemetry: Telemetry::new(),
             catalog: watch::channel(None).0,
             planner: watch::channel(None).0,
--- a/crates/stairstalld/src/batch/orders.rs
+++ b/crates/stairstalld/src/batch/orders.rs
@@ -1,7 +1,6 @@
 //! Carries orders to one worker, in turn, past those that get no answer.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
@@ -12,11 +11,6 @@
 use super::node::Node;
 use super::tenure::Tenure;
 
-/// Longest wait for the answer to an order.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(350);
-/// How long an order may be without an answer before the next one overtakes it.
-const OVERTAKE_AFTER: Duration = Duration::from_millis(60);
-
 /// Carries out orders until there can be no more.
 pub(crate) async fn run(
     node: Arc<Node>,
@@ -24,6 +18,7 @@
     worker: WorkerAddress,
     mut orders: UnboundedReceiver<Order>,
 ) {
+    let overtake_after = node.settings.policy.links.overtake_after;
     let mut late = FuturesUnordered::new();
     loop {
         let order = tokio::select! {
@@ -39,7 +34,7 @@
             worker.clone(),
             order,
         ));
-        let in_time = tokio::time::timeout(OVERTAKE_AFTER, &mut carried).await;
+        let in_time = tokio::time::timeout(overtake_after, &mut carried).await;
         if in_time.is_err() {
             late.push(carried);
         }
@@ -47,10 +42,11 @@
 }
 
 async fn carry_out(node: Arc<Node>, tenure: Arc<Tenure>, worker: WorkerAddress, order: Order) {
+    let timeout = node.settings.policy.links.order_timeout;
     match order.kind {
         OrderKind::Start { .. } => {
             let outcome = if tenure.is_in_force() {
-                node.workers.start(&worker, &order, ORDER_TIMEOUT).await
+                node.workers.start(&worker, &order, timeout).await
             } else {
                 StartOutcome::NotSent
             };
@@ -59,7 +55,7 @@
         }
         OrderKind::Stop => {
             let outcome = if tenure.is_in_force() {
-                node.workers.stop(&worker, &order, ORDER_TIMEOUT).await
+                node.workers.stop(&worker, &order, timeout).await
             } else {
                 StopOutcome::Unknown
             };
--- a/crates/stairstalld/src/batch/role.rs
+++ b/crates/stairstalld/src/batch/role.rs
@@ -19,16 +19,6 @@
 const WATCH_WAIT: Duration = Duration::from_secs(15);
 /// Pause before the store is asked again after a failure.
 const STORE_PAUSE: Duration = Duration::from_millis(200);
-/// Longest time by which daemons put off their tries differently.
-const SPREAD: Duration = Duration::from_millis(60);
-/// How much longer a VM puts it off that is too weak to plan for many workers.
-const WEAK_DELAY: Duration = Duration::from_millis(250);
-/// Processor, in percent of a core, from which a VM is strong.
-const STRONG_CPU_PERCENT: u32 = 25;
-/// Link, in megabits a second, from which a VM is strong.
-const STRONG_LINK_MBPS: u32 = 100;
-/// Renewals within one lease.
-const RENEWALS_PER_LEASE: u32 = 4;
 
 /// The role as it was taken.
 #[derive(Debug, Clone)]
@@ -57,10 +47,12 @@
 /// Returns how long to wait before trying to take the role: strong VMs go first.
 fn put_off(node: &Node) -> Duration {
     let settings = &node.settings;
-    let lacking = |has: u32, strong: u32| 1.0 - f64::from(has.min(strong)) / f64::from(strong);
-    let weakness = lacking(settings.cpu_percent, STRONG_CPU_PERCENT)
-        .max(lacking(settings.link_mbps, STRONG_LINK_MBPS));
-    SPREAD.mul_f64(rand::random_range(0.0..1.0)) + WEAK_DELAY.mul_f64(weakness)
+    let policy = &settings.policy.role;
+    let lacking =
+        |has: u32, strong: u32| 1.0 - f64::from(has.min(strong)) / f64::from(strong.max(1));
+    let weakness = lacking(settings.cpu_percent, policy.strong_cpu_percent)
+        .max(lacking(settings.link_mbps, policy.strong_link_mbps));
+    policy.spread.mul_f64(rand::random_range(0.0..1.0)) + policy.weak_delay.mul_f64(weakness)
 }
 
 /// Waits while another daemon has the role; returns it once it is this daemon's.
@@ -218,7 +210,8 @@
     lease_id: LeaseId,
     mut leaving: watch::Receiver<bool>,
 ) {
-    let mut ticks = tokio::time::interval(node.settings.role_lease / RENEWALS_PER_LEASE);
+    let renewals = node.settings.policy.role.renewals_per_lease;
+    let mut ticks = tokio::time::interval(node.settings.role_lease / renewals);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut under_way = FuturesUnordered::new();
     loop {
--- a/crates/stairstalld/src/batch/rpc.rs
+++ b/crates/stairstalld/src/batch/rpc.rs
@@ -19,8 +19,6 @@
 use super::role;
 use crate::daemon::lock;
 
-/// Longest call to a peer.
-const PEER_TIMEOUT: Duration = Duration::from_millis(800);
 /// Clients kept to peers, at most.
 const MAX_CLIENTS: usize = 64;
 
@@ -152,14 +150,24 @@
 }
 
 /// Clients of peers, kept with their connections.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Peers {
+    /// Longest call.
+    timeout: Duration,
     clients: Mutex<HashMap<String, HttpClient>>,
     /// The address that did not answer last.
     failing: Mutex<Option<String>>,
 }
 
 impl Peers {
+    pub(crate) fn new(timeout: Duration) -> Self {
+        Self {
+            timeout,
+            clients: Mutex::default(),
+            failing: Mutex::default(),
+        }
+    }
+
     /// Returns a client of the daemon that listens at `address`.
     pub(crate) fn client(&self, address: &str) -> Option<HttpClient> {
         let mut clients = lock(&self.clients);
@@ -167,7 +175,7 @@
             return Some(client.clone());
         }
         let client = HttpClientBuilder::default()
-            .request_timeout(PEER_TIMEOUT)
+            .request_timeout(self.timeout)
             .build(format!("http://{address}"))
             .ok()?;
         if clients.len() >= MAX_CLIENTS {
--- a/crates/stairstalld/src/batch/settings.rs
+++ b/crates/stairstalld/src/batch/settings.rs
@@ -4,11 +4,13 @@
 use std::time::Duration;
 
 use bpaf::{OptionParser, ParseFailure, Parser, construct};
-use stairstall_core::batch::Bounds;
+use stairstall_core::batch::{Bounds, Policy};
 use stairstall_core::{VmId, ZoneId};
 
 use crate::settings::{Checks, Mistake, Mistakes, WIDTH, text};
 
+mod policy;
+
 /// Longest bound that makes sense, in milliseconds.
 const DAY_MS: u64 = 24 * 3600 * 1000;
 
@@ -35,6 +37,7 @@
     drain_limit_ms: String,
     log: String,
     log_lines_per_s: String,
+    policy: Vec<String>,
 }
 
 /// Checked settings of one batch daemon.
@@ -70,6 +73,8 @@
     pub drain_delay: Duration,
     /// How long calls in flight may take after that.
     pub drain_limit: Duration,
+    /// How the planner and the daemon round it decide.
+    pub policy: Policy,
     /// Log filter.
     pub log: String,
     /// Log lines of one kind a second, at most.
@@ -185,6 +190,10 @@
         "Log lines of one kind a second, at most",
         "150"
     );
+    let policy = bpaf::long("policy")
+        .help("Changes one value of the policy for an experiment, as in reports.shortest_wait=500; may be given several times")
+        .argument::<String>("GROUP.FIELD=VALUE")
+        .many();
     construct!(Raw {
         vm,
         zone,
@@ -206,6 +215,7 @@
         drain_limit_ms,
         log,
         log_lines_per_s,
+        policy,
     })
     .to_options()
     .descr("The stairstall daemon for jobs of steps and tasks on a platform with a shared store")
@@ -269,6 +279,7 @@
         let bounds = Self::read_bounds(raw, checks);
         let drain_delay = checks.millis("--drain-delay-ms", &raw.drain_delay_ms, 0, DAY_MS);
         let log_lines = checks.number("--log-lines-per-s", &raw.log_lines_per_s, 1, 1_000_000);
+        let policy = policy::read(&raw.policy, checks);
         let drain_limit = checks.millis("--drain-limit-ms", &raw.drain_limit_ms, 0, DAY_MS);
         Some(Self {
             vm: vm?,
@@ -284,6 +295,7 @@
             store_timeout: store_timeout?,
             role_lease: role_lease?,
             bounds: bounds?,
+            policy: policy?,
             drain_delay: drain_delay?,
             drain_limit: drain_limit?,
             log: raw.log.clone(),
--- /dev/null
+++ b/crates/stairstalld/src/batch/settings/policy.rs
@@ -0,0 +1,52 @@
+//! Changes of the policy's values by name.
+
+use serde_json::Value;
+use stairstall_core::batch::Policy;
+
+use crate::settings::{Checks, Mistake};
+
+/// Reads changes such as `reports.shortest_wait=500`, each of the default policy's values.
+pub(super) fn read(changes: &[String], checks: &mut Checks) -> Option<Policy> {
+    let mut policy = Policy::default();
+    let mut is_whole = true;
+    for change in changes {
+        match apply(&policy, change) {
+            Ok(changed) => policy = changed,
+            Err(allowed) => {
+                is_whole = false;
+                note(checks, change, allowed);
+            }
+        }
+    }
+    if let Err(error) = policy.check() {
+        is_whole = false;
+        note(checks, &changes.join(" "), error.to_string());
+    }
+    is_whole.then_some(policy)
+}
+
+fn note(checks: &mut Checks, value: &str, allowed: String) {
+    checks.0.push(Mistake {
+        flag: "--policy",
+        value: value.to_owned(),
+        allowed,
+    });
+}
+
+/// Returns the policy with one value changed, or what would have been allowed.
+fn apply(policy: &Policy, change: &str) -> Result<Policy, String> {
+    let (path, value) = change
+        .split_once('=')
+        .ok_or("a change as GROUP.FIELD=VALUE")?;
+    let (group, field) = path
+        .split_once('.')
+        .ok_or("a change as GROUP.FIELD=VALUE")?;
+    let value: Value = serde_json::from_str(value).map_err(|_| "a number, true or false")?;
+    let mut values = serde_json::to_value(policy).map_err(|error| error.to_string())?;
+    let place = values
+        .get_mut(group)
+        .and_then(|group| group.get_mut(field))
+        .ok_or_else(|| format!("{path} to be a value of the policy"))?;
+    *place = value;
+    serde_json::from_value(values).map_err(|error| format!("{path} to hold {error}"))
+}
--- a/crates/stairstalld/src/batch/store_health.rs
+++ b/crates/stairstalld/src/batch/store_health.rs
@@ -8,21 +8,27 @@
 
 use crate::daemon::lock;
 
-/// How long failures without a success have to go on before calls are held back.
-const SILENT_AFTER: Duration = Duration::from_millis(250);
-
 #[derive(Debug, Default)]
 struct State {
     failing_since: Option<Timestamp>,
 }
 
 /// What calls have shown of the store.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct StoreHealth {
+    /// How long failures without a success have to go on before calls are held back.
+    silent_after: Duration,
     state: Mutex<State>,
 }
 
 impl StoreHealth {
+    pub(crate) fn new(silent_after: Duration) -> Self {
+        Self {
+            silent_after,
+            state: Mutex::default(),
+        }
+    }
+
     /// Notes what became of a call.
     pub(crate) fn note<T>(&self, result: &Result<T, StoreFault>, now: Timestamp) {
         let outage = result.as_ref().err().is_some_and(StoreFault::is_outage);
@@ -51,7 +57,7 @@
     pub(crate) fn holds_back(&self, now: Timestamp) -> bool {
         lock(&self.state)
             .failing_since
-            .is_some_and(|since| now - since >= SILENT_AFTER)
+            .is_some_and(|since| now - since >= self.silent_after)
     }
 
     /// Tells whether the last call found the store not serving.
--- a/crates/stairstalld/src/batch/writer.rs
+++ b/crates/stairstalld/src/batch/writer.rs
@@ -18,10 +18,6 @@
 /// Revisions of the progress keys, by job.
 pub(crate) type Revisions = BTreeMap<JobId, Revision>;
 
-/// Jobs in one write: the store takes 32 entries, two a job and one for the role.
-const JOBS_PER_WRITE: usize = 15;
-/// How long ends are gathered before they are written together.
-const GATHER: Duration = Duration::from_millis(3);
 /// Pause after a failure.
 const PAUSE: Duration = Duration::from_millis(40);
 /// How often ended jobs are looked through for those to forget.
@@ -29,11 +25,6 @@
 /// Jobs that are forgotten in one write.
 const JOBS_PER_FORGET: usize = 9;
 
-/// Most writes that are under way at a time.
-const MAX_UNDER_WAY: usize = 6;
-/// How long a write may be without an answer before the next one is sent beside it.
-const OVERTAKE_AFTER: Duration = Duration::from_millis(25);
-
 /// A write that was sent, and what became of it.
 struct Sent {
     writes: Vec<Write>,
@@ -66,7 +57,7 @@
         if writer.under_way.is_empty() {
             writer.wait_for_work().await;
         }
-        if writer.under_way.len() < MAX_UNDER_WAY {
+        if writer.may_send_more() {
             writer.send_next();
         }
         writer.take_answer().await;
@@ -74,6 +65,11 @@
 }
 
 impl Writer {
+    fn may_send_more(&self) -> bool {
+        let most = self.node.settings.policy.writing.max_under_way;
+        self.under_way.len() < usize::from(most)
+    }
+
     async fn wait_for_work(&mut self) {
         if self.tenure.with(|planner, _| planner.has_writes()) {
             return;
@@ -81,7 +77,7 @@
         let dirty = self.tenure.dirty.notified();
         let woken = tokio::time::timeout(FORGET_INTERVAL, dirty).await;
         if woken.is_ok() {
-            tokio::time::sleep(GATHER).await;
+            tokio::time::sleep(self.node.settings.policy.writing.gather).await;
         } else {
             forget(&self.node, &self.tenure, &mut self.revisions).await;
         }
@@ -90,9 +86,10 @@
     /// Sends what waits and is not being written already.
     fn send_next(&mut self) {
         let busy = &self.busy;
+        let jobs = usize::from(self.node.settings.policy.writing.jobs_per_write);
         let writes = self
             .tenure
-            .with(|planner, _| planner.take_writes(JOBS_PER_WRITE, busy));
+            .with(|planner, _| planner.take_writes(jobs, busy));
         if writes.is_empty() {
             return;
         }
@@ -117,10 +114,10 @@
 
     /// Takes the next answer, or gives it up for now where it is time to send more beside.
     async fn take_answer(&mut self) {
-        let may_send_more = self.under_way.len() < MAX_UNDER_WAY;
+        let may_send_more = self.may_send_more();
         let next = self.under_way.next();
         let sent = if may_send_more {
-            tokio::time::timeout(OVERTAKE_AFTER, next).await
+            tokio::time::timeout(self.node.settings.policy.writing.overtake_after, next).await
         } else {
             Ok(next.await)
         };
--- a/crates/stairstalld/tests/batch/main.rs
+++ b/crates/stairstalld/tests/batch/main.rs
@@ -3,4 +3,5 @@
 mod cluster;
 mod faults;
 mod path;
+mod policy;
 mod soak;
