--- /dev/null
+++ b/bench/src/lib.rs
@@ -0,0 +1,17 @@
+//! Compares variants of the policy on days of the users' bench.
+//!
+//! A [`Variant`] is a name and changes of the policy. [`play`] plays every
+//! variant on the same days and seeds in a scratch copy of the checkout, and
+//! [`Comparison`] pairs what came of them. `examples/rounds.rs` is the command.
+
+mod checkout;
+mod compare;
+mod error;
+mod plan;
+mod report;
+
+pub use checkout::Checkout;
+pub use compare::{Comparison, Row};
+pub use error::BenchError;
+pub use plan::{Play, Runner, Variant, play};
+pub use report::{Part, Report};
