feat(batch): say when a daemon is cut off; let any peer that the store serves pass work on

Cause: readiness asked only for a configuration; a call to a peer counted as 'may be kept' also where no connection was made; only the planner was asked. Change: a quiet store is asked by a stale read every 250 ms and taken for silent after 350 ms; while it is in doubt, four peers are asked whether it serves them. Work goes to those that said so within 500 ms. A daemon that neither the store, nor such a peer, nor any peer of another zone answers is not ready and lets connections go with their answers; while peers elsewhere answer that the store serves nobody it stays. Daemons are introduced to each other by the planner. A peer that was never connected to leaves 'not kept'.

--- a/bench/examples/rounds.rs
+++ b/bench/examples/rounds.rs
@@ -94,7 +94,9 @@
         comparison.add(&variant.name, days);
     }
     checkout.keep_entries()?;
-    println!("| site | variant | days | worth | difference | worst day | windows | waste | broken |");
+    println!(
+        "| site | variant | days | worth | difference | worst day | windows | waste | broken |"
+    );
     println!("|---|---|---|---|---|---|---|---|---|");
     for row in comparison.rows() {
         println!("{row}");
--- a/bench/src/checkout.rs
+++ b/bench/src/checkout.rs
@@ -98,7 +98,9 @@
 /// Runs a program to its end.
 pub(crate) fn run(name: &str, command: &mut Command) -> Result<Output, BenchError> {
     let failed = |why: String| BenchError::Program(name.to_owned(), why);
-    let output = command.output().map_err(|error| failed(error.to_string()))?;
+    let output = command
+        .output()
+        .map_err(|error| failed(error.to_string()))?;
     if output.status.success() {
         return Ok(output);
     }
--- a/bench/src/plan.rs
+++ b/bench/src/plan.rs
@@ -132,7 +132,12 @@
     index: usize,
 ) -> Result<Report, BenchError> {
     let report = report_path(checkout.root(), index);
-    let why = format!("{}; variant {}: {}", runner.why, variant.name, variant.flags());
+    let why = format!(
+        "{}; variant {}: {}",
+        runner.why,
+        variant.name,
+        variant.flags()
+    );
     let mut command = Command::new(&runner.bench);
     command.arg("run").arg(&play.site).arg(&play.day);
     command.args(["--no-cpu", "--why", &why, "--report"]);
--- a/crates/stairstall-core/src/batch.rs
+++ b/crates/stairstall-core/src/batch.rs
@@ -12,6 +12,7 @@
 mod decision;
 mod planner;
 mod policy;
+mod reach;
 mod record;
 mod resources;
 mod spec;
@@ -23,9 +24,10 @@
 pub use planner::{AdviceRequest, Bounds, Now, Order, OrderKind, Planner, Write};
 pub use policy::{
     AcceptancePolicy, AdvicePolicy, HeadroomPolicy, HealthPolicy, LeavingPolicy, LinkPolicy,
-    OrderPolicy, PacePolicy, PlacePolicy, Policy, PolicyError, ReportPolicy, RolePolicy,
-    TakeoverPolicy, VictimPolicy, WritePolicy,
+    OrderPolicy, PacePolicy, PlacePolicy, Policy, PolicyError, ReachPolicy, ReportPolicy,
+    RolePolicy, TakeoverPolicy, VictimPolicy, WritePolicy,
 };
+pub use reach::{PeerAddress, Reach};
 pub use record::{AcceptedJob, CallerState, GroupProgress, Outcome, Progress};
 pub use resources::Resources;
 pub use spec::{BatchSpec, Schedule, SpecError, StepSpec};
--- a/crates/stairstall-core/src/batch/policy.rs
+++ b/crates/stairstall-core/src/batch/policy.rs
@@ -23,7 +23,7 @@
 mod millis;
 mod planner;
 
-pub use daemon::{AcceptancePolicy, LinkPolicy, RolePolicy, WritePolicy};
+pub use daemon::{AcceptancePolicy, LinkPolicy, ReachPolicy, RolePolicy, WritePolicy};
 pub use planner::{
     AdvicePolicy, HeadroomPolicy, HealthPolicy, LeavingPolicy, OrderPolicy, PacePolicy,
     PlacePolicy, ReportPolicy, TakeoverPolicy, VictimPolicy,
@@ -70,6 +70,8 @@
     pub advice: AdvicePolicy,
     /// How a job is accepted, or refused.
     pub acceptance: AcceptancePolicy,
+    /// How a daemon finds out whether it can have work kept.
+    pub reach: ReachPolicy,
     /// How the planner's role is taken and kept.
     pub role: RolePolicy,
     /// How progress is written.
--- a/crates/stairstall-core/src/batch/policy/daemon.rs
+++ b/crates/stairstall-core/src/batch/policy/daemon.rs
@@ -42,6 +42,61 @@
     }
 }
 
+/// How a daemon finds out whether it can have work kept, and says so.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ReachPolicy {
+    /// Whether a daemon that is cut off calls itself not ready.
+    pub says_cut_off: bool,
+    /// Whether peers that the store serves are asked to pass work on, beside the planner.
+    pub asks_peers: bool,
+    /// How long the store may be without an answered call before it is asked whether it serves:
+    /// with `silent_after`, a silence shows well within a second.
+    #[serde(with = "super::millis")]
+    pub ping_after: Duration,
+    /// How long such a question may be without an answer; above what a store sixty times
+    /// slower than usual takes.
+    #[serde(with = "super::millis")]
+    pub silent_after: Duration,
+    /// How often peers are asked while the store does not serve.
+    #[serde(with = "super::millis")]
+    pub ask_interval: Duration,
+    /// Longest wait for a peer's answer to that.
+    #[serde(with = "super::millis")]
+    pub ask_timeout: Duration,
+    /// Peers that are asked at a time.
+    pub asked_at_once: u16,
+    /// How long a peer's answer counts.
+    #[serde(with = "super::millis")]
+    pub fresh_for: Duration,
+    /// Peers that one job is passed on to, in turn.
+    pub max_helpers: u16,
+    /// How often a daemon tells the planner that it is there.
+    #[serde(with = "super::millis")]
+    pub introduce_every: Duration,
+    /// How long a daemon that was not heard of is still introduced to others.
+    #[serde(with = "super::millis")]
+    pub forget_after: Duration,
+}
+
+impl Default for ReachPolicy {
+    fn default() -> Self {
+        Self {
+            says_cut_off: true,
+            asks_peers: true,
+            ping_after: Duration::from_millis(250),
+            silent_after: Duration::from_millis(350),
+            ask_interval: Duration::from_millis(150),
+            ask_timeout: Duration::from_millis(250),
+            asked_at_once: 4,
+            fresh_for: Duration::from_millis(500),
+            max_helpers: 2,
+            introduce_every: Duration::from_secs(1),
+            forget_after: Duration::from_secs(5),
+        }
+    }
+}
+
 /// How the planner's role is taken and kept.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
--- a/crates/stairstall-core/tests/batch/main.rs
+++ b/crates/stairstall-core/tests/batch/main.rs
@@ -6,6 +6,7 @@
 mod harness;
 mod lasting;
 mod leaving;
+mod reach;
 mod records;
 mod room;
 mod silence;
--- /dev/null
+++ b/crates/stairstall-core/tests/batch/reach.rs
@@ -0,0 +1,107 @@
+//! What a daemon knows of its peers, and whether it is cut off.
+
+use std::time::Duration;
+
+use stairstall_core::batch::{PeerAddress, Policy, Reach, ReachPolicy};
+use stairstall_core::{Timestamp, VmId, ZoneId};
+
+fn zone(name: &str) -> ZoneId {
+    name.parse::<ZoneId>().unwrap()
+}
+
+fn peer(name: &str, at: &str) -> PeerAddress {
+    PeerAddress {
+        vm: name.parse::<VmId>().unwrap(),
+        zone: zone(at),
+        rpc: format!("{name}:7000"),
+    }
+}
+
+fn ms(at: u64) -> Timestamp {
+    Timestamp::from_millis(at)
+}
+
+fn policy() -> ReachPolicy {
+    Policy::default().reach
+}
+
+fn known() -> Reach {
+    let mut reach = Reach::new(zone("a"), policy());
+    for (name, at) in [("a2", "a"), ("b1", "b"), ("c1", "c")] {
+        reach.introduce(peer(name, at), ms(0));
+    }
+    reach
+}
+
+#[test]
+fn a_daemon_is_cut_off_when_only_its_own_zone_answers_and_the_store_serves_nobody_there() {
+    let mut reach = known();
+    reach.answered("a2:7000", false, ms(100));
+    assert!(reach.is_cut_off(ms(150)));
+    reach.answered("a2:7000", true, ms(160));
+    assert!(!reach.is_cut_off(ms(170)), "its neighbour passes work on");
+}
+
+#[test]
+fn while_the_store_serves_nobody_anywhere_nobody_is_cut_off() {
+    let mut reach = known();
+    reach.answered("b1:7000", false, ms(100));
+    assert!(!reach.is_cut_off(ms(150)));
+    let later = ms(100) + policy().fresh_for + Duration::from_millis(1);
+    assert!(reach.is_cut_off(later), "that answer is too old");
+}
+
+#[test]
+fn who_knows_nobody_elsewhere_is_not_taken_for_cut_off() {
+    let mut reach = Reach::new(zone("a"), policy());
+    assert!(!reach.is_cut_off(ms(0)));
+    reach.introduce(peer("a2", "a"), ms(0));
+    assert!(!reach.is_cut_off(ms(0)));
+}
+
+#[test]
+fn work_is_passed_on_to_peers_that_the_store_served_a_moment_ago() {
+    let mut reach = known();
+    reach.answered("b1:7000", true, ms(100));
+    reach.answered("c1:7000", true, ms(120));
+    reach.answered("a2:7000", false, ms(130));
+    assert_eq!(reach.helpers(ms(200)), ["c1:7000", "b1:7000"]);
+    reach.failed("c1:7000");
+    assert_eq!(reach.helpers(ms(200)), ["b1:7000"]);
+    assert!(!reach.may_answer("c1:7000"));
+    let late = ms(100) + policy().fresh_for + Duration::from_millis(1);
+    assert!(reach.helpers(late).is_empty());
+}
+
+#[test]
+fn those_that_helped_are_asked_first_then_other_zones() {
+    let mut reach = known();
+    assert_eq!(reach.to_ask().last().unwrap(), "a2:7000");
+    reach.answered("a2:7000", true, ms(10));
+    assert_eq!(reach.to_ask()[0], "a2:7000");
+}
+
+#[test]
+fn daemons_of_each_zone_are_introduced_but_not_the_asker_nor_those_long_silent() {
+    let mut reach = Reach::new(zone("a"), policy());
+    for number in 0..20 {
+        reach.introduce(peer(&format!("b{number}"), "b"), ms(10_000));
+    }
+    reach.introduce(peer("c1", "c"), ms(10_000));
+    reach.introduce(peer("c2", "c"), ms(0));
+    reach.introduce(peer("a2", "a"), ms(10_000));
+    let asker = peer("a2", "a");
+    let found = reach.introductions(&asker, 7, ms(10_000));
+    assert!(found.iter().any(|p| p.zone == zone("b")));
+    assert!(found.iter().any(|p| p.rpc == "c1:7000"));
+    assert!(
+        found
+            .iter()
+            .all(|p| p.rpc != asker.rpc && p.rpc != "c2:7000")
+    );
+    assert!(found.len() <= 8);
+    let mut rpcs: Vec<&String> = found.iter().map(|p| &p.rpc).collect();
+    rpcs.sort();
+    rpcs.dedup();
+    assert_eq!(rpcs.len(), found.len(), "nobody twice");
+}
--- a/crates/stairstall-ports/src/store.rs
+++ b/crates/stairstall-ports/src/store.rs
@@ -205,6 +205,10 @@
     /// Reads a key.
     fn get<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<Option<Item>, StoreFault>>;
 
+    /// Asks whether the store serves at all, as cheaply as it can be asked; `key` is one that
+    /// should exist.
+    fn ping<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<(), StoreFault>>;
+
     /// Reads keys that start with `prefix` and come after `after`, in order, within `timeout`: a
     /// page may be a megabyte.
     fn range<'a>(
--- a/crates/stairstalld/src/batch.rs
+++ b/crates/stairstalld/src/batch.rs
@@ -9,7 +9,7 @@
 //! - `role`: takes, renews and gives up the planner's role.
 //! - `tenure`: what the planner does while it holds the role; `links` speak to
 //!   workers, `writer` to the store, `directory` and `intake` bring news.
-//! - `rpc`: what daemons ask each other.
+//! - `rpc`: what daemons ask each other; `reach`: whether work can be kept at all.
 
 mod accept;
 mod ask;
@@ -22,6 +22,7 @@
 mod links;
 mod node;
 mod orders;
+mod reach;
 mod role;
 mod rpc;
 mod serve;
--- a/crates/stairstalld/src/batch/accept.rs
+++ b/crates/stairstalld/src/batch/accept.rs
@@ -7,7 +7,8 @@
 
 use super::keys;
 use super::node::Node;
-use super::rpc::PeerClient;
+use super::rpc::{PeerClient, may_have_left};
+use crate::daemon::lock;
 
 /// What became of handing a job in.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -39,28 +40,65 @@
     Unsettled,
 }
 
-/// Accepts a job, by way of the planner where the store does not serve this daemon.
+impl Acceptance {
+    const fn is_settled(self) -> bool {
+        !matches!(self, Self::NotKept | Self::MayBeKept)
+    }
+}
+
+/// Accepts a job, by way of peers where the store does not serve this daemon.
+///
+/// The job's name makes it one job however many daemons write it, so that a
+/// peer may be asked after a try that may have been kept.
 pub(crate) async fn accept(node: &Node, job: &AcceptedJob) -> Acceptance {
     let held_back = node.store_health.holds_back(node.clock.now());
-    let own = if held_back {
+    let mut found = if held_back {
         Acceptance::NotKept
     } else {
         write_job(node, job).await
     };
-    let settled = !matches!(own, Acceptance::NotKept | Acceptance::MayBeKept);
-    let Some(planner) = node.other_planner().filter(|_| !settled) else {
-        return own;
-    };
-    let Some(client) = node.peers.client(&planner.rpc) else {
-        return own;
-    };
-    let asked = client.accept(job.clone()).await;
-    node.peers.note(&planner.rpc, &asked);
-    match asked {
-        Ok(Acceptance::NotKept) => own,
-        Ok(acceptance) => acceptance,
-        Err(_) => Acceptance::MayBeKept,
+    if found.is_settled() {
+        return found;
+    }
+    for rpc in helpers(node) {
+        let Some(client) = node.peers.client(&rpc) else {
+            continue;
+        };
+        match client.accept(job.clone()).await {
+            Ok(Acceptance::NotKept) => lock(&node.reach).failed(&rpc),
+            Ok(Acceptance::MayBeKept) => found = Acceptance::MayBeKept,
+            Ok(settled) => return settled,
+            Err(error) => {
+                let left = may_have_left(&error);
+                log::info!(target: "accept", job:% = job.id, rpc, left, why:% = error;
+                    "a peer did not take it");
+                node.peers.drop_client(&rpc);
+                lock(&node.reach).failed(&rpc);
+                if left {
+                    found = Acceptance::MayBeKept;
+                }
+            }
+        }
     }
+    found
+}
+
+/// Returns where daemons answer that may do for this one what the store does not: those that the
+/// store served a moment ago, or else the planner, unless it failed when it was asked last.
+fn helpers(node: &Node) -> Vec<String> {
+    let planner = node.other_planner().map(|planner| planner.rpc);
+    if !node.settings.policy.reach.asks_peers {
+        return planner.into_iter().collect();
+    }
+    let reach = lock(&node.reach);
+    let helpers = reach.helpers(node.clock.now());
+    if helpers.is_empty() {
+        return planner
+            .into_iter()
+            .filter(|rpc| reach.may_answer(rpc))
+            .collect();
+    }
+    helpers
 }
 
 /// Writes a job to the store under the condition that its name is free.
@@ -114,7 +152,7 @@
     }
 }
 
-/// Cancels a job, by way of the planner where the store does not serve this daemon.
+/// Cancels a job, by way of peers where the store does not serve this daemon.
 pub(crate) async fn cancel(node: &Node, id: &JobId, customer: Option<&CustomerId>) -> Cancellation {
     let held_back = node.store_health.holds_back(node.clock.now());
     let own = if held_back {
@@ -122,18 +160,24 @@
     } else {
         write_cancel(node, id, customer).await
     };
-    let Some(planner) = node
-        .other_planner()
-        .filter(|_| own == Cancellation::Unsettled)
-    else {
-        return own;
-    };
-    let Some(client) = node.peers.client(&planner.rpc) else {
+    if own != Cancellation::Unsettled {
         return own;
-    };
-    let asked = client.cancel(id.clone(), customer.cloned()).await;
-    node.peers.note(&planner.rpc, &asked);
-    asked.unwrap_or(Cancellation::Unsettled)
+    }
+    for rpc in helpers(node) {
+        let Some(client) = node.peers.client(&rpc) else {
+            continue;
+        };
+        match client.cancel(id.clone(), customer.cloned()).await {
+            Ok(Cancellation::Unsettled) => {}
+            Ok(settled) => return settled,
+            Err(error) => {
+                log::info!(target: "cancel", job:% = id, rpc, why:% = error; "a peer did not answer");
+                node.peers.drop_client(&rpc);
+                lock(&node.reach).failed(&rpc);
+            }
+        }
+    }
+    own
 }
 
 /// Writes a cancellation to the store.
--- a/crates/stairstalld/src/batch/callers.rs
+++ b/crates/stairstalld/src/batch/callers.rs
@@ -6,7 +6,7 @@
 use http_body_util::{BodyExt, Collected, Full, LengthLimitError, Limited};
 use stairstall_core::batch::{AcceptedJob, Access, BatchSpec, CallerState, Catalog, Route};
 use stairstall_core::{CustomerId, JobId, Verdict};
-use viz::header::{AUTHORIZATION, CONTENT_TYPE, HOST, HeaderValue};
+use viz::header::{AUTHORIZATION, CONNECTION, CONTENT_TYPE, HOST, HeaderValue};
 use viz::{Body, Method, Request, Response, Result, Router, StatusCode};
 
 use super::accept::{self, Acceptance, Cancellation};
@@ -54,6 +54,7 @@
         }
     };
     let status = response.status().as_u16();
+    let response = leave_if_not_ready(node, response);
     node.telemetry.call(kind, status, took);
     let version = node.current_catalog().map_or(0, |catalog| catalog.version);
     let ms = crate::clock::millis(took);
@@ -65,6 +66,16 @@
     response
 }
 
+/// Lets a caller's connection go with its answer where callers should go elsewhere.
+fn leave_if_not_ready(node: &Node, mut response: Response) -> Response {
+    if !node.is_ready() {
+        response
+            .headers_mut()
+            .insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
 fn kind_of(method: &Method) -> &'static str {
     match *method {
         Method::POST => "submit",
--- a/crates/stairstalld/src/batch/catalog.rs
+++ b/crates/stairstalld/src/batch/catalog.rs
@@ -7,8 +7,6 @@
 use stairstall_ports::{Change, Item, StoreFault};
 
 use super::node::Node;
-use super::role;
-use super::rpc::PeerClient;
 
 /// How long one watch waits. A watch that dies without a word holds a change back for no longer.
 const WATCH_WAIT: Duration = Duration::from_secs(4);
@@ -22,7 +20,6 @@
             log::debug!(target: "config", why:% = fault; "following the configuration again");
         }
         if node.store_health.is_failing() {
-            ask_planner(&node).await;
             node.pause(STORE_PAUSE).await;
         }
     }
@@ -77,23 +74,3 @@
         }
     }
 }
-
-/// Asks the planner for a newer configuration, and who plans now, while the store does not serve this daemon.
-async fn ask_planner(node: &Node) {
-    let Some(planner) = node.other_planner() else {
-        return;
-    };
-    let Some(client) = node.peers.client(&planner.rpc) else {
-        return;
-    };
-    let version = node.current_catalog().map_or(0, |catalog| catalog.version);
-    let asked = client.news(version).await;
-    node.peers.note(&planner.rpc, &asked);
-    let Ok(news) = asked else {
-        return;
-    };
-    if let Some(catalog) = news.catalog {
-        put_in_force(node, catalog, "planner");
-    }
-    role::note_planner(node, news.planner);
-}
--- a/crates/stairstalld/src/batch/health.rs
+++ b/crates/stairstalld/src/batch/health.rs
@@ -21,11 +21,10 @@
     })
 }
 
-/// Ready is a daemon that knows a configuration and is not leaving.
+/// Ready is a daemon that knows a configuration, is not leaving and is not cut off.
 fn readiness(node: &Node) -> Response {
-    let ready = !node.is_leaving() && node.current_catalog().is_some();
     let mut response = Response::new(Body::empty());
-    if !ready {
+    if !node.is_ready() {
         *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
     }
     response
--- a/crates/stairstalld/src/batch/node.rs
+++ b/crates/stairstalld/src/batch/node.rs
@@ -7,7 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 use stairstall_core::VmId;
-use stairstall_core::batch::{Catalog, Now};
+use stairstall_core::batch::{Catalog, Now, PeerAddress, Reach};
 use stairstall_core::claim::Mark;
 use stairstall_ports::{Adviser, Dialect, Item, Revision, SharedStore, StoreFault, WorkerCalls};
 use tokio::sync::watch;
@@ -44,6 +44,8 @@
     pub(crate) dialect: Arc<dyn Dialect>,
     pub(crate) adviser: Option<Arc<dyn Adviser>>,
     pub(crate) peers: Peers,
+    /// What is known of other daemons.
+    pub(crate) reach: Mutex<Reach>,
     pub(crate) telemetry: Telemetry,
     pub(crate) catalog: watch::Sender<Option<Arc<Catalog>>>,
     /// The planner that was last heard of.
@@ -67,11 +69,15 @@
         Self {
             clock: Clock::new(),
             store,
-            store_health: StoreHealth::new(settings.policy.acceptance.silent_after),
+            store_health: StoreHealth::new(
+                settings.policy.acceptance.silent_after,
+                settings.policy.reach.silent_after,
+            ),
             workers,
             dialect,
             adviser,
             peers: Peers::new(settings.policy.acceptance.peer_timeout),
+            reach: Mutex::new(Reach::new(settings.zone.clone(), settings.policy.reach)),
             telemetry: Telemetry::new(),
             catalog: watch::channel(None).0,
             planner: watch::channel(None).0,
@@ -99,6 +105,27 @@
         *self.rpc_address.get().unwrap_or(&self.settings.rpc_listen)
     }
 
+    /// Returns how other daemons know this one.
+    pub(crate) fn address(&self) -> PeerAddress {
+        PeerAddress {
+            vm: self.me().clone(),
+            zone: self.settings.zone.clone(),
+            rpc: self.rpc_address().to_string(),
+        }
+    }
+
+    /// Tells whether neither the store nor any peer can take work from this daemon.
+    pub(crate) fn is_cut_off(&self) -> bool {
+        let now = self.clock.now();
+        self.store_health.holds_back(now) && lock(&self.reach).is_cut_off(now)
+    }
+
+    /// Tells whether callers should come here.
+    pub(crate) fn is_ready(&self) -> bool {
+        let is_cut_off = self.settings.policy.reach.says_cut_off && self.is_cut_off();
+        !self.is_leaving() && self.current_catalog().is_some() && !is_cut_off
+    }
+
     pub(crate) fn now(&self) -> Now {
         Now::new(self.clock.now(), unix_millis())
     }
--- /dev/null
+++ b/crates/stairstalld/src/batch/reach.rs
@@ -0,0 +1,129 @@
+//! Finds out whether work can be kept: asks the store when it is quiet, and peers while it does
+//! not serve this daemon.
+
+use std::sync::Arc;
+
+use futures::future::join_all;
+use stairstall_core::batch::PeerAddress;
+
+use super::node::Node;
+use super::rpc::{News, PeerClient};
+use super::{catalog, keys, role};
+use crate::daemon::lock;
+
+/// Asks for as long as the daemon runs.
+pub(crate) async fn follow(node: Arc<Node>) {
+    tokio::join!(ask_store(&node), ask_peers(&node), introduce(&node));
+}
+
+/// Asks the store whether it serves whenever nothing else has shown that for a while.
+async fn ask_store(node: &Node) {
+    let policy = &node.settings.policy.reach;
+    loop {
+        tokio::time::sleep(policy.ping_after / 2).await;
+        let now = node.clock.now();
+        if !node.store_health.is_quiet(now, policy.ping_after) {
+            continue;
+        }
+        node.store_health.begin_question(now);
+        let asked = node.store.ping(keys::PLANNER);
+        // What became of it is noted with the call; a failure is no answer to act on here.
+        if node.stored("ping", asked).await.is_err() {
+            node.store_health.end_question();
+        }
+    }
+}
+
+/// Asks peers, while the store does not serve, whether it serves them.
+async fn ask_peers(node: &Node) {
+    let policy = &node.settings.policy.reach;
+    let mut was_cut_off = false;
+    loop {
+        tokio::time::sleep(policy.ask_interval).await;
+        if node.store_health.is_in_doubt(node.clock.now()) {
+            let peers = lock(&node.reach).to_ask();
+            join_all(peers.iter().map(|rpc| ask(node, rpc))).await;
+        }
+        let cut_off = node.is_cut_off();
+        if cut_off != was_cut_off {
+            was_cut_off = cut_off;
+            log::warn!(target: "ready", cut_off; "{}", if cut_off {
+                "neither the store nor a peer can take work: callers should go elsewhere"
+            } else {
+                "work can be taken again"
+            });
+        }
+    }
+}
+
+/// Asks one peer for news and takes them.
+async fn ask(node: &Node, rpc: &str) {
+    let timeout = node.settings.policy.reach.ask_timeout;
+    let version = node.current_catalog().map_or(0, |catalog| catalog.version);
+    let Some(client) = node.peers.client(rpc) else {
+        return;
+    };
+    let asked = tokio::time::timeout(timeout, client.news(version, node.address())).await;
+    match asked {
+        Ok(Ok(news)) => {
+            lock(&node.reach).answered(rpc, news.is_served, node.clock.now());
+            take(node, news);
+        }
+        Ok(Err(error)) => {
+            log::debug!(target: "ready", rpc, why:% = error; "a peer does not answer");
+            node.peers.drop_client(rpc);
+            lock(&node.reach).failed(rpc);
+        }
+        Err(_) => {
+            log::debug!(target: "ready", rpc; "a peer does not answer in time");
+            node.peers.drop_client(rpc);
+            lock(&node.reach).failed(rpc);
+        }
+    }
+}
+
+/// Tells the planner that this daemon is there, and hears of some others.
+async fn introduce(node: &Node) {
+    let policy = &node.settings.policy.reach;
+    loop {
+        node.pause(policy.introduce_every).await;
+        let now = node.clock.now();
+        if let Some(planner) = node.other_planner()
+            && !node.store_health.is_in_doubt(now)
+        {
+            ask(node, &planner.rpc).await;
+        }
+    }
+}
+
+fn take(node: &Node, news: News) {
+    if let Some(newer) = news.catalog {
+        catalog::put_in_force(node, newer, "peer");
+    }
+    role::note_planner(node, news.planner);
+    let now = node.clock.now();
+    let mut reach = lock(&node.reach);
+    for peer in news.peers {
+        if peer.vm != *node.me() {
+            reach.introduce(peer, now);
+        }
+    }
+}
+
+/// Returns what a peer that asks for news is told, and keeps in mind that it is there.
+pub(crate) fn news(node: &Node, version: u64, asker: PeerAddress) -> News {
+    let catalog = node.current_catalog();
+    let newer = catalog.filter(|catalog| catalog.version > version);
+    let now = node.clock.now();
+    let mut reach = lock(&node.reach);
+    let turn = rand::random_range(0..usize::from(u16::MAX));
+    let mut peers = reach.introductions(&asker, turn, now);
+    reach.introduce(asker, now);
+    peers.push(node.address());
+    News {
+        catalog: newer.map(|catalog| stairstall_core::batch::Catalog::clone(&catalog)),
+        planner: node.planner.borrow().clone(),
+        is_served: !node.store_health.is_in_doubt(now),
+        peers,
+    }
+}
--- a/crates/stairstalld/src/batch/rpc.rs
+++ b/crates/stairstalld/src/batch/rpc.rs
@@ -11,12 +11,12 @@
 use jsonrpsee::server::{Server, ServerConfig, ServerHandle};
 use jsonrpsee_http_client::{HttpClient, HttpClientBuilder};
 use serde::{Deserialize, Serialize};
-use stairstall_core::batch::{AcceptedJob, CallerState, Catalog};
+use stairstall_core::batch::{AcceptedJob, CallerState, Catalog, PeerAddress};
 use stairstall_core::{CustomerId, JobId};
 
 use super::accept::{self, Acceptance, Cancellation};
 use super::node::{Node, PlannerRecord};
-use super::role;
+use super::{reach, role};
 use crate::daemon::lock;
 
 /// Clients kept to peers, at most.
@@ -66,22 +66,27 @@
     #[method(name = "cancel")]
     async fn cancel(&self, id: JobId, customer: Option<CustomerId>) -> RpcResult<Cancellation>;
 
-    /// Returns the configuration in force, where it is newer than `version`, and the planner.
+    /// Returns the configuration in force, where it is newer than `version`, the planner, whether
+    /// the store serves the daemon that is asked, and some other daemons.
     #[method(name = "news")]
-    async fn news(&self, version: u64) -> RpcResult<News>;
+    async fn news(&self, version: u64, asker: PeerAddress) -> RpcResult<News>;
 
     /// Tells a daemon that held the planner's role who has taken it.
     #[method(name = "taken")]
     async fn taken(&self, planner: PlannerRecord) -> RpcResult<()>;
 }
 
-/// What a daemon that the store does not serve asks another one for.
+/// What a daemon tells another one that asks.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub(crate) struct News {
     /// The configuration, where it is newer than the asker's.
     pub(crate) catalog: Option<Catalog>,
     /// Who holds the planner's role, as far as is known.
     pub(crate) planner: Option<PlannerRecord>,
+    /// Whether the store serves the daemon that answers.
+    pub(crate) is_served: bool,
+    /// Daemons that the asker should know, the one that answers among them.
+    pub(crate) peers: Vec<PeerAddress>,
 }
 
 /// Serves peers.
@@ -123,13 +128,8 @@
         Ok(accept::write_cancel(&self.0, &id, customer.as_ref()).await)
     }
 
-    async fn news(&self, version: u64) -> RpcResult<News> {
-        let catalog = self.0.current_catalog();
-        let newer = catalog.filter(|catalog| catalog.version > version);
-        Ok(News {
-            catalog: newer.map(|catalog| Catalog::clone(&catalog)),
-            planner: self.0.planner.borrow().clone(),
-        })
+    async fn news(&self, version: u64, asker: PeerAddress) -> RpcResult<News> {
+        Ok(reach::news(&self.0, version, asker))
     }
 
     async fn taken(&self, planner: PlannerRecord) -> RpcResult<()> {
@@ -185,6 +185,11 @@
         Some(client)
     }
 
+    /// Drops the connections to a daemon that does not answer.
+    pub(crate) fn drop_client(&self, address: &str) {
+        lock(&self.clients).remove(address);
+    }
+
     /// Notes what became of a call to the planner; after a failure its connections are dropped,
     /// since the other end may be dead without a word.
     pub(crate) fn note<T>(&self, address: &str, answer: &Result<T, RpcError>) {
@@ -211,3 +216,16 @@
         }
     }
 }
+
+/// Tells whether a call to a peer that failed may have been carried out: not where no connection
+/// was made.
+pub(crate) fn may_have_left(error: &RpcError) -> bool {
+    let mut cause: Option<&(dyn std::error::Error + 'static)> = Some(error);
+    while let Some(found) = cause {
+        if let Some(failure) = found.downcast_ref::<hyper_util::client::legacy::Error>() {
+            return !failure.is_connect();
+        }
+        cause = found.source();
+    }
+    true
+}
--- a/crates/stairstalld/src/batch/serve.rs
+++ b/crates/stairstalld/src/batch/serve.rs
@@ -13,7 +13,7 @@
 
 use super::node::Node;
 use super::settings::BatchSettings;
-use super::{callers, catalog, health, role, rpc};
+use super::{callers, catalog, health, reach, role, rpc};
 use crate::listener::NoDelayListener;
 use crate::serve::{RunError, system};
 use crate::shutdown::{self, Drained, Shutdown};
@@ -74,6 +74,7 @@
         metrics:% = metrics_listen, store:% = node.settings.store,
         version = env!("CARGO_PKG_VERSION"); "serving");
     tokio::spawn(catalog::follow(Arc::clone(&node)));
+    tokio::spawn(reach::follow(Arc::clone(&node)));
     let role = tokio::spawn(role::run(Arc::clone(&node)));
     tokio::spawn(serve_plain(health, health::health_router(&node)));
     tokio::spawn(serve_plain(metrics, health::metrics_router(&node)));
--- a/crates/stairstalld/tests/batch/cluster.rs
+++ b/crates/stairstalld/tests/batch/cluster.rs
@@ -41,11 +41,16 @@
 
     /// Starts a daemon with further flags and waits until it serves.
     pub async fn start_with(name: &str, store: &StandinStore, flags: &[&str]) -> Self {
+        Self::start_in("zone-a", name, store, flags).await
+    }
+
+    /// Starts a daemon of another zone with further flags and waits until it serves.
+    pub async fn start_in(zone: &str, name: &str, store: &StandinStore, flags: &[&str]) -> Self {
         let link = Link::start(store.address()).await.expect("a link");
         let local = "127.0.0.1:0";
         let mut child = Command::new(env!("CARGO_BIN_EXE_stairstalld"))
             .arg("batch")
-            .args(["--vm", name, "--zone", "zone-a", "--listen", local])
+            .args(["--vm", name, "--zone", zone, "--listen", local])
             .args(["--health-listen", local, "--rpc-listen", local])
             .args(["--metrics-listen", local])
             .args(["--store", &link.address().to_string()])
--- a/crates/stairstalld/tests/batch/main.rs
+++ b/crates/stairstalld/tests/batch/main.rs
@@ -4,4 +4,5 @@
 mod faults;
 mod path;
 mod policy;
+mod reach;
 mod soak;
