feat(batch): let urgent work go on while a claim can still begin in time

Hypothesis: urgent gangs that give way to urgent gangs make two late where one need be. Change: a claim spares other urgent work until what its bound leaves after a stop and a margin of 1 s; it counts from its acceptance, so that a new planner does not begin anew; the bound is a setting (--reclaim-ms). Other ranks give way at once as before. Test changed: 'a claim takes the place of urgent work beyond a guarantee' saw the stop within 300 ms; it now demands none for 1 s and the claim's start within the bound of 3.4 s. Two further tests.

--- a/crates/stairstall-core/src/batch/planner/bounds.rs
+++ b/crates/stairstall-core/src/batch/planner/bounds.rs
@@ -26,6 +26,8 @@
     pub hold_max: Duration,
     /// Longest time that a stop takes.
     pub stop_max: Duration,
+    /// Within what time of its acceptance a customer's claim on its own share has to begin.
+    pub reclaim: Duration,
     /// How many times as long a task takes away from its rack.
     pub far_factor: u32,
     /// How long an ended job is answered for.
--- a/crates/stairstall-core/src/batch/planner/fit.rs
+++ b/crates/stairstall-core/src/batch/planner/fit.rs
@@ -5,7 +5,7 @@
 
 use super::job::{Group, Job};
 use super::pool::{Health, Run, RunState, Worker};
-use super::queue::{Candidate, URGENT};
+use super::queue::{CLAIM, Candidate, URGENT};
 use super::victims::Victims;
 use super::{Now, Planner};
 use crate::batch::{Decision, DecisionKind, GroupKey, StepSpec};
@@ -84,7 +84,12 @@
             });
         }
         let prefers_near = step.near_rack.is_some() || (step.gang && step.same_rack);
-        let patience = if urgent {
+        let patience = if candidate.rank == CLAIM {
+            self.policy
+                .places
+                .near_patience_urgent
+                .max(self.claim_patience())
+        } else if urgent {
             self.policy.places.near_patience_urgent
         } else {
             Duration::from_millis(self.estimate_ms(step))
@@ -160,6 +165,8 @@
         let home = job
             .and_then(|job| job.accepted.zone.clone())
             .filter(|_| self.policy.places.prefers_callers_zone);
+        let since_accepted = self.since_accepted(&candidate.key, now);
+        let spares = self.spared_rank(candidate.rank, waited.max(since_accepted));
         let losses = scope.preempts.then(|| self.gang_losses(now));
         self.workers
             .iter()
@@ -181,7 +188,7 @@
                 penalty: self.penalty(w, step, &candidate.key, now),
                 in_other_zone: home.as_ref().is_some_and(|home| *home != w.listed.zone),
                 victims: losses.as_ref().map_or_else(Victims::default, |losses| {
-                    Victims::of(w, candidate.rank, losses, now.at, &self.policy.victims)
+                    Victims::of(w, spares, losses, now.at, &self.policy.victims)
                 }),
             })
             .filter(|site| site.spread_left > 0)
--- a/crates/stairstall-core/src/batch/policy/planner.rs
+++ b/crates/stairstall-core/src/batch/policy/planner.rs
@@ -63,6 +63,12 @@
     /// What a stop costs beside the work that is lost, as time of the run's room.
     #[serde(with = "super::millis")]
     pub stop_cost: Duration,
+    /// Whether a customer's claim on its own share lets other urgent work go on for as long as it
+    /// can still begin in time.
+    pub claims_wait: bool,
+    /// Time that a claim keeps in hand, beside a stop, for orders that have to be repeated.
+    #[serde(with = "super::millis")]
+    pub claim_margin: Duration,
     /// What stopping a run with checkpoints costs at most, as time of its work.
     #[serde(with = "super::millis")]
     pub restore_cost: Duration,
@@ -72,6 +78,8 @@
     fn default() -> Self {
         Self {
             stop_cost: Duration::from_millis(200),
+            claims_wait: true,
+            claim_margin: Duration::from_secs(1),
             restore_cost: Duration::from_millis(300),
         }
     }
--- a/crates/stairstall-core/tests/batch/harness.rs
+++ b/crates/stairstall-core/tests/batch/harness.rs
@@ -104,6 +104,7 @@
     Bounds {
         hold_max: HOLD_MAX,
         stop_max: STOP_MAX,
+        reclaim: Duration::from_millis(3_400),
         far_factor: 3,
         keep_ended: Duration::from_secs(120),
     }
--- a/crates/stairstall-core/tests/batch/room.rs
+++ b/crates/stairstall-core/tests/batch/room.rs
@@ -78,13 +78,52 @@
     wider.version = 2;
     fleet.planner.set_catalog(Arc::new(wider));
     fleet.submit(job("claim-2", 0, vec![step(1, 4)]));
-    fleet.pass(300);
+    fleet.pass(1_000);
+    assert_eq!(
+        stops(&fleet),
+        0,
+        "other urgent work goes on while there is time"
+    );
+    fleet.pass(2_300);
     assert_eq!(stops(&fleet), 1);
+    assert_eq!(fleet.starts_of(&task("claim-2", 0, 0)), 1, "begun in time");
     assert!(fleet.place_of(&task("claim-1", 0, 0)).is_some());
     assert!(fleet.place_of(&task("claim-2", 0, 0)).is_some());
     assert!(fleet.place_of(&task("beyond", 0, 0)).is_none());
 }
 
+#[test]
+fn a_claim_that_was_accepted_long_ago_does_not_wait_again_under_a_new_planner() {
+    let mut fleet = Fleet::new(&[("w1", "r1")]);
+    fleet.planner.set_catalog(Arc::new(catalog(4)));
+    fleet.hold_all();
+    let mut beyond = job("beyond", 0, vec![step(1, 8)]);
+    beyond.customer = Some("other".parse().expect("an id"));
+    fleet.submit(beyond);
+    fleet.pass(300);
+    let mut claim = job("claim", 0, vec![step(1, 4)]);
+    claim.accepted_unix_ms = fleet.now().unix_ms - 3_000;
+    fleet.submit(claim);
+    fleet.pass(100);
+    assert_eq!(stops(&fleet), 1);
+}
+
+#[test]
+fn a_claim_makes_other_work_than_urgent_give_way_at_once() {
+    let mut fleet = Fleet::new(&[("w1", "r1"), ("w2", "r1")]);
+    fleet.planner.set_catalog(Arc::new(catalog(4)));
+    fleet.hold_all();
+    fleet.submit(job("batch", 2, vec![step(1, 8)]));
+    let mut beyond = job("beyond", 0, vec![step(1, 8)]);
+    beyond.customer = Some("other".parse().expect("an id"));
+    fleet.submit(beyond);
+    fleet.pass(300);
+    fleet.submit(job("claim", 0, vec![step(1, 4)]));
+    fleet.pass(100);
+    assert_eq!(stops(&fleet), 1);
+    assert!(fleet.place_of(&task("beyond", 0, 0)).is_some());
+}
+
 #[test]
 fn work_goes_to_its_callers_zone_where_that_costs_nothing() {
     let mut fleet = Fleet::new(&[("w1", "r1"), ("w2", "r1"), ("w3", "r2")]);
--- a/crates/stairstalld/src/batch/settings.rs
+++ b/crates/stairstalld/src/batch/settings.rs
@@ -31,6 +31,7 @@
     role_lease_ms: String,
     hold_max_ms: String,
     stop_max_ms: String,
+    reclaim_ms: String,
     far_factor: String,
     keep_ended_s: String,
     drain_delay_ms: String,
@@ -154,6 +155,12 @@
         "STAIRSTALL_STOP_MAX_MS",
         "Longest time that a worker takes to stop a task"
     );
+    let reclaim_ms = flag!(
+        "reclaim-ms",
+        "STAIRSTALL_RECLAIM_MS",
+        "Within what time a customer's claim on its own share has to begin",
+        "2500"
+    );
     let far_factor = flag!(
         "far-factor",
         "STAIRSTALL_FAR_FACTOR",
@@ -209,6 +216,7 @@
         role_lease_ms,
         hold_max_ms,
         stop_max_ms,
+        reclaim_ms,
         far_factor,
         keep_ended_s,
         drain_delay_ms,
@@ -306,11 +314,13 @@
     fn read_bounds(raw: &Raw, checks: &mut Checks) -> Option<Bounds> {
         let hold_max = checks.millis("--hold-max-ms", &raw.hold_max_ms, 500, DAY_MS);
         let stop_max = checks.millis("--stop-max-ms", &raw.stop_max_ms, 1, DAY_MS);
+        let reclaim = checks.millis("--reclaim-ms", &raw.reclaim_ms, 1, DAY_MS);
         let far_factor = checks.number("--far-factor", &raw.far_factor, 1, 1_000);
         let keep_ended_s = checks.number("--keep-ended-s", &raw.keep_ended_s, 1, DAY_MS);
         Some(Bounds {
             hold_max: hold_max?,
             stop_max: stop_max?,
+            reclaim: reclaim?,
             far_factor: u32::try_from(far_factor?).ok()?,
             keep_ended: Duration::from_secs(keep_ended_s?),
         })
