--- a/crates/stairstall-core/src/batch/planner/fit.rs
+++ b/crates/stairstall-core/src/batch/planner/fit.rs
@@ -35,7 +35,7 @@
             return;
         };
         let mut waiting = group.waiting();
-        let mut allowance = self.allowance(candidate.rank, now);
+        let mut allowance = self.allowance(candidate, now);
         let ready_since = group.ready_since.unwrap_or(now.at);
         if step.gang && waiting.len() != group.tasks.len() {
             return;
--- a/crates/stairstall-core/src/batch/planner/headroom.rs
+++ b/crates/stairstall-core/src/batch/planner/headroom.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use super::queue::URGENT;
+use super::queue::{Candidate, URGENT};
 use super::{Now, Planner};
 use crate::Timestamp;
 use crate::batch::AcceptedJob;
@@ -46,12 +46,13 @@
 }
 
 impl Planner {
-    /// Returns how many more accelerators work of that rank may take.
+    /// Returns how many more accelerators a step may take.
     ///
     /// What is kept free grows with the time that a stop takes: that is what
-    /// urgent work loses where others have to give way to it.
-    pub(super) fn allowance(&self, rank: u8, now: Now) -> u32 {
-        if rank <= URGENT {
+    /// urgent work loses where others have to give way to it. It shrinks as
+    /// the step's own time runs out, or a wide gang would never start.
+    pub(super) fn allowance(&self, candidate: &Candidate, now: Now) -> u32 {
+        if candidate.rank <= URGENT {
             return u32::MAX;
         }
         let workers = self.workers.values().filter(|w| w.takes_tasks());
@@ -64,7 +65,28 @@
             clippy::cast_sign_loss,
             reason = "a count of accelerators"
         )]
-        let kept = (self.demand.per_second(policy.window, now) * seconds) as u32;
+        let kept = (self.demand.per_second(policy.window, now)
+            * seconds
+            * self.slack_left(candidate, now)) as u32;
         free.saturating_sub(kept)
     }
+
+    /// Returns which part is left of the time for which a step may wait and still end in time.
+    fn slack_left(&self, candidate: &Candidate, now: Now) -> f64 {
+        let job = self.jobs.get(&candidate.key.job);
+        let Some(job) = job.filter(|_| self.policy.headroom.yields_to_late) else {
+            return 1.0;
+        };
+        let occurrence = candidate.key.occurrence;
+        let due = job.due_unix_ms(occurrence);
+        let latest_start = job
+            .objective_unix_ms(occurrence)
+            .saturating_sub(job.accepted.spec.chain_ms());
+        let whole = Duration::from_millis(latest_start.saturating_sub(due));
+        let left = Duration::from_millis(latest_start.saturating_sub(now.unix_ms));
+        if whole.is_zero() {
+            return 0.0;
+        }
+        (left.as_secs_f64() / whole.as_secs_f64()).clamp(0.0, 1.0)
+    }
 }
--- a/crates/stairstall-core/src/batch/planner/job.rs
+++ b/crates/stairstall-core/src/batch/planner/job.rs
@@ -222,13 +222,19 @@
         self.change();
     }
 
+    /// Returns since when a time could be worked on, in milliseconds since the Unix epoch.
+    pub(super) fn due_unix_ms(&self, occurrence: u32) -> u64 {
+        let schedule = self.accepted.spec.schedule;
+        schedule.map_or(self.accepted.accepted_unix_ms, |schedule| {
+            schedule.due_unix_ms(occurrence)
+        })
+    }
+
     /// Returns until when a time should be done, in milliseconds since the Unix epoch.
     pub(super) fn objective_unix_ms(&self, occurrence: u32) -> u64 {
         let queue = &self.accepted.queue;
         let spec = &self.accepted.spec;
-        let from = spec.schedule.map_or(self.accepted.accepted_unix_ms, |s| {
-            s.due_unix_ms(occurrence)
-        });
+        let from = self.due_unix_ms(occurrence);
         #[allow(
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss,
--- a/crates/stairstall-core/src/batch/policy/planner.rs
+++ b/crates/stairstall-core/src/batch/policy/planner.rs
@@ -94,6 +94,8 @@
     pub window: Duration,
     /// Seconds of urgent demand that are kept free.
     pub kept_seconds: f64,
+    /// Whether less is kept free from work whose own time runs out.
+    pub yields_to_late: bool,
     /// Seconds of urgent demand that are kept free beside, for each second that a stop takes.
     pub kept_per_stop: f64,
 }
@@ -103,6 +105,7 @@
         Self {
             window: Duration::from_secs(10),
             kept_seconds: 0.25,
+            yields_to_late: true,
             kept_per_stop: 5.3,
         }
     }
