--- a/crates/stairstall-core/src/batch/planner/fit.rs
+++ b/crates/stairstall-core/src/batch/planner/fit.rs
@@ -167,7 +167,7 @@
             .filter(|_| self.policy.places.prefers_callers_zone);
         let since_accepted = self.since_accepted(&candidate.key, now);
         let spares = self.spared_rank(candidate.rank, waited.max(since_accepted));
-        let losses = scope.preempts.then(|| self.losses(now));
+        let losses = scope.preempts.then(|| self.gang_losses(now));
         self.workers
             .iter()
             .filter(|(_, w)| w.takes_tasks() && w.suits(step))
@@ -188,7 +188,7 @@
                 penalty: self.penalty(w, step, &candidate.key, now),
                 in_other_zone: home.as_ref().is_some_and(|home| *home != w.listed.zone),
                 victims: losses.as_ref().map_or_else(Victims::default, |losses| {
-                    Victims::of(w, spares, losses, now.at)
+                    Victims::of(w, spares, losses, now.at, &self.policy.victims)
                 }),
             })
             .filter(|site| site.spread_left > 0)
--- a/crates/stairstall-core/src/batch/planner/story.rs
+++ b/crates/stairstall-core/src/batch/planner/story.rs
@@ -125,7 +125,7 @@
             + Duration::from_millis(accepted.queue.target_ms),
         spans: job.story.spans(),
         starts: job.story.starts,
-        setbacks: job.story.setbacks().clone(),
+        setbacks: job.story.setbacks(),
         taken_over: job.story.taken_over,
     })
 }
--- a/crates/stairstall-core/src/batch/planner/victims.rs
+++ b/crates/stairstall-core/src/batch/planner/victims.rs
@@ -5,11 +5,11 @@
 
 use super::contact::millis;
 use super::fit::Site;
-use super::pool::{Run, RunState, Worker};
+use super::pool::{RunState, Worker};
 use super::queue::{CLAIM, URGENT};
 use super::{Now, Planner};
-use crate::batch::{GroupKey, Resources, Setback, TaskKey, VictimPolicy};
-use crate::{JobId, Timestamp, WorkerId};
+use crate::batch::{GroupKey, Resources, TaskKey, VictimPolicy};
+use crate::{Timestamp, WorkerId};
 
 /// One run that may give way.
 #[derive(Debug, Clone)]
@@ -26,16 +26,31 @@
 
 impl Victims {
     /// Returns the runs of a worker that come after `rank`; what lasts gives way to nothing.
-    pub(super) fn of(worker: &Worker, rank: u8, losses: &Losses, at: Timestamp) -> Self {
-        let runs = worker.runs.iter();
-        let mut victims: Vec<Victim> = runs
+    pub(super) fn of(
+        worker: &Worker,
+        rank: u8,
+        gang_losses: &BTreeMap<GroupKey, u64>,
+        at: Timestamp,
+        policy: &VictimPolicy,
+    ) -> Self {
+        let mut victims: Vec<Victim> = worker
+            .runs
+            .iter()
             .filter(|(_, run)| run.rank > rank && run.state != RunState::Stopping)
             .filter(|(_, run)| !run.lasts)
-            .map(|(task, run)| Victim {
-                task: task.clone(),
-                room: run.room,
-                cost: losses.of(task, run, at),
-                gang: run.gang,
+            .map(|(task, run)| {
+                let lost = if run.gang {
+                    gang_losses.get(&task.group).copied().unwrap_or(0)
+                } else {
+                    run.loss(at, policy.restore_cost)
+                };
+                let stop = run.room.weight() * millis(policy.stop_cost) / 1000;
+                Victim {
+                    task: task.clone(),
+                    room: run.room,
+                    cost: lost + stop,
+                    gang: run.gang,
+                }
             })
             .collect();
         victims.sort_by(|a, b| (a.cost, &a.task).cmp(&(b.cost, &b.task)));
@@ -130,92 +145,15 @@
         }
     }
 
-    /// Returns what stopping runs would cost.
-    pub(super) fn losses(&self, now: Now) -> Losses {
-        let mut losses = Losses {
-            policy: self.policy.victims,
-            gangs: BTreeMap::new(),
-            jobs: BTreeMap::new(),
-        };
+    /// Returns what stopping each gang that runs would throw away.
+    pub(super) fn gang_losses(&self, now: Now) -> BTreeMap<GroupKey, u64> {
+        let mut losses = BTreeMap::new();
         for worker in self.workers.values() {
-            for (task, run) in worker.runs.iter().filter(|(_, run)| run.rank > CLAIM) {
-                let job = &task.group.job;
-                if !losses.jobs.contains_key(job) {
-                    losses.jobs.insert(job.clone(), self.stake(task, run, now));
-                }
-                if run.gang {
-                    let stake = &losses.jobs[job];
-                    let loss = stake.loss(run, now.at, &losses.policy);
-                    *losses.gangs.entry(task.group.clone()).or_insert(0) += loss;
-                }
+            for (task, run) in worker.runs.iter().filter(|(_, run)| run.gang) {
+                *losses.entry(task.group.clone()).or_insert(0) +=
+                    run.loss(now.at, self.policy.victims.restore_cost);
             }
         }
         losses
     }
-
-    /// Returns what a job has at stake if a run of it is stopped now.
-    fn stake(&self, task: &TaskKey, run: &Run, now: Now) -> Stake {
-        let Some(job) = self.jobs.get(&task.group.job) else {
-            return Stake::default();
-        };
-        let objective = job.objective_unix_ms(task.group.occurrence);
-        let again_ms = millis(self.bounds.stop_max) + run.expected_ms;
-        Stake {
-            gave_way: job.story.setbacks().count(Setback::GaveWay),
-            becomes_late: now.unix_ms <= objective && now.unix_ms + again_ms > objective,
-        }
-    }
-}
-
-/// What one job has at stake.
-#[derive(Debug, Clone, Copy, Default)]
-struct Stake {
-    /// How often it gave way before.
-    gave_way: u32,
-    /// Whether it can't be done in time any more if it begins again.
-    becomes_late: bool,
-}
-
-impl Stake {
-    /// Returns what stopping a run costs, in core-milliseconds.
-    #[allow(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        clippy::cast_precision_loss,
-        reason = "core-milliseconds of one run are far below 2^52"
-    )]
-    fn loss(self, run: &Run, at: Timestamp, policy: &VictimPolicy) -> u64 {
-        let stop = run.room.weight() * millis(policy.stop_cost) / 1000;
-        let lost = run.loss(at, policy.restore_cost) + stop;
-        let dearer = 1.0 + policy.again_weight * f64::from(self.gave_way);
-        let work = run.room.weight() * run.expected_ms / 1000;
-        let late = if self.becomes_late {
-            policy.late_weight * work as f64
-        } else {
-            0.0
-        };
-        (lost as f64 * dearer + late) as u64
-    }
-}
-
-/// What stopping runs costs: the work that is thrown away, more for a job that gave way before
-/// or that would be late.
-#[derive(Debug, Clone)]
-pub(super) struct Losses {
-    policy: VictimPolicy,
-    /// Of each gang that runs, over all its members.
-    gangs: BTreeMap<GroupKey, u64>,
-    jobs: BTreeMap<JobId, Stake>,
-}
-
-impl Losses {
-    fn of(&self, task: &TaskKey, run: &Run, at: Timestamp) -> u64 {
-        if run.gang
-            && let Some(loss) = self.gangs.get(&task.group)
-        {
-            return *loss;
-        }
-        let stake = self.jobs.get(&task.group.job).copied().unwrap_or_default();
-        stake.loss(run, at, &self.policy)
-    }
 }
--- a/crates/stairstall-core/src/batch/policy/daemon.rs
+++ b/crates/stairstall-core/src/batch/policy/daemon.rs
@@ -15,13 +15,6 @@
     /// The same while nothing else is served either.
     #[serde(with = "super::millis")]
     pub outage_settle_limit: Duration,
-    /// When a caller should come back while the store serves nobody.
-    #[serde(with = "super::millis")]
-    pub retry_after: Duration,
-    /// When a caller should come back that a daemon can't serve although others can: it is sent
-    /// to one of those as soon as the balancer knows.
-    #[serde(with = "super::millis")]
-    pub retry_elsewhere_after: Duration,
     /// Pause between two tries of a write.
     #[serde(with = "super::millis")]
     pub try_again: Duration,
@@ -41,8 +34,6 @@
         Self {
             settle_limit: Duration::from_secs(1),
             outage_settle_limit: Duration::from_millis(350),
-            retry_after: Duration::from_secs(1),
-            retry_elsewhere_after: Duration::ZERO,
             try_again: Duration::from_millis(40),
             silent_after: Duration::from_millis(250),
             peer_timeout: Duration::from_millis(800),
--- a/crates/stairstall-core/src/batch/policy/planner.rs
+++ b/crates/stairstall-core/src/batch/policy/planner.rs
@@ -69,10 +69,6 @@
     /// Time that a claim keeps in hand, beside a stop, for orders that have to be repeated.
     #[serde(with = "super::millis")]
     pub claim_margin: Duration,
-    /// What a stop costs that makes a job late, in times the work of the run.
-    pub late_weight: f64,
-    /// How much dearer a stop is for each time that the job gave way before.
-    pub again_weight: f64,
     /// What stopping a run with checkpoints costs at most, as time of its work.
     #[serde(with = "super::millis")]
     pub restore_cost: Duration,
@@ -84,8 +80,6 @@
             stop_cost: Duration::from_millis(200),
             claims_wait: true,
             claim_margin: Duration::from_secs(1),
-            late_weight: 1.0,
-            again_weight: 0.5,
             restore_cost: Duration::from_millis(300),
         }
     }
--- a/crates/stairstall-core/src/batch/story.rs
+++ b/crates/stairstall-core/src/batch/story.rs
@@ -110,12 +110,6 @@
         *self.0.entry(setback).or_default() += 1;
     }
 
-    /// Returns how often one happened.
-    #[must_use]
-    pub fn count(&self, setback: Setback) -> u32 {
-        self.0.get(&setback).copied().unwrap_or(0)
-    }
-
     /// Tells whether there was none.
     #[must_use]
     pub fn is_empty(&self) -> bool {
@@ -264,8 +258,8 @@
         self.spans.clone()
     }
 
-    pub(super) const fn setbacks(&self) -> &Setbacks {
-        &self.setbacks
+    pub(super) fn setbacks(&self) -> Setbacks {
+        self.setbacks.clone()
     }
 
     /// Returns how long everything ran since the last setback.
--- a/crates/stairstalld/src/answer.rs
+++ b/crates/stairstalld/src/answer.rs
@@ -76,7 +76,7 @@
         let headers = response.headers_mut();
         set(headers, header::VERDICT, failure.body.verdict.as_str());
         if let Some(after) = failure.body.retry_after_ms {
-            headers.insert(RETRY_AFTER, after.div_ceil(1000).into());
+            headers.insert(RETRY_AFTER, after.div_ceil(1000).max(1).into());
         }
         if let Some(request) = &failure.body.request {
             set(headers, header::REQUEST_ID, request.as_str());
--- a/crates/stairstalld/src/batch/callers.rs
+++ b/crates/stairstalld/src/batch/callers.rs
@@ -15,6 +15,8 @@
 use super::rpc::JobAnswer;
 use crate::answer::Failure;
 
+/// How soon it is worth coming back while the store does not serve.
+const STORE_RETRY: Duration = Duration::from_secs(1);
 /// How long a caller may take to send its body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -74,16 +76,6 @@
     response
 }
 
-/// Returns when a caller should come back that can't be served now.
-fn retry_after(node: &Node) -> Duration {
-    let policy = &node.settings.policy.acceptance;
-    if node.is_cut_off() {
-        policy.retry_elsewhere_after
-    } else {
-        policy.retry_after
-    }
-}
-
 fn kind_of(method: &Method) -> &'static str {
     match *method {
         Method::POST => "submit",
@@ -96,7 +88,7 @@
     let Some(catalog) = node.current_catalog() else {
         return Err(Failure::unavailable(
             "no configuration is known yet",
-            retry_after(node),
+            STORE_RETRY,
         ));
     };
     let path = request.uri().path();
@@ -190,14 +182,14 @@
             Acceptance::Foreign => Err(foreign()),
             Acceptance::NotKept => Err(Failure::unavailable(
                 "the store does not serve; the job was not taken",
-                retry_after(self.node),
+                STORE_RETRY,
             )),
             Acceptance::MayBeKept => Err(Failure::new(
                 StatusCode::GATEWAY_TIMEOUT,
                 Verdict::MayHaveRun,
                 "the store did not answer; hand the job in again under the same name",
             )
-            .with_retry_after(retry_after(self.node))),
+            .with_retry_after(STORE_RETRY)),
         }
     }
 
@@ -228,10 +220,7 @@
 
     async fn state(&self, id: &JobId) -> std::result::Result<Response, Failure> {
         let answer = ask::job(self.node, id).await.map_err(|fault| {
-            Failure::unavailable(
-                format!("the job can't be read: {fault}"),
-                retry_after(self.node),
-            )
+            Failure::unavailable(format!("the job can't be read: {fault}"), STORE_RETRY)
         })?;
         match answer {
             JobAnswer::Known { customer, state } => {
@@ -263,15 +252,14 @@
                 Verdict::MayHaveRun,
                 "the store does not serve; the job may not be cancelled",
             )
-            .with_retry_after(retry_after(self.node))),
+            .with_retry_after(STORE_RETRY)),
         }
     }
 
     async fn pending(&self) -> std::result::Result<Response, Failure> {
         let pending = ask::pending(self.node, &self.route.queue.name).await;
-        let pending = pending.ok_or_else(|| {
-            Failure::unavailable("the planner can't be asked", retry_after(self.node))
-        })?;
+        let pending = pending
+            .ok_or_else(|| Failure::unavailable("the planner can't be asked", STORE_RETRY))?;
         Ok(body(self.node.dialect.write_pending(pending)))
     }
 }
