--- a/crates/stairstall-core/src/batch/planner/starts.rs
+++ b/crates/stairstall-core/src/batch/planner/starts.rs
@@ -193,9 +193,14 @@
 
     fn progress_of(&self, id: &WorkerId, task: &TaskKey, now: Now) -> String {
         let run = self.workers.get(id).and_then(|w| w.runs.get(task));
+        let restore_cost = self.policy.victims.restore_cost;
         run.map_or_else(String::new, |run| {
             let ran = run.began.map_or(0, |(at, _)| millis(now.at - at));
-            format!("{} percent after {ran} ms", run.percent)
+            let lost = run.loss(now.at, restore_cost) / 1000;
+            format!(
+                "{} percent after {ran} ms, {lost} core-seconds lost",
+                run.percent
+            )
         })
     }
 
