fix(batch): keep headroom from work that is not a gang

Only a gang needs its room at once. Change: the part kept shrinks for gangs alone, over a set part of their time.

--- a/crates/stairstall-core/src/batch/planner/headroom.rs
+++ b/crates/stairstall-core/src/batch/planner/headroom.rs
@@ -50,7 +50,7 @@
     ///
     /// What is kept free grows with the time that a stop takes: that is what
     /// urgent work loses where others have to give way to it. It shrinks as
-    /// the step's own time runs out, or a wide gang would never start.
+    /// a gang's own time runs out, or a wide one would never start.
     pub(super) fn allowance(&self, candidate: &Candidate, now: Now) -> u32 {
         if candidate.rank <= URGENT {
             return u32::MAX;
@@ -67,14 +67,17 @@
         )]
         let kept = (self.demand.per_second(policy.window, now)
             * seconds
-            * self.slack_left(candidate, now)) as u32;
+            * self.part_kept(candidate, now)) as u32;
         free.saturating_sub(kept)
     }
 
-    /// Returns which part is left of the time for which a step may wait and still end in time.
-    fn slack_left(&self, candidate: &Candidate, now: Now) -> f64 {
+    /// Returns which part of the room to be kept free is kept from a step: less from a gang whose
+    /// time to wait, if it is still to end in time, runs out.
+    fn part_kept(&self, candidate: &Candidate, now: Now) -> f64 {
         let job = self.jobs.get(&candidate.key.job);
-        let Some(job) = job.filter(|_| self.policy.headroom.yields_to_late) else {
+        let yields_from = self.policy.headroom.yields_from;
+        let is_gang = self.step(&candidate.key).is_some_and(|step| step.gang);
+        let Some(job) = job.filter(|_| is_gang && yields_from > 0.0) else {
             return 1.0;
         };
         let occurrence = candidate.key.occurrence;
@@ -87,6 +90,6 @@
         if whole.is_zero() {
             return 0.0;
         }
-        (left.as_secs_f64() / whole.as_secs_f64()).clamp(0.0, 1.0)
+        (left.as_secs_f64() / whole.as_secs_f64() / yields_from).clamp(0.0, 1.0)
     }
 }
--- a/crates/stairstall-core/src/batch/policy/planner.rs
+++ b/crates/stairstall-core/src/batch/policy/planner.rs
@@ -94,8 +94,9 @@
     pub window: Duration,
     /// Seconds of urgent demand that are kept free.
     pub kept_seconds: f64,
-    /// Whether less is kept free from work whose own time runs out.
-    pub yields_to_late: bool,
+    /// Part of the time for which a gang may wait, from the end, in which less and less is kept
+    /// free from it: a wide gang would never start otherwise. 0 switches that off.
+    pub yields_from: f64,
     /// Seconds of urgent demand that are kept free beside, for each second that a stop takes.
     pub kept_per_stop: f64,
 }
@@ -105,7 +106,7 @@
         Self {
             window: Duration::from_secs(10),
             kept_seconds: 0.25,
-            yields_to_late: true,
+            yields_from: 1.0,
             kept_per_stop: 5.3,
         }
     }
