--- a/bench/examples/anatomy.rs
+++ b/bench/examples/anatomy.rs
@@ -8,11 +8,9 @@
 use std::collections::BTreeMap;
 use std::path::PathBuf;
 use std::process::{Command, ExitCode};
-use std::sync::Mutex;
-use std::thread;
 
 use bpaf::{OptionParser, Parser, construct, long};
-use stairstall_bench::{Causes, count_causes, read_jobs};
+use stairstall_bench::{Causes, count_causes, flags, in_parallel, read_jobs};
 
 #[derive(Debug, Clone)]
 struct Options {
@@ -25,20 +23,11 @@
 }
 
 fn parser() -> OptionParser<Options> {
-    let bench = long("bench").help("The users' bench").argument("FILE");
     let site = long("site").help("The site file").argument("FILE");
-    let days = long("days")
-        .help("Names of days, divided by commas")
-        .argument("DAYS")
-        .fallback("trouble-1,scale-1,trouble-2,scale-2,trouble-3".to_owned());
-    let seeds = long("seeds")
-        .help("Seeds, divided by commas; own is the day's own")
-        .argument("SEEDS")
-        .fallback("own,1,2".to_owned());
-    let jobs = long("jobs")
-        .help("Plays at a time")
-        .argument("N")
-        .fallback(6);
+    let bench = flags::bench();
+    let days = flags::days();
+    let seeds = flags::seeds();
+    let jobs = flags::jobs();
     let why = long("why").help("What is looked for").argument("TEXT");
     construct!(Options {
         bench,
@@ -57,33 +46,16 @@
     let days = options.days.split(',');
     let plays = days.flat_map(|day| options.seeds.split(',').map(move |seed| (day, seed)));
     let plays: Vec<(&str, &str)> = plays.collect();
-    let left = Mutex::new(plays.iter());
-    let found = Mutex::new((Causes::new(), BTreeMap::new(), 0_u32));
-    thread::scope(|scope| {
-        for _ in 0..options.jobs.max(1) {
-            scope.spawn(|| {
-                loop {
-                    let next = left.lock().ok().and_then(|mut left| left.next());
-                    let Some((day, seed)) = next else {
-                        return;
-                    };
-                    let Some(log) = log_of(&options, day, seed) else {
-                        continue;
-                    };
-                    let jobs = read_jobs(&log);
-                    if let Ok(mut found) = found.lock() {
-                        let (causes, windows, days) = &mut *found;
-                        count_causes(&jobs, causes, windows);
-                        *days += 1;
-                    }
-                }
-            });
-        }
+    let played = in_parallel(&plays, options.jobs, |_, (day, seed)| {
+        let log = log_of(&options, day, seed)?;
+        Some(read_jobs(&log))
     });
-    let Ok((causes, windows, days)) = found.into_inner() else {
-        return ExitCode::FAILURE;
-    };
-    print(&causes, &windows, days);
+    let mut causes = Causes::new();
+    let mut windows = BTreeMap::new();
+    for jobs in &played {
+        count_causes(jobs, &mut causes, &mut windows);
+    }
+    print(&causes, &windows, played.len());
     ExitCode::SUCCESS
 }
 
@@ -109,7 +81,7 @@
     }
 }
 
-fn print(causes: &Causes, windows: &BTreeMap<u32, u32>, days: u32) {
+fn print(causes: &Causes, windows: &BTreeMap<u32, u32>, days: usize) {
     println!("{days} days\n\n| cause | priority | jobs |\n|---|---|---|");
     let mut rows: Vec<_> = causes.iter().collect();
     rows.sort_by_key(|(_, jobs)| std::cmp::Reverse(**jobs));
--- a/bench/examples/rounds.rs
+++ b/bench/examples/rounds.rs
@@ -9,7 +9,7 @@
 use std::process::ExitCode;
 
 use bpaf::{OptionParser, Parser, construct, long, positional};
-use stairstall_bench::{BenchError, Checkout, Comparison, Play, Runner, Variant, play};
+use stairstall_bench::{BenchError, Checkout, Comparison, Play, Runner, Variant, flags, play};
 
 #[derive(Debug, Clone)]
 struct Options {
@@ -24,23 +24,14 @@
 }
 
 fn parser() -> OptionParser<Options> {
-    let bench = long("bench").help("The users' bench").argument("FILE");
     let sites = long("site")
         .help("A site file; may be given several times")
         .argument("FILE")
         .some("a site is needed");
-    let days = long("days")
-        .help("Names of days, divided by commas")
-        .argument("DAYS")
-        .fallback("trouble-1,scale-1,trouble-2,scale-2,trouble-3".to_owned());
-    let seeds = long("seeds")
-        .help("Seeds, divided by commas; own is the day's own")
-        .argument("SEEDS")
-        .fallback("own,1,2".to_owned());
-    let jobs = long("jobs")
-        .help("Plays at a time")
-        .argument("N")
-        .fallback(6);
+    let bench = flags::bench();
+    let days = flags::days();
+    let seeds = flags::seeds();
+    let jobs = flags::jobs();
     let scratch = long("scratch")
         .help("Where the checkout is copied to; kept for the next time")
         .argument("DIR")
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -8,6 +8,8 @@
 mod checkout;
 mod compare;
 mod error;
+pub mod flags;
+mod parallel;
 mod plan;
 mod report;
 
@@ -15,5 +17,6 @@
 pub use checkout::{Checkout, with_flags};
 pub use compare::{Comparison, Row};
 pub use error::BenchError;
+pub use parallel::in_parallel;
 pub use plan::{Play, Runner, Variant, play};
 pub use report::{Part, Report};
--- a/bench/src/plan.rs
+++ b/bench/src/plan.rs
@@ -3,10 +3,9 @@
 use std::path::{Path, PathBuf};
 use std::process::Command;
 use std::str::FromStr;
-use std::sync::Mutex;
-use std::thread;
 
 use crate::checkout::run;
+use crate::parallel::in_parallel;
 use crate::{BenchError, Checkout, Report};
 
 /// A name and changes of the policy.
@@ -91,29 +90,15 @@
 ) -> Result<Vec<(Play, Report)>, BenchError> {
     checkout.set_flags(&variant.flags())?;
     build(checkout, runner)?;
-    let left = Mutex::new(plays.iter().enumerate());
-    let done = Mutex::new(Vec::new());
-    thread::scope(|scope| {
-        for _ in 0..runner.jobs.max(1) {
-            scope.spawn(|| {
-                loop {
-                    let next = left.lock().ok().and_then(|mut left| left.next());
-                    let Some((index, play)) = next else {
-                        return;
-                    };
-                    match one(checkout, runner, variant, play, index) {
-                        Ok(report) => {
-                            if let Ok(mut done) = done.lock() {
-                                done.push((play.clone(), report));
-                            }
-                        }
-                        Err(error) => eprintln!("{} {play:?}: {error}", variant.name),
-                    }
-                }
-            });
+    let mut done = in_parallel(plays, runner.jobs, |index, play| {
+        match one(checkout, runner, variant, play, index) {
+            Ok(report) => Some((play.clone(), report)),
+            Err(error) => {
+                eprintln!("{} {play:?}: {error}", variant.name);
+                None
+            }
         }
     });
-    let mut done = done.into_inner().unwrap_or_default();
     done.sort_by(|a, b| a.0.cmp(&b.0));
     Ok(done)
 }
--- a/crates/stairstalld/src/batch/directory.rs
+++ b/crates/stairstalld/src/batch/directory.rs
@@ -11,8 +11,10 @@
 use super::node::Node;
 use super::tenure::Tenure;
 
-/// How long one watch waits.
-const WATCH_WAIT: Duration = Duration::from_secs(5);
+/// How long one watch waits. A watch that misses a change holds it back for no longer, and a
+/// worker that leaves must get nothing new two seconds after its word is in the store; at 300 VMs
+/// changes came 5.1 s late, which is what one watch waited then.
+const WATCH_WAIT: Duration = Duration::from_secs(1);
 /// How long changes are gathered: every heartbeat of a worker is one.
 const GATHER: Duration = Duration::from_millis(400);
 /// Pause before the store is asked again after a failure.
--- a/crates/stairstalld/src/batch/role.rs
+++ b/crates/stairstalld/src/batch/role.rs
@@ -8,32 +8,28 @@
 use futures::stream::FuturesUnordered;
 use futures::{FutureExt, StreamExt};
 use stairstall_core::Lease;
-use stairstall_ports::{Change, Commit, Committed, Item, LeaseId, Revision, StoreFault};
+use stairstall_ports::{Change, Item, LeaseId, StoreFault};
 use tokio::sync::watch;
 use tokio::time::MissedTickBehavior;
 
 use super::keys;
-use super::node::{Node, PlannerRecord, RoleOffer};
+use super::node::{Node, PlannerRecord};
 use super::rpc::PeerClient;
-use super::settings::BatchSettings;
 use super::tenure::{self, Tenure};
-use crate::daemon::lock;
+
+mod handover;
+mod take;
+
+use handover::{hand_over, next_offer, take_from};
+pub(crate) use handover::{take_offer, wait_until_given_up};
+use take::{LastTenure, put_off, take};
+pub(crate) use take::{Taken, weakness_percent};
 
 /// How long one watch of the role waits.
 const WATCH_WAIT: Duration = Duration::from_secs(15);
 /// Pause before the store is asked again after a failure.
 const STORE_PAUSE: Duration = Duration::from_millis(200);
 
-/// The role as it was taken.
-#[derive(Debug, Clone)]
-pub(crate) struct Taken {
-    pub(crate) record: PlannerRecord,
-    /// Revision of the role's key, which each write of this tenure depends on.
-    pub(crate) revision: Revision,
-    pub(crate) lease_id: LeaseId,
-    pub(crate) lease: Lease,
-}
-
 /// Takes the role whenever it is free, for as long as the daemon runs.
 pub(crate) async fn run(node: Arc<Node>) {
     loop {
@@ -48,30 +44,6 @@
     }
 }
 
-/// Returns how much a VM lacks to plan for many workers, in percent.
-pub(crate) fn weakness_percent(settings: &BatchSettings) -> u32 {
-    let policy = &settings.policy.role;
-    let lacking = |has: u32, strong: u32| 100 - has.min(strong) * 100 / strong.max(1);
-    lacking(settings.cpu_percent, policy.strong_cpu_percent)
-        .max(lacking(settings.link_mbps, policy.strong_link_mbps))
-}
-
-/// Returns how long to wait before trying to take the role: strong VMs go first.
-fn put_off(node: &Node) -> Duration {
-    let policy = &node.settings.policy.role;
-    let weakness = f64::from(weakness_percent(&node.settings)) / 100.0;
-    policy.spread.mul_f64(rand::random_range(0.0..1.0)) + policy.weak_delay.mul_f64(weakness)
-}
-
-/// The last tenure that is known of.
-#[derive(Debug, Clone, Copy)]
-struct LastTenure {
-    /// How many there were with it.
-    count: u64,
-    /// Revision of the write that took the role: it also counted the tenure.
-    revision: Revision,
-}
-
 /// Waits while another daemon has the role; returns it once it is this daemon's.
 async fn try_role(node: &Node) -> Result<Option<Taken>, StoreFault> {
     let (item, mut at) = node.read_at("read role", keys::PLANNER).await?;
@@ -108,17 +80,6 @@
     }
 }
 
-/// Waits for an offer of the role.
-async fn next_offer(offers: &mut watch::Receiver<Option<RoleOffer>>) -> RoleOffer {
-    let offer = offers.wait_for(Option::is_some).await;
-    let offer = offer.ok().and_then(|offer| offer.clone());
-    match offer {
-        Some(offer) => offer,
-        // The daemon ends.
-        None => std::future::pending().await,
-    }
-}
-
 /// Notes who plans by the role's key; returns which tenure that is.
 fn note_item(node: &Node, item: &Item) -> Option<LastTenure> {
     let record: PlannerRecord = serde_json::from_slice(&item.value).ok()?;
@@ -130,56 +91,6 @@
     })
 }
 
-/// Keeps an offer of the role in mind; false where this daemon does not want it.
-pub(crate) fn take_offer(node: &Node, offer: RoleOffer) -> bool {
-    let wants = !node.is_leaving()
-        && node.tenure().is_none()
-        && node.current_catalog().is_some()
-        && node.store_health.serves(node.clock.now());
-    if wants {
-        node.offer.send_replace(Some(offer));
-    }
-    wants
-}
-
-/// Takes the role from a planner that leaves and holds it until then.
-async fn take_from(node: &Node, offer: &RoleOffer) -> Result<Option<Taken>, StoreFault> {
-    let revision = Revision(offer.revision);
-    let last = LastTenure {
-        count: offer.record.token,
-        revision,
-    };
-    log::info!(target: "role", planner:% = offer.record.vm, token = offer.record.token;
-        "its role is offered to this daemon");
-    take(node, Some(last), Some(revision)).await
-}
-
-/// Offers the role to other daemons until one wants it; true where one does.
-async fn offer_role(node: &Node, tenure: &Tenure) -> bool {
-    let Some(record) = node.planner.borrow().clone() else {
-        return false;
-    };
-    let offer = RoleOffer {
-        record,
-        revision: tenure.role_revision.0,
-    };
-    let successors = lock(&node.reach).successors(node.clock.now());
-    for successor in successors {
-        let Some(client) = node.peers.client(&successor.rpc) else {
-            continue;
-        };
-        let timeout = node.settings.policy.reach.ask_timeout;
-        let asked = tokio::time::timeout(timeout, client.offer(offer.clone())).await;
-        let wants = matches!(asked, Ok(Ok(true)));
-        log::info!(target: "role", token = tenure.token(), successor:% = successor.vm, wants;
-            "the role is offered");
-        if wants {
-            return true;
-        }
-    }
-    false
-}
-
 /// Notes who plans, unless a later planner is known; an own tenure that it ends is given up.
 pub(crate) fn note_planner(node: &Node, record: Option<PlannerRecord>) {
     let Some(record) = record else {
@@ -213,80 +124,6 @@
     }
 }
 
-/// Reads how many tenures there were.
-async fn read_last_tenure(node: &Node) -> Result<LastTenure, StoreFault> {
-    let item = node
-        .stored("read tenures", node.store.get(keys::TENURE))
-        .await?;
-    let none = LastTenure {
-        count: 0,
-        revision: Revision(0),
-    };
-    Ok(item.map_or(none, |item| {
-        let count = std::str::from_utf8(&item.value).ok();
-        LastTenure {
-            count: count.and_then(|count| count.parse().ok()).unwrap_or(0),
-            revision: item.revision,
-        }
-    }))
-}
-
-/// Takes the role; none where another daemon was faster.
-///
-/// `last` is the last tenure where that is known without asking, and
-/// `replaces` the revision of the role's key where its holder offers it.
-async fn take(
-    node: &Node,
-    last: Option<LastTenure>,
-    replaces: Option<Revision>,
-) -> Result<Option<Taken>, StoreFault> {
-    let last = match last {
-        Some(last) => last,
-        None => read_last_tenure(node).await?,
-    };
-    let requested_at = node.clock.now();
-    let grant = node.store.grant(node.settings.role_lease);
-    let (lease_id, ttl) = node.stored("grant", grant).await?;
-    let record = PlannerRecord {
-        vm: node.me().clone(),
-        rpc: node.rpc_address().to_string(),
-        token: last.count + 1,
-        mark: node.next_mark(),
-    };
-    let Ok(value) = serde_json::to_vec(&record) else {
-        return Ok(None);
-    };
-    let commit = Commit::default()
-        .when(keys::PLANNER, replaces.unwrap_or_default())
-        .when(keys::TENURE, last.revision)
-        .put_leased(keys::PLANNER, value, lease_id)
-        .put(keys::TENURE, record.token.to_string().into_bytes());
-    let taken = |revision| Taken {
-        record: record.clone(),
-        revision,
-        lease_id,
-        lease: Lease::new(requested_at, ttl),
-    };
-    match node.stored("take role", node.store.commit(commit)).await {
-        Ok(Committed::Done(revision)) => Ok(Some(taken(revision))),
-        Ok(Committed::Conflict(_) | Committed::NoLease) => {
-            let _ = node.stored("release", node.store.release(lease_id)).await;
-            Ok(None)
-        }
-        Err(fault) => {
-            log::warn!(target: "role", why:% = fault; "it is not known whether the role was taken");
-            let found = node
-                .stored("read role", node.store.get(keys::PLANNER))
-                .await?;
-            let own = found.filter(|item| {
-                serde_json::from_slice::<PlannerRecord>(&item.value)
-                    .is_ok_and(|found| found.mark == record.mark)
-            });
-            Ok(own.map(|item| taken(item.revision)))
-        }
-    }
-}
-
 /// Plans for as long as the role is held.
 async fn hold(node: &Arc<Node>, taken: Taken) {
     log::info!(target: "role", token = taken.record.token, lease_ms = crate::clock::millis(node.settings.role_lease);
@@ -314,24 +151,6 @@
     }
 }
 
-/// How often a daemon that is done with its callers looks whether the role is given up.
-const GIVEN_UP_INTERVAL: Duration = Duration::from_millis(10);
-
-/// Waits until a daemon that leaves no longer plans, for as long as a handover may take.
-pub(crate) async fn wait_until_given_up(node: &Node) {
-    let settings = &node.settings;
-    let limit = settings.policy.role.handover_wait + settings.store_timeout;
-    let given_up = async {
-        while node.tenure().is_some() {
-            tokio::time::sleep(GIVEN_UP_INTERVAL).await;
-        }
-    };
-    if tokio::time::timeout(limit, given_up).await.is_err() {
-        log::warn!(target: "role", limit_ms = crate::clock::millis(limit);
-            "the role is not given up yet; its lease runs out");
-    }
-}
-
 /// Renews the lease until it is over or the daemon leaves.
 ///
 /// A renewal that is slow or lost does not hold the next one up.
@@ -368,15 +187,6 @@
     }
 }
 
-/// Returns when a daemon that leaves should give the role up: once nobody wants it, or nobody has
-/// taken it in time. Who takes it says so, which ends the tenure sooner.
-async fn hand_over(node: &Node, tenure: &Tenure) {
-    let wait = node.settings.policy.role.handover_wait;
-    if !wait.is_zero() && offer_role(node, tenure).await {
-        tokio::time::sleep(wait).await;
-    }
-}
-
 /// Renews the lease once; true where it is over.
 async fn renew_once(node: &Node, tenure: &Tenure, lease_id: LeaseId) -> bool {
     let requested_at = node.clock.now();
--- a/crates/stairstalld/tests/batch/cluster.rs
+++ b/crates/stairstalld/tests/batch/cluster.rs
@@ -242,6 +242,20 @@
         self.http.exchange(call, CALL_TIMEOUT).await.ok()
     }
 
+    /// Asks a daemon as the balancer does whether callers should come to it.
+    pub async fn health(&self, daemon: &Daemon) -> Option<StatusCode> {
+        let address = daemon.health.to_string();
+        let call = JsonCall {
+            method: Method::GET,
+            address: &address,
+            path: "/v1/readyz",
+            headers: &[],
+            body: Vec::new(),
+        };
+        let answer = self.http.exchange(call, CALL_TIMEOUT).await;
+        answer.ok().map(|answer| answer.status)
+    }
+
     /// Hands a job in until it is taken or refused for good; returns the last status.
     pub async fn submit(&self, daemon: usize, path: &str, body: &Value) -> Option<StatusCode> {
         let answer = self.call(daemon, Method::POST, path, body).await;
--- a/crates/stairstalld/tests/batch/faults.rs
+++ b/crates/stairstalld/tests/batch/faults.rs
@@ -9,19 +9,6 @@
 
 use crate::cluster::{Cluster, Daemon, gang, job};
 
-async fn health(cluster: &Cluster, daemon: &Daemon) -> Option<StatusCode> {
-    let address = daemon.health.to_string();
-    let call = stairstall_http::JsonCall {
-        method: Method::GET,
-        address: &address,
-        path: "/v1/readyz",
-        headers: &[],
-        body: Vec::new(),
-    };
-    let answer = cluster.http.exchange(call, Duration::from_secs(1)).await;
-    answer.ok().map(|answer| answer.status)
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn a_hang_up_ends_nothing() {
     let mut cluster = Cluster::start(1, 1).await;
@@ -42,7 +29,7 @@
     cluster.wait_for(&path, "running").await;
     let planner = cluster.planner();
     assert_eq!(
-        health(&cluster, &cluster.daemons[planner]).await,
+        cluster.health(&cluster.daemons[planner]).await,
         Some(StatusCode::OK)
     );
     assert_eq!(cluster.daemons[planner].stop().await, Some(0));
--- a/crates/stairstalld/tests/batch/reach.rs
+++ b/crates/stairstalld/tests/batch/reach.rs
@@ -2,29 +2,15 @@
 
 use std::time::{Duration, Instant};
 
-use hyper::{Method, StatusCode};
+use hyper::StatusCode;
 use nix::sys::signal::Signal;
-use stairstall_http::JsonCall;
 use stairstall_standin::LinkMode;
 
 use crate::cluster::{Cluster, Daemon, PATIENCE, job};
 
-async fn health(cluster: &Cluster, daemon: usize) -> Option<StatusCode> {
-    let address = cluster.daemons[daemon].health.to_string();
-    let call = JsonCall {
-        method: Method::GET,
-        address: &address,
-        path: "/v1/readyz",
-        headers: &[],
-        body: Vec::new(),
-    };
-    let answer = cluster.http.exchange(call, Duration::from_secs(1)).await;
-    answer.ok().map(|answer| answer.status)
-}
-
 async fn wait_for_health(cluster: &Cluster, daemon: usize, status: StatusCode) -> Duration {
     let began = Instant::now();
-    while health(cluster, daemon).await != Some(status) {
+    while cluster.health(&cluster.daemons[daemon]).await != Some(status) {
         assert!(began.elapsed() < PATIENCE, "it never answers {status}");
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
@@ -73,7 +59,10 @@
     cluster.store.set_down(true);
     let until = Instant::now() + Duration::from_secs(2);
     while Instant::now() < until {
-        assert_eq!(health(&cluster, 1).await, Some(StatusCode::OK));
+        assert_eq!(
+            cluster.health(&cluster.daemons[1]).await,
+            Some(StatusCode::OK)
+        );
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
 }
