--- a/crates/stairstall-core/src/batch/decision.rs
+++ b/crates/stairstall-core/src/batch/decision.rs
@@ -1,4 +1,3 @@
-use std::fmt;
 use std::time::Duration;
 
 use super::TaskKey;
@@ -120,18 +119,3 @@
         }
     }
 }
-
-impl fmt::Display for Decision {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}", self.kind.as_str())?;
-        if let Some(task) = &self.task {
-            write!(f, " {task} run {}", self.run)?;
-        } else if let Some(job) = &self.job {
-            write!(f, " {job}")?;
-        }
-        if let Some(worker) = &self.worker {
-            write!(f, " on {worker}")?;
-        }
-        write!(f, ": {}", self.why)
-    }
-}
--- a/crates/stairstalld/src/batch/tenure.rs
+++ b/crates/stairstalld/src/batch/tenure.rs
@@ -299,5 +299,12 @@
         node.telemetry.first_start(after);
     }
     let target = decision.kind.as_str();
-    log::info!(target: target, token; "{decision}");
+    let why = &decision.why;
+    match (&decision.task, &decision.job, &decision.worker) {
+        (Some(task), _, Some(worker)) => log::info!(target: target, token,
+            job:% = task.group.job, task:% = task, run = decision.run, worker:% = worker; "{why}"),
+        (_, Some(job), _) => log::info!(target: target, token, job:% = job; "{why}"),
+        (_, _, Some(worker)) => log::info!(target: target, token, worker:% = worker; "{why}"),
+        _ => log::info!(target: target, token; "{why}"),
+    }
 }
--- a/crates/stairstalld/tests/batch/path.rs
+++ b/crates/stairstalld/tests/batch/path.rs
@@ -1,5 +1,7 @@
 //! The whole path on a calm day.
 
+use std::collections::BTreeMap;
+
 use hyper::{Method, StatusCode};
 use serde_json::{Value, json};
 
@@ -35,6 +37,53 @@
     cluster.assert_no_violations();
 }
 
+/// Returns the key-values of a log line.
+fn key_values(line: &str) -> BTreeMap<&str, &str> {
+    let words = line.split_whitespace();
+    words.filter_map(|word| word.split_once('=')).collect()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_jobs_decisions_and_its_end_are_logged_with_keys() {
+    let mut cluster = Cluster::start(1, 2).await;
+    let id = cluster.new_id();
+    let path = format!("/q1/{id}");
+    cluster.submit(0, &path, &gang(2, 300)).await;
+    cluster.wait_for(&path, "completed").await;
+    let daemon = &cluster.daemons[0];
+    for target in ["INFO place ", "INFO start ", "INFO end "] {
+        let lines = daemon.log_lines(target);
+        let lines: Vec<_> = lines.iter().filter(|line| line.contains(&id)).collect();
+        assert_eq!(lines.len(), 2, "{target}: one a member");
+        for line in lines {
+            let values = key_values(line);
+            assert_eq!(values.get("job"), Some(&id.as_str()), "{line}");
+            for key in ["token", "task", "run", "worker"] {
+                assert!(values.contains_key(key), "{key} is missing in {line}");
+            }
+        }
+    }
+    let lines = daemon.log_lines("its end is written down");
+    let [line] = lines.as_slice() else {
+        panic!("one line of its end: {lines:?}");
+    };
+    let values = key_values(line);
+    assert_eq!(values.get("job"), Some(&id.as_str()));
+    assert_eq!(values.get("outcome"), Some(&"Completed"));
+    assert_eq!(values.get("setbacks"), Some(&"none"));
+    assert_eq!(values.get("starts"), Some(&"2"));
+    let ms = |key: &str| values[key].parse::<u64>().expect("milliseconds");
+    let spans = [
+        "known", "room", "stops", "record", "start", "run", "rerun", "silent", "write",
+    ];
+    let told: u64 = spans.iter().map(|span| ms(&format!("{span}_ms"))).sum();
+    assert!(ms("run_ms") >= 200, "{line}");
+    assert!(
+        told.abs_diff(ms("whole_ms")) <= 100,
+        "its spans make up the whole: {line}"
+    );
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_job_that_fails_is_tried_as_often_as_allowed() {
     let mut cluster = Cluster::start(1, 4).await;
