fix(batch): note at once when a start's answer or a report changes a job's span

Cause: accounts were brought up to date at ticks, which may be 250 ms apart, so that a start answered after 5 ms counted as 250 ms; found by the test of the line of a job's end, which failed before.

--- a/crates/stairstall-core/src/batch/planner/contact.rs
+++ b/crates/stairstall-core/src/batch/planner/contact.rs
@@ -95,6 +95,7 @@
                 );
             }
         }
+        self.update_stories(now);
         self.forget_if_gone(id);
     }
 
--- a/crates/stairstall-core/src/batch/planner/starts.rs
+++ b/crates/stairstall-core/src/batch/planner/starts.rs
@@ -250,6 +250,7 @@
             }
             self.touch(&task.group.job);
             self.note_begun(&task.group.job, now);
+            self.update_stories(now);
             return;
         }
         let first_try = run.tries <= 1;
