--- a/crates/stairstall-core/tests/batch/story.rs
+++ b/crates/stairstall-core/tests/batch/story.rs
@@ -66,8 +66,12 @@
         .find(|summary| summary.job.as_str() == "second")
         .expect("its story");
     assert!(second.millis(Span::Room) >= 400, "{second:?}");
-    assert!(second.millis(Span::Run) >= 300, "{second:?}");
-    assert!(second.millis(Span::Rerun) >= 200, "{second:?}");
+    // Of each 300 ms the fleet takes 100 to notice the room and to start.
+    assert!((200..300).contains(&second.millis(Span::Run)), "{second:?}");
+    assert!(
+        (200..300).contains(&second.millis(Span::Rerun)),
+        "{second:?}"
+    );
     assert_eq!(second.starts, 4);
     assert!(second.setbacks.to_string().contains("failed:"));
 }
