refactor(batch): split the planner's longest files by matter

planner.rs, contact.rs and fit.rs had 404 to 449 lines: what the directory lists, runs of earlier planners and room held back have files of their own. Moved text only, but for one thing: since an entry that is as it was changes nothing, the earlier life of a worker is taken for over when its entry goes while another one is listed at its address, instead of at the next heartbeat (a test; workers of the test fleet have addresses of their own now).

--- a/crates/stairstall-core/src/batch/planner.rs
+++ b/crates/stairstall-core/src/batch/planner.rs
@@ -3,14 +3,16 @@
 use std::time::Duration;
 
 use super::{
-    AcceptedJob, CallerState, Catalog, Decision, DecisionKind, GroupKey, JobSummary, ListedWorker,
-    Outcome, Policy, Progress, TaskKey,
+    AcceptedJob, CallerState, Catalog, Decision, DecisionKind, GroupKey, JobSummary, Outcome,
+    Policy, Progress, TaskKey,
 };
 use crate::{JobId, Timestamp, WorkerId};
 
+mod adopt;
 mod advice;
 mod bounds;
 mod contact;
+mod directory;
 mod ends;
 mod evacuate;
 mod fit;
@@ -209,80 +211,6 @@
         true
     }
 
-    /// Takes a worker from the directory.
-    ///
-    /// An entry that is as it was, as most are at a heartbeat, changes nothing.
-    pub fn list_worker(&mut self, listed: ListedWorker, now: Now) {
-        let known = self.workers.get(&listed.id);
-        if known.is_some_and(|known| known.is_listed && known.listed == listed) {
-            return;
-        }
-        self.replan = true;
-        self.retire_earlier_lives(&listed);
-        let id = listed.id.clone();
-        let known = self.workers.get(&id);
-        if known.is_none_or(|known| known.listed.address != listed.address) {
-            self.worker_set += 1;
-        }
-        let worker = self
-            .workers
-            .entry(id.clone())
-            .or_insert_with(|| Worker::new(listed.clone(), now.at));
-        let was_draining = worker.listed.draining;
-        worker.relist(listed, now.at);
-        if worker.listed.draining && !was_draining {
-            self.decisions
-                .push(Decision::of_worker(&id, "it is leaving"));
-            self.evacuate(&id, now);
-        }
-    }
-
-    /// Another life at the same address says that earlier ones are over.
-    fn retire_earlier_lives(&mut self, listed: &ListedWorker) {
-        let over: Vec<WorkerId> = self
-            .workers
-            .values()
-            .filter(|w| w.listed.address == listed.address && w.listed.id != listed.id)
-            .filter(|w| !w.is_listed)
-            .map(|w| w.listed.id.clone())
-            .collect();
-        for id in over {
-            self.life_over(&id, "another life listens at its address");
-        }
-    }
-
-    /// Takes word that the directory lists a worker no longer.
-    pub fn unlist_worker(&mut self, id: &WorkerId, now: Now) {
-        let Some(worker) = self.workers.get_mut(id) else {
-            return;
-        };
-        worker.is_listed = false;
-        let has_left = worker.listed.draining && worker.may_have_left(now.at);
-        if has_left && !worker.is_in_contact() {
-            self.life_over(id, "it has left");
-        } else {
-            self.forget_if_gone(id);
-        }
-        self.replan = true;
-    }
-
-    /// Takes the workers that should be asked now rather than in their turn.
-    pub fn take_to_ask(&mut self) -> Vec<WorkerId> {
-        std::mem::take(&mut self.to_ask)
-    }
-
-    /// Tells whether a worker is known.
-    #[must_use]
-    pub fn knows(&self, id: &WorkerId) -> bool {
-        self.workers.contains_key(id)
-    }
-
-    /// Counts changes of the set of workers.
-    #[must_use]
-    pub const fn worker_set(&self) -> u64 {
-        self.worker_set
-    }
-
     /// Decides what is to be done now.
     pub fn tick(&mut self, now: Now) -> Vec<Order> {
         if self
--- a/crates/stairstall-core/src/batch/planner/contact.rs
+++ b/crates/stairstall-core/src/batch/planner/contact.rs
@@ -4,11 +4,8 @@
 
 use super::pool::{Run, RunState};
 use super::{Now, Planner, Worker};
-use crate::batch::{
-    Decision, DecisionKind, EndKind, HoldReport, HoldRequest, Progress, RunningTask, Setback,
-    TaskKey,
-};
-use crate::{JobId, Timestamp, WorkerId, ZoneId};
+use crate::batch::{Decision, EndKind, HoldReport, HoldRequest, RunningTask, Setback, TaskKey};
+use crate::{Timestamp, WorkerId, ZoneId};
 
 impl Planner {
     /// Returns what to ask of a worker now; none where there is nothing to ask.
@@ -207,7 +204,7 @@
         }
     }
 
-    fn note_progress(&mut self, running: &RunningTask) {
+    pub(super) fn note_progress(&mut self, running: &RunningTask) {
         let key = &running.task.group;
         let Some(job) = self.jobs.get_mut(&key.job) else {
             return;
@@ -224,151 +221,6 @@
             task.checkpoint.clone_from(&running.checkpoint);
         }
     }
-
-    /// Takes over a run that another planner started, or stops one that should not be.
-    fn adopt(&mut self, id: &WorkerId, running: &RunningTask, now: Now) {
-        let key = &running.task.group;
-        let wanted = self.jobs.get(&key.job).is_some_and(|job| {
-            let task = job
-                .group(key)
-                .and_then(|group| group.tasks.get(running.task.index as usize));
-            job.outcome.is_none() && task.is_some_and(super::job::Task::is_waiting)
-        });
-        let run = self.adopted_run(id, running, now);
-        let Some(worker) = self.workers.get_mut(id) else {
-            return;
-        };
-        worker.insert(running.task.clone(), run);
-        // The earlier planner's largest lease counts from before this one began.
-        worker.extend_lease(now.at + Self::lease_span(self.bounds.hold_max));
-        let why = if wanted {
-            "it runs"
-        } else {
-            "it should not run"
-        };
-        self.decisions.push(Decision::of_run(
-            DecisionKind::Adopt,
-            &running.task,
-            running.run,
-            id,
-            why,
-        ));
-        if !wanted {
-            self.stop_run(id, &running.task, "it is not wanted", now);
-            return;
-        }
-        if let Some(job) = self.jobs.get_mut(&key.job) {
-            job.begun = true;
-            if let Some(group) = job.group_mut(key) {
-                group.last_run = group.last_run.max(running.run);
-                let task = &mut group.tasks[running.task.index as usize];
-                task.place = Some(id.clone());
-                task.run = running.run;
-            }
-        }
-        self.note_progress(running);
-    }
-
-    /// Takes the places that were written down for what may run there.
-    ///
-    /// What is done or ended holds no room: if anything of it still runs, the
-    /// worker's first report says so, and nothing is placed there before.
-    pub(super) fn restore_runs(&mut self, job: &JobId, progress: &Progress, now: Now) {
-        if progress.outcome.is_some() {
-            return;
-        }
-        for (occurrence, groups) in (0..).zip(&progress.occurrences) {
-            for (step, group) in (0..).zip(groups) {
-                for (index, (worker, number)) in &group.places {
-                    let task = TaskKey::new(job.clone(), occurrence, step, *index);
-                    if self.is_done(&task) {
-                        continue;
-                    }
-                    self.restore_run(worker, &task, *number, now);
-                }
-            }
-        }
-    }
-
-    fn is_done(&self, task: &TaskKey) -> bool {
-        let group = self
-            .jobs
-            .get(&task.group.job)
-            .and_then(|job| job.group(&task.group));
-        let task = group.and_then(|group| group.tasks.get(task.index as usize));
-        task.is_some_and(|task| task.done)
-    }
-
-    fn restore_run(&mut self, id: &WorkerId, task: &TaskKey, number: u32, now: Now) {
-        let running = RunningTask {
-            task: task.clone(),
-            run: number,
-            checkpoint: None,
-            percent: 0,
-        };
-        let mut run = self.adopted_run(id, &running, now);
-        run.restored = true;
-        run.resumes = true;
-        let worker = self
-            .workers
-            .entry(id.clone())
-            .or_insert_with(|| Worker::unlisted(id));
-        worker.insert(task.clone(), run);
-        worker.extend_lease(now.at + Self::lease_span(self.bounds.hold_max));
-    }
-
-    /// Takes the first report of a run that an earlier planner wrote down.
-    fn confirm_restored(&mut self, id: &WorkerId, task: &TaskKey, now: Now) {
-        let key = &task.group;
-        let Some(job) = self.jobs.get(&key.job) else {
-            return;
-        };
-        let is_broken = job.step(key).is_some_and(|step| step.gang)
-            && job
-                .group(key)
-                .is_some_and(|group| group.tasks.iter().any(super::job::Task::is_waiting));
-        if job.outcome.is_some() {
-            self.stop_run(id, task, "its job has ended", now);
-        } else if is_broken {
-            self.stop_run(id, task, "another member of its gang is over", now);
-        }
-    }
-
-    fn adopted_run(&self, id: &WorkerId, running: &RunningTask, now: Now) -> Run {
-        let key = &running.task.group;
-        let job = self.jobs.get(&key.job);
-        let step = job
-            .and_then(|job| job.step(key))
-            .cloned()
-            .unwrap_or_default();
-        let mut run = Run {
-            number: running.run,
-            room: step.room(),
-            state: RunState::Running,
-            rank: job.map_or(u8::MAX, |job| job.accepted.queue.priority.saturating_add(1)),
-            gang: step.gang,
-            checkpoints: step.checkpoints,
-            lasts: step.lasts,
-            serves: step.serves(),
-            fills: step.fills,
-            expected_ms: self.expected_ms(&step, id),
-            since: now.at,
-            ordered_at: now.at,
-            answered_at: Some(now.at),
-            stops: 0,
-            tries: 1,
-            percent: running.percent,
-            progressed_at: now.at,
-            reported_at: now.at,
-            unwanted_since: None,
-            began: Some((now.at, running.percent)),
-            resumes: false,
-            recorded_by: 0,
-            restored: false,
-        };
-        run.note_running(running, now.at);
-        run
-    }
 }
 
 impl Worker {
@@ -383,7 +235,7 @@
 }
 
 impl Run {
-    fn note_running(&mut self, running: &RunningTask, at: Timestamp) {
+    pub(super) fn note_running(&mut self, running: &RunningTask, at: Timestamp) {
         if matches!(self.state, RunState::Starting | RunState::Planned) {
             self.enter(RunState::Running, at);
         }
--- a/crates/stairstall-core/src/batch/planner/fit.rs
+++ b/crates/stairstall-core/src/batch/planner/fit.rs
@@ -1,6 +1,5 @@
 //! Where the tasks of a step are put.
 
-use std::collections::BTreeSet;
 use std::time::Duration;
 
 use super::job::{Group, Job};
@@ -12,16 +11,11 @@
 use crate::{RackId, Timestamp, WorkerId};
 
 mod choose;
+mod hold_back;
 
 pub(super) use choose::Site;
 use choose::{Choice, Scope, allowed, search};
-
-/// Workers whose room is kept for gangs that wait.
-#[derive(Debug, Default)]
-pub(super) struct HeldBack {
-    workers: BTreeSet<WorkerId>,
-    gangs: usize,
-}
+pub(super) use hold_back::HeldBack;
 
 impl Planner {
     /// Gives places to the waiting tasks of a step, as far as there are any.
@@ -353,65 +347,12 @@
             restored: false,
         }
     }
-
-    /// Keeps the room that a waiting gang can have soonest from what comes after it.
-    fn hold_back(&self, candidate: &Candidate, step: &StepSpec, held_back: &mut HeldBack) {
-        let service = self.service_of(&candidate.key);
-        let shown_percent = self.policy.places.shown_percent;
-        let mut sites: Vec<(u64, &RackId, &WorkerId, u32)> = self
-            .workers
-            .iter()
-            .filter(|(_, w)| w.takes_tasks() && w.suits(step) && w.is_near(step))
-            .filter(|(_, w)| service.as_ref() == Some(&w.listed.service))
-            .filter(|(id, _)| !held_back.workers.contains(*id))
-            .filter_map(|(id, w)| {
-                let times = step.room().times_in(&w.listed.capacity, step.count);
-                (times > 0).then(|| (w.busy_ms(shown_percent), &w.listed.rack, id, times))
-            })
-            .collect();
-        sites.sort();
-        let racks: Vec<Option<&RackId>> = if step.same_rack {
-            let racks: BTreeSet<&RackId> = sites.iter().map(|site| site.1).collect();
-            racks.into_iter().map(Some).collect()
-        } else {
-            vec![None]
-        };
-        let best = racks
-            .into_iter()
-            .filter_map(|rack| soonest(&sites, rack, step.count))
-            .min();
-        if let Some((_, workers)) = best {
-            held_back.workers.extend(workers);
-            held_back.gangs += 1;
-        }
-    }
 }
 
 fn as_u32(count: usize) -> u32 {
     u32::try_from(count).unwrap_or(u32::MAX)
 }
 
-/// Returns when `count` tasks could be there, in milliseconds, and the workers for it.
-fn soonest(
-    sites: &[(u64, &RackId, &WorkerId, u32)],
-    rack: Option<&RackId>,
-    count: u32,
-) -> Option<(u64, Vec<WorkerId>)> {
-    let mut left = count;
-    let mut workers = Vec::new();
-    for (busy_ms, here, id, times) in sites {
-        if rack.is_some_and(|rack| rack != *here) {
-            continue;
-        }
-        workers.push((*id).clone());
-        left = left.saturating_sub(*times);
-        if left == 0 {
-            return Some((*busy_ms, workers));
-        }
-    }
-    None
-}
-
 fn spread_left(worker: &Worker, step: &StepSpec, key: &GroupKey) -> u32 {
     let Some(most) = step.spread else {
         return u32::MAX;
@@ -420,14 +361,6 @@
     most.saturating_sub(u32::try_from(there).unwrap_or(u32::MAX))
 }
 
-impl Worker {
-    /// Returns how long what it has should still take, in milliseconds.
-    fn busy_ms(&self, shown_percent: u8) -> u64 {
-        let left = self.runs.values().map(|run| run.left_ms(shown_percent));
-        left.max().unwrap_or(0)
-    }
-}
-
 impl Run {
     /// Returns how much longer it should take, in milliseconds: at the pace that it has shown,
     /// or else by the estimate.
--- a/crates/stairstall-core/tests/batch/harness.rs
+++ b/crates/stairstall-core/tests/batch/harness.rs
@@ -89,7 +89,7 @@
 pub fn worker(id: &str, rack: &str, capacity: Resources) -> ListedWorker {
     ListedWorker {
         id: id.parse().expect("an id"),
-        address: format!("10.0.0.1:{}", 1000 + id.len()),
+        address: format!("{id}.test:1000"),
         service: "desk".parse().expect("an id"),
         zone: "a".parse().expect("an id"),
         rack: rack.parse().expect("an id"),
--- a/crates/stairstall-core/tests/batch/leaving.rs
+++ b/crates/stairstall-core/tests/batch/leaving.rs
@@ -62,3 +62,23 @@
     let place = fleet.place_of(&task("j", 0, 1));
     assert!(place.is_some_and(|place| place != fast));
 }
+
+#[test]
+fn an_earlier_life_is_over_once_only_another_one_is_listed_at_its_address() {
+    let mut fleet = Fleet::new(&[("w1", "r1")]);
+    fleet.hold_all();
+    fleet.submit(job("j", 2, vec![step(1, 8)]));
+    assert_eq!(fleet.planner.runs(), 1);
+    let mut next = worker("w1b", "r1", Resources::new(32_000, 64_000, 8));
+    next.address = worker("w1", "r1", Resources::default()).address;
+    let now = fleet.now();
+    fleet.planner.list_worker(next.clone(), now);
+    assert!(fleet.planner.knows(&"w1".parse().expect("an id")));
+    fleet
+        .planner
+        .unlist_worker(&"w1".parse().expect("an id"), now);
+    // The next heartbeat changes nothing, and need not.
+    fleet.planner.list_worker(next, now);
+    assert!(!fleet.planner.knows(&"w1".parse().expect("an id")));
+    assert_eq!(fleet.planner.runs(), 0);
+}
