--- a/crates/stairstall-core/src/batch/policy/planner.rs
+++ b/crates/stairstall-core/src/batch/policy/planner.rs
@@ -106,7 +106,7 @@
         Self {
             window: Duration::from_secs(10),
             kept_seconds: 0.25,
-            yields_from: 1.0,
+            yields_from: 0.3,
             kept_per_stop: 5.3,
         }
     }
