refactor(batch): note a failed peer, and count milliseconds, in one place each

Read of the whole change: 'drop the connections and note that it failed' stood four times (accept, cancel, twice in reach), the conversion of a duration to whole milliseconds three times in the core with a fourth in the older placement. Now Node::peer_failed and time::millis. Behaviour is the same.

--- a/crates/stairstall-core/src/batch/planner/contact.rs
+++ b/crates/stairstall-core/src/batch/planner/contact.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+pub(super) use crate::time::millis;
+
 use super::pool::{Run, RunState};
 use super::{Now, Planner, Worker};
 use crate::batch::{Decision, EndKind, HoldReport, HoldRequest, RunningTask, Setback, TaskKey};
@@ -251,7 +253,3 @@
         }
     }
 }
-
-pub(super) fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/stairstall-core/src/batch/policy/millis.rs
+++ b/crates/stairstall-core/src/batch/policy/millis.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Deserializer, Serializer};
 
 pub(super) fn serialize<S: Serializer>(value: &Duration, to: S) -> Result<S::Ok, S::Error> {
-    to.serialize_u64(u64::try_from(value.as_millis()).unwrap_or(u64::MAX))
+    to.serialize_u64(crate::time::millis(*value))
 }
 
 pub(super) fn deserialize<'de, D: Deserializer<'de>>(from: D) -> Result<Duration, D::Error> {
--- a/crates/stairstall-core/src/batch/story.rs
+++ b/crates/stairstall-core/src/batch/story.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{Now, Outcome};
+use crate::time::millis;
 use crate::{CustomerId, JobId, Timestamp, ZoneId};
 
 /// What a job spent time on. Where its tasks are at different points, the least advanced counts.
@@ -308,7 +309,3 @@
         millis(spent)
     }
 }
-
-fn millis(span: Duration) -> u64 {
-    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/stairstall-core/src/placement/scheduler/orders.rs
+++ b/crates/stairstall-core/src/placement/scheduler/orders.rs
@@ -1,7 +1,5 @@
 //! Orders for workers: what runs wish of their members, and what strays get.
 
-use std::time::Duration;
-
 use super::Scheduler;
 use super::contact::Contact;
 use super::entry::{Entry, Running, Stage};
@@ -10,6 +8,7 @@
 use crate::WorkerId;
 use crate::placement::{JobKey, Phase, Run, Wish};
 use crate::protocol::{Command, Order, TaskId, TaskReport, TaskSpec};
+use crate::time::millis;
 
 impl Scheduler {
     /// Returns the orders for one worker: what its runs wish, and what strays get.
@@ -96,10 +95,6 @@
     }
 }
 
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
-
 fn task_spec(entry: &Entry, run: &Run, member: u16) -> TaskSpec {
     let spec = &entry.spec;
     TaskSpec {
--- a/crates/stairstall-core/src/time.rs
+++ b/crates/stairstall-core/src/time.rs
@@ -38,8 +38,7 @@
     type Output = Self;
 
     fn add(self, duration: Duration) -> Self {
-        let millis = u64::try_from(duration.as_millis()).unwrap_or(u64::MAX);
-        Self(self.0.saturating_add(millis))
+        Self(self.0.saturating_add(millis(duration)))
     }
 }
 
@@ -50,3 +49,8 @@
         self.since(earlier)
     }
 }
+
+/// Returns a duration as whole milliseconds.
+pub(crate) fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/stairstalld/src/batch/accept.rs
+++ b/crates/stairstalld/src/batch/accept.rs
@@ -72,8 +72,7 @@
                 let left = may_have_left(&error);
                 log::info!(target: "accept", job:% = job.id, rpc, left, why:% = error;
                     "a peer did not take it");
-                node.peers.drop_client(&rpc);
-                lock(&node.reach).failed(&rpc);
+                node.peer_failed(&rpc);
                 if left {
                     found = Acceptance::MayBeKept;
                 }
@@ -172,8 +171,7 @@
             Ok(settled) => return settled,
             Err(error) => {
                 log::info!(target: "cancel", job:% = id, rpc, why:% = error; "a peer did not answer");
-                node.peers.drop_client(&rpc);
-                lock(&node.reach).failed(&rpc);
+                node.peer_failed(&rpc);
             }
         }
     }
--- a/crates/stairstalld/src/batch/node.rs
+++ b/crates/stairstalld/src/batch/node.rs
@@ -128,6 +128,13 @@
         }
     }
 
+    /// Notes that a peer did not answer: its connections are dropped, since the other end may be
+    /// dead without a word.
+    pub(crate) fn peer_failed(&self, rpc: &str) {
+        self.peers.drop_client(rpc);
+        lock(&self.reach).failed(rpc);
+    }
+
     /// Tells whether neither the store nor any peer can take work from this daemon.
     pub(crate) fn is_cut_off(&self) -> bool {
         let now = self.clock.now();
--- a/crates/stairstalld/src/batch/reach.rs
+++ b/crates/stairstalld/src/batch/reach.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use futures::future::join_all;
-use stairstall_core::batch::PeerAddress;
+use stairstall_core::batch::{Catalog, PeerAddress};
 
 use super::node::Node;
 use super::rpc::{News, PeerClient};
@@ -72,15 +72,10 @@
         }
         Ok(Err(error)) => {
             log::debug!(target: "ready", rpc, why:% = error; "a peer does not answer");
-            node.peers.drop_client(rpc);
-            lock(&node.reach).failed(rpc);
-        }
-        Err(_) => {
-            log::debug!(target: "ready", rpc; "a peer does not answer in time");
-            node.peers.drop_client(rpc);
-            lock(&node.reach).failed(rpc);
         }
+        Err(_) => log::debug!(target: "ready", rpc; "a peer does not answer in time"),
     }
+    node.peer_failed(rpc);
     None
 }
 
@@ -124,7 +119,7 @@
     reach.called(asker, now);
     peers.push(node.address());
     News {
-        catalog: newer.map(|catalog| stairstall_core::batch::Catalog::clone(&catalog)),
+        catalog: newer.map(|catalog| Catalog::clone(&catalog)),
         planner: node.planner.borrow().clone(),
         pause_ms: crate::clock::millis(reach.pause()),
         is_served: node.store_health.serves(now),
