--- a/crates/stairstall-core/src/batch/planner/adopt.rs
+++ b/crates/stairstall-core/src/batch/planner/adopt.rs
@@ -49,6 +49,7 @@
             }
         }
         self.note_progress(running);
+        self.touch(&key.job);
     }
 
     /// Takes the places that were written down for what may run there.
