fix(batch): keep the planner's messages within its own VM's link and processor

Cause: a planner on a narrow link (2 Mbit/s on the small twins) asked 150 workers for reports every 0.3 s, 350 kB a second of the 250 that its link carries, and sent hundreds of starts at once. Ruled out: connection limits and descriptors (655 at most); the processor (the same without it charged). Change: the planner knows its VM's link and processor, learns how long reports are, and lets workers wait up to 2 s so that reports take at most 35% of the link; work that is not urgent is placed no faster than its starts are answered. A link of 1 Mbit/s or less was read as a part of one, 100 times too wide: mended. Tests: core tests failed first (350,000 bytes a second of reports, 375 starts at once).

--- a/crates/stairstall-core/src/batch.rs
+++ b/crates/stairstall-core/src/batch.rs
@@ -22,11 +22,11 @@
 
 pub use catalog::{Access, Catalog, Customer, Queue, Route};
 pub use decision::{Decision, DecisionKind};
-pub use planner::{AdviceRequest, Bounds, Now, Order, OrderKind, Planner, Write};
+pub use planner::{AdviceRequest, Bounds, Now, Order, OrderKind, Planner, VmLimits, Write};
 pub use policy::{
-    AcceptancePolicy, AdvicePolicy, HeadroomPolicy, HealthPolicy, LeavingPolicy, LinkPolicy,
-    OrderPolicy, PacePolicy, PlacePolicy, Policy, PolicyError, ReachPolicy, ReportPolicy,
-    RolePolicy, TakeoverPolicy, VictimPolicy, WritePolicy,
+    AcceptancePolicy, AdvicePolicy, FlowPolicy, HeadroomPolicy, HealthPolicy, LeavingPolicy,
+    LinkPolicy, OrderPolicy, PacePolicy, PlacePolicy, Policy, PolicyError, ReachPolicy,
+    ReportPolicy, RolePolicy, TakeoverPolicy, VictimPolicy, WritePolicy,
 };
 pub use reach::{PeerAddress, Reach};
 pub use record::{AcceptedJob, CallerState, GroupProgress, Outcome, Progress};
--- a/crates/stairstall-core/src/batch/planner.rs
+++ b/crates/stairstall-core/src/batch/planner.rs
@@ -16,6 +16,7 @@
 mod ends;
 mod evacuate;
 mod fit;
+mod flow;
 mod headroom;
 mod job;
 mod orders;
@@ -31,7 +32,7 @@
 mod victims;
 
 pub use advice::AdviceRequest;
-pub use bounds::{Bounds, Now};
+pub use bounds::{Bounds, Now, VmLimits};
 use job::Job;
 pub use orders::{Order, OrderKind};
 use pool::Worker;
@@ -51,6 +52,7 @@
 pub struct Planner {
     token: u64,
     bounds: Bounds,
+    flow: flow::Flow,
     policy: Policy,
     catalog: Arc<Catalog>,
     jobs: BTreeMap<JobId, Job>,
@@ -103,6 +105,7 @@
         Self {
             token,
             bounds,
+            flow: flow::Flow::default(),
             policy: Policy::default(),
             catalog: Arc::default(),
             jobs: BTreeMap::new(),
@@ -142,6 +145,13 @@
         self
     }
 
+    /// Says what this VM can carry.
+    #[must_use]
+    pub const fn with_limits(mut self, limits: VmLimits) -> Self {
+        self.flow.set_limits(limits);
+        self
+    }
+
     /// Returns the fencing token.
     #[must_use]
     pub const fn token(&self) -> u64 {
--- a/crates/stairstall-core/src/batch/planner/bounds.rs
+++ b/crates/stairstall-core/src/batch/planner/bounds.rs
@@ -19,6 +19,25 @@
     }
 }
 
+/// What the VM that plans can carry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct VmLimits {
+    /// Bytes a second in each direction of its link.
+    pub link_bytes_per_s: u64,
+    /// Processor, in percent of a core.
+    pub cpu_percent: u32,
+}
+
+impl Default for VmLimits {
+    /// A whole core and a link of a gigabit a second.
+    fn default() -> Self {
+        Self {
+            link_bytes_per_s: 125_000_000,
+            cpu_percent: 100,
+        }
+    }
+}
+
 /// Times that the workers keep to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Bounds {
--- a/crates/stairstall-core/src/batch/planner/contact.rs
+++ b/crates/stairstall-core/src/batch/planner/contact.rs
@@ -1,7 +1,5 @@
 //! What workers are asked, and what their answers and silence say.
 
-use std::time::Duration;
-
 pub(super) use crate::time::millis;
 
 use super::pool::{Run, RunState};
@@ -29,15 +27,6 @@
         Some(request)
     }
 
-    /// Returns how long a worker may wait for an end before it reports: the more often it
-    /// reports, the sooner trouble shows there, and the longer its leases outlast a cut.
-    fn longest_wait(&self) -> Duration {
-        let policy = &self.policy.reports;
-        let workers = u32::try_from(self.workers.len()).unwrap_or(u32::MAX);
-        (Duration::from_secs(1) * workers / policy.looks_per_s)
-            .clamp(policy.shortest_wait, policy.longest_wait)
-    }
-
     /// Returns the workers, and where each listens.
     pub fn workers(&self) -> impl Iterator<Item = (&WorkerId, &str)> {
         self.workers
@@ -58,6 +47,7 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
+        self.flow.note_report(report.bytes);
         worker.read_clock(report.clock_ms, now.at);
         worker.note_told(request.last_seen);
         if !worker.is_in_contact() || !worker.fenced {
--- a/crates/stairstall-core/src/batch/planner/fit.rs
+++ b/crates/stairstall-core/src/batch/planner/fit.rs
@@ -40,6 +40,7 @@
                 break;
             }
             let count = allowed(&step, waiting.len(), allowance);
+            let count = self.startable(candidate, step.gang, count, pass);
             if !self.may_fit(candidate, &step, scope, count, pass, now) {
                 continue;
             }
@@ -50,9 +51,8 @@
                 allowance = allowance.saturating_sub(accelerators);
                 let taken: Vec<u32> = waiting.drain(..choice.places.len()).collect();
                 self.settle(candidate, &step, &taken, &choice, scope, now);
-                if choice.victims.is_empty() {
-                    pass.note_taken(accelerators);
-                } else {
+                pass.note_placed(choice.places.len(), accelerators);
+                if !choice.victims.is_empty() {
                     pass.forget_room();
                 }
             }
--- a/crates/stairstall-core/src/batch/planner/pass.rs
+++ b/crates/stairstall-core/src/batch/planner/pass.rs
@@ -17,6 +17,8 @@
     pub(super) held_back: HeldBack,
     ceilings: HashMap<Shape, Ceiling>,
     free_accelerators: Option<u32>,
+    /// Runs that wait to be started or for an answer, once they were counted.
+    pub(super) under_way: Option<usize>,
     /// What stopping each gang that runs would throw away, once it was asked for.
     pub(super) gang_losses: Option<BTreeMap<GroupKey, u64>>,
 }
@@ -75,8 +77,11 @@
         self.gang_losses = None;
     }
 
-    /// Notes that accelerators were taken that were free.
-    pub(super) fn note_taken(&mut self, accelerators: u32) {
+    /// Notes tasks that got places, and how many accelerators they took that were free.
+    pub(super) fn note_placed(&mut self, tasks: usize, accelerators: u32) {
+        if let Some(under_way) = &mut self.under_way {
+            *under_way += tasks;
+        }
         if let Some(free) = &mut self.free_accelerators {
             *free = free.saturating_sub(accelerators);
         }
--- a/crates/stairstall-core/src/batch/planner/starts.rs
+++ b/crates/stairstall-core/src/batch/planner/starts.rs
@@ -221,6 +221,7 @@
     pub fn take_start(&mut self, order: &Order, outcome: StartOutcome, now: Now) {
         let id = &order.worker;
         let task = &order.task;
+        self.note_start_answered();
         if outcome == StartOutcome::OtherLife {
             self.life_over(id, "another life answered a start");
             return;
--- a/crates/stairstall-core/src/batch/policy.rs
+++ b/crates/stairstall-core/src/batch/policy.rs
@@ -25,7 +25,7 @@
 
 pub use daemon::{AcceptancePolicy, LinkPolicy, ReachPolicy, RolePolicy, WritePolicy};
 pub use planner::{
-    AdvicePolicy, HeadroomPolicy, HealthPolicy, LeavingPolicy, OrderPolicy, PacePolicy,
+    AdvicePolicy, FlowPolicy, HeadroomPolicy, HealthPolicy, LeavingPolicy, OrderPolicy, PacePolicy,
     PlacePolicy, ReportPolicy, TakeoverPolicy, VictimPolicy,
 };
 
@@ -60,6 +60,8 @@
     pub pace: PacePolicy,
     /// How often workers report.
     pub reports: ReportPolicy,
+    /// How much of its VM the planner's messages may take.
+    pub flow: FlowPolicy,
     /// Starts and stops that get no answer.
     pub orders: OrderPolicy,
     /// What stays on a worker that leaves.
@@ -108,6 +110,9 @@
             ("acceptance.outage_settle_limit", "acceptance.settle_limit"),
         )?;
         positive(self.reports.looks_per_s.into(), "reports.looks_per_s")?;
+        positive(self.flow.message_us.into(), "flow.message_us")?;
+        positive(self.flow.message_bytes.into(), "flow.message_bytes")?;
+        positive(self.flow.start_bytes.into(), "flow.start_bytes")?;
         positive(
             self.reach.introductions_per_s.into(),
             "reach.introductions_per_s",
--- a/crates/stairstall-core/src/batch/policy/planner.rs
+++ b/crates/stairstall-core/src/batch/policy/planner.rs
@@ -220,7 +220,41 @@
         Self {
             looks_per_s: 1_000,
             shortest_wait: Duration::from_millis(300),
-            longest_wait: Duration::from_secs(1),
+            longest_wait: Duration::from_secs(2),
+        }
+    }
+}
+
+/// How much of the planner's own VM its messages to and from workers may take.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct FlowPolicy {
+    /// Part of the link that reports may take, in percent; the rest carries orders, the list of
+    /// workers and callers.
+    pub reports_percent: u32,
+    /// Part of the processor that reports, and as much again that starts, may take, in percent.
+    pub processor_percent: u32,
+    /// Processor time of one call to a worker, in microseconds: 60 to 100 were measured.
+    pub message_us: u32,
+    /// What a call takes on the link beside its body, in bytes: heads and packets.
+    pub message_bytes: u32,
+    /// What a start takes on the link, in bytes.
+    pub start_bytes: u32,
+    /// How long the link may need for all starts that are under way: well below the time after
+    /// which a start counts as unanswered.
+    #[serde(with = "super::millis")]
+    pub start_window: Duration,
+}
+
+impl Default for FlowPolicy {
+    fn default() -> Self {
+        Self {
+            reports_percent: 35,
+            processor_percent: 25,
+            message_us: 100,
+            message_bytes: 350,
+            start_bytes: 1_000,
+            start_window: Duration::from_millis(150),
         }
     }
 }
--- a/crates/stairstall-core/src/batch/worker.rs
+++ b/crates/stairstall-core/src/batch/worker.rs
@@ -100,6 +100,8 @@
     pub ended: Vec<End>,
     /// Whether ends were left out for length.
     pub more: bool,
+    /// Length of the answer as it came, in bytes.
+    pub bytes: u32,
 }
 
 /// What to ask of a worker: renew, forget ends, report.
--- /dev/null
+++ b/crates/stairstall-core/tests/batch/flow.rs
@@ -0,0 +1,159 @@
+//! The planner says and asks no more than its own VM can carry.
+
+use std::time::Duration;
+
+use stairstall_core::WorkerId;
+use stairstall_core::batch::{HoldReport, OrderKind, StartOutcome, VmLimits};
+
+use crate::harness::{Fleet, gang, job, step};
+
+/// A link of two megabits a second.
+const NARROW: VmLimits = VmLimits {
+    link_bytes_per_s: 250_000,
+    cpu_percent: 100,
+};
+/// Length of a report of some ten runs, without its head.
+const REPORT_BYTES: u32 = 700;
+
+fn fleet(workers: usize, limits: VmLimits) -> Fleet {
+    let names: Vec<String> = (0..workers).map(|index| format!("w{index}")).collect();
+    let listed: Vec<(&str, &str)> = names.iter().map(|name| (name.as_str(), "r1")).collect();
+    let mut fleet = Fleet::new(&listed);
+    fleet.planner = fleet.planner.with_limits(limits);
+    fleet.hold_all();
+    fleet
+}
+
+/// Starts one task on every worker, and lets each report at the usual length.
+fn busy(workers: usize, limits: VmLimits) -> Fleet {
+    let mut fleet = fleet(workers, limits);
+    let count = u32::try_from(workers * 8).expect("a count");
+    for _ in 0..50 {
+        let now = fleet.now();
+        fleet.planner.submit(job("j", 2, vec![step(count, 1)]), now);
+        fleet.settle();
+    }
+    for _ in 0..2 {
+        let ids: Vec<WorkerId> = fleet.workers.keys().cloned().collect();
+        for id in ids {
+            let now = fleet.now();
+            let request = fleet
+                .planner
+                .hold_request(&id, now)
+                .expect("something runs");
+            let report = HoldReport {
+                clock_ms: fleet.at_ms,
+                running: Vec::new(),
+                ended: Vec::new(),
+                more: true,
+                bytes: REPORT_BYTES,
+            };
+            fleet.planner.take_hold(&id, &request, now.at, report, now);
+        }
+    }
+    fleet
+}
+
+fn wait_of(fleet: &mut Fleet) -> Duration {
+    let id: WorkerId = "w0".parse().expect("an id");
+    let now = fleet.now();
+    let request = fleet.planner.hold_request(&id, now);
+    request.expect("something runs").wait
+}
+
+#[test]
+fn reports_leave_most_of_a_narrow_link_to_other_messages() {
+    const WORKERS: usize = 150;
+    let mut fleet = busy(WORKERS, NARROW);
+    let wait = wait_of(&mut fleet);
+    let reports_per_s = 150.0 / wait.as_secs_f64();
+    let bytes_per_s = reports_per_s * f64::from(REPORT_BYTES);
+    assert!(
+        bytes_per_s < 250_000.0 / 2.0,
+        "{bytes_per_s} bytes a second of reports, asked for every {wait:?}"
+    );
+}
+
+#[test]
+fn reports_are_frequent_where_the_link_is_wide() {
+    let mut fleet = busy(150, VmLimits::default());
+    assert_eq!(wait_of(&mut fleet), Duration::from_millis(300));
+}
+
+#[test]
+fn starts_go_out_no_faster_than_a_narrow_link_carries_them() {
+    let mut fleet = fleet(100, NARROW);
+    let now = fleet.now();
+    fleet
+        .planner
+        .submit(job("wide", 2, vec![step(600, 1)]), now);
+    fleet.planner.tick(now);
+    fleet.write_all();
+    let orders = fleet.planner.tick(now);
+    assert!(
+        !orders.is_empty() && orders.len() <= 50,
+        "{} starts at once",
+        orders.len()
+    );
+    let answered = orders.len();
+    for order in orders {
+        let started = StartOutcome::Started {
+            clock_ms: fleet.at_ms,
+        };
+        fleet.planner.take_start(&order, started, now);
+    }
+    fleet.planner.tick(now);
+    fleet.write_all();
+    let next = fleet.planner.tick(now);
+    assert!(
+        !next.is_empty() && next.len() <= answered,
+        "{} starts after {answered} answers",
+        next.len()
+    );
+}
+
+#[test]
+fn a_gang_wider_than_the_window_goes_out_alone_and_whole() {
+    let mut fleet = fleet(100, NARROW);
+    let now = fleet.now();
+    fleet
+        .planner
+        .submit(job("wide", 1, vec![gang(160, 2)]), now);
+    fleet
+        .planner
+        .submit(job("other", 2, vec![step(50, 1)]), now);
+    fleet.planner.tick(now);
+    fleet.write_all();
+    let orders = fleet.planner.tick(now);
+    let starts = orders
+        .iter()
+        .filter(|order| matches!(order.kind, OrderKind::Start { .. }));
+    assert!(
+        starts
+            .clone()
+            .all(|order| order.task.group.job.as_str() == "wide")
+    );
+    assert_eq!(starts.count(), 160);
+}
+
+#[test]
+fn urgent_work_does_not_wait_for_others_starts() {
+    let mut fleet = fleet(100, NARROW);
+    let now = fleet.now();
+    fleet
+        .planner
+        .submit(job("wide", 2, vec![step(600, 1)]), now);
+    fleet.planner.tick(now);
+    fleet.write_all();
+    fleet.planner.tick(now);
+    fleet
+        .planner
+        .submit(job("urgent", 0, vec![gang(8, 2)]), now);
+    fleet.planner.tick(now);
+    fleet.write_all();
+    let orders = fleet.planner.tick(now);
+    let urgent = orders
+        .iter()
+        .filter(|order| order.task.group.job.as_str() == "urgent");
+    assert_eq!(urgent.count(), 8);
+}
--- a/crates/stairstall-core/tests/batch/harness.rs
+++ b/crates/stairstall-core/tests/batch/harness.rs
@@ -257,6 +257,7 @@
                 .collect(),
             ended: worker.ended.clone(),
             more: false,
+            bytes: 0,
         };
         self.at_ms += 1;
         let answered = self.now();
--- a/crates/stairstall-core/tests/batch/main.rs
+++ b/crates/stairstall-core/tests/batch/main.rs
@@ -3,6 +3,7 @@
 mod advice;
 mod ends;
 mod failures;
+mod flow;
 mod harness;
 mod lasting;
 mod leaving;
--- a/crates/stairstall-core/tests/batch/takeover.rs
+++ b/crates/stairstall-core/tests/batch/takeover.rs
@@ -123,6 +123,7 @@
             running: Vec::new(),
             ended: Vec::new(),
             more: false,
+            bytes: 0,
         };
         let answered = fleet.now();
         fleet
--- a/crates/stairstalld/src/batch/settings.rs
+++ b/crates/stairstalld/src/batch/settings.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bpaf::{OptionParser, ParseFailure, Parser, construct};
-use stairstall_core::batch::{Bounds, Policy};
+use stairstall_core::batch::{Bounds, Policy, VmLimits};
 use stairstall_core::{VmId, ZoneId};
 
 use crate::settings::{Checks, Mistake, Mistakes, WIDTH, text};
@@ -14,6 +14,9 @@
 /// Longest bound that makes sense, in milliseconds.
 const DAY_MS: u64 = 24 * 3600 * 1000;
 
+/// Bytes in a megabit.
+const BYTES_PER_MBIT: u64 = 125_000;
+
 /// Settings as they were given, unchecked.
 #[derive(Debug, Clone)]
 struct Raw {
@@ -82,6 +85,16 @@
     pub log_lines_per_s: u32,
 }
 
+impl BatchSettings {
+    /// Returns what this VM can carry.
+    pub(crate) fn vm_limits(&self) -> VmLimits {
+        VmLimits {
+            link_bytes_per_s: u64::from(self.link_mbps) * BYTES_PER_MBIT,
+            cpu_percent: self.cpu_percent,
+        }
+    }
+}
+
 macro_rules! flag {
     ($name:literal, $env:literal, $help:literal) => {
         text($name, $env, $help).fallback(String::new())
@@ -281,7 +294,7 @@
         let store = checks.address("--store", &raw.store);
         let adviser = (!raw.adviser.is_empty()).then(|| checks.address("--adviser", &raw.adviser));
         let cpu_percent = share(checks, "--cpu-percent", &raw.cpu_percent);
-        let link_mbps = share(checks, "--link-mbps", &raw.link_mbps);
+        let link_mbps = amount(checks, "--link-mbps", &raw.link_mbps);
         let store_timeout = checks.millis("--store-timeout-ms", &raw.store_timeout_ms, 10, 10_000);
         let role_lease = checks.millis("--role-lease-ms", &raw.role_lease_ms, 500, 60_000);
         let bounds = Self::read_bounds(raw, checks);
@@ -337,22 +350,36 @@
     reason = "checked to be from 0 to a million"
 )]
 fn share(checks: &mut Checks, flag: &'static str, value: &str) -> Option<u32> {
+    let number = positive(checks, flag, value)?;
+    let scaled = if number <= 1.0 {
+        number * 100.0
+    } else {
+        number
+    };
+    Some(scaled.ceil() as u32)
+}
+
+/// Reads a positive number and rounds it up.
+#[allow(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "checked to be from 0 to a million"
+)]
+fn amount(checks: &mut Checks, flag: &'static str, value: &str) -> Option<u32> {
+    Some(positive(checks, flag, value)?.ceil() as u32)
+}
+
+fn positive(checks: &mut Checks, flag: &'static str, value: &str) -> Option<f64> {
     let found = value
         .parse::<f64>()
         .ok()
         .filter(|n| *n > 0.0 && *n <= MAX_SHARE);
-    let Some(number) = found else {
+    if found.is_none() {
         checks.0.push(Mistake {
             flag,
             value: value.to_owned(),
             allowed: "a number over 0 and at most a million".to_owned(),
         });
-        return None;
-    };
-    let scaled = if number <= 1.0 {
-        number * 100.0
-    } else {
-        number
-    };
-    Some(scaled.ceil() as u32)
+    }
+    found
 }
--- a/crates/stairstalld/src/batch/tenure.rs
+++ b/crates/stairstalld/src/batch/tenure.rs
@@ -45,8 +45,9 @@
 impl Tenure {
     pub(crate) fn new(node: &Node, taken: &Taken) -> Self {
         let token = taken.record.token;
-        let mut planner =
-            Planner::new(token, node.settings.bounds).with_policy(node.settings.policy);
+        let mut planner = Planner::new(token, node.settings.bounds)
+            .with_policy(node.settings.policy)
+            .with_limits(node.settings.vm_limits());
         if let Some(catalog) = node.current_catalog() {
             planner.set_catalog(catalog);
         }
