fix(batch): keep what a planner writes within its link; starts don't wait behind others' stops

Each change of a job of 80 tasks wrote 3 to 4 kB, up to six writes of 15 jobs beside each other, so that a link of 2 Mbit/s was full of records; and places of urgent work that waited for others to give way counted as starts under way, so that nothing else went out. Ruled out: suspicion and silence of workers (a handful at the end); room (most of it free). Change: jobs and progress are deflated where long (flate2); at most what the link carries in 60 ms is being written, urgent jobs' places first; only starts that were sent, and places that wait for their record, count as under way.

--- a/crates/stairstall-core/src/batch/planner/flow.rs
+++ b/crates/stairstall-core/src/batch/planner/flow.rs
@@ -108,16 +108,19 @@
         }
     }
 
-    /// Counts the runs that wait to be started, or for the answer to their start.
+    /// Counts the runs that wait for the answer to their start, or for their place to be written
+    /// down; not those that wait for others to give way.
     fn starts_under_way(&self) -> usize {
         let runs = self
             .workers
             .values()
             .flat_map(|worker| worker.runs.values());
-        let is_under_way =
-            |run: &&super::pool::Run| matches!(run.state, RunState::Planned | RunState::Starting);
-        runs.filter(is_under_way)
-            .filter(|run| !run.restored)
+        runs.filter(|run| !run.restored)
+            .filter(|run| match run.state {
+                RunState::Starting => true,
+                RunState::Planned => run.rank > URGENT,
+                RunState::Running | RunState::Stopping => false,
+            })
             .count()
     }
 }
--- a/crates/stairstall-core/src/batch/planner/progress.rs
+++ b/crates/stairstall-core/src/batch/planner/progress.rs
@@ -31,11 +31,17 @@
         !self.changed.is_empty()
     }
 
-    /// Takes the progress of up to `most` jobs to be written down, but of none in `busy`: those
-    /// are being written, and their turn comes after that.
+    /// Takes the progress of up to `most` jobs to be written down, urgent ones first, but of none
+    /// in `busy`: those are being written, and their turn comes after that.
     pub fn take_writes(&mut self, most: usize, busy: &BTreeSet<JobId>, now: Now) -> Vec<Write> {
         let free = self.changed.iter().filter(|id| !busy.contains(*id));
-        let ids: Vec<JobId> = free.take(most).cloned().collect();
+        let mut free: Vec<(u8, &JobId)> = free.map(|id| (self.priority_of(id), id)).collect();
+        free.sort_unstable();
+        let ids: Vec<JobId> = free
+            .into_iter()
+            .take(most)
+            .map(|(_, id)| id.clone())
+            .collect();
         ids.into_iter()
             .filter_map(|id| {
                 self.changed.remove(&id);
@@ -49,6 +55,11 @@
             .collect()
     }
 
+    fn priority_of(&self, id: &JobId) -> u8 {
+        let job = self.jobs.get(id);
+        job.map_or(u8::MAX, |job| job.accepted.queue.priority)
+    }
+
     /// Takes word that a change lasts.
     pub fn written(&mut self, id: &JobId, change: u64) {
         if let Some(job) = self.jobs.get_mut(id) {
--- a/crates/stairstall-core/src/batch/policy/daemon.rs
+++ b/crates/stairstall-core/src/batch/policy/daemon.rs
@@ -150,6 +150,10 @@
     pub max_under_way: u16,
     /// Jobs in one write: the store takes 32 entries, two a job and one for the role.
     pub jobs_per_write: u16,
+    /// How long the link may need for all that is being written: well below the time after which
+    /// a start counts as unanswered.
+    #[serde(with = "super::millis")]
+    pub link_window: Duration,
 }
 
 impl Default for WritePolicy {
@@ -159,6 +163,7 @@
             overtake_after: Duration::from_millis(25),
             max_under_way: 6,
             jobs_per_write: 15,
+            link_window: Duration::from_millis(60),
         }
     }
 }
--- a/crates/stairstall-core/tests/batch/flow.rs
+++ b/crates/stairstall-core/tests/batch/flow.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use stairstall_core::WorkerId;
-use stairstall_core::batch::{HoldReport, OrderKind, StartOutcome, VmLimits};
+use stairstall_core::batch::{HoldReport, OrderKind, StartOutcome, StepSpec, VmLimits};
 
 use crate::harness::{Fleet, gang, job, step};
 
@@ -157,3 +157,33 @@
         .filter(|order| order.task.group.job.as_str() == "urgent");
     assert_eq!(urgent.count(), 8);
 }
+
+#[test]
+fn urgent_work_that_waits_for_others_to_give_way_holds_no_starts_back() {
+    let names: Vec<String> = (0..20).map(|index| format!("w{index}")).collect();
+    let racks = (0..20).map(|index| if index < 10 { "r1" } else { "r2" });
+    let listed: Vec<(&str, &str)> = names.iter().map(String::as_str).zip(racks).collect();
+    let mut fleet = Fleet::new(&listed);
+    fleet.planner = fleet.planner.with_limits(NARROW);
+    fleet.hold_all();
+    let on = |rack: &str, step: StepSpec| StepSpec {
+        required_label: Some(rack.to_owned()),
+        ..step
+    };
+    fleet.submit(job("low", 2, vec![on("r1", step(80, 1))]));
+    fleet.hold_all();
+    let now = fleet.now();
+    fleet
+        .planner
+        .submit(job("urgent", 0, vec![on("r1", gang(40, 2))]), now);
+    fleet
+        .planner
+        .submit(job("other", 2, vec![on("r2", step(30, 1))]), now);
+    fleet.planner.tick(now);
+    fleet.write_all();
+    let orders = fleet.planner.tick(now);
+    let others = orders
+        .iter()
+        .filter(|order| order.task.group.job.as_str() == "other");
+    assert_eq!(others.count(), 30);
+}
--- a/crates/stairstall-core/tests/batch/records.rs
+++ b/crates/stairstall-core/tests/batch/records.rs
@@ -1,5 +1,7 @@
 //! What is written down of places and jobs, and when.
 
+use std::collections::BTreeSet;
+
 use stairstall_core::batch::{CallerState, EndKind, OrderKind, Outcome};
 
 use crate::harness::{Fleet, id, job, step, task};
@@ -59,3 +61,17 @@
         "it is short already"
     );
 }
+
+#[test]
+fn places_of_urgent_work_are_written_down_first() {
+    let mut fleet = Fleet::new(&[("w1", "r1"), ("w2", "r1")]);
+    fleet.hold_all();
+    fleet.writes = false;
+    for (name, priority) in [("a", 2), ("b", 2), ("z", 0)] {
+        fleet.submit(job(name, priority, vec![step(2, 1)]));
+    }
+    let now = fleet.now();
+    let writes = fleet.planner.take_writes(2, &BTreeSet::new(), now);
+    let names: Vec<&str> = writes.iter().map(|write| write.job.as_str()).collect();
+    assert_eq!(names, ["z", "a"]);
+}
--- a/crates/stairstalld/src/batch.rs
+++ b/crates/stairstalld/src/batch.rs
@@ -18,6 +18,7 @@
 mod directory;
 mod health;
 mod intake;
+mod kept;
 mod keys;
 mod links;
 mod node;
--- a/crates/stairstalld/src/batch/accept.rs
+++ b/crates/stairstalld/src/batch/accept.rs
@@ -5,9 +5,9 @@
 use stairstall_core::{CustomerId, JobId, Timestamp, Verdict};
 use stairstall_ports::{Commit, Committed, Item, Revision};
 
-use super::keys;
 use super::node::Node;
 use super::rpc::{PeerClient, may_have_left};
+use super::{kept, keys};
 use crate::daemon::lock;
 
 /// What became of handing a job in.
@@ -102,7 +102,7 @@
 
 /// Writes a job to the store under the condition that its name is free.
 pub(crate) async fn write_job(node: &Node, job: &AcceptedJob) -> Acceptance {
-    let Ok(value) = serde_json::to_vec(job) else {
+    let Ok(value) = kept::write(job) else {
         return Acceptance::NotKept;
     };
     let key = keys::job(&job.id);
@@ -142,7 +142,7 @@
 fn known(job: &AcceptedJob, items: &[Item]) -> Acceptance {
     let kept = items
         .first()
-        .and_then(|item| serde_json::from_slice::<AcceptedJob>(&item.value).ok());
+        .and_then(|item| kept::read::<AcceptedJob>(&item.value).ok());
     match kept {
         Some(kept) if kept.mark == job.mark => Acceptance::Accepted,
         Some(kept) if kept.customer == job.customer => Acceptance::Known,
@@ -211,7 +211,7 @@
     let Some(item) = found else {
         return Some(Cancellation::NoJob);
     };
-    let kept: AcceptedJob = serde_json::from_slice(&item.value).ok()?;
+    let kept: AcceptedJob = kept::read(&item.value).ok()?;
     if kept.customer.as_ref() != customer {
         return Some(Cancellation::Foreign);
     }
--- a/crates/stairstalld/src/batch/ask.rs
+++ b/crates/stairstalld/src/batch/ask.rs
@@ -4,9 +4,9 @@
 use stairstall_core::batch::{AcceptedJob, CallerState, Progress};
 use stairstall_ports::StoreFault;
 
-use super::keys;
 use super::node::Node;
 use super::rpc::{JobAnswer, PeerClient};
+use super::{kept, keys};
 
 /// Returns what is known of a job; [`JobAnswer::Unknown`] only where the store has no such job.
 pub(crate) async fn job(node: &Node, id: &JobId) -> Result<JobAnswer, StoreFault> {
@@ -41,8 +41,8 @@
     let Some(item) = node.stored("read job", node.store.get(&key)).await? else {
         return Ok(JobAnswer::Unknown);
     };
-    let unreadable = |e: serde_json::Error| StoreFault::Unexpected(e.to_string());
-    let accepted: AcceptedJob = serde_json::from_slice(&item.value).map_err(unreadable)?;
+    let unreadable = |e: kept::KeptError| StoreFault::Unexpected(e.to_string());
+    let accepted: AcceptedJob = kept::read(&item.value).map_err(unreadable)?;
     let customer = accepted.customer.clone();
     if planner_missed_it {
         tell_planner(node, accepted).await;
@@ -54,7 +54,7 @@
     let key = keys::progress(id);
     let item = node.stored("read progress", node.store.get(&key)).await?;
     let progress: Progress = match item {
-        Some(item) => serde_json::from_slice(&item.value).map_err(unreadable)?,
+        Some(item) => kept::read(&item.value).map_err(unreadable)?,
         None => Progress::default(),
     };
     Ok(JobAnswer::Known {
--- a/crates/stairstalld/src/batch/intake.rs
+++ b/crates/stairstalld/src/batch/intake.rs
@@ -8,6 +8,7 @@
 use stairstall_core::batch::{AcceptedJob, Progress};
 use stairstall_ports::{Change, Item, Revision, StoreFault};
 
+use super::kept;
 use super::keys::{self, JobKeyKind};
 use super::node::Node;
 use super::tenure::Tenure;
@@ -77,7 +78,7 @@
             continue;
         };
         revisions.insert(id.clone(), item.revision);
-        match serde_json::from_slice(&item.value) {
+        match kept::read(&item.value) {
             Ok(found) => {
                 progress.insert(id, found);
             }
@@ -107,7 +108,7 @@
     let Some(JobKeyKind::Accepted(id)) = keys::read_job(&item.key) else {
         return None;
     };
-    serde_json::from_slice(&item.value)
+    kept::read(&item.value)
         .inspect_err(|error| {
             log::error!(target: "intake", job:% = id, why:% = error; "the job can't be read");
         })
--- a/crates/stairstalld/src/batch/upkeep.rs
+++ b/crates/stairstalld/src/batch/upkeep.rs
@@ -6,9 +6,9 @@
 use stairstall_core::batch::AcceptedJob;
 use stairstall_ports::{Commit, Committed};
 
-use super::keys;
 use super::node::Node;
 use super::tenure::Tenure;
+use super::{kept, keys};
 
 /// How often ended jobs are looked for.
 const INTERVAL: Duration = Duration::from_secs(1);
@@ -32,7 +32,7 @@
 async fn write(node: &Node, tenure: &Tenure, trims: &[AcceptedJob]) {
     let mut commit = Commit::default().when(keys::PLANNER, tenure.role_revision);
     for job in trims {
-        match serde_json::to_vec(job) {
+        match kept::write(job) {
             Ok(value) => commit = commit.put(keys::job(&job.id), value),
             Err(error) => {
                 log::error!(target: "upkeep", job:% = job.id, why:% = error; "its record can't be written");
--- a/crates/stairstalld/src/batch/writer.rs
+++ b/crates/stairstalld/src/batch/writer.rs
@@ -12,9 +12,9 @@
 use stairstall_ports::{Commit, Committed, Item, Revision, StoreFault};
 use tokio::time::Instant;
 
-use super::keys;
 use super::node::Node;
 use super::tenure::Tenure;
+use super::{kept, keys};
 
 /// Revisions of the progress keys, by job.
 pub(crate) type Revisions = BTreeMap<JobId, Revision>;
@@ -29,6 +29,8 @@
 /// A write that was sent, and what became of it.
 struct Sent {
     writes: Vec<Write>,
+    /// Length of its values.
+    bytes: usize,
     outcome: Result<Committed, StoreFault>,
 }
 
@@ -39,6 +41,8 @@
     revisions: Revisions,
     /// Jobs whose progress is being written.
     busy: BTreeSet<JobId>,
+    /// Length of the values that are being written.
+    bytes_under_way: usize,
     /// When ended jobs were last looked through for those to forget.
     forgot_at: Instant,
     under_way: FuturesUnordered<BoxFuture<'static, Sent>>,
@@ -54,6 +58,7 @@
         tenure,
         revisions,
         busy: BTreeSet::new(),
+        bytes_under_way: 0,
         forgot_at: Instant::now(),
         under_way: FuturesUnordered::new(),
     };
@@ -71,7 +76,14 @@
 impl Writer {
     fn may_send_more(&self) -> bool {
         let most = self.node.settings.policy.writing.max_under_way;
-        self.under_way.len() < usize::from(most)
+        self.under_way.len() < usize::from(most) && self.bytes_under_way < self.window()
+    }
+
+    /// Returns how many bytes may be under way: more would only wait for the link, before orders.
+    fn window(&self) -> usize {
+        let per_s = self.node.settings.vm_limits().link_bytes_per_s;
+        let window = self.node.settings.policy.writing.link_window;
+        usize::try_from(u128::from(per_s) * window.as_millis() / 1000).unwrap_or(usize::MAX)
     }
 
     async fn wait_for_work(&mut self) {
@@ -99,25 +111,51 @@
         if writes.is_empty() {
             return;
         }
-        let mut commit = Commit::default().when(keys::PLANNER, self.tenure.role_revision);
-        for write in &writes {
-            let key = keys::progress(&write.job);
-            let revision = self.revisions.get(&write.job).copied().unwrap_or_default();
-            let Ok(value) = serde_json::to_vec(&write.progress) else {
-                continue;
-            };
-            commit = commit.when(key.clone(), revision).put(key, value);
-        }
+        let (commit, writes, bytes) = self.fill(writes);
         self.busy.extend(writes.iter().map(|w| w.job.clone()));
+        self.bytes_under_way += bytes;
         let node = Arc::clone(&self.node);
         let sent = async move {
             let call = node.store.commit(commit);
             let outcome = node.stored("write progress", call).await;
-            Sent { writes, outcome }
+            Sent {
+                writes,
+                bytes,
+                outcome,
+            }
         };
         self.under_way.push(sent.boxed());
     }
 
+    /// Puts as many writes into a commit as the window lets, one at least, and gives the others
+    /// back; returns the commit, what is in it, and the length of its values.
+    fn fill(&self, writes: Vec<Write>) -> (Commit, Vec<Write>, usize) {
+        let left = self.window().saturating_sub(self.bytes_under_way);
+        let mut commit = Commit::default().when(keys::PLANNER, self.tenure.role_revision);
+        let mut sent = Vec::new();
+        let mut bytes = 0;
+        for write in writes {
+            if bytes > left {
+                self.tenure
+                    .with(|planner, _| planner.not_written(&write.job));
+                continue;
+            }
+            match kept::write(&write.progress) {
+                Ok(value) => {
+                    let key = keys::progress(&write.job);
+                    let revision = self.revisions.get(&write.job).copied().unwrap_or_default();
+                    bytes += value.len();
+                    commit = commit.when(key.clone(), revision).put(key, value);
+                    sent.push(write);
+                }
+                Err(error) => {
+                    log::error!(target: "writer", job:% = write.job, why:% = error; "its progress can't be written");
+                }
+            }
+        }
+        (commit, sent, bytes)
+    }
+
     /// Takes the next answer, or gives it up for now where it is time to send more beside.
     async fn take_answer(&mut self) {
         let may_send_more = self.may_send_more();
@@ -130,6 +168,7 @@
         let Ok(Some(sent)) = sent else {
             return;
         };
+        self.bytes_under_way -= sent.bytes;
         for write in &sent.writes {
             self.busy.remove(&write.job);
         }
