--- a/crates/stairstall-core/src/batch.rs
+++ b/crates/stairstall-core/src/batch.rs
@@ -22,7 +22,9 @@
 
 pub use catalog::{Access, Catalog, Customer, Queue, Route};
 pub use decision::{Decision, DecisionKind};
-pub use planner::{AdviceRequest, Bounds, Now, Order, OrderKind, Planner, VmLimits, Write};
+pub use planner::{
+    AdviceRequest, Bounds, ContactLag, Now, Order, OrderKind, Planner, VmLimits, Write,
+};
 pub use policy::{
     AcceptancePolicy, AdvicePolicy, FlowPolicy, HeadroomPolicy, HealthPolicy, LeavingPolicy,
     LinkPolicy, OrderPolicy, PacePolicy, PlacePolicy, Policy, PolicyError, ReachPolicy,
--- a/crates/stairstall-core/src/batch/planner.rs
+++ b/crates/stairstall-core/src/batch/planner.rs
@@ -33,6 +33,7 @@
 
 pub use advice::AdviceRequest;
 pub use bounds::{Bounds, Now, VmLimits};
+pub use flow::ContactLag;
 use job::Job;
 pub use orders::{Order, OrderKind};
 use pool::Worker;
--- a/crates/stairstall-core/src/batch/planner/flow.rs
+++ b/crates/stairstall-core/src/batch/planner/flow.rs
@@ -8,12 +8,25 @@
 use super::pass::Pass;
 use super::pool::RunState;
 use super::queue::{Candidate, URGENT};
-use super::{Planner, VmLimits};
+use super::{Now, Planner, VmLimits};
 use crate::batch::FlowPolicy;
 
 /// Weight of the newest report in the mean length, as a divisor.
 const REPORT_WEIGHT: u32 = 16;
 
+/// How far the planner keeps up with its workers at one moment.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ContactLag {
+    /// Workers that do not answer.
+    pub silent: usize,
+    /// How long ago the answering worker with runs that was heard longest ago was heard.
+    pub oldest_report: Duration,
+    /// How long workers are told to wait for an end before they report.
+    pub report_wait: Duration,
+    /// Starts that wait for an answer or for their places' record.
+    pub starts_under_way: usize,
+}
+
 /// What this VM can carry, and what a report has been seen to take of it.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct Flow {
@@ -108,6 +121,21 @@
         }
     }
 
+    /// Returns how far it keeps up with its workers.
+    #[must_use]
+    pub fn contact_lag(&self, now: Now) -> ContactLag {
+        let listed = self.workers.values().filter(|w| w.is_listed);
+        let (answering, silent): (Vec<_>, Vec<_>) = listed.partition(|w| w.is_in_contact());
+        let busy = answering.into_iter().filter(|w| !w.runs.is_empty());
+        let ages = busy.filter_map(|w| w.heard_at).map(|at| now.at - at);
+        ContactLag {
+            silent: silent.len(),
+            oldest_report: ages.max().unwrap_or_default(),
+            report_wait: self.longest_wait(),
+            starts_under_way: self.starts_under_way(),
+        }
+    }
+
     /// Counts the runs that wait for the answer to their start, or for their place to be written
     /// down; not those that wait for others to give way.
     fn starts_under_way(&self) -> usize {
--- a/crates/stairstall-core/tests/batch/flow.rs
+++ b/crates/stairstall-core/tests/batch/flow.rs
@@ -187,3 +187,19 @@
         .filter(|order| order.task.group.job.as_str() == "other");
     assert_eq!(others.count(), 30);
 }
+
+#[test]
+fn how_far_the_planner_keeps_up_is_told() {
+    let mut fleet = busy(10, VmLimits::default());
+    let now = fleet.now();
+    let lag = fleet.planner.contact_lag(now);
+    assert_eq!((lag.silent, lag.starts_under_way), (0, 0));
+    assert_eq!(lag.report_wait, Duration::from_millis(300));
+    fleet.at_ms += 700;
+    let silent: WorkerId = "w3".parse().expect("an id");
+    let now = fleet.now();
+    fleet.planner.hold_failed(&silent, now);
+    let lag = fleet.planner.contact_lag(now);
+    assert_eq!(lag.silent, 1);
+    assert!(lag.oldest_report >= Duration::from_millis(700));
+}
--- a/crates/stairstalld/src/batch/health.rs
+++ b/crates/stairstalld/src/batch/health.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use http_body_util::Full;
+use stairstall_core::batch::ContactLag;
 use viz::header::{CONTENT_TYPE, HeaderValue};
 use viz::{Body, Request, Response, Result, Router, StatusCode};
 
@@ -42,9 +43,11 @@
 fn figures(node: &Node) -> Response {
     if let Some(tenure) = node.tenure() {
         let (open_jobs, runs) = tenure.load();
+        node.telemetry.contact(&tenure.contact_lag());
         node.telemetry.load(open_jobs, runs);
     } else {
         node.telemetry.load(0, 0);
+        node.telemetry.contact(&ContactLag::default());
     }
     let mut response = Response::new(Body::from(Full::from(node.telemetry.text())));
     response.headers_mut().insert(
--- a/crates/stairstalld/src/batch/telemetry.rs
+++ b/crates/stairstalld/src/batch/telemetry.rs
@@ -7,6 +7,8 @@
     TextEncoder,
 };
 
+use stairstall_core::batch::ContactLag;
+
 /// Bounds of the histograms, in seconds.
 const BUCKETS: [f64; 14] = [
     0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0,
@@ -29,6 +31,10 @@
     catalog_version: IntGauge,
     open_jobs: IntGauge,
     runs: IntGauge,
+    silent_workers: IntGauge,
+    oldest_report: IntGauge,
+    report_wait: IntGauge,
+    starts_under_way: IntGauge,
     dropped_lines: IntGauge,
 }
 
@@ -107,6 +113,19 @@
             catalog_version: gauge("stairstall_catalog_version", "Configuration in force"),
             open_jobs: gauge("stairstall_open_jobs", "Jobs that have not ended"),
             runs: gauge("stairstall_runs", "Runs at workers"),
+            silent_workers: gauge("stairstall_silent_workers", "Workers that do not answer"),
+            oldest_report: gauge(
+                "stairstall_oldest_report_milliseconds",
+                "Since a busy worker that answers was heard, at the most",
+            ),
+            report_wait: gauge(
+                "stairstall_report_wait_milliseconds",
+                "How long workers wait for an end before they report",
+            ),
+            starts_under_way: gauge(
+                "stairstall_starts_under_way",
+                "Starts without an answer, and places without a record",
+            ),
             dropped_lines: gauge("stairstall_log_lines_dropped", "Log lines left out"),
         };
         telemetry.register();
@@ -114,7 +133,7 @@
     }
 
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 14] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 18] = [
             Box::new(self.calls.clone()),
             Box::new(self.call_time.clone()),
             Box::new(self.store_calls.clone()),
@@ -128,6 +147,10 @@
             Box::new(self.catalog_version.clone()),
             Box::new(self.open_jobs.clone()),
             Box::new(self.runs.clone()),
+            Box::new(self.silent_workers.clone()),
+            Box::new(self.oldest_report.clone()),
+            Box::new(self.report_wait.clone()),
+            Box::new(self.starts_under_way.clone()),
             Box::new(self.dropped_lines.clone()),
         ];
         for collector in collectors {
@@ -190,6 +213,15 @@
         self.runs.set(i64::try_from(runs).unwrap_or(i64::MAX));
     }
 
+    pub(crate) fn contact(&self, lag: &ContactLag) {
+        let count = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
+        let millis = |span: Duration| i64::try_from(span.as_millis()).unwrap_or(i64::MAX);
+        self.silent_workers.set(count(lag.silent));
+        self.oldest_report.set(millis(lag.oldest_report));
+        self.report_wait.set(millis(lag.report_wait));
+        self.starts_under_way.set(count(lag.starts_under_way));
+    }
+
     /// Returns all figures as text.
     pub(crate) fn text(&self) -> Vec<u8> {
         let dropped = crate::logging::dropped_lines();
--- a/crates/stairstalld/src/batch/tenure.rs
+++ b/crates/stairstalld/src/batch/tenure.rs
@@ -4,7 +4,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use stairstall_core::batch::{AcceptedJob, Catalog, Decision, JobSummary, Now, Planner, Span};
+use stairstall_core::batch::{
+    AcceptedJob, Catalog, ContactLag, Decision, JobSummary, Now, Planner, Span,
+};
 use stairstall_core::{JobId, Lease};
 use stairstall_ports::Revision;
 use tokio::sync::{Notify, watch};
@@ -153,6 +155,11 @@
         self.answers().then(|| lock(&self.planner).pending(queue))
     }
 
+    /// Returns how far this planner keeps up with its workers.
+    pub(crate) fn contact_lag(&self) -> ContactLag {
+        lock(&self.planner).contact_lag(self.now())
+    }
+
     /// Returns how many jobs are open and how many runs there are.
     pub(crate) fn load(&self) -> (usize, usize) {
         let planner = lock(&self.planner);
--- a/crates/stairstalld/src/batch/upkeep.rs
+++ b/crates/stairstalld/src/batch/upkeep.rs
@@ -1,4 +1,5 @@
-//! Makes the records of ended jobs short.
+//! What a planner does now and then: makes the records of ended jobs short, and says how far it
+//! keeps up.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,19 +10,25 @@
 use super::node::Node;
 use super::tenure::Tenure;
 use super::{kept, keys};
+use crate::clock::millis;
 
 /// How often ended jobs are looked for.
 const INTERVAL: Duration = Duration::from_secs(1);
+/// Rounds after which a line says how far the planner keeps up.
+const ROUNDS_PER_LINE: u64 = 5;
 /// Jobs in one write: the store takes 32 entries, up to two a job and one for the role.
 const JOBS_PER_WRITE: usize = 15;
 
-/// Shortens records for as long as the tenure lasts.
+/// Does so for as long as the tenure lasts.
 pub(crate) async fn run(node: Arc<Node>, tenure: Arc<Tenure>) {
-    loop {
+    for round in 1_u64.. {
         tokio::time::sleep(INTERVAL).await;
         if !tenure.is_in_force() {
             continue;
         }
+        if round.is_multiple_of(ROUNDS_PER_LINE) {
+            tell_lag(&tenure);
+        }
         let trims = tenure.with(|planner, _| planner.take_trims(JOBS_PER_WRITE));
         if !trims.is_empty() {
             write(&node, &tenure, &trims).await;
@@ -29,6 +36,14 @@
     }
 }
 
+/// Writes the line that says how far the planner keeps up with its workers.
+fn tell_lag(tenure: &Tenure) {
+    let lag = tenure.contact_lag();
+    log::info!(target: "contact", token = tenure.token(), silent = lag.silent,
+        oldest_report_ms = millis(lag.oldest_report), report_wait_ms = millis(lag.report_wait),
+        starts_under_way = lag.starts_under_way; "reports and starts of this planner");
+}
+
 async fn write(node: &Node, tenure: &Tenure, trims: &[AcceptedJob]) {
     let mut commit = Commit::default().when(keys::PLANNER, tenure.role_revision);
     for job in trims {
--- a/crates/stairstalld/tests/batch/faults.rs
+++ b/crates/stairstalld/tests/batch/faults.rs
@@ -269,6 +269,8 @@
         "stairstall_orders_total{kind=\"start\",outcome=\"started\"} 1",
         "stairstall_first_start_seconds_count 1",
         "stairstall_store_seconds_bucket",
+        "stairstall_silent_workers 0",
+        "stairstall_report_wait_milliseconds 300",
     ] {
         assert!(text.contains(name), "{name} is missing in\n{text}");
     }
