--- a/crates/stairstall-core/src/batch/planner/contact.rs
+++ b/crates/stairstall-core/src/batch/planner/contact.rs
@@ -1,6 +1,6 @@
 //! What workers are asked, and what their answers and silence say.
 
-pub(super) use crate::time::millis;
+use crate::time::millis;
 
 use super::pool::{Run, RunState};
 use super::{Now, Planner, Worker};
--- a/crates/stairstall-core/src/batch/planner/ends.rs
+++ b/crates/stairstall-core/src/batch/planner/ends.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use super::contact::millis;
 use super::pool::{Run, RunState};
 use super::{Now, Planner};
 use crate::batch::{Decision, DecisionKind, End, EndKind, Outcome, Setback, TaskKey};
+use crate::time::millis;
 use crate::{JobId, Timestamp, WorkerId};
 
 impl Planner {
--- a/crates/stairstall-core/src/batch/planner/evacuate.rs
+++ b/crates/stairstall-core/src/batch/planner/evacuate.rs
@@ -1,10 +1,10 @@
 //! Moving what runs away from workers that leave.
 
-use super::contact::millis;
 use super::pool::{Run, RunState};
 use super::{Now, Planner};
 use crate::WorkerId;
 use crate::batch::{Setback, TaskKey};
+use crate::time::millis;
 
 impl Planner {
     /// Stops what can't end before a leaving worker goes.
--- a/crates/stairstall-core/src/batch/planner/fit.rs
+++ b/crates/stairstall-core/src/batch/planner/fit.rs
@@ -5,18 +5,21 @@
 use super::job::{Group, Job};
 use super::pass::{Pass, RoomKind};
 use super::pool::{Health, Run, RunState, Worker};
-use super::queue::{CLAIM, Candidate, URGENT};
+use super::queue::{Candidate, URGENT};
 use super::victims::Victims;
 use super::{Now, Planner};
-use crate::batch::{Decision, DecisionKind, GroupKey, PlacePolicy, Setback, StepSpec};
-use crate::{Timestamp, WorkerId};
+use crate::WorkerId;
+use crate::batch::{Decision, DecisionKind, GroupKey, Setback, StepSpec};
 
 mod choose;
+mod cost;
 mod hold_back;
+mod scope;
 
+pub(super) use choose::Site;
 use choose::{Choice, allowed, search};
-pub(super) use choose::{Scope, Site};
 pub(super) use hold_back::HeldBack;
+pub(super) use scope::Scope;
 
 impl Planner {
     /// Gives places to the waiting tasks of a step, as far as there are any.
@@ -103,70 +106,9 @@
         ready_since.map_or(Duration::ZERO, |since| now.at - since)
     }
 
-    /// Returns the scopes to try, in turn.
-    fn scopes(
-        &self,
-        candidate: &Candidate,
-        step: &StepSpec,
-        ready_since: Timestamp,
-        pass: &mut Pass,
-        now: Now,
-    ) -> Vec<Scope> {
-        let urgent = candidate.rank <= URGENT;
-        let mut scopes = vec![Scope {
-            near: true,
-            preempts: false,
-        }];
-        if urgent {
-            scopes.push(Scope {
-                near: true,
-                preempts: true,
-            });
-        }
-        let prefers_near = step.near_rack.is_some() || (step.gang && step.same_rack);
-        let patience = if candidate.rank == CLAIM {
-            self.policy
-                .places
-                .near_patience_urgent
-                .max(self.claim_patience())
-        } else if urgent {
-            self.policy.places.near_patience_urgent
-        } else {
-            Duration::from_millis(self.estimate_ms(step))
-        };
-        let waited = now.at - ready_since;
-        let gives_up = waited >= patience || !self.could_be_near(&candidate.key, step, pass);
-        if prefers_near && gives_up {
-            scopes.push(Scope {
-                near: false,
-                preempts: false,
-            });
-            if urgent {
-                scopes.push(Scope {
-                    near: false,
-                    preempts: true,
-                });
-            }
-        }
-        scopes
-    }
-
-    /// Tells whether the step would fit near its data if nothing else ran.
-    fn could_be_near(&self, key: &GroupKey, step: &StepSpec, pass: &mut Pass) -> bool {
-        if !step.gang {
-            return true;
-        }
-        let scope = Scope {
-            near: true,
-            preempts: false,
-        };
-        let ceiling = self.ceiling(key, step, scope.near, RoomKind::Whole, pass);
-        ceiling.allows(step, step.count, scope)
-    }
-
     fn estimate_ms(&self, step: &StepSpec) -> u64 {
         step.estimate_ms
-            .max(super::contact::millis(self.policy.places.min_expected))
+            .max(crate::time::millis(self.policy.places.min_expected))
     }
 
     /// Returns how long a task should take at a worker, in milliseconds.
@@ -264,19 +206,6 @@
         Some(newest.unwrap_or(queue).service.clone())
     }
 
-    /// Returns what makes workers worse places for a step.
-    fn place_costs(&self, step: &StepSpec, key: &GroupKey) -> PlaceCosts<'_> {
-        let group = self.group_of(key);
-        let tasks = group.map_or(&[][..], |group| &group.tasks);
-        PlaceCosts {
-            work: step.room().weight().saturating_mul(self.estimate_ms(step)) / 1000,
-            has_failed: group.is_some_and(|group| group.worst_failures() > 0),
-            failed_at: tasks.iter().filter_map(|t| t.failed_at.as_ref()).collect(),
-            far_factor: self.bounds.far_factor,
-            policy: &self.policy.places,
-        }
-    }
-
     /// Stops the victims and keeps the places.
     fn settle(
         &mut self,
@@ -309,7 +238,7 @@
         if tasks.len() == group.tasks.len() || group.waiting().len() == tasks.len() {
             group.ready_since = None;
         }
-        let waited = super::contact::millis(now.at - ready_since);
+        let waited = crate::time::millis(now.at - ready_since);
         let Some(recorded_by) = self.jobs.get_mut(&key.job).map(Job::change) else {
             return;
         };
@@ -377,38 +306,6 @@
     }
 }
 
-/// What makes workers worse places for the tasks of one step.
-struct PlaceCosts<'a> {
-    /// Work of a task, in core-milliseconds.
-    work: u64,
-    /// Whether a run of it has failed.
-    has_failed: bool,
-    /// Where runs of it failed.
-    failed_at: Vec<&'a WorkerId>,
-    far_factor: u32,
-    policy: &'a PlacePolicy,
-}
-
-impl PlaceCosts<'_> {
-    /// Returns what being at a worker costs a task, in core-milliseconds.
-    fn of(&self, worker: &Worker, step: &StepSpec, at: Timestamp) -> u64 {
-        let mut cost = 0;
-        if !worker.is_near(step) {
-            cost += self.work * u64::from(self.far_factor.saturating_sub(1));
-        }
-        if worker.is_suspect(at) {
-            cost += self.work * u64::from(self.policy.suspect_penalty);
-        }
-        if self.has_failed && worker.succeeded_at.is_none() {
-            cost += self.work * u64::from(self.policy.unproven_penalty);
-        }
-        if self.failed_at.contains(&&worker.listed.id) {
-            cost += self.work * u64::from(self.policy.failed_here_penalty);
-        }
-        cost
-    }
-}
-
 fn as_u32(count: usize) -> u32 {
     u32::try_from(count).unwrap_or(u32::MAX)
 }
@@ -428,7 +325,7 @@
         let left = u64::from(100_u8.saturating_sub(self.percent));
         let shown = self.began.and_then(|(began, from)| {
             let gained = self.percent.saturating_sub(from);
-            let worked_ms = super::contact::millis(self.reported_at - began);
+            let worked_ms = crate::time::millis(self.reported_at - began);
             (gained >= shown_percent).then(|| worked_ms * left / u64::from(gained))
         });
         shown.unwrap_or(self.expected_ms * left / 100)
--- a/crates/stairstall-core/src/batch/planner/fit/choose.rs
+++ b/crates/stairstall-core/src/batch/planner/fit/choose.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use super::super::victims::{self, Victims};
+use super::Scope;
 use crate::batch::{Resources, StepSpec, TaskKey};
 use crate::{RackId, WorkerId};
 
@@ -31,15 +32,6 @@
     pub(in crate::batch::planner) victims: Vec<(WorkerId, TaskKey)>,
 }
 
-/// Which workers are looked at.
-#[derive(Debug, Clone, Copy)]
-pub(in crate::batch::planner) struct Scope {
-    /// Only those near the data, and a gang that wants it on one rack.
-    pub(in crate::batch::planner) near: bool,
-    /// Whether lower ranks may be made to give way.
-    pub(in crate::batch::planner) preempts: bool,
-}
-
 /// Finds places for `count` tasks; for a gang all or none.
 pub(super) fn search(
     step: &StepSpec,
--- /dev/null
+++ b/crates/stairstall-core/src/batch/planner/fit/scope.rs
@@ -0,0 +1,82 @@
+//! Where places for a step are looked for, and when farther away.
+
+use std::time::Duration;
+
+use super::super::Now;
+use super::super::Planner;
+use super::super::pass::{Pass, RoomKind};
+use super::super::queue::{CLAIM, Candidate, URGENT};
+use crate::Timestamp;
+use crate::batch::{GroupKey, StepSpec};
+
+/// Which workers are looked at.
+#[derive(Debug, Clone, Copy)]
+pub(in crate::batch::planner) struct Scope {
+    /// Only those near the data, and a gang that wants it on one rack.
+    pub(in crate::batch::planner) near: bool,
+    /// Whether lower ranks may be made to give way.
+    pub(in crate::batch::planner) preempts: bool,
+}
+
+impl Planner {
+    /// Returns the scopes to try, in turn.
+    pub(super) fn scopes(
+        &self,
+        candidate: &Candidate,
+        step: &StepSpec,
+        ready_since: Timestamp,
+        pass: &mut Pass,
+        now: Now,
+    ) -> Vec<Scope> {
+        let urgent = candidate.rank <= URGENT;
+        let mut scopes = vec![Scope {
+            near: true,
+            preempts: false,
+        }];
+        if urgent {
+            scopes.push(Scope {
+                near: true,
+                preempts: true,
+            });
+        }
+        let prefers_near = step.near_rack.is_some() || (step.gang && step.same_rack);
+        let patience = if candidate.rank == CLAIM {
+            self.policy
+                .places
+                .near_patience_urgent
+                .max(self.claim_patience())
+        } else if urgent {
+            self.policy.places.near_patience_urgent
+        } else {
+            Duration::from_millis(self.estimate_ms(step))
+        };
+        let waited = now.at - ready_since;
+        let gives_up = waited >= patience || !self.could_be_near(&candidate.key, step, pass);
+        if prefers_near && gives_up {
+            scopes.push(Scope {
+                near: false,
+                preempts: false,
+            });
+            if urgent {
+                scopes.push(Scope {
+                    near: false,
+                    preempts: true,
+                });
+            }
+        }
+        scopes
+    }
+
+    /// Tells whether the step would fit near its data if nothing else ran.
+    fn could_be_near(&self, key: &GroupKey, step: &StepSpec, pass: &mut Pass) -> bool {
+        if !step.gang {
+            return true;
+        }
+        let scope = Scope {
+            near: true,
+            preempts: false,
+        };
+        let ceiling = self.ceiling(key, step, scope.near, RoomKind::Whole, pass);
+        ceiling.allows(step, step.count, scope)
+    }
+}
--- a/crates/stairstall-core/src/batch/planner/pool.rs
+++ b/crates/stairstall-core/src/batch/planner/pool.rs
@@ -1,8 +1,8 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
-use super::contact::millis;
 use crate::batch::{HoldRequest, ListedWorker, Resources, StepSpec, TaskKey};
+use crate::time::millis;
 use crate::{JobId, RackId, ServiceId, Timestamp, WorkerId, ZoneId};
 
 /// Where a run stands at its worker.
--- a/crates/stairstall-core/src/batch/planner/starts.rs
+++ b/crates/stairstall-core/src/batch/planner/starts.rs
@@ -1,11 +1,11 @@
 //! Orders to workers and what became of them.
 
-use super::contact::millis;
 use super::pool::{RunState, Worker};
 use super::{Now, Order, OrderKind, Planner};
 use crate::batch::{
     Decision, DecisionKind, EndKind, GroupKey, RefusalReason, StartOutcome, StopOutcome, TaskKey,
 };
+use crate::time::millis;
 use crate::{JobId, Timestamp, WorkerId};
 
 impl Planner {
--- a/crates/stairstall-core/src/batch/planner/stuck.rs
+++ b/crates/stairstall-core/src/batch/planner/stuck.rs
@@ -2,10 +2,10 @@
 
 use std::collections::BTreeMap;
 
-use super::contact::millis;
 use super::pool::{Run, RunState};
 use super::{Now, Planner};
 use crate::batch::{Decision, GroupKey, Setback, TaskKey};
+use crate::time::millis;
 use crate::{Timestamp, WorkerId};
 
 mod pace;
--- a/crates/stairstall-core/src/batch/planner/stuck/pace.rs
+++ b/crates/stairstall-core/src/batch/planner/stuck/pace.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use super::super::contact::millis;
 use crate::batch::PacePolicy;
+use crate::time::millis;
 
 /// How fast a run gets on, as its worker last told.
 #[derive(Debug, Clone, Copy)]
--- a/crates/stairstall-core/src/batch/planner/victims.rs
+++ b/crates/stairstall-core/src/batch/planner/victims.rs
@@ -3,13 +3,13 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::contact::millis;
 use super::fit::Site;
 use super::pool::Worker;
 use super::queue::{CLAIM, URGENT};
 use super::{Now, Planner};
 use crate::Timestamp;
 use crate::batch::{GroupKey, Resources, TaskKey, VictimPolicy};
+use crate::time::millis;
 
 /// One run that may give way.
 #[derive(Debug, Clone)]
--- a/crates/stairstall-core/tests/batch/flow.rs
+++ b/crates/stairstall-core/tests/batch/flow.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use stairstall_core::WorkerId;
-use stairstall_core::batch::{HoldReport, OrderKind, StartOutcome, StepSpec, VmLimits};
+use stairstall_core::batch::{HoldReport, Order, OrderKind, StartOutcome, StepSpec, VmLimits};
 
 use crate::harness::{Fleet, gang, job, step};
 
@@ -24,6 +24,27 @@
     fleet
 }
 
+/// Plans, lets the places be written down, and returns the starts that then go out.
+fn starts(fleet: &mut Fleet) -> Vec<Order> {
+    let now = fleet.now();
+    fleet.planner.tick(now);
+    fleet.write_all();
+    let orders = fleet.planner.tick(now);
+    let is_start = |order: &Order| matches!(order.kind, OrderKind::Start { .. });
+    orders.into_iter().filter(is_start).collect()
+}
+
+/// Hands a job in and does nothing else.
+fn hand_in(fleet: &mut Fleet, name: &str, priority: u8, step: StepSpec) {
+    let now = fleet.now();
+    fleet.planner.submit(job(name, priority, vec![step]), now);
+}
+
+fn count_of(orders: &[Order], name: &str) -> usize {
+    let of_job = |order: &&Order| order.task.group.job.as_str() == name;
+    orders.iter().filter(of_job).count()
+}
+
 /// Starts one task on every worker, and lets each report at the usual length.
 fn busy(workers: usize, limits: VmLimits) -> Fleet {
     let mut fleet = fleet(workers, limits);
@@ -83,79 +104,42 @@
 #[test]
 fn starts_go_out_no_faster_than_a_narrow_link_carries_them() {
     let mut fleet = fleet(100, NARROW);
-    let now = fleet.now();
-    fleet
-        .planner
-        .submit(job("wide", 2, vec![step(600, 1)]), now);
-    fleet.planner.tick(now);
-    fleet.write_all();
-    let orders = fleet.planner.tick(now);
-    assert!(
-        !orders.is_empty() && orders.len() <= 50,
-        "{} starts at once",
-        orders.len()
-    );
+    hand_in(&mut fleet, "wide", 2, step(600, 1));
+    let orders = starts(&mut fleet);
     let answered = orders.len();
+    assert!((1..=50).contains(&answered), "{answered} starts at once");
     for order in orders {
-        let started = StartOutcome::Started {
-            clock_ms: fleet.at_ms,
-        };
-        fleet.planner.take_start(&order, started, now);
+        let clock_ms = fleet.at_ms;
+        let now = fleet.now();
+        fleet
+            .planner
+            .take_start(&order, StartOutcome::Started { clock_ms }, now);
     }
-    fleet.planner.tick(now);
-    fleet.write_all();
-    let next = fleet.planner.tick(now);
+    let next = starts(&mut fleet).len();
     assert!(
-        !next.is_empty() && next.len() <= answered,
-        "{} starts after {answered} answers",
-        next.len()
+        (1..=answered).contains(&next),
+        "{next} starts after {answered} answers"
     );
 }
 
 #[test]
 fn a_gang_wider_than_the_window_goes_out_alone_and_whole() {
     let mut fleet = fleet(100, NARROW);
-    let now = fleet.now();
-    fleet
-        .planner
-        .submit(job("wide", 1, vec![gang(160, 2)]), now);
-    fleet
-        .planner
-        .submit(job("other", 2, vec![step(50, 1)]), now);
-    fleet.planner.tick(now);
-    fleet.write_all();
-    let orders = fleet.planner.tick(now);
-    let starts = orders
-        .iter()
-        .filter(|order| matches!(order.kind, OrderKind::Start { .. }));
-    assert!(
-        starts
-            .clone()
-            .all(|order| order.task.group.job.as_str() == "wide")
-    );
-    assert_eq!(starts.count(), 160);
+    hand_in(&mut fleet, "wide", 1, gang(160, 2));
+    hand_in(&mut fleet, "other", 2, step(50, 1));
+    let orders = starts(&mut fleet);
+    assert_eq!(count_of(&orders, "wide"), 160);
+    assert_eq!(orders.len(), 160);
 }
 
 #[test]
 fn urgent_work_does_not_wait_for_others_starts() {
     let mut fleet = fleet(100, NARROW);
-    let now = fleet.now();
-    fleet
-        .planner
-        .submit(job("wide", 2, vec![step(600, 1)]), now);
-    fleet.planner.tick(now);
-    fleet.write_all();
-    fleet.planner.tick(now);
-    fleet
-        .planner
-        .submit(job("urgent", 0, vec![gang(8, 2)]), now);
-    fleet.planner.tick(now);
-    fleet.write_all();
-    let orders = fleet.planner.tick(now);
-    let urgent = orders
-        .iter()
-        .filter(|order| order.task.group.job.as_str() == "urgent");
-    assert_eq!(urgent.count(), 8);
+    hand_in(&mut fleet, "wide", 2, step(600, 1));
+    starts(&mut fleet);
+    hand_in(&mut fleet, "urgent", 0, gang(8, 2));
+    let orders = starts(&mut fleet);
+    assert_eq!(count_of(&orders, "urgent"), 8);
 }
 
 #[test]
@@ -172,20 +156,10 @@
     };
     fleet.submit(job("low", 2, vec![on("r1", step(80, 1))]));
     fleet.hold_all();
-    let now = fleet.now();
-    fleet
-        .planner
-        .submit(job("urgent", 0, vec![on("r1", gang(40, 2))]), now);
-    fleet
-        .planner
-        .submit(job("other", 2, vec![on("r2", step(30, 1))]), now);
-    fleet.planner.tick(now);
-    fleet.write_all();
-    let orders = fleet.planner.tick(now);
-    let others = orders
-        .iter()
-        .filter(|order| order.task.group.job.as_str() == "other");
-    assert_eq!(others.count(), 30);
+    hand_in(&mut fleet, "urgent", 0, on("r1", gang(40, 2)));
+    hand_in(&mut fleet, "other", 2, on("r2", step(30, 1)));
+    let orders = starts(&mut fleet);
+    assert_eq!(count_of(&orders, "other"), 30);
 }
 
 #[test]
