perf(batch): look through a large fleet a few hundred times a second at most

A pass for each end costs 0.2 ms at 1,100 workers and more at 3,000, some hundred times a second; every 25 ms all runs were looked through for the few that wait or stop, and ten times a second for stalls, although reports come every 1 to 2 s. Change: passes are 5 us a worker apart (5 ms at 1,100 workers, none below 200), urgent arrivals at once; only workers with planned, stopping or unwanted runs are looked at every 25 ms; stalls as often as there are new reports. Test: a core test of the pause (failed first: placed at once).

--- a/crates/stairstall-core/benches/planner.rs
+++ b/crates/stairstall-core/benches/planner.rs
@@ -18,6 +18,10 @@
 const SIZES: [(usize, usize); 3] = [(110, 500), (1_100, 5_000), (11_000, 50_000)];
 /// Workers in a rack.
 const RACK: usize = 20;
+/// Passes in which the fleet is filled, and the time between them, in milliseconds: starts go out
+/// some hundred at a time.
+const FILLING_PASSES: usize = 40;
+const PASS_MS: u64 = 6;
 /// Changes that are measured.
 const CHANGES: usize = 100;
 
@@ -89,7 +93,10 @@
         fleet.planner.submit(job, now);
         number += 1;
     }
-    settle(&mut fleet);
+    for _ in 0..FILLING_PASSES {
+        fleet.at_ms += PASS_MS;
+        settle(&mut fleet);
+    }
     hold_all(&mut fleet);
     settle(&mut fleet);
     fleet
--- a/crates/stairstall-core/src/batch/planner.rs
+++ b/crates/stairstall-core/src/batch/planner.rs
@@ -83,6 +83,10 @@
     ranked_claims: Option<BTreeSet<JobId>>,
     /// Counts changes of the set of workers.
     worker_set: u64,
+    /// Whether urgent work has arrived since the last pass.
+    hurries: bool,
+    /// When the last pass was.
+    planned_at: Option<Timestamp>,
     /// When to plan again although nothing has happened: patience runs out with time.
     replan_at: Option<Timestamp>,
     /// Whether a planned start may have become possible.
@@ -128,6 +132,8 @@
             to_ask: Vec::new(),
             ranked_claims: None,
             worker_set: 0,
+            hurries: false,
+            planned_at: None,
             replan_at: None,
             emit_due: false,
             deposed: false,
@@ -214,6 +220,7 @@
         self.demand
             .note(&accepted, self.policy.headroom.window, now);
         self.touch(&id);
+        self.hurries |= accepted.queue.priority == 0;
         self.jobs.insert(id, Job::new(Arc::new(accepted), now));
         self.replan = true;
     }
@@ -241,9 +248,10 @@
             self.start_due_occurrences(now);
             self.find_stuck(now);
         }
-        let is_due = self.replan_at.is_some_and(|at| now.at >= at);
-        if self.replan || is_due {
+        if self.may_plan(now) {
             self.replan = false;
+            self.hurries = false;
+            self.planned_at = Some(now.at);
             self.replan_at = if self.knows_enough(now) {
                 let waits = self.plan(now);
                 waits.then(|| now.at + Self::IDLE_TICK)
@@ -257,6 +265,25 @@
         std::mem::take(&mut self.orders)
     }
 
+    /// Tells whether it is time for a pass; one that is asked for too soon is put off.
+    ///
+    /// A pass looks at the whole fleet: at thousands of workers one for each end takes the
+    /// processor that reports need. Urgent work that arrives does not wait.
+    fn may_plan(&mut self, now: Now) -> bool {
+        let is_due = self.replan_at.is_some_and(|at| now.at >= at);
+        if !self.replan || self.hurries {
+            return is_due || self.hurries;
+        }
+        let gap = self.policy.flow.pass_gap(self.workers.len());
+        let may_from = self.planned_at.map(|at| at + gap);
+        let is_too_soon = may_from.is_some_and(|at| now.at < at);
+        if is_too_soon {
+            self.replan = false;
+            self.replan_at = self.replan_at.min(may_from).or(may_from);
+        }
+        !is_too_soon || is_due
+    }
+
     /// Tells whether the workers have had the time to say what runs on them: a new planner
     /// that knows only a few of them would put work in bad places and stop what need not stop.
     fn knows_enough(&mut self, now: Now) -> bool {
--- a/crates/stairstall-core/src/batch/planner/ends.rs
+++ b/crates/stairstall-core/src/batch/planner/ends.rs
@@ -183,9 +183,12 @@
     /// Notes that a run's task is done: members of a gang end by themselves soon, others are
     /// stopped a little later.
     pub(super) fn note_unwanted(&mut self, id: &WorkerId, task: &TaskKey, now: Now) {
-        let run = self.workers.get_mut(id).and_then(|w| w.runs.get_mut(task));
-        if let Some(run) = run {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        if let Some(run) = worker.runs.get_mut(task) {
             run.unwanted_since.get_or_insert(now.at);
+            worker.has_unsettled = true;
         }
     }
 
--- a/crates/stairstall-core/src/batch/planner/pool.rs
+++ b/crates/stairstall-core/src/batch/planner/pool.rs
@@ -86,6 +86,12 @@
         self.rank > rank && !self.lasts && !matches!(self.state, RunState::Stopping)
     }
 
+    /// Tells whether it has to be looked at as time passes.
+    pub(super) const fn is_unsettled(&self) -> bool {
+        matches!(self.state, RunState::Planned | RunState::Stopping)
+            || self.unwanted_since.is_some()
+    }
+
     /// Returns the work that a stop would throw away, in core-milliseconds.
     pub(super) fn loss(&self, now: Timestamp, restore_cost: Duration) -> u64 {
         let ran = self
@@ -113,6 +119,8 @@
     pub(super) listed: ListedWorker,
     pub(super) is_listed: bool,
     pub(super) runs: BTreeMap<TaskKey, Run>,
+    /// Whether it may have runs that are planned, being stopped or not wanted any more.
+    pub(super) has_unsettled: bool,
     /// Room of all runs, planned ones included.
     claimed: Resources,
     /// Whether it has answered the present token.
@@ -145,6 +153,7 @@
             listed: listed.clone(),
             is_listed: true,
             runs: BTreeMap::new(),
+            has_unsettled: false,
             claimed: Resources::default(),
             fenced: false,
             contact: true,
@@ -199,6 +208,7 @@
 
     pub(super) fn insert(&mut self, task: TaskKey, run: Run) {
         self.claimed = self.claimed.plus(&run.room);
+        self.has_unsettled = true;
         if let Some(old) = self.runs.insert(task, run) {
             self.claimed = self.claimed.minus(&old.room);
         }
--- a/crates/stairstall-core/src/batch/planner/resend.rs
+++ b/crates/stairstall-core/src/batch/planner/resend.rs
@@ -13,7 +13,7 @@
         let mut in_vain = Vec::new();
         let mut unwanted = Vec::new();
         self.count_waits_from_records(now);
-        for (id, worker) in &self.workers {
+        for (id, worker) in self.workers.iter().filter(|(_, w)| w.has_unsettled) {
             for (task, run) in &worker.runs {
                 if run.state == RunState::Planned
                     && let Some(why) = self.waits_in_vain(id, worker, task, run, now)
@@ -65,11 +65,12 @@
         }
     }
 
-    /// Lets the wait of planned runs for their room begin only once their places are written
+    /// Notes which workers have settled, and lets the wait of planned runs for their room begin only once their places are written
     /// down: a slow store is no reason to look for other places.
     fn count_waits_from_records(&mut self, now: Now) {
         let jobs = &self.jobs;
-        for worker in self.workers.values_mut() {
+        for worker in self.workers.values_mut().filter(|w| w.has_unsettled) {
+            worker.has_unsettled = worker.runs.values().any(Run::is_unsettled);
             for (task, run) in &mut worker.runs {
                 if run.state != RunState::Planned {
                     continue;
--- a/crates/stairstall-core/src/batch/planner/starts.rs
+++ b/crates/stairstall-core/src/batch/planner/starts.rs
@@ -205,8 +205,11 @@
     }
 
     pub(super) fn send_stop(&mut self, id: &WorkerId, task: &TaskKey, run: u32, now: Now) {
-        if let Some(entry) = self.workers.get_mut(id).and_then(|w| w.runs.get_mut(task)) {
+        if let Some(worker) = self.workers.get_mut(id)
+            && let Some(entry) = worker.runs.get_mut(task)
+        {
             entry.ordered_at = now.at;
+            worker.has_unsettled = true;
         }
         self.orders.push(Order {
             worker: id.clone(),
--- a/crates/stairstall-core/src/batch/planner/stuck.rs
+++ b/crates/stairstall-core/src/batch/planner/stuck.rs
@@ -23,9 +23,11 @@
 impl Planner {
     /// Stops runs that make no progress, or far too little, so that they go on elsewhere.
     pub(super) fn find_stuck(&mut self, now: Now) {
+        // Between two reports nothing new is to be seen.
+        let interval = self.policy.pace.interval.max(self.longest_wait() / 2);
         if self
             .looked_for_stuck_at
-            .is_some_and(|at| now.at - at < self.policy.pace.interval)
+            .is_some_and(|at| now.at - at < interval)
         {
             return;
         }
--- a/crates/stairstall-core/src/batch/policy/planner.rs
+++ b/crates/stairstall-core/src/batch/policy/planner.rs
@@ -244,6 +244,18 @@
     /// which a start counts as unanswered.
     #[serde(with = "super::millis")]
     pub start_window: Duration,
+    /// Time between two passes over the waiting work, in microseconds for each worker: a pass
+    /// takes a tenth of that or less.
+    pub pass_gap_us: u32,
+}
+
+impl FlowPolicy {
+    /// Returns the time between two passes, in whole milliseconds.
+    #[must_use]
+    pub fn pass_gap(&self, workers: usize) -> Duration {
+        let us = u64::from(self.pass_gap_us).saturating_mul(workers as u64);
+        Duration::from_millis(us / 1_000)
+    }
 }
 
 impl Default for FlowPolicy {
@@ -255,6 +267,7 @@
             message_bytes: 350,
             start_bytes: 1_000,
             start_window: Duration::from_millis(150),
+            pass_gap_us: 5,
         }
     }
 }
--- a/crates/stairstall-core/tests/batch/flow.rs
+++ b/crates/stairstall-core/tests/batch/flow.rs
@@ -177,3 +177,32 @@
     assert_eq!(lag.silent, 1);
     assert!(lag.oldest_report >= Duration::from_millis(700));
 }
+
+#[test]
+fn a_large_fleet_is_not_looked_through_at_every_end_but_for_urgent_work() {
+    const WORKERS: usize = 1_000;
+    let mut fleet = fleet(WORKERS, VmLimits::default());
+    hand_in(&mut fleet, "first", 2, step(8, 1));
+    assert_eq!(starts(&mut fleet).len(), 8);
+    fleet.at_ms += 1;
+    hand_in(&mut fleet, "soon", 2, step(8, 1));
+    assert_eq!(
+        starts(&mut fleet).len(),
+        0,
+        "the last look was a moment ago"
+    );
+    hand_in(&mut fleet, "urgent", 0, step(8, 1));
+    let orders = starts(&mut fleet);
+    assert_eq!(count_of(&orders, "urgent"), 8);
+    fleet.at_ms += 1;
+    hand_in(&mut fleet, "later", 2, step(8, 1));
+    let now = fleet.now();
+    assert_eq!(starts(&mut fleet).len(), 0);
+    let pause = fleet.planner.next_tick(now);
+    assert!(
+        pause <= Duration::from_millis(5),
+        "the next look is {pause:?} away"
+    );
+    fleet.at_ms += 5;
+    assert_eq!(count_of(&starts(&mut fleet), "later"), 8);
+}
