feat(batch): start nothing in an evacuated availability zone

Ruled out: one watch on the operators' prefix in each daemon (its waits of 4 s and the second in which a watch may hear nothing don't fit a bound of 5 s); the directory's entries (they don't say it). Change: the planner asks for the zones a fifth of the bound apart by a linearizable read, before it loads the directory at a takeover too. The core keeps the list with its age: workers there take no tasks, places without a start are given up with their gangs, a start without an answer is barred instead of sent again, and nothing starts at all while the list is older than three fifths of the bound. Age and zones are in the contact line and on the metrics address. The file that empties leaving workers is called so now. Tests: 12 on the virtual clock, 3 with processes; the interface they use did not exist before.

--- a/crates/stairstall-core/src/batch/decision.rs
+++ b/crates/stairstall-core/src/batch/decision.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use super::TaskKey;
-use crate::{JobId, WorkerId};
+use crate::{JobId, WorkerId, ZoneId};
 
 /// What the planner decided.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -22,6 +22,8 @@
     Outcome,
     /// A worker gets nothing new for a while, or again.
     Worker,
+    /// Nothing starts in an availability zone any more, or again.
+    Zone,
 }
 
 impl DecisionKind {
@@ -37,6 +39,7 @@
             Self::Adopt => "adopt",
             Self::Outcome => "outcome",
             Self::Worker => "worker",
+            Self::Zone => "zone",
         }
     }
 }
@@ -54,6 +57,8 @@
     pub run: u32,
     /// The worker, where it touches one.
     pub worker: Option<WorkerId>,
+    /// The availability zone, where it touches a whole one.
+    pub zone: Option<ZoneId>,
     /// Why, in words.
     pub why: String,
     /// How long the job had waited, where its first task began.
@@ -76,6 +81,7 @@
             task: Some(task.clone()),
             run,
             worker: Some(worker.clone()),
+            zone: None,
             why: why.into(),
             after: None,
         }
@@ -90,6 +96,7 @@
             task: None,
             run: 0,
             worker: None,
+            zone: None,
             why: why.into(),
             after: None,
         }
@@ -114,6 +121,22 @@
             task: None,
             run: 0,
             worker: Some(worker.clone()),
+            zone: None,
+            why: why.into(),
+            after: None,
+        }
+    }
+
+    /// Creates a decision about an availability zone.
+    #[must_use]
+    pub fn of_zone(zone: &ZoneId, why: impl Into<String>) -> Self {
+        Self {
+            kind: DecisionKind::Zone,
+            job: None,
+            task: None,
+            run: 0,
+            worker: None,
+            zone: Some(zone.clone()),
             why: why.into(),
             after: None,
         }
--- a/crates/stairstall-core/src/batch/planner.rs
+++ b/crates/stairstall-core/src/batch/planner.rs
@@ -14,11 +14,12 @@
 mod contact;
 mod directory;
 mod ends;
-mod evacuate;
+mod evacuation;
 mod fit;
 mod flow;
 mod headroom;
 mod job;
+mod leaving;
 mod orders;
 mod pass;
 mod pool;
@@ -70,6 +71,7 @@
     touched: BTreeSet<JobId>,
     summaries: Vec<JobSummary>,
     demand: headroom::UrgentDemand,
+    evacuation: evacuation::Evacuation,
     replan: bool,
     /// When everything was last looked through for what time alone changes.
     kept_house_at: Option<Timestamp>,
@@ -127,6 +129,7 @@
             touched: BTreeSet::new(),
             summaries: Vec::new(),
             demand: headroom::UrgentDemand::default(),
+            evacuation: evacuation::Evacuation::default(),
             replan: true,
             kept_house_at: None,
             looked_for_stuck_at: None,
@@ -287,9 +290,13 @@
         !is_too_soon || is_due
     }
 
-    /// Tells whether the workers have had the time to say what runs on them: a new planner
-    /// that knows only a few of them would put work in bad places and stop what need not stop.
+    /// Tells whether it knows which zones take work, and the workers have had the time to say what
+    /// runs on them: a new planner that knows only a few of them would put work in bad places and
+    /// stop what need not stop.
     fn knows_enough(&mut self, now: Now) -> bool {
+        if !self.knows_evacuations(now) {
+            return false;
+        }
         let first_tick_at = *self.first_tick_at.get_or_insert(now.at);
         let is_quiet = self
             .last_new_report_at
--- a/crates/stairstall-core/src/batch/planner/bounds.rs
+++ b/crates/stairstall-core/src/batch/planner/bounds.rs
@@ -47,6 +47,8 @@
     pub stop_max: Duration,
     /// Within what time of its acceptance a customer's claim on its own share has to begin.
     pub reclaim: Duration,
+    /// Within what time of an operator's word nothing starts any more in an evacuated zone.
+    pub evacuate: Duration,
     /// How many times as long a task takes away from its rack.
     pub far_factor: u32,
     /// How long an ended job is answered for.
--- a/crates/stairstall-core/src/batch/planner/directory.rs
+++ b/crates/stairstall-core/src/batch/planner/directory.rs
@@ -26,11 +26,12 @@
             .entry(id.clone())
             .or_insert_with(|| Worker::new(listed.clone(), now.at));
         let was_draining = worker.listed.draining;
+        worker.in_evacuated_zone = self.evacuation.includes(&listed.zone);
         worker.relist(listed, now.at);
         if worker.listed.draining && !was_draining {
             self.decisions
                 .push(Decision::of_worker(&id, "it is leaving"));
-            self.evacuate(&id, now);
+            self.vacate(&id, now);
         }
     }
 
--- a/crates/stairstall-core/src/batch/planner/evacuate.rs
+++ b/crates/stairstall-core/src/batch/planner/leaving.rs
@@ -8,7 +8,7 @@
 
 impl Planner {
     /// Stops what can't end before a leaving worker goes.
-    pub(super) fn evacuate(&mut self, id: &WorkerId, now: Now) {
+    pub(super) fn vacate(&mut self, id: &WorkerId, now: Now) {
         let Some(worker) = self.workers.get(id) else {
             return;
         };
--- a/crates/stairstall-core/src/batch/planner/pool.rs
+++ b/crates/stairstall-core/src/batch/planner/pool.rs
@@ -118,6 +118,8 @@
 pub(super) struct Worker {
     pub(super) listed: ListedWorker,
     pub(super) is_listed: bool,
+    /// Whether its availability zone is evacuated, so that nothing may start there.
+    pub(super) in_evacuated_zone: bool,
     pub(super) runs: BTreeMap<TaskKey, Run>,
     /// Whether it may have runs that are planned, being stopped or not wanted any more.
     pub(super) has_unsettled: bool,
@@ -152,6 +154,7 @@
         let mut worker = Self {
             listed: listed.clone(),
             is_listed: true,
+            in_evacuated_zone: false,
             runs: BTreeMap::new(),
             has_unsettled: false,
             claimed: Resources::default(),
@@ -252,7 +255,8 @@
 
     /// Tells whether it may be given tasks.
     pub(super) fn takes_tasks(&self) -> bool {
-        self.is_listed && self.fenced && self.contact && !self.listed.draining
+        let stays = !self.listed.draining && !self.in_evacuated_zone;
+        self.is_listed && self.fenced && self.contact && stays
     }
 
     pub(super) fn is_suspect(&self, at: Timestamp) -> bool {
--- a/crates/stairstall-core/src/batch/planner/starts.rs
+++ b/crates/stairstall-core/src/batch/planner/starts.rs
@@ -11,6 +11,9 @@
 impl Planner {
     /// Sends the starts whose room is free: of a gang all or none.
     pub(super) fn emit_starts(&mut self, now: Now) {
+        if !self.knows_evacuations(now) {
+            return;
+        }
         let groups: Vec<GroupKey> = self.planned.iter().cloned().collect();
         for key in groups {
             let members = self.planned_members(&key);
@@ -81,7 +84,8 @@
             .fold(crate::batch::Resources::default(), |sum, run| {
                 sum.plus(&run.room)
             });
-        is_recorded && worker.is_in_contact() && needed.fits(&worker.free_now())
+        let takes_starts = worker.is_in_contact() && !worker.in_evacuated_zone;
+        is_recorded && takes_starts && needed.fits(&worker.free_now())
     }
 
     /// Tells whether a run's place is written down, so that a later planner knows of it.
@@ -314,7 +318,7 @@
         let (id, task) = (&order.worker, &order.task);
         self.doubt(id, now);
         let tries = self.run_at(id, task).map_or(0, |run| run.tries);
-        if tries < self.policy.orders.max_tries {
+        if tries < self.policy.orders.max_tries && self.may_start_at(id, now) {
             self.emit_start(id, task, now);
         } else {
             self.stop_run(id, task, "no answer to its starts", now);
--- a/crates/stairstall-core/tests/batch/harness.rs
+++ b/crates/stairstall-core/tests/batch/harness.rs
@@ -10,12 +10,14 @@
     StartOutcome, StepSpec, StopOutcome, TaskKey,
 };
 use stairstall_core::claim::Mark;
-use stairstall_core::{CustomerId, JobId, Timestamp, WorkerId};
+use stairstall_core::{CustomerId, JobId, Timestamp, WorkerId, ZoneId};
 
 /// Longest lease of the workers here.
 pub const HOLD_MAX: Duration = Duration::from_secs(6);
 /// Longest stop of the workers here.
 pub const STOP_MAX: Duration = Duration::from_millis(200);
+/// Within what time nothing starts any more in an evacuated zone.
+pub const EVACUATE: Duration = Duration::from_secs(5);
 /// How long a task's work takes at a worker that is sound, in milliseconds.
 pub const SPAN_MS: u64 = 20_000;
 /// Time of day at the start, in milliseconds since the Unix epoch.
@@ -82,6 +84,10 @@
     pub given: Vec<Order>,
     /// Whether the store takes writes.
     pub writes: bool,
+    /// Whether the store says which zones are evacuated.
+    pub tells_evacuations: bool,
+    /// Which zones are evacuated.
+    pub evacuated: BTreeSet<ZoneId>,
     /// What the store has of each job.
     pub kept: BTreeMap<JobId, Progress>,
 }
@@ -105,6 +111,7 @@
         hold_max: HOLD_MAX,
         stop_max: STOP_MAX,
         reclaim: Duration::from_millis(3_400),
+        evacuate: EVACUATE,
         far_factor: 3,
         keep_ended: Duration::from_secs(120),
     }
@@ -199,6 +206,8 @@
             at_ms: 0,
             given: Vec::new(),
             writes: true,
+            tells_evacuations: true,
+            evacuated: BTreeSet::new(),
             kept: BTreeMap::new(),
         };
         for (name, rack) in workers {
@@ -208,6 +217,7 @@
                 .insert(listed.id.clone(), FakeWorker::default());
             fleet.planner.list_worker(listed, now);
         }
+        fleet.tell_evacuations();
         fleet
     }
 
@@ -270,6 +280,7 @@
     pub fn settle(&mut self) {
         loop {
             let now = self.now();
+            self.tell_evacuations();
             let orders = self.planner.tick(now);
             let written = self.writes && self.planner.has_writes();
             if self.writes {
@@ -350,6 +361,16 @@
             let kept = self.kept.get(&job.id);
             self.planner.load(job.clone(), kept, false, now);
         }
+        self.tell_evacuations();
+    }
+
+    /// Tells the planner which zones are evacuated, if the store does.
+    fn tell_evacuations(&mut self) {
+        let now = self.now();
+        if self.tells_evacuations {
+            let zones = self.evacuated.clone();
+            self.planner.set_evacuated(zones, now.at, now);
+        }
     }
 
     /// Returns where a task runs.
--- a/crates/stairstall-core/tests/batch/main.rs
+++ b/crates/stairstall-core/tests/batch/main.rs
@@ -2,6 +2,7 @@
 
 mod advice;
 mod ends;
+mod evacuation;
 mod failures;
 mod flow;
 mod harness;
--- a/crates/stairstall-ports/src/dialect.rs
+++ b/crates/stairstall-ports/src/dialect.rs
@@ -29,6 +29,10 @@
     /// Key of the operators' configuration in the store.
     fn configuration_key(&self) -> &'static str;
 
+    /// Prefix of the keys that evacuate an availability zone, which each end with its name; the
+    /// zone is restored by taking its key away.
+    fn evacuation_prefix(&self) -> &'static str;
+
     /// Prefix of the directory of workers in the store.
     fn directory_prefix(&self) -> &'static str;
 
--- a/crates/stairstalld/src/batch.rs
+++ b/crates/stairstalld/src/batch.rs
@@ -8,7 +8,7 @@
 //! - `catalog`: follows the operators' configuration.
 //! - `role`: takes, renews and gives up the planner's role.
 //! - `tenure`: what the planner does while it holds the role; `links` speak to
-//!   workers, `writer` to the store, `directory` and `intake` bring news.
+//!   workers, `writer` to the store, `directory`, `evacuation` and `intake` bring news.
 //! - `rpc`: what daemons ask each other; `reach`: whether work can be kept at all.
 
 mod accept;
@@ -16,6 +16,7 @@
 mod callers;
 mod catalog;
 mod directory;
+mod evacuation;
 mod health;
 mod intake;
 mod kept;
--- /dev/null
+++ b/crates/stairstalld/src/batch/evacuation.rs
@@ -0,0 +1,56 @@
+//! Keeps the planner's list of evacuated availability zones up to date.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use stairstall_core::ZoneId;
+use stairstall_ports::StoreFault;
+
+use super::intake;
+use super::node::Node;
+use super::tenure::Tenure;
+
+/// Questions within the time that an operator's word may take: a second apart at five. A question
+/// and not a watch, since a watch may hear nothing for a while and then lose its history.
+const QUESTIONS_PER_BOUND: u32 = 5;
+/// Pause before the store is asked again after a failure.
+const STORE_PAUSE: Duration = Duration::from_millis(200);
+
+/// Reads which zones are evacuated and tells the planner.
+pub(crate) async fn load(node: &Node, tenure: &Tenure) -> Result<(), StoreFault> {
+    let prefix = node.dialect.evacuation_prefix();
+    let asked_at = node.clock.now();
+    let (items, _) = intake::read_all(node, "list evacuations", prefix).await?;
+    let zones: BTreeSet<ZoneId> = items
+        .iter()
+        .filter_map(|item| read_zone(prefix, &item.key))
+        .collect();
+    tenure.with(|planner, now| planner.set_evacuated(zones, asked_at, now));
+    Ok(())
+}
+
+fn read_zone(prefix: &str, key: &str) -> Option<ZoneId> {
+    let name = key.strip_prefix(prefix)?;
+    match name.parse() {
+        Ok(zone) => Some(zone),
+        Err(error) => {
+            log::error!(target: "zone", key, why:% = error; "an evacuation names no zone");
+            None
+        }
+    }
+}
+
+/// Asks again and again for as long as the tenure lasts.
+pub(crate) async fn follow(node: Arc<Node>, tenure: Arc<Tenure>) {
+    let interval = node.settings.bounds.evacuate / QUESTIONS_PER_BOUND;
+    loop {
+        match load(&node, &tenure).await {
+            Ok(()) => tokio::time::sleep(interval).await,
+            Err(fault) => {
+                log::debug!(target: "zone", why:% = fault; "asking again for evacuated zones");
+                node.pause(STORE_PAUSE).await;
+            }
+        }
+    }
+}
--- a/crates/stairstalld/src/batch/health.rs
+++ b/crates/stairstalld/src/batch/health.rs
@@ -1,6 +1,7 @@
 //! What the balancer and the operators' tools ask: readiness and figures.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use http_body_util::Full;
 use stairstall_core::batch::ContactLag;
@@ -45,7 +46,10 @@
         let (open_jobs, runs) = tenure.load();
         node.telemetry.contact(&tenure.contact_lag());
         node.telemetry.load(open_jobs, runs);
+        let (zones, age) = tenure.evacuations();
+        node.telemetry.evacuations(zones, age.unwrap_or_default());
     } else {
+        node.telemetry.evacuations(0, Duration::ZERO);
         node.telemetry.load(0, 0);
         node.telemetry.contact(&ContactLag::default());
     }
--- a/crates/stairstalld/src/batch/intake.rs
+++ b/crates/stairstalld/src/batch/intake.rs
@@ -29,7 +29,7 @@
 ];
 
 /// Reads all keys of a prefix; returns them with the revision of the first page.
-async fn read_all(
+pub(crate) async fn read_all(
     node: &Node,
     kind: &'static str,
     prefix: &str,
--- a/crates/stairstalld/src/batch/settings.rs
+++ b/crates/stairstalld/src/batch/settings.rs
@@ -14,6 +14,10 @@
 /// Longest bound that makes sense, in milliseconds.
 const DAY_MS: u64 = 24 * 3600 * 1000;
 
+/// Bound on evacuations where the platform states none, in milliseconds: that of the one site that
+/// has evacuations.
+const DEFAULT_EVACUATE_MS: &str = "5000";
+
 /// Bytes in a megabit.
 const BYTES_PER_MBIT: u64 = 125_000;
 
@@ -35,6 +39,7 @@
     hold_max_ms: String,
     stop_max_ms: String,
     reclaim_ms: String,
+    evacuate_ms: String,
     far_factor: String,
     keep_ended_s: String,
     drain_delay_ms: String,
@@ -174,6 +179,11 @@
         "Within what time a customer's claim on its own share has to begin",
         "2500"
     );
+    let evacuate_ms = flag!(
+        "evacuate-ms",
+        "STAIRSTALL_EVACUATE_MS",
+        "Within what time of the operator's word nothing starts in an evacuated zone any more; 5000 where nothing is given"
+    );
     let far_factor = flag!(
         "far-factor",
         "STAIRSTALL_FAR_FACTOR",
@@ -230,6 +240,7 @@
         hold_max_ms,
         stop_max_ms,
         reclaim_ms,
+        evacuate_ms,
         far_factor,
         keep_ended_s,
         drain_delay_ms,
@@ -328,12 +339,18 @@
         let hold_max = checks.millis("--hold-max-ms", &raw.hold_max_ms, 500, DAY_MS);
         let stop_max = checks.millis("--stop-max-ms", &raw.stop_max_ms, 1, DAY_MS);
         let reclaim = checks.millis("--reclaim-ms", &raw.reclaim_ms, 1, DAY_MS);
+        let evacuate_ms = match raw.evacuate_ms.as_str() {
+            "" => DEFAULT_EVACUATE_MS,
+            given => given,
+        };
+        let evacuate = checks.millis("--evacuate-ms", evacuate_ms, 500, DAY_MS);
         let far_factor = checks.number("--far-factor", &raw.far_factor, 1, 1_000);
         let keep_ended_s = checks.number("--keep-ended-s", &raw.keep_ended_s, 1, DAY_MS);
         Some(Bounds {
             hold_max: hold_max?,
             stop_max: stop_max?,
             reclaim: reclaim?,
+            evacuate: evacuate?,
             far_factor: u32::try_from(far_factor?).ok()?,
             keep_ended: Duration::from_secs(keep_ended_s?),
         })
--- a/crates/stairstalld/src/batch/telemetry.rs
+++ b/crates/stairstalld/src/batch/telemetry.rs
@@ -35,6 +35,8 @@
     oldest_report: IntGauge,
     report_wait: IntGauge,
     starts_under_way: IntGauge,
+    evacuated_zones: IntGauge,
+    evacuations_age: IntGauge,
     dropped_lines: IntGauge,
 }
 
@@ -126,6 +128,14 @@
                 "stairstall_starts_under_way",
                 "Starts without an answer, and places without a record",
             ),
+            evacuated_zones: gauge(
+                "stairstall_evacuated_zones",
+                "Availability zones in which nothing may start",
+            ),
+            evacuations_age: gauge(
+                "stairstall_evacuations_age_milliseconds",
+                "Since the list of evacuated zones was asked for",
+            ),
             dropped_lines: gauge("stairstall_log_lines_dropped", "Log lines left out"),
         };
         telemetry.register();
@@ -133,7 +143,7 @@
     }
 
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 18] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 20] = [
             Box::new(self.calls.clone()),
             Box::new(self.call_time.clone()),
             Box::new(self.store_calls.clone()),
@@ -151,6 +161,8 @@
             Box::new(self.oldest_report.clone()),
             Box::new(self.report_wait.clone()),
             Box::new(self.starts_under_way.clone()),
+            Box::new(self.evacuated_zones.clone()),
+            Box::new(self.evacuations_age.clone()),
             Box::new(self.dropped_lines.clone()),
         ];
         for collector in collectors {
@@ -213,6 +225,13 @@
         self.runs.set(i64::try_from(runs).unwrap_or(i64::MAX));
     }
 
+    pub(crate) fn evacuations(&self, zones: usize, age: Duration) {
+        self.evacuated_zones
+            .set(i64::try_from(zones).unwrap_or(i64::MAX));
+        self.evacuations_age
+            .set(i64::try_from(age.as_millis()).unwrap_or(i64::MAX));
+    }
+
     pub(crate) fn contact(&self, lag: &ContactLag) {
         let count = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
         let millis = |span: Duration| i64::try_from(span.as_millis()).unwrap_or(i64::MAX);
--- a/crates/stairstalld/src/batch/tenure.rs
+++ b/crates/stairstalld/src/batch/tenure.rs
@@ -16,7 +16,7 @@
 use super::node::Node;
 use super::role::Taken;
 use super::rpc::JobAnswer;
-use super::{directory, intake, upkeep, writer};
+use super::{directory, evacuation, intake, upkeep, writer};
 use crate::clock::{Clock, unix_millis};
 use crate::daemon::lock;
 
@@ -160,6 +160,15 @@
         lock(&self.planner).contact_lag(self.now())
     }
 
+    /// Returns how many zones are evacuated, and how old that word is.
+    pub(crate) fn evacuations(&self) -> (usize, Option<Duration>) {
+        let planner = lock(&self.planner);
+        (
+            planner.evacuated_zones(),
+            planner.evacuations_age(self.now()),
+        )
+    }
+
     /// Returns how many jobs are open and how many runs there are.
     pub(crate) fn load(&self) -> (usize, usize) {
         let planner = lock(&self.planner);
@@ -197,6 +206,7 @@
         Arc::clone(tenure),
         directory_at,
     ));
+    tasks.spawn(evacuation::follow(Arc::clone(node), Arc::clone(tenure)));
     tasks.spawn(intake::follow(
         Arc::clone(node),
         Arc::clone(tenure),
@@ -264,6 +274,7 @@
 async fn load(node: &Node, tenure: &Tenure) -> (Revision, Revision, writer::Revisions) {
     loop {
         let loaded = async {
+            evacuation::load(node, tenure).await?;
             let workers = directory::load(node, tenure);
             let (directory_at, kept) = node.listings(workers, intake::read(node)).await?;
             let (intake_at, revisions) = intake::load(kept, tenure);
@@ -314,6 +325,10 @@
             job:% = task.group.job, task:% = task, run = decision.run, worker:% = worker; "{why}"),
         (_, Some(job), _) => log::info!(target: target, token, job:% = job; "{why}"),
         (_, _, Some(worker)) => log::info!(target: target, token, worker:% = worker; "{why}"),
+        _ if decision.zone.is_some() => {
+            let zone = decision.zone.as_ref().map(ToString::to_string);
+            log::info!(target: target, token, zone:% = zone.unwrap_or_default(); "{why}");
+        }
         _ => log::info!(target: target, token; "{why}"),
     }
 }
--- a/crates/stairstalld/src/batch/upkeep.rs
+++ b/crates/stairstalld/src/batch/upkeep.rs
@@ -39,9 +39,11 @@
 /// Writes the line that says how far the planner keeps up with its workers.
 fn tell_lag(tenure: &Tenure) {
     let lag = tenure.contact_lag();
+    let (evacuated, evacuations_age) = tenure.evacuations();
     log::info!(target: "contact", token = tenure.token(), silent = lag.silent,
         oldest_report_ms = millis(lag.oldest_report), report_wait_ms = millis(lag.report_wait),
-        starts_under_way = lag.starts_under_way; "reports and starts of this planner");
+        starts_under_way = lag.starts_under_way, evacuated_zones = evacuated,
+        evacuations_age_ms = millis(evacuations_age.unwrap_or_default()); "reports and starts of this planner");
 }
 
 async fn write(node: &Node, tenure: &Tenure, trims: &[AcceptedJob]) {
--- a/crates/stairstalld/tests/batch/cluster.rs
+++ b/crates/stairstalld/tests/batch/cluster.rs
@@ -177,12 +177,19 @@
             let daemon = Daemon::start(&format!("vm-{number}"), &cluster.store).await;
             cluster.daemons.push(daemon);
         }
+        if daemons > 0 {
+            cluster.wait_until_planned().await;
+        }
+        cluster
+    }
+
+    /// Waits until a daemon plans and every other one knows of it.
+    pub async fn wait_until_planned(&self) {
         let ready = Instant::now() + PATIENCE;
-        while !cluster.knows_planner() {
+        while !self.knows_planner() {
             assert!(Instant::now() < ready, "no daemon took the planner's role");
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
-        cluster
     }
 
     fn knows_planner(&self) -> bool {
--- a/crates/stairstalld/tests/batch/main.rs
+++ b/crates/stairstalld/tests/batch/main.rs
@@ -2,6 +2,7 @@
 
 mod cluster;
 mod directory;
+mod evacuation;
 mod faults;
 mod path;
 mod policy;
