perf(batch): don't doubt a worker that reports because an order got no answer

Change: an order without an answer casts doubt only on a worker that was not heard since the order left. Tests: two, both failed with the mechanism switched off (health.reports_count=false).

--- a/crates/stairstall-core/src/batch/planner/contact.rs
+++ b/crates/stairstall-core/src/batch/planner/contact.rs
@@ -116,6 +116,22 @@
         }
     }
 
+    /// Doubts a worker that left an order about a run without an answer, unless it has answered
+    /// anything since the order left: then that order is late, and the worker is not cut off.
+    ///
+    /// Each doubt takes a worker out for a report's time, and three at once a whole zone with all
+    /// places that wait for room there.
+    pub(super) fn doubt_unless_heard(&mut self, id: &WorkerId, task: &TaskKey, now: Now) {
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
+        let ordered_at = worker.runs.get(task).map(|run| run.ordered_at);
+        let was_heard = ordered_at.is_some_and(|at| worker.heard_at > Some(at));
+        if !(was_heard && self.policy.health.reports_count) {
+            self.doubt(id, now);
+        }
+    }
+
     /// Asks every worker of a zone that has not answered lately before it gets anything new.
     fn doubt_zone(&mut self, zone: &ZoneId, now: Now) {
         let heard_lately = self.policy.health.heard_lately;
--- a/crates/stairstall-core/src/batch/planner/starts.rs
+++ b/crates/stairstall-core/src/batch/planner/starts.rs
@@ -316,7 +316,7 @@
 
     fn try_again(&mut self, order: &Order, now: Now) {
         let (id, task) = (&order.worker, &order.task);
-        self.doubt(id, now);
+        self.doubt_unless_heard(id, task, now);
         let tries = self.run_at(id, task).map_or(0, |run| run.tries);
         if tries < self.policy.orders.max_tries && self.may_start_at(id, now) {
             self.emit_start(id, task, now);
@@ -338,7 +338,7 @@
     fn stop_again(&mut self, order: &Order, now: Now) {
         let (id, task) = (&order.worker, &order.task);
         let max_tries = self.policy.orders.max_tries;
-        self.doubt(id, now);
+        self.doubt_unless_heard(id, task, now);
         let run = self.workers.get_mut(id).and_then(|w| w.runs.get_mut(task));
         let Some(run) = run.filter(|run| run.number == order.run) else {
             return;
--- a/crates/stairstall-core/src/batch/policy/planner.rs
+++ b/crates/stairstall-core/src/batch/policy/planner.rs
@@ -133,6 +133,8 @@
     pub suspect_after_stall: Duration,
     /// Silent workers of a zone that cast doubt on all of it.
     pub doubtful_zone: u16,
+    /// Whether a worker that reports is not in doubt, though an order got no answer.
+    pub reports_count: bool,
     /// A worker that answered within this time is not in doubt with its zone.
     #[serde(with = "super::millis")]
     pub heard_lately: Duration,
@@ -147,6 +149,7 @@
             suspect_after_refusal: Duration::from_secs(2),
             suspect_after_stall: Duration::from_secs(6),
             doubtful_zone: 3,
+            reports_count: true,
             heard_lately: Duration::from_millis(200),
         }
     }
--- a/crates/stairstall-core/tests/batch/silence.rs
+++ b/crates/stairstall-core/tests/batch/silence.rs
@@ -102,3 +102,60 @@
         "all of them, within milliseconds"
     );
 }
+
+/// Submits a task, asks its worker again where `reports`, and leaves its start without an answer.
+fn lose_a_start(fleet: &mut Fleet, reports: bool) -> WorkerId {
+    let now = fleet.now();
+    fleet.planner.submit(job("late", 2, vec![step(1, 8)]), now);
+    fleet.planner.tick(now);
+    fleet.write_all();
+    let starts = fleet.planner.tick(now);
+    let start = starts.first().expect("a start").clone();
+    fleet.at_ms += 100;
+    if reports {
+        fleet.hold(&start.worker).expect("it is asked");
+    }
+    fleet.at_ms += 250;
+    let now = fleet.now();
+    fleet.planner.take_start(&start, StartOutcome::Unknown, now);
+    start.worker
+}
+
+#[test]
+fn a_worker_that_reports_is_not_in_doubt_though_an_order_got_no_answer() {
+    for (reports, silent) in [(true, 0), (false, 1)] {
+        let mut fleet = Fleet::new(&[("w1", "r1")]);
+        fleet.hold_all();
+        lose_a_start(&mut fleet, reports);
+        let now = fleet.now();
+        assert_eq!(fleet.planner.contact_lag(now).silent, silent);
+    }
+}
+
+#[test]
+fn late_answers_of_some_workers_take_no_places_from_a_zone_that_reports() {
+    let workers: Vec<(String, &str)> = (0..8).map(|n| (format!("w{n}"), "r1")).collect();
+    let workers: Vec<(&str, &str)> = workers.iter().map(|(n, r)| (n.as_str(), *r)).collect();
+    let mut fleet = Fleet::new(&workers);
+    fleet.hold_all();
+    for index in 0..4 {
+        let now = fleet.now();
+        let job = job(&format!("j{index}"), 2, vec![step(1, 8)]);
+        fleet.planner.submit(job, now);
+    }
+    let now = fleet.now();
+    fleet.planner.tick(now);
+    fleet.write_all();
+    let starts = fleet.planner.tick(now);
+    assert_eq!(starts.len(), 4);
+    // Everybody reports; four starts go without an answer.
+    fleet.at_ms += 100;
+    fleet.hold_all();
+    fleet.at_ms += 250;
+    for start in &starts {
+        let now = fleet.now();
+        fleet.planner.take_start(start, StartOutcome::Unknown, now);
+    }
+    let now = fleet.now();
+    assert_eq!(fleet.planner.contact_lag(now).silent, 0);
+}
