--- a/crates/stairstall-standin/src/lib.rs
+++ b/crates/stairstall-standin/src/lib.rs
@@ -28,7 +28,7 @@
     Caller, CallerError, Cluster, ClusterMinion, ClusterPlan, ClusterWorker, DaemonProcess, Reply,
     wait_until,
 };
-pub use link::{Link, LinkMode};
+pub use link::{Link, LinkMode, Silence};
 pub use minion::{ANSWER_BYTES, BREAK, CHUNKED, MinionRecord, MinionStandin, WORK_MS};
 pub use server::Server;
 pub use store::{StoreFaults, StoreStandin};
--- a/crates/stairstall-standin/src/link.rs
+++ b/crates/stairstall-standin/src/link.rs
@@ -1,5 +1,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -22,11 +23,29 @@
     Silent,
 }
 
+/// Which way open connections go silent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Silence {
+    /// Both ways.
+    Both,
+    /// Only from the target back: requests arrive.
+    Answers,
+}
+
+/// Which connections have gone silent for good: those opened before the last time.
+#[derive(Debug, Clone, Copy, Default)]
+struct Silenced {
+    both_before: u64,
+    answers_before: u64,
+}
+
 /// A TCP link to one address that can be cut, delayed or made deaf.
 #[derive(Debug)]
 pub struct Link {
     address: SocketAddr,
     mode: Arc<watch::Sender<LinkMode>>,
+    silenced: Arc<watch::Sender<Silenced>>,
+    opened: Arc<AtomicU64>,
     task: JoinHandle<()>,
 }
 
@@ -41,14 +60,39 @@
         let address = listener.local_addr()?;
         let (mode, _) = watch::channel(LinkMode::Pass);
         let mode = Arc::new(mode);
-        let task = tokio::spawn(accept(listener, target, Arc::clone(&mode)));
+        let silenced = Arc::new(watch::channel(Silenced::default()).0);
+        let opened = Arc::new(AtomicU64::new(0));
+        let task = tokio::spawn(accept(
+            listener,
+            target,
+            Arc::clone(&mode),
+            Arc::clone(&silenced),
+            Arc::clone(&opened),
+        ));
         Ok(Self {
             address,
             mode,
+            silenced,
+            opened,
             task,
         })
     }
 
+    /// Returns how many connections were opened so far.
+    #[must_use]
+    pub fn opened(&self) -> u64 {
+        self.opened.load(Ordering::SeqCst)
+    }
+
+    /// Makes the connections that are open silent for good, without a reset; new ones work.
+    pub fn silence_open(&self, silence: Silence) {
+        let opened = self.opened();
+        self.silenced.send_modify(|silenced| match silence {
+            Silence::Both => silenced.both_before = opened,
+            Silence::Answers => silenced.answers_before = opened,
+        });
+    }
+
     /// Returns where the link listens.
     #[must_use]
     pub const fn address(&self) -> SocketAddr {
@@ -67,7 +111,13 @@
     }
 }
 
-async fn accept(listener: TcpListener, target: SocketAddr, mode: Arc<watch::Sender<LinkMode>>) {
+async fn accept(
+    listener: TcpListener,
+    target: SocketAddr,
+    mode: Arc<watch::Sender<LinkMode>>,
+    silenced: Arc<watch::Sender<Silenced>>,
+    opened: Arc<AtomicU64>,
+) {
     let mut connections = JoinSet::new();
     while let Ok((inner, _)) = listener.accept().await {
         while connections.try_join_next().is_some() {}
@@ -75,6 +125,8 @@
         if *mode.borrow() == LinkMode::Cut {
             continue;
         }
+        let number = opened.fetch_add(1, Ordering::SeqCst);
+        let silenced = silenced.subscribe();
         connections.spawn(async move {
             let Ok(outer) = TcpStream::connect(target).await else {
                 return;
@@ -83,8 +135,13 @@
             let (inner_read, inner_write) = inner.into_split();
             let (outer_read, outer_write) = outer.into_split();
             tokio::select! {
-                () = pump(inner_read, outer_write, mode.clone(), false) => {}
-                () = pump(outer_read, inner_write, mode.clone(), true) => {}
+                () = pump(inner_read, outer_write, mode.clone(), || {
+                    number < silenced.borrow().both_before
+                }, false) => {}
+                () = pump(outer_read, inner_write, mode.clone(), || {
+                    let silenced = *silenced.borrow();
+                    number < silenced.both_before.max(silenced.answers_before)
+                }, true) => {}
                 () = until_cut(mode) => {}
             }
         });
@@ -95,8 +152,13 @@
     let _ = mode.wait_for(|mode| *mode == LinkMode::Cut).await;
 }
 
-async fn pump<R, W>(mut from: R, mut to: W, mode: watch::Receiver<LinkMode>, answers: bool)
-where
+async fn pump<R, W>(
+    mut from: R,
+    mut to: W,
+    mode: watch::Receiver<LinkMode>,
+    is_silent: impl Fn() -> bool,
+    answers: bool,
+) where
     R: AsyncReadExt + Unpin,
     W: AsyncWriteExt + Unpin,
 {
@@ -105,6 +167,9 @@
         if count == 0 {
             return;
         }
+        if is_silent() {
+            continue;
+        }
         let now = *mode.borrow();
         match now {
             LinkMode::Delay(delay) => tokio::time::sleep(delay).await,
--- a/crates/stairstalld/tests/batch/cluster.rs
+++ b/crates/stairstalld/tests/batch/cluster.rs
@@ -12,7 +12,7 @@
 use serde_json::{Value, json};
 use stairstall_http::{HttpClient, JsonAnswer, JsonCall};
 use stairstall_platform_standin::{StandinStore, StandinWorkers};
-use stairstall_standin::Link;
+use stairstall_standin::{Link, Silence};
 use tokio::io::{AsyncBufReadExt, BufReader};
 use tokio::process::{Child, Command};
 use tokio::sync::oneshot;
@@ -287,6 +287,16 @@
         }
     }
 
+    /// Makes all connections that are open to the store and to workers silent for good.
+    pub fn silence_open(&self, silence: Silence) {
+        for daemon in &self.daemons {
+            daemon.store.silence_open(silence);
+        }
+        for index in 0..self.workers.count() {
+            self.workers.silence_open(index, silence);
+        }
+    }
+
     /// Counts the runs of a job that were begun.
     pub fn runs_of(&self, job: &str) -> usize {
         let records = self.workers.records();
--- a/crates/stairstalld/tests/batch/faults.rs
+++ b/crates/stairstalld/tests/batch/faults.rs
@@ -5,9 +5,9 @@
 use hyper::{Method, StatusCode};
 use nix::sys::signal::Signal;
 use serde_json::Value;
-use stairstall_standin::LinkMode;
+use stairstall_standin::{LinkMode, Silence};
 
-use crate::cluster::{Cluster, Daemon, gang, job};
+use crate::cluster::{Cluster, Daemon, PATIENCE, gang, job};
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_hang_up_ends_nothing() {
@@ -348,3 +348,28 @@
         );
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn work_goes_on_when_all_open_connections_go_silent() {
+    let mut cluster = Cluster::start(3, 4).await;
+    for silence in [Silence::Both, Silence::Answers] {
+        // Several connections to each worker are open and unused when they go silent.
+        let before = format!("/q1/{}", cluster.new_id());
+        cluster.submit(0, &before, &job(16, "ms=100")).await;
+        cluster.wait_for(&before, "completed").await;
+        let running = format!("/q1/{}", cluster.new_id());
+        cluster.submit(0, &running, &gang(4, 2_500)).await;
+        cluster.wait_for(&running, "running").await;
+        cluster.silence_open(silence);
+        let asked = std::time::Instant::now();
+        let path = format!("/q0/{}", cluster.new_id());
+        while cluster.submit(0, &path, &job(4, "ms=50")).await != Some(StatusCode::OK) {
+            assert!(asked.elapsed() < PATIENCE, "nothing is accepted");
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        cluster.wait_for(&path, "completed").await;
+        cluster.wait_for(&running, "completed").await;
+        assert_eq!(cluster.runs_of(&running[4..]), 4, "nothing ran again");
+    }
+    cluster.assert_no_violations();
+}
--- a/crates/stairstalld/tests/batch/soak.rs
+++ b/crates/stairstalld/tests/batch/soak.rs
@@ -12,7 +12,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use serde_json::Value;
-use stairstall_standin::LinkMode;
+use stairstall_standin::{LinkMode, Silence};
 
 use crate::cluster::{Cluster, Daemon, PATIENCE, gang, job};
 
@@ -33,6 +33,8 @@
     HistoryGone,
     StoreLink(usize, LinkMode),
     WorkerLink(usize, LinkMode),
+    /// All connections that are open to the store and to workers go silent for good.
+    Silence(Silence),
 }
 
 fn link_mode(random: &mut Pcg64Mcg) -> LinkMode {
@@ -46,7 +48,9 @@
 
 fn draw(random: &mut Pcg64Mcg, daemons: usize, workers: usize) -> Fault {
     let daemon = random.random_range(0..daemons);
-    match random.random_range(0..12) {
+    match random.random_range(0..14) {
+        12 => Fault::Silence(Silence::Both),
+        13 => Fault::Silence(Silence::Answers),
         0 | 1 => Fault::Kill(daemon),
         2 => Fault::Freeze(daemon),
         3 => Fault::StopPlanned(daemon),
@@ -167,6 +171,7 @@
                 tokio::time::sleep(pause).await;
                 self.cluster.store.set_down(false);
             }
+            Fault::Silence(silence) => self.cluster.silence_open(silence),
             Fault::StoreLost => self.cluster.store.lose_answers(3),
             Fault::HistoryGone => self.cluster.store.forget_history(),
             Fault::StoreLink(index, mode) => {
