test(batch): tasks that begin late after a cancellation or a planner's end are stopped

Cause: the users count a task that a worker starts late after its job was cancelled, and one whose starter was removed, as work that nobody asked for; neither had a test. Ruled out: a gap in the code. All four passed on their first run: a stop is repeated until the worker lists the end, a report of a run that is not wanted is adopted and stopped, a new planner's first look shows everything. Not covered: a worker that begins a barred run although the platform says that it refuses it, while nothing else there makes it report. Conclusion: tests only.

--- a/crates/stairstall-core/tests/batch/main.rs
+++ b/crates/stairstall-core/tests/batch/main.rs
@@ -15,3 +15,4 @@
 mod story;
 mod stuck;
 mod takeover;
+mod unasked;
--- /dev/null
+++ b/crates/stairstall-core/tests/batch/unasked.rs
@@ -0,0 +1,98 @@
+//! Tasks that a worker begins late, after their job was cancelled or their planner was replaced.
+
+use stairstall_core::batch::{Order, OrderKind, StartOutcome, StopOutcome, TaskKey};
+
+use crate::harness::{Fleet, id, job, step, task};
+
+/// Hands a job in and returns its start, which the worker has not carried out.
+fn start_of(fleet: &mut Fleet, name: &str) -> Order {
+    let now = fleet.now();
+    fleet.planner.submit(job(name, 2, vec![step(1, 8)]), now);
+    fleet.planner.tick(now);
+    fleet.write_all();
+    let starts = fleet.planner.tick(fleet.now());
+    starts.into_iter().next().expect("a start")
+}
+
+/// Lets the worker begin the task now, without an answer to anybody.
+fn begin_late(fleet: &mut Fleet, start: &Order) {
+    let worker = fleet.workers.get_mut(&start.worker).expect("a worker");
+    worker
+        .running
+        .insert(start.task.clone(), (start.run, 0, None));
+}
+
+fn assert_stopped(fleet: &mut Fleet, task: &TaskKey) {
+    fleet.pass(1_500);
+    assert_eq!(fleet.place_of(task), None);
+    let stops = fleet.given.iter().filter(|order| order.task == *task);
+    assert!(stops.clone().any(|order| order.kind == OrderKind::Stop));
+}
+
+#[test]
+fn a_task_that_begins_after_its_job_was_cancelled_is_stopped() {
+    let mut fleet = Fleet::new(&[("w1", "r1")]);
+    fleet.hold_all();
+    let start = start_of(&mut fleet, "j");
+    let now = fleet.now();
+    fleet.planner.take_start(&start, StartOutcome::Unknown, now);
+    fleet.planner.cancel(&id("j"), now);
+    // No order gets an answer for a while; meanwhile the start is carried out.
+    for _ in 0..3 {
+        let now = fleet.now();
+        for order in fleet.planner.tick(now) {
+            if order.kind == OrderKind::Stop {
+                fleet.planner.take_stop(&order, StopOutcome::Unknown, now);
+            }
+        }
+        fleet.at_ms += 400;
+    }
+    begin_late(&mut fleet, &start);
+    assert_stopped(&mut fleet, &task("j", 0, 0));
+}
+
+#[test]
+fn a_task_that_begins_although_its_run_was_given_up_is_stopped() {
+    let mut fleet = Fleet::new(&[("w1", "r1"), ("w2", "r1")]);
+    fleet.hold_all();
+    let start = start_of(&mut fleet, "j");
+    let now = fleet.now();
+    fleet.planner.cancel(&id("j"), now);
+    let stops = fleet.planner.tick(now);
+    assert_eq!(stops.len(), 1);
+    fleet.planner.take_stop(&stops[0], StopOutcome::Taken, now);
+    fleet.at_ms += 10;
+    fleet.hold_all();
+    assert_eq!(fleet.planner.runs(), 0, "the worker does not know it");
+    // The worker begins it all the same; something else there makes it report.
+    begin_late(&mut fleet, &start);
+    fleet.submit(job("other", 2, vec![step(2, 4)]));
+    assert_stopped(&mut fleet, &task("j", 0, 0));
+}
+
+#[test]
+fn a_task_of_a_cancelled_job_that_a_removed_planner_started_is_stopped() {
+    let workers = [("w1", "r1")];
+    let mut fleet = Fleet::new(&workers);
+    fleet.hold_all();
+    let start = start_of(&mut fleet, "j");
+    let accepted = job("j", 2, vec![step(1, 8)]);
+    fleet.take_over(&[accepted], &workers);
+    let now = fleet.now();
+    fleet.planner.cancel(&id("j"), now);
+    // The start arrives before the new planner's token does.
+    begin_late(&mut fleet, &start);
+    assert_stopped(&mut fleet, &task("j", 0, 0));
+}
+
+#[test]
+fn a_task_that_only_a_removed_planner_knew_of_is_stopped() {
+    let workers = [("w1", "r1")];
+    let mut fleet = Fleet::new(&workers);
+    fleet.hold_all();
+    let start = start_of(&mut fleet, "j");
+    fleet.kept.clear();
+    fleet.take_over(&[], &workers);
+    begin_late(&mut fleet, &start);
+    assert_stopped(&mut fleet, &task("j", 0, 0));
+}
