fix(bench): judge lateness by callers' estimates, and count what came before acceptance

Change: the end of a job tells its caller's estimate. Causes name what was accepted late, ran slowly or ended out of sight. Tests: a run that was held up, an end that could not be written; both failed before.

--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -13,7 +13,9 @@
 mod plan;
 mod report;
 
-pub use anatomy::{Causes, EndedJob, LoggedJob, count as count_causes, read_jobs};
+pub use anatomy::{
+    Causes, EndedJob, LoggedJob, QueueHabits, count as count_causes, queue_habits, read_jobs,
+};
 pub use checkout::{Checkout, with_flags};
 pub use compare::{Comparison, Row};
 pub use error::BenchError;
--- a/bench/tests/reading.rs
+++ b/bench/tests/reading.rs
@@ -22,7 +22,7 @@
     let jobs = read_jobs(LOG);
     assert_eq!(jobs.len(), 3);
     let late = jobs["aa"].ended.as_ref().expect("it ended");
-    assert!(late.is_late(), "8 s after it was handed in first");
+    assert!(late.is_late(None), "8 s after it was handed in first");
     assert_eq!(late.cause(), "gave-way");
     assert!((late.spans_ms["rerun"] - 3_000.0).abs() < f64::EPSILON);
     let mut causes = Causes::new();
@@ -41,9 +41,56 @@
         .replace("rerun_ms=3000", "rerun_ms=0");
     let jobs = read_jobs(&log);
     let late = jobs["aa"].ended.as_ref().expect("it ended");
+    assert_eq!(late.cause(), "accepted late");
+    let log = log.replace("1.0000 edge", "2.0000 edge");
+    let late = read_jobs(&log)["aa"].ended.clone().expect("it ended");
     assert_eq!(late.cause(), "waited: room");
 }
 
+/// A job that ran for 6 s, and seven like it that took as long as their callers said: 2 s.
+fn with_a_long_run(write_ms: u32, estimate_ms: u32) -> String {
+    let ended = |job: &str, whole: u32, run: u32, write_ms: u32, estimate_ms: u32| {
+        format!(
+            "   {}.0000 edge-a-2 2026-03-07T03:20:08.000Z INFO job token=2 job={job} queue=q priority=0 \
+             customer=c zone=a outcome=Completed whole_ms={whole}000 room_ms=0 run_ms={run}000 \
+             write_ms={write_ms} work_ms={run}000 aim_ms={}250 estimate_ms={estimate_ms} starts=1 \
+             setbacks=none taken_over=false its end is written down\n",
+            1 + whole,
+            run * 3 / 2
+        )
+    };
+    let accepted = |job: &str| {
+        format!(
+            "   1.0000 edge-a-1 2026-03-07T03:20:00.000Z INFO accept job={job} queue=q tasks=1 Accepted\n"
+        )
+    };
+    let mut log = accepted("long") + &ended("long", 6, 6, write_ms, estimate_ms);
+    for job in ["a", "b", "c", "d", "e", "f", "g"] {
+        log = log + &accepted(job) + &ended(job, 2, 2, 9, 2_000);
+    }
+    log
+}
+
+fn causes_in(log: &str) -> Causes {
+    let mut causes = Causes::new();
+    count_causes(&read_jobs(log), &mut causes, &mut BTreeMap::new());
+    causes
+}
+
+#[test]
+fn a_run_that_was_held_up_does_not_hide_that_its_job_was_late() {
+    let causes = causes_in(&with_a_long_run(9, 2_000));
+    assert_eq!(causes, Causes::from([(("ran slowly".to_owned(), 0), 1)]));
+    let causes = causes_in(&with_a_long_run(9, 6_000));
+    assert!(causes.is_empty(), "its caller said that it takes long");
+}
+
+#[test]
+fn an_end_that_could_not_be_written_does_not_count_as_work() {
+    let causes = causes_in(&with_a_long_run(2_500, 3_000));
+    assert_eq!(causes, Causes::from([(("waited: write".to_owned(), 0), 1)]));
+}
+
 fn report(worth: f64, broken: u64) -> Report {
     let text = format!(
         r#"{{"G": {worth}, "served": 0.9, "parts": [["worst windows", 0.12, 0.5]],
--- a/crates/stairstall-core/src/batch/story.rs
+++ b/crates/stairstall-core/src/batch/story.rs
@@ -288,6 +288,8 @@
     pub whole: Duration,
     /// Time that everything ran after the last setback: the work as it turned out.
     pub work: Duration,
+    /// The longest chain of its steps, as its caller estimates it.
+    pub estimate: Duration,
     /// Within what time of its acceptance it should have been shown, by that work.
     pub aim: Duration,
     /// What it was spent on, as far as this planner saw it.
--- a/crates/stairstalld/src/batch/tenure.rs
+++ b/crates/stairstalld/src/batch/tenure.rs
@@ -308,6 +308,7 @@
         rerun_ms = summary.millis(Span::Rerun), silent_ms = summary.millis(Span::Silent),
         write_ms = summary.millis(Span::Write),
         work_ms = crate::clock::millis(summary.work), aim_ms = crate::clock::millis(summary.aim),
+        estimate_ms = crate::clock::millis(summary.estimate),
         starts = summary.starts, setbacks:% = summary.setbacks,
         taken_over = summary.taken_over; "its end is written down");
 }
