--- a/crates/stairstall-core/src/batch/planner/starts.rs
+++ b/crates/stairstall-core/src/batch/planner/starts.rs
@@ -318,12 +318,16 @@
         let (id, task) = (&order.worker, &order.task);
         self.doubt_unless_heard(id, task, now);
         let tries = self.run_at(id, task).map_or(0, |run| run.tries);
-        if tries < self.policy.orders.max_tries && self.may_start_at(id, now) {
-            self.emit_start(id, task, now);
+        let why = if !self.may_start_at(id, now) {
+            "no answer to its start, and its zone may be evacuated"
+        } else if tries >= self.policy.orders.max_tries {
+            "no answer to its starts"
         } else {
-            self.stop_run(id, task, "no answer to its starts", now);
-            self.stop_gang(task, order.run, "a member of its gang did not start", now);
-        }
+            self.emit_start(id, task, now);
+            return;
+        };
+        self.stop_run(id, task, why, now);
+        self.stop_gang(task, order.run, "a member of its gang did not start", now);
     }
 
     /// Notes an answer about a run: a report that is asked for later must name the run, or it is
