fix(daemon): tell callers that a connection ends whose request was not read whole

A refusal for a body that is too long, or came too slowly, leaves the rest of it unread, and the connection closes behind the answer without saying so: a caller that sends its next request over it gets no answer and can't know whether it ran. Ruled out: load alone (a test without any failed each time: the answer had no such header). Change: such answers carry connection: close. Test: a_body_that_is_not_read_to_its_end_ends_its_connection, failed before.

--- a/crates/stairstalld/src/answer.rs
+++ b/crates/stairstalld/src/answer.rs
@@ -6,7 +6,7 @@
 use serde::Serialize;
 use stairstall_core::protocol::{ErrorBody, header};
 use stairstall_core::{RequestId, Verdict};
-use viz::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use viz::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use viz::{Body, Response, StatusCode};
 
 use crate::clock::millis;
@@ -74,6 +74,11 @@
     fn from(failure: Failure) -> Self {
         let mut response = json(failure.status, &failure.body);
         let headers = response.headers_mut();
+        if leaves_body_unread(failure.status) {
+            // The connection closes with the answer: a caller that is not told sends its next
+            // request over it and can't know whether that ran.
+            headers.insert(CONNECTION, HeaderValue::from_static("close"));
+        }
         set(headers, header::VERDICT, failure.body.verdict.as_str());
         if let Some(after) = failure.body.retry_after_ms {
             headers.insert(RETRY_AFTER, after.div_ceil(1000).max(1).into());
@@ -85,6 +90,14 @@
     }
 }
 
+/// Tells whether a request is refused before its body was read to the end.
+fn leaves_body_unread(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::PAYLOAD_TOO_LARGE | StatusCode::REQUEST_TIMEOUT
+    )
+}
+
 /// Sets a header to a value that is known to be allowed.
 pub(crate) fn set(headers: &mut viz::header::HeaderMap, name: &'static str, value: &str) {
     if let Ok(value) = HeaderValue::from_str(value) {
--- a/crates/stairstalld/tests/inputs.rs
+++ b/crates/stairstalld/tests/inputs.rs
@@ -230,6 +230,26 @@
     assert!(text.contains("\"field\":\"body\""), "{text}");
 }
 
+/// A caller that sent its next request over the connection would lose it without an answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_that_is_not_read_to_its_end_ends_its_connection() {
+    let cluster = cluster().await;
+    let at = cluster.daemons[0].address();
+    let mut caller = tokio::net::TcpStream::connect(at).await.expect("connected");
+    let head = "POST /call/triage/run HTTP/1.1\r\nhost: x\r\ncontent-length: 2097152\r\n\
+                stairstall-customer: mesa\r\nstairstall-class: web\r\n\r\n";
+    caller.write_all(head.as_bytes()).await.expect("sent");
+    // As much as is allowed and a little more; the rest is still to come.
+    let part = vec![b'x'; 1024 * 1024 + 64 * 1024];
+    caller.write_all(&part).await.expect("sent");
+    let mut answer = vec![0; 1024];
+    let read = tokio::time::timeout(Duration::from_secs(5), caller.read(&mut answer)).await;
+    let length = read.expect("answered in time").expect("an answer");
+    let text = String::from_utf8_lossy(&answer[..length]).to_lowercase();
+    assert!(text.starts_with("http/1.1 413"), "{text}");
+    assert!(text.contains("connection: close"), "{text}");
+}
+
 #[test]
 fn settings_name_every_mistake_at_once() {
     let arguments = [
