fix(batch): give a configuration that took too long to read more time at the next try

Change: a read that timed out has twice the time at the next try, up to that of a listing; the first stays short, since a connection may be silent.

--- a/crates/stairstall-ports/src/store.rs
+++ b/crates/stairstall-ports/src/store.rs
@@ -193,6 +193,12 @@
         }
     }
 
+    /// Tells whether no answer came in the time that the call was given.
+    #[must_use]
+    pub const fn is_time_out(&self) -> bool {
+        matches!(self, Self::Call(CallError::TimedOut(_)))
+    }
+
     /// Tells whether the store did not serve the call, rather than answering it.
     #[must_use]
     pub const fn is_outage(&self) -> bool {
--- a/crates/stairstalld/src/batch/catalog.rs
+++ b/crates/stairstalld/src/batch/catalog.rs
@@ -6,6 +6,7 @@
 use stairstall_core::batch::Catalog;
 use stairstall_ports::{Change, Item, StoreFault};
 
+use super::intake::LIST_TIMEOUT;
 use super::node::Node;
 
 /// How long one watch waits. A watch that dies without a word holds a change back for no longer.
@@ -14,10 +15,24 @@
 const STORE_PAUSE: Duration = Duration::from_millis(250);
 
 /// Follows the configuration for as long as the daemon runs.
+///
+/// A read that took too long is given twice the time at the next try: a configuration of half a
+/// megabyte takes a weak VM longer than other calls may, and no number of tries would bring it.
+/// The first try stays short, since connections may be silent.
 pub(crate) async fn follow(node: Arc<Node>) {
+    let shortest = node.settings.store_timeout;
+    let mut patience = shortest;
     loop {
-        if let Err(fault) = follow_store(&node).await {
-            log::debug!(target: "config", why:% = fault; "following the configuration again");
+        match follow_store(&node, patience).await {
+            Ok(()) => patience = shortest,
+            Err(fault) => {
+                log::debug!(target: "config", why:% = fault; "following the configuration again");
+                patience = if fault.is_time_out() {
+                    (patience * 2).min(LIST_TIMEOUT)
+                } else {
+                    shortest
+                };
+            }
         }
         if node.store_health.is_failing() {
             node.pause(STORE_PAUSE).await;
@@ -25,16 +40,26 @@
     }
 }
 
-/// Reads the configuration, then watches it until the watch ends.
-async fn follow_store(node: &Node) -> Result<(), StoreFault> {
+/// Reads the configuration within `patience`, then watches it until the watch ends.
+///
+/// # Errors
+///
+/// Returns why it could not be read; a watch that ended is read on from at once.
+async fn follow_store(node: &Node, patience: Duration) -> Result<(), StoreFault> {
     let key = node.dialect.configuration_key();
-    let (item, mut at) = node.read_at("read config", key).await?;
+    let (item, mut at) = node.read_at("read config", key, patience).await?;
     if let Some(item) = item {
         take(node, &item, "read");
     }
     loop {
         let watched = node.store.watch(key, at, WATCH_WAIT);
-        let watched = node.stored("watch config", watched).await?;
+        let watched = match node.stored("watch config", watched).await {
+            Ok(watched) => watched,
+            Err(fault) => {
+                log::debug!(target: "config", why:% = fault; "the watch ended");
+                return Ok(());
+            }
+        };
         at = watched.at;
         for change in &watched.changes {
             if let Change::Written(item) = change {
--- a/crates/stairstalld/src/batch/node.rs
+++ b/crates/stairstalld/src/batch/node.rs
@@ -222,13 +222,15 @@
         result
     }
 
-    /// Reads a key together with the store's revision, from which a watch can go on.
+    /// Reads a key within `timeout` together with the store's revision, from which a watch can go
+    /// on.
     pub(crate) async fn read_at(
         &self,
         kind: &'static str,
         key: &str,
+        timeout: Duration,
     ) -> Result<(Option<Item>, Revision), StoreFault> {
-        let range = self.store.range(key, "", self.settings.store_timeout);
+        let range = self.store.range(key, "", timeout);
         let page = self.stored(kind, range).await?;
         let item = page.items.into_iter().find(|item| item.key == key);
         Ok((item, page.at))
--- a/crates/stairstalld/src/batch/role.rs
+++ b/crates/stairstalld/src/batch/role.rs
@@ -46,7 +46,9 @@
 
 /// Waits while another daemon has the role; returns it once it is this daemon's.
 async fn try_role(node: &Node) -> Result<Option<Taken>, StoreFault> {
-    let (item, mut at) = node.read_at("read role", keys::PLANNER).await?;
+    let (item, mut at) = node
+        .read_at("read role", keys::PLANNER, node.settings.store_timeout)
+        .await?;
     let Some(item) = item else {
         if node.is_leaving() {
             node.pause(STORE_PAUSE).await;
--- a/crates/stairstalld/tests/batch/faults.rs
+++ b/crates/stairstalld/tests/batch/faults.rs
@@ -7,7 +7,7 @@
 use serde_json::Value;
 use stairstall_standin::{LinkMode, Silence};
 
-use crate::cluster::{Cluster, Daemon, PATIENCE, gang, job};
+use crate::cluster::{Cluster, Daemon, PATIENCE, configuration, gang, job};
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_hang_up_ends_nothing() {
@@ -373,3 +373,29 @@
     }
     cluster.assert_no_violations();
 }
+
+/// Configurations of thousands of routes take a weak VM longer than other answers may.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_large_configuration_is_in_force_in_time_although_it_arrives_slowly() {
+    let cluster = Cluster::start(1, 1).await;
+    let slow = &cluster.daemons[0];
+    // Nobody brings it but a read: no peer is there, and the watch is cut.
+    slow.store.set(LinkMode::Cut);
+    let mut large = configuration(2);
+    let routes = large["routes"].as_array_mut().expect("routes");
+    let route = routes[0].clone();
+    for index in 0..3_000 {
+        let mut further = route.clone();
+        further["name"] = format!("idle{index}").into();
+        further["pathPrefix"] = format!("/idle{index}/").into();
+        routes.push(further);
+    }
+    cluster.store.put("op/config", &large);
+    cluster.store.forget_history();
+    slow.store.set(LinkMode::Delay(Duration::from_millis(30)));
+    let put = std::time::Instant::now();
+    while slow.log_lines("version=2 ").is_empty() {
+        assert!(put.elapsed() < PATIENCE, "it is never in force");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
