fix(batch): start elsewhere at once what a worker had that has left

Worker i-cb8f1c279c said at 35.2 s that it leaves, went at 41.8 s with a run that should have ended by then, did not answer, and its gang of 18 waited for its lease, ten seconds, with most of the room free. That a worker has left was looked at only when its entry went; it went while the worker had answered a moment before. Change: a silent worker that said that it leaves, whose announced end is over and whose entry is gone, is over whenever all three hold. One that is still listed is waited for as before. Tests: what_a_worker_had_when_it_left_starts_elsewhere_at_once, failed before; a listed one is waited for.

--- a/crates/stairstall-core/src/batch/planner.rs
+++ b/crates/stairstall-core/src/batch/planner.rs
@@ -249,6 +249,7 @@
             .is_none_or(|at| now.at - at >= HOUSEKEEPING)
         {
             self.kept_house_at = Some(now.at);
+            self.end_lives_of_the_left(now);
             self.end_leases(now);
             self.resend(now);
             self.start_due_occurrences(now);
--- a/crates/stairstall-core/src/batch/planner/contact.rs
+++ b/crates/stairstall-core/src/batch/planner/contact.rs
@@ -180,6 +180,20 @@
         }
     }
 
+    /// Takes the lives of silent workers for over that said when they leave and are listed no
+    /// longer: what they had starts elsewhere seconds before their leases end.
+    pub(super) fn end_lives_of_the_left(&mut self, now: Now) {
+        let left: Vec<WorkerId> = self
+            .workers
+            .iter()
+            .filter(|(_, w)| !w.is_listed && !w.is_in_contact() && w.has_left(now.at))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in left {
+            self.life_over(&id, "it has left");
+        }
+    }
+
     /// Takes what runs on silent workers for over once their leases are.
     pub(super) fn end_leases(&mut self, now: Now) {
         let over: Vec<(WorkerId, TaskKey)> = self
--- a/crates/stairstall-core/src/batch/planner/directory.rs
+++ b/crates/stairstall-core/src/batch/planner/directory.rs
@@ -64,8 +64,7 @@
         let Some(worker) = self.workers.get(id) else {
             return;
         };
-        let has_left = worker.listed.draining && worker.may_have_left(now.at);
-        if has_left && !worker.is_in_contact() {
+        if worker.has_left(now.at) && !worker.is_in_contact() {
             self.life_over(id, "it has left");
         } else {
             self.forget_if_gone(id);
--- a/crates/stairstall-core/src/batch/planner/pool.rs
+++ b/crates/stairstall-core/src/batch/planner/pool.rs
@@ -204,9 +204,9 @@
         self.listed = listed;
     }
 
-    /// Tells whether it has announced an end that is over.
-    pub(super) fn may_have_left(&self, at: Timestamp) -> bool {
-        self.leaves_at.is_none_or(|leaves| leaves <= at)
+    /// Tells whether it said that it leaves, and the end that it announced, if any, is over.
+    pub(super) fn has_left(&self, at: Timestamp) -> bool {
+        self.listed.draining && self.leaves_at.is_none_or(|leaves| leaves <= at)
     }
 
     pub(super) fn insert(&mut self, task: TaskKey, run: Run) {
--- a/crates/stairstall-core/tests/batch/leaving.rs
+++ b/crates/stairstall-core/tests/batch/leaving.rs
@@ -1,6 +1,7 @@
 //! Workers that announce that they leave.
 
 use crate::harness::{Fleet, SPAN_MS, gang, job, step, task, worker};
+use stairstall_core::WorkerId;
 use stairstall_core::batch::{Resources, StepSpec};
 
 /// Announces that a worker leaves in so many milliseconds.
@@ -103,3 +104,45 @@
         places
     );
 }
+
+/// Lets a job's only task run until its worker, which said that it leaves, should be gone.
+fn outstays(fleet: &mut Fleet) -> WorkerId {
+    fleet.hold_all();
+    fleet.submit(job("j", 2, vec![step(1, 8)]));
+    let leaving = fleet.place_of(&task("j", 0, 0)).expect("it runs");
+    let began_ms = fleet.at_ms;
+    fleet.pass(18_000);
+    let ran_ms = fleet.at_ms - began_ms;
+    let percent = fleet.worker(leaving.as_str()).running[&task("j", 0, 0)].1 * 100 / SPAN_MS;
+    let left_ms = ran_ms * (100 - percent) / percent + 150;
+    announce(fleet, leaving.as_str(), left_ms);
+    // All is done, but its end does not come.
+    fleet.pass(left_ms + 200);
+    assert_eq!(fleet.place_of(&task("j", 0, 0)), Some(leaving.clone()));
+    leaving
+}
+
+#[test]
+fn what_a_worker_had_when_it_left_starts_elsewhere_at_once() {
+    let mut fleet = Fleet::new(&names());
+    let leaving = outstays(&mut fleet);
+    let now = fleet.now();
+    fleet.planner.unlist_worker(&leaving, now);
+    assert!(fleet.planner.knows(&leaving), "it answered a moment ago");
+    fleet.workers.remove(&leaving);
+    fleet.planner.hold_failed(&leaving, now);
+    // Its lease would last six seconds more.
+    fleet.pass(500);
+    assert!(fleet.place_of(&task("j", 0, 0)).is_some());
+}
+
+#[test]
+fn what_a_listed_worker_has_is_waited_for_though_it_should_have_left() {
+    let mut fleet = Fleet::new(&names());
+    let leaving = outstays(&mut fleet);
+    let now = fleet.now();
+    fleet.workers.remove(&leaving);
+    fleet.planner.hold_failed(&leaving, now);
+    fleet.pass(500);
+    assert_eq!(fleet.place_of(&task("j", 0, 0)), None, "it may run on");
+}
