refactor(batch): one listing of a prefix, one way to make a decision, one test of who has left

What reading the whole change once more showed; behaviour stays but for two calls: - the directory had the loop that reads a prefix's pages written out beside intake's; both, and evacuations, ask the node for it now, so that catalog and evacuation no longer import intake for a constant; - a new planner read the evacuated zones twice in a row, and before its listings: it reads them once, beside them; - four constructors of Decision repeated every field, telemetry its conversions, two places the condition under which a worker has left, two tests how they read a pace.

--- a/crates/stairstall-core/src/batch/decision.rs
+++ b/crates/stairstall-core/src/batch/decision.rs
@@ -66,6 +66,20 @@
 }
 
 impl Decision {
+    /// Creates a decision that touches nothing yet.
+    fn new(kind: DecisionKind, why: impl Into<String>) -> Self {
+        Self {
+            kind,
+            job: None,
+            task: None,
+            run: 0,
+            worker: None,
+            zone: None,
+            why: why.into(),
+            after: None,
+        }
+    }
+
     /// Creates a decision about a run of a task.
     #[must_use]
     pub fn of_run(
@@ -76,14 +90,11 @@
         why: impl Into<String>,
     ) -> Self {
         Self {
-            kind,
             job: Some(task.group.job.clone()),
             task: Some(task.clone()),
             run,
             worker: Some(worker.clone()),
-            zone: None,
-            why: why.into(),
-            after: None,
+            ..Self::new(kind, why)
         }
     }
 
@@ -91,14 +102,8 @@
     #[must_use]
     pub fn of_job(kind: DecisionKind, job: &JobId, why: impl Into<String>) -> Self {
         Self {
-            kind,
             job: Some(job.clone()),
-            task: None,
-            run: 0,
-            worker: None,
-            zone: None,
-            why: why.into(),
-            after: None,
+            ..Self::new(kind, why)
         }
     }
 
@@ -116,14 +121,8 @@
     #[must_use]
     pub fn of_worker(worker: &WorkerId, why: impl Into<String>) -> Self {
         Self {
-            kind: DecisionKind::Worker,
-            job: None,
-            task: None,
-            run: 0,
             worker: Some(worker.clone()),
-            zone: None,
-            why: why.into(),
-            after: None,
+            ..Self::new(DecisionKind::Worker, why)
         }
     }
 
@@ -131,14 +130,8 @@
     #[must_use]
     pub fn of_zone(zone: &ZoneId, why: impl Into<String>) -> Self {
         Self {
-            kind: DecisionKind::Zone,
-            job: None,
-            task: None,
-            run: 0,
-            worker: None,
             zone: Some(zone.clone()),
-            why: why.into(),
-            after: None,
+            ..Self::new(DecisionKind::Zone, why)
         }
     }
 }
--- a/crates/stairstall-core/src/batch/planner/contact.rs
+++ b/crates/stairstall-core/src/batch/planner/contact.rs
@@ -186,7 +186,7 @@
         let left: Vec<WorkerId> = self
             .workers
             .iter()
-            .filter(|(_, w)| !w.is_listed && !w.is_in_contact() && w.has_left(now.at))
+            .filter(|(_, w)| w.has_left(now.at))
             .map(|(id, _)| id.clone())
             .collect();
         for id in left {
--- a/crates/stairstall-core/src/batch/planner/directory.rs
+++ b/crates/stairstall-core/src/batch/planner/directory.rs
@@ -64,7 +64,7 @@
         let Some(worker) = self.workers.get(id) else {
             return;
         };
-        if worker.has_left(now.at) && !worker.is_in_contact() {
+        if worker.has_left(now.at) {
             self.life_over(id, "it has left");
         } else {
             self.forget_if_gone(id);
--- a/crates/stairstall-core/src/batch/planner/pool.rs
+++ b/crates/stairstall-core/src/batch/planner/pool.rs
@@ -204,9 +204,11 @@
         self.listed = listed;
     }
 
-    /// Tells whether it said that it leaves, and the end that it announced, if any, is over.
+    /// Tells whether it has left: it said so, the end that it announced, if any, is over, it is
+    /// listed no longer and does not answer.
     pub(super) fn has_left(&self, at: Timestamp) -> bool {
-        self.listed.draining && self.leaves_at.is_none_or(|leaves| leaves <= at)
+        let is_due = self.listed.draining && self.leaves_at.is_none_or(|leaves| leaves <= at);
+        is_due && !self.is_listed && !self.contact
     }
 
     pub(super) fn insert(&mut self, task: TaskKey, run: Run) {
--- a/crates/stairstall-core/tests/batch/leaving.rs
+++ b/crates/stairstall-core/tests/batch/leaving.rs
@@ -84,6 +84,13 @@
     assert_eq!(fleet.planner.runs(), 0);
 }
 
+/// Returns how much longer the first task of job `j` takes by its pace since `began_ms`.
+fn left_ms(fleet: &mut Fleet, worker: &WorkerId, began_ms: u64) -> u64 {
+    let ran_ms = fleet.at_ms - began_ms;
+    let percent = fleet.worker(worker.as_str()).running[&task("j", 0, 0)].1 * 100 / SPAN_MS;
+    ran_ms * (100 - percent) / percent
+}
+
 #[test]
 fn what_ends_just_before_its_worker_goes_stays_though_a_stop_could_take_longer() {
     let mut fleet = Fleet::new(&names());
@@ -93,10 +100,8 @@
     let leaving = places[0].clone().expect("it runs");
     let began_ms = fleet.at_ms;
     fleet.pass(10_000);
-    let ran_ms = fleet.at_ms - began_ms;
-    let percent = fleet.worker(leaving.as_str()).running[&task("j", 0, 0)].1 * 100 / SPAN_MS;
     // By its pace it ends 0.15 s before the worker goes; a stop takes up to 0.2 s.
-    let left_ms = ran_ms * (100 - percent) / percent;
+    let left_ms = left_ms(&mut fleet, &leaving, began_ms);
     announce(&mut fleet, leaving.as_str(), left_ms + 150);
     fleet.pass(600);
     assert_eq!(
@@ -112,9 +117,7 @@
     let leaving = fleet.place_of(&task("j", 0, 0)).expect("it runs");
     let began_ms = fleet.at_ms;
     fleet.pass(18_000);
-    let ran_ms = fleet.at_ms - began_ms;
-    let percent = fleet.worker(leaving.as_str()).running[&task("j", 0, 0)].1 * 100 / SPAN_MS;
-    let left_ms = ran_ms * (100 - percent) / percent + 150;
+    let left_ms = left_ms(fleet, &leaving, began_ms) + 150;
     announce(fleet, leaving.as_str(), left_ms);
     // All is done, but its end does not come.
     fleet.pass(left_ms + 200);
--- a/crates/stairstalld/src/batch/catalog.rs
+++ b/crates/stairstalld/src/batch/catalog.rs
@@ -6,8 +6,7 @@
 use stairstall_core::batch::Catalog;
 use stairstall_ports::{Change, Item, StoreFault};
 
-use super::intake::LIST_TIMEOUT;
-use super::node::Node;
+use super::node::{LIST_TIMEOUT, Node};
 
 /// How long one watch waits. A watch that dies without a word holds a change back for no longer.
 const WATCH_WAIT: Duration = Duration::from_secs(4);
--- a/crates/stairstalld/src/batch/directory.rs
+++ b/crates/stairstalld/src/batch/directory.rs
@@ -7,7 +7,6 @@
 use stairstall_core::WorkerId;
 use stairstall_ports::{Change, Item, Revision, StoreFault};
 
-use super::intake::LIST_TIMEOUT;
 use super::node::Node;
 use super::tenure::Tenure;
 
@@ -25,32 +24,18 @@
 /// Reads the whole directory; workers that are not in it are listed no longer.
 pub(crate) async fn load(node: &Node, tenure: &Tenure) -> Result<Revision, StoreFault> {
     let prefix = node.dialect.directory_prefix();
-    let mut listed = BTreeSet::new();
-    let mut after = String::new();
-    let mut first_at = None;
-    loop {
-        let page = node
-            .stored(
-                "list workers",
-                node.store.range(prefix, &after, LIST_TIMEOUT),
-            )
-            .await?;
-        first_at.get_or_insert(page.at);
-        for item in &page.items {
-            listed.extend(take(node, tenure, item));
-        }
-        match page.items.last().filter(|_| page.more) {
-            Some(last) => after.clone_from(&last.key),
-            None => break,
-        }
-    }
+    let (items, at) = node.read_all("list workers", prefix).await?;
+    let listed: BTreeSet<WorkerId> = items
+        .iter()
+        .filter_map(|item| take(node, tenure, item))
+        .collect();
     tenure.with(|planner, now| {
         let known: Vec<WorkerId> = planner.workers().map(|(id, _)| id.clone()).collect();
         for id in known.iter().filter(|id| !listed.contains(*id)) {
             planner.unlist_worker(id, now);
         }
     });
-    Ok(first_at.unwrap_or_default())
+    Ok(at)
 }
 
 fn id_of(node: &Node, key: &str) -> Option<WorkerId> {
--- a/crates/stairstalld/src/batch/evacuation.rs
+++ b/crates/stairstalld/src/batch/evacuation.rs
@@ -7,7 +7,6 @@
 use stairstall_core::ZoneId;
 use stairstall_ports::StoreFault;
 
-use super::intake;
 use super::node::Node;
 use super::tenure::Tenure;
 
@@ -21,7 +20,7 @@
 pub(crate) async fn load(node: &Node, tenure: &Tenure) -> Result<(), StoreFault> {
     let prefix = node.dialect.evacuation_prefix();
     let asked_at = node.clock.now();
-    let (items, _) = intake::read_all(node, "list evacuations", prefix).await?;
+    let (items, _) = node.read_all("list evacuations", prefix).await?;
     let zones: BTreeSet<ZoneId> = items
         .iter()
         .filter_map(|item| read_zone(prefix, &item.key))
@@ -41,16 +40,14 @@
     }
 }
 
-/// Asks again and again for as long as the tenure lasts.
+/// Asks again and again for as long as the tenure lasts, after [`load`] has asked first.
 pub(crate) async fn follow(node: Arc<Node>, tenure: Arc<Tenure>) {
     let interval = node.settings.bounds.evacuate / QUESTIONS_PER_BOUND;
     loop {
-        match load(&node, &tenure).await {
-            Ok(()) => tokio::time::sleep(interval).await,
-            Err(fault) => {
-                log::debug!(target: "zone", why:% = fault; "asking again for evacuated zones");
-                node.pause(STORE_PAUSE).await;
-            }
+        tokio::time::sleep(interval).await;
+        while let Err(fault) = load(&node, &tenure).await {
+            log::debug!(target: "zone", why:% = fault; "asking again for evacuated zones");
+            node.pause(STORE_PAUSE).await;
         }
     }
 }
--- a/crates/stairstalld/src/batch/intake.rs
+++ b/crates/stairstalld/src/batch/intake.rs
@@ -14,8 +14,6 @@
 use super::tenure::Tenure;
 use super::writer::Revisions;
 
-/// Longest wait for a page of a listing, which may be a megabyte over a slow link.
-pub(crate) const LIST_TIMEOUT: Duration = Duration::from_secs(5);
 /// How often news are asked for; daemons tell the planner sooner.
 const INTERVAL: Duration = Duration::from_secs(1);
 /// Pauses before the first questions of a tenure: until every daemon knows of the new planner, it
@@ -28,30 +26,6 @@
     Duration::from_millis(400),
 ];
 
-/// Reads all keys of a prefix; returns them with the revision of the first page.
-pub(crate) async fn read_all(
-    node: &Node,
-    kind: &'static str,
-    prefix: &str,
-) -> Result<(Vec<Item>, Revision), StoreFault> {
-    let mut items: Vec<Item> = Vec::new();
-    let mut at = None;
-    loop {
-        let after = items
-            .last()
-            .map_or_else(String::new, |item| item.key.clone());
-        let page = node
-            .stored(kind, node.store.range(prefix, &after, LIST_TIMEOUT))
-            .await?;
-        at.get_or_insert(page.at);
-        let is_last = !page.more || page.items.is_empty();
-        items.extend(page.items);
-        if is_last {
-            return Ok((items, at.unwrap_or_default()));
-        }
-    }
-}
-
 /// What is kept of all jobs.
 #[derive(Debug)]
 pub(crate) struct KeptJobs {
@@ -63,8 +37,8 @@
 
 /// Reads every job that is kept.
 pub(crate) async fn read(node: &Node) -> Result<KeptJobs, StoreFault> {
-    let jobs = read_all(node, "list jobs", keys::JOBS);
-    let progress = read_all(node, "list progress", keys::PROGRESS);
+    let jobs = node.read_all("list jobs", keys::JOBS);
+    let progress = node.read_all("list progress", keys::PROGRESS);
     let ((jobs, at), (progress, _)) = node.listings(jobs, progress).await?;
     Ok(KeptJobs { jobs, progress, at })
 }
@@ -140,7 +114,7 @@
 
 /// Reads all jobs again after the history was lost.
 async fn reread(node: &Node, tenure: &Tenure) -> Result<Revision, StoreFault> {
-    let (items, at) = read_all(node, "list jobs", keys::JOBS).await?;
+    let (items, at) = node.read_all("list jobs", keys::JOBS).await?;
     for item in items {
         take(tenure, &Change::Written(item));
     }
--- a/crates/stairstalld/src/batch/node.rs
+++ b/crates/stairstalld/src/batch/node.rs
@@ -25,6 +25,9 @@
 /// connections, some 130 kB, then take 0.1 s, well below a renewal's time.
 const WIDE_LINK_MBPS: u32 = 10;
 
+/// Longest wait for a page of a listing, which may be a megabyte over a slow link.
+pub(crate) const LIST_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Who holds the planner's role, as the store has it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct PlannerRecord {
@@ -236,6 +239,29 @@
         Ok((item, page.at))
     }
 
+    /// Reads all keys of a prefix; returns them with the revision of the first page.
+    pub(crate) async fn read_all(
+        &self,
+        kind: &'static str,
+        prefix: &str,
+    ) -> Result<(Vec<Item>, Revision), StoreFault> {
+        let mut items: Vec<Item> = Vec::new();
+        let mut at = None;
+        loop {
+            let after = items
+                .last()
+                .map_or_else(String::new, |item| item.key.clone());
+            let range = self.store.range(prefix, &after, LIST_TIMEOUT);
+            let page = self.stored(kind, range).await?;
+            at.get_or_insert(page.at);
+            let is_last = !page.more || page.items.is_empty();
+            items.extend(page.items);
+            if is_last {
+                return Ok((items, at.unwrap_or_default()));
+            }
+        }
+    }
+
     /// Pauses after a failure, a little differently each time.
     pub(crate) async fn pause(&self, about: Duration) {
         let spread = rand::random_range(0.75..1.25);
--- a/crates/stairstalld/src/batch/telemetry.rs
+++ b/crates/stairstalld/src/batch/telemetry.rs
@@ -60,6 +60,16 @@
     IntGauge::new(name, help).expect("constant names are valid")
 }
 
+/// Returns a count as a gauge takes it.
+fn count(count: usize) -> i64 {
+    i64::try_from(count).unwrap_or(i64::MAX)
+}
+
+/// Returns a time as a gauge takes it, in whole milliseconds.
+fn whole_millis(span: Duration) -> i64 {
+    i64::try_from(span.as_millis()).unwrap_or(i64::MAX)
+}
+
 impl Telemetry {
     pub(crate) fn new() -> Self {
         let telemetry = Self {
@@ -220,24 +230,19 @@
     }
 
     pub(crate) fn load(&self, open_jobs: usize, runs: usize) {
-        self.open_jobs
-            .set(i64::try_from(open_jobs).unwrap_or(i64::MAX));
-        self.runs.set(i64::try_from(runs).unwrap_or(i64::MAX));
+        self.open_jobs.set(count(open_jobs));
+        self.runs.set(count(runs));
     }
 
     pub(crate) fn evacuations(&self, zones: usize, age: Duration) {
-        self.evacuated_zones
-            .set(i64::try_from(zones).unwrap_or(i64::MAX));
-        self.evacuations_age
-            .set(i64::try_from(age.as_millis()).unwrap_or(i64::MAX));
+        self.evacuated_zones.set(count(zones));
+        self.evacuations_age.set(whole_millis(age));
     }
 
     pub(crate) fn contact(&self, lag: &ContactLag) {
-        let count = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
-        let millis = |span: Duration| i64::try_from(span.as_millis()).unwrap_or(i64::MAX);
         self.silent_workers.set(count(lag.silent));
-        self.oldest_report.set(millis(lag.oldest_report));
-        self.report_wait.set(millis(lag.report_wait));
+        self.oldest_report.set(whole_millis(lag.oldest_report));
+        self.report_wait.set(whole_millis(lag.report_wait));
         self.starts_under_way.set(count(lag.starts_under_way));
     }
 
--- a/crates/stairstalld/src/batch/tenure.rs
+++ b/crates/stairstalld/src/batch/tenure.rs
@@ -274,9 +274,11 @@
 async fn load(node: &Node, tenure: &Tenure) -> (Revision, Revision, writer::Revisions) {
     loop {
         let loaded = async {
-            evacuation::load(node, tenure).await?;
             let workers = directory::load(node, tenure);
-            let (directory_at, kept) = node.listings(workers, intake::read(node)).await?;
+            let listings = node.listings(workers, intake::read(node));
+            // A short answer: it costs a slow store's delay no second time.
+            let evacuations = evacuation::load(node, tenure);
+            let ((directory_at, kept), ()) = futures::try_join!(listings, evacuations)?;
             let (intake_at, revisions) = intake::load(kept, tenure);
             Ok::<_, stairstall_ports::StoreFault>((directory_at, intake_at, revisions))
         };
@@ -321,15 +323,17 @@
     }
     let target = decision.kind.as_str();
     let why = &decision.why;
-    match (&decision.task, &decision.job, &decision.worker) {
-        (Some(task), _, Some(worker)) => log::info!(target: target, token,
+    match (
+        &decision.task,
+        &decision.job,
+        &decision.worker,
+        &decision.zone,
+    ) {
+        (Some(task), _, Some(worker), _) => log::info!(target: target, token,
             job:% = task.group.job, task:% = task, run = decision.run, worker:% = worker; "{why}"),
-        (_, Some(job), _) => log::info!(target: target, token, job:% = job; "{why}"),
-        (_, _, Some(worker)) => log::info!(target: target, token, worker:% = worker; "{why}"),
-        _ if decision.zone.is_some() => {
-            let zone = decision.zone.as_ref().map(ToString::to_string);
-            log::info!(target: target, token, zone:% = zone.unwrap_or_default(); "{why}");
-        }
+        (_, Some(job), ..) => log::info!(target: target, token, job:% = job; "{why}"),
+        (_, _, Some(worker), _) => log::info!(target: target, token, worker:% = worker; "{why}"),
+        (.., Some(zone)) => log::info!(target: target, token, zone:% = zone; "{why}"),
         _ => log::info!(target: target, token; "{why}"),
     }
 }
