feat(batch): say which runs are lost with a worker, and what their tasks have used up

Each run that is over because its worker's life is now has a `loss` line with its progress and the failures its task has used up; the counter of decisions has the kind too. What becomes of a life that is over moves from contact.rs to lives.rs. No decision is changed.

--- a/crates/stairstall-core/src/batch/decision.rs
+++ b/crates/stairstall-core/src/batch/decision.rs
@@ -16,6 +16,8 @@
     Stop,
     /// A run ended, or is known to be over.
     End,
+    /// A run was lost with its worker.
+    Loss,
     /// A run that another planner started was taken over.
     Adopt,
     /// A job ended.
@@ -36,6 +38,7 @@
             Self::Begin => "begin",
             Self::Stop => "stop",
             Self::End => "end",
+            Self::Loss => "loss",
             Self::Adopt => "adopt",
             Self::Outcome => "outcome",
             Self::Worker => "worker",
--- a/crates/stairstall-core/src/batch/planner.rs
+++ b/crates/stairstall-core/src/batch/planner.rs
@@ -20,6 +20,7 @@
 mod headroom;
 mod job;
 mod leaving;
+mod lives;
 mod orders;
 mod pass;
 mod pool;
--- a/crates/stairstall-core/src/batch/planner/contact.rs
+++ b/crates/stairstall-core/src/batch/planner/contact.rs
@@ -4,7 +4,7 @@
 
 use super::pool::{Run, RunState};
 use super::{Now, Planner, Worker};
-use crate::batch::{Decision, EndKind, HoldReport, HoldRequest, RunningTask, Setback, TaskKey};
+use crate::batch::{Decision, EndKind, HoldReport, HoldRequest, RunningTask, TaskKey};
 use crate::{Timestamp, WorkerId, ZoneId};
 
 impl Planner {
@@ -151,49 +151,6 @@
         self.deposed = true;
     }
 
-    /// Takes word that this life of a worker is over: nothing of it runs.
-    pub fn life_over(&mut self, id: &WorkerId, why: &str) {
-        let Some(mut worker) = self.workers.remove(id) else {
-            return;
-        };
-        self.worker_set += 1;
-        self.decisions
-            .push(Decision::of_worker(id, format!("its life is over: {why}")));
-        let runs = std::mem::take(&mut worker.runs);
-        for (task, run) in runs {
-            self.run_index.remove(&task, id);
-            self.note_setback(&task.group.job, Setback::Lost);
-            self.release(id, &task, &run, "its worker's life is over");
-        }
-        self.replan = true;
-    }
-
-    /// Drops a worker that is listed no longer and has nothing.
-    pub(super) fn forget_if_gone(&mut self, id: &WorkerId) {
-        let is_gone = self
-            .workers
-            .get(id)
-            .is_some_and(|w| !w.is_listed && w.runs.is_empty());
-        if is_gone {
-            self.workers.remove(id);
-            self.worker_set += 1;
-        }
-    }
-
-    /// Takes the lives of silent workers for over that said when they leave and are listed no
-    /// longer: what they had starts elsewhere seconds before their leases end.
-    pub(super) fn end_lives_of_the_left(&mut self, now: Now) {
-        let left: Vec<WorkerId> = self
-            .workers
-            .iter()
-            .filter(|(_, w)| w.has_left(now.at))
-            .map(|(id, _)| id.clone())
-            .collect();
-        for id in left {
-            self.life_over(&id, "it has left");
-        }
-    }
-
     /// Takes what runs on silent workers for over once their leases are.
     pub(super) fn end_leases(&mut self, now: Now) {
         let over: Vec<(WorkerId, TaskKey)> = self
--- a/crates/stairstall-core/src/batch/planner/ends.rs
+++ b/crates/stairstall-core/src/batch/planner/ends.rs
@@ -220,6 +220,17 @@
         }
     }
 
+    /// Returns how many runs of a task, or of its gang, have failed.
+    pub(super) fn failures(&self, task: &TaskKey) -> u32 {
+        let group = self
+            .jobs
+            .get(&task.group.job)
+            .and_then(|j| j.group(&task.group));
+        let own = group.and_then(|group| group.tasks.get(task.index as usize));
+        let of_gang = group.map_or(0, |group| group.gang_failures);
+        own.map_or(of_gang, |own| own.failures.max(of_gang))
+    }
+
     /// Returns how many runs of a task may fail, by the newest configuration that has its queue.
     pub(super) fn attempts(&self, id: &JobId) -> Option<u32> {
         let accepted = &self.jobs.get(id)?.accepted;
