test(batch): a task that crashes its workers is started without end; known to fail

Cause, as far as the log settles it: only ends that a worker lists as failed use up a task's attempts; a worker that crashes lists nothing.

--- a/crates/stairstall-core/tests/batch/harness.rs
+++ b/crates/stairstall-core/tests/batch/harness.rs
@@ -20,6 +20,8 @@
 pub const EVACUATE: Duration = Duration::from_secs(5);
 /// How long a task's work takes at a worker that is sound, in milliseconds.
 pub const SPAN_MS: u64 = 20_000;
+/// How long a worker that has crashed is away.
+pub const CRASH_MS: u64 = 3_200;
 /// Time of day at the start, in milliseconds since the Unix epoch.
 pub const START_UNIX_MS: u64 = 1_800_000_000_000;
 
@@ -74,6 +76,14 @@
     }
 }
 
+/// A worker that has crashed and comes back.
+#[derive(Debug, Clone)]
+struct Crashed {
+    worker: WorkerId,
+    /// When another life of it listens.
+    back_at_ms: u64,
+}
+
 /// The planner and its workers.
 #[derive(Debug)]
 pub struct Fleet {
@@ -90,6 +100,12 @@
     pub evacuated: BTreeSet<ZoneId>,
     /// What the store has of each job.
     pub kept: BTreeMap<JobId, Progress>,
+    /// Tasks whose start crashes the worker.
+    pub crashing: BTreeSet<TaskKey>,
+    /// How the workers are listed.
+    pub listed: BTreeMap<WorkerId, ListedWorker>,
+    crashed: Vec<Crashed>,
+    lives: u32,
 }
 
 pub fn worker(id: &str, rack: &str, capacity: Resources) -> ListedWorker {
@@ -209,18 +225,54 @@
             tells_evacuations: true,
             evacuated: BTreeSet::new(),
             kept: BTreeMap::new(),
+            crashing: BTreeSet::new(),
+            listed: BTreeMap::new(),
+            crashed: Vec::new(),
+            lives: 0,
         };
         for (name, rack) in workers {
             let listed = worker(name, rack, Resources::new(32_000, 64_000, 8));
-            fleet
-                .workers
-                .insert(listed.id.clone(), FakeWorker::default());
-            fleet.planner.list_worker(listed, now);
+            fleet.add(listed, now);
         }
         fleet.tell_evacuations();
         fleet
     }
 
+    fn add(&mut self, listed: ListedWorker, now: Now) {
+        self.workers
+            .insert(listed.id.clone(), FakeWorker::default());
+        self.listed.insert(listed.id.clone(), listed.clone());
+        self.planner.list_worker(listed, now);
+    }
+
+    /// Ends a worker's life without a word; another life comes to its address after a while.
+    pub fn crash(&mut self, id: &WorkerId) {
+        self.workers.remove(id);
+        self.crashed.push(Crashed {
+            worker: id.clone(),
+            back_at_ms: self.at_ms + CRASH_MS,
+        });
+    }
+
+    /// Lets workers that crashed long enough ago come back, each as another life that answers for
+    /// the one before.
+    fn bring_back(&mut self) {
+        let at_ms = self.at_ms;
+        let (back, away) = std::mem::take(&mut self.crashed)
+            .into_iter()
+            .partition(|crashed: &Crashed| crashed.back_at_ms <= at_ms);
+        self.crashed = away;
+        for Crashed { worker, .. } in back {
+            let now = self.now();
+            let mut listed = self.listed.remove(&worker).expect("it was listed");
+            self.lives += 1;
+            listed.id = format!("life-{}", self.lives).parse().expect("an id");
+            self.planner.life_over(&worker, "another life answered");
+            self.planner.unlist_worker(&worker, now);
+            self.add(listed, now);
+        }
+    }
+
     pub fn now(&self) -> Now {
         Now::new(
             Timestamp::from_millis(self.at_ms),
@@ -233,9 +285,10 @@
         self.workers.get_mut(&id).expect("a worker")
     }
 
-    /// Asks every worker that wants to be asked.
+    /// Asks every worker that wants to be asked, also those that have crashed.
     pub fn hold_all(&mut self) {
-        let ids: Vec<WorkerId> = self.workers.keys().cloned().collect();
+        let crashed = self.crashed.iter().map(|crashed| &crashed.worker);
+        let ids: Vec<WorkerId> = self.workers.keys().chain(crashed).cloned().collect();
         for id in ids {
             self.hold(&id);
         }
@@ -244,6 +297,10 @@
     /// Asks one worker, if it wants to be asked; returns what was asked.
     pub fn hold(&mut self, id: &WorkerId) -> Option<HoldRequest> {
         let now = self.now();
+        if self.crashed.iter().any(|crashed| crashed.worker == *id) {
+            self.planner.hold_failed(id, now);
+            return None;
+        }
         let request = self.planner.hold_request(id, now)?;
         let clock_ms = self.at_ms;
         let worker = self.workers.get_mut(id)?;
@@ -301,7 +358,9 @@
         let clock_ms = self.at_ms;
         self.at_ms += 1;
         let now = self.now();
-        let worker = self.workers.get_mut(&order.worker).expect("a worker");
+        let Some(worker) = self.workers.get_mut(&order.worker) else {
+            return self.leave_unanswered(order, now);
+        };
         match &order.kind {
             OrderKind::Start { checkpoint, .. } => {
                 worker
@@ -309,6 +368,9 @@
                     .insert(order.task.clone(), (order.run, 0, checkpoint.clone()));
                 self.planner
                     .take_start(order, StartOutcome::Started { clock_ms }, now);
+                if self.crashing.contains(&order.task) {
+                    self.crash(&order.worker);
+                }
             }
             OrderKind::Stop => {
                 if worker.running.contains_key(&order.task) {
@@ -319,6 +381,13 @@
         }
     }
 
+    fn leave_unanswered(&mut self, order: &Order, now: Now) {
+        match order.kind {
+            OrderKind::Start { .. } => self.planner.take_start(order, StartOutcome::Unknown, now),
+            OrderKind::Stop => self.planner.take_stop(order, StopOutcome::Unknown, now),
+        }
+    }
+
     /// Lets time pass, asking workers and ticking every 100 ms.
     pub fn pass(&mut self, ms: u64) {
         let until = self.at_ms + ms;
@@ -327,6 +396,7 @@
             for worker in self.workers.values_mut() {
                 worker.work(100);
             }
+            self.bring_back();
             self.hold_all();
             self.settle();
         }
@@ -373,6 +443,15 @@
         }
     }
 
+    /// Replaces the planner by one of the next tenure, to which the store lists the same workers.
+    pub fn succeed(&mut self, jobs: &[AcceptedJob]) {
+        self.take_over(jobs, &[]);
+        let now = self.now();
+        for listed in self.listed.values() {
+            self.planner.list_worker(listed.clone(), now);
+        }
+    }
+
     /// Returns where a task runs.
     pub fn place_of(&self, task: &TaskKey) -> Option<WorkerId> {
         self.workers
--- a/crates/stairstalld/tests/batch/faults.rs
+++ b/crates/stairstalld/tests/batch/faults.rs
@@ -399,3 +399,20 @@
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn work_that_crashes_its_workers_is_given_up_and_what_ran_beside_it_completes() {
+    let mut cluster = Cluster::start(2, 6).await;
+    let beside = format!("/q2/{}", cluster.new_id());
+    cluster.submit(0, &beside, &job(30, "ms=1500")).await;
+    let crashes = format!("/q1/{}", cluster.new_id());
+    cluster
+        .submit(1, &crashes, &job(1, "ms=1000 crash=0"))
+        .await;
+    cluster.wait_for(&crashes, "failed").await;
+    cluster.wait_for(&beside, "completed").await;
+    let last_words = cluster.daemons.iter();
+    let outcomes = last_words.flat_map(|daemon| daemon.log_lines("workers crashed under it"));
+    assert!(outcomes.count() >= 1, "the log says why");
+    cluster.assert_no_violations();
+}
