fix(batch): count the workers that crash under a task, and give it up at the third

Cause: only ends that a worker lists as failed used up a task's attempts. A worker that crashes lists nothing; when its life was over its runs went back to those that wait as if they had never been. So a task that crashes its workers was started for as long as there were workers.

Change: each run lost with its worker counts against what had just begun there, or else against all that ran. The count lasts with the job's progress, which is written before the next start. At the third crash the job fails and the log says why. A worker silent beyond its lease may be cut off only: that counts at once, is taken back when this life answers, becomes a crash when another life answers for it or it stays missing for 10 s, and no job fails on it; with three such the task waits. Workers that leave, by word or without, have not crashed. Jobs under which workers were lost are put on different workers, so that one doesn't take the other with it. Work that lasts is forgiven after 600 s at work.

--- a/crates/stairstall-core/src/batch/planner.rs
+++ b/crates/stairstall-core/src/batch/planner.rs
@@ -12,6 +12,7 @@
 mod advice;
 mod bounds;
 mod contact;
+mod crashes;
 mod directory;
 mod ends;
 mod evacuation;
@@ -210,6 +211,7 @@
         self.jobs.insert(id.clone(), job);
         if let Some(progress) = progress {
             self.restore_runs(&id, progress, now);
+            self.restore_losses(&id, progress, now);
         }
         self.touch(&id);
         if cancelled {
@@ -251,6 +253,7 @@
         {
             self.kept_house_at = Some(now.at);
             self.end_lives_of_the_left(now);
+            self.end_lives_of_the_vanished(now);
             self.end_leases(now);
             self.resend(now);
             self.start_due_occurrences(now);
--- a/crates/stairstall-core/src/batch/planner/adopt.rs
+++ b/crates/stairstall-core/src/batch/planner/adopt.rs
@@ -95,7 +95,7 @@
         let worker = self
             .workers
             .entry(id.clone())
-            .or_insert_with(|| Worker::unlisted(id));
+            .or_insert_with(|| Worker::unlisted(id, now.at));
         worker.extend_lease(now.at + Self::lease_span(self.bounds.hold_max));
         self.keep_run(id, task, run);
         self.ranked_claims = None;
@@ -149,6 +149,7 @@
             resumes: false,
             recorded_by: 0,
             restored: false,
+            is_suspect: self.is_suspect(&running.task),
         };
         run.note_running(running, now.at);
         run
--- a/crates/stairstall-core/src/batch/planner/contact.rs
+++ b/crates/stairstall-core/src/batch/planner/contact.rs
@@ -58,6 +58,7 @@
         }
         let was_silent = !worker.is_in_contact();
         worker.set_contact(true);
+        let not_lost = std::mem::take(&mut worker.lost);
         let seen = worker.seen;
         let mut absent = worker.answered_before(sent_at);
         for running in &report.running {
@@ -73,6 +74,7 @@
         if was_silent {
             self.touch_runs_at(id);
         }
+        self.forgive(id, &not_lost);
         if !report.more {
             for task in absent {
                 self.run_over(
@@ -85,13 +87,13 @@
             }
         }
         self.update_stories(now);
-        self.forget_if_gone(id);
+        self.forget_if_gone(id, now);
     }
 
     /// Takes word that a worker did not answer.
     pub fn hold_failed(&mut self, id: &WorkerId, now: Now) {
         self.doubt(id, now);
-        self.forget_if_gone(id);
+        self.forget_if_gone(id, now);
     }
 
     /// Gives a worker nothing new until it answers; with several of a zone, the whole zone.
@@ -153,16 +155,19 @@
 
     /// Takes what runs on silent workers for over once their leases are.
     pub(super) fn end_leases(&mut self, now: Now) {
-        let over: Vec<(WorkerId, TaskKey)> = self
+        let over: Vec<(WorkerId, Vec<(TaskKey, Run)>)> = self
             .workers
             .iter()
-            .filter(|(_, w)| !w.is_in_contact())
+            .filter(|(_, w)| !w.is_in_contact() && !w.runs.is_empty())
             .filter(|(_, w)| w.lease_until.is_none_or(|until| now.at > until))
-            .flat_map(|(id, w)| w.runs.keys().map(move |task| (id.clone(), task.clone())))
+            .map(|(id, w)| (id.clone(), w.runs.clone().into_iter().collect()))
             .collect();
-        for (id, task) in over {
-            self.run_over(&id, &task, EndKind::Lapsed, "its lease is over", now);
-            self.forget_if_gone(&id);
+        for (id, runs) in over {
+            self.count_silence(&id, &runs);
+            for (task, _) in runs {
+                self.run_over(&id, &task, EndKind::Lapsed, "its lease is over", now);
+            }
+            self.forget_if_gone(&id, now);
         }
     }
 
@@ -180,6 +185,7 @@
                 if has_begun {
                     self.touch(&running.task.group.job);
                 }
+                self.note_at_work(id, &running.task, now);
                 if was_restored {
                     self.confirm_restored(id, &running.task, now);
                 }
--- a/crates/stairstall-core/src/batch/planner/directory.rs
+++ b/crates/stairstall-core/src/batch/planner/directory.rs
@@ -15,7 +15,7 @@
             return;
         }
         self.replan = true;
-        self.retire_earlier_lives(&listed);
+        self.retire_earlier_lives(&listed, now);
         let id = listed.id.clone();
         let known = self.workers.get(&id);
         if known.is_none_or(|known| known.listed.address != listed.address) {
@@ -36,7 +36,7 @@
     }
 
     /// Another life at the same address says that earlier ones are over.
-    fn retire_earlier_lives(&mut self, listed: &ListedWorker) {
+    fn retire_earlier_lives(&mut self, listed: &ListedWorker, now: Now) {
         let over: Vec<WorkerId> = self
             .workers
             .values()
@@ -45,7 +45,7 @@
             .map(|w| w.listed.id.clone())
             .collect();
         for id in over {
-            self.life_over(&id, "another life listens at its address");
+            self.life_over(&id, "another life listens at its address", now);
         }
     }
 
@@ -54,20 +54,21 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        worker.is_listed = false;
+        worker.unlist(now.at);
         let address = worker.listed.address.clone();
         let is_replaced = |other: &Worker| other.is_listed && other.listed.address == address;
         if !address.is_empty() && self.workers.values().any(is_replaced) {
-            self.life_over(id, "another life listens at its address");
+            self.life_over(id, "another life listens at its address", now);
             return;
         }
-        let Some(worker) = self.workers.get(id) else {
+        let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
+        worker.left_quietly = worker.is_in_contact();
         if worker.has_left(now.at) {
-            self.life_over(id, "it has left");
+            self.life_over(id, "it has left", now);
         } else {
-            self.forget_if_gone(id);
+            self.forget_if_gone(id, now);
         }
         self.replan = true;
     }
--- a/crates/stairstall-core/src/batch/planner/fit.rs
+++ b/crates/stairstall-core/src/batch/planner/fit.rs
@@ -33,6 +33,7 @@
             return;
         };
         let mut waiting = group.waiting();
+        waiting.retain(|index| !self.is_held(&group.tasks[*index as usize]));
         let ready_since = group.ready_since.unwrap_or(now.at);
         if step.gang && waiting.len() != group.tasks.len() {
             return;
@@ -248,6 +249,7 @@
             let task = key.task(*index);
             let mut run = self.planned_run(candidate.rank, step, id, number, now);
             run.recorded_by = recorded_by;
+            run.is_suspect = self.is_suspect(&task);
             if let Some(job) = self.jobs.get_mut(&key.job)
                 && let Some(group) = job.group_mut(key)
             {
@@ -302,6 +304,7 @@
             resumes: false,
             recorded_by: 0,
             restored: false,
+            is_suspect: false,
         }
     }
 }
--- a/crates/stairstall-core/src/batch/planner/fit/cost.rs
+++ b/crates/stairstall-core/src/batch/planner/fit/cost.rs
@@ -3,7 +3,7 @@
 use super::super::Planner;
 use super::super::pool::Worker;
 use crate::batch::{GroupKey, PlacePolicy, StepSpec};
-use crate::{Timestamp, WorkerId};
+use crate::{JobId, Timestamp, WorkerId};
 
 /// What makes workers worse places for the tasks of one step.
 pub(super) struct PlaceCosts<'a> {
@@ -13,6 +13,8 @@
     has_failed: bool,
     /// Where runs of it failed.
     failed_at: Vec<&'a WorkerId>,
+    /// The job, where workers were lost under a task of the step.
+    suspect: Option<&'a JobId>,
     far_factor: u32,
     policy: &'a PlacePolicy,
 }
@@ -33,21 +35,40 @@
         if self.failed_at.contains(&&worker.listed.id) {
             cost += self.work * u64::from(self.policy.failed_here_penalty);
         }
+        // Side by side nothing would tell which of two such jobs a worker crashes under.
+        if self
+            .suspect
+            .is_some_and(|job| worker.has_suspect_beside(job))
+        {
+            cost += self.work * u64::from(self.policy.suspect_neighbour_penalty);
+        }
         cost
     }
 }
 
 impl Planner {
     /// Returns what makes workers worse places for a step.
-    pub(super) fn place_costs(&self, step: &StepSpec, key: &GroupKey) -> PlaceCosts<'_> {
+    pub(super) fn place_costs<'a>(&'a self, step: &StepSpec, key: &'a GroupKey) -> PlaceCosts<'a> {
         let group = self.group_of(key);
         let tasks = group.map_or(&[][..], |group| &group.tasks);
         PlaceCosts {
             work: step.room().weight().saturating_mul(self.estimate_ms(step)) / 1000,
             has_failed: group.is_some_and(|group| group.worst_failures() > 0),
             failed_at: tasks.iter().filter_map(|t| t.failed_at.as_ref()).collect(),
+            suspect: tasks
+                .iter()
+                .any(|t| t.is_waiting() && t.losses.count() > 0)
+                .then_some(&key.job),
             far_factor: self.bounds.far_factor,
             policy: &self.policy.places,
         }
     }
 }
+
+impl Worker {
+    /// Tells whether it has a run of another job under which workers were lost before.
+    fn has_suspect_beside(&self, job: &JobId) -> bool {
+        let mut others = self.runs.iter().filter(|(task, _)| task.group.job != *job);
+        others.any(|(_, run)| run.is_suspect)
+    }
+}
--- a/crates/stairstall-core/src/batch/planner/job.rs
+++ b/crates/stairstall-core/src/batch/planner/job.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use crate::batch::story::{Span, Story};
-use crate::batch::{AcceptedJob, GroupKey, Outcome, StepSpec};
+use crate::batch::{AcceptedJob, GroupKey, Outcome, StepSpec, TaskKey, TaskLosses};
 use crate::{Timestamp, WorkerId};
 
 use super::Now;
@@ -29,6 +29,8 @@
     pub(super) moves: u8,
     /// The run that was moved last.
     pub(super) moved_run: u32,
+    /// Workers that were lost under it.
+    pub(super) losses: TaskLosses,
 }
 
 impl Task {
@@ -207,6 +209,11 @@
             .get_mut(key.step as usize)
     }
 
+    pub(super) fn task_mut(&mut self, key: &TaskKey) -> Option<&mut Task> {
+        let group = self.group_mut(&key.group)?;
+        group.tasks.get_mut(key.index as usize)
+    }
+
     pub(super) fn step(&self, key: &GroupKey) -> Option<&StepSpec> {
         self.accepted.spec.steps.get(key.step as usize)
     }
--- a/crates/stairstall-core/src/batch/planner/lives.rs
+++ b/crates/stairstall-core/src/batch/planner/lives.rs
@@ -1,53 +1,53 @@
-//! When a worker's life is over, and what is lost with it.
+//! When a worker's life is over.
 
-use super::pool::{Run, RunState};
 use super::{Now, Planner};
 use crate::WorkerId;
-use crate::batch::{Decision, DecisionKind, Setback, TaskKey};
+use crate::batch::{Decision, Setback};
 
 impl Planner {
     /// Takes word that this life of a worker is over: nothing of it runs.
-    pub fn life_over(&mut self, id: &WorkerId, why: &str) {
+    pub fn life_over(&mut self, id: &WorkerId, why: &str, now: Now) {
         let Some(mut worker) = self.workers.remove(id) else {
             return;
         };
         self.worker_set += 1;
         self.decisions
             .push(Decision::of_worker(id, format!("its life is over: {why}")));
-        let runs = std::mem::take(&mut worker.runs);
-        for (task, run) in runs {
-            self.run_index.remove(&task, id);
+        let runs: Vec<_> = std::mem::take(&mut worker.runs).into_iter().collect();
+        for (task, run) in &runs {
+            self.run_index.remove(task, id);
             self.note_setback(&task.group.job, Setback::Lost);
-            self.tell_loss(id, &task, &run);
-            self.release(id, &task, &run, "its worker's life is over");
+            self.release(id, task, run, "its worker's life is over");
+        }
+        let mut suspects = std::mem::take(&mut worker.lost);
+        if worker.leaves() {
+            self.forgive(id, &suspects);
+        } else {
+            // A crash lists no ends: uncounted, its tasks would start on worker after worker, each of
+            // which they may crash too.
+            self.confirm(id, &suspects);
+            suspects.extend(self.count_crash(id, &worker, &runs));
+            self.give_up_crashing(&suspects, now);
         }
         self.replan = true;
     }
 
-    /// Says that a run was lost with its worker, and how much its task has used up of what it may.
-    fn tell_loss(&mut self, id: &WorkerId, task: &TaskKey, run: &Run) {
-        if run.state == RunState::Planned {
+    /// Drops a worker that is listed no longer and has nothing.
+    ///
+    /// One that may have crashed under tasks is asked on for a while: its answer tells that it did not.
+    pub(super) fn forget_if_gone(&mut self, id: &WorkerId, now: Now) {
+        let vanished_after = self.policy.health.vanished_after;
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
+        if worker.is_listed || !worker.runs.is_empty() {
             return;
         }
-        let failures = self.failures(task);
-        let attempts = self.attempts(&task.group.job).unwrap_or(0);
-        let percent = run.percent;
-        let why = format!(
-            "lost with its worker at {percent} percent; {failures} of {attempts} failures so far"
-        );
-        let loss = Decision::of_run(DecisionKind::Loss, task, run.number, id, why);
-        self.decisions.push(loss);
-    }
-
-    /// Drops a worker that is listed no longer and has nothing.
-    pub(super) fn forget_if_gone(&mut self, id: &WorkerId) {
-        let is_gone = self
-            .workers
-            .get(id)
-            .is_some_and(|w| !w.is_listed && w.runs.is_empty());
-        if is_gone {
+        if worker.lost.is_empty() {
             self.workers.remove(id);
             self.worker_set += 1;
+        } else if worker.has_vanished(now.at, vanished_after) {
+            self.life_over(id, "it is listed no longer and does not answer", now);
         }
     }
 
@@ -61,7 +61,17 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in left {
-            self.life_over(&id, "it has left");
+            self.life_over(&id, "it has left", now);
+        }
+    }
+
+    /// Takes workers for crashed that were lost while they ran something, and have come back neither
+    /// to the directory nor to an answer.
+    pub(super) fn end_lives_of_the_vanished(&mut self, now: Now) {
+        let doubtful = self.workers.iter().filter(|(_, w)| !w.lost.is_empty());
+        let doubtful: Vec<WorkerId> = doubtful.map(|(id, _)| id.clone()).collect();
+        for id in doubtful {
+            self.forget_if_gone(&id, now);
         }
     }
 }
--- a/crates/stairstall-core/src/batch/planner/pool.rs
+++ b/crates/stairstall-core/src/batch/planner/pool.rs
@@ -71,6 +71,8 @@
     pub(super) resumes: bool,
     /// Whether it is known only from what an earlier planner wrote down.
     pub(super) restored: bool,
+    /// Whether workers were lost under its task before.
+    pub(super) is_suspect: bool,
     /// The change of its job that writes its place down; no start is sent before that lasts.
     pub(super) recorded_by: u64,
 }
@@ -147,6 +149,13 @@
     leaves_at: Option<Timestamp>,
     /// Jobs whose runs failed there since the last success.
     pub(super) failed_jobs: Vec<JobId>,
+    /// Tasks whose runs were given up when its lease was over: it may have crashed under them.
+    pub(super) lost: Vec<TaskKey>,
+    /// Since when the directory lists it no longer.
+    unlisted_at: Option<Timestamp>,
+    /// Whether it still answered when the directory dropped it, as one does that leaves without a
+    /// word.
+    pub(super) left_quietly: bool,
 }
 
 impl Worker {
@@ -170,13 +179,16 @@
             succeeded_at: None,
             leaves_at: None,
             failed_jobs: Vec::new(),
+            lost: Vec::new(),
+            unlisted_at: None,
+            left_quietly: false,
         };
         worker.relist(listed, at);
         worker
     }
 
     /// A worker that is known only from what was written down.
-    pub(super) fn unlisted(id: &WorkerId) -> Self {
+    pub(super) fn unlisted(id: &WorkerId, at: Timestamp) -> Self {
         let listed = ListedWorker {
             id: id.clone(),
             address: String::new(),
@@ -189,13 +201,20 @@
             remaining_ms: None,
         };
         let mut worker = Self::new(listed, Timestamp::default());
-        worker.is_listed = false;
+        worker.unlist(at);
         worker.contact = false;
         worker
     }
 
+    pub(super) const fn unlist(&mut self, at: Timestamp) {
+        self.is_listed = false;
+        self.unlisted_at = Some(at);
+    }
+
     pub(super) fn relist(&mut self, listed: ListedWorker, at: Timestamp) {
         self.is_listed = true;
+        self.unlisted_at = None;
+        self.left_quietly = false;
         if listed.draining && !self.listed.draining || self.leaves_at.is_none() {
             self.leaves_at = listed
                 .remaining_ms
@@ -211,6 +230,16 @@
         is_due && !self.is_listed && !self.contact
     }
 
+    /// Tells whether it goes by plan: its end is not a crash.
+    pub(super) const fn leaves(&self) -> bool {
+        self.listed.draining || self.left_quietly
+    }
+
+    /// Tells whether it has been missing in the directory for so long, without an answer.
+    pub(super) fn has_vanished(&self, at: Timestamp, after: Duration) -> bool {
+        !self.contact && self.unlisted_at.is_some_and(|since| at - since >= after)
+    }
+
     pub(super) fn insert(&mut self, task: TaskKey, run: Run) {
         self.claimed = self.claimed.plus(&run.room);
         self.has_unsettled = true;
--- a/crates/stairstall-core/src/batch/planner/progress.rs
+++ b/crates/stairstall-core/src/batch/planner/progress.rs
@@ -175,6 +175,11 @@
                 .zip(&self.tasks)
                 .filter_map(|(index, task)| Some((index, (task.place.clone()?, task.run))))
                 .collect(),
+            losses: open
+                .clone()
+                .filter(|(_, task)| task.losses.count() > 0)
+                .map(|(index, task)| (index, task.losses.clone()))
+                .collect(),
             checkpoints: open
                 .filter_map(|(index, task)| Some((index, task.checkpoint.clone()?)))
                 .collect(),
@@ -204,6 +209,11 @@
                 task.counted_run = *run;
             }
         }
+        for (index, losses) in &kept.losses {
+            if let Some(task) = self.tasks.get_mut(*index as usize) {
+                task.losses = losses.clone();
+            }
+        }
         for (index, checkpoint) in &kept.checkpoints {
             if let Some(task) = self.tasks.get_mut(*index as usize) {
                 task.checkpoint = Some(checkpoint.clone());
--- a/crates/stairstall-core/src/batch/planner/starts.rs
+++ b/crates/stairstall-core/src/batch/planner/starts.rs
@@ -230,7 +230,7 @@
         let task = &order.task;
         self.note_start_answered();
         if outcome == StartOutcome::OtherLife {
-            self.life_over(id, "another life answered a start");
+            self.life_over(id, "another life answered a start", now);
             return;
         }
         if outcome == StartOutcome::Refused(RefusalReason::Fenced) {
@@ -366,7 +366,9 @@
                 }
             }
             StopOutcome::Fenced => self.note_fenced(),
-            StopOutcome::OtherLife => self.life_over(&order.worker, "another life answered a stop"),
+            StopOutcome::OtherLife => {
+                self.life_over(&order.worker, "another life answered a stop", now);
+            }
             StopOutcome::Unknown => self.stop_again(order, now),
         }
     }
--- a/crates/stairstall-core/src/batch/policy.rs
+++ b/crates/stairstall-core/src/batch/policy.rs
@@ -117,6 +117,7 @@
             self.reach.introductions_per_s.into(),
             "reach.introductions_per_s",
         )?;
+        positive(self.health.max_crashes.into(), "health.max_crashes")?;
         positive(self.pace.still_divisor, "pace.still_divisor")?;
         positive(self.pace.unsure_still_divisor, "pace.unsure_still_divisor")?;
         positive(self.pace.gain_divisor, "pace.gain_divisor")?;
--- a/crates/stairstall-core/src/batch/policy/planner.rs
+++ b/crates/stairstall-core/src/batch/policy/planner.rs
@@ -34,6 +34,9 @@
     pub unproven_penalty: u16,
     /// The same for the worker where the task failed last.
     pub failed_here_penalty: u16,
+    /// The same for a worker with work of another job under which workers were lost, for work under
+    /// which some were lost too.
+    pub suspect_neighbour_penalty: u16,
     /// Whether work goes to the zone of its caller where that costs nothing.
     pub prefers_callers_zone: bool,
 }
@@ -51,6 +54,7 @@
             suspect_penalty: 4,
             unproven_penalty: 1,
             failed_here_penalty: 2,
+            suspect_neighbour_penalty: 4,
             prefers_callers_zone: true,
         }
     }
@@ -138,6 +142,20 @@
     /// A worker that answered within this time is not in doubt with its zone.
     #[serde(with = "super::millis")]
     pub heard_lately: Duration,
+    /// Workers that may crash under a task before it is given up. Two crashes may be chance: each
+    /// takes a seventh of the fleet in the troubles of the first sites.
+    pub max_crashes: u32,
+    /// A run that began within this time before its worker was last heard is put its loss down to,
+    /// rather than those that had worked for longer.
+    #[serde(with = "super::millis")]
+    pub fresh_start: Duration,
+    /// How long a worker that was lost must be missing in the directory, and silent, to be taken for
+    /// crashed: those that are well list themselves again within 2 s of the store's return.
+    #[serde(with = "super::millis")]
+    pub vanished_after: Duration,
+    /// How long a task that lasts must be at work until earlier crashes count no longer.
+    #[serde(with = "super::millis")]
+    pub crashes_forgiven_after: Duration,
 }
 
 impl Default for HealthPolicy {
@@ -151,6 +169,10 @@
             doubtful_zone: 3,
             reports_count: true,
             heard_lately: Duration::from_millis(200),
+            max_crashes: 3,
+            fresh_start: Duration::from_secs(1),
+            vanished_after: Duration::from_secs(10),
+            crashes_forgiven_after: Duration::from_secs(600),
         }
     }
 }
--- a/crates/stairstall-core/src/batch/record.rs
+++ b/crates/stairstall-core/src/batch/record.rs
@@ -93,11 +93,34 @@
     /// The worker and the number of each current run, by index; written before it is started.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub places: BTreeMap<u32, (WorkerId, u32)>,
+    /// Workers that were lost under open tasks, by index; written before the task starts again.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub losses: BTreeMap<u32, TaskLosses>,
     /// Last checkpoint of open tasks, by index.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub checkpoints: BTreeMap<u32, String>,
 }
 
+/// Workers that were lost under one task.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskLosses {
+    /// How many of them have crashed.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub crashes: u32,
+    /// Those that are silent beyond their lease, and may have crashed or be cut off only.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub silent: Vec<WorkerId>,
+}
+
+impl TaskLosses {
+    /// Returns how many workers may have crashed under the task.
+    #[must_use]
+    pub fn count(&self) -> u32 {
+        let silent = u32::try_from(self.silent.len()).unwrap_or(u32::MAX);
+        self.crashes.saturating_add(silent)
+    }
+}
+
 #[allow(
     clippy::trivially_copy_pass_by_ref,
     reason = "serde passes a reference"
--- a/crates/stairstall-core/tests/batch/crashes.rs
+++ b/crates/stairstall-core/tests/batch/crashes.rs
@@ -7,9 +7,11 @@
 //! attempts, and a worker that crashes lists nothing. What settled it: `start` lines of one task with
 //! rising run numbers, all "try 1", under one token, and the `loss` lines "0 of 2 failures so far".
 
-use stairstall_core::batch::{CallerState, DecisionKind, Outcome};
+use std::time::Duration;
 
-use crate::harness::{CRASH_MS, Fleet, id, job, step, task};
+use stairstall_core::batch::{CallerState, DecisionKind, Outcome, StepSpec};
+
+use crate::harness::{CRASH_MS, Fleet, HOLD_MAX, gang, id, job, step, task};
 
 /// Workers that may crash under a task before it is given up.
 const MAX_CRASHES: usize = 3;
@@ -27,6 +29,10 @@
 
 const FAILED: Option<CallerState> = Some(CallerState::Ended(Outcome::Failed));
 
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).expect("small")
+}
+
 fn fleet() -> Fleet {
     let mut fleet = Fleet::new(&FLEET);
     fleet.hold_all();
@@ -39,7 +45,10 @@
     fleet.submit(job("j", 2, vec![step(1, 8)]));
     let key = task("j", 0, 0);
     let place = fleet.place_of(&key).expect("it runs");
-    fleet.planner.life_over(&place, "another life answered");
+    let now = fleet.now();
+    fleet
+        .planner
+        .life_over(&place, "another life answered", now);
     let decisions = fleet.planner.take_decisions();
     let loss = decisions.iter().find(|d| d.kind == DecisionKind::Loss);
     let loss = loss.expect("it is told");
@@ -73,3 +82,202 @@
     assert_eq!(fleet.starts_of(&key), MAX_CRASHES);
     assert_eq!(fleet.planner.caller_state(&id("crashes")), FAILED);
 }
+
+#[test]
+fn a_gang_with_a_member_that_crashes_its_workers_is_given_up() {
+    let mut fleet = fleet();
+    let key = task("crashes", 0, 1);
+    fleet.crashing.insert(key.clone());
+    fleet.submit(job("crashes", 0, vec![gang(3, 4)]));
+    fleet.pass(8 * ROUND_MS);
+    assert_eq!(fleet.starts_of(&key), MAX_CRASHES);
+    assert_eq!(fleet.planner.caller_state(&id("crashes")), FAILED);
+}
+
+#[test]
+fn work_that_lasts_is_given_up_too_if_it_crashes_its_workers() {
+    let mut fleet = fleet();
+    let key = task("crashes", 0, 0);
+    fleet.crashing.insert(key.clone());
+    fleet.submit(job("crashes", 2, vec![lasting()]));
+    fleet.pass(8 * ROUND_MS);
+    assert_eq!(fleet.starts_of(&key), MAX_CRASHES);
+    assert_eq!(fleet.planner.caller_state(&id("crashes")), FAILED);
+}
+
+fn lasting() -> StepSpec {
+    StepSpec {
+        lasts: true,
+        ..step(1, 1)
+    }
+}
+
+#[test]
+fn workers_that_crash_and_never_come_back_are_counted() {
+    let mut fleet = fleet();
+    let key = task("crashes", 0, 0);
+    fleet.crashing.insert(key.clone());
+    fleet.submit(job("crashes", 0, vec![step(1, 1)]));
+    for _ in 0..8 {
+        // The directory drops the entry after missed heartbeats; nothing takes the address.
+        fleet.pass(1_000);
+        fleet.lose_crashed();
+        fleet.pass(9_000);
+    }
+    assert_eq!(fleet.starts_of(&key), MAX_CRASHES);
+    assert_eq!(fleet.planner.caller_state(&id("crashes")), FAILED);
+}
+
+#[test]
+fn a_new_planner_takes_workers_for_crashed_that_nobody_lists_any_more() {
+    let mut fleet = fleet();
+    let key = task("crashes", 0, 0);
+    let accepted = job("crashes", 0, vec![step(1, 1)]);
+    fleet.crashing.insert(key.clone());
+    fleet.submit(accepted.clone());
+    for _ in 0..4 {
+        // Its first lease is over and the task starts again; then the entry goes and the planner too.
+        fleet.pass(1_000);
+        fleet.lose_crashed();
+        fleet.pass(1_500);
+        fleet.succeed(std::slice::from_ref(&accepted));
+    }
+    fleet.pass(20_000);
+    assert_eq!(fleet.starts_of(&key), MAX_CRASHES);
+    assert_eq!(fleet.planner.caller_state(&id("crashes")), FAILED);
+}
+
+#[test]
+fn what_runs_beside_work_that_crashes_its_workers_is_not_given_up() {
+    let mut fleet = fleet();
+    fleet.submit(job("beside", 2, vec![step(36, 1)]));
+    fleet.pass(3_000);
+    for round in 0..8 {
+        let name = format!("crashes-{round}");
+        fleet.crashing.insert(task(&name, 0, 0));
+        fleet.submit(job(&name, 0, vec![step(1, 1)]));
+        fleet.pass(4 * ROUND_MS);
+        assert_eq!(fleet.planner.caller_state(&id(&name)), FAILED, "{name}");
+    }
+    let beside = fleet.planner.caller_state(&id("beside"));
+    assert_eq!(beside, Some(CallerState::Running));
+}
+
+#[test]
+fn two_crashes_may_be_chance() {
+    let mut fleet = fleet();
+    fleet.submit(job("j", 2, vec![step(1, 1)]));
+    let key = task("j", 0, 0);
+    for _ in 0..2 {
+        let place = fleet.place_of(&key).expect("it runs");
+        fleet.crash(&place);
+        fleet.pass(3 * ROUND_MS);
+    }
+    assert!(fleet.place_of(&key).is_some(), "it runs again");
+}
+
+#[test]
+fn workers_that_are_cut_off_have_not_crashed() {
+    let mut fleet = fleet();
+    fleet.submit(job("j", 2, vec![step(1, 1)]));
+    let key = task("j", 0, 0);
+    let lease_ms = millis(HOLD_MAX) + 1_000;
+    for round in 1..=4 {
+        let place = fleet.place_of(&key).expect("it runs");
+        let worker = fleet.cut_off(&place);
+        fleet.pass(lease_ms);
+        assert_eq!(fleet.starts_of(&key), round + 1, "its lease is over");
+        fleet.reconnect(&place, worker);
+        fleet.pass(1_000);
+    }
+    assert!(fleet.place_of(&key).is_some(), "it runs");
+}
+
+#[test]
+fn a_task_waits_while_it_is_not_known_whether_its_workers_have_crashed() {
+    let mut fleet = fleet();
+    let accepted = job("j", 2, vec![step(1, 1)]);
+    fleet.submit(accepted.clone());
+    let key = task("j", 0, 0);
+    let lease_ms = millis(HOLD_MAX) + 1_000;
+    let mut cut = Vec::new();
+    for _ in 0..MAX_CRASHES {
+        let place = fleet.place_of(&key).expect("it runs");
+        let worker = fleet.cut_off(&place);
+        cut.push((place, worker));
+        fleet.pass(lease_ms);
+    }
+    // Also a new planner knows which workers it waits for.
+    fleet.succeed(std::slice::from_ref(&accepted));
+    fleet.pass(lease_ms);
+    assert_eq!(fleet.starts_of(&key), MAX_CRASHES);
+    assert_ne!(fleet.planner.caller_state(&id("j")), FAILED);
+    for (place, worker) in cut {
+        fleet.reconnect(&place, worker);
+    }
+    fleet.pass(1_000);
+    assert!(fleet.place_of(&key).is_some(), "none has crashed: it runs");
+}
+
+#[test]
+fn workers_that_leave_by_plan_have_not_crashed() {
+    let mut fleet = fleet();
+    fleet.submit(job("j", 2, vec![step(1, 1)]));
+    let key = task("j", 0, 0);
+    for _ in 0..4 {
+        let place = fleet.place_of(&key).expect("it runs");
+        fleet.announce_leaving(&place, 60_000);
+        fleet.pass(100);
+        fleet.crash(&place);
+        fleet.pass(2 * ROUND_MS);
+    }
+    assert!(fleet.place_of(&key).is_some(), "it runs");
+}
+
+#[test]
+fn workers_that_leave_without_a_word_have_not_crashed() {
+    let mut fleet = fleet();
+    fleet.submit(job("j", 2, vec![step(1, 1)]));
+    let key = task("j", 0, 0);
+    for _ in 0..4 {
+        let place = fleet.place_of(&key).expect("it runs");
+        let now = fleet.now();
+        fleet.planner.unlist_worker(&place, now);
+        fleet.pass(500);
+        fleet.workers.remove(&place);
+        fleet.listed.remove(&place);
+        let now = fleet.now();
+        fleet.planner.hold_failed(&place, now);
+        fleet.pass(millis(HOLD_MAX) + 1_000);
+    }
+    assert!(fleet.place_of(&key).is_some(), "it runs");
+}
+
+#[test]
+fn two_jobs_under_which_a_worker_was_lost_are_put_apart() {
+    let mut fleet = fleet();
+    fleet.submit(job("a", 2, vec![step(1, 4)]));
+    fleet.submit(job("b", 2, vec![step(1, 4)]));
+    let (a, b) = (task("a", 0, 0), task("b", 0, 0));
+    let place = fleet.place_of(&a).expect("it runs");
+    assert_eq!(fleet.place_of(&b).as_ref(), Some(&place), "they fit there");
+    fleet.crash(&place);
+    fleet.pass(3 * ROUND_MS);
+    let places = (fleet.place_of(&a), fleet.place_of(&b));
+    assert!(places.0.is_some() && places.1.is_some());
+    assert_ne!(places.0, places.1);
+}
+
+#[test]
+fn work_that_has_lasted_long_is_not_given_up_for_crashes_far_apart() {
+    let mut fleet = fleet();
+    fleet.submit(job("j", 2, vec![lasting()]));
+    let key = task("j", 0, 0);
+    for _ in 0..4 {
+        let place = fleet.place_of(&key).expect("it runs");
+        fleet.crash(&place);
+        fleet.pass(2 * ROUND_MS);
+        fleet.pass(601_000);
+    }
+    assert!(fleet.place_of(&key).is_some(), "it runs");
+}
--- a/crates/stairstall-core/tests/batch/harness.rs
+++ b/crates/stairstall-core/tests/batch/harness.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use stairstall_core::batch::{
-    AcceptedJob, BatchSpec, Bounds, Catalog, Customer, End, EndKind, HoldReport, HoldRequest,
-    ListedWorker, Now, Order, OrderKind, Planner, Progress, Queue, Resources, Route, RunningTask,
-    StartOutcome, StepSpec, StopOutcome, TaskKey,
+    AcceptedJob, BatchSpec, Bounds, Catalog, Customer, End, EndKind, GroupKey, HoldReport,
+    HoldRequest, ListedWorker, Now, Order, OrderKind, Planner, Progress, Queue, Resources, Route,
+    RunningTask, StartOutcome, StepSpec, StopOutcome, TaskKey,
 };
 use stairstall_core::claim::Mark;
 use stairstall_core::{CustomerId, JobId, Timestamp, WorkerId, ZoneId};
@@ -76,12 +76,12 @@
     }
 }
 
-/// A worker that has crashed and comes back.
+/// A worker that does not answer: it has crashed, or is cut off.
 #[derive(Debug, Clone)]
 struct Crashed {
     worker: WorkerId,
-    /// When another life of it listens.
-    back_at_ms: u64,
+    /// When another life of it listens; none where it never comes back.
+    back_at_ms: Option<u64>,
 }
 
 /// The planner and its workers.
@@ -104,6 +104,10 @@
     pub crashing: BTreeSet<TaskKey>,
     /// How the workers are listed.
     pub listed: BTreeMap<WorkerId, ListedWorker>,
+    /// Steps whose tasks can't go on alone.
+    gangs: BTreeSet<GroupKey>,
+    /// Steps that have lost a run just now.
+    broken: Vec<GroupKey>,
     crashed: Vec<Crashed>,
     lives: u32,
 }
@@ -227,6 +231,8 @@
             kept: BTreeMap::new(),
             crashing: BTreeSet::new(),
             listed: BTreeMap::new(),
+            gangs: BTreeSet::new(),
+            broken: Vec::new(),
             crashed: Vec::new(),
             lives: 0,
         };
@@ -247,27 +253,82 @@
 
     /// Ends a worker's life without a word; another life comes to its address after a while.
     pub fn crash(&mut self, id: &WorkerId) {
-        self.workers.remove(id);
+        let lost = self.workers.remove(id).expect("a worker").running;
+        self.broken.extend(lost.into_keys().map(|task| task.group));
         self.crashed.push(Crashed {
             worker: id.clone(),
-            back_at_ms: self.at_ms + CRASH_MS,
+            back_at_ms: Some(self.at_ms + CRASH_MS),
         });
     }
 
+    /// Ends the members of gangs that have lost others.
+    fn break_gangs(&mut self) {
+        let broken = std::mem::take(&mut self.broken);
+        for worker in self.workers.values_mut() {
+            let members: Vec<TaskKey> = worker.running.keys().cloned().collect();
+            let is_broken =
+                |task: &&TaskKey| self.gangs.contains(&task.group) && broken.contains(&task.group);
+            for member in members.iter().filter(is_broken) {
+                worker.end(member, EndKind::Broken);
+            }
+        }
+    }
+
+    /// Makes those that have crashed stay away: the directory drops them.
+    pub fn lose_crashed(&mut self) {
+        let now = self.now();
+        for crashed in &mut self.crashed {
+            if crashed.back_at_ms.take().is_some() {
+                self.listed.remove(&crashed.worker);
+                self.planner.unlist_worker(&crashed.worker, now);
+            }
+        }
+    }
+
+    /// Cuts a worker off; the directory still lists it.
+    pub fn cut_off(&mut self, id: &WorkerId) -> FakeWorker {
+        let worker = self.workers.remove(id).expect("a worker");
+        self.crashed.push(Crashed {
+            worker: id.clone(),
+            back_at_ms: None,
+        });
+        worker
+    }
+
+    /// Ends a cut: what ran at the worker has lapsed there.
+    pub fn reconnect(&mut self, id: &WorkerId, mut worker: FakeWorker) {
+        let lapsed: Vec<TaskKey> = worker.running.keys().cloned().collect();
+        for task in lapsed {
+            worker.end(&task, EndKind::Lapsed);
+        }
+        self.crashed.retain(|crashed| crashed.worker != *id);
+        self.workers.insert(id.clone(), worker);
+    }
+
+    /// Lets the directory say that a worker leaves.
+    pub fn announce_leaving(&mut self, id: &WorkerId, remaining_ms: u64) {
+        let now = self.now();
+        let listed = self.listed.get_mut(id).expect("it is listed");
+        listed.draining = true;
+        listed.remaining_ms = Some(remaining_ms);
+        self.planner.list_worker(listed.clone(), now);
+    }
+
     /// Lets workers that crashed long enough ago come back, each as another life that answers for
     /// the one before.
     fn bring_back(&mut self) {
         let at_ms = self.at_ms;
         let (back, away) = std::mem::take(&mut self.crashed)
             .into_iter()
-            .partition(|crashed: &Crashed| crashed.back_at_ms <= at_ms);
+            .partition(|crashed: &Crashed| crashed.back_at_ms.is_some_and(|back| back <= at_ms));
         self.crashed = away;
         for Crashed { worker, .. } in back {
             let now = self.now();
             let mut listed = self.listed.remove(&worker).expect("it was listed");
             self.lives += 1;
             listed.id = format!("life-{}", self.lives).parse().expect("an id");
-            self.planner.life_over(&worker, "another life answered");
+            self.planner
+                .life_over(&worker, "another life answered", now);
             self.planner.unlist_worker(&worker, now);
             self.add(listed, now);
         }
@@ -298,7 +359,10 @@
     pub fn hold(&mut self, id: &WorkerId) -> Option<HoldRequest> {
         let now = self.now();
         if self.crashed.iter().any(|crashed| crashed.worker == *id) {
-            self.planner.hold_failed(id, now);
+            let has_address = self.planner.workers().any(|(known, _)| known == id);
+            if has_address {
+                self.planner.hold_failed(id, now);
+            }
             return None;
         }
         let request = self.planner.hold_request(id, now)?;
@@ -396,6 +460,7 @@
             for worker in self.workers.values_mut() {
                 worker.work(100);
             }
+            self.break_gangs();
             self.bring_back();
             self.hold_all();
             self.settle();
@@ -412,6 +477,12 @@
     }
 
     pub fn submit(&mut self, job: AcceptedJob) {
+        for (step, spec) in (0..).zip(&job.spec.steps) {
+            if spec.gang {
+                let group = TaskKey::new(job.id.clone(), 0, step, 0).group;
+                self.gangs.insert(group);
+            }
+        }
         let now = self.now();
         self.planner.submit(job, now);
         self.settle();
--- a/crates/stairstalld/src/batch/links.rs
+++ b/crates/stairstalld/src/batch/links.rs
@@ -153,7 +153,7 @@
         }
         Err(WorkerFault::OtherLife) => {
             node.telemetry.hold("other life");
-            tenure.with(|planner, _| planner.life_over(&worker.id, "another life answered"));
+            tenure.with(|planner, now| planner.life_over(&worker.id, "another life answered", now));
         }
         Err(WorkerFault::Fenced) => {
             node.telemetry.hold("fenced");
