fix(core): count the workers that crash under a block, and give it up at the third

Cause: the same as in the batch mode. A repeatable job whose member was lost waited again, and nothing counted how often. Change: a crash counts against every job that had started on the worker, when another process answers in its place, or when a new holder finds another one there than the job's record names. A worker that is silent until its leases have ended counts only once another process answers for it; if the same one does, it was cut off. The count lasts with the job's record. At the third crash the job ends as may-have-run, with "3 workers crashed under it". Unlike the batch mode the job is not held while a silent worker is in doubt, so that one run more may follow. A new holder's count has a test of its own, which was written with the change.

--- a/crates/stairstall-core/src/placement/job.rs
+++ b/crates/stairstall-core/src/placement/job.rs
@@ -285,6 +285,9 @@
     /// Whether an earlier attempt may have run.
     #[serde(default)]
     pub started: bool,
+    /// Workers that crashed under it.
+    #[serde(default)]
+    pub crashes: u32,
     /// Where it stands.
     #[serde(flatten)]
     pub state: JobState,
--- a/crates/stairstall-core/src/placement/scheduler.rs
+++ b/crates/stairstall-core/src/placement/scheduler.rs
@@ -10,6 +10,7 @@
 use crate::{RackId, Timestamp, VmId, WorkerId, ZoneId};
 
 mod contact;
+mod crashes;
 mod effect;
 mod entry;
 mod orders;
@@ -248,6 +249,9 @@
             self.homes_stale = true;
             self.replan = true;
         }
+        if news.first || news.restarted {
+            self.settle_suspicion(worker, reply.incarnation, news.restarted, now);
+        }
         if news.first || news.restarted {
             self.lose_members(worker, Some(reply.incarnation));
         }
--- a/crates/stairstall-core/src/placement/scheduler/contact.rs
+++ b/crates/stairstall-core/src/placement/scheduler/contact.rs
@@ -17,6 +17,8 @@
     pub(super) tasks: BTreeMap<TaskId, TaskReport>,
     /// Jobs with a run that has a member here.
     pub(super) runs: BTreeSet<JobKey>,
+    /// Jobs that had started here when all leases ended: the worker may have crashed under them.
+    pub(super) lost_jobs: BTreeSet<JobKey>,
     state: VmState,
     since: u64,
     sequence: u64,
@@ -49,6 +51,7 @@
             incarnation: None,
             tasks: BTreeMap::new(),
             runs: BTreeSet::new(),
+            lost_jobs: BTreeSet::new(),
             state: VmState::Live,
             since: 0,
             sequence: 0,
--- a/crates/stairstall-core/src/placement/scheduler/effect.rs
+++ b/crates/stairstall-core/src/placement/scheduler/effect.rs
@@ -81,6 +81,8 @@
         saved_ms: u64,
         /// Whether an attempt before this state may have run.
         started: bool,
+        /// Workers that crashed under it.
+        crashes: u32,
     },
     /// Keep the home blocks for the next holder, so that they stay where they are.
     KeepHomes(Vec<Home>),
--- a/crates/stairstall-core/src/placement/scheduler/entry.rs
+++ b/crates/stairstall-core/src/placement/scheduler/entry.rs
@@ -25,6 +25,8 @@
     /// Whether it is known from its workers only.
     pub(super) adopted: bool,
     pub(super) failures: u32,
+    /// Workers that crashed under it.
+    pub(super) crashes: u32,
     /// Whether any attempt may have run.
     pub(super) started: bool,
     pub(super) pending_write: Option<WriteId>,
@@ -82,6 +84,7 @@
             superseded: false,
             adopted: false,
             failures: 0,
+            crashes: record.crashes,
             started: record.started,
             pending_write: None,
             stage: Stage::Waiting,
--- a/crates/stairstall-core/src/placement/scheduler/recovery.rs
+++ b/crates/stairstall-core/src/placement/scheduler/recovery.rs
@@ -53,6 +53,9 @@
         let owner = self.occupy_run(entry, &run);
         self.register_run(&key, &run, owner);
         let mut running = Running::new(run, owner);
+        if placed.iter().any(|member| self.has_restarted(member)) {
+            entry.crashes += 1;
+        }
         for (index, member) in placed.iter().enumerate() {
             let index = u16::try_from(index).unwrap_or(u16::MAX);
             self.fill_in(&key, &mut running, index, member);
@@ -80,14 +83,12 @@
 
     /// Tells a recovered run what is known of one member by now.
     fn fill_in(&self, key: &JobKey, running: &mut Running, index: u16, member: &PlacedMember) {
-        let Some(contact) = self.contacts.get(&member.worker) else {
-            return;
-        };
-        let Some(incarnation) = contact.incarnation else {
+        let contact = self.contacts.get(&member.worker);
+        if contact.is_none_or(|contact| contact.incarnation.is_none()) {
             return;
-        };
+        }
         let attempt = running.run.attempt();
-        if incarnation != member.incarnation {
+        if self.has_restarted(member) {
             running.run.report(index, MemberPhase::Lost);
             return;
         }
@@ -97,6 +98,13 @@
         }
     }
 
+    /// Tells whether another process than a member's answers as its worker.
+    fn has_restarted(&self, member: &PlacedMember) -> bool {
+        let contact = self.contacts.get(&member.worker);
+        let known = contact.and_then(|contact| contact.incarnation);
+        known.is_some_and(|incarnation| incarnation != member.incarnation)
+    }
+
     fn report_of(
         &self,
         key: &JobKey,
@@ -231,6 +239,7 @@
         cancel: false,
         saved_ms: spec.resume_ms,
         started: true,
+        crashes: 0,
         state: JobState::Accepted,
     }
 }
--- a/crates/stairstall-core/src/placement/scheduler/reports.rs
+++ b/crates/stairstall-core/src/placement/scheduler/reports.rs
@@ -132,6 +132,7 @@
             self.effects.push(Effect::Alarm(format!(
                 "worker {worker} is lost: it was silent until every lease on it ended"
             )));
+            self.suspect_jobs_on(&worker);
             self.lose_members(&worker, None);
         }
     }
--- a/crates/stairstall-core/src/placement/scheduler/runs.rs
+++ b/crates/stairstall-core/src/placement/scheduler/runs.rs
@@ -179,6 +179,9 @@
                 };
                 self.close(key, state, now, "a member failed");
             }
+            StopReason::MemberLost if entry.crashes >= Self::MAX_CRASHES => {
+                self.give_up_crashing(key, now);
+            }
             _ if verdict.allows_retry(entry.spec.repeatable) => {
                 if reason == StopReason::NotStarted {
                     entry.failures += 1;
@@ -239,6 +242,7 @@
             state,
             saved_ms: entry.saved_ms,
             started: entry.started,
+            crashes: entry.crashes,
         });
     }
 
--- a/crates/stairstall-core/tests/crashes.rs
+++ b/crates/stairstall-core/tests/crashes.rs
@@ -97,3 +97,18 @@
     zone.run_for(Duration::from_secs(5));
     assert!(place(&zone).is_some(), "it runs");
 }
+
+#[test]
+fn a_new_holder_knows_how_many_workers_have_crashed_under_a_block() {
+    let mut zone = zone();
+    for _ in 0..MAX_CRASHES {
+        zone.run_for(Duration::from_secs(5));
+        let records = zone.placed_records();
+        let worker = place(&zone).expect("it runs");
+        zone.set_dead(&worker, true);
+        zone.set_dead(&worker, false);
+        zone.succeed(&records, configuration(["fonts"]));
+    }
+    zone.run_for(Duration::from_secs(5));
+    assert_given_up(&zone);
+}
--- a/crates/stairstall-core/tests/properties/lives.rs
+++ b/crates/stairstall-core/tests/properties/lives.rs
@@ -291,6 +291,7 @@
         accepted_ms: 0,
         cancel: false,
         saved_ms: 0,
+        crashes: 0,
         started: false,
         state: JobState::Placed { attempt, members },
     };
--- a/crates/stairstall-standin/src/virtual_zone.rs
+++ b/crates/stairstall-standin/src/virtual_zone.rs
@@ -56,6 +56,8 @@
     /// Whether bytes are counted; it costs time.
     pub count_bytes: bool,
     zone: ZoneId,
+    /// What the store has of each job's crashes.
+    crashes: BTreeMap<JobKey, u32>,
     places: BTreeMap<WorkerId, Place>,
     now: Timestamp,
     step: Duration,
@@ -112,6 +114,7 @@
             sync_bytes: 0,
             count_bytes: false,
             zone,
+            crashes: BTreeMap::new(),
             places,
             now,
             step: Self::STEP,
@@ -223,7 +226,14 @@
     fn settle(&mut self) {
         for effect in self.scheduler.tick(self.now) {
             match effect {
-                Effect::Write { id, job, state, .. } => {
+                Effect::Write {
+                    id,
+                    job,
+                    state,
+                    crashes,
+                    ..
+                } => {
+                    self.crashes.insert(job.clone(), crashes);
                     if state.is_final() {
                         self.ended.push(Ended {
                             job: job.clone(),
@@ -288,6 +298,7 @@
     }
 
     fn record(&self, spec: JobSpec, state: JobState) -> JobRecord {
+        let crashes = self.crashes.get(&spec.key()).copied().unwrap_or(0);
         JobRecord {
             spec,
             zone: self.zone.clone(),
@@ -295,6 +306,7 @@
             accepted_ms: self.now.as_millis(),
             cancel: false,
             saved_ms: 0,
+            crashes,
             started: false,
             state,
         }
--- a/crates/stairstalld/src/holder/records.rs
+++ b/crates/stairstalld/src/holder/records.rs
@@ -33,6 +33,7 @@
     pub(super) state: JobState,
     pub(super) saved_ms: u64,
     pub(super) started: bool,
+    pub(super) crashes: u32,
 }
 
 /// What is known of one job's record.
@@ -292,6 +293,7 @@
         state: write.state.clone(),
         saved_ms: write.saved_ms,
         started: write.started,
+        crashes: write.crashes,
         ..record
     }
 }
--- a/crates/stairstalld/src/holder/tenure/outward.rs
+++ b/crates/stairstalld/src/holder/tenure/outward.rs
@@ -23,6 +23,7 @@
                 state,
                 saved_ms,
                 started,
+                crashes,
             } => {
                 if self.lease.is_some() {
                     self.records.write(Write {
@@ -31,6 +32,7 @@
                         state,
                         saved_ms,
                         started,
+                        crashes,
                     });
                 } else {
                     self.scheduler
--- a/crates/stairstalld/src/jobs.rs
+++ b/crates/stairstalld/src/jobs.rs
@@ -36,6 +36,7 @@
         accepted_ms: unix_millis(),
         cancel: false,
         saved_ms: 0,
+        crashes: 0,
         started: false,
         state: JobState::Accepted,
     };
