--- a/crates/stairstall-core/tests/batch/main.rs
+++ b/crates/stairstall-core/tests/batch/main.rs
@@ -1,6 +1,7 @@
 //! The planner of jobs of steps and tasks, on a virtual clock.
 
 mod advice;
+mod capacity;
 mod crashes;
 mod ends;
 mod evacuation;
