fix(batch): start nothing on a worker whose room has shrunk below what it runs

Cause: what is left of a worker's room was counted with nothing below zero in each of its parts. A worker that has shrunk from eight to six accelerators while eight tasks run looked merely full: work that needs no accelerator started there, and urgent work stopped as many as it needs itself, which frees nothing, waited for room that did not become free, and gave up. Change: such a worker has nothing left of anything; what it has too little of has to become free besides.

--- a/crates/stairstall-core/src/batch/planner/fit.rs
+++ b/crates/stairstall-core/src/batch/planner/fit.rs
@@ -167,6 +167,7 @@
                 } else {
                     w.free()
                 },
+                shortage: w.shortage(),
                 spread_left: spread_left(w, step, key),
                 penalty: costs.of(w, step, now.at),
                 in_other_zone: home.as_ref().is_some_and(|home| *home != w.listed.zone),
--- a/crates/stairstall-core/src/batch/planner/fit/choose.rs
+++ b/crates/stairstall-core/src/batch/planner/fit/choose.rs
@@ -13,6 +13,8 @@
     pub(in crate::batch::planner) worker: WorkerId,
     pub(in crate::batch::planner) rack: RackId,
     pub(in crate::batch::planner) room: Resources,
+    /// What has to become free besides, because the worker's room has shrunk.
+    pub(in crate::batch::planner) shortage: Resources,
     /// Tasks of the step that may still be put there.
     pub(in crate::batch::planner) spread_left: u32,
     /// What being there costs a task, in core-milliseconds.
@@ -95,7 +97,8 @@
         if self.spread_left == 0 {
             return None;
         }
-        let (cost, victims) = self.victims.to_fit(needs, &self.room)?;
+        let wanted = needs.plus(&self.shortage);
+        let (cost, victims) = self.victims.to_fit(&wanted, &self.room)?;
         let left = self.room.minus(needs);
         Some(Offer {
             rank: (
--- a/crates/stairstall-core/src/batch/planner/pool.rs
+++ b/crates/stairstall-core/src/batch/planner/pool.rs
@@ -256,25 +256,47 @@
 
     /// Returns the room that nothing has or will have.
     pub(super) fn free(&self) -> Resources {
-        self.listed.capacity.minus(&self.claimed)
+        self.left_beside(&self.claimed)
+    }
+
+    /// Returns what is left of its room beside something; nothing of anything where its room has shrunk
+    /// below that.
+    ///
+    /// A start on a worker that does not guard its room would bring it further over.
+    fn left_beside(&self, used: &Resources) -> Resources {
+        if used.fits(&self.listed.capacity) {
+            self.listed.capacity.minus(used)
+        } else {
+            Resources::default()
+        }
     }
 
     /// Returns the room that is free once what is being stopped has ended.
     pub(super) fn free_soon(&self) -> Resources {
+        self.listed.capacity.minus(&self.claimed_soon())
+    }
+
+    /// Returns what it will have too little of once what is being stopped has ended, because its room has
+    /// shrunk.
+    pub(super) fn shortage(&self) -> Resources {
+        self.claimed_soon().minus(&self.listed.capacity)
+    }
+
+    fn claimed_soon(&self) -> Resources {
         let leaving = self.sum(|run| run.state == RunState::Stopping);
-        self.listed.capacity.minus(&self.claimed.minus(&leaving))
+        self.claimed.minus(&leaving)
     }
 
     /// Returns the room that is free once all that may give way to `rank` has ended.
     pub(super) fn room_above(&self, rank: u8) -> Resources {
         let stays = self.sum(|run| run.state != RunState::Stopping && !run.may_give_way_to(rank));
-        self.listed.capacity.minus(&stays)
+        self.left_beside(&stays)
     }
 
     /// Returns the room that nothing takes at this moment.
     pub(super) fn free_now(&self) -> Resources {
         let present = self.sum(|run| run.state != RunState::Planned);
-        self.listed.capacity.minus(&present)
+        self.left_beside(&present)
     }
 
     fn sum(&self, test: impl Fn(&Run) -> bool) -> Resources {
