fix(batch): take a worker for one that left without a word only if it answers after that

Cause: a worker whose entry goes while it counts as in contact was taken for leaving quietly. One that crashes while a report is awaited may lose its entry before its silence is noticed, where reports come seldom; its crash then counted against nothing. Found by reading the mend again; its test failed before (the job was not given up). Change: it has left quietly once it answers although it is listed no longer.

--- a/crates/stairstall-core/src/batch/planner/contact.rs
+++ b/crates/stairstall-core/src/batch/planner/contact.rs
@@ -58,6 +58,7 @@
         }
         let was_silent = !worker.is_in_contact();
         worker.set_contact(true);
+        worker.left_quietly = !worker.is_listed;
         let not_lost = std::mem::take(&mut worker.lost);
         let seen = worker.seen;
         let mut absent = worker.answered_before(sent_at);
--- a/crates/stairstall-core/src/batch/planner/directory.rs
+++ b/crates/stairstall-core/src/batch/planner/directory.rs
@@ -61,10 +61,9 @@
             self.life_over(id, "another life listens at its address", now);
             return;
         }
-        let Some(worker) = self.workers.get_mut(id) else {
+        let Some(worker) = self.workers.get(id) else {
             return;
         };
-        worker.left_quietly = worker.is_in_contact();
         if worker.has_left(now.at) {
             self.life_over(id, "it has left", now);
         } else {
--- a/crates/stairstall-core/src/batch/planner/pool.rs
+++ b/crates/stairstall-core/src/batch/planner/pool.rs
@@ -153,8 +153,7 @@
     pub(super) lost: Vec<TaskKey>,
     /// Since when the directory lists it no longer.
     unlisted_at: Option<Timestamp>,
-    /// Whether it still answered when the directory dropped it, as one does that leaves without a
-    /// word.
+    /// Whether it has answered since the directory dropped it, as one does that leaves without a word.
     pub(super) left_quietly: bool,
 }
 
--- a/crates/stairstall-core/tests/batch/crashes.rs
+++ b/crates/stairstall-core/tests/batch/crashes.rs
@@ -253,6 +253,21 @@
     assert!(fleet.place_of(&key).is_some(), "it runs");
 }
 
+#[test]
+fn a_crash_counts_though_the_entry_goes_before_the_silence_is_noticed() {
+    let mut fleet = fleet();
+    let key = task("crashes", 0, 0);
+    fleet.submit(job("crashes", 0, vec![step(1, 1)]));
+    for _ in 0..MAX_CRASHES {
+        let place = fleet.place_of(&key).expect("it runs");
+        let now = fleet.now();
+        fleet.planner.unlist_worker(&place, now);
+        fleet.crash(&place);
+        fleet.pass(4 * ROUND_MS);
+    }
+    assert_eq!(fleet.planner.caller_state(&id("crashes")), FAILED);
+}
+
 #[test]
 fn two_jobs_under_which_a_worker_was_lost_are_put_apart() {
     let mut fleet = fleet();
