fix(batch): give a task its last chance where nothing else has just started

Change: a task that the next crash would fail is put where nothing of another job has begun within the last second, for as long as it has patience for that, and nothing else starts there until it has worked for a second: a crash then has one cause. A start that got no answer takes no blame away from what ran there, since it may have come after the crash. The soak hands in such jobs now (one in 24): none may complete, and no job may be shown as failed unless three workers have crashed under one of its tasks, as the stand-in counts them. A failure prints what the daemons logged about the job.

--- a/crates/stairstall-core/src/batch/planner/adopt.rs
+++ b/crates/stairstall-core/src/batch/planner/adopt.rs
@@ -149,7 +149,7 @@
             resumes: false,
             recorded_by: 0,
             restored: false,
-            is_suspect: self.is_suspect(&running.task),
+            losses: self.losses(&running.task),
         };
         run.note_running(running, now.at);
         run
--- a/crates/stairstall-core/src/batch/planner/crashes.rs
+++ b/crates/stairstall-core/src/batch/planner/crashes.rs
@@ -5,10 +5,12 @@
 //! with the job's progress. A worker that is silent beyond its lease may be cut off only: what it had is
 //! counted at once, and taken back when that life of the worker answers.
 
+use std::time::Duration;
+
 use super::job::Task;
 use super::pool::{Run, RunState, Worker};
 use super::{Now, Planner};
-use crate::batch::{Decision, DecisionKind, Outcome, Progress, TaskKey};
+use crate::batch::{Decision, DecisionKind, GroupKey, Outcome, Progress, TaskKey};
 use crate::{JobId, Timestamp, WorkerId};
 
 impl Planner {
@@ -114,24 +116,23 @@
         }
     }
 
-    /// Returns the tasks that a worker may have crashed under: what had just been started there, or
-    /// else all that ran.
+    /// Returns the tasks that a worker may have crashed under: what had just begun there, and what it was
+    /// told to start and did not answer, or else all that ran.
     ///
     /// Without the difference a task that crashes its workers at once takes others with it: in a recorded day
     /// two of its neighbours each lost two workers while it lost six.
     fn blamed(&self, worker: &Worker, runs: &[(TaskKey, Run)]) -> Vec<TaskKey> {
         let fresh_start = self.policy.health.fresh_start;
+        let had_just_begun = |run: &Run| {
+            let ran_for = run.began.zip(worker.heard_at);
+            ran_for.is_some_and(|((began, _), heard_at)| heard_at - began <= fresh_start)
+        };
         let started = runs.iter().filter(|(_, run)| run.was_started());
-        let fresh = started.clone().filter(|(_, run)| {
-            let heard_at = worker.heard_at;
-            heard_at.is_some_and(|at| run.was_fresh(at, fresh_start))
-        });
-        let fresh: Vec<TaskKey> = fresh.map(|(task, _)| task.clone()).collect();
-        if fresh.is_empty() {
-            started.map(|(task, _)| task.clone()).collect()
-        } else {
-            fresh
-        }
+        // A start without an answer may also have come after the crash.
+        let any_fresh = started.clone().any(|(_, run)| had_just_begun(run));
+        let is_blamed = |run: &Run| !any_fresh || run.began.is_none() || had_just_begun(run);
+        let blamed = started.filter(|(_, run)| is_blamed(run));
+        blamed.map(|(task, _)| task.clone()).collect()
     }
 
     fn change_losses(&mut self, task: &TaskKey, change: impl FnOnce(&mut Task)) {
@@ -178,9 +179,52 @@
         task.losses.count() >= self.policy.health.max_crashes
     }
 
-    /// Tells whether workers have been lost under a task.
-    pub(super) fn is_suspect(&self, task: &TaskKey) -> bool {
-        self.task(task).is_some_and(|task| task.losses.count() > 0)
+    /// Tells whether a task with so many losses is given up at the next one.
+    pub(super) const fn is_last_chance(&self, losses: u32) -> bool {
+        losses + 1 == self.policy.health.max_crashes
+    }
+
+    /// Returns how many workers have been lost under a task.
+    pub(super) fn losses(&self, task: &TaskKey) -> u32 {
+        self.task(task).map_or(0, |task| task.losses.count())
+    }
+
+    /// Returns which workers a step's tasks must keep away from.
+    pub(super) fn apart(&self, key: &GroupKey, urgent: bool, now: Now) -> Apart<'_> {
+        let job = self.jobs.get_key_value(&key.job).map(|(id, _)| id);
+        let group = self.jobs.get(&key.job).and_then(|job| job.group(key));
+        let waiting = group.into_iter().flat_map(|group| &group.tasks);
+        let mut waiting = waiting.filter(|task| task.is_waiting());
+        let takes_last_chance = waiting.any(|task| self.is_last_chance(task.losses.count()));
+        let has_patience = self.waited(key, now) <= self.suspect_patience(urgent);
+        Apart {
+            job,
+            fresh_start: self.policy.health.fresh_start,
+            wants_quiet: takes_last_chance && has_patience,
+        }
+    }
+}
+
+/// Keeps what takes its last chance apart from what else has just started, so that a crash right after
+/// the start leaves no doubt about its cause.
+pub(super) struct Apart<'a> {
+    job: Option<&'a JobId>,
+    fresh_start: Duration,
+    /// Whether it takes a last chance itself, and still waits for a worker where nothing has just started.
+    wants_quiet: bool,
+}
+
+impl Apart<'_> {
+    /// Tells whether tasks may start at a worker.
+    pub(super) fn allows(&self, worker: &Worker, at: Timestamp) -> bool {
+        let is_other = |task: &TaskKey| self.job != Some(&task.group.job);
+        let is_fresh = |run: &Run| run.was_fresh(at, self.fresh_start);
+        let last_chance = worker.last_chance.as_ref().filter(|task| is_other(task));
+        if last_chance.is_some_and(|task| worker.runs.get(task).is_some_and(is_fresh)) {
+            return false;
+        }
+        let mut others = worker.runs.iter().filter(|(task, _)| is_other(task));
+        !self.wants_quiet || !others.any(|(_, run)| is_fresh(run))
     }
 }
 
@@ -190,9 +234,9 @@
         self.state != RunState::Planned
     }
 
-    /// Tells whether it had just begun, or had not answered yet, when its worker was last heard.
-    fn was_fresh(&self, heard_at: Timestamp, fresh_start: std::time::Duration) -> bool {
+    /// Tells whether it had just begun at a moment, or had not begun yet.
+    fn was_fresh(&self, at: Timestamp, fresh_start: Duration) -> bool {
         self.began
-            .is_none_or(|(began, _)| heard_at - began <= fresh_start)
+            .is_none_or(|(began, _)| at - began <= fresh_start)
     }
 }
--- a/crates/stairstall-core/src/batch/planner/fit.rs
+++ b/crates/stairstall-core/src/batch/planner/fit.rs
@@ -102,7 +102,7 @@
         self.spared_rank(candidate.rank, waited)
     }
 
-    fn waited(&self, key: &GroupKey, now: Now) -> Duration {
+    pub(super) fn waited(&self, key: &GroupKey, now: Now) -> Duration {
         let ready_since = self.group_of(key).and_then(|group| group.ready_since);
         ready_since.map_or(Duration::ZERO, |since| now.at - since)
     }
@@ -150,12 +150,14 @@
         }
         let losses = pass.gang_losses.as_ref().filter(|_| scope.preempts);
         let held_back = &pass.held_back;
+        let apart = self.apart(key, urgent, now);
         self.workers
             .iter()
             .filter(|(_, w)| scope.preempts || is_advised || needs.fits(&w.free()))
             .filter(|(_, w)| w.takes_tasks() && w.suits(step))
             .filter(|(_, w)| service.as_ref() == Some(&w.listed.service))
             .filter(|(_, w)| w.is_quiet_for(step))
+            .filter(|(_, w)| apart.allows(w, now.at))
             .filter(|(_, w)| !scope.near || w.is_near(step))
             .filter(|(id, _)| urgent || !held_back.workers.contains(*id))
             .filter(|(_, w)| w.is_healthy(demand, now.at))
@@ -184,12 +186,7 @@
         let failures = self.group_of(key).map_or(0, Group::worst_failures);
         let failed_early = self.group_of(key).is_some_and(|group| group.failed_early);
         let attempts = self.attempts(&key.job).unwrap_or(1);
-        let patience = if urgent {
-            self.policy.places.suspect_patience_urgent
-        } else {
-            self.policy.places.suspect_patience
-        };
-        if waited > patience {
+        if waited > self.suspect_patience(urgent) {
             Health::Any
         } else if failed_early && failures + 1 >= attempts {
             Health::Proven
@@ -198,6 +195,15 @@
         }
     }
 
+    /// Returns how long work waits for the workers that suit it best after what has gone wrong.
+    pub(super) const fn suspect_patience(&self, urgent: bool) -> Duration {
+        if urgent {
+            self.policy.places.suspect_patience_urgent
+        } else {
+            self.policy.places.suspect_patience
+        }
+    }
+
     fn group_of(&self, key: &GroupKey) -> Option<&Group> {
         self.jobs.get(&key.job)?.group(key)
     }
@@ -250,7 +256,7 @@
             let task = key.task(*index);
             let mut run = self.planned_run(candidate.rank, step, id, number, now);
             run.recorded_by = recorded_by;
-            run.is_suspect = self.is_suspect(&task);
+            run.losses = self.losses(&task);
             if let Some(job) = self.jobs.get_mut(&key.job)
                 && let Some(group) = job.group_mut(key)
             {
@@ -305,7 +311,7 @@
             resumes: false,
             recorded_by: 0,
             restored: false,
-            is_suspect: false,
+            losses: 0,
         }
     }
 }
--- a/crates/stairstall-core/src/batch/planner/fit/cost.rs
+++ b/crates/stairstall-core/src/batch/planner/fit/cost.rs
@@ -69,6 +69,6 @@
     /// Tells whether it has a run of another job under which workers were lost before.
     fn has_suspect_beside(&self, job: &JobId) -> bool {
         let mut others = self.runs.iter().filter(|(task, _)| task.group.job != *job);
-        others.any(|(_, run)| run.is_suspect)
+        others.any(|(_, run)| run.losses > 0)
     }
 }
--- a/crates/stairstall-core/src/batch/planner/pool.rs
+++ b/crates/stairstall-core/src/batch/planner/pool.rs
@@ -71,8 +71,8 @@
     pub(super) resumes: bool,
     /// Whether it is known only from what an earlier planner wrote down.
     pub(super) restored: bool,
-    /// Whether workers were lost under its task before.
-    pub(super) is_suspect: bool,
+    /// Workers that were lost under its task before.
+    pub(super) losses: u32,
     /// The change of its job that writes its place down; no start is sent before that lasts.
     pub(super) recorded_by: u64,
 }
@@ -149,6 +149,9 @@
     leaves_at: Option<Timestamp>,
     /// Jobs whose runs failed there since the last success.
     pub(super) failed_jobs: Vec<JobId>,
+    /// The last task that was put here for its last chance: until it has worked for a while, nothing else
+    /// starts here.
+    pub(super) last_chance: Option<TaskKey>,
     /// Tasks whose runs were given up when its lease was over: it may have crashed under them.
     pub(super) lost: Vec<TaskKey>,
     /// Since when the directory lists it no longer.
@@ -178,6 +181,7 @@
             succeeded_at: None,
             leaves_at: None,
             failed_jobs: Vec::new(),
+            last_chance: None,
             lost: Vec::new(),
             unlisted_at: None,
             left_quietly: false,
--- a/crates/stairstall-core/src/batch/planner/runs.rs
+++ b/crates/stairstall-core/src/batch/planner/runs.rs
@@ -77,7 +77,11 @@
 impl Planner {
     /// Keeps a run at a worker that is known.
     pub(super) fn keep_run(&mut self, id: &WorkerId, task: &TaskKey, run: Run) {
+        let is_last_chance = self.is_last_chance(run.losses);
         if let Some(worker) = self.workers.get_mut(id) {
+            if is_last_chance {
+                worker.last_chance = Some(task.clone());
+            }
             worker.insert(task.clone(), run);
             self.run_index.insert(task, id);
         }
--- a/crates/stairstall-core/tests/batch/crashes.rs
+++ b/crates/stairstall-core/tests/batch/crashes.rs
@@ -9,6 +9,7 @@
 
 use std::time::Duration;
 
+use stairstall_core::WorkerId;
 use stairstall_core::batch::{CallerState, DecisionKind, Outcome, StepSpec};
 
 use crate::harness::{CRASH_MS, Fleet, HOLD_MAX, gang, id, job, step, task};
@@ -268,6 +269,22 @@
     assert_eq!(fleet.planner.caller_state(&id("crashes")), FAILED);
 }
 
+#[test]
+fn a_start_that_a_crashed_worker_did_not_answer_takes_no_blame_from_what_ran_there() {
+    let mut fleet = fleet();
+    let key = task("crashes", 0, 0);
+    fleet.submit(job("crashes", 2, vec![step(1, 1)]));
+    for crash in 0..MAX_CRASHES {
+        fleet.pass(2_000);
+        let place = fleet.place_of(&key).expect("it runs");
+        fleet.crash(&place);
+        // Its silence is not noticed yet: another task is started there.
+        fleet.submit(job(&format!("late-{crash}"), 2, vec![step(1, 1)]));
+        fleet.pass(3 * ROUND_MS);
+    }
+    assert_eq!(fleet.planner.caller_state(&id("crashes")), FAILED);
+}
+
 #[test]
 fn two_jobs_under_which_a_worker_was_lost_are_put_apart() {
     let mut fleet = fleet();
@@ -283,6 +300,59 @@
     assert_ne!(places.0, places.1);
 }
 
+/// Lets two workers crash under a job's task, which then has one chance left, and returns where it is
+/// taken.
+fn last_chance(fleet: &mut Fleet, name: &str) -> WorkerId {
+    fleet.submit(job(name, 2, vec![step(1, 1)]));
+    let key = task(name, 0, 0);
+    for _ in 0..2 {
+        fleet.pass(2_000);
+        let place = fleet.place_of(&key).expect("it runs");
+        fleet.crash(&place);
+        while fleet.place_of(&key).is_none() {
+            fleet.pass(100);
+        }
+    }
+    fleet.place_of(&key).expect("it runs")
+}
+
+#[test]
+fn nothing_starts_beside_a_task_that_takes_its_last_chance_until_it_has_worked_for_a_while() {
+    let mut fleet = Fleet::new(&[("w1", "r1"), ("w2", "r1")]);
+    fleet.hold_all();
+    let place = last_chance(&mut fleet, "j");
+    fleet.submit(job("others", 2, vec![step(15, 1)]));
+    fleet.pass(800);
+    let running = |fleet: &mut Fleet| fleet.worker(place.as_str()).running.len();
+    assert_eq!(running(&mut fleet), 1, "it is alone there");
+    fleet.pass(800);
+    assert_eq!(running(&mut fleet), 8);
+}
+
+#[test]
+fn a_last_chance_is_taken_where_nothing_else_has_just_started() {
+    let mut fleet = fleet();
+    fleet.submit(job("j", 2, vec![step(1, 1)]));
+    let key = task("j", 0, 0);
+    for crash in 0..2 {
+        fleet.pass(2_000);
+        let place = fleet.place_of(&key).expect("it runs");
+        fleet.crash(&place);
+        // Others start every 0.2 s where the task would fit best.
+        let mut others = 0;
+        while fleet.place_of(&key).is_none() {
+            others += 1;
+            fleet.submit(job(&format!("other-{crash}-{others}"), 2, vec![step(1, 1)]));
+            fleet.pass(200);
+        }
+    }
+    let place = fleet.place_of(&key).expect("it runs");
+    let mut beside = fleet.worker(place.as_str()).running.clone();
+    beside.remove(&key);
+    let all_have_worked = beside.values().all(|(_, worked_ms, _)| *worked_ms >= 1_000);
+    assert!(all_have_worked, "{beside:?}");
+}
+
 #[test]
 fn work_that_has_lasted_long_is_not_given_up_for_crashes_far_apart() {
     let mut fleet = fleet();
--- a/crates/stairstalld/tests/batch/soak.rs
+++ b/crates/stairstalld/tests/batch/soak.rs
@@ -18,6 +18,8 @@
 
 /// Seeds that failed once, each with its cause.
 const KEPT_SEEDS: [u64; 0] = [];
+/// Workers that crash under a task before its job may be shown as failed.
+const MAX_CRASHES: u32 = 3;
 const DEFAULT_SEEDS: [u64; 2] = [1, 2];
 const DEFAULT_SECONDS: u64 = 8;
 
@@ -70,6 +72,8 @@
     /// Whether any try may have been taken.
     maybe: bool,
     cancelled: bool,
+    /// Whether one of its tasks crashes each worker that starts it.
+    crashes: bool,
 }
 
 struct Soak {
@@ -110,12 +114,18 @@
         let queue = self.random.random_range(0..3);
         let path = format!("/q{queue}/{}", self.cluster.new_id());
         let ms = self.random.random_range(20..600);
-        let body = if self.random.random_range(0..3) == 0 {
-            gang(self.random.random_range(2..6), ms)
-        } else {
-            job(self.random.random_range(1..6), &format!("ms={ms}"))
+        let members = self.random.random_range(2..6);
+        let body = match self.random.random_range(0..24) {
+            0 => job(members, &format!("ms={ms} crash={}", members - 1)),
+            1..8 => gang(members, ms),
+            _ => job(members - 1, &format!("ms={ms}")),
+        };
+        let mut known = Known {
+            crashes: body["spec"]
+                .as_str()
+                .is_some_and(|spec| spec.contains("crash")),
+            ..Known::default()
         };
-        let mut known = Known::default();
         for _ in 0..3 {
             let daemon = self.random.random_range(0..self.cluster.daemons.len());
             match self.cluster.submit(daemon, &path, &body).await {
@@ -193,6 +203,12 @@
         self.cluster.daemons[index] = Daemon::start(&name, &self.cluster.store).await;
     }
 
+    /// Returns what the daemons that still run have logged about a job.
+    fn lines_about(&self, job: &str) -> Vec<String> {
+        let daemons = self.cluster.daemons.iter();
+        daemons.flat_map(|daemon| daemon.log_lines(job)).collect()
+    }
+
     /// Waits until every accepted job has ended as it must, then checks the promises.
     async fn settle(&mut self) {
         let until = Instant::now() + PATIENCE;
@@ -210,16 +226,33 @@
                     .filter(|answer| answer.status == StatusCode::OK)
                     .and_then(|answer| answer.read::<Value>().ok())
                     .map(|body| body["state"].clone());
-                let done = state == Some("completed".into());
+                let has_failed = state == Some("failed".into());
+                let may_fail = self.cluster.workers.most_lost_under(&path[4..]) >= MAX_CRASHES;
+                assert!(may_fail || !has_failed, "{path} failed without a cause");
+                let done = has_failed || state == Some("completed".into());
+                assert!(
+                    !(self.jobs[path].crashes && done && !has_failed),
+                    "{path} completed although no worker survives it"
+                );
                 let cancelled = self.jobs[path].cancelled && state == Some("cancelled".into());
                 if !done && !cancelled {
                     left.push((path, state));
                 }
             }
-            assert!(Instant::now() < until, "not ended: {left:?}");
+            if Instant::now() >= until {
+                let lines = left
+                    .iter()
+                    .flat_map(|(path, _)| self.lines_about(&path[4..]));
+                let lines: Vec<String> = lines.collect();
+                panic!("not ended: {left:?}\n{}", lines.join("\n"));
+            }
             open = left.into_iter().map(|(path, _)| path).collect();
             tokio::time::sleep(Duration::from_millis(50)).await;
         }
+        for violation in self.cluster.workers.violations() {
+            let job = violation.0.split('.').next().unwrap_or_default();
+            println!("{violation}\n{}", self.lines_about(job).join("\n"));
+        }
         self.cluster.assert_no_violations();
         for (path, known) in &self.jobs {
             let ran = self.cluster.runs_of(&path[4..]) > 0;
