fix(batch): count workers apart that crashed without an answer to a start

Three crashes after an answer fail a job, or five losses of any kind: work that crashes its workers before they can answer gets no sixth start. Ruled out by a trial: counting what an earlier planner wrote down as unanswered too; then a new planner after each crash allows five starts instead of three (a_new_planner_knows... failed with 5).

--- a/crates/stairstall-core/src/batch.rs
+++ b/crates/stairstall-core/src/batch.rs
@@ -31,7 +31,9 @@
     ReportPolicy, RolePolicy, TakeoverPolicy, VictimPolicy, WritePolicy,
 };
 pub use reach::{PeerAddress, Reach};
-pub use record::{AcceptedJob, CallerState, GroupProgress, Outcome, Progress, TaskLosses};
+pub use record::{
+    AcceptedJob, CallerState, GroupProgress, Outcome, Progress, SilentWorker, TaskLosses,
+};
 pub use resources::Resources;
 pub use spec::{BatchSpec, Schedule, SpecError, StepSpec};
 pub use story::{JobSummary, KeptStory, Setback, Setbacks, Span};
--- a/crates/stairstall-core/src/batch/planner/adopt.rs
+++ b/crates/stairstall-core/src/batch/planner/adopt.rs
@@ -149,7 +149,7 @@
             resumes: false,
             recorded_by: 0,
             restored: false,
-            losses: self.losses(&running.task),
+            suspicion: self.suspicion(&running.task),
         };
         run.note_running(running, now.at);
         run
--- a/crates/stairstall-core/src/batch/planner/crashes.rs
+++ b/crates/stairstall-core/src/batch/planner/crashes.rs
@@ -8,9 +8,11 @@
 use std::time::Duration;
 
 use super::job::Task;
-use super::pool::{Run, RunState, Worker};
+use super::pool::{Run, RunState, Suspicion, Worker};
 use super::{Now, Planner};
-use crate::batch::{Decision, DecisionKind, GroupKey, Outcome, Progress, TaskKey};
+use crate::batch::{
+    Decision, DecisionKind, GroupKey, Outcome, Progress, SilentWorker, TaskKey, TaskLosses,
+};
 use crate::{JobId, Timestamp, WorkerId};
 
 impl Planner {
@@ -23,11 +25,11 @@
         runs: &[(TaskKey, Run)],
     ) -> Vec<TaskKey> {
         let blamed = self.blamed(worker, runs);
-        for task in &blamed {
-            self.change_losses(task, |task| task.losses.crashes += 1);
+        for (task, answered) in &blamed {
+            self.change_losses(task, |losses| losses.note_crash(*answered));
         }
         self.tell_losses(id, runs);
-        blamed
+        blamed.into_iter().map(|(task, _)| task).collect()
     }
 
     /// Counts the silence of a worker beyond its lease against the tasks that it may have crashed
@@ -37,20 +39,24 @@
             return;
         };
         let blamed = self.blamed(worker, runs);
-        for task in &blamed {
-            self.change_losses(task, |task| task.losses.silent.push(id.clone()));
+        for (task, answered) in &blamed {
+            let silent = SilentWorker {
+                worker: id.clone(),
+                answered: *answered,
+            };
+            self.change_losses(task, |losses| losses.silent.push(silent));
         }
         self.tell_losses(id, runs);
         if let Some(worker) = self.workers.get_mut(id) {
-            worker.lost.extend(blamed);
+            worker.lost.extend(blamed.into_iter().map(|(task, _)| task));
         }
     }
 
     /// Takes back what was counted against tasks because of a worker that did not crash.
     pub(super) fn forgive(&mut self, id: &WorkerId, tasks: &[TaskKey]) {
         for task in tasks {
-            self.change_losses(task, |task| {
-                task.losses.silent.retain(|silent| silent != id);
+            self.change_losses(task, |losses| {
+                losses.settle(id);
             });
         }
         self.replan |= !tasks.is_empty();
@@ -59,11 +65,10 @@
     /// Takes a silent worker for crashed.
     pub(super) fn confirm(&mut self, id: &WorkerId, tasks: &[TaskKey]) {
         for task in tasks {
-            self.change_losses(task, |task| {
-                let before = task.losses.silent.len();
-                task.losses.silent.retain(|silent| silent != id);
-                let confirmed = before - task.losses.silent.len();
-                task.losses.crashes += u32::try_from(confirmed).unwrap_or(u32::MAX);
+            self.change_losses(task, |losses| {
+                for answered in losses.settle(id) {
+                    losses.note_crash(answered);
+                }
             });
         }
     }
@@ -71,13 +76,19 @@
     /// Fails the jobs of those tasks that workers crash under again and again: each further start
     /// would take another worker down, with all that runs there.
     pub(super) fn give_up_crashing(&mut self, tasks: &[TaskKey], now: Now) {
-        let most = self.policy.health.max_crashes;
         for task in tasks {
-            let crashes = self.task(task).map_or(0, |task| task.losses.crashes);
             let job = &task.group.job;
             let is_open = self.jobs.get(job).is_some_and(|job| job.outcome.is_none());
-            if is_open && crashes >= most {
-                let why = format!("{task}: {crashes} workers crashed under it");
+            let losses = self.task(task).map(|task| &task.losses);
+            if let Some(losses) = losses.filter(|losses| is_open && self.is_too_much(losses)) {
+                let TaskLosses {
+                    crashes,
+                    unanswered,
+                    ..
+                } = losses;
+                let why = format!(
+                    "{task}: {crashes} workers crashed under it, {unanswered} more without an answer"
+                );
                 self.end_job(job, Outcome::Failed, &why, now);
             }
         }
@@ -91,9 +102,9 @@
             let began = run.began.filter(|_| run.lasts);
             began.is_some_and(|(at, _)| now.at - at >= forgiven_after)
         });
-        let has_losses = |task: &Task| task.losses.crashes > 0;
+        let has_losses = |task: &Task| !task.losses.is_empty();
         if has_lasted && self.task(task).is_some_and(has_losses) {
-            self.change_losses(task, |task| task.losses.crashes = 0);
+            self.change_losses(task, |losses| *losses = TaskLosses::default());
         }
     }
 
@@ -105,7 +116,7 @@
         for (occurrence, groups) in (0..).zip(&progress.occurrences) {
             for (step, group) in (0..).zip(groups) {
                 for (index, losses) in &group.losses {
-                    for id in &losses.silent {
+                    for SilentWorker { worker: id, .. } in &losses.silent {
                         let task = TaskKey::new(job.clone(), occurrence, step, *index);
                         let worker = self.workers.entry(id.clone());
                         let worker = worker.or_insert_with(|| Worker::unlisted(id, now.at));
@@ -116,26 +127,28 @@
         }
     }
 
-    /// Returns the tasks that a worker may have crashed under: what had just begun there, and what it was
-    /// told to start and did not answer, or else all that ran.
+    /// Returns the tasks that a worker may have crashed under, and whether it had taken their runs: what had
+    /// just begun there, and what it was told to start and did not answer, or else all that ran.
     ///
     /// Without the difference a task that crashes its workers at once takes others with it: in a recorded day
     /// two of its neighbours each lost two workers while it lost six.
-    fn blamed(&self, worker: &Worker, runs: &[(TaskKey, Run)]) -> Vec<TaskKey> {
+    fn blamed(&self, worker: &Worker, runs: &[(TaskKey, Run)]) -> Vec<(TaskKey, bool)> {
         let fresh_start = self.policy.health.fresh_start;
         let had_just_begun = |run: &Run| {
             let ran_for = run.began.zip(worker.heard_at);
-            ran_for.is_some_and(|((began, _), heard_at)| heard_at - began <= fresh_start)
+            let is_short = |((began, _), heard_at)| heard_at - began <= fresh_start;
+            run.has_answered() && ran_for.is_some_and(is_short)
         };
         let started = runs.iter().filter(|(_, run)| run.was_started());
-        // A start without an answer may also have come after the crash.
         let any_fresh = started.clone().any(|(_, run)| had_just_begun(run));
-        let is_blamed = |run: &Run| !any_fresh || run.began.is_none() || had_just_begun(run);
+        let is_blamed = |run: &Run| !any_fresh || !run.has_answered() || had_just_begun(run);
         let blamed = started.filter(|(_, run)| is_blamed(run));
-        blamed.map(|(task, _)| task.clone()).collect()
+        blamed
+            .map(|(task, run)| (task.clone(), run.has_answered()))
+            .collect()
     }
 
-    fn change_losses(&mut self, task: &TaskKey, change: impl FnOnce(&mut Task)) {
+    fn change_losses(&mut self, task: &TaskKey, change: impl FnOnce(&mut TaskLosses)) {
         let key = &task.group;
         let job = self.jobs.get_mut(&key.job);
         let Some(job) = job.filter(|job| job.outcome.is_none()) else {
@@ -144,7 +157,7 @@
         let Some(entry) = job.task_mut(task).filter(|entry| !entry.done) else {
             return;
         };
-        change(entry);
+        change(&mut entry.losses);
         job.change();
         self.changed.insert(key.job.clone());
     }
@@ -156,13 +169,17 @@
         for (task, run) in runs.iter().filter(|(_, run)| run.was_started()) {
             let failures = self.failures(task);
             let attempts = self.attempts(&task.group.job).unwrap_or(0);
-            let losses = self.task(task).map(|task| &task.losses);
-            let crashes = losses.map_or(0, |losses| losses.crashes);
-            let silent = losses.map_or(0, |losses| losses.silent.len());
+            let losses = self.task(task).map(|task| task.losses.clone());
+            let TaskLosses {
+                crashes,
+                unanswered,
+                silent,
+            } = losses.unwrap_or_default();
+            let silent = silent.len();
             let percent = run.percent;
             let why = format!(
                 "lost with its worker at {percent} percent; {failures} of {attempts} failures, \
-                 {crashes} of {most} crashes so far and {silent} silent workers"
+                 {crashes} of {most} crashes so far, {unanswered} without an answer, {silent} workers silent"
             );
             let loss = Decision::of_run(DecisionKind::Loss, task, run.number, id, why);
             self.decisions.push(loss);
@@ -174,19 +191,35 @@
         group.tasks.get(task.index as usize)
     }
 
+    /// Tells whether a task with such losses is given up.
+    const fn is_too_much(&self, losses: &TaskLosses) -> bool {
+        let health = &self.policy.health;
+        let all = losses.crashes.saturating_add(losses.unanswered);
+        losses.crashes >= health.max_crashes || all >= health.max_losses
+    }
+
     /// Tells whether a task must not start until it is known whether workers have crashed under it.
     pub(super) fn is_held(&self, task: &Task) -> bool {
-        task.losses.count() >= self.policy.health.max_crashes
+        self.is_too_much(&task.losses.at_worst())
     }
 
-    /// Tells whether a task with so many losses is given up at the next one.
-    pub(super) const fn is_last_chance(&self, losses: u32) -> bool {
-        losses + 1 == self.policy.health.max_crashes
+    /// Returns what the workers that were lost under a task say of it.
+    pub(super) fn suspicion(&self, task: &TaskKey) -> Suspicion {
+        let losses = self.task(task).map(|task| &task.losses);
+        losses.map_or(Suspicion::None, |losses| self.suspicion_by(losses))
     }
 
-    /// Returns how many workers have been lost under a task.
-    pub(super) fn losses(&self, task: &TaskKey) -> u32 {
-        self.task(task).map_or(0, |task| task.losses.count())
+    fn suspicion_by(&self, losses: &TaskLosses) -> Suspicion {
+        if losses.is_empty() {
+            return Suspicion::None;
+        }
+        let mut next = losses.at_worst();
+        next.note_crash(true);
+        if self.is_too_much(&next) {
+            Suspicion::LastChance
+        } else {
+            Suspicion::Some
+        }
     }
 
     /// Returns which workers a step's tasks must keep away from.
@@ -195,7 +228,8 @@
         let group = self.jobs.get(&key.job).and_then(|job| job.group(key));
         let waiting = group.into_iter().flat_map(|group| &group.tasks);
         let mut waiting = waiting.filter(|task| task.is_waiting());
-        let takes_last_chance = waiting.any(|task| self.is_last_chance(task.losses.count()));
+        let takes_last_chance =
+            waiting.any(|task| self.suspicion_by(&task.losses) == Suspicion::LastChance);
         let has_patience = self.waited(key, now) <= self.suspect_patience(urgent);
         Apart {
             job,
@@ -234,6 +268,11 @@
         self.state != RunState::Planned
     }
 
+    /// Tells whether its worker has said that it took it, as is assumed of what an earlier planner wrote down.
+    const fn has_answered(&self) -> bool {
+        self.began.is_some()
+    }
+
     /// Tells whether it had just begun at a moment, or had not begun yet.
     fn was_fresh(&self, at: Timestamp, fresh_start: Duration) -> bool {
         self.began
--- a/crates/stairstall-core/src/batch/planner/fit.rs
+++ b/crates/stairstall-core/src/batch/planner/fit.rs
@@ -4,7 +4,7 @@
 
 use super::job::{Group, Job};
 use super::pass::{Pass, RoomKind};
-use super::pool::{Health, Run, RunState, Worker};
+use super::pool::{Health, Run, RunState, Suspicion, Worker};
 use super::queue::{Candidate, URGENT};
 use super::victims::Victims;
 use super::{Now, Planner};
@@ -256,7 +256,7 @@
             let task = key.task(*index);
             let mut run = self.planned_run(candidate.rank, step, id, number, now);
             run.recorded_by = recorded_by;
-            run.losses = self.losses(&task);
+            run.suspicion = self.suspicion(&task);
             if let Some(job) = self.jobs.get_mut(&key.job)
                 && let Some(group) = job.group_mut(key)
             {
@@ -311,7 +311,7 @@
             resumes: false,
             recorded_by: 0,
             restored: false,
-            losses: 0,
+            suspicion: Suspicion::None,
         }
     }
 }
--- a/crates/stairstall-core/src/batch/planner/fit/cost.rs
+++ b/crates/stairstall-core/src/batch/planner/fit/cost.rs
@@ -1,7 +1,7 @@
 //! What being at a worker costs a task.
 
 use super::super::Planner;
-use super::super::pool::Worker;
+use super::super::pool::{Suspicion, Worker};
 use crate::batch::{GroupKey, PlacePolicy, StepSpec};
 use crate::{JobId, Timestamp, WorkerId};
 
@@ -57,7 +57,7 @@
             failed_at: tasks.iter().filter_map(|t| t.failed_at.as_ref()).collect(),
             suspect: tasks
                 .iter()
-                .any(|t| t.is_waiting() && t.losses.count() > 0)
+                .any(|t| t.is_waiting() && !t.losses.is_empty())
                 .then_some(&key.job),
             far_factor: self.bounds.far_factor,
             policy: &self.policy.places,
@@ -69,6 +69,6 @@
     /// Tells whether it has a run of another job under which workers were lost before.
     fn has_suspect_beside(&self, job: &JobId) -> bool {
         let mut others = self.runs.iter().filter(|(task, _)| task.group.job != *job);
-        others.any(|(_, run)| run.losses > 0)
+        others.any(|(_, run)| run.suspicion != Suspicion::None)
     }
 }
--- a/crates/stairstall-core/src/batch/planner/pool.rs
+++ b/crates/stairstall-core/src/batch/planner/pool.rs
@@ -29,6 +29,17 @@
     Proven,
 }
 
+/// What the workers that were lost under a task say of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Suspicion {
+    /// None was lost.
+    None,
+    /// It may have crashed them.
+    Some,
+    /// The next crash fails it.
+    LastChance,
+}
+
 /// One run of a task at a worker.
 #[derive(Debug, Clone)]
 pub(super) struct Run {
@@ -71,8 +82,8 @@
     pub(super) resumes: bool,
     /// Whether it is known only from what an earlier planner wrote down.
     pub(super) restored: bool,
-    /// Workers that were lost under its task before.
-    pub(super) losses: u32,
+    /// What the workers that were lost under its task before say of it.
+    pub(super) suspicion: Suspicion,
     /// The change of its job that writes its place down; no start is sent before that lasts.
     pub(super) recorded_by: u64,
 }
--- a/crates/stairstall-core/src/batch/planner/progress.rs
+++ b/crates/stairstall-core/src/batch/planner/progress.rs
@@ -177,7 +177,7 @@
                 .collect(),
             losses: open
                 .clone()
-                .filter(|(_, task)| task.losses.count() > 0)
+                .filter(|(_, task)| !task.losses.is_empty())
                 .map(|(index, task)| (index, task.losses.clone()))
                 .collect(),
             checkpoints: open
--- a/crates/stairstall-core/src/batch/planner/runs.rs
+++ b/crates/stairstall-core/src/batch/planner/runs.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::Planner;
-use super::pool::Run;
+use super::pool::{Run, Suspicion};
 use crate::batch::{GroupKey, TaskKey};
 use crate::{JobId, WorkerId};
 
@@ -77,9 +77,8 @@
 impl Planner {
     /// Keeps a run at a worker that is known.
     pub(super) fn keep_run(&mut self, id: &WorkerId, task: &TaskKey, run: Run) {
-        let is_last_chance = self.is_last_chance(run.losses);
         if let Some(worker) = self.workers.get_mut(id) {
-            if is_last_chance {
+            if run.suspicion == Suspicion::LastChance {
                 worker.last_chance = Some(task.clone());
             }
             worker.insert(task.clone(), run);
--- a/crates/stairstall-core/src/batch/policy.rs
+++ b/crates/stairstall-core/src/batch/policy.rs
@@ -118,6 +118,7 @@
             "reach.introductions_per_s",
         )?;
         positive(self.health.max_crashes.into(), "health.max_crashes")?;
+        positive(self.health.max_losses.into(), "health.max_losses")?;
         positive(self.pace.still_divisor, "pace.still_divisor")?;
         positive(self.pace.unsure_still_divisor, "pace.unsure_still_divisor")?;
         positive(self.pace.gain_divisor, "pace.gain_divisor")?;
--- a/crates/stairstall-core/src/batch/record.rs
+++ b/crates/stairstall-core/src/batch/record.rs
@@ -104,20 +104,63 @@
 /// Workers that were lost under one task.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TaskLosses {
-    /// How many of them have crashed.
+    /// How many crashed that had taken a run of it.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub crashes: u32,
+    /// How many crashed that had been told to start it and never answered: it may not have run there.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub unanswered: u32,
     /// Those that are silent beyond their lease, and may have crashed or be cut off only.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub silent: Vec<WorkerId>,
+    pub silent: Vec<SilentWorker>,
+}
+
+/// A worker that is silent beyond its lease.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SilentWorker {
+    /// The worker.
+    pub worker: WorkerId,
+    /// Whether it had taken the run.
+    pub answered: bool,
 }
 
 impl TaskLosses {
-    /// Returns how many workers may have crashed under the task.
+    /// Tells whether none is known.
     #[must_use]
-    pub fn count(&self) -> u32 {
-        let silent = u32::try_from(self.silent.len()).unwrap_or(u32::MAX);
-        self.crashes.saturating_add(silent)
+    pub const fn is_empty(&self) -> bool {
+        self.crashes == 0 && self.unanswered == 0 && self.silent.is_empty()
+    }
+
+    /// Counts a crash.
+    pub const fn note_crash(&mut self, answered: bool) {
+        if answered {
+            self.crashes += 1;
+        } else {
+            self.unanswered += 1;
+        }
+    }
+
+    /// Takes back that a worker is silent, and returns whether it had taken a run, once for each.
+    pub fn settle(&mut self, worker: &WorkerId) -> Vec<bool> {
+        let (settled, others) = std::mem::take(&mut self.silent)
+            .into_iter()
+            .partition(|silent| silent.worker == *worker);
+        self.silent = others;
+        let settled: Vec<SilentWorker> = settled;
+        settled.into_iter().map(|silent| silent.answered).collect()
+    }
+
+    /// Returns the losses with all silent workers taken for crashed.
+    #[must_use]
+    pub fn at_worst(&self) -> Self {
+        let mut worst = Self {
+            silent: Vec::new(),
+            ..self.clone()
+        };
+        for silent in &self.silent {
+            worst.note_crash(silent.answered);
+        }
+        worst
     }
 }
 
--- a/crates/stairstall-core/tests/batch/crashes.rs
+++ b/crates/stairstall-core/tests/batch/crashes.rs
@@ -16,6 +16,8 @@
 
 /// Workers that may crash under a task before it is given up.
 const MAX_CRASHES: usize = 3;
+/// The same, those included that crashed before they answered.
+const MAX_LOSSES: usize = 5;
 /// Time for a crash, the return of the worker and the next start.
 const ROUND_MS: u64 = CRASH_MS + 500;
 
@@ -285,6 +287,39 @@
     assert_eq!(fleet.planner.caller_state(&id("crashes")), FAILED);
 }
 
+#[test]
+fn a_task_that_crashes_its_workers_before_they_can_answer_is_given_up() {
+    let mut fleet = fleet();
+    let key = task("crashes", 0, 0);
+    fleet.crashes_at_once.insert(key.clone());
+    fleet.submit(job("crashes", 0, vec![step(1, 1)]));
+    fleet.pass(12 * ROUND_MS);
+    let mut workers: Vec<_> = fleet.given.iter().map(|order| &order.worker).collect();
+    workers.dedup();
+    assert_eq!(workers.len(), MAX_LOSSES, "{workers:?}");
+    assert_eq!(fleet.planner.caller_state(&id("crashes")), FAILED);
+}
+
+#[test]
+fn starts_that_came_after_a_crash_fail_no_job() {
+    let mut fleet = fleet();
+    fleet.submit(job("j", 2, vec![step(1, 1)]));
+    let key = task("j", 0, 0);
+    let place = fleet.place_of(&key).expect("it runs");
+    fleet.crash(&place);
+    // The next three workers are gone before the start arrives, whoever crashed them.
+    fleet.crashes_at_once.insert(key.clone());
+    for _ in 0..200 {
+        if fleet.lives_lost() == 4 {
+            break;
+        }
+        fleet.pass(100);
+    }
+    fleet.crashes_at_once.clear();
+    fleet.pass(4 * ROUND_MS);
+    assert!(fleet.place_of(&key).is_some(), "it runs");
+}
+
 #[test]
 fn two_jobs_under_which_a_worker_was_lost_are_put_apart() {
     let mut fleet = fleet();
@@ -309,8 +344,10 @@
         fleet.pass(2_000);
         let place = fleet.place_of(&key).expect("it runs");
         fleet.crash(&place);
-        while fleet.place_of(&key).is_none() {
-            fleet.pass(100);
+        for _ in 0..200 {
+            if fleet.place_of(&key).is_none() {
+                fleet.pass(100);
+            }
         }
     }
     fleet.place_of(&key).expect("it runs")
@@ -340,7 +377,7 @@
         fleet.crash(&place);
         // Others start every 0.2 s where the task would fit best.
         let mut others = 0;
-        while fleet.place_of(&key).is_none() {
+        while fleet.place_of(&key).is_none() && others < 100 {
             others += 1;
             fleet.submit(job(&format!("other-{crash}-{others}"), 2, vec![step(1, 1)]));
             fleet.pass(200);
--- a/crates/stairstall-core/tests/batch/harness.rs
+++ b/crates/stairstall-core/tests/batch/harness.rs
@@ -102,6 +102,8 @@
     pub kept: BTreeMap<JobId, Progress>,
     /// Tasks whose start crashes the worker.
     pub crashing: BTreeSet<TaskKey>,
+    /// Tasks whose start crashes the worker before it can answer.
+    pub crashes_at_once: BTreeSet<TaskKey>,
     /// How the workers are listed.
     pub listed: BTreeMap<WorkerId, ListedWorker>,
     /// Steps whose tasks can't go on alone.
@@ -230,6 +232,7 @@
             evacuated: BTreeSet::new(),
             kept: BTreeMap::new(),
             crashing: BTreeSet::new(),
+            crashes_at_once: BTreeSet::new(),
             listed: BTreeMap::new(),
             gangs: BTreeSet::new(),
             broken: Vec::new(),
@@ -422,6 +425,9 @@
         let clock_ms = self.at_ms;
         self.at_ms += 1;
         let now = self.now();
+        if self.crashes_at_once.contains(&order.task) && self.workers.contains_key(&order.worker) {
+            self.crash(&order.worker);
+        }
         let Some(worker) = self.workers.get_mut(&order.worker) else {
             return self.leave_unanswered(order, now);
         };
@@ -523,6 +529,11 @@
         }
     }
 
+    /// Counts the lives of workers that have ended.
+    pub fn lives_lost(&self) -> usize {
+        self.crashed.len() + self.lives as usize
+    }
+
     /// Returns where a task runs.
     pub fn place_of(&self, task: &TaskKey) -> Option<WorkerId> {
         self.workers
