--- a/crates/stairstall-core/src/batch/planner/crashes.rs
+++ b/crates/stairstall-core/src/batch/planner/crashes.rs
@@ -5,15 +5,14 @@
 //! with the job's progress. A worker that is silent beyond its lease may be cut off only: what it had is
 //! counted at once, and taken back when that life of the worker answers.
 
-use std::time::Duration;
-
 use super::job::Task;
-use super::pool::{Run, RunState, Suspicion, Worker};
+use super::pool::{Run, RunState, Worker};
 use super::{Now, Planner};
-use crate::batch::{
-    Decision, DecisionKind, GroupKey, Outcome, Progress, SilentWorker, TaskKey, TaskLosses,
-};
-use crate::{JobId, Timestamp, WorkerId};
+use crate::batch::{Decision, DecisionKind, Outcome, Progress, SilentWorker, TaskKey, TaskLosses};
+use crate::{JobId, WorkerId};
+
+mod apart;
+mod blame;
 
 impl Planner {
     /// Counts a crash against the tasks that a worker whose life is over may have crashed under;
@@ -127,27 +126,6 @@
         }
     }
 
-    /// Returns the tasks that a worker may have crashed under, and whether it had taken their runs: what had
-    /// just begun there, and what it was told to start and did not answer, or else all that ran.
-    ///
-    /// Without the difference a task that crashes its workers at once takes others with it: in a recorded day
-    /// two of its neighbours each lost two workers while it lost six.
-    fn blamed(&self, worker: &Worker, runs: &[(TaskKey, Run)]) -> Vec<(TaskKey, bool)> {
-        let fresh_start = self.policy.health.fresh_start;
-        let had_just_begun = |run: &Run| {
-            let ran_for = run.began.zip(worker.heard_at);
-            let is_short = |((began, _), heard_at)| heard_at - began <= fresh_start;
-            run.has_answered() && ran_for.is_some_and(is_short)
-        };
-        let started = runs.iter().filter(|(_, run)| run.was_started());
-        let any_fresh = started.clone().any(|(_, run)| had_just_begun(run));
-        let is_blamed = |run: &Run| !any_fresh || !run.has_answered() || had_just_begun(run);
-        let blamed = started.filter(|(_, run)| is_blamed(run));
-        blamed
-            .map(|(task, run)| (task.clone(), run.has_answered()))
-            .collect()
-    }
-
     fn change_losses(&mut self, task: &TaskKey, change: impl FnOnce(&mut TaskLosses)) {
         let key = &task.group;
         let job = self.jobs.get_mut(&key.job);
@@ -202,64 +180,6 @@
     pub(super) fn is_held(&self, task: &Task) -> bool {
         self.is_too_much(&task.losses.at_worst())
     }
-
-    /// Returns what the workers that were lost under a task say of it.
-    pub(super) fn suspicion(&self, task: &TaskKey) -> Suspicion {
-        let losses = self.task(task).map(|task| &task.losses);
-        losses.map_or(Suspicion::None, |losses| self.suspicion_by(losses))
-    }
-
-    fn suspicion_by(&self, losses: &TaskLosses) -> Suspicion {
-        if losses.is_empty() {
-            return Suspicion::None;
-        }
-        let mut next = losses.at_worst();
-        next.note_crash(true);
-        if self.is_too_much(&next) {
-            Suspicion::LastChance
-        } else {
-            Suspicion::Some
-        }
-    }
-
-    /// Returns which workers a step's tasks must keep away from.
-    pub(super) fn apart(&self, key: &GroupKey, urgent: bool, now: Now) -> Apart<'_> {
-        let job = self.jobs.get_key_value(&key.job).map(|(id, _)| id);
-        let group = self.jobs.get(&key.job).and_then(|job| job.group(key));
-        let waiting = group.into_iter().flat_map(|group| &group.tasks);
-        let mut waiting = waiting.filter(|task| task.is_waiting());
-        let takes_last_chance =
-            waiting.any(|task| self.suspicion_by(&task.losses) == Suspicion::LastChance);
-        let has_patience = self.waited(key, now) <= self.suspect_patience(urgent);
-        Apart {
-            job,
-            fresh_start: self.policy.health.fresh_start,
-            wants_quiet: takes_last_chance && has_patience,
-        }
-    }
-}
-
-/// Keeps what takes its last chance apart from what else has just started, so that a crash right after
-/// the start leaves no doubt about its cause.
-pub(super) struct Apart<'a> {
-    job: Option<&'a JobId>,
-    fresh_start: Duration,
-    /// Whether it takes a last chance itself, and still waits for a worker where nothing has just started.
-    wants_quiet: bool,
-}
-
-impl Apart<'_> {
-    /// Tells whether tasks may start at a worker.
-    pub(super) fn allows(&self, worker: &Worker, at: Timestamp) -> bool {
-        let is_other = |task: &TaskKey| self.job != Some(&task.group.job);
-        let is_fresh = |run: &Run| run.was_fresh(at, self.fresh_start);
-        let last_chance = worker.last_chance.as_ref().filter(|task| is_other(task));
-        if last_chance.is_some_and(|task| worker.runs.get(task).is_some_and(is_fresh)) {
-            return false;
-        }
-        let mut others = worker.runs.iter().filter(|(task, _)| is_other(task));
-        !self.wants_quiet || !others.any(|(_, run)| is_fresh(run))
-    }
 }
 
 impl Run {
@@ -267,15 +187,4 @@
     fn was_started(&self) -> bool {
         self.state != RunState::Planned
     }
-
-    /// Tells whether its worker has said that it took it, as is assumed of what an earlier planner wrote down.
-    const fn has_answered(&self) -> bool {
-        self.began.is_some()
-    }
-
-    /// Tells whether it had just begun at a moment, or had not begun yet.
-    fn was_fresh(&self, at: Timestamp, fresh_start: Duration) -> bool {
-        self.began
-            .is_none_or(|(began, _)| at - began <= fresh_start)
-    }
 }
--- /dev/null
+++ b/crates/stairstall-core/src/batch/planner/crashes/apart.rs
@@ -0,0 +1,81 @@
+//! What is put apart from other work because workers were lost under it.
+
+use std::time::Duration;
+
+use super::super::pool::{Run, Suspicion, Worker};
+use super::super::{Now, Planner};
+use crate::batch::{GroupKey, TaskKey, TaskLosses};
+use crate::{JobId, Timestamp};
+
+impl Planner {
+    /// Returns what the workers that were lost under a task say of it.
+    pub(in crate::batch::planner) fn suspicion(&self, task: &TaskKey) -> Suspicion {
+        let losses = self.task(task).map(|task| &task.losses);
+        losses.map_or(Suspicion::None, |losses| self.suspicion_by(losses))
+    }
+
+    fn suspicion_by(&self, losses: &TaskLosses) -> Suspicion {
+        if losses.is_empty() {
+            return Suspicion::None;
+        }
+        let mut next = losses.at_worst();
+        next.note_crash(true);
+        if self.is_too_much(&next) {
+            Suspicion::LastChance
+        } else {
+            Suspicion::Some
+        }
+    }
+
+    /// Returns which workers a step's tasks must keep away from.
+    pub(in crate::batch::planner) fn apart(
+        &self,
+        key: &GroupKey,
+        urgent: bool,
+        now: Now,
+    ) -> Apart<'_> {
+        let job = self.jobs.get_key_value(&key.job).map(|(id, _)| id);
+        let group = self.jobs.get(&key.job).and_then(|job| job.group(key));
+        let waiting = group.into_iter().flat_map(|group| &group.tasks);
+        let mut waiting = waiting.filter(|task| task.is_waiting());
+        let takes_last_chance =
+            waiting.any(|task| self.suspicion_by(&task.losses) == Suspicion::LastChance);
+        let has_patience = self.waited(key, now) <= self.suspect_patience(urgent);
+        Apart {
+            job,
+            fresh_start: self.policy.health.fresh_start,
+            wants_quiet: takes_last_chance && has_patience,
+        }
+    }
+}
+
+/// Keeps what takes its last chance apart from what else has just started, so that a crash right after
+/// the start leaves no doubt about its cause.
+pub(in crate::batch::planner) struct Apart<'a> {
+    job: Option<&'a JobId>,
+    fresh_start: Duration,
+    /// Whether it takes a last chance itself, and still waits for a worker where nothing has just started.
+    wants_quiet: bool,
+}
+
+impl Apart<'_> {
+    /// Tells whether tasks may start at a worker.
+    pub(in crate::batch::planner) fn allows(&self, worker: &Worker, at: Timestamp) -> bool {
+        let is_other = |task: &TaskKey| self.job != Some(&task.group.job);
+        let is_fresh = |run: &Run| run.was_fresh(at, self.fresh_start);
+        let last_chance = worker.last_chance.as_ref().filter(|task| is_other(task));
+        if last_chance.is_some_and(|task| worker.runs.get(task).is_some_and(is_fresh)) {
+            return false;
+        }
+        let mut others = worker.runs.iter().filter(|(task, _)| is_other(task));
+        !self.wants_quiet || !others.any(|(_, run)| is_fresh(run))
+    }
+}
+
+impl Run {
+    /// Tells whether it had just begun at a moment, or had not begun yet.
+    fn was_fresh(&self, at: Timestamp, fresh_start: Duration) -> bool {
+        self.began
+            .is_none_or(|(began, _)| at - began <= fresh_start)
+    }
+}
--- a/crates/stairstall-core/src/batch/planner/pool.rs
+++ b/crates/stairstall-core/src/batch/planner/pool.rs
@@ -1,3 +1,5 @@
+//! Workers, what runs there and what room that leaves.
+
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
@@ -5,18 +7,9 @@
 use crate::time::millis;
 use crate::{JobId, RackId, ServiceId, Timestamp, WorkerId, ZoneId};
 
-/// Where a run stands at its worker.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum RunState {
-    /// Its place is kept; room may still have to become free.
-    Planned,
-    /// A start was sent.
-    Starting,
-    /// It is there.
-    Running,
-    /// A stop was sent.
-    Stopping,
-}
+mod run;
+
+pub(super) use run::{Run, RunState, Suspicion};
 
 /// What a worker must have shown before it gets a task.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -29,96 +22,6 @@
     Proven,
 }
 
-/// What the workers that were lost under a task say of it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Suspicion {
-    /// None was lost.
-    None,
-    /// It may have crashed them.
-    Some,
-    /// The next crash fails it.
-    LastChance,
-}
-
-/// One run of a task at a worker.
-#[derive(Debug, Clone)]
-pub(super) struct Run {
-    pub(super) number: u32,
-    pub(super) room: Resources,
-    pub(super) state: RunState,
-    /// 0 for a customer's own share, else one more than the queue's priority.
-    pub(super) rank: u8,
-    pub(super) gang: bool,
-    pub(super) checkpoints: bool,
-    /// Whether it runs until its job is cancelled.
-    pub(super) lasts: bool,
-    /// Whether it serves users of its own.
-    pub(super) serves: bool,
-    /// Whether it takes what others leave unused.
-    pub(super) fills: bool,
-    /// How long it should take here, in milliseconds.
-    pub(super) expected_ms: u64,
-    /// When the present state began.
-    pub(super) since: Timestamp,
-    /// When the last order about it was sent.
-    pub(super) ordered_at: Timestamp,
-    /// When the worker last answered an order about it, so that a later report must name it.
-    pub(super) answered_at: Option<Timestamp>,
-    /// Stops that got no answer.
-    pub(super) stops: u8,
-    /// Starts that were sent.
-    pub(super) tries: u8,
-    pub(super) percent: u8,
-    /// When the percentage last rose.
-    pub(super) progressed_at: Timestamp,
-    /// When the worker last reported it.
-    pub(super) reported_at: Timestamp,
-    /// Since when its task is done by another run.
-    pub(super) unwanted_since: Option<Timestamp>,
-    /// When it began, and the percentage it began at.
-    pub(super) began: Option<(Timestamp, u8)>,
-    /// Whether it goes on from a checkpoint or under a new planner, so that only its first report
-    /// tells where it began.
-    pub(super) resumes: bool,
-    /// Whether it is known only from what an earlier planner wrote down.
-    pub(super) restored: bool,
-    /// What the workers that were lost under its task before say of it.
-    pub(super) suspicion: Suspicion,
-    /// The change of its job that writes its place down; no start is sent before that lasts.
-    pub(super) recorded_by: u64,
-}
-
-impl Run {
-    pub(super) fn enter(&mut self, state: RunState, at: Timestamp) {
-        self.state = state;
-        self.since = at;
-    }
-
-    /// Tells whether it may be stopped for work of `rank`; what lasts gives way to nothing.
-    pub(super) const fn may_give_way_to(&self, rank: u8) -> bool {
-        self.rank > rank && !self.lasts && !matches!(self.state, RunState::Stopping)
-    }
-
-    /// Tells whether it has to be looked at as time passes.
-    pub(super) const fn is_unsettled(&self) -> bool {
-        matches!(self.state, RunState::Planned | RunState::Stopping)
-            || self.unwanted_since.is_some()
-    }
-
-    /// Returns the work that a stop would throw away, in core-milliseconds.
-    pub(super) fn loss(&self, now: Timestamp, restore_cost: Duration) -> u64 {
-        let ran = self
-            .began
-            .map_or(0, |(at, _)| millis(now - at))
-            .min(if self.checkpoints {
-                millis(restore_cost)
-            } else {
-                u64::MAX
-            });
-        ran.saturating_mul(self.room.weight()) / 1000
-    }
-}
-
 /// An end that the worker may forget once the change behind it lasts.
 #[derive(Debug, Clone)]
 struct Unsaved {
--- a/crates/stairstall-core/src/batch/policy.rs
+++ b/crates/stairstall-core/src/batch/policy.rs
@@ -20,13 +20,15 @@
 use serde::{Deserialize, Serialize};
 
 mod daemon;
+mod health;
 mod millis;
 mod planner;
 
 pub use daemon::{AcceptancePolicy, LinkPolicy, ReachPolicy, RolePolicy, WritePolicy};
+pub use health::HealthPolicy;
 pub use planner::{
-    AdvicePolicy, FlowPolicy, HeadroomPolicy, HealthPolicy, LeavingPolicy, OrderPolicy, PacePolicy,
-    PlacePolicy, ReportPolicy, TakeoverPolicy, VictimPolicy,
+    AdvicePolicy, FlowPolicy, HeadroomPolicy, LeavingPolicy, OrderPolicy, PacePolicy, PlacePolicy,
+    ReportPolicy, TakeoverPolicy, VictimPolicy,
 };
 
 quick_error! {
