--- a/crates/stairstall-core/src/batch/planner/crashes/apart.rs
+++ b/crates/stairstall-core/src/batch/planner/crashes/apart.rs
@@ -54,7 +54,8 @@
 pub(in crate::batch::planner) struct Apart<'a> {
     job: Option<&'a JobId>,
     fresh_start: Duration,
-    /// Whether it takes a last chance itself, and still waits for a worker where nothing has just started.
+    /// Whether it takes a last chance itself, and still waits for a worker where nothing has just
+    /// started.
     wants_quiet: bool,
 }
 
--- a/crates/stairstall-core/src/batch/planner/crashes/blame.rs
+++ b/crates/stairstall-core/src/batch/planner/crashes/blame.rs
@@ -5,11 +5,12 @@
 use crate::batch::TaskKey;
 
 impl Planner {
-    /// Returns the tasks that a worker may have crashed under, and whether it had taken their runs: what had
-    /// just begun there, and what it was told to start and did not answer, or else all that ran.
+    /// Returns the tasks that a worker may have crashed under, and whether it had taken their runs:
+    /// what had just begun there, and what it was told to start and did not answer, or else all
+    /// that ran.
     ///
-    /// Put down to all that ran, eight jobs that crash their workers, one after the other, also fail a job
-    /// of 36 tasks beside them.
+    /// Put down to all that ran, eight jobs that crash their workers, one after the other, also
+    /// fail a job of 36 tasks beside them.
     pub(super) fn blamed(&self, worker: &Worker, runs: &[(TaskKey, Run)]) -> Vec<(TaskKey, bool)> {
         let fresh_start = self.policy.health.fresh_start;
         let had_just_begun = |run: &Run| {
@@ -28,7 +29,8 @@
 }
 
 impl Run {
-    /// Tells whether its worker has said that it took it, as is assumed of what an earlier planner wrote down.
+    /// Tells whether its worker has said that it took it, as is assumed of what an earlier planner
+    /// wrote down.
     const fn has_answered(&self) -> bool {
         self.began.is_some()
     }
--- a/crates/stairstall-core/src/batch/planner/pool.rs
+++ b/crates/stairstall-core/src/batch/planner/pool.rs
@@ -63,8 +63,8 @@
     leaves_at: Option<Timestamp>,
     /// Jobs whose runs failed there since the last success.
     pub(super) failed_jobs: Vec<JobId>,
-    /// The last task that was put here for its last chance: until it has worked for a while, nothing else
-    /// starts here.
+    /// The last task that was put here for its last chance: until it has worked for a while, nothing
+    /// else starts here.
     pub(super) last_chance: Option<TaskKey>,
     /// Tasks whose runs were given up when its lease was over: it may have crashed under them.
     pub(super) lost: Vec<TaskKey>,
@@ -193,8 +193,8 @@
         self.listed.capacity.minus(&self.claimed_soon())
     }
 
-    /// Returns what it will have too little of once what is being stopped has ended, because its room has
-    /// shrunk.
+    /// Returns what it will have too little of once what is being stopped has ended, because its
+    /// room has shrunk.
     pub(super) fn shortage(&self) -> Resources {
         self.claimed_soon().minus(&self.listed.capacity)
     }
--- a/crates/stairstall-core/src/batch/policy/health.rs
+++ b/crates/stairstall-core/src/batch/policy/health.rs
@@ -33,8 +33,9 @@
     /// Workers that may crash under a task before it is given up. Two crashes may be chance: each
     /// takes a seventh of the fleet in the troubles of the first sites.
     pub max_crashes: u32,
-    /// The same with those that crashed without an answer to its start: work that crashes its workers before
-    /// they can answer ends there, while a start that came after a crash leaves room for four more.
+    /// The same with those that crashed without an answer to its start: work that crashes its
+    /// workers before they can answer ends there, while a start that came after a crash leaves room
+    /// for four more.
     pub max_losses: u32,
     /// A run that began within this time before its worker was last heard is put its loss down to,
     /// rather than those that had worked for longer.
--- a/crates/stairstall-core/tests/batch/ends.rs
+++ b/crates/stairstall-core/tests/batch/ends.rs
@@ -54,10 +54,11 @@
     }
 }
 
-/// Symptom: a task's second run begins after its first was known to be done. Sequence: the first run's worker is silent
-/// beyond its lease, the task is started elsewhere, that start gets no answer, the first worker answers again and lists
-/// the end, and the start is sent once more. Cause: a start without an answer was sent again without asking whether its
-/// task is still to run. What settled it: `start … try 3` after `outcome … completed` of the same job.
+/// Symptom: a task's second run begins after its first was known to be done. Sequence: the first
+/// run's worker is silent beyond its lease, the task is started elsewhere, that start gets no
+/// answer, the first worker answers again and lists the end, and the start is sent once more.
+/// Cause: a start without an answer was sent again without asking whether its task is still to run.
+/// What settled it: `start … try 3` after `outcome … completed` of the same job.
 #[test]
 fn a_start_without_an_answer_is_not_sent_again_once_its_task_is_done() {
     let mut fleet = Fleet::new(&[("w1", "r1"), ("w2", "r1")]);
