refactor(batch): one walk over what is kept of open jobs; nothing counted for room that has not shrunk

What restored places and what restored losses walked the same record with the same loops, and each made a worker known from it: both use Progress::open_groups and recorded_worker now. A task's state is looked up by Planner::task instead of by hand. Whether a worker lacks room summed its runs for every place looked at, also where nothing has shrunk; whether work that lasts may be forgiven was asked for every run in every report.

--- a/crates/stairstall-core/src/batch/planner/adopt.rs
+++ b/crates/stairstall-core/src/batch/planner/adopt.rs
@@ -57,29 +57,22 @@
     /// What is done or ended holds no room: if anything of it still runs, the
     /// worker's first report says so, and nothing is placed there before.
     pub(super) fn restore_runs(&mut self, job: &JobId, progress: &Progress, now: Now) {
-        if progress.outcome.is_some() {
-            return;
-        }
-        for (occurrence, groups) in (0..).zip(&progress.occurrences) {
-            for (step, group) in (0..).zip(groups) {
-                for (index, (worker, number)) in &group.places {
-                    let task = TaskKey::new(job.clone(), occurrence, step, *index);
-                    if self.is_done(&task) {
-                        continue;
-                    }
+        for (key, group) in progress.open_groups(job) {
+            for (index, (worker, number)) in &group.places {
+                let task = key.task(*index);
+                let is_done = self.task(&task).is_some_and(|task| task.done);
+                if !is_done {
                     self.restore_run(worker, &task, *number, now);
                 }
             }
         }
     }
 
-    fn is_done(&self, task: &TaskKey) -> bool {
-        let group = self
-            .jobs
-            .get(&task.group.job)
-            .and_then(|job| job.group(&task.group));
-        let task = group.and_then(|group| group.tasks.get(task.index as usize));
-        task.is_some_and(|task| task.done)
+    /// Returns a worker that was written down, whether the directory lists it or not.
+    pub(super) fn recorded_worker(&mut self, id: &WorkerId, now: Now) -> &mut Worker {
+        self.workers
+            .entry(id.clone())
+            .or_insert_with(|| Worker::unlisted(id, now.at))
     }
 
     fn restore_run(&mut self, id: &WorkerId, task: &TaskKey, number: u32, now: Now) {
@@ -92,11 +85,8 @@
         let mut run = self.adopted_run(id, &running, now);
         run.restored = true;
         run.resumes = true;
-        let worker = self
-            .workers
-            .entry(id.clone())
-            .or_insert_with(|| Worker::unlisted(id, now.at));
-        worker.extend_lease(now.at + Self::lease_span(self.bounds.hold_max));
+        let lease_until = now.at + Self::lease_span(self.bounds.hold_max);
+        self.recorded_worker(id, now).extend_lease(lease_until);
         self.keep_run(id, task, run);
         self.ranked_claims = None;
     }
--- a/crates/stairstall-core/src/batch/planner/contact.rs
+++ b/crates/stairstall-core/src/batch/planner/contact.rs
@@ -182,11 +182,14 @@
                 run.note_running(running, now.at);
                 let has_begun = run.state != before;
                 let was_restored = std::mem::take(&mut run.restored);
+                let lasts = run.lasts;
                 self.note_progress(running);
                 if has_begun {
                     self.touch(&running.task.group.job);
                 }
-                self.note_at_work(id, &running.task, now);
+                if lasts {
+                    self.note_at_work(id, &running.task, now);
+                }
                 if was_restored {
                     self.confirm_restored(id, &running.task, now);
                 }
--- a/crates/stairstall-core/src/batch/planner/crashes.rs
+++ b/crates/stairstall-core/src/batch/planner/crashes.rs
@@ -98,8 +98,8 @@
     pub(super) fn note_at_work(&mut self, id: &WorkerId, task: &TaskKey, now: Now) {
         let forgiven_after = self.policy.health.crashes_forgiven_after;
         let has_lasted = self.run_at(id, task).is_some_and(|run| {
-            let began = run.began.filter(|_| run.lasts);
-            began.is_some_and(|(at, _)| now.at - at >= forgiven_after)
+            run.began
+                .is_some_and(|(at, _)| now.at - at >= forgiven_after)
         });
         let has_losses = |task: &Task| !task.losses.is_empty();
         if has_lasted && self.task(task).is_some_and(has_losses) {
@@ -109,18 +109,11 @@
 
     /// Takes the losses that an earlier planner could not settle.
     pub(super) fn restore_losses(&mut self, job: &JobId, progress: &Progress, now: Now) {
-        if progress.outcome.is_some() {
-            return;
-        }
-        for (occurrence, groups) in (0..).zip(&progress.occurrences) {
-            for (step, group) in (0..).zip(groups) {
-                for (index, losses) in &group.losses {
-                    for SilentWorker { worker: id, .. } in &losses.silent {
-                        let task = TaskKey::new(job.clone(), occurrence, step, *index);
-                        let worker = self.workers.entry(id.clone());
-                        let worker = worker.or_insert_with(|| Worker::unlisted(id, now.at));
-                        worker.lost.push(task);
-                    }
+        for (key, group) in progress.open_groups(job) {
+            for (index, losses) in &group.losses {
+                for silent in &losses.silent {
+                    let worker = self.recorded_worker(&silent.worker, now);
+                    worker.lost.push(key.task(*index));
                 }
             }
         }
@@ -164,7 +157,7 @@
         }
     }
 
-    fn task(&self, task: &TaskKey) -> Option<&Task> {
+    pub(super) fn task(&self, task: &TaskKey) -> Option<&Task> {
         let group = self.jobs.get(&task.group.job)?.group(&task.group)?;
         group.tasks.get(task.index as usize)
     }
--- a/crates/stairstall-core/src/batch/planner/pool.rs
+++ b/crates/stairstall-core/src/batch/planner/pool.rs
@@ -196,6 +196,9 @@
     /// Returns what it will have too little of once what is being stopped has ended, because its
     /// room has shrunk.
     pub(super) fn shortage(&self) -> Resources {
+        if self.claimed.fits(&self.listed.capacity) {
+            return Resources::default();
+        }
         self.claimed_soon().minus(&self.listed.capacity)
     }
 
--- a/crates/stairstall-core/src/batch/record.rs
+++ b/crates/stairstall-core/src/batch/record.rs
@@ -3,7 +3,7 @@
 use super::story::KeptStory;
 use serde::{Deserialize, Serialize};
 
-use super::{BatchSpec, Queue};
+use super::{BatchSpec, GroupKey, Queue};
 use crate::claim::Mark;
 use crate::{CustomerId, JobId, WorkerId, ZoneId};
 
@@ -193,6 +193,24 @@
 }
 
 impl Progress {
+    /// Returns the steps of a job that has not ended, with what lasts of their tasks.
+    pub(super) fn open_groups(
+        &self,
+        job: &JobId,
+    ) -> impl Iterator<Item = (GroupKey, &GroupProgress)> {
+        let open = self.occurrences.iter().filter(|_| self.outcome.is_none());
+        (0..).zip(open).flat_map(move |(occurrence, groups)| {
+            let key = move |step| GroupKey {
+                job: job.clone(),
+                occurrence,
+                step,
+            };
+            (0..)
+                .zip(groups)
+                .map(move |(step, group)| (key(step), group))
+        })
+    }
+
     /// Returns what a caller is told.
     #[must_use]
     pub const fn caller_state(&self) -> CallerState {
