fix(batch): know the lives of a worker apart that keep one id

Cause: an id names a worker, no longer a life. The planner kept the number of the last end, the clock, the fencing and the good and bad marks of a worker under its id, so a new life's first ends were passed over: their runs counted as there for good (LOST), and once a later end had a higher number all were forgotten unread and done tasks started again (TWICE). Change: what is known of one life stands in one value (pool/life) that a new life replaces whole. The incarnation is read from directory entries and reports; a report of an earlier life is dropped, one of a later life ends what only the life before had. Runs whose unanswered tries may still reach the new life are barred there first. Places and silences are written down with their incarnation, tickets go with the life. Ends are named for forgetting only until they are known to be forgotten, and never after a silence. Of the two causes traced by measurement: a start that another life refused counts no crash, idle workers are asked before they get anything once one answer shows that the directory is behind, and a gang that lost a member is stopped at that moment. Directory entries that can't be read, or miss what is needed, name no worker. The stand-in starts workers anew under their id, also behind cuts, and keeps ends listed as the platform does.

--- a/crates/stairstall-core/src/batch.rs
+++ b/crates/stairstall-core/src/batch.rs
@@ -32,13 +32,13 @@
 };
 pub use reach::{PeerAddress, Reach};
 pub use record::{
-    AcceptedJob, CallerState, GroupProgress, Outcome, Progress, SilentWorker, TaskLosses,
+    AcceptedJob, CallerState, GroupProgress, Outcome, Place, Progress, SilentWorker, TaskLosses,
 };
 pub use resources::Resources;
 pub use spec::{BatchSpec, Schedule, SpecError, StepSpec};
 pub use story::{JobSummary, KeptStory, Setback, Setbacks, Span};
 pub use task::{GroupKey, TaskKey};
 pub use worker::{
-    End, EndKind, HoldReport, HoldRequest, ListedWorker, RefusalReason, RunningTask, StartOutcome,
-    StopOutcome,
+    End, EndKind, HoldReport, HoldRequest, Incarnation, ListedWorker, RefusalReason, RunningTask,
+    StartOutcome, StopOutcome,
 };
--- a/crates/stairstall-core/src/batch/planner.rs
+++ b/crates/stairstall-core/src/batch/planner.rs
@@ -28,6 +28,7 @@
 mod progress;
 mod queue;
 mod resend;
+mod restarts;
 mod runs;
 mod starts;
 mod story;
--- a/crates/stairstall-core/src/batch/planner/adopt.rs
+++ b/crates/stairstall-core/src/batch/planner/adopt.rs
@@ -2,7 +2,7 @@
 
 use super::pool::{Run, RunState, Worker};
 use super::{Now, Planner};
-use crate::batch::{Decision, DecisionKind, Progress, RunningTask, TaskKey};
+use crate::batch::{Decision, DecisionKind, Place, Progress, RunningTask, TaskKey};
 use crate::{JobId, WorkerId};
 
 impl Planner {
@@ -39,6 +39,7 @@
             self.stop_run(id, &running.task, "it is not wanted", now);
             return;
         }
+        let incarnation = self.incarnation_of(id);
         if let Some(job) = self.jobs.get_mut(&key.job) {
             job.begun = true;
             if let Some(group) = job.group_mut(key) {
@@ -46,6 +47,7 @@
                 let task = &mut group.tasks[running.task.index as usize];
                 task.place = Some(id.clone());
                 task.run = running.run;
+                task.incarnation = incarnation;
             }
         }
         self.note_progress(running);
@@ -58,11 +60,11 @@
     /// worker's first report says so, and nothing is placed there before.
     pub(super) fn restore_runs(&mut self, job: &JobId, progress: &Progress, now: Now) {
         for (key, group) in progress.open_groups(job) {
-            for (index, (worker, number)) in &group.places {
+            for (index, place) in &group.places {
                 let task = key.task(*index);
                 let is_done = self.task(&task).is_some_and(|task| task.done);
                 if !is_done {
-                    self.restore_run(worker, &task, *number, now);
+                    self.restore_run(place, &task, now);
                 }
             }
         }
@@ -75,16 +77,19 @@
             .or_insert_with(|| Worker::unlisted(id, now.at))
     }
 
-    fn restore_run(&mut self, id: &WorkerId, task: &TaskKey, number: u32, now: Now) {
+    fn restore_run(&mut self, place: &Place, task: &TaskKey, now: Now) {
+        let id = &place.worker;
         let running = RunningTask {
             task: task.clone(),
-            run: number,
+            run: place.run,
             checkpoint: None,
             percent: 0,
         };
         let mut run = self.adopted_run(id, &running, now);
         run.restored = true;
         run.resumes = true;
+        run.incarnation = place.incarnation;
+        run.is_listed = false;
         let lease_until = now.at + Self::lease_span(self.bounds.hold_max);
         self.recorded_worker(id, now).extend_lease(lease_until);
         self.keep_run(id, task, run);
@@ -137,11 +142,13 @@
             unwanted_since: None,
             began: Some((now.at, running.percent)),
             resumes: false,
+            incarnation: None,
+            is_listed: false,
             recorded_by: 0,
             restored: false,
             suspicion: self.suspicion(&running.task),
         };
-        run.note_running(running, now.at);
+        run.note_running(running, self.incarnation_of(id), now.at);
         run
     }
 }
--- a/crates/stairstall-core/src/batch/planner/advice.rs
+++ b/crates/stairstall-core/src/batch/planner/advice.rs
@@ -86,6 +86,15 @@
         }
     }
 
+    /// Forgets what the adviser said of a worker: it holds for one of its lives.
+    pub(super) fn drop_tickets_of(&mut self, id: &WorkerId) {
+        let jobs = self.jobs.values_mut().filter(|job| job.outcome.is_none());
+        for group in jobs.flat_map(|job| job.occurrences.iter_mut().flatten()) {
+            group.advice.tickets.remove(id);
+            group.advice.denied.remove(id);
+        }
+    }
+
     fn advice_mut(&mut self, key: &GroupKey) -> Option<&mut Advice> {
         let group = self.jobs.get_mut(&key.job)?.group_mut(key)?;
         Some(&mut group.advice)
--- a/crates/stairstall-core/src/batch/planner/contact.rs
+++ b/crates/stairstall-core/src/batch/planner/contact.rs
@@ -2,9 +2,9 @@
 
 use crate::time::millis;
 
-use super::pool::{Run, RunState};
+use super::pool::{Answerer, Run, RunState};
 use super::{Now, Planner, Worker};
-use crate::batch::{Decision, EndKind, HoldReport, HoldRequest, RunningTask, TaskKey};
+use crate::batch::{Decision, EndKind, HoldReport, HoldRequest, Incarnation, RunningTask, TaskKey};
 use crate::{Timestamp, WorkerId, ZoneId};
 
 impl Planner {
@@ -15,11 +15,14 @@
         let longest_wait = self.longest_wait();
         let jobs = &self.jobs;
         let worker = self.workers.get_mut(id)?;
-        let last_seen =
-            worker.forgettable(|job, change| jobs.get(job).is_none_or(|job| job.written >= change));
+        let forgettable = worker
+            .life
+            .forgettable(|job, change| jobs.get(job).is_none_or(|job| job.written >= change));
         let deadline_ms = worker
+            .life
             .clock_at(now.at)
             .map(|clock| clock.saturating_add(millis(self.bounds.hold_max)));
+        let last_seen = worker.life.news_to_forget(forgettable);
         let request = worker.hold_request(self.token, last_seen, deadline_ms, longest_wait)?;
         if request.deadline_ms.is_some() {
             worker.extend_lease(now.at + Self::lease_span(self.bounds.hold_max));
@@ -44,53 +47,72 @@
         report: HoldReport,
         now: Now,
     ) {
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
+        let told = match worker.life.answerer(report.incarnation, sent_at) {
+            Answerer::Known => request.last_seen,
+            Answerer::Later => {
+                self.begin_life(id, report.incarnation, now);
+                0
+            }
+            Answerer::Earlier => return,
+        };
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
         self.flow.note_report(report.bytes);
-        worker.read_clock(report.clock_ms, now.at);
-        worker.note_told(request.last_seen);
-        if !worker.is_in_contact() || !worker.fenced {
+        worker.life.read_clock(report.clock_ms, now.at);
+        worker.life.note_told(told);
+        if !worker.is_in_contact() || !worker.life.fenced {
             self.replan = true;
         }
-        if !std::mem::replace(&mut worker.fenced, true) {
+        if worker.life.note_report(report.incarnation, now.at) {
             self.last_new_report_at = Some(now.at);
         }
         let was_silent = !worker.is_in_contact();
         worker.set_contact(true);
-        worker.left_quietly = !worker.is_listed;
-        let not_lost = std::mem::take(&mut worker.lost);
-        let seen = worker.seen;
+        worker.life.left_quietly = !worker.is_listed;
+        let silent_under = std::mem::take(&mut worker.lost);
+        let seen = worker.life.seen;
         let mut absent = worker.answered_before(sent_at);
         for running in &report.running {
             absent.retain(|task| *task != running.task);
             self.take_running(id, running, now);
         }
-        for end in report.ended {
+        let news = report.ended.into_iter().filter(|end| end.number > seen);
+        for end in news {
             absent.retain(|task| *task != end.task);
-            if end.number > seen {
-                self.take_end(id, &end, now);
-            }
+            self.take_end(id, &end, now);
         }
         if was_silent {
             self.touch_runs_at(id);
         }
-        self.forgive(id, &not_lost);
+        self.settle_silence(id, &silent_under, now);
         if !report.more {
-            for task in absent {
-                self.run_over(
-                    id,
-                    &task,
-                    EndKind::Lapsed,
-                    "the worker does not know it",
-                    now,
-                );
-            }
+            self.take_absent(id, absent, now);
         }
         self.update_stories(now);
         self.forget_if_gone(id, now);
     }
 
+    /// Takes runs for over that a report should have named.
+    fn take_absent(&mut self, id: &WorkerId, mut absent: Vec<TaskKey>, now: Now) {
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
+        let is_of_earlier = |task: &TaskKey| {
+            let run = worker.runs.get(task);
+            run.is_some_and(|run| worker.life.differs(run.incarnation))
+        };
+        let lost = absent.extract_if(.., |task| is_of_earlier(task)).collect();
+        self.lose_with_earlier_life(id, lost, now);
+        for task in absent {
+            let why = "the worker does not know it";
+            self.run_over(id, &task, EndKind::Lapsed, why, now);
+        }
+    }
+
     /// Takes word that a worker did not answer.
     pub fn hold_failed(&mut self, id: &WorkerId, now: Now) {
         self.doubt(id, now);
@@ -129,7 +151,7 @@
             return;
         };
         let ordered_at = worker.runs.get(task).map(|run| run.ordered_at);
-        let was_heard = ordered_at.is_some_and(|at| worker.heard_at > Some(at));
+        let was_heard = ordered_at.is_some_and(|at| worker.life.heard_at > Some(at));
         if !(was_heard && self.policy.health.reports_count) {
             self.doubt(id, now);
         }
@@ -137,12 +159,24 @@
 
     /// Asks every worker of a zone that has not answered lately before it gets anything new.
     fn doubt_zone(&mut self, zone: &ZoneId, now: Now) {
+        self.doubt_unheard_where(|worker| worker.listed.zone == *zone, now);
+    }
+
+    /// Asks every idle worker that has not answered lately before it gets anything new, since a start
+    /// has shown that the directory is behind; the others are asked all the time.
+    ///
+    /// Otherwise the task goes to one worker after the other whose life is over: four in 45 ms.
+    pub(super) fn doubt_unheard(&mut self, now: Now) {
+        self.doubt_unheard_where(|worker| !worker.is_busy(), now);
+    }
+
+    fn doubt_unheard_where(&mut self, test: impl Fn(&Worker) -> bool, now: Now) {
         let heard_lately = self.policy.health.heard_lately;
         let doubtful = self
             .workers
             .values_mut()
-            .filter(|w| w.listed.zone == *zone && w.is_in_contact())
-            .filter(|w| w.heard_at.is_none_or(|at| now.at - at > heard_lately));
+            .filter(|w| w.is_in_contact() && test(w))
+            .filter(|w| w.life.heard_at.is_none_or(|at| now.at - at > heard_lately));
         for worker in doubtful {
             worker.set_contact(false);
             self.to_ask.push(worker.listed.id.clone());
@@ -179,7 +213,7 @@
         match worker.runs.get_mut(&running.task) {
             Some(run) if run.number == running.run => {
                 let before = run.state;
-                run.note_running(running, now.at);
+                run.note_running(running, worker.life.incarnation, now.at);
                 let has_begun = run.state != before;
                 let was_restored = std::mem::take(&mut run.restored);
                 let lasts = run.lasts;
@@ -231,7 +265,14 @@
 }
 
 impl Run {
-    pub(super) fn note_running(&mut self, running: &RunningTask, at: Timestamp) {
+    pub(super) fn note_running(
+        &mut self,
+        running: &RunningTask,
+        by: Option<Incarnation>,
+        at: Timestamp,
+    ) {
+        self.incarnation = by;
+        self.is_listed = true;
         if matches!(self.state, RunState::Starting | RunState::Planned) {
             self.enter(RunState::Running, at);
         }
--- a/crates/stairstall-core/src/batch/planner/crashes.rs
+++ b/crates/stairstall-core/src/batch/planner/crashes.rs
@@ -6,10 +6,10 @@
 //! counted at once, and taken back when that life of the worker answers.
 
 use super::job::Task;
-use super::pool::{Run, RunState, Worker};
+use super::pool::{Run, RunState};
 use super::{Now, Planner};
 use crate::batch::{Decision, DecisionKind, Outcome, Progress, SilentWorker, TaskKey, TaskLosses};
-use crate::{JobId, WorkerId};
+use crate::{JobId, Timestamp, WorkerId};
 
 mod apart;
 mod blame;
@@ -20,10 +20,10 @@
     pub(super) fn count_crash(
         &mut self,
         id: &WorkerId,
-        worker: &Worker,
+        heard_at: Option<Timestamp>,
         runs: &[(TaskKey, Run)],
     ) -> Vec<TaskKey> {
-        let blamed = self.blamed(worker, runs);
+        let blamed = self.blamed(heard_at, runs);
         for (task, answered) in &blamed {
             self.change_losses(task, |losses| losses.note_crash(*answered));
         }
@@ -37,10 +37,11 @@
         let Some(worker) = self.workers.get(id).filter(|worker| !worker.leaves()) else {
             return;
         };
-        let blamed = self.blamed(worker, runs);
+        let blamed = self.blamed(worker.life.heard_at, runs);
         for (task, answered) in &blamed {
             let silent = SilentWorker {
                 worker: id.clone(),
+                incarnation: self.run_at(id, task).and_then(|run| run.incarnation),
                 answered: *answered,
             };
             self.change_losses(task, |losses| losses.silent.push(silent));
@@ -65,13 +66,33 @@
     pub(super) fn confirm(&mut self, id: &WorkerId, tasks: &[TaskKey]) {
         for task in tasks {
             self.change_losses(task, |losses| {
-                for answered in losses.settle(id) {
-                    losses.note_crash(answered);
+                for silent in losses.settle(id) {
+                    losses.note_crash(silent.answered);
                 }
             });
         }
     }
 
+    /// Settles what was counted because of a worker's silence, now that a life of it is heard: that
+    /// life did not crash, one before it did.
+    pub(super) fn settle_silence(&mut self, id: &WorkerId, tasks: &[TaskKey], now: Now) {
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
+        let life = worker.life.clone();
+        for task in tasks {
+            self.change_losses(task, |losses| {
+                let settled = losses.settle(id);
+                let crashed = settled
+                    .iter()
+                    .filter(|silent| life.differs(silent.incarnation));
+                crashed.for_each(|silent| losses.note_crash(silent.answered));
+            });
+        }
+        self.replan |= !tasks.is_empty();
+        self.give_up_crashing(tasks, now);
+    }
+
     /// Fails the jobs of those tasks that workers crash under again and again: each further start
     /// would take another worker down, with all that runs there.
     pub(super) fn give_up_crashing(&mut self, tasks: &[TaskKey], now: Now) {
@@ -177,7 +198,7 @@
 
 impl Run {
     /// Tells whether a start of it was sent.
-    fn was_started(&self) -> bool {
+    pub(super) fn was_started(&self) -> bool {
         self.state != RunState::Planned
     }
 }
--- a/crates/stairstall-core/src/batch/planner/crashes/blame.rs
+++ b/crates/stairstall-core/src/batch/planner/crashes/blame.rs
@@ -1,20 +1,25 @@
 //! What a worker may have crashed under.
 
 use super::super::Planner;
-use super::super::pool::{Run, Worker};
+use super::super::pool::Run;
+use crate::Timestamp;
 use crate::batch::TaskKey;
 
 impl Planner {
-    /// Returns the tasks that a worker may have crashed under, and whether it had taken their runs:
+    /// Returns the tasks that a worker, heard last at `heard_at`, may have crashed under, and whether it had taken their runs:
     /// what had just begun there, and what it was told to start and did not answer, or else all
     /// that ran.
     ///
     /// Put down to all that ran, eight jobs that crash their workers, one after the other, also
     /// fail a job of 36 tasks beside them.
-    pub(super) fn blamed(&self, worker: &Worker, runs: &[(TaskKey, Run)]) -> Vec<(TaskKey, bool)> {
+    pub(super) fn blamed(
+        &self,
+        heard_at: Option<Timestamp>,
+        runs: &[(TaskKey, Run)],
+    ) -> Vec<(TaskKey, bool)> {
         let fresh_start = self.policy.health.fresh_start;
         let had_just_begun = |run: &Run| {
-            let ran_for = run.began.zip(worker.heard_at);
+            let ran_for = run.began.zip(heard_at);
             let is_short = |((began, _), heard_at)| heard_at - began <= fresh_start;
             run.has_answered() && ran_for.is_some_and(is_short)
         };
--- a/crates/stairstall-core/src/batch/planner/directory.rs
+++ b/crates/stairstall-core/src/batch/planner/directory.rs
@@ -14,6 +14,13 @@
         if known.is_some_and(|known| known.is_listed && known.listed == listed) {
             return;
         }
+        if known.is_some_and(|known| known.life.is_after(listed.incarnation)) {
+            // It was written by a life that is over.
+            return;
+        }
+        if known.is_some_and(|known| known.life.differs(listed.incarnation)) {
+            self.begin_life(&listed.id, listed.incarnation, now);
+        }
         self.replan = true;
         self.retire_earlier_lives(&listed, now);
         let id = listed.id.clone();
@@ -27,6 +34,7 @@
             .or_insert_with(|| Worker::new(listed.clone(), now.at));
         let was_draining = worker.listed.draining;
         worker.in_evacuated_zone = self.evacuation.includes(&listed.zone);
+        worker.life.incarnation = worker.life.incarnation.or(listed.incarnation);
         worker.relist(listed, now.at);
         if worker.listed.draining && !was_draining {
             self.decisions
--- a/crates/stairstall-core/src/batch/planner/ends.rs
+++ b/crates/stairstall-core/src/batch/planner/ends.rs
@@ -13,7 +13,7 @@
     pub(super) fn take_end(&mut self, id: &WorkerId, end: &End, now: Now) {
         let change = self.apply_end(id, end, now);
         if let Some(worker) = self.workers.get_mut(id) {
-            worker.note_end(end.number, change);
+            worker.life.note_end(end.number, change);
         }
         self.replan = true;
     }
@@ -96,17 +96,17 @@
         };
         match end.kind {
             EndKind::Done => {
-                worker.succeeded_at = Some(now.at);
-                worker.failed_jobs.clear();
-                worker.suspect_until = None;
+                worker.life.succeeded_at = Some(now.at);
+                worker.life.failed_jobs.clear();
+                worker.life.suspect_until = None;
             }
             EndKind::Failed => {
                 let job = &end.task.group.job;
-                if !worker.failed_jobs.contains(job) {
-                    worker.failed_jobs.push(job.clone());
+                if !worker.life.failed_jobs.contains(job) {
+                    worker.life.failed_jobs.push(job.clone());
                 }
-                if early || worker.failed_jobs.len() >= usize::from(policy.failed_jobs) {
-                    worker.suspect_until = Some(now.at + policy.suspect_after_failure);
+                if early || worker.life.failed_jobs.len() >= usize::from(policy.failed_jobs) {
+                    worker.life.suspect_until = Some(now.at + policy.suspect_after_failure);
                     let why = "tasks fail there: nothing new for a while";
                     self.decisions.push(Decision::of_worker(id, why));
                 }
--- a/crates/stairstall-core/src/batch/planner/fit.rs
+++ b/crates/stairstall-core/src/batch/planner/fit.rs
@@ -263,6 +263,7 @@
                 let task = &mut group.tasks[*index as usize];
                 task.place = Some(id.clone());
                 task.run = number;
+                task.incarnation = run.incarnation;
             }
             self.keep_run(id, &task, run);
             let why = format!(
@@ -309,6 +310,8 @@
             unwanted_since: None,
             began: None,
             resumes: false,
+            incarnation: self.incarnation_of(id),
+            is_listed: false,
             recorded_by: 0,
             restored: false,
             suspicion: Suspicion::None,
--- a/crates/stairstall-core/src/batch/planner/fit/cost.rs
+++ b/crates/stairstall-core/src/batch/planner/fit/cost.rs
@@ -29,7 +29,7 @@
         if worker.is_suspect(at) {
             cost += self.work * u64::from(self.policy.suspect_penalty);
         }
-        if self.has_failed && worker.succeeded_at.is_none() {
+        if self.has_failed && worker.life.succeeded_at.is_none() {
             cost += self.work * u64::from(self.policy.unproven_penalty);
         }
         if self.failed_at.contains(&&worker.listed.id) {
--- a/crates/stairstall-core/src/batch/planner/flow.rs
+++ b/crates/stairstall-core/src/batch/planner/flow.rs
@@ -131,7 +131,7 @@
         let listed = self.workers.values().filter(|w| w.is_listed);
         let (answering, silent): (Vec<_>, Vec<_>) = listed.partition(|w| w.is_in_contact());
         let busy = answering.into_iter().filter(|w| !w.runs.is_empty());
-        let ages = busy.filter_map(|w| w.heard_at).map(|at| now.at - at);
+        let ages = busy.filter_map(|w| w.life.heard_at).map(|at| now.at - at);
         ContactLag {
             silent: silent.len(),
             oldest_report: ages.max().unwrap_or_default(),
--- a/crates/stairstall-core/src/batch/planner/job.rs
+++ b/crates/stairstall-core/src/batch/planner/job.rs
@@ -2,7 +2,9 @@
 use std::time::Duration;
 
 use crate::batch::story::{Span, Story};
-use crate::batch::{AcceptedJob, GroupKey, Outcome, StepSpec, TaskKey, TaskLosses};
+use crate::batch::{
+    AcceptedJob, GroupKey, Incarnation, Outcome, Place, StepSpec, TaskKey, TaskLosses,
+};
 use crate::{Timestamp, WorkerId};
 
 use super::Now;
@@ -17,6 +19,8 @@
     pub(super) place: Option<WorkerId>,
     /// The number of its current run.
     pub(super) run: u32,
+    /// Which life of that worker its place was kept at.
+    pub(super) incarnation: Option<Incarnation>,
     /// Runs that failed.
     pub(super) failures: u32,
     /// Its last checkpoint.
@@ -34,6 +38,15 @@
 }
 
 impl Task {
+    /// Returns its current run's place as it is written down.
+    pub(super) fn kept_place(&self) -> Option<Place> {
+        Some(Place {
+            worker: self.place.clone()?,
+            run: self.run,
+            incarnation: self.incarnation,
+        })
+    }
+
     pub(super) const fn is_waiting(&self) -> bool {
         !self.done && self.place.is_none()
     }
--- a/crates/stairstall-core/src/batch/planner/lives.rs
+++ b/crates/stairstall-core/src/batch/planner/lives.rs
@@ -1,8 +1,9 @@
 //! When a worker's life is over.
 
+use super::pool::Run;
 use super::{Now, Planner};
 use crate::WorkerId;
-use crate::batch::{Decision, Setback};
+use crate::batch::{Decision, Setback, TaskKey};
 
 impl Planner {
     /// Takes word that this life of a worker is over: nothing of it runs.
@@ -14,11 +15,7 @@
         self.decisions
             .push(Decision::of_worker(id, format!("its life is over: {why}")));
         let runs: Vec<_> = std::mem::take(&mut worker.runs).into_iter().collect();
-        for (task, run) in &runs {
-            self.run_index.remove(task, id);
-            self.note_setback(&task.group.job, Setback::Lost);
-            self.release(id, task, run, "its worker's life is over");
-        }
+        self.release_lost(id, &runs, now);
         let mut suspects = std::mem::take(&mut worker.lost);
         if worker.leaves() {
             self.forgive(id, &suspects);
@@ -26,12 +23,32 @@
             // A crash lists no ends: uncounted, its tasks would start on worker after worker, each of
             // which they may crash too.
             self.confirm(id, &suspects);
-            suspects.extend(self.count_crash(id, &worker, &runs));
+            suspects.extend(self.count_crash(id, worker.life.heard_at, &runs));
             self.give_up_crashing(&suspects, now);
         }
         self.replan = true;
     }
 
+    /// Gives the tasks of runs back that were lost with their worker, and stops what can't go on
+    /// without them.
+    ///
+    /// Of a gang that has not begun, the members that are there would wait 3 s for the one that is lost.
+    pub(super) fn release_lost(&mut self, id: &WorkerId, runs: &[(TaskKey, Run)], now: Now) {
+        for (task, run) in runs {
+            self.run_index.remove(task, id);
+            self.note_setback(&task.group.job, Setback::Lost);
+            self.release(id, task, run, "its worker's life is over");
+        }
+        for (task, run) in runs {
+            self.stop_gang(
+                task,
+                run.number,
+                "another member was lost with its worker",
+                now,
+            );
+        }
+    }
+
     /// Drops a worker that is listed no longer and has nothing.
     ///
     /// One that may have crashed under tasks is asked on for a while: its answer tells that it did not.
--- a/crates/stairstall-core/src/batch/planner/pool.rs
+++ b/crates/stairstall-core/src/batch/planner/pool.rs
@@ -1,14 +1,15 @@
 //! Workers, what runs there and what room that leaves.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use crate::batch::{HoldRequest, ListedWorker, Resources, StepSpec, TaskKey};
-use crate::time::millis;
-use crate::{JobId, RackId, ServiceId, Timestamp, WorkerId, ZoneId};
+use crate::{RackId, ServiceId, Timestamp, WorkerId, ZoneId};
 
+mod life;
 mod run;
 
+pub(super) use life::{Answerer, Life};
 pub(super) use run::{Run, RunState, Suspicion};
 
 /// What a worker must have shown before it gets a task.
@@ -22,18 +23,13 @@
     Proven,
 }
 
-/// An end that the worker may forget once the change behind it lasts.
-#[derive(Debug, Clone)]
-struct Unsaved {
-    number: u64,
-    change: Option<(JobId, u64)>,
-}
-
-/// One life of a worker.
+/// One worker, with what is known of its present life.
 #[derive(Debug, Clone)]
 pub(super) struct Worker {
     pub(super) listed: ListedWorker,
     pub(super) is_listed: bool,
+    /// What is known of its present life.
+    pub(super) life: Life,
     /// Whether its availability zone is evacuated, so that nothing may start there.
     pub(super) in_evacuated_zone: bool,
     pub(super) runs: BTreeMap<TaskKey, Run>,
@@ -41,28 +37,11 @@
     pub(super) has_unsettled: bool,
     /// Room of all runs, planned ones included.
     claimed: Resources,
-    /// Whether it has answered the present token.
-    pub(super) fenced: bool,
     contact: bool,
-    /// When it last answered anything.
-    pub(super) heard_at: Option<Timestamp>,
-    /// Its clock in milliseconds, and when that was read.
-    clock: Option<(u64, Timestamp)>,
     /// Until when anything may run on it, by the largest deadline that was ever sent.
     pub(super) lease_until: Option<Timestamp>,
-    /// Highest end that was taken in.
-    pub(super) seen: u64,
-    unsaved: VecDeque<Unsaved>,
-    /// Highest end that it was told to forget, as far as it has answered.
-    told_seen: u64,
-    /// Until when it gets nothing new because of what happened there.
-    pub(super) suspect_until: Option<Timestamp>,
-    /// When a task last ended done there.
-    pub(super) succeeded_at: Option<Timestamp>,
     /// Its earliest end as it was announced.
     leaves_at: Option<Timestamp>,
-    /// Jobs whose runs failed there since the last success.
-    pub(super) failed_jobs: Vec<JobId>,
     /// The last task that was put here for its last chance: until it has worked for a while, nothing
     /// else starts here.
     pub(super) last_chance: Option<TaskKey>,
@@ -70,8 +49,6 @@
     pub(super) lost: Vec<TaskKey>,
     /// Since when the directory lists it no longer.
     unlisted_at: Option<Timestamp>,
-    /// Whether it has answered since the directory dropped it, as one does that leaves without a word.
-    pub(super) left_quietly: bool,
 }
 
 impl Worker {
@@ -79,26 +56,17 @@
         let mut worker = Self {
             listed: listed.clone(),
             is_listed: true,
+            life: Life::begun(listed.incarnation),
             in_evacuated_zone: false,
             runs: BTreeMap::new(),
             has_unsettled: false,
             claimed: Resources::default(),
-            fenced: false,
             contact: true,
-            heard_at: None,
-            clock: None,
             lease_until: None,
-            seen: 0,
-            unsaved: VecDeque::new(),
-            told_seen: 0,
-            suspect_until: None,
-            succeeded_at: None,
             leaves_at: None,
-            failed_jobs: Vec::new(),
             last_chance: None,
             lost: Vec::new(),
             unlisted_at: None,
-            left_quietly: false,
         };
         worker.relist(listed, at);
         worker
@@ -108,6 +76,7 @@
     pub(super) fn unlisted(id: &WorkerId, at: Timestamp) -> Self {
         let listed = ListedWorker {
             id: id.clone(),
+            incarnation: None,
             address: String::new(),
             service: ServiceId::unknown(),
             zone: ZoneId::unknown(),
@@ -131,8 +100,9 @@
     pub(super) fn relist(&mut self, listed: ListedWorker, at: Timestamp) {
         self.is_listed = true;
         self.unlisted_at = None;
-        self.left_quietly = false;
-        if listed.draining && !self.listed.draining || self.leaves_at.is_none() {
+        self.life.left_quietly = false;
+        let is_new = listed.incarnation != self.listed.incarnation;
+        if is_new || listed.draining && !self.listed.draining || self.leaves_at.is_none() {
             self.leaves_at = listed
                 .remaining_ms
                 .map(|left| at + Duration::from_millis(left));
@@ -149,7 +119,7 @@
 
     /// Tells whether it goes by plan: its end is not a crash.
     pub(super) const fn leaves(&self) -> bool {
-        self.listed.draining || self.left_quietly
+        self.listed.draining || self.life.left_quietly
     }
 
     /// Tells whether it has been missing in the directory for so long, without an answer.
@@ -157,6 +127,12 @@
         !self.contact && self.unlisted_at.is_some_and(|since| at - since >= after)
     }
 
+    /// Names the tasks of some of its runs.
+    pub(super) fn tasks_where(&self, test: impl Fn(&Run) -> bool) -> Vec<TaskKey> {
+        let runs = self.runs.iter().filter(|(_, run)| test(run));
+        runs.map(|(task, _)| task.clone()).collect()
+    }
+
     pub(super) fn insert(&mut self, task: TaskKey, run: Run) {
         self.claimed = self.claimed.plus(&run.room);
         self.has_unsettled = true;
@@ -226,14 +202,16 @@
             .fold(Resources::default(), |sum, run| sum.plus(&run.room))
     }
 
-    /// Tells whether it may be given tasks.
+    /// Tells whether it may be given tasks; its entry must be its present life's, which may be of
+    /// another kind than the one before.
     pub(super) fn takes_tasks(&self) -> bool {
         let stays = !self.listed.draining && !self.in_evacuated_zone;
-        self.is_listed && self.fenced && self.contact && stays
+        let is_described = !self.life.differs(self.listed.incarnation);
+        self.is_listed && is_described && self.life.fenced && self.contact && stays
     }
 
     pub(super) fn is_suspect(&self, at: Timestamp) -> bool {
-        self.suspect_until.is_some_and(|until| at < until)
+        self.life.suspect_until.is_some_and(|until| at < until)
     }
 
     /// Tells whether it has shown what is demanded.
@@ -241,7 +219,7 @@
         match demand {
             Health::Any => true,
             Health::NotSuspect => !self.is_suspect(at),
-            Health::Proven => self.succeeded_at.is_some() && !self.is_suspect(at),
+            Health::Proven => self.life.succeeded_at.is_some() && !self.is_suspect(at),
         }
     }
 
@@ -275,44 +253,13 @@
         self.contact = contact;
     }
 
-    pub(super) const fn read_clock(&mut self, clock_ms: u64, at: Timestamp) {
-        self.heard_at = Some(at);
-        self.clock = Some((clock_ms, at));
-    }
-
-    /// Returns its clock at a moment, once it was read.
-    pub(super) fn clock_at(&self, at: Timestamp) -> Option<u64> {
-        let (clock_ms, read_at) = self.clock?;
-        Some(clock_ms.saturating_add(millis(at - read_at)))
-    }
-
     pub(super) fn extend_lease(&mut self, until: Timestamp) {
         self.lease_until = self.lease_until.max(Some(until));
     }
 
-    /// Notes an end that was taken in, with the change that must last before it is forgotten.
-    pub(super) fn note_end(&mut self, number: u64, change: Option<(JobId, u64)>) {
-        self.seen = number;
-        self.unsaved.push_back(Unsaved { number, change });
-    }
-
-    /// Returns the highest end that it may forget; `lasts` tells which changes are kept.
-    pub(super) fn forgettable(&mut self, lasts: impl Fn(&JobId, u64) -> bool) -> u64 {
-        while let Some(first) = self.unsaved.front() {
-            let kept = first
-                .change
-                .as_ref()
-                .is_none_or(|(job, change)| lasts(job, *change));
-            if !kept {
-                return first.number.saturating_sub(1);
-            }
-            self.unsaved.pop_front();
-        }
-        self.seen
-    }
-
-    pub(super) const fn note_told(&mut self, last_seen: u64) {
-        self.told_seen = last_seen;
+    /// Tells whether anything may run there.
+    pub(super) fn is_busy(&self) -> bool {
+        self.runs.values().any(Run::was_started)
     }
 
     /// Returns what to ask of it next; none where it need not be asked.
@@ -323,17 +270,17 @@
         deadline_ms: Option<u64>,
         longest_wait: Duration,
     ) -> Option<HoldRequest> {
-        let asks_only = !self.fenced || !self.contact;
-        let has_unsaved = !self.unsaved.is_empty();
-        let present = self.runs.values().any(|r| r.state != RunState::Planned);
-        if !asks_only && !present && self.told_seen >= self.seen {
+        let asks_only = !self.life.fenced || !self.contact;
+        let present = self.is_busy();
+        if !asks_only && !present && self.life.knows_all_seen() {
             return None;
         }
-        let waits = present && !asks_only && !has_unsaved;
+        let waits = present && !asks_only && !self.life.has_unsaved();
         Some(HoldRequest {
             token,
             deadline_ms: if asks_only { None } else { deadline_ms },
-            last_seen,
+            // Whoever answers after a silence may be another life, with other ends.
+            last_seen: if asks_only { 0 } else { last_seen },
             wait: if waits { longest_wait } else { Duration::ZERO },
         })
     }
--- a/crates/stairstall-core/src/batch/planner/pool/run.rs
+++ b/crates/stairstall-core/src/batch/planner/pool/run.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::Timestamp;
-use crate::batch::Resources;
+use crate::batch::{Incarnation, Resources};
 use crate::time::millis;
 
 /// Where a run stands at its worker.
@@ -74,6 +74,10 @@
     pub(in crate::batch::planner) restored: bool,
     /// What the workers that were lost under its task before say of it.
     pub(in crate::batch::planner) suspicion: Suspicion,
+    /// Which life of its worker was told to start it last, or lists it.
+    pub(in crate::batch::planner) incarnation: Option<Incarnation>,
+    /// Whether a report of that life has listed it.
+    pub(in crate::batch::planner) is_listed: bool,
     /// The change of its job that writes its place down; no start is sent before that lasts.
     pub(in crate::batch::planner) recorded_by: u64,
 }
--- a/crates/stairstall-core/src/batch/planner/progress.rs
+++ b/crates/stairstall-core/src/batch/planner/progress.rs
@@ -173,7 +173,7 @@
             last_run: self.last_run,
             places: (0..)
                 .zip(&self.tasks)
-                .filter_map(|(index, task)| Some((index, (task.place.clone()?, task.run))))
+                .filter_map(|(index, task)| Some((index, task.kept_place()?)))
                 .collect(),
             losses: open
                 .clone()
@@ -198,10 +198,11 @@
             task.done = mark == DONE;
             task.failures = mark.to_digit(10).unwrap_or(0);
         }
-        for (index, (worker, run)) in &kept.places {
+        for (index, place) in &kept.places {
             if let Some(task) = self.tasks.get_mut(*index as usize) {
-                task.place = Some(worker.clone());
-                task.run = *run;
+                task.place = Some(place.worker.clone());
+                task.run = place.run;
+                task.incarnation = place.incarnation;
             }
         }
         for (index, run) in &kept.counted_runs {
--- /dev/null
+++ b/crates/stairstall-core/src/batch/planner/restarts.rs
@@ -0,0 +1,140 @@
+//! Workers that start again under the id that they had.
+//!
+//! A new life shows in the directory or in a report, whichever comes first. What was sent to the life
+//! before may be carried out by the new one, so only what the life before had listed, or a report of
+//! the new one does not name, is known to be lost.
+
+use super::pool::{Life, Run, RunState};
+use super::{Now, Planner};
+use crate::WorkerId;
+use crate::batch::{Decision, EndKind, Incarnation, Order, TaskKey};
+
+impl Planner {
+    /// Returns which life of a worker is known.
+    pub(super) fn incarnation_of(&self, id: &WorkerId) -> Option<Incarnation> {
+        self.workers.get(id)?.life.incarnation
+    }
+
+    /// Takes word that a worker has started again under its id.
+    pub(super) fn begin_life(&mut self, id: &WorkerId, incarnation: Option<Incarnation>, now: Now) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        let before = std::mem::replace(&mut worker.life, Life::begun(incarnation));
+        worker.life.earlier_heard_at = before.heard_at;
+        worker.set_contact(false);
+        let silent_under = std::mem::take(&mut worker.lost);
+        if worker.is_busy() {
+            // A deadline by the clock of the life before is far ahead of the new one's, which holds
+            // what arrives with it as long as it may.
+            worker.extend_lease(now.at + Self::lease_span(self.bounds.hold_max));
+        }
+        let planned = worker.tasks_where(|run| run.state == RunState::Planned);
+        let lost = worker.tasks_where(Run::was_only_there);
+        self.to_ask.push(id.clone());
+        let why = "its life is over: it has started again under its id";
+        self.decisions.push(Decision::of_worker(id, why));
+        self.touch_runs_at(id);
+        self.drop_tickets_of(id);
+        for task in planned {
+            self.drop_planned(id, &task, "its worker has started again", now);
+        }
+        self.settle_silence(id, &silent_under, now);
+        self.lose_with_earlier_life(id, lost, now);
+        self.replan = true;
+    }
+
+    /// Takes runs for lost with an earlier life of their worker.
+    pub(super) fn lose_with_earlier_life(&mut self, id: &WorkerId, tasks: Vec<TaskKey>, now: Now) {
+        let Some(worker) = self.workers.get(id).filter(|_| !tasks.is_empty()) else {
+            return;
+        };
+        let heard_at = worker.life.earlier_heard_at;
+        let runs = tasks.into_iter().filter_map(|task| {
+            let run = worker.runs.get(&task)?.clone();
+            Some((task, run))
+        });
+        let runs: Vec<(TaskKey, Run)> = runs.collect();
+        let suspects = self.count_crash(id, heard_at, &runs);
+        let (late, gone): (Vec<_>, Vec<_>) = runs.into_iter().partition(|(_, r)| r.may_come_late());
+        for (task, _) in &gone {
+            self.drop_run(id, task);
+        }
+        self.release_lost(id, &gone, now);
+        for (task, run) in late {
+            self.bar_at_new_life(id, &task, run.number, now);
+        }
+        self.give_up_crashing(&suspects, now);
+    }
+
+    /// Keeps a run from starting at a new life of its worker, which an earlier try may still reach.
+    ///
+    /// Its task starts elsewhere once the new life has said that it is barred.
+    fn bar_at_new_life(&mut self, id: &WorkerId, task: &TaskKey, number: u32, now: Now) {
+        let incarnation = self.incarnation_of(id);
+        let Some(run) = self.workers.get_mut(id).and_then(|w| w.runs.get_mut(task)) else {
+            return;
+        };
+        run.incarnation = incarnation;
+        run.answered_at = None;
+        if run.state == RunState::Stopping {
+            self.send_stop(id, task, number, now);
+        } else {
+            self.stop_run(id, task, "a late try of it may reach the new life", now);
+        }
+        self.stop_gang(task, number, "another member was lost with its worker", now);
+    }
+
+    /// Reads a worker's clock from the answer to a start, which does not name the life that answers.
+    ///
+    /// A clock that has gone back is that of a new life: it is asked at once which it is, and may
+    /// hold the run for the longest lease.
+    pub(super) fn read_answer_clock(&mut self, order: &Order, clock_ms: u64, now: Now) {
+        let id = &order.worker;
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        let meant = worker.runs.get(&order.task).and_then(|run| run.incarnation);
+        if worker.life.differs(meant) {
+            return;
+        }
+        if worker.life.is_clock_set_back(clock_ms, now.at) {
+            worker.extend_lease(now.at + Self::lease_span(self.bounds.hold_max));
+            self.doubt(id, now);
+        } else {
+            worker.life.read_clock(clock_ms, now.at);
+        }
+    }
+
+    /// Drops what was told to start at a life that was over by then: nothing can have crashed under it.
+    ///
+    /// That is a start that another life refused, and those sent after it. Counted as crashes, four such
+    /// starts within 45 ms ended a job as failed under which one worker had crashed.
+    pub(super) fn drop_never_begun(&mut self, refused: &Order, now: Now) {
+        let Some(worker) = self.workers.get(&refused.worker) else {
+            return;
+        };
+        let Some(refused_run) = worker.runs.get(&refused.task) else {
+            return;
+        };
+        let sent_at = refused_run.ordered_at;
+        let is_first_try = |run: &Run| run.state == RunState::Starting && run.tries <= 1;
+        let never_begun = worker.tasks_where(|run| is_first_try(run) && run.ordered_at >= sent_at);
+        for task in never_begun {
+            let why = "its worker's life was over before";
+            self.run_over(&refused.worker, &task, EndKind::Stopped, why, now);
+        }
+    }
+}
+
+impl Run {
+    /// Tells whether it was at the life that has listed it and can't be at a later one.
+    fn was_only_there(&self) -> bool {
+        self.is_listed && self.was_started() && !self.may_come_late()
+    }
+
+    /// Tells whether a start of it without an answer may still be carried out.
+    const fn may_come_late(&self) -> bool {
+        self.tries > 1
+    }
+}
--- a/crates/stairstall-core/src/batch/planner/starts.rs
+++ b/crates/stairstall-core/src/batch/planner/starts.rs
@@ -100,7 +100,7 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        let Some(clock_ms) = worker.clock_at(now.at) else {
+        let Some(clock_ms) = worker.life.clock_at(now.at) else {
             return;
         };
         let lease = self.policy.orders.start_lease.min(self.bounds.hold_max);
@@ -112,6 +112,7 @@
         run.enter(RunState::Starting, now.at);
         run.ordered_at = now.at;
         run.tries += 1;
+        run.incarnation = worker.life.incarnation;
         let (number, tries) = (run.number, run.tries);
         worker.extend_lease(now.at + Self::lease_span(lease));
         let Some(job) = self.jobs.get(&task.group.job) else {
@@ -230,20 +231,23 @@
         let task = &order.task;
         self.note_start_answered();
         if outcome == StartOutcome::OtherLife {
+            self.drop_never_begun(order, now);
             self.life_over(id, "another life answered a start", now);
+            self.doubt_unheard(now);
             return;
         }
         if outcome == StartOutcome::Refused(RefusalReason::Fenced) {
             self.note_fenced();
             return;
         }
-        let Some(worker) = self.workers.get_mut(id) else {
-            return;
-        };
         if let StartOutcome::Started { clock_ms } = outcome {
-            worker.read_clock(clock_ms, now.at);
+            self.read_answer_clock(order, clock_ms, now);
         }
-        let Some(run) = worker.runs.get_mut(task) else {
+        let Some(run) = self
+            .workers
+            .get_mut(id)
+            .and_then(|worker| worker.runs.get_mut(task))
+        else {
             return;
         };
         if run.number != order.run {
@@ -288,7 +292,7 @@
         if outcome == StartOutcome::Unhealthy
             && let Some(worker) = self.workers.get_mut(id)
         {
-            worker.suspect_until = Some(now.at + self.policy.health.suspect_after_refusal);
+            worker.life.suspect_until = Some(now.at + self.policy.health.suspect_after_refusal);
         }
         let did_nothing = match outcome {
             StartOutcome::NotSent | StartOutcome::Unhealthy => true,
--- a/crates/stairstall-core/src/batch/record.rs
+++ b/crates/stairstall-core/src/batch/record.rs
@@ -3,7 +3,7 @@
 use super::story::KeptStory;
 use serde::{Deserialize, Serialize};
 
-use super::{BatchSpec, GroupKey, Queue};
+use super::{BatchSpec, GroupKey, Incarnation, Queue};
 use crate::claim::Mark;
 use crate::{CustomerId, JobId, WorkerId, ZoneId};
 
@@ -90,9 +90,9 @@
     /// Highest run number that was given out.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub last_run: u32,
-    /// The worker and the number of each current run, by index; written before it is started.
+    /// Where each current run is, by index; written before it is started.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
-    pub places: BTreeMap<u32, (WorkerId, u32)>,
+    pub places: BTreeMap<u32, Place>,
     /// Workers that were lost under open tasks, by index; written before the task starts again.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub losses: BTreeMap<u32, TaskLosses>,
@@ -101,6 +101,25 @@
     pub checkpoints: BTreeMap<u32, String>,
 }
 
+/// Where a run was put; kept as a list of its fields, of which older records have two.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(into = "(WorkerId, u32, Option<Incarnation>)")]
+pub struct Place {
+    /// The worker.
+    pub worker: WorkerId,
+    /// The number of the run.
+    pub run: u32,
+    /// Which life of the worker, where that was known.
+    #[serde(default)]
+    pub incarnation: Option<Incarnation>,
+}
+
+impl From<Place> for (WorkerId, u32, Option<Incarnation>) {
+    fn from(place: Place) -> Self {
+        (place.worker, place.run, place.incarnation)
+    }
+}
+
 /// Workers that were lost under one task.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TaskLosses {
@@ -120,6 +139,9 @@
 pub struct SilentWorker {
     /// The worker.
     pub worker: WorkerId,
+    /// Which of its lives, where that was known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub incarnation: Option<Incarnation>,
     /// Whether it had taken the run.
     pub answered: bool,
 }
@@ -140,14 +162,13 @@
         }
     }
 
-    /// Takes back that a worker is silent, and returns whether it had taken a run, once for each.
-    pub fn settle(&mut self, worker: &WorkerId) -> Vec<bool> {
+    /// Takes back that a worker is silent, and returns what was noted of it.
+    pub fn settle(&mut self, worker: &WorkerId) -> Vec<SilentWorker> {
         let (settled, others) = std::mem::take(&mut self.silent)
             .into_iter()
             .partition(|silent| silent.worker == *worker);
         self.silent = others;
-        let settled: Vec<SilentWorker> = settled;
-        settled.into_iter().map(|silent| silent.answered).collect()
+        settled
     }
 
     /// Returns the losses with all silent workers taken for crashed.
--- a/crates/stairstall-core/src/batch/worker.rs
+++ b/crates/stairstall-core/src/batch/worker.rs
@@ -6,11 +6,30 @@
 use super::{Resources, TaskKey};
 use crate::{RackId, ServiceId, WorkerId, ZoneId};
 
+/// Tells the lives of one worker apart: when a life began, in milliseconds since the Unix epoch by
+/// the worker's own time of day.
+///
+/// A worker that crashes may start again under the id that it had. It then knows nothing of before,
+/// and its clock and the numbers of its ends begin anew.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Incarnation(u64);
+
+impl Incarnation {
+    /// Creates it from the time at which the life began, in milliseconds since the Unix epoch.
+    #[must_use]
+    pub const fn from_unix_ms(unix_ms: u64) -> Self {
+        Self(unix_ms)
+    }
+}
+
 /// A worker as the platform's directory lists it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ListedWorker {
-    /// This life of the worker.
+    /// Its name, which all its lives may share.
     pub id: WorkerId,
+    /// Which of its lives this is; none where it does not say.
+    pub incarnation: Option<Incarnation>,
     /// Where it listens, as `IP:PORT`.
     pub address: String,
     /// Whose tasks it runs.
@@ -92,6 +111,8 @@
 /// What a worker says it runs and what has ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct HoldReport {
+    /// Which of the worker's lives answers; none where it does not say.
+    pub incarnation: Option<Incarnation>,
     /// The worker's own clock, in milliseconds.
     pub clock_ms: u64,
     /// What runs.
--- a/crates/stairstall-core/tests/batch/flow.rs
+++ b/crates/stairstall-core/tests/batch/flow.rs
@@ -63,6 +63,7 @@
                 .hold_request(&id, now)
                 .expect("something runs");
             let report = HoldReport {
+                incarnation: None,
                 clock_ms: fleet.at_ms,
                 running: Vec::new(),
                 ended: Vec::new(),
--- a/crates/stairstall-core/tests/batch/harness.rs
+++ b/crates/stairstall-core/tests/batch/harness.rs
@@ -6,8 +6,8 @@
 
 use stairstall_core::batch::{
     AcceptedJob, BatchSpec, Bounds, Catalog, Customer, End, EndKind, GroupKey, HoldReport,
-    HoldRequest, ListedWorker, Now, Order, OrderKind, Planner, Progress, Queue, Resources, Route,
-    RunningTask, StartOutcome, StepSpec, StopOutcome, TaskKey,
+    HoldRequest, Incarnation, ListedWorker, Now, Order, OrderKind, Planner, Progress, Queue,
+    Resources, Route, RunningTask, StartOutcome, StepSpec, StopOutcome, TaskKey,
 };
 use stairstall_core::claim::Mark;
 use stairstall_core::{CustomerId, JobId, Timestamp, WorkerId, ZoneId};
@@ -63,6 +63,10 @@
         }
     }
 
+    pub fn incarnation(&self) -> Incarnation {
+        Incarnation::from_unix_ms(START_UNIX_MS + self.born_ms)
+    }
+
     /// Forgets ends that were taken note of; returns the tasks among them that are done.
     ///
     /// Workers may look through their ends at each request, or only where it names a higher number
@@ -161,6 +165,7 @@
         capacity,
         draining: false,
         remaining_ms: None,
+        incarnation: None,
     }
 }
 
@@ -287,9 +292,10 @@
         fleet
     }
 
-    fn add(&mut self, listed: ListedWorker, now: Now) {
-        self.workers
-            .insert(listed.id.clone(), FakeWorker::born(self.at_ms));
+    fn add(&mut self, mut listed: ListedWorker, now: Now) {
+        let life = FakeWorker::born(self.at_ms);
+        listed.incarnation = Some(life.incarnation());
+        self.workers.insert(listed.id.clone(), life);
         self.listed.insert(listed.id.clone(), listed.clone());
         self.planner.list_worker(listed, now);
     }
@@ -448,6 +454,7 @@
             worker.deadline_ms = worker.deadline_ms.max(deadline);
         }
         let report = HoldReport {
+            incarnation: Some(worker.incarnation()),
             clock_ms,
             running: worker
                 .running
--- a/crates/stairstall-core/tests/batch/takeover.rs
+++ b/crates/stairstall-core/tests/batch/takeover.rs
@@ -119,6 +119,7 @@
             fleet.settle();
         }
         let report = stairstall_core::batch::HoldReport {
+            incarnation: None,
             clock_ms: fleet.at_ms,
             running: Vec::new(),
             ended: Vec::new(),
--- a/crates/stairstalld/src/batch/directory.rs
+++ b/crates/stairstalld/src/batch/directory.rs
@@ -52,7 +52,9 @@
             Some(id)
         }
         Err(error) => {
-            log::error!(target: "directory", worker:% = id, why:% = error; "the entry can't be read");
+            // Other writers may leave anything there: it names no worker to use.
+            log::warn!(target: "directory", worker:% = id, why:% = error; "the entry names no worker");
+            tenure.with(|planner, now| planner.unlist_worker(&id, now));
             None
         }
     }
--- a/crates/stairstalld/src/batch/kept/tests.rs
+++ b/crates/stairstalld/src/batch/kept/tests.rs
@@ -1,4 +1,4 @@
-use stairstall_core::batch::{GroupProgress, Progress};
+use stairstall_core::batch::{GroupProgress, Incarnation, Place, Progress};
 
 use super::{read, write};
 
@@ -6,7 +6,12 @@
 fn progress(tasks: u32) -> Progress {
     let place = |index: u32| {
         let worker = format!("i-{:010x}", u64::from(index % 12) * 0x9e37_79b9_7f4a);
-        (index, (worker.parse().expect("an id"), index + 1))
+        let place = Place {
+            worker: worker.parse().expect("an id"),
+            run: index + 1,
+            incarnation: Some(Incarnation::from_unix_ms(1_800_000_000_000)),
+        };
+        (index, place)
     };
     let group = GroupProgress {
         tasks: "-".repeat(tasks as usize),
--- a/crates/stairstalld/tests/batch/main.rs
+++ b/crates/stairstalld/tests/batch/main.rs
@@ -7,4 +7,5 @@
 mod path;
 mod policy;
 mod reach;
+mod restarts;
 mod soak;
--- a/crates/stairstalld/tests/batch/soak.rs
+++ b/crates/stairstalld/tests/batch/soak.rs
@@ -25,6 +25,8 @@
 const SETTLE_PATIENCE: Duration = Duration::from_secs(40);
 /// Workers that crash under a task before its job may be shown as failed.
 const MAX_CRASHES: u32 = 3;
+/// How long a worker is away that crashes behind a cut.
+const RESTART: Duration = Duration::from_millis(300);
 const DEFAULT_SEEDS: [u64; 2] = [1, 2];
 const DEFAULT_SECONDS: u64 = 8;
 
@@ -40,6 +42,10 @@
     HistoryGone,
     StoreLink(usize, LinkMode),
     WorkerLink(usize, LinkMode),
+    /// Several workers crash at once and start again under their ids after so many milliseconds.
+    Restarts(u64),
+    /// A worker crashes behind a cut and starts again under its id before that heals.
+    RestartBehindCut(usize),
     /// All connections that are open to the store and to workers go silent for good.
     Silence(Silence),
 }
@@ -55,7 +61,9 @@
 
 fn draw(random: &mut Pcg64Mcg, daemons: usize, workers: usize) -> Fault {
     let daemon = random.random_range(0..daemons);
-    match random.random_range(0..14) {
+    match random.random_range(0..18) {
+        14 | 15 => Fault::Restarts(random.random_range(100..4_000)),
+        16 | 17 => Fault::RestartBehindCut(random.random_range(0..workers)),
         12 => Fault::Silence(Silence::Both),
         13 => Fault::Silence(Silence::Answers),
         0 | 1 => Fault::Kill(daemon),
@@ -199,6 +207,21 @@
                 tokio::time::sleep(pause).await;
                 self.cluster.workers.set_link(index, LinkMode::Pass);
             }
+            Fault::Restarts(away_ms) => {
+                for index in 0..self.cluster.workers.count() {
+                    if self.random.random_range(0..3) == 0 {
+                        let away = Duration::from_millis(away_ms);
+                        self.cluster.workers.crash(index, away);
+                    }
+                }
+                tokio::time::sleep(pause).await;
+            }
+            Fault::RestartBehindCut(index) => {
+                self.cluster.workers.set_link(index, LinkMode::Cut);
+                self.cluster.workers.crash(index, RESTART);
+                tokio::time::sleep(RESTART + pause).await;
+                self.cluster.workers.set_link(index, LinkMode::Pass);
+            }
         }
     }
 
