--- a/crates/stairstall-core/tests/batch/harness.rs
+++ b/crates/stairstall-core/tests/batch/harness.rs
@@ -148,6 +148,8 @@
     pub keeps_ids: bool,
     /// Whether workers look at each request for ends to forget.
     pub forgets_at_once: bool,
+    /// Workers whose life was over before the directory says so: another one answers at their address.
+    pub replaced: BTreeSet<WorkerId>,
     /// Ends as done that a worker was told to forget: such a task must not start again.
     noted_done: BTreeSet<TaskKey>,
     /// Tasks that started although such an end was taken note of.
@@ -281,6 +283,7 @@
             lives: 0,
             keeps_ids: false,
             forgets_at_once: true,
+            replaced: BTreeSet::new(),
             noted_done: BTreeSet::new(),
             started_after_done: Vec::new(),
         };
@@ -381,6 +384,15 @@
         self.workers.insert(id.clone(), worker);
     }
 
+    /// Ends a cut behind which the worker has started again under its id.
+    pub fn restart_cut_off(&mut self, id: &WorkerId) {
+        let now = self.now();
+        self.crashed.retain(|crashed| crashed.worker != *id);
+        self.workers.remove(id);
+        let listed = self.listed.remove(id).expect("it is listed");
+        self.add(listed, now);
+    }
+
     /// Lets the directory say that a worker leaves.
     pub fn announce_leaving(&mut self, id: &WorkerId, remaining_ms: u64) {
         let now = self.now();
@@ -446,6 +458,10 @@
             return None;
         }
         let request = self.planner.hold_request(id, now)?;
+        if self.replaced.contains(id) {
+            self.planner.life_over(id, "another life answered", now);
+            return None;
+        }
         let worker = self.workers.get_mut(id)?;
         let clock_ms = self.at_ms - worker.born_ms;
         self.noted_done
@@ -505,6 +521,9 @@
         if self.crashes_at_once.contains(&order.task) && self.workers.contains_key(&order.worker) {
             self.crash(&order.worker);
         }
+        if self.replaced.contains(&order.worker) {
+            return self.answer_for_another(order, now);
+        }
         let Some(worker) = self.workers.get_mut(&order.worker) else {
             return self.leave_unanswered(order, now);
         };
@@ -532,6 +551,15 @@
         }
     }
 
+    fn answer_for_another(&mut self, order: &Order, now: Now) {
+        match order.kind {
+            OrderKind::Start { .. } => {
+                self.planner.take_start(order, StartOutcome::OtherLife, now);
+            }
+            OrderKind::Stop => self.planner.take_stop(order, StopOutcome::OtherLife, now),
+        }
+    }
+
     fn leave_unanswered(&mut self, order: &Order, now: Now) {
         match order.kind {
             OrderKind::Start { .. } => self.planner.take_start(order, StartOutcome::Unknown, now),
--- a/crates/stairstall-core/tests/batch/restarts.rs
+++ b/crates/stairstall-core/tests/batch/restarts.rs
@@ -12,9 +12,12 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use stairstall_core::WorkerId;
-use stairstall_core::batch::{CallerState, EndKind, Outcome};
+use stairstall_core::batch::{
+    CallerState, DecisionKind, End, EndKind, HoldReport, Incarnation, Order, OrderKind, Outcome,
+    Place, StartOutcome,
+};
 
-use crate::harness::{Fleet, gang, id, job, step, task};
+use crate::harness::{Fleet, START_UNIX_MS, gang, id, job, step, task};
 
 const COMPLETED: Option<CallerState> = Some(CallerState::Ended(Outcome::Completed));
 /// How long a worker is away that crashes and is still listed when it is back.
@@ -174,3 +177,238 @@
         }
     }
 }
+
+/// Five of six workers were replaced while the directory could not be read: each start is refused by
+/// another life. "1 workers crashed under it, 4 more without an answer" ended such a job within 45 ms.
+#[test]
+fn starts_that_another_life_refuses_are_no_crashes_under_their_task() {
+    let names = ["w1", "w2", "w3", "w4", "w5", "w6"];
+    let workers: Vec<(&str, &str)> = names.iter().map(|name| (*name, "r1")).collect();
+    let mut fleet = fleet(&workers);
+    fleet.pass(1_000);
+    fleet.replaced = names[..5]
+        .iter()
+        .map(|n| n.parse().expect("an id"))
+        .collect();
+    fleet.submit(job("j", 0, vec![step(1, 8)]));
+    fleet.pass(500);
+    let place = fleet.place_of(&task("j", 0, 0));
+    assert_eq!(place, Some("w6".parse().expect("an id")));
+    // The first refusal shows that the directory is behind: the others are asked before.
+    assert!(fleet.starts_of(&task("j", 0, 0)) <= 2, "{:?}", fleet.given);
+    let kept = &fleet.kept[&id("j")].occurrences[0][0];
+    assert!(kept.losses.is_empty(), "{:?}", kept.losses);
+}
+
+/// A member whose start another life refuses never comes: the other one waited 3 s for it in vain.
+#[test]
+fn a_gang_that_lost_a_member_before_it_began_does_not_wait_for_it() {
+    let mut fleet = fleet(&[("w1", "r1"), ("w2", "r1"), ("w3", "r1")]);
+    fleet.pass(1_000);
+    fleet.replaced.insert("w2".parse().expect("an id"));
+    fleet.submit(job("j", 0, vec![gang(2, 8)]));
+    fleet.pass(300);
+    let runs: Vec<u32> = fleet
+        .workers
+        .values()
+        .flat_map(|w| w.running.values().map(|(run, ..)| *run))
+        .collect();
+    assert_eq!(runs, [2, 2], "the gang is whole again: {:?}", fleet.given);
+}
+
+#[test]
+fn a_gang_is_stopped_at_the_moment_at_which_the_life_of_a_member_is_known_to_be_over() {
+    let mut fleet = fleet(&[("w1", "r1"), ("w2", "r1")]);
+    fleet.submit(job("j", 0, vec![gang(2, 8)]));
+    let lost: WorkerId = "w2".parse().expect("an id");
+    let now = fleet.now();
+    fleet.planner.life_over(&lost, "another life answered", now);
+    let orders = fleet.planner.tick(now);
+    let stops = orders.iter().filter(|o| o.kind == OrderKind::Stop);
+    let stopped: Vec<&str> = stops.map(|order| order.worker.as_str()).collect();
+    assert_eq!(stopped, ["w1"]);
+}
+
+/// Starts a job of one task and returns where it runs.
+fn run_one(fleet: &mut Fleet) -> WorkerId {
+    fleet.submit(job("j", 2, vec![step(1, 8)]));
+    fleet.pass(300);
+    fleet.place_of(&task("j", 0, 0)).expect("it runs")
+}
+
+fn losses(fleet: &mut Fleet) -> Vec<String> {
+    let decisions = fleet.planner.take_decisions().into_iter();
+    let losses = decisions.filter(|decision| decision.kind == DecisionKind::Loss);
+    losses.map(|decision| decision.why).collect()
+}
+
+#[test]
+fn what_a_life_had_listed_is_lost_as_soon_as_the_directory_names_another() {
+    let mut fleet = fleet(&[("w1", "r1"), ("w2", "r1")]);
+    let place = run_one(&mut fleet);
+    fleet.cut_off(&place);
+    let mut listed = fleet.listed[&place].clone();
+    listed.incarnation = Some(Incarnation::from_unix_ms(START_UNIX_MS + 1));
+    let now = fleet.now();
+    fleet.planner.list_worker(listed, now);
+    fleet.settle();
+    let told = losses(&mut fleet);
+    assert!(told[0].contains("1 of 3 crashes"), "{told:?}");
+    let again = fleet.place_of(&task("j", 0, 0));
+    assert!(
+        again.is_some_and(|again| again != place),
+        "it starts elsewhere"
+    );
+}
+
+#[test]
+fn a_report_of_a_life_that_is_over_changes_nothing() {
+    let mut fleet = fleet(&[("w1", "r1")]);
+    let place = run_one(&mut fleet);
+    let asked = fleet.now();
+    let request = fleet
+        .planner
+        .hold_request(&place, asked)
+        .expect("it is busy");
+    fleet.crash_for(&place, 300);
+    fleet.pass(1_000);
+    let runs = fleet.planner.runs();
+    let late = HoldReport {
+        incarnation: Some(Incarnation::from_unix_ms(START_UNIX_MS)),
+        clock_ms: 900_000,
+        running: Vec::new(),
+        ended: vec![End {
+            number: 1,
+            task: task("j", 0, 0),
+            run: 2,
+            kind: EndKind::Done,
+            checkpoint: None,
+        }],
+        more: false,
+        bytes: 0,
+    };
+    let now = fleet.now();
+    fleet
+        .planner
+        .take_hold(&place, &request, asked.at, late, now);
+    fleet.settle();
+    assert_eq!(fleet.planner.runs(), runs);
+    assert_ne!(fleet.planner.caller_state(&id("j")), COMPLETED);
+}
+
+#[test]
+fn a_new_life_is_known_by_the_order_of_answers_where_the_time_of_day_was_set_back() {
+    let mut fleet = restarted();
+    let place: WorkerId = "w1".parse().expect("an id");
+    fleet.submit(job("third", 2, vec![step(1, 8)]));
+    fleet.pass(300);
+    let now = fleet.now();
+    let request = fleet.planner.hold_request(&place, now).expect("it is busy");
+    let report = HoldReport {
+        incarnation: Some(Incarnation::from_unix_ms(START_UNIX_MS - 2_000)),
+        clock_ms: 50,
+        running: Vec::new(),
+        ended: Vec::new(),
+        more: false,
+        bytes: 0,
+    };
+    fleet.at_ms += 1;
+    let later = fleet.now();
+    fleet
+        .planner
+        .take_hold(&place, &request, now.at, report, later);
+    assert!(losses(&mut fleet)[0].contains("1 of 3 crashes"));
+}
+
+#[test]
+fn an_entry_of_a_life_that_is_over_describes_nothing() {
+    let mut fleet = fleet(&[("w1", "r1")]);
+    let place: WorkerId = "w1".parse().expect("an id");
+    let mut old = fleet.listed[&place].clone();
+    old.draining = true;
+    fleet.crash_for(&place, 300);
+    fleet.pass(1_000);
+    let now = fleet.now();
+    fleet.planner.list_worker(old, now);
+    run_one(&mut fleet);
+}
+
+#[test]
+fn a_start_whose_first_try_had_no_answer_is_barred_at_the_new_life_before_it_goes_elsewhere() {
+    let mut fleet = fleet(&[("w1", "r1"), ("w2", "r1")]);
+    let now = fleet.now();
+    fleet.planner.submit(job("j", 2, vec![step(1, 8)]), now);
+    fleet.planner.tick(now);
+    fleet.write_all();
+    let first = fleet.planner.tick(now).remove(0);
+    fleet.planner.take_start(&first, StartOutcome::Unknown, now);
+    fleet.settle();
+    let place = fleet
+        .place_of(&task("j", 0, 0))
+        .expect("the second try is answered");
+    fleet.pass(300);
+    fleet.crash_for(&place, 300);
+    fleet.pass(1_000);
+    let is_bar = |order: &&Order| order.worker == place && order.kind == OrderKind::Stop;
+    let barred = fleet.given.iter().position(|order| is_bar(&order));
+    let elsewhere = fleet.given.iter().position(|order| order.run == 2);
+    assert!(barred.is_some() && barred < elsewhere, "{:?}", fleet.given);
+}
+
+#[test]
+fn a_silence_counts_as_a_crash_once_another_life_answers() {
+    let mut fleet = fleet(&[("w1", "r1"), ("w2", "r1")]);
+    let place = run_one(&mut fleet);
+    fleet.cut_off(&place);
+    fleet.pass(8_000);
+    assert!(losses(&mut fleet)[0].contains("1 workers silent"));
+    fleet.restart_cut_off(&place);
+    fleet.pass(500);
+    let kept = &fleet.kept[&id("j")].occurrences[0][0].losses[&0];
+    assert_eq!((kept.crashes, kept.silent.len()), (1, 0));
+}
+
+#[test]
+fn a_new_planner_knows_which_life_a_run_was_put_at() {
+    let mut fleet = fleet(&[("w1", "r1")]);
+    let accepted = job("j", 2, vec![step(1, 8)]);
+    fleet.submit(accepted.clone());
+    fleet.pass(300);
+    fleet.crash_for(&"w1".parse().expect("an id"), 300);
+    fleet.at_ms += 400;
+    fleet.succeed(&[accepted]);
+    fleet.pass(500);
+    assert!(losses(&mut fleet)[0].contains("1 of 3 crashes"));
+}
+
+#[test]
+fn a_clock_that_has_gone_back_makes_the_lease_the_longest() {
+    let mut fleet = fleet(&[("w1", "r1"), ("w2", "r1")]);
+    fleet.pass(5_000);
+    let now = fleet.now();
+    fleet.planner.submit(job("j", 2, vec![step(1, 8)]), now);
+    fleet.planner.tick(now);
+    fleet.write_all();
+    let start = fleet.planner.tick(now).remove(0);
+    let started = StartOutcome::Started { clock_ms: 40 };
+    fleet.planner.take_start(&start, started, now);
+    fleet.cut_off(&start.worker);
+    // The lease that the start asked for is 1.5 s; the new life may hold the run for 6 s.
+    fleet.pass(4_000);
+    assert_eq!(fleet.starts_of(&task("j", 0, 0)), 0, "{:?}", fleet.given);
+    fleet.pass(4_000);
+    assert_eq!(fleet.starts_of(&task("j", 0, 0)), 1);
+}
+
+#[test]
+fn places_are_read_as_older_planners_wrote_them() {
+    let read = |text| serde_json::from_str::<Place>(text).expect("a place");
+    let older = read(r#"["w1",3]"#);
+    assert_eq!((older.run, older.incarnation), (3, None));
+    let place = Place {
+        incarnation: Some(Incarnation::from_unix_ms(5)),
+        ..older
+    };
+    let text = serde_json::to_string(&place).expect("JSON");
+    assert_eq!(read(&text), place);
+}
