fix: links and minions that outlast a life under one id

A link to a worker ended by itself once the planner knew the worker no longer and stayed in the table of links, so that a worker listed again under its id in between would be asked by nobody; a link kept the address that the first life had. A minion that had said that it leaves got nothing more after it had started again under its name and address, and requests to the life before marked the new one. Change: links end only when they are dropped, and are opened anew where the address differs; orders that are under way still report. The VM list may tell when a minion was born; picks and releases name the life. The links' race is not reproduced by a test.

--- a/crates/stairstall-core/src/protocol/vm.rs
+++ b/crates/stairstall-core/src/protocol/vm.rs
@@ -48,6 +48,10 @@
     pub address: SocketAddr,
     /// Whether it takes new work.
     pub state: VmState,
+    /// When its present life began, in milliseconds since the Unix epoch, where the platform says so:
+    /// a VM may start again under its name.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub born_unix_ms: Option<u64>,
     /// What it is there for.
     #[serde(flatten)]
     pub role: VmRole,
--- a/crates/stairstall-core/src/routing/minions.rs
+++ b/crates/stairstall-core/src/routing/minions.rs
@@ -19,6 +19,15 @@
     pub service: ServiceId,
     /// Whether it takes new work.
     pub state: VmState,
+    /// When its present life began, in milliseconds since the Unix epoch, where the list says so.
+    pub born_unix_ms: Option<u64>,
+}
+
+impl MinionInfo {
+    /// Tells whether another entry is of the same life: one process at one address.
+    fn is_same_life(&self, other: &Self) -> bool {
+        self.address == other.address && self.born_unix_ms == other.born_unix_ms
+    }
 }
 
 /// How a request to a minion ended, as far as the minion's health goes.
@@ -43,6 +52,8 @@
     pub minion: MinionId,
     /// Where it listens.
     pub address: SocketAddr,
+    /// Which of its lives it is, as the list says.
+    pub born_unix_ms: Option<u64>,
     /// Requests that this daemon has on the minion now, this one among them.
     pub in_flight: u16,
     /// Slots of the minion that this daemon may use.
@@ -125,8 +136,9 @@
         for info in list {
             match self.minions.get_mut(&info.id) {
                 Some(minion) => {
-                    // A new address is a new process, which has not said that it leaves.
-                    minion.said_leaving &= minion.info.address == info.address;
+                    if !minion.info.is_same_life(&info) {
+                        minion.begin_life();
+                    }
                     minion.info = info;
                     minion.listed = true;
                 }
@@ -180,18 +192,23 @@
         Ok(Pick {
             minion: id,
             address: minion.info.address,
+            born_unix_ms: minion.info.born_unix_ms,
             in_flight: minion.in_flight,
             share,
             passed_over: candidates - 1,
         })
     }
 
-    /// Gives a slot back and notes how the request ended.
-    pub fn release(&mut self, id: &MinionId, outcome: Outcome, now: Timestamp) {
-        let Some(minion) = self.minions.get_mut(id) else {
+    /// Gives a slot back and notes how the request ended; that says nothing of another life.
+    pub fn release(&mut self, pick: &Pick, outcome: Outcome, now: Timestamp) {
+        let Some(minion) = self.minions.get_mut(&pick.minion) else {
             return;
         };
         minion.in_flight = minion.in_flight.saturating_sub(1);
+        let is_same = pick.address == minion.info.address;
+        if !is_same || pick.born_unix_ms != minion.info.born_unix_ms {
+            return;
+        }
         match outcome {
             Outcome::Answered => minion.circuit.note_success(),
             Outcome::Busy => minion.busy_until = now + Self::BUSY_PAUSE,
@@ -234,6 +251,15 @@
 }
 
 impl Minion {
+    /// Forgets what the life before said and did.
+    ///
+    /// One that said that it leaves, and starts again under its id and address, would get nothing more.
+    const fn begin_life(&mut self) {
+        self.circuit = Circuit::CLOSED;
+        self.busy_until = Timestamp::from_millis(0);
+        self.said_leaving = false;
+    }
+
     const fn new(info: MinionInfo) -> Self {
         Self {
             info,
--- a/crates/stairstall-standin/src/cluster.rs
+++ b/crates/stairstall-standin/src/cluster.rs
@@ -197,6 +197,7 @@
             zone: named(zone),
             address,
             state,
+            born_unix_ms: None,
             role,
         });
     }
--- a/crates/stairstalld/src/batch/links.rs
+++ b/crates/stairstalld/src/batch/links.rs
@@ -9,7 +9,7 @@
 use stairstall_ports::{WorkerAddress, WorkerFault};
 use tokio::sync::Notify;
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
-use tokio::task::JoinSet;
+use tokio::task::{AbortHandle, JoinSet};
 
 use super::node::Node;
 use super::orders;
@@ -20,10 +20,19 @@
 /// Pause while the planner's lease is not known to be in force.
 const SUSPENDED_PAUSE: Duration = Duration::from_millis(50);
 
+/// The way to one worker; dropped, it asks no more, and ends once its orders are answered.
 #[derive(Debug)]
 struct Link {
+    address: String,
     orders: UnboundedSender<Order>,
     wake: Arc<Notify>,
+    asking: AbortHandle,
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.asking.abort();
+    }
 }
 
 /// The connections of one tenure to all workers.
@@ -68,7 +77,9 @@
                 .map(|(id, address)| (id.clone(), address.to_owned()))
                 .collect()
         });
-        self.open.retain(|id, _| known.contains_key(id));
+        // Another life may listen elsewhere under the same id.
+        self.open
+            .retain(|id, link| known.get(id) == Some(&link.address));
         for (id, address) in known {
             if !self.open.contains_key(&id) {
                 self.open_link(WorkerAddress { id, address });
@@ -80,25 +91,25 @@
     fn open_link(&mut self, worker: WorkerAddress) {
         let (sender, receiver) = unbounded_channel();
         let wake = Arc::new(Notify::new());
-        self.open.insert(
-            worker.id.clone(),
-            Link {
-                orders: sender,
-                wake: Arc::clone(&wake),
-            },
-        );
         self.tasks.spawn(orders::run(
             Arc::clone(&self.node),
             Arc::clone(&self.tenure),
             worker.clone(),
             receiver,
         ));
-        self.tasks.spawn(hold(
+        let asking = self.tasks.spawn(hold(
             Arc::clone(&self.node),
             Arc::clone(&self.tenure),
-            worker,
-            wake,
+            worker.clone(),
+            Arc::clone(&wake),
         ));
+        let link = Link {
+            address: worker.address,
+            orders: sender,
+            wake,
+            asking,
+        };
+        self.open.insert(worker.id, link);
     }
 
     /// Hands orders to the workers they are for.
@@ -114,23 +125,22 @@
     }
 }
 
-/// Asks one worker for as long as the planner knows it.
+/// Asks one worker for as long as its link is there.
+///
+/// It does not end where the planner knows the worker no longer: one that is listed again under its id
+/// before the links are looked through would be asked by nobody.
 async fn hold(node: Arc<Node>, tenure: Arc<Tenure>, worker: WorkerAddress, wake: Arc<Notify>) {
     loop {
         if !tenure.is_in_force() {
             tokio::time::sleep(SUSPENDED_PAUSE).await;
             continue;
         }
-        let request = tenure.with(|planner, now| {
-            let known = planner.knows(&worker.id);
-            known.then(|| planner.hold_request(&worker.id, now))
-        });
+        let request = tenure.with(|planner, now| planner.hold_request(&worker.id, now));
         match request {
-            None => return,
-            Some(None) => {
+            None => {
                 let _ = tokio::time::timeout(IDLE_INTERVAL, wake.notified()).await;
             }
-            Some(Some(request)) => ask(&node, &tenure, &worker, request).await,
+            Some(request) => ask(&node, &tenure, &worker, request).await,
         }
     }
 }
--- a/crates/stairstalld/src/batch/orders.rs
+++ b/crates/stairstalld/src/batch/orders.rs
@@ -26,6 +26,8 @@
             Some(()) = late.next() => continue,
         };
         let Some(order) = order else {
+            // What became of an order must be known also where its worker is now reached elsewhere.
+            while late.next().await.is_some() {}
             return;
         };
         let mut carried = Box::pin(carry_out(
--- a/crates/stairstalld/src/dispatch.rs
+++ b/crates/stairstalld/src/dispatch.rs
@@ -58,7 +58,7 @@
 
 impl Drop for Permit {
     fn drop(&mut self) {
-        self.dispatcher.release(&self.pick.minion, self.outcome);
+        self.dispatcher.release(&self.pick, self.outcome);
     }
 }
 
@@ -213,10 +213,10 @@
         }
     }
 
-    fn release(self: &Arc<Self>, minion: &MinionId, outcome: Outcome) {
+    fn release(self: &Arc<Self>, pick: &Pick, outcome: Outcome) {
         lock(&self.state)
             .table
-            .release(minion, outcome, self.clock.now());
+            .release(pick, outcome, self.clock.now());
         self.pump();
     }
 
--- a/crates/stairstalld/src/follow.rs
+++ b/crates/stairstalld/src/follow.rs
@@ -141,6 +141,7 @@
             address: vm.address,
             service: service.clone(),
             state: vm.state,
+            born_unix_ms: vm.born_unix_ms,
         })
     });
     daemon.dispatcher.set_minions(minions.collect());
