test(batch): a change made during a cut is in force soon after it, failing

Cause: the watch of the configuration from before a cut hangs on its silent connection for up to 4.8 s, also when the store answers all else again; callers are refused with 404 meanwhile. Ruled out: the store itself (other calls are answered).

--- /dev/null
+++ b/crates/stairstalld/tests/batch/catalog.rs
@@ -0,0 +1,61 @@
+//! What a daemon knows of the configuration after it was cut off from the store.
+
+use std::time::{Duration, Instant};
+
+use hyper::StatusCode;
+use serde_json::json;
+use stairstall_standin::LinkMode;
+
+use crate::cluster::{Cluster, PATIENCE, configuration, job};
+
+/// How long a change may take to be in force after a cut: half of what the users allow.
+const SOON: Duration = Duration::from_secs(1);
+/// How long the cut is.
+const CUT: Duration = Duration::from_millis(1_200);
+
+/// The newest configuration, with one queue more.
+fn with_another_queue(version: u64) -> serde_json::Value {
+    let mut newest = configuration(version);
+    let mut route = newest["routes"][2].clone();
+    route["name"] = json!("q9");
+    route["pathPrefix"] = json!("/q9/");
+    newest["routes"].as_array_mut().expect("routes").push(route);
+    newest
+}
+
+async fn wait_for_version(cluster: &Cluster, version: u64) {
+    let until = Instant::now() + PATIENCE;
+    let in_force = format!("version={version} ");
+    while cluster.daemons[0].log_lines(&in_force).is_empty() {
+        assert!(Instant::now() < until, "version {version} is not in force");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// The watch from before the cut hangs on its connection, as does what would bring it up to date.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_made_during_a_cut_is_in_force_soon_after_it() {
+    let mut cluster = Cluster::start(1, 1).await;
+    // A change makes the daemon watch anew just before the cut.
+    cluster.store.put("op/config", &configuration(2));
+    wait_for_version(&cluster, 2).await;
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    cluster.daemons[0].store.set(LinkMode::Silent);
+    cluster.store.put("op/config", &with_another_queue(3));
+    tokio::time::sleep(CUT).await;
+    let path = format!("/q9/{}", cluster.new_id());
+    let status = cluster.submit(0, &path, &job(1, "ms=10")).await;
+    assert_eq!(
+        status,
+        Some(StatusCode::SERVICE_UNAVAILABLE),
+        "it can't know that there is no such queue"
+    );
+    cluster.daemons[0].store.set(LinkMode::Pass);
+    let healed = Instant::now();
+    wait_for_version(&cluster, 3).await;
+    let took = healed.elapsed();
+    assert!(took < SOON, "it was in force after {took:?}");
+    let unknown = format!("/q8/{}", cluster.new_id());
+    let status = cluster.submit(0, &unknown, &job(1, "ms=10")).await;
+    assert_eq!(status, Some(StatusCode::NOT_FOUND));
+}
