fix(batch): read the configuration anew once the store serves again, refuse by what is confirmed only

Change: when calls were held back and the store answers again, what follows the configuration is dropped and asked anew. Until the store has confirmed it, an unknown queue or key is answered 503 with a time to come back, not 404 or 401: a newer configuration may allow it.

--- a/crates/stairstalld/src/batch/callers.rs
+++ b/crates/stairstalld/src/batch/callers.rs
@@ -95,17 +95,15 @@
     let host = host_of(&request);
     let route = catalog
         .route(&host, path)
-        .ok_or_else(|| Failure::missing("there is no such queue"))?;
+        .ok_or_else(|| refused(node, Failure::missing("there is no such queue")))?;
     let key = bearer(&request, node.dialect.key_scheme());
     let customer = match catalog.access(route, key.as_deref()) {
         Access::Customer(customer) => Some(customer),
         Access::Anonymous => None,
         Access::Unknown => {
-            return Err(Failure::new(
-                StatusCode::UNAUTHORIZED,
-                Verdict::NotRun,
-                "there is no such key",
-            ));
+            let why = "there is no such key";
+            let failure = Failure::new(StatusCode::UNAUTHORIZED, Verdict::NotRun, why);
+            return Err(refused(node, failure));
         }
     };
     let rest = path[route.path_prefix.len()..].to_owned();
@@ -127,6 +125,15 @@
     })
 }
 
+/// Returns what a caller is told whom the configuration does not allow; where a newer one may, that it
+/// should come back.
+fn refused(node: &Node, failure: Failure) -> Failure {
+    if node.knows_newest_catalog() {
+        return failure;
+    }
+    Failure::unavailable("a newer configuration may be in force", STORE_RETRY)
+}
+
 fn answer_limit(call: &Call<'_>, request: &Request) -> Duration {
     let asked = request
         .headers()
--- a/crates/stairstalld/src/batch/catalog.rs
+++ b/crates/stairstalld/src/batch/catalog.rs
@@ -1,6 +1,7 @@
 //! Keeps the operators' configuration up to date; never back to an older one.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use stairstall_core::batch::Catalog;
@@ -17,12 +18,20 @@
 ///
 /// A read that took too long is given twice the time at the next try: a configuration of half a
 /// megabyte takes a weak VM longer than other calls may, and no number of tries would bring it.
-/// The first try stays short, since connections may be silent.
+/// The first try stays short, since connections may be silent. Once the store serves again after a
+/// cut, it reads anew: a watch from before hung for up to 4.8 s, and callers were refused by what was
+/// in force before the cut.
 pub(crate) async fn follow(node: Arc<Node>) {
     let shortest = node.settings.store_timeout;
     let mut patience = shortest;
     loop {
-        match follow_store(&node, patience).await {
+        let followed = tokio::select! {
+            biased;
+            followed = follow_store(&node, patience) => followed,
+            () = node.store_health.recovers() => Ok(()),
+        };
+        node.catalog_confirmed.store(false, Ordering::Release);
+        match followed {
             Ok(()) => patience = shortest,
             Err(fault) => {
                 log::debug!(target: "config", why:% = fault; "following the configuration again");
@@ -50,6 +59,7 @@
     if let Some(item) = item {
         take(node, &item, "read");
     }
+    node.catalog_confirmed.store(true, Ordering::Release);
     loop {
         let watched = node.store.watch(key, at, WATCH_WAIT);
         let watched = match node.stored("watch config", watched).await {
--- a/crates/stairstalld/src/batch/node.rs
+++ b/crates/stairstalld/src/batch/node.rs
@@ -1,7 +1,7 @@
 //! What the parts of one daemon share.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 
@@ -57,6 +57,8 @@
     pub(crate) clock: Clock,
     pub(crate) store: Arc<dyn SharedStore>,
     pub(crate) store_health: StoreHealth,
+    /// Whether the store has shown since the last failure that the configuration is the newest.
+    pub(crate) catalog_confirmed: AtomicBool,
     pub(crate) workers: Arc<dyn WorkerCalls>,
     pub(crate) dialect: Arc<dyn Dialect>,
     pub(crate) adviser: Option<Arc<dyn Adviser>>,
@@ -88,6 +90,7 @@
         Self {
             clock: Clock::new(),
             store,
+            catalog_confirmed: AtomicBool::new(false),
             store_health: StoreHealth::new(
                 settings.policy.acceptance.silent_after,
                 settings.policy.reach.silent_after,
@@ -177,6 +180,12 @@
         self.catalog.borrow().clone()
     }
 
+    /// Tells whether the configuration is known to be the newest, so that callers may be refused by it.
+    pub(crate) fn knows_newest_catalog(&self) -> bool {
+        let is_confirmed = self.catalog_confirmed.load(Ordering::Acquire);
+        is_confirmed && !self.store_health.holds_back(self.clock.now())
+    }
+
     pub(crate) fn is_leaving(&self) -> bool {
         *self.leaving.borrow()
     }
--- a/crates/stairstalld/src/batch/store_health.rs
+++ b/crates/stairstalld/src/batch/store_health.rs
@@ -5,6 +5,7 @@
 
 use stairstall_core::Timestamp;
 use stairstall_ports::StoreFault;
+use tokio::sync::Notify;
 
 use crate::daemon::lock;
 
@@ -25,6 +26,7 @@
     /// How long a question may be without an answer.
     silent_after: Duration,
     state: Mutex<State>,
+    recovered: Notify,
 }
 
 impl StoreHealth {
@@ -33,9 +35,18 @@
             failing_for,
             silent_after,
             state: Mutex::default(),
+            recovered: Notify::new(),
         }
     }
 
+    /// Waits until the store serves again after calls were held back.
+    ///
+    /// What was asked before may hang on a connection that went silent, for as long as its own
+    /// time-out, while new calls are answered.
+    pub(crate) async fn recovers(&self) {
+        self.recovered.notified().await;
+    }
+
     /// Notes what became of a call.
     pub(crate) fn note<T>(&self, result: &Result<T, StoreFault>, now: Timestamp) {
         let outage = result.as_ref().err().is_some_and(StoreFault::is_outage);
@@ -44,6 +55,9 @@
         if !outage {
             state.asked_at = None;
             if let Some(since) = state.failing_since.take() {
+                if now - since >= self.failing_for {
+                    self.recovered.notify_waiters();
+                }
                 let ms = crate::clock::millis(now - since);
                 log::info!(target: "dependency", on = "store", failed_ms = ms; "it serves again");
             }
