feat(batch): say when a stopped run has not ended

Cause: in the incident the one sign of runs that took room and never ended was a gang that was placed again and again; no line named them. Ruled out: more lines at each report (they would be most of the log).

--- a/crates/stairstall-core/src/batch/planner/crashes.rs
+++ b/crates/stairstall-core/src/batch/planner/crashes.rs
@@ -76,7 +76,7 @@
     /// Settles what was counted because of a worker's silence, now that a life of it is heard: that
     /// life did not crash, one before it did.
     pub(super) fn settle_silence(&mut self, id: &WorkerId, tasks: &[TaskKey], now: Now) {
-        let Some(worker) = self.workers.get(id) else {
+        let Some(worker) = self.workers.get(id).filter(|_| !tasks.is_empty()) else {
             return;
         };
         let life = worker.life.clone();
@@ -89,7 +89,7 @@
                 crashed.for_each(|silent| losses.note_crash(silent.answered));
             });
         }
-        self.replan |= !tasks.is_empty();
+        self.replan = true;
         self.give_up_crashing(tasks, now);
     }
 
--- a/crates/stairstall-core/src/batch/planner/resend.rs
+++ b/crates/stairstall-core/src/batch/planner/resend.rs
@@ -3,7 +3,8 @@
 use super::pool::{Run, RunState, Worker};
 use super::{Now, Planner};
 use crate::WorkerId;
-use crate::batch::{Setback, TaskKey};
+use crate::batch::{Decision, DecisionKind, Setback, TaskKey};
+use crate::time::millis;
 
 impl Planner {
     /// Sends stops again that should have ended, and gives up places whose room stays taken.
@@ -35,6 +36,7 @@
             }
         }
         for (id, task, run) in again {
+            self.tell_overdue_stop(&id, &task, now);
             self.send_stop(&id, &task, run, now);
         }
         for (id, task) in unwanted {
@@ -45,6 +47,17 @@
         }
     }
 
+    /// Says that a stopped run has not ended: its room is counted on, and nothing else shows that it
+    /// does not become free.
+    fn tell_overdue_stop(&mut self, id: &WorkerId, task: &TaskKey, now: Now) {
+        let Some(run) = self.run_at(id, task) else {
+            return;
+        };
+        let why = format!("no end {} ms after its stop", millis(now.at - run.since));
+        let overdue = Decision::of_run(DecisionKind::Stop, task, run.number, id, why);
+        self.decisions.push(overdue);
+    }
+
     /// Returns why a planned run should look for another place, if it should.
     fn waits_in_vain(
         &self,
--- a/crates/stairstall-core/tests/batch/silence.rs
+++ b/crates/stairstall-core/tests/batch/silence.rs
@@ -159,3 +159,21 @@
     let now = fleet.now();
     assert_eq!(fleet.planner.contact_lag(now).silent, 0);
 }
+
+/// A worker that takes a stop and never lists the end: nothing else in the log tells why its room,
+/// which waiting work counts on, does not become free.
+#[test]
+fn a_stop_without_an_end_is_told_each_time_it_is_sent_again() {
+    let mut fleet = Fleet::new(&[("w1", "r1")]);
+    fleet.hold_all();
+    fleet.submit(job("j", 2, vec![step(1, 8)]));
+    fleet.pass(300);
+    let now = fleet.now();
+    fleet.planner.cancel(&id("j"), now);
+    fleet.planner.tick(now);
+    fleet.planner.take_decisions();
+    fleet.pass(700);
+    let decisions = fleet.planner.take_decisions();
+    let told = decisions.iter().find(|d| d.why.starts_with("no end "));
+    assert!(told.is_some(), "{decisions:?}");
+}
