fix(batch): an old entry or report ends no life that began with its time of day set back; a life that left did not crash

Cause: found by reading. The number of the life before may be higher than the present one's where the time of day was set back between them: an entry or a late report of it would have passed for a new life and started what runs a second time. A worker that left by plan and started again under its id counted as crashed. Change: the life before is known by name; it never counts as later, and whether it left is kept. Two tests, each seen to fail with its line taken out.

--- a/crates/stairstall-core/src/batch/planner/pool/life.rs
+++ b/crates/stairstall-core/src/batch/planner/pool/life.rs
@@ -27,8 +27,8 @@
     pub(in crate::batch::planner) incarnation: Option<Incarnation>,
     /// When it first answered a request for a report.
     first_report_at: Option<Timestamp>,
-    /// When the life before was last heard.
-    pub(in crate::batch::planner) earlier_heard_at: Option<Timestamp>,
+    /// The life before it, as far as it was known.
+    pub(in crate::batch::planner) earlier: Earlier,
     /// Whether it has answered the present token.
     pub(in crate::batch::planner) fenced: bool,
     /// When it last answered anything.
@@ -50,6 +50,16 @@
     pub(in crate::batch::planner) left_quietly: bool,
 }
 
+/// What is kept of the life before a life.
+#[derive(Debug, Clone, Copy, Default)]
+pub(in crate::batch::planner) struct Earlier {
+    incarnation: Option<Incarnation>,
+    /// When it was last heard.
+    pub(in crate::batch::planner) heard_at: Option<Timestamp>,
+    /// Whether it went by plan: its end was no crash.
+    pub(in crate::batch::planner) has_left: bool,
+}
+
 /// Which life an answer came from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(in crate::batch::planner) enum Answerer {
@@ -70,6 +80,23 @@
         }
     }
 
+    /// The life that follows this one, which went by plan or not.
+    pub(in crate::batch::planner) fn next(
+        &self,
+        incarnation: Option<Incarnation>,
+        has_left: bool,
+    ) -> Self {
+        let earlier = Earlier {
+            incarnation: self.incarnation,
+            heard_at: self.heard_at.or(self.earlier.heard_at),
+            has_left,
+        };
+        Self {
+            earlier,
+            ..Self::begun(incarnation)
+        }
+    }
+
     /// Tells whether another life is named; what is not told is no other.
     pub(in crate::batch::planner) fn differs(&self, other: Option<Incarnation>) -> bool {
         self.incarnation
@@ -79,7 +106,13 @@
 
     /// Tells whether an entry was written by a life that began before this one.
     pub(in crate::batch::planner) fn is_after(&self, written_by: Option<Incarnation>) -> bool {
-        self.differs(written_by) && self.incarnation > written_by
+        let is_lower = self.incarnation > written_by;
+        self.differs(written_by) && (is_lower || self.follows(written_by))
+    }
+
+    /// Tells whether the life before is named, whatever the time of day was when it began.
+    fn follows(&self, named: Option<Incarnation>) -> bool {
+        named.is_some() && named == self.earlier.incarnation
     }
 
     /// Tells which life answered a request that left at `sent_at`.
@@ -95,7 +128,8 @@
             return Answerer::Known;
         }
         let asked_after = self.first_report_at.is_some_and(|at| at <= sent_at);
-        if asked_after || named > self.incarnation {
+        let seems_later = named > self.incarnation && !self.follows(named);
+        if asked_after || seems_later {
             Answerer::Later
         } else {
             Answerer::Earlier
--- a/crates/stairstall-core/src/batch/planner/restarts.rs
+++ b/crates/stairstall-core/src/batch/planner/restarts.rs
@@ -4,7 +4,7 @@
 //! before may be carried out by the new one, so only what the life before had listed, or a report of
 //! the new one does not name, is known to be lost.
 
-use super::pool::{Life, Run, RunState};
+use super::pool::{Run, RunState};
 use super::{Now, Planner};
 use crate::WorkerId;
 use crate::batch::{Decision, EndKind, Incarnation, Order, TaskKey};
@@ -20,8 +20,7 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        let before = std::mem::replace(&mut worker.life, Life::begun(incarnation));
-        worker.life.earlier_heard_at = before.heard_at;
+        worker.life = worker.life.next(incarnation, worker.leaves());
         worker.set_contact(false);
         let silent_under = std::mem::take(&mut worker.lost);
         if worker.is_busy() {
@@ -49,13 +48,17 @@
         let Some(worker) = self.workers.get(id).filter(|_| !tasks.is_empty()) else {
             return;
         };
-        let heard_at = worker.life.earlier_heard_at;
+        let earlier = worker.life.earlier;
         let runs = tasks.into_iter().filter_map(|task| {
             let run = worker.runs.get(&task)?.clone();
             Some((task, run))
         });
         let runs: Vec<(TaskKey, Run)> = runs.collect();
-        let suspects = self.count_crash(id, heard_at, &runs);
+        let suspects = if earlier.has_left {
+            Vec::new()
+        } else {
+            self.count_crash(id, earlier.heard_at, &runs)
+        };
         let (late, gone): (Vec<_>, Vec<_>) = runs.into_iter().partition(|(_, r)| r.may_come_late());
         for (task, _) in &gone {
             self.drop_run(id, task);
--- a/crates/stairstall-core/tests/batch/harness.rs
+++ b/crates/stairstall-core/tests/batch/harness.rs
@@ -38,6 +38,8 @@
     next_end: u64,
     /// When this life began; its clock counts from there.
     pub born_ms: u64,
+    /// By how much its time of day was set back when it began.
+    set_back_ms: u64,
 }
 
 impl Default for FakeWorker {
@@ -50,6 +52,7 @@
             span_ms: Some(SPAN_MS),
             next_end: 0,
             born_ms: 0,
+            set_back_ms: 0,
         }
     }
 }
@@ -64,7 +67,7 @@
     }
 
     pub fn incarnation(&self) -> Incarnation {
-        Incarnation::from_unix_ms(START_UNIX_MS + self.born_ms)
+        Incarnation::from_unix_ms(START_UNIX_MS + self.born_ms - self.set_back_ms)
     }
 
     /// Forgets ends that were taken note of; returns the tasks among them that are done.
@@ -384,6 +387,37 @@
         self.workers.insert(id.clone(), worker);
     }
 
+    /// Starts an idle worker again under its id, with its time of day set back.
+    pub fn restart_set_back(&mut self, id: &WorkerId, set_back_ms: u64) {
+        let now = self.now();
+        let mut life = FakeWorker::born(self.at_ms);
+        life.set_back_ms = set_back_ms;
+        let incarnation = life.incarnation();
+        self.workers.insert(id.clone(), life);
+        let request = HoldRequest {
+            token: self.planner.token(),
+            deadline_ms: None,
+            last_seen: 0,
+            wait: Duration::ZERO,
+        };
+        let report = HoldReport {
+            incarnation: Some(incarnation),
+            clock_ms: 0,
+            running: Vec::new(),
+            ended: Vec::new(),
+            more: false,
+            bytes: 0,
+        };
+        self.at_ms += 1;
+        let answered = self.now();
+        self.planner
+            .take_hold(id, &request, now.at, report, answered);
+        let mut listed = self.listed[id].clone();
+        listed.incarnation = Some(incarnation);
+        self.listed.insert(id.clone(), listed.clone());
+        self.planner.list_worker(listed, answered);
+    }
+
     /// Ends a cut behind which the worker has started again under its id.
     pub fn restart_cut_off(&mut self, id: &WorkerId) {
         let now = self.now();
--- a/crates/stairstall-core/tests/batch/restarts.rs
+++ b/crates/stairstall-core/tests/batch/restarts.rs
@@ -320,6 +320,40 @@
     assert!(losses(&mut fleet)[0].contains("1 of 3 crashes"));
 }
 
+#[test]
+fn an_old_entry_ends_no_life_that_began_while_the_time_of_day_was_set_back() {
+    let mut fleet = fleet(&[("w1", "r1"), ("w2", "r1")]);
+    let place: WorkerId = "w1".parse().expect("an id");
+    let old = fleet.listed[&place].clone();
+    fleet.restart_set_back(&place, 2_000);
+    fleet.pass(300);
+    fleet.submit(job("j", 2, vec![step(1, 8)]));
+    fleet.submit(job("k", 2, vec![step(1, 8)]));
+    fleet.pass(500);
+    let now = fleet.now();
+    fleet.planner.list_worker(old, now);
+    fleet.pass(500);
+    assert!(losses(&mut fleet).is_empty());
+    let starts = fleet.starts_of(&task("j", 0, 0)) + fleet.starts_of(&task("k", 0, 0));
+    assert_eq!(starts, 2, "{:?}", fleet.given);
+}
+
+#[test]
+fn a_life_that_left_by_plan_before_another_began_has_not_crashed() {
+    let mut fleet = fleet(&[("w1", "r1"), ("w2", "r1")]);
+    let place = run_one(&mut fleet);
+    fleet.cut_off(&place);
+    fleet.announce_leaving(&place, 60_000);
+    fleet.restart_cut_off(&place);
+    fleet.pass(500);
+    let kept = &fleet.kept[&id("j")].occurrences[0][0].losses;
+    assert!(kept.is_empty(), "{kept:?}");
+    assert!(
+        fleet.place_of(&task("j", 0, 0)).is_some(),
+        "it starts again"
+    );
+}
+
 #[test]
 fn an_entry_of_a_life_that_is_over_describes_nothing() {
     let mut fleet = fleet(&[("w1", "r1")]);
