--- a/crates/stairstall-core/tests/batch/harness.rs
+++ b/crates/stairstall-core/tests/batch/harness.rs
@@ -22,6 +22,8 @@
 pub const SPAN_MS: u64 = 20_000;
 /// How long a worker that has crashed is away.
 pub const CRASH_MS: u64 = 3_200;
+/// How long the directory keeps the entry of a worker that says nothing.
+const ENTRY_MS: u64 = 4_500;
 /// Time of day at the start, in milliseconds since the Unix epoch.
 pub const START_UNIX_MS: u64 = 1_800_000_000_000;
 
@@ -117,6 +119,8 @@
     worker: WorkerId,
     /// When another life of it listens; none where it never comes back.
     back_at_ms: Option<u64>,
+    /// When the directory drops its entry, where it is away for so long and will have the same id.
+    lapses_at_ms: Option<u64>,
 }
 
 /// The planner and its workers.
@@ -315,9 +319,11 @@
     pub fn crash_for(&mut self, id: &WorkerId, away_ms: u64) {
         let lost = self.workers.remove(id).expect("a worker").running;
         self.broken.extend(lost.into_keys().map(|task| task.group));
+        let lapses_at_ms = self.at_ms + ENTRY_MS;
         self.crashed.push(Crashed {
             worker: id.clone(),
             back_at_ms: Some(self.at_ms + away_ms),
+            lapses_at_ms: self.keeps_ids.then_some(lapses_at_ms),
         });
     }
 
@@ -373,6 +379,7 @@
         self.crashed.push(Crashed {
             worker: id.clone(),
             back_at_ms: None,
+            lapses_at_ms: None,
         });
         worker
     }
@@ -440,6 +447,12 @@
     /// the one before.
     fn bring_back(&mut self) {
         let at_ms = self.at_ms;
+        let now = self.now();
+        for crashed in &mut self.crashed {
+            if crashed.lapses_at_ms.take_if(|at| *at <= at_ms).is_some() {
+                self.planner.unlist_worker(&crashed.worker, now);
+            }
+        }
         let (back, away) = std::mem::take(&mut self.crashed)
             .into_iter()
             .partition(|crashed: &Crashed| crashed.back_at_ms.is_some_and(|back| back <= at_ms));
--- a/crates/stairstall-core/tests/batch/restarts.rs
+++ b/crates/stairstall-core/tests/batch/restarts.rs
@@ -124,7 +124,7 @@
         let up: Vec<WorkerId> = self.fleet.workers.keys().cloned().collect();
         for id in up {
             if self.happens(3) {
-                let away_ms = self.random.random_range(300..5_000);
+                let away_ms = self.random.random_range(300..9_000);
                 self.fleet.crash_for(&id, away_ms);
             }
         }
