--- a/crates/stairstall-core/tests/batch/restarts.rs
+++ b/crates/stairstall-core/tests/batch/restarts.rs
@@ -415,6 +415,24 @@
     assert!(losses(&mut fleet)[0].contains("1 of 3 crashes"));
 }
 
+/// A planner wrote places down and died before it sent the starts; the worker started again meanwhile.
+/// "3 of 3 crashes so far" failed such a job that had run under two crashes only.
+#[test]
+fn a_place_that_was_kept_is_no_proof_that_its_run_began() {
+    let mut fleet = fleet(&[("w1", "r1")]);
+    let accepted = job("j", 2, vec![step(1, 8)]);
+    let now = fleet.now();
+    fleet.planner.submit(accepted.clone(), now);
+    fleet.planner.tick(now);
+    fleet.write_all();
+    fleet.crash_for(&"w1".parse().expect("an id"), 300);
+    fleet.at_ms += 400;
+    fleet.succeed(&[accepted]);
+    fleet.pass(500);
+    let kept = &fleet.kept[&id("j")].occurrences[0][0].losses[&0];
+    assert_eq!((kept.crashes, kept.unanswered), (0, 1));
+}
+
 #[test]
 fn a_clock_that_has_gone_back_makes_the_lease_the_longest() {
     let mut fleet = fleet(&[("w1", "r1"), ("w2", "r1")]);
