fix(batch): a place that was kept is no proof that its run began

Change: a place says whether its worker is known to have taken the run. It is written again at the start's answer only where workers were lost under the task before, so that work that crashes its workers is still given up at the third under a new planner each time; else such a loss counts as one without an answer.

--- a/crates/stairstall-core/src/batch/planner/adopt.rs
+++ b/crates/stairstall-core/src/batch/planner/adopt.rs
@@ -48,6 +48,7 @@
                 task.place = Some(id.clone());
                 task.run = running.run;
                 task.incarnation = incarnation;
+                task.taken = true;
             }
         }
         self.note_progress(running);
@@ -89,6 +90,7 @@
         run.restored = true;
         run.resumes = true;
         run.incarnation = place.incarnation;
+        run.taken = place.taken;
         run.is_listed = false;
         let lease_until = now.at + Self::lease_span(self.bounds.hold_max);
         self.recorded_worker(id, now).extend_lease(lease_until);
@@ -142,6 +144,7 @@
             unwanted_since: None,
             began: Some((now.at, running.percent)),
             resumes: false,
+            taken: true,
             incarnation: None,
             is_listed: false,
             recorded_by: 0,
--- a/crates/stairstall-core/src/batch/planner/contact.rs
+++ b/crates/stairstall-core/src/batch/planner/contact.rs
@@ -220,6 +220,7 @@
                 self.note_progress(running);
                 if has_begun {
                     self.touch(&running.task.group.job);
+                    self.note_taken(&running.task, running.run);
                 }
                 if lasts {
                     self.note_at_work(id, &running.task, now);
@@ -272,6 +273,7 @@
         at: Timestamp,
     ) {
         self.incarnation = by;
+        self.taken = true;
         self.is_listed = true;
         if matches!(self.state, RunState::Starting | RunState::Planned) {
             self.enter(RunState::Running, at);
--- a/crates/stairstall-core/src/batch/planner/crashes/blame.rs
+++ b/crates/stairstall-core/src/batch/planner/crashes/blame.rs
@@ -34,9 +34,8 @@
 }
 
 impl Run {
-    /// Tells whether its worker has said that it took it, as is assumed of what an earlier planner
-    /// wrote down.
+    /// Tells whether its worker has said that it took it.
     const fn has_answered(&self) -> bool {
-        self.began.is_some()
+        self.taken
     }
 }
--- a/crates/stairstall-core/src/batch/planner/fit.rs
+++ b/crates/stairstall-core/src/batch/planner/fit.rs
@@ -264,6 +264,7 @@
                 task.place = Some(id.clone());
                 task.run = number;
                 task.incarnation = run.incarnation;
+                task.taken = false;
             }
             self.keep_run(id, &task, run);
             let why = format!(
@@ -310,6 +311,7 @@
             unwanted_since: None,
             began: None,
             resumes: false,
+            taken: false,
             incarnation: self.incarnation_of(id),
             is_listed: false,
             recorded_by: 0,
--- a/crates/stairstall-core/src/batch/planner/job.rs
+++ b/crates/stairstall-core/src/batch/planner/job.rs
@@ -21,6 +21,8 @@
     pub(super) run: u32,
     /// Which life of that worker its place was kept at.
     pub(super) incarnation: Option<Incarnation>,
+    /// Whether that worker is known to have taken it.
+    pub(super) taken: bool,
     /// Runs that failed.
     pub(super) failures: u32,
     /// Its last checkpoint.
@@ -44,6 +46,7 @@
             worker: self.place.clone()?,
             run: self.run,
             incarnation: self.incarnation,
+            taken: self.taken,
         })
     }
 
--- a/crates/stairstall-core/src/batch/planner/progress.rs
+++ b/crates/stairstall-core/src/batch/planner/progress.rs
@@ -203,6 +203,7 @@
                 task.place = Some(place.worker.clone());
                 task.run = place.run;
                 task.incarnation = place.incarnation;
+                task.taken = place.taken;
             }
         }
         for (index, run) in &kept.counted_runs {
--- a/crates/stairstall-core/src/batch/planner/starts.rs
+++ b/crates/stairstall-core/src/batch/planner/starts.rs
@@ -255,12 +255,14 @@
         }
         if let StartOutcome::Started { .. } = outcome {
             run.answered_at = run.answered_at.or(Some(now.at));
+            run.taken = true;
             if run.state == RunState::Starting {
                 run.enter(RunState::Running, now.at);
                 run.began = Some((now.at, 0));
                 run.progressed_at = now.at;
             }
             self.touch(&task.group.job);
+            self.note_taken(task, order.run);
             self.note_begun(&task.group.job, now);
             self.update_stories(now);
             return;
@@ -271,6 +273,24 @@
         }
     }
 
+    /// Notes that a task's run was taken; where workers were lost under it before, that is written down.
+    ///
+    /// A later planner that finds the worker crashed would not know else whether it crashed under the
+    /// task, which would go on to take two more workers down.
+    pub(super) fn note_taken(&mut self, task: &TaskKey, number: u32) {
+        let Some(job) = self.jobs.get_mut(&task.group.job) else {
+            return;
+        };
+        let Some(entry) = job.task_mut(task).filter(|entry| entry.run == number) else {
+            return;
+        };
+        let is_news = !std::mem::replace(&mut entry.taken, true);
+        if is_news && !entry.losses.is_empty() {
+            job.change();
+            self.changed.insert(task.group.job.clone());
+        }
+    }
+
     fn note_begun(&mut self, id: &JobId, now: Now) {
         let Some(job) = self.jobs.get_mut(id).filter(|job| !job.begun) else {
             return;
--- a/crates/stairstall-core/src/batch/record.rs
+++ b/crates/stairstall-core/src/batch/record.rs
@@ -103,7 +103,7 @@
 
 /// Where a run was put; kept as a list of its fields, of which older records have two.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(into = "(WorkerId, u32, Option<Incarnation>)")]
+#[serde(into = "(WorkerId, u32, Option<Incarnation>, bool)")]
 pub struct Place {
     /// The worker.
     pub worker: WorkerId,
@@ -112,11 +112,14 @@
     /// Which life of the worker, where that was known.
     #[serde(default)]
     pub incarnation: Option<Incarnation>,
+    /// Whether the worker was known to have taken it when this was written.
+    #[serde(default)]
+    pub taken: bool,
 }
 
-impl From<Place> for (WorkerId, u32, Option<Incarnation>) {
+impl From<Place> for (WorkerId, u32, Option<Incarnation>, bool) {
     fn from(place: Place) -> Self {
-        (place.worker, place.run, place.incarnation)
+        (place.worker, place.run, place.incarnation, place.taken)
     }
 }
 
--- a/crates/stairstalld/src/batch/kept/tests.rs
+++ b/crates/stairstalld/src/batch/kept/tests.rs
@@ -10,6 +10,7 @@
             worker: worker.parse().expect("an id"),
             run: index + 1,
             incarnation: Some(Incarnation::from_unix_ms(1_800_000_000_000)),
+            taken: true,
         };
         (index, place)
     };
