fix(batch): a run whose stop was taken is no proof that its worker crashed under it

Change: such a run counts as a loss without an answer, five of which end a job, not as one of three. Ruled out: the same for stops without an answer; work that crashes its workers in a gang would start five times then (tried: 5 starts instead of 3 in an older test, which stays as it is).

--- a/crates/stairstall-core/src/batch/planner/crashes/blame.rs
+++ b/crates/stairstall-core/src/batch/planner/crashes/blame.rs
@@ -1,14 +1,14 @@
 //! What a worker may have crashed under.
 
 use super::super::Planner;
-use super::super::pool::Run;
+use super::super::pool::{Run, RunState};
 use crate::Timestamp;
 use crate::batch::TaskKey;
 
 impl Planner {
-    /// Returns the tasks that a worker, heard last at `heard_at`, may have crashed under, and whether it had taken their runs:
-    /// what had just begun there, and what it was told to start and did not answer, or else all
-    /// that ran.
+    /// Returns the tasks that a worker, heard last at `heard_at`, may have crashed under, and whether
+    /// their runs surely were at work: what had just begun there, and what it was told to start and did
+    /// not answer, or else all that ran.
     ///
     /// Put down to all that ran, eight jobs that crash their workers, one after the other, also
     /// fail a job of 36 tasks beside them.
@@ -28,12 +28,18 @@
         let is_blamed = |run: &Run| !any_fresh || !run.has_answered() || had_just_begun(run);
         let blamed = started.filter(|(_, run)| is_blamed(run));
         blamed
-            .map(|(task, run)| (task.clone(), run.has_answered()))
+            .map(|(task, run)| (task.clone(), run.was_at_work()))
             .collect()
     }
 }
 
 impl Run {
+    /// Tells whether it surely was at work: one whose stop was taken may have ended unheard before.
+    fn was_at_work(&self) -> bool {
+        let may_have_ended = self.state == RunState::Stopping && self.answered_at.is_some();
+        self.has_answered() && !may_have_ended
+    }
+
     /// Tells whether its worker has said that it took it.
     const fn has_answered(&self) -> bool {
         self.taken
