test(batch): a start without an answer whose worker has started again, failing; a seed of the soak is kept

Its log ends with "try 3" and "not started: unknown" 0.25 s after its worker had started again: the next try needs the worker's clock, which the new life has not told yet, and was silently left out.

--- a/crates/stairstall-core/tests/batch/restarts.rs
+++ b/crates/stairstall-core/tests/batch/restarts.rs
@@ -416,6 +416,28 @@
     assert!(losses(&mut fleet)[0].contains("1 without an answer"));
 }
 
+/// "not started: unknown" was the last line of such a task: nothing was sent again, since the clock of the
+/// new life was not known yet, and its run counted as starting for good.
+#[test]
+fn a_start_without_an_answer_is_not_left_alone_where_its_worker_has_started_again_meanwhile() {
+    let mut fleet = fleet(&[("w1", "r1")]);
+    let now = fleet.now();
+    fleet.planner.submit(job("j", 2, vec![step(1, 8)]), now);
+    fleet.planner.tick(now);
+    fleet.write_all();
+    let start = fleet.planner.tick(now).remove(0);
+    fleet.cut_off(&start.worker);
+    let mut listed = fleet.listed[&start.worker].clone();
+    listed.incarnation = Some(Incarnation::from_unix_ms(START_UNIX_MS + 50));
+    fleet.planner.list_worker(listed, now);
+    fleet.planner.take_start(&start, StartOutcome::Unknown, now);
+    fleet.settle();
+    fleet.at_ms = 50;
+    fleet.restart_cut_off(&start.worker);
+    fleet.pass(1_500);
+    assert_eq!(fleet.place_of(&task("j", 0, 0)), Some(start.worker));
+}
+
 /// A planner wrote places down and died before it sent the starts; the worker started again meanwhile.
 /// "3 of 3 crashes so far" failed such a job that had run under two crashes only.
 #[test]
--- a/crates/stairstalld/tests/batch/soak.rs
+++ b/crates/stairstalld/tests/batch/soak.rs
@@ -19,8 +19,9 @@
 /// Seeds that failed once: 704, innocent work failed beside work that crashes its workers; 707, a
 /// start was sent again after its task was done; 838, a worker that a new planner knew from a
 /// record alone was still in doubt when patience ended; 9110 and 9209, a job failed under two crashes and
-/// a place whose start was never sent; 9316, the same with a run that had given way.
-const KEPT_SEEDS: [u64; 6] = [704, 707, 838, 9110, 9209, 9316];
+/// a place whose start was never sent; 9316, the same with a run that had given way;
+/// 9811, a start without an answer was left alone after its worker had started again.
+const KEPT_SEEDS: [u64; 7] = [704, 707, 838, 9110, 9209, 9316, 9811];
 /// How long jobs may take to end once the faults are over: a takeover, a lease of 3 s and its
 /// margin, and 10 s until a worker that nobody lists is taken for crashed, twice over.
 const SETTLE_PATIENCE: Duration = Duration::from_secs(40);
