fix(batch): bar a start whose worker has started again before it answered

Change: where the clock of the new life is not known, no further try is left out in silence: the run is stopped, which bars it at the new life, and its task starts again.

--- a/crates/stairstall-core/src/batch/planner/starts.rs
+++ b/crates/stairstall-core/src/batch/planner/starts.rs
@@ -351,6 +351,9 @@
             "no answer to its start, and its zone may be evacuated"
         } else if tries >= self.policy.orders.max_tries {
             "no answer to its starts"
+        } else if !self.knows_clock(id, now) {
+            // A deadline needs the clock of the new life: left out, its run would count as starting for good.
+            "no answer to its start, and its worker has started again"
         } else {
             self.emit_start(id, task, now);
             return;
@@ -359,6 +362,11 @@
         self.stop_gang(task, order.run, "a member of its gang did not start", now);
     }
 
+    fn knows_clock(&self, id: &WorkerId, now: Now) -> bool {
+        let worker = self.workers.get(id);
+        worker.is_some_and(|worker| worker.life.clock_at(now.at).is_some())
+    }
+
     /// Notes an answer about a run: a report that is asked for later must name the run, or it is
     /// over. A later answer doesn't put that off.
     fn note_answered(&mut self, id: &WorkerId, task: &TaskKey, at: Timestamp) {
