--- a/crates/stairstall-core/tests/batch/restarts.rs
+++ b/crates/stairstall-core/tests/batch/restarts.rs
@@ -389,6 +389,28 @@
     assert!(barred.is_some() && barred < elsewhere, "{:?}", fleet.given);
 }
 
+/// "1 without an answer", "2 …" to "5 …" of one run failed a job: it was counted at each further life of the
+/// worker until the bar was confirmed.
+#[test]
+fn a_run_that_waits_to_be_barred_counts_once_however_often_its_worker_starts_again() {
+    let mut fleet = fleet(&[("w1", "r1")]);
+    let now = fleet.now();
+    fleet.planner.submit(job("j", 2, vec![step(1, 8)]), now);
+    fleet.planner.tick(now);
+    fleet.write_all();
+    let first = fleet.planner.tick(now).remove(0);
+    fleet.planner.take_start(&first, StartOutcome::Unknown, now);
+    fleet.settle();
+    fleet.pass(300);
+    for _ in 0..4 {
+        // The bar is taken, and the next life begins before a report could show that it holds.
+        fleet.crash_for(&first.worker, 100);
+        fleet.pass(100);
+    }
+    let kept = &fleet.kept[&id("j")].occurrences[0][0].losses[&0];
+    assert_eq!((kept.crashes, kept.unanswered), (1, 0));
+}
+
 #[test]
 fn a_silence_counts_as_a_crash_once_another_life_answers() {
     let mut fleet = fleet(&[("w1", "r1"), ("w2", "r1")]);
--- a/crates/stairstalld/tests/batch/soak.rs
+++ b/crates/stairstalld/tests/batch/soak.rs
@@ -20,8 +20,9 @@
 /// start was sent again after its task was done; 838, a worker that a new planner knew from a
 /// record alone was still in doubt when patience ended; 9110 and 9209, a job failed under two crashes and
 /// a place whose start was never sent; 9316, the same with a run that had given way;
-/// 9811, a start without an answer was left alone after its worker had started again.
-const KEPT_SEEDS: [u64; 7] = [704, 707, 838, 9110, 9209, 9316, 9811];
+/// 9811, a start without an answer was left alone after its worker had started again;
+/// 10008, one run that waited to be barred counted as five losses.
+const KEPT_SEEDS: [u64; 8] = [704, 707, 838, 9110, 9209, 9316, 9811, 10008];
 /// How long jobs may take to end once the faults are over: a takeover, a lease of 3 s and its
 /// margin, and 10 s until a worker that nobody lists is taken for crashed, twice over.
 const SETTLE_PATIENCE: Duration = Duration::from_secs(40);
