--- a/crates/stairstall-core/src/batch/planner/adopt.rs
+++ b/crates/stairstall-core/src/batch/planner/adopt.rs
@@ -145,6 +145,7 @@
             began: Some((now.at, running.percent)),
             resumes: false,
             taken: true,
+            loss_counted: false,
             incarnation: None,
             is_listed: false,
             recorded_by: 0,
--- a/crates/stairstall-core/src/batch/planner/fit.rs
+++ b/crates/stairstall-core/src/batch/planner/fit.rs
@@ -312,6 +312,7 @@
             began: None,
             resumes: false,
             taken: false,
+            loss_counted: false,
             incarnation: self.incarnation_of(id),
             is_listed: false,
             recorded_by: 0,
--- a/crates/stairstall-core/src/batch/planner/pool/run.rs
+++ b/crates/stairstall-core/src/batch/planner/pool/run.rs
@@ -76,6 +76,8 @@
     pub(in crate::batch::planner) suspicion: Suspicion,
     /// Whether its worker has said that it took it: a place alone is no proof that a start was sent.
     pub(in crate::batch::planner) taken: bool,
+    /// Whether the loss of it was counted already: it only waits to be barred at a later life.
+    pub(in crate::batch::planner) loss_counted: bool,
     /// Which life of its worker was told to start it last, or lists it.
     pub(in crate::batch::planner) incarnation: Option<Incarnation>,
     /// Whether a report of that life has listed it.
--- a/crates/stairstall-core/src/batch/planner/restarts.rs
+++ b/crates/stairstall-core/src/batch/planner/restarts.rs
@@ -80,6 +80,7 @@
         };
         run.incarnation = incarnation;
         run.answered_at = None;
+        run.loss_counted = true;
         if run.state == RunState::Stopping {
             self.send_stop(id, task, number, now);
         } else {
