--- a/crates/stairstall-core/tests/batch/restarts.rs
+++ b/crates/stairstall-core/tests/batch/restarts.rs
@@ -229,6 +229,15 @@
     assert_eq!(stopped, ["w1"]);
 }
 
+/// Hands in a job of one task and returns its start, which nobody has carried out.
+fn first_start(fleet: &mut Fleet) -> Order {
+    let now = fleet.now();
+    fleet.planner.submit(job("j", 2, vec![step(1, 8)]), now);
+    fleet.planner.tick(now);
+    fleet.write_all();
+    fleet.planner.tick(now).remove(0)
+}
+
 /// Starts a job of one task and returns where it runs.
 fn run_one(fleet: &mut Fleet) -> WorkerId {
     fleet.submit(job("j", 2, vec![step(1, 8)]));
@@ -371,10 +380,7 @@
 fn a_start_whose_first_try_had_no_answer_is_barred_at_the_new_life_before_it_goes_elsewhere() {
     let mut fleet = fleet(&[("w1", "r1"), ("w2", "r1")]);
     let now = fleet.now();
-    fleet.planner.submit(job("j", 2, vec![step(1, 8)]), now);
-    fleet.planner.tick(now);
-    fleet.write_all();
-    let first = fleet.planner.tick(now).remove(0);
+    let first = first_start(&mut fleet);
     fleet.planner.take_start(&first, StartOutcome::Unknown, now);
     fleet.settle();
     let place = fleet
@@ -395,10 +401,7 @@
 fn a_run_that_waits_to_be_barred_counts_once_however_often_its_worker_starts_again() {
     let mut fleet = fleet(&[("w1", "r1")]);
     let now = fleet.now();
-    fleet.planner.submit(job("j", 2, vec![step(1, 8)]), now);
-    fleet.planner.tick(now);
-    fleet.write_all();
-    let first = fleet.planner.tick(now).remove(0);
+    let first = first_start(&mut fleet);
     fleet.planner.take_start(&first, StartOutcome::Unknown, now);
     fleet.settle();
     fleet.pass(300);
@@ -444,10 +447,7 @@
 fn a_start_without_an_answer_is_not_left_alone_where_its_worker_has_started_again_meanwhile() {
     let mut fleet = fleet(&[("w1", "r1")]);
     let now = fleet.now();
-    fleet.planner.submit(job("j", 2, vec![step(1, 8)]), now);
-    fleet.planner.tick(now);
-    fleet.write_all();
-    let start = fleet.planner.tick(now).remove(0);
+    let start = first_start(&mut fleet);
     fleet.cut_off(&start.worker);
     let mut listed = fleet.listed[&start.worker].clone();
     listed.incarnation = Some(Incarnation::from_unix_ms(START_UNIX_MS + 50));
@@ -483,10 +483,7 @@
     let mut fleet = fleet(&[("w1", "r1"), ("w2", "r1")]);
     fleet.pass(5_000);
     let now = fleet.now();
-    fleet.planner.submit(job("j", 2, vec![step(1, 8)]), now);
-    fleet.planner.tick(now);
-    fleet.write_all();
-    let start = fleet.planner.tick(now).remove(0);
+    let start = first_start(&mut fleet);
     let started = StartOutcome::Started { clock_ms: 40 };
     fleet.planner.take_start(&start, started, now);
     fleet.cut_off(&start.worker);
