fix(batch): give each life of a worker a fencing token of its own

Callers saw a done task run again on the worker where it had ended, and a done task start again whose end a worker had forgotten unread. Cause: starts, stops and requests that name ends to forget name a worker by its id, which all its lives share. One that was left without an answer may be carried out seconds later by the next life, which knows of no end there; the deadline of a start counts from the start of a life, so it is far ahead on the next one's clock, and a number of the life before counts for the ends of the next. Why it holds: a worker refuses what brings a lower token than it has seen. Each life that the planner hears of is sent a higher token than anything before; once it has answered that, nothing that was meant for an earlier life is carried out there, and whatever its report does not list is gone for good. Ruled out: a bar sent again at each life (it needs the list of all that was sent lately, and covers no request that names ends). Two tests of restarts gave way: one asserted the stop that bars a run at the next life, now that nothing goes elsewhere before that life has seen a higher token; one let each of four lives run the task, which now does count, and names the lives unheard instead.

--- a/crates/stairstall-core/src/batch/planner.rs
+++ b/crates/stairstall-core/src/batch/planner.rs
@@ -16,6 +16,7 @@
 mod directory;
 mod ends;
 mod evacuation;
+mod fences;
 mod fit;
 mod flow;
 mod headroom;
@@ -57,6 +58,8 @@
 #[derive(Debug, Clone)]
 pub struct Planner {
     token: u64,
+    /// Lives of workers that have begun, each of which has a token of its own.
+    lives_begun: u64,
     bounds: Bounds,
     flow: flow::Flow,
     policy: Policy,
@@ -117,6 +120,7 @@
     pub fn new(token: u64, bounds: Bounds) -> Self {
         Self {
             token,
+            lives_begun: 0,
             bounds,
             flow: flow::Flow::default(),
             policy: Policy::default(),
--- a/crates/stairstall-core/src/batch/planner/adopt.rs
+++ b/crates/stairstall-core/src/batch/planner/adopt.rs
@@ -73,9 +73,12 @@
 
     /// Returns a worker that was written down, whether the directory lists it or not.
     pub(super) fn recorded_worker(&mut self, id: &WorkerId, now: Now) -> &mut Worker {
-        self.workers
-            .entry(id.clone())
-            .or_insert_with(|| Worker::unlisted(id, now.at))
+        if !self.workers.contains_key(id) {
+            let fence = self.next_fence();
+            let worker = Worker::unlisted(id, fence, now.at);
+            self.workers.insert(id.clone(), worker);
+        }
+        self.workers.get_mut(id).expect("it is known")
     }
 
     fn restore_run(&mut self, place: &Place, task: &TaskKey, now: Now) {
@@ -92,6 +95,7 @@
         run.incarnation = place.incarnation;
         run.taken = place.taken;
         run.is_listed = false;
+        run.fence = 0;
         let lease_until = now.at + Self::lease_span(self.bounds.hold_max);
         self.recorded_worker(id, now).extend_lease(lease_until);
         self.keep_run(id, task, run);
@@ -145,14 +149,16 @@
             began: Some((now.at, running.percent)),
             resumes: false,
             taken: true,
-            loss_counted: false,
             incarnation: None,
+            fence: 0,
             is_listed: false,
             recorded_by: 0,
             restored: false,
             suspicion: self.suspicion(&running.task),
         };
-        run.note_running(running, self.incarnation_of(id), now.at);
+        if let Some(worker) = self.workers.get(id) {
+            run.note_running(running, worker.life.incarnation, worker.fence, now.at);
+        }
         run
     }
 }
--- a/crates/stairstall-core/src/batch/planner/contact.rs
+++ b/crates/stairstall-core/src/batch/planner/contact.rs
@@ -23,7 +23,7 @@
             .clock_at(now.at)
             .map(|clock| clock.saturating_add(millis(self.bounds.hold_max)));
         let last_seen = worker.life.news_to_forget(forgettable);
-        let request = worker.hold_request(self.token, last_seen, deadline_ms, longest_wait)?;
+        let request = worker.hold_request(last_seen, deadline_ms, longest_wait)?;
         if request.deadline_ms.is_some() {
             worker.extend_lease(now.at + Self::lease_span(self.bounds.hold_max));
         }
@@ -67,7 +67,9 @@
         if !worker.is_in_contact() || !worker.life.fenced {
             self.replan = true;
         }
-        if worker.life.note_report(report.incarnation, now.at) {
+        let is_fenced = request.token == worker.fence;
+        let life = &mut worker.life;
+        if life.note_report(report.incarnation, is_fenced, now.at) {
             self.last_new_report_at = Some(now.at);
         }
         let was_silent = !worker.is_in_contact();
@@ -75,7 +77,7 @@
         worker.life.left_quietly = !worker.is_listed;
         let silent_under = std::mem::take(&mut worker.lost);
         let seen = worker.life.seen;
-        let mut absent = worker.answered_before(sent_at);
+        let mut absent = worker.expected_in(request, sent_at);
         for running in &report.running {
             absent.retain(|task| *task != running.task);
             self.take_running(id, running, now);
@@ -183,11 +185,6 @@
         }
     }
 
-    /// Takes word that a worker has seen a higher token.
-    pub const fn note_fenced(&mut self) {
-        self.deposed = true;
-    }
-
     /// Takes what runs on silent workers for over once their leases are.
     pub(super) fn end_leases(&mut self, now: Now) {
         let over: Vec<(WorkerId, Vec<(TaskKey, Run)>)> = self
@@ -213,7 +210,7 @@
         match worker.runs.get_mut(&running.task) {
             Some(run) if run.number == running.run => {
                 let before = run.state;
-                run.note_running(running, worker.life.incarnation, now.at);
+                run.note_running(running, worker.life.incarnation, worker.fence, now.at);
                 let has_begun = run.state != before;
                 let was_restored = std::mem::take(&mut run.restored);
                 let lasts = run.lasts;
@@ -255,13 +252,21 @@
 }
 
 impl Worker {
-    /// Names runs that a request sent at `sent_at` must find, as the worker had answered for them.
-    fn answered_before(&self, sent_at: Timestamp) -> Vec<TaskKey> {
-        self.runs
-            .iter()
-            .filter(|(_, run)| run.answered_at.is_some_and(|at| at < sent_at))
-            .map(|(task, _)| task.clone())
-            .collect()
+    /// Names runs that the answer to a request sent at `sent_at` must list if they are there: those for which
+    /// this life had answered, and those meant for an earlier one, which it starts no more once it has
+    /// seen its own token.
+    fn expected_in(&self, request: &HoldRequest, sent_at: Timestamp) -> Vec<TaskKey> {
+        let is_fenced = request.token == self.fence;
+        self.tasks_where(|run| {
+            let is_of_this_life = run.fence == self.fence;
+            let has_answered = run.answered_at.is_some_and(|at| at < sent_at);
+            let is_of_earlier = is_fenced && run.was_started();
+            if is_of_this_life {
+                has_answered
+            } else {
+                is_of_earlier
+            }
+        })
     }
 }
 
@@ -270,9 +275,11 @@
         &mut self,
         running: &RunningTask,
         by: Option<Incarnation>,
+        fence: u64,
         at: Timestamp,
     ) {
         self.incarnation = by;
+        self.fence = fence;
         self.taken = true;
         self.is_listed = true;
         if matches!(self.state, RunState::Starting | RunState::Planned) {
--- a/crates/stairstall-core/src/batch/planner/crashes.rs
+++ b/crates/stairstall-core/src/batch/planner/crashes.rs
@@ -158,10 +158,7 @@
     /// may.
     fn tell_losses(&mut self, id: &WorkerId, runs: &[(TaskKey, Run)]) {
         let most = self.policy.health.max_crashes;
-        for (task, run) in runs
-            .iter()
-            .filter(|(_, run)| run.was_started() && !run.loss_counted)
-        {
+        for (task, run) in runs.iter().filter(|(_, run)| run.was_started()) {
             let failures = self.failures(task);
             let attempts = self.attempts(&task.group.job).unwrap_or(0);
             let losses = self.task(task).map(|task| task.losses.clone());
--- a/crates/stairstall-core/src/batch/planner/crashes/blame.rs
+++ b/crates/stairstall-core/src/batch/planner/crashes/blame.rs
@@ -23,8 +23,7 @@
             let is_short = |((began, _), heard_at)| heard_at - began <= fresh_start;
             run.has_answered() && ran_for.is_some_and(is_short)
         };
-        let counts = |run: &Run| run.was_started() && !run.loss_counted;
-        let started = runs.iter().filter(|(_, run)| counts(run));
+        let started = runs.iter().filter(|(_, run)| run.was_started());
         let any_fresh = started.clone().any(|(_, run)| had_just_begun(run));
         let is_blamed = |run: &Run| !any_fresh || !run.has_answered() || had_just_begun(run);
         let blamed = started.filter(|(_, run)| is_blamed(run));
--- a/crates/stairstall-core/src/batch/planner/directory.rs
+++ b/crates/stairstall-core/src/batch/planner/directory.rs
@@ -28,10 +28,14 @@
         if known.is_none_or(|known| known.listed.address != listed.address) {
             self.worker_set += 1;
         }
-        let worker = self
-            .workers
-            .entry(id.clone())
-            .or_insert_with(|| Worker::new(listed.clone(), now.at));
+        if known.is_none() {
+            let fence = self.next_fence();
+            let worker = Worker::new(listed.clone(), fence, now.at);
+            self.workers.insert(id.clone(), worker);
+        }
+        let Some(worker) = self.workers.get_mut(&id) else {
+            return;
+        };
         let was_draining = worker.listed.draining;
         worker.in_evacuated_zone = self.evacuation.includes(&listed.zone);
         worker.life.incarnation = worker.life.incarnation.or(listed.incarnation);
--- a/crates/stairstall-core/src/batch/planner/fit.rs
+++ b/crates/stairstall-core/src/batch/planner/fit.rs
@@ -312,7 +312,7 @@
             began: None,
             resumes: false,
             taken: false,
-            loss_counted: false,
+            fence: 0,
             incarnation: self.incarnation_of(id),
             is_listed: false,
             recorded_by: 0,
--- a/crates/stairstall-core/src/batch/planner/pool.rs
+++ b/crates/stairstall-core/src/batch/planner/pool.rs
@@ -30,6 +30,8 @@
     pub(super) is_listed: bool,
     /// What is known of its present life.
     pub(super) life: Life,
+    /// The token that all calls meant for its present life bring.
+    pub(super) fence: u64,
     /// Whether its availability zone is evacuated, so that nothing may start there.
     pub(super) in_evacuated_zone: bool,
     pub(super) runs: BTreeMap<TaskKey, Run>,
@@ -52,11 +54,12 @@
 }
 
 impl Worker {
-    pub(super) fn new(listed: ListedWorker, at: Timestamp) -> Self {
+    pub(super) fn new(listed: ListedWorker, fence: u64, at: Timestamp) -> Self {
         let mut worker = Self {
             listed: listed.clone(),
             is_listed: true,
             life: Life::begun(listed.incarnation),
+            fence,
             in_evacuated_zone: false,
             runs: BTreeMap::new(),
             has_unsettled: false,
@@ -73,7 +76,7 @@
     }
 
     /// A worker that is known only from what was written down.
-    pub(super) fn unlisted(id: &WorkerId, at: Timestamp) -> Self {
+    pub(super) fn unlisted(id: &WorkerId, fence: u64, at: Timestamp) -> Self {
         let listed = ListedWorker {
             id: id.clone(),
             incarnation: None,
@@ -86,7 +89,7 @@
             draining: false,
             remaining_ms: None,
         };
-        let mut worker = Self::new(listed, Timestamp::default());
+        let mut worker = Self::new(listed, fence, Timestamp::default());
         worker.unlist(at);
         worker.contact = false;
         worker
@@ -265,7 +268,6 @@
     /// Returns what to ask of it next; none where it need not be asked.
     pub(super) fn hold_request(
         &self,
-        token: u64,
         last_seen: u64,
         deadline_ms: Option<u64>,
         longest_wait: Duration,
@@ -277,7 +279,7 @@
         }
         let waits = present && !asks_only && !self.life.has_unsaved();
         Some(HoldRequest {
-            token,
+            token: self.fence,
             deadline_ms: if asks_only { None } else { deadline_ms },
             // Whoever answers after a silence may be another life, with other ends.
             last_seen: if asks_only { 0 } else { last_seen },
--- a/crates/stairstall-core/src/batch/planner/pool/life.rs
+++ b/crates/stairstall-core/src/batch/planner/pool/life.rs
@@ -29,7 +29,7 @@
     first_report_at: Option<Timestamp>,
     /// The life before it, as far as it was known.
     pub(in crate::batch::planner) earlier: Earlier,
-    /// Whether it has answered the present token.
+    /// Whether it has answered its own token: nothing that was meant for an earlier life is carried out any more.
     pub(in crate::batch::planner) fenced: bool,
     /// When it last answered anything.
     pub(in crate::batch::planner) heard_at: Option<Timestamp>,
@@ -136,15 +136,16 @@
         }
     }
 
-    /// Notes a report that answers the present token; returns whether it is the first.
+    /// Notes a report, which may answer the life's own token; returns whether it is the first that does.
     pub(in crate::batch::planner) fn note_report(
         &mut self,
         named: Option<Incarnation>,
+        is_fenced: bool,
         at: Timestamp,
     ) -> bool {
         self.incarnation = self.incarnation.or(named);
         self.first_report_at.get_or_insert(at);
-        !std::mem::replace(&mut self.fenced, true)
+        is_fenced && !std::mem::replace(&mut self.fenced, true)
     }
 
     pub(in crate::batch::planner) const fn read_clock(&mut self, clock_ms: u64, at: Timestamp) {
--- a/crates/stairstall-core/src/batch/planner/pool/run.rs
+++ b/crates/stairstall-core/src/batch/planner/pool/run.rs
@@ -76,10 +76,10 @@
     pub(in crate::batch::planner) suspicion: Suspicion,
     /// Whether its worker has said that it took it: a place alone is no proof that a start was sent.
     pub(in crate::batch::planner) taken: bool,
-    /// Whether the loss of it was counted already: it only waits to be barred at a later life.
-    pub(in crate::batch::planner) loss_counted: bool,
     /// Which life of its worker was told to start it last, or lists it.
     pub(in crate::batch::planner) incarnation: Option<Incarnation>,
+    /// The token of that life.
+    pub(in crate::batch::planner) fence: u64,
     /// Whether a report of that life has listed it.
     pub(in crate::batch::planner) is_listed: bool,
     /// The change of its job that writes its place down; no start is sent before that lasts.
--- a/crates/stairstall-core/src/batch/planner/restarts.rs
+++ b/crates/stairstall-core/src/batch/planner/restarts.rs
@@ -1,8 +1,8 @@
 //! Workers that start again under the id that they had.
 //!
 //! A new life shows in the directory or in a report, whichever comes first. What was sent to the life
-//! before may be carried out by the new one, so only what the life before had listed, or a report of
-//! the new one does not name, is known to be lost.
+//! before may be carried out by the new one until that has seen a higher token (see `fences`). So only what
+//! the life before had listed, or a report that answers that token does not name, is known to be lost.
 
 use super::pool::{Run, RunState};
 use super::{Now, Planner};
@@ -17,10 +17,12 @@
 
     /// Takes word that a worker has started again under its id.
     pub(super) fn begin_life(&mut self, id: &WorkerId, incarnation: Option<Incarnation>, now: Now) {
+        let fence = self.next_fence();
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
         worker.life = worker.life.next(incarnation, worker.leaves());
+        worker.fence = fence;
         worker.set_contact(false);
         let silent_under = std::mem::take(&mut worker.lost);
         if worker.is_busy() {
@@ -59,36 +61,13 @@
         } else {
             self.count_crash(id, earlier.heard_at, &runs)
         };
-        let (late, gone): (Vec<_>, Vec<_>) = runs.into_iter().partition(|(_, r)| r.may_come_late());
-        for (task, _) in &gone {
+        for (task, _) in &runs {
             self.drop_run(id, task);
         }
-        self.release_lost(id, &gone, now);
-        for (task, run) in late {
-            self.bar_at_new_life(id, &task, run.number, now);
-        }
+        self.release_lost(id, &runs, now);
         self.give_up_crashing(&suspects, now);
     }
 
-    /// Keeps a run from starting at a new life of its worker, which an earlier try may still reach.
-    ///
-    /// Its task starts elsewhere once the new life has said that it is barred.
-    fn bar_at_new_life(&mut self, id: &WorkerId, task: &TaskKey, number: u32, now: Now) {
-        let incarnation = self.incarnation_of(id);
-        let Some(run) = self.workers.get_mut(id).and_then(|w| w.runs.get_mut(task)) else {
-            return;
-        };
-        run.incarnation = incarnation;
-        run.answered_at = None;
-        run.loss_counted = true;
-        if run.state == RunState::Stopping {
-            self.send_stop(id, task, number, now);
-        } else {
-            self.stop_run(id, task, "a late try of it may reach the new life", now);
-        }
-        self.stop_gang(task, number, "another member was lost with its worker", now);
-    }
-
     /// Reads a worker's clock from the answer to a start, which does not name the life that answers.
     ///
     /// A clock that has gone back is that of a new life: it is asked at once which it is, and may
@@ -122,7 +101,9 @@
             return;
         };
         let sent_at = refused_run.ordered_at;
-        let is_first_try = |run: &Run| run.state == RunState::Starting && run.tries <= 1;
+        let is_of_earlier = |run: &Run| run.fence <= refused.token;
+        let is_first_try =
+            |run: &Run| run.state == RunState::Starting && run.tries <= 1 && is_of_earlier(run);
         let never_begun = worker.tasks_where(|run| is_first_try(run) && run.ordered_at >= sent_at);
         for task in never_begun {
             let why = "its worker's life was over before";
--- a/crates/stairstall-core/src/batch/planner/starts.rs
+++ b/crates/stairstall-core/src/batch/planner/starts.rs
@@ -113,7 +113,8 @@
         run.ordered_at = now.at;
         run.tries += 1;
         run.incarnation = worker.life.incarnation;
-        let (number, tries) = (run.number, run.tries);
+        run.fence = worker.fence;
+        let (number, tries, token) = (run.number, run.tries, run.fence);
         worker.extend_lease(now.at + Self::lease_span(lease));
         let Some(job) = self.jobs.get(&task.group.job) else {
             return;
@@ -122,7 +123,7 @@
             worker: id.clone(),
             task: task.clone(),
             run: number,
-            token: self.token,
+            token,
             kind: OrderKind::Start {
                 payload: job.accepted.spec.payload.clone(),
                 checkpoint,
@@ -210,17 +211,19 @@
     }
 
     pub(super) fn send_stop(&mut self, id: &WorkerId, task: &TaskKey, run: u32, now: Now) {
-        if let Some(worker) = self.workers.get_mut(id)
-            && let Some(entry) = worker.runs.get_mut(task)
-        {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        if let Some(entry) = worker.runs.get_mut(task) {
             entry.ordered_at = now.at;
             worker.has_unsettled = true;
         }
+        let token = worker.fence;
         self.orders.push(Order {
             worker: id.clone(),
             task: task.clone(),
             run,
-            token: self.token,
+            token,
             kind: OrderKind::Stop,
         });
     }
@@ -237,7 +240,8 @@
             return;
         }
         if outcome == StartOutcome::Refused(RefusalReason::Fenced) {
-            self.note_fenced();
+            self.note_fenced(id, order.token);
+            self.drop_never_begun(order, now);
             return;
         }
         if let StartOutcome::Started { clock_ms } = outcome {
@@ -341,6 +345,10 @@
     fn try_again(&mut self, order: &Order, now: Now) {
         let (id, task) = (&order.worker, &order.task);
         self.doubt_unless_heard(id, task, now);
+        if !self.is_present_fence(id, order.token) {
+            // A report of the life that has begun since then tells whether it is there.
+            return;
+        }
         let run = self.run_at(id, task);
         let tries = run.map_or(0, |run| run.tries);
         let is_done = run.is_some_and(|run| run.unwanted_since.is_some());
@@ -351,9 +359,6 @@
             "no answer to its start, and its zone may be evacuated"
         } else if tries >= self.policy.orders.max_tries {
             "no answer to its starts"
-        } else if !self.knows_clock(id, now) {
-            // A deadline needs the clock of the new life: left out, its run would count as starting for good.
-            "no answer to its start, and its worker has started again"
         } else {
             self.emit_start(id, task, now);
             return;
@@ -362,11 +367,6 @@
         self.stop_gang(task, order.run, "a member of its gang did not start", now);
     }
 
-    fn knows_clock(&self, id: &WorkerId, now: Now) -> bool {
-        let worker = self.workers.get(id);
-        worker.is_some_and(|worker| worker.life.clock_at(now.at).is_some())
-    }
-
     /// Notes an answer about a run: a report that is asked for later must name the run, or it is
     /// over. A later answer doesn't put that off.
     fn note_answered(&mut self, id: &WorkerId, task: &TaskKey, at: Timestamp) {
@@ -402,7 +402,7 @@
                     self.note_answered(id, task, now.at);
                 }
             }
-            StopOutcome::Fenced => self.note_fenced(),
+            StopOutcome::Fenced => self.note_fenced(&order.worker, order.token),
             StopOutcome::OtherLife => {
                 self.life_over(&order.worker, "another life answered a stop", now);
             }
--- a/crates/stairstall-core/tests/batch/lossy.rs
+++ b/crates/stairstall-core/tests/batch/lossy.rs
@@ -145,8 +145,24 @@
     }
 }
 
-/// Plays the day of a seed, on which work is handed in about every `pause_ms`.
-fn play(seed: u64, workers: usize, pause_ms: u64) -> World {
+/// What days have in common.
+#[derive(Debug, Clone, Copy)]
+struct Day {
+    workers: usize,
+    /// How long after one job the next is handed in, on the mean.
+    pause_ms: u64,
+    /// Whether a call may reach a life that began after it was sent and has not answered the planner yet.
+    reaches_unmet: bool,
+}
+
+const DAY: Day = Day {
+    workers: 48,
+    pause_ms: 400,
+    reaches_unmet: true,
+};
+
+/// Plays the day of a seed.
+fn play(seed: u64, day: Day) -> World {
     let mut random = Pcg64Mcg::seed_from_u64(seed);
     let habits = Habits {
         forgetting: Forgetting::ALL[random.random_range(0..3)],
@@ -154,7 +170,8 @@
         write_ms: [20, 300, 1_500][random.random_range(0..3)],
         directory_ms: [20, 600, 3_000][random.random_range(0..3)],
     };
-    let mut world = World::new(workers, habits, random);
+    let mut world = World::new(day.workers, habits, random);
+    world.reaches_unmet = day.reaches_unmet;
     crash_thirds(&mut world);
     let mut count = 0;
     while world.at_ms < BUSY_MS {
@@ -162,7 +179,7 @@
         let priority = world.random.random_range(0..3);
         world.submit(job(&format!("j{count}"), priority, steps));
         count += 1;
-        let pause_ms = world.random.random_range(1..=2 * pause_ms);
+        let pause_ms = world.random.random_range(1..=2 * day.pause_ms);
         world.pass(pause_ms);
     }
     world.habits.trouble = Trouble::default();
@@ -170,21 +187,29 @@
     world
 }
 
-fn check(seed: u64, world: &World) {
+/// Says what was broken on the day of a seed, each with its story.
+fn faults(seed: u64, world: &World) -> Vec<String> {
     let lost = world.lost();
     let broken = world.broken.iter().chain(&lost);
-    let told: Vec<String> = broken
+    let mut faults: Vec<String> = broken
         .map(|what| {
             let of = what.split(' ').next().unwrap_or_default();
-            format!("{what}\n{}", world.story(of))
+            format!("seed {seed}: {what}\n{}", world.story(of))
         })
         .collect();
-    assert!(told.is_empty(), "seed {seed}: {}", told.join("\n\n"));
     let (ends, noted) = world.ends();
-    assert!(
-        noted * 5 >= ends * 4,
-        "seed {seed}: {noted} of {ends} ends are taken note of"
-    );
+    if noted * 5 < ends * 4 {
+        faults.push(format!(
+            "seed {seed}: {noted} of {ends} ends are taken note of"
+        ));
+    }
+    faults
+}
+
+fn check(seeds: impl Iterator<Item = u64>, day: Day) {
+    let faults = seeds.flat_map(|seed| faults(seed, &play(seed, day)));
+    let faults: Vec<String> = faults.collect();
+    assert!(faults.is_empty(), "{}", faults.join("\n\n"));
 }
 
 /// `STAIRSTALL_TEST_SEED` names the first seed and `STAIRSTALL_TEST_EFFORT` how many times as many are played.
@@ -196,15 +221,25 @@
 
 #[test]
 fn work_runs_once_and_ends_whatever_calls_the_next_life_carries_out() {
-    for seed in seeds(SEEDS) {
-        check(seed, &play(seed, 48, 400));
-    }
+    check(seeds(SEEDS), DAY);
+}
+
+#[test]
+fn work_runs_once_and_ends_where_late_calls_find_lives_that_have_answered() {
+    let day = Day {
+        reaches_unmet: false,
+        ..DAY
+    };
+    check(seeds(SEEDS), day);
 }
 
 #[test]
 fn work_runs_once_and_ends_at_350_workers() {
     // One with answers lost and calls late now and then, and one with all three often.
-    for seed in [13, 26] {
-        check(seed, &play(seed, 350, 60));
-    }
+    let day = Day {
+        workers: 350,
+        pause_ms: 60,
+        ..DAY
+    };
+    check([13, 26].into_iter(), day);
 }
--- a/crates/stairstall-core/tests/batch/lossy/network.rs
+++ b/crates/stairstall-core/tests/batch/lossy/network.rs
@@ -18,6 +18,15 @@
     Stop(Order),
 }
 
+impl Call {
+    pub const fn token(&self) -> u64 {
+        match self {
+            Self::Hold(request) => request.token,
+            Self::Start(order) | Self::Stop(order) => order.token,
+        }
+    }
+}
+
 /// What a worker answers.
 #[derive(Debug, Clone)]
 pub enum Answer {
--- a/crates/stairstall-core/tests/batch/lossy/worker.rs
+++ b/crates/stairstall-core/tests/batch/lossy/worker.rs
@@ -52,6 +52,8 @@
     forgetting: Forgetting,
     capacity: Resources,
     fence: u64,
+    /// The highest token that was sent before it began.
+    earlier_token: u64,
     /// Until when everything may run, on its clock.
     deadline_ms: u64,
     barred: BTreeMap<TaskKey, u32>,
@@ -63,7 +65,12 @@
 }
 
 impl Life {
-    pub const fn born(born_ms: u64, capacity: Resources, forgetting: Forgetting) -> Self {
+    pub const fn born(
+        born_ms: u64,
+        earlier_token: u64,
+        capacity: Resources,
+        forgetting: Forgetting,
+    ) -> Self {
         Self {
             born_ms,
             running: BTreeMap::new(),
@@ -71,6 +78,7 @@
             forgetting,
             capacity,
             fence: 0,
+            earlier_token,
             deadline_ms: 0,
             barred: BTreeMap::new(),
             ends: 0,
@@ -88,6 +96,11 @@
         at_ms - self.born_ms
     }
 
+    /// Tells whether it has seen a token that was meant for no life before it.
+    pub const fn is_met(&self) -> bool {
+        self.fence > self.earlier_token
+    }
+
     const fn is_fenced(&mut self, token: u64) -> bool {
         if token < self.fence {
             return true;
--- a/crates/stairstall-core/tests/batch/lossy/world.rs
+++ b/crates/stairstall-core/tests/batch/lossy/world.rs
@@ -108,6 +108,10 @@
     /// Calls that the planner waits for.
     pending: BTreeSet<u64>,
     calls: u64,
+    /// The highest token that was sent to each worker.
+    tokens: BTreeMap<WorkerId, u64>,
+    /// Whether a call may reach a life that began after it was sent and has not answered the planner yet.
+    pub reaches_unmet: bool,
     /// How much later than others the next start, or request that names ends to forget, arrives, unheard.
     pub delays_start_ms: Option<u64>,
     pub delays_naming_ms: Option<u64>,
@@ -142,6 +146,8 @@
             waiting: Vec::new(),
             pending: BTreeSet::new(),
             calls: 0,
+            tokens: BTreeMap::new(),
+            reaches_unmet: true,
             delays_start_ms: None,
             delays_naming_ms: None,
             news: Timeline::new(),
@@ -207,7 +213,8 @@
 
     fn begin(&mut self, id: &WorkerId, directory_ms: u64) {
         let capacity = self.listed[id].capacity;
-        let life = Life::born(self.at_ms, capacity, self.habits.forgetting);
+        let token = self.tokens.get(id).copied().unwrap_or(0);
+        let life = Life::born(self.at_ms, token, capacity, self.habits.forgetting);
         let mut listed = self.listed[id].clone();
         listed.incarnation = Some(life.incarnation());
         self.lives.insert(id.clone(), life);
@@ -277,6 +284,8 @@
             Call::Hold(request) => millis(request.wait) + HOLD_TIMEOUT_MS,
             Call::Start(_) | Call::Stop(_) => ORDER_TIMEOUT_MS,
         };
+        let token = self.tokens.entry(worker.clone()).or_default();
+        *token = call.token().max(*token);
         let sent = Sent {
             number: self.calls,
             worker: worker.clone(),
@@ -313,6 +322,11 @@
             return;
         };
         let born_ms = life.born_ms;
+        let is_of_earlier = sent.asked_ms < born_ms;
+        if is_of_earlier && !life.is_met() && !self.reaches_unmet {
+            self.arrivals.push(at_ms + STEP_MS, sent);
+            return;
+        }
         match &sent.call {
             Call::Hold(request) => {
                 if !life.take_hold(request, at_ms) {
--- a/crates/stairstall-core/tests/batch/restarts.rs
+++ b/crates/stairstall-core/tests/batch/restarts.rs
@@ -376,40 +376,58 @@
     run_one(&mut fleet);
 }
 
+/// Lets the directory name another life of a worker, which does not answer.
+fn begin_unheard_life(fleet: &mut Fleet, id: &WorkerId, after_ms: u64) {
+    let mut listed = fleet.listed[id].clone();
+    listed.incarnation = Some(Incarnation::from_unix_ms(START_UNIX_MS + after_ms));
+    fleet.listed.insert(id.clone(), listed.clone());
+    let now = fleet.now();
+    fleet.planner.list_worker(listed, now);
+    fleet.settle();
+}
+
 #[test]
-fn a_start_whose_first_try_had_no_answer_is_barred_at_the_new_life_before_it_goes_elsewhere() {
+fn a_start_whose_first_try_had_no_answer_goes_elsewhere_once_the_next_life_has_seen_a_higher_token()
+{
     let mut fleet = fleet(&[("w1", "r1"), ("w2", "r1")]);
     let now = fleet.now();
     let first = first_start(&mut fleet);
     fleet.planner.take_start(&first, StartOutcome::Unknown, now);
     fleet.settle();
-    let place = fleet
-        .place_of(&task("j", 0, 0))
-        .expect("the second try is answered");
+    let place = first.worker.clone();
     fleet.pass(300);
-    fleet.crash_for(&place, 300);
-    fleet.pass(1_000);
-    let is_bar = |order: &&Order| order.worker == place && order.kind == OrderKind::Stop;
-    let barred = fleet.given.iter().position(|order| is_bar(&order));
-    let elsewhere = fleet.given.iter().position(|order| order.run == 2);
-    assert!(barred.is_some() && barred < elsewhere, "{:?}", fleet.given);
+    fleet.cut_off(&place);
+    begin_unheard_life(&mut fleet, &place, 1);
+    fleet.pass(2_000);
+    let elsewhere = |fleet: &Fleet| fleet.given.iter().any(|order| order.run == 2);
+    assert!(!elsewhere(&fleet), "the first try may still come");
+    fleet.restart_cut_off(&place);
+    fleet.settle();
+    let asked = fleet
+        .hold(&place)
+        .expect("a life that was not met is asked");
+    assert!(asked.token > first.token, "{asked:?}");
+    fleet.settle();
+    assert!(elsewhere(&fleet), "{:?}", fleet.given);
 }
 
 /// "1 without an answer", "2 …" to "5 …" of one run failed a job: it was counted at each further life of the
-/// worker until the bar was confirmed.
+/// worker until one of them answered.
 #[test]
-fn a_run_that_waits_to_be_barred_counts_once_however_often_its_worker_starts_again() {
+fn a_run_that_may_come_late_counts_once_however_often_its_worker_starts_again() {
     let mut fleet = fleet(&[("w1", "r1")]);
     let now = fleet.now();
     let first = first_start(&mut fleet);
     fleet.planner.take_start(&first, StartOutcome::Unknown, now);
     fleet.settle();
     fleet.pass(300);
-    for _ in 0..4 {
-        // The bar is taken, and the next life begins before a report could show that it holds.
-        fleet.crash_for(&first.worker, 100);
-        fleet.pass(100);
+    fleet.cut_off(&first.worker);
+    for after_ms in [100, 200, 300, 400] {
+        begin_unheard_life(&mut fleet, &first.worker, after_ms);
     }
+    fleet.at_ms += 500;
+    fleet.restart_cut_off(&first.worker);
+    fleet.pass(100);
     let kept = &fleet.kept[&id("j")].occurrences[0][0].losses[&0];
     assert_eq!((kept.crashes, kept.unanswered), (1, 0));
 }
--- a/crates/stairstalld/src/batch/links.rs
+++ b/crates/stairstalld/src/batch/links.rs
@@ -167,7 +167,7 @@
         }
         Err(WorkerFault::Fenced) => {
             node.telemetry.hold("fenced");
-            tenure.with(|planner, _| planner.note_fenced());
+            tenure.with(|planner, _| planner.note_fenced(&worker.id, request.token));
         }
         Err(fault) => {
             node.telemetry.hold("no answer");
