test(batch): each part of what is known of a life has a test of its own

That the clock of the life before is not kept can't be seen from outside: a life that was not met is sent no deadline, and has answered with its clock before it gets anything; the test asserts that.

--- a/crates/stairstall-core/tests/batch/advice.rs
+++ b/crates/stairstall-core/tests/batch/advice.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use stairstall_core::WorkerId;
 use stairstall_core::batch::{AcceptedJob, OrderKind, RefusalReason, StartOutcome};
 
 use crate::harness::{Fleet, catalog, job, step, task};
@@ -45,6 +46,27 @@
     assert_eq!(ticket.as_deref(), Some("ticket-2"));
 }
 
+/// A ticket holds for one life: with the old one, each start at the next is rejected.
+#[test]
+fn a_ticket_of_a_life_is_not_brought_to_the_next() {
+    let mut fleet = fleet();
+    fleet.keeps_ids = true;
+    fleet.writes = false;
+    fleet.submit(advised_job());
+    let requests = fleet.planner.take_advice_requests();
+    let place: WorkerId = "w1".parse().expect("an id");
+    let good = vec![(place.clone(), "old".to_owned())];
+    let now = fleet.now();
+    fleet.planner.take_advice(&requests[0], good, now);
+    fleet.crash_for(&place, 200);
+    fleet.pass(500);
+    fleet.writes = true;
+    fleet.pass(200);
+    assert!(fleet.given.is_empty(), "{:?}", fleet.given);
+    let again = fleet.planner.take_advice_requests();
+    assert!(again.iter().any(|asked| asked.workers.contains(&place)));
+}
+
 #[test]
 fn a_ticket_that_is_over_is_asked_for_again() {
     let mut fleet = fleet();
--- a/crates/stairstall-core/tests/batch/lossy.rs
+++ b/crates/stairstall-core/tests/batch/lossy.rs
@@ -19,7 +19,7 @@
 
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use stairstall_core::batch::StepSpec;
+use stairstall_core::batch::{AcceptedJob, StepSpec};
 
 use crate::harness::{gang, job, step};
 use network::Trouble;
@@ -48,14 +48,33 @@
     world
 }
 
-fn short(name: &str) -> stairstall_core::batch::AcceptedJob {
+fn single(name: &str, work_ms: u64) -> AcceptedJob {
     let spec = StepSpec {
-        estimate_ms: 1_000,
+        estimate_ms: work_ms,
         ..step(1, 1)
     };
     job(name, 2, vec![spec])
 }
 
+fn short(name: &str) -> AcceptedJob {
+    single(name, 1_000)
+}
+
+fn assert_kept(world: &World) {
+    assert!(
+        world.broken.is_empty(),
+        "{:?}\n{}",
+        world.broken,
+        world.story("")
+    );
+    assert!(
+        world.lost().is_empty(),
+        "{:?}\n{}",
+        world.lost(),
+        world.story("")
+    );
+}
+
 fn crash_now(world: &mut World) {
     let id = world.worker_ids().remove(0);
     let at_ms = world.at_ms;
@@ -72,8 +91,7 @@
     world.pass(3_000);
     crash_now(&mut world);
     world.pass(10_000);
-    assert!(world.broken.is_empty(), "{}", world.story("j"));
-    assert!(world.lost().is_empty(), "{}", world.story("j"));
+    assert_kept(&world);
 }
 
 #[test]
--- a/crates/stairstall-core/tests/batch/lossy/world.rs
+++ b/crates/stairstall-core/tests/batch/lossy/world.rs
@@ -112,6 +112,8 @@
     tokens: BTreeMap<WorkerId, u64>,
     /// Whether a call may reach a life that began after it was sent and has not answered the planner yet.
     pub reaches_unmet: bool,
+    /// The job whose progress the store does not take.
+    pub unwritten: Option<JobId>,
     /// How much later than others the next start, or request that names ends to forget, arrives, unheard.
     pub delays_start_ms: Option<u64>,
     pub delays_naming_ms: Option<u64>,
@@ -148,6 +150,7 @@
             calls: 0,
             tokens: BTreeMap::new(),
             reaches_unmet: true,
+            unwritten: None,
             delays_start_ms: None,
             delays_naming_ms: None,
             news: Timeline::new(),
@@ -508,6 +511,10 @@
         let now = self.now();
         self.planner.set_evacuated(BTreeSet::new(), now.at, now);
         for (token, write) in self.writes.take(self.at_ms) {
+            if self.unwritten.as_ref() == Some(&write.job) {
+                self.writes.push(self.at_ms + STEP_MS, (token, write));
+                continue;
+            }
             self.busy.remove(&write.job);
             if token == self.planner.token() {
                 self.planner.written(&write.job, write.change);
--- a/crates/stairstall-core/tests/batch/restarts.rs
+++ b/crates/stairstall-core/tests/batch/restarts.rs
@@ -411,6 +411,76 @@
     assert!(elsewhere(&fleet), "{:?}", fleet.given);
 }
 
+/// The first try asked for a lease of 1.5 s; the next life may begin it late, and holds it for 6 s then.
+#[test]
+fn a_task_waits_for_the_longest_lease_where_an_unheard_life_may_have_its_start() {
+    let mut fleet = fleet(&[("w1", "r1"), ("w2", "r1")]);
+    fleet.pass(1_000);
+    let first = first_start(&mut fleet);
+    fleet.cut_off(&first.worker);
+    begin_unheard_life(&mut fleet, &first.worker, 1_200);
+    let now = fleet.now();
+    fleet.planner.take_start(&first, StartOutcome::Unknown, now);
+    fleet.settle();
+    fleet.pass(5_500);
+    let starts = fleet.starts_of(&task("j", 0, 0));
+    assert_eq!(starts, 0, "{:?}", fleet.given);
+    fleet.pass(4_000);
+    assert_eq!(fleet.starts_of(&task("j", 0, 0)), 1);
+}
+
+/// A request under way when its worker crashed named two ends; the next life answers it.
+#[test]
+fn what_a_life_was_told_does_not_count_as_told_to_the_one_that_answers() {
+    let mut fleet = fleet(&[("w1", "r1")]);
+    let place: WorkerId = "w1".parse().expect("an id");
+    for name in ["a", "b"] {
+        fleet.submit(job(name, 2, vec![step(1, 1)]));
+        fleet.worker("w1").end(&task(name, 0, 0), EndKind::Done);
+    }
+    fleet.hold(&place);
+    fleet.settle();
+    let now = fleet.now();
+    let naming = fleet
+        .planner
+        .hold_request(&place, now)
+        .expect("ends to name");
+    assert_eq!(naming.last_seen, 2);
+    fleet.at_ms += 1_000;
+    let answered = fleet.now();
+    let report = HoldReport {
+        incarnation: Some(Incarnation::from_unix_ms(START_UNIX_MS + 500)),
+        clock_ms: 500,
+        running: Vec::new(),
+        ended: vec![End {
+            number: 1,
+            task: task("c", 0, 0),
+            run: 1,
+            kind: EndKind::Stopped,
+            checkpoint: None,
+        }],
+        more: false,
+        bytes: 0,
+    };
+    fleet
+        .planner
+        .take_hold(&place, &naming, now.at, report.clone(), answered);
+    let now = fleet.now();
+    let first = fleet
+        .planner
+        .hold_request(&place, now)
+        .expect("a life that was not met");
+    // What it is sent before its clock is read brings no deadline by the clock of the life before.
+    assert_eq!((first.last_seen, first.deadline_ms), (0, None));
+    assert!(first.token > naming.token);
+    fleet.planner.take_hold(&place, &first, now.at, report, now);
+    let told = fleet
+        .planner
+        .hold_request(&place, now)
+        .expect("an end to name");
+    assert_eq!(told.last_seen, 1);
+}
+
 /// "1 without an answer", "2 …" to "5 …" of one run failed a job: it was counted at each further life of the
 /// worker until one of them answered.
 #[test]
