--- a/crates/stairstall-core/tests/batch/lossy.rs
+++ b/crates/stairstall-core/tests/batch/lossy.rs
@@ -105,16 +105,75 @@
         world.pass(7_000);
         world.submit(short("k"));
         world.pass(10_000);
-        assert!(
-            world.broken.is_empty(),
-            "{forgetting:?}: {}",
-            world.story("")
-        );
-        assert!(
-            world.lost().is_empty(),
-            "{forgetting:?}: {}",
-            world.story("")
-        );
+        assert_kept(&world);
+    }
+}
+
+/// Ends stay listed that the worker is not told to forget: behind 500 of them later ones would not be seen.
+#[test]
+fn the_next_life_is_told_of_its_own_ends() {
+    for forgetting in Forgetting::ALL {
+        let mut world = calm(forgetting);
+        for name in ["a", "b", "c"] {
+            world.submit(short(name));
+        }
+        world.pass(3_000);
+        assert_eq!(world.ends(), (3, 3));
+        crash_now(&mut world);
+        world.pass(2_000);
+        world.submit(short("d"));
+        world.pass(3_000);
+        assert_kept(&world);
+        assert_eq!(world.ends(), (1, 1), "{forgetting:?}");
+    }
+}
+
+/// The record of an end was still to be written when the worker crashed: its number is no number of the next
+/// life, which would forget all ends below it unread.
+#[test]
+fn the_next_life_forgets_nothing_for_records_that_the_life_before_still_waits_for() {
+    for forgetting in Forgetting::ALL {
+        let mut world = calm(forgetting);
+        for name in ["a", "b", "c"] {
+            world.submit(short(name));
+        }
+        world.submit(single("d", 2_500));
+        world.pass(2_000);
+        world.unwritten = Some("d".parse().expect("an id"));
+        world.pass(1_000);
+        crash_now(&mut world);
+        world.pass(2_000);
+        for name in ["e", "f"] {
+            world.submit(short(name));
+        }
+        world.pass(2_000);
+        world.unwritten = None;
+        world.pass(2_000);
+        assert_kept(&world);
+        assert_eq!(world.ends(), (2, 2), "{forgetting:?}");
+    }
+}
+
+/// What a worker was told to forget and has answered is not named again: any such request may be on its way when
+/// the worker crashes, and be the first thing that reaches the next life.
+#[test]
+fn ends_that_are_forgotten_are_named_no_more() {
+    for forgetting in Forgetting::ALL {
+        let mut world = calm(forgetting);
+        world.submit(short("a"));
+        world.submit(single("b", 9_000));
+        world.pass(3_000);
+        world.delays_naming_ms = Some(1_000);
+        world.pass(300);
+        let id = world.worker_ids().remove(0);
+        let at_ms = world.at_ms;
+        world.crash_at(&id, at_ms, 690);
+        world.pass(10_000);
+        world.submit(short("c"));
+        world.pass(20_000);
+        assert_kept(&world);
+        let (ends, noted) = world.ends();
+        assert_eq!(ends, noted, "{forgetting:?}");
     }
 }
 
--- a/crates/stairstalld/tests/batch/faults.rs
+++ b/crates/stairstalld/tests/batch/faults.rs
@@ -416,3 +416,38 @@
     assert!(outcomes.count() >= 1, "the log says why");
     cluster.assert_no_violations();
 }
+
+/// A job whose cancellation had been acknowledged ran, and was shown as completed. Its planner had no answers from the
+/// store for two seconds; the store kept its lease.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planner_that_had_no_answers_from_the_store_starts_nothing_that_was_cancelled_meanwhile()
+{
+    // The planner asks once a second: after one of these the next question is far.
+    let moments = [0, 250, 500, 750].map(Duration::from_millis);
+    futures::future::join_all(moments.map(cancel_behind_lost_answers)).await;
+}
+
+async fn cancel_behind_lost_answers(later: Duration) {
+    let mut cluster = Cluster::start(2, 1).await;
+    let planner = cluster.planner();
+    let other = 1 - planner;
+    let before = format!("/q1/{}", cluster.new_id());
+    cluster.submit(other, &before, &job(8, "ms=2000")).await;
+    cluster.wait_for(&before, "running").await;
+    let cancelled = format!("/q1/{}", cluster.new_id());
+    cluster.submit(other, &cancelled, &job(3, "ms=50")).await;
+    cluster.wait_for(&cancelled, "queued").await;
+    tokio::time::sleep(later).await;
+    cluster.daemons[planner].store.set(LinkMode::LoseAnswers);
+    tokio::time::sleep(Duration::from_millis(1_100)).await;
+    let answer = cluster
+        .call(other, Method::DELETE, &cancelled, &Value::Null)
+        .await;
+    assert_eq!(answer.map(|answer| answer.status), Some(StatusCode::OK));
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    cluster.daemons[planner].store.set(LinkMode::Pass);
+    cluster.wait_for(&before, "completed").await;
+    cluster.wait_for(&cancelled, "cancelled").await;
+    assert_eq!(cluster.runs_of(&cancelled[4..]), 0, "{later:?} later");
+    assert_eq!(cluster.planner(), planner, "it kept the role");
+}
