--- a/crates/stairstalld/tests/batch/soak.rs
+++ b/crates/stairstalld/tests/batch/soak.rs
@@ -32,6 +32,10 @@
 /// How long a worker is away that crashes behind a cut.
 const RESTART: Duration = Duration::from_millis(300);
 const DEFAULT_SEEDS: [u64; 2] = [1, 2];
+/// Seeds that are played with late calls.
+const LATE_SEEDS: [u64; 2] = [1, 2];
+/// Longest time by which a call is late.
+const LATE_BY: Duration = Duration::from_secs(6);
 const DEFAULT_SECONDS: u64 = 8;
 
 /// One fault, and how to undo it.
@@ -124,6 +128,7 @@
                 self.cancel_one().await;
             }
         }
+        self.cluster.workers.carry_out_late(None);
         self.settle().await;
     }
 
@@ -305,18 +310,22 @@
 }
 
 fn seeds() -> Vec<u64> {
+    seeds_or(&[&KEPT_SEEDS[..], &DEFAULT_SEEDS].concat())
+}
+
+fn seeds_or(default: &[u64]) -> Vec<u64> {
     let given = std::env::var("STAIRSTALL_SOAK_SEEDS").unwrap_or_default();
     let named: Vec<u64> = given
         .split(',')
         .filter_map(|s| s.trim().parse().ok())
         .collect();
     if named.is_empty() {
-        return KEPT_SEEDS.into_iter().chain(DEFAULT_SEEDS).collect();
+        return default.to_vec();
     }
     named
 }
 
-async fn play(seeds: impl IntoIterator<Item = u64>) {
+async fn play(seeds: impl IntoIterator<Item = u64>, late_by: Option<Duration>) {
     let seconds = std::env::var("STAIRSTALL_SOAK_SECONDS").ok();
     let seconds = seconds
         .and_then(|s| s.parse().ok())
@@ -324,11 +333,18 @@
     for seed in seeds {
         println!("soak seed {seed}");
         let mut soak = Soak::start(seed).await;
+        soak.cluster.workers.carry_out_late(late_by);
         soak.run(Duration::from_secs(seconds)).await;
     }
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn promises_hold_under_random_faults() {
-    play(seeds()).await;
+    play(seeds(), None).await;
+}
+
+/// One call in eight to a worker gets no answer and is carried out late, also by the next life.
+#[tokio::test(flavor = "multi_thread")]
+async fn promises_hold_where_workers_carry_calls_out_late() {
+    play(seeds_or(&LATE_SEEDS), Some(LATE_BY)).await;
 }
