refactor(batch): drop two parts of the lives' mend that nothing needs

What was suspected of a silent worker was settled when a life of it began; the first report of that life settles it as well, and a worker that never reports is taken for crashed by the same path as before. A start that was refused for its token need not be compared with the token of others: what is sent to the next life follows a report of it that has dropped the refused one.

--- a/crates/stairstall-core/src/batch/planner/restarts.rs
+++ b/crates/stairstall-core/src/batch/planner/restarts.rs
@@ -24,7 +24,6 @@
         worker.life = worker.life.next(incarnation, worker.leaves());
         worker.fence = fence;
         worker.set_contact(false);
-        let silent_under = std::mem::take(&mut worker.lost);
         if worker.is_busy() {
             // A deadline by the clock of the life before is far ahead of the new one's, which holds
             // what arrives with it as long as it may.
@@ -40,7 +39,6 @@
         for task in planned {
             self.drop_planned(id, &task, "its worker has started again", now);
         }
-        self.settle_silence(id, &silent_under, now);
         self.lose_with_earlier_life(id, lost, now);
         self.replan = true;
     }
@@ -101,9 +99,7 @@
             return;
         };
         let sent_at = refused_run.ordered_at;
-        let is_of_earlier = |run: &Run| run.fence <= refused.token;
-        let is_first_try =
-            |run: &Run| run.state == RunState::Starting && run.tries <= 1 && is_of_earlier(run);
+        let is_first_try = |run: &Run| run.state == RunState::Starting && run.tries <= 1;
         let never_begun = worker.tasks_where(|run| is_first_try(run) && run.ordered_at >= sent_at);
         for task in never_begun {
             let why = "its worker's life was over before";
