--- a/crates/stairstall-core/src/batch/planner.rs
+++ b/crates/stairstall-core/src/batch/planner.rs
@@ -10,6 +10,7 @@
 
 mod adopt;
 mod advice;
+mod answers;
 mod bounds;
 mod contact;
 mod crashes;
@@ -33,6 +34,7 @@
 mod restarts;
 mod runs;
 mod starts;
+mod stops;
 mod story;
 mod stuck;
 mod timing;
--- /dev/null
+++ b/crates/stairstall-core/src/batch/planner/answers.rs
@@ -0,0 +1,157 @@
+//! What became of starts.
+
+use super::pool::RunState;
+use super::{Now, Order, Planner};
+use crate::batch::{Decision, DecisionKind, EndKind, RefusalReason, StartOutcome, TaskKey};
+use crate::{JobId, Timestamp, WorkerId};
+
+impl Planner {
+    /// Takes what became of a start that left at `sent_at`.
+    pub fn take_start(&mut self, order: &Order, outcome: StartOutcome, now: Now) {
+        let id = &order.worker;
+        let task = &order.task;
+        self.note_start_answered();
+        if outcome == StartOutcome::OtherLife {
+            self.drop_never_begun(order, now);
+            self.life_over(id, "another life answered a start", now);
+            self.doubt_unheard(now);
+            return;
+        }
+        if outcome == StartOutcome::Refused(RefusalReason::Fenced) {
+            self.note_fenced(id, order.token);
+            self.drop_never_begun(order, now);
+            return;
+        }
+        if let StartOutcome::Started { clock_ms } = outcome {
+            self.read_answer_clock(order, clock_ms, now);
+        }
+        let Some(run) = self
+            .workers
+            .get_mut(id)
+            .and_then(|worker| worker.runs.get_mut(task))
+        else {
+            return;
+        };
+        if run.number != order.run {
+            return;
+        }
+        if let StartOutcome::Started { .. } = outcome {
+            run.answered_at = run.answered_at.or(Some(now.at));
+            run.taken = true;
+            if run.state == RunState::Starting {
+                run.enter(RunState::Running, now.at);
+                run.began = Some((now.at, 0));
+                run.progressed_at = now.at;
+            }
+            self.touch(&task.group.job);
+            self.note_taken(task, order.run);
+            self.note_begun(&task.group.job, now);
+            self.update_stories(now);
+            return;
+        }
+        let first_try = run.tries <= 1;
+        if run.state == RunState::Starting {
+            self.start_failed(order, outcome, first_try, now);
+        }
+    }
+
+    /// Notes that a task's run was taken; where workers were lost under it before, that is written down.
+    ///
+    /// A later planner that finds the worker crashed would not know else whether it crashed under the
+    /// task, which would go on to take two more workers down.
+    pub(super) fn note_taken(&mut self, task: &TaskKey, number: u32) {
+        let Some(job) = self.jobs.get_mut(&task.group.job) else {
+            return;
+        };
+        let Some(entry) = job.task_mut(task).filter(|entry| entry.run == number) else {
+            return;
+        };
+        let is_news = !std::mem::replace(&mut entry.taken, true);
+        if is_news && !entry.losses.is_empty() {
+            job.change();
+            self.changed.insert(task.group.job.clone());
+        }
+    }
+
+    fn note_begun(&mut self, id: &JobId, now: Now) {
+        let Some(job) = self.jobs.get_mut(id).filter(|job| !job.begun) else {
+            return;
+        };
+        job.begun = true;
+        let decision = Decision::of_begin(id, now.at - job.arrived_at);
+        self.decisions.push(decision);
+    }
+
+    fn start_failed(&mut self, order: &Order, outcome: StartOutcome, first_try: bool, now: Now) {
+        let (id, task) = (&order.worker, &order.task);
+        self.decisions.push(Decision::of_run(
+            DecisionKind::Start,
+            task,
+            order.run,
+            id,
+            format!("not started: {outcome:?}").to_lowercase(),
+        ));
+        if outcome == StartOutcome::Unhealthy
+            && let Some(worker) = self.workers.get_mut(id)
+        {
+            worker.life.suspect_until = Some(now.at + self.policy.health.suspect_after_refusal);
+        }
+        let did_nothing = match outcome {
+            StartOutcome::NotSent | StartOutcome::Unhealthy => true,
+            StartOutcome::Refused(reason) => reason != RefusalReason::OldRun,
+            _ => false,
+        };
+        if outcome == StartOutcome::NotSent {
+            self.doubt(id, now);
+        }
+        if outcome == StartOutcome::Refused(RefusalReason::NoTicket) {
+            self.drop_ticket(&task.group, id);
+        }
+        if did_nothing && first_try {
+            self.run_over(id, task, EndKind::Stopped, "it was not started", now);
+        } else if matches!(outcome, StartOutcome::Unknown | StartOutcome::NotSent) {
+            self.try_again(order, now);
+        } else if outcome == StartOutcome::Refused(RefusalReason::OldRun) {
+            // It ended there, or was barred: the next report tells.
+            self.note_answered(id, task, now.at);
+        } else {
+            self.stop_run(id, task, "an earlier try may have started it", now);
+            self.stop_gang(task, order.run, "a member of its gang did not start", now);
+        }
+    }
+
+    fn try_again(&mut self, order: &Order, now: Now) {
+        let (id, task) = (&order.worker, &order.task);
+        self.doubt_unless_heard(id, task, now);
+        if !self.is_present_fence(id, order.token) {
+            // A report of the life that has begun since then tells whether it is there.
+            return;
+        }
+        let run = self.run_at(id, task);
+        let tries = run.map_or(0, |run| run.tries);
+        let is_done = run.is_some_and(|run| run.unwanted_since.is_some());
+        let why = if is_done {
+            // The end of an earlier run may be heard between two tries.
+            "the task is done"
+        } else if !self.knows_jobs() {
+            "no answer to its start, and its job may have been cancelled"
+        } else if !self.may_start_at(id, now) {
+            "no answer to its start, and its zone may be evacuated"
+        } else if tries >= self.policy.orders.max_tries {
+            "no answer to its starts"
+        } else {
+            self.emit_start(id, task, now);
+            return;
+        };
+        self.stop_run(id, task, why, now);
+        self.stop_gang(task, order.run, "a member of its gang did not start", now);
+    }
+
+    /// Notes an answer about a run: a report that is asked for later must name the run, or it is
+    /// over. A later answer doesn't put that off.
+    pub(super) fn note_answered(&mut self, id: &WorkerId, task: &TaskKey, at: Timestamp) {
+        if let Some(run) = self.workers.get_mut(id).and_then(|w| w.runs.get_mut(task)) {
+            run.answered_at.get_or_insert(at);
+        }
+    }
+}
--- /dev/null
+++ b/crates/stairstall-core/src/batch/planner/stops.rs
@@ -0,0 +1,111 @@
+//! Stops that are sent to workers, and what became of them.
+
+use super::pool::RunState;
+use super::{Now, Order, OrderKind, Planner};
+use crate::WorkerId;
+use crate::batch::{Decision, DecisionKind, StopOutcome, TaskKey};
+use crate::time::millis;
+
+impl Planner {
+    /// Stops a run, or drops it where no start was sent.
+    pub(super) fn stop_run(&mut self, id: &WorkerId, task: &TaskKey, why: &str, now: Now) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        let Some(run) = worker.runs.get_mut(task) else {
+            return;
+        };
+        match run.state {
+            RunState::Stopping => {}
+            RunState::Planned => {
+                if let Some(run) = self.drop_run(id, task) {
+                    self.release(id, task, &run, why);
+                }
+            }
+            RunState::Starting | RunState::Running => {
+                if run.restored {
+                    // Whether it is there at all, the worker's first report tells.
+                    return;
+                }
+                run.enter(RunState::Stopping, now.at);
+                run.answered_at = None;
+                let number = run.number;
+                self.send_stop(id, task, number, now);
+                let detail = format!("{why}; {}", self.progress_of(id, task, now));
+                self.decisions.push(Decision::of_run(
+                    DecisionKind::Stop,
+                    task,
+                    number,
+                    id,
+                    detail,
+                ));
+            }
+        }
+    }
+
+    fn progress_of(&self, id: &WorkerId, task: &TaskKey, now: Now) -> String {
+        let run = self.run_at(id, task);
+        let restore_cost = self.policy.victims.restore_cost;
+        run.map_or_else(String::new, |run| {
+            let ran = run.began.map_or(0, |(at, _)| millis(now.at - at));
+            let lost = run.loss(now.at, restore_cost) / 1000;
+            format!(
+                "{} percent after {ran} ms, {lost} core-seconds lost",
+                run.percent
+            )
+        })
+    }
+
+    pub(super) fn send_stop(&mut self, id: &WorkerId, task: &TaskKey, run: u32, now: Now) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        if let Some(entry) = worker.runs.get_mut(task) {
+            entry.ordered_at = now.at;
+            worker.has_unsettled = true;
+        }
+        let token = worker.fence;
+        self.orders.push(Order {
+            worker: id.clone(),
+            task: task.clone(),
+            run,
+            token,
+            kind: OrderKind::Stop,
+        });
+    }
+
+    /// Takes what became of a stop.
+    pub fn take_stop(&mut self, order: &Order, outcome: StopOutcome, now: Now) {
+        match outcome {
+            StopOutcome::Taken => {
+                let (id, task) = (&order.worker, &order.task);
+                let matches = self
+                    .run_at(id, task)
+                    .is_some_and(|run| run.number == order.run);
+                if matches {
+                    self.note_answered(id, task, now.at);
+                }
+            }
+            StopOutcome::Fenced => self.note_fenced(&order.worker, order.token),
+            StopOutcome::OtherLife => {
+                self.life_over(&order.worker, "another life answered a stop", now);
+            }
+            StopOutcome::Unknown => self.stop_again(order, now),
+        }
+    }
+
+    /// Sends a stop again at once that got no answer: what waits for the room waits for it.
+    fn stop_again(&mut self, order: &Order, now: Now) {
+        let (id, task) = (&order.worker, &order.task);
+        let max_tries = self.policy.orders.max_tries;
+        self.doubt_unless_heard(id, task, now);
+        let run = self.workers.get_mut(id).and_then(|w| w.runs.get_mut(task));
+        let Some(run) = run.filter(|run| run.number == order.run) else {
+            return;
+        };
+        run.stops = run.stops.saturating_add(1);
+        if run.state == RunState::Stopping && run.stops < max_tries {
+            self.send_stop(id, task, order.run, now);
+        }
+    }
+}
--- a/crates/stairstall-core/tests/batch/harness.rs
+++ b/crates/stairstall-core/tests/batch/harness.rs
@@ -5,12 +5,20 @@
 use std::time::Duration;
 
 use stairstall_core::batch::{
-    AcceptedJob, BatchSpec, Bounds, Catalog, Customer, End, EndKind, GroupKey, HoldReport,
-    HoldRequest, Incarnation, ListedWorker, Now, Order, OrderKind, Planner, Progress, Queue,
-    Resources, Route, RunningTask, StartOutcome, StepSpec, StopOutcome, TaskKey,
+    AcceptedJob, EndKind, GroupKey, HoldReport, HoldRequest, ListedWorker, Now, Order, OrderKind,
+    Planner, Progress, Resources, RunningTask, StartOutcome, StopOutcome, TaskKey,
 };
-use stairstall_core::claim::Mark;
-use stairstall_core::{CustomerId, JobId, Timestamp, WorkerId, ZoneId};
+use stairstall_core::{JobId, Timestamp, WorkerId, ZoneId};
+
+// A benchmark takes this file by its path, from which it would look for these elsewhere.
+#[path = "harness/worker.rs"]
+mod fake_worker;
+#[path = "harness/fixtures.rs"]
+mod fixtures;
+
+pub use fake_worker::FakeWorker;
+#[allow(unused_imports, reason = "the benchmark needs a part of them")]
+pub use fixtures::{bounds, catalog, gang, id, job, step, task, worker};
 
 /// Longest lease of the workers here.
 pub const HOLD_MAX: Duration = Duration::from_secs(6);
@@ -27,92 +35,6 @@
 /// Time of day at the start, in milliseconds since the Unix epoch.
 pub const START_UNIX_MS: u64 = 1_800_000_000_000;
 
-/// A worker that does what it is told at once.
-#[derive(Debug, Clone)]
-pub struct FakeWorker {
-    /// By task: the run, how long it has worked, and the checkpoint.
-    pub running: BTreeMap<TaskKey, (u32, u64, Option<String>)>,
-    pub ended: Vec<End>,
-    pub forgotten: u64,
-    pub deadline_ms: u64,
-    /// How long a task's work takes, in milliseconds; none where nothing gets on.
-    pub span_ms: Option<u64>,
-    next_end: u64,
-    /// When this life began; its clock counts from there.
-    pub born_ms: u64,
-    /// By how much its time of day was set back when it began.
-    set_back_ms: u64,
-}
-
-impl Default for FakeWorker {
-    fn default() -> Self {
-        Self {
-            running: BTreeMap::new(),
-            ended: Vec::new(),
-            forgotten: 0,
-            deadline_ms: 0,
-            span_ms: Some(SPAN_MS),
-            next_end: 0,
-            born_ms: 0,
-            set_back_ms: 0,
-        }
-    }
-}
-
-impl FakeWorker {
-    /// A life that begins at a moment and knows nothing of the one before.
-    fn born(at_ms: u64) -> Self {
-        Self {
-            born_ms: at_ms,
-            ..Self::default()
-        }
-    }
-
-    pub fn incarnation(&self) -> Incarnation {
-        Incarnation::from_unix_ms(START_UNIX_MS + self.born_ms - self.set_back_ms)
-    }
-
-    /// Forgets ends that were taken note of; returns the tasks among them that are done.
-    ///
-    /// Workers may look through their ends at each request, or only where it names a higher number
-    /// than the requests before: then an end whose number was named before it came stays listed.
-    fn forget(&mut self, last_seen: u64, at_once: bool) -> Vec<TaskKey> {
-        if last_seen <= self.forgotten && !at_once {
-            return Vec::new();
-        }
-        self.forgotten = self.forgotten.max(last_seen);
-        let forgotten = self.forgotten;
-        let noted = self.ended.iter().filter(|end| end.number <= forgotten);
-        let done = noted.filter(|end| end.kind == EndKind::Done);
-        let done = done.map(|end| end.task.clone()).collect();
-        self.ended.retain(|end| end.number > forgotten);
-        done
-    }
-
-    /// Lets what runs get on for a while; nothing ends by itself.
-    pub fn work(&mut self, ms: u64) {
-        let Some(span_ms) = self.span_ms else {
-            return;
-        };
-        for (_, worked_ms, _) in self.running.values_mut() {
-            *worked_ms = (*worked_ms + ms * SPAN_MS / span_ms).min(SPAN_MS);
-        }
-    }
-
-    /// Ends a run.
-    pub fn end(&mut self, task: &TaskKey, kind: EndKind) {
-        let (run, _, checkpoint) = self.running.remove(task).expect("the task runs");
-        self.next_end += 1;
-        self.ended.push(End {
-            number: self.next_end,
-            task: task.clone(),
-            run,
-            kind,
-            checkpoint,
-        });
-    }
-}
-
 /// A worker that does not answer: it has crashed, or is cut off.
 #[derive(Debug, Clone)]
 struct Crashed {
@@ -163,105 +85,6 @@
     pub started_after_done: Vec<TaskKey>,
 }
 
-pub fn worker(id: &str, rack: &str, capacity: Resources) -> ListedWorker {
-    ListedWorker {
-        id: id.parse().expect("an id"),
-        address: format!("{id}.test:1000"),
-        service: "desk".parse().expect("an id"),
-        zone: "a".parse().expect("an id"),
-        rack: rack.parse().expect("an id"),
-        labels: BTreeSet::from(["a".to_owned(), rack.to_owned()]),
-        capacity,
-        draining: false,
-        remaining_ms: None,
-        incarnation: None,
-    }
-}
-
-pub fn bounds() -> Bounds {
-    Bounds {
-        hold_max: HOLD_MAX,
-        stop_max: STOP_MAX,
-        reclaim: Duration::from_millis(3_400),
-        evacuate: EVACUATE,
-        far_factor: 3,
-        keep_ended: Duration::from_secs(120),
-    }
-}
-
-pub fn queue(priority: u8) -> Queue {
-    Queue {
-        name: format!("q{priority}"),
-        service: "desk".parse().expect("an id"),
-        priority,
-        attempts: 2,
-        stretch: 2.0,
-        target_ms: 500,
-        ticket_valid_ms: None,
-    }
-}
-
-pub fn job(id: &str, priority: u8, steps: Vec<StepSpec>) -> AcceptedJob {
-    AcceptedJob {
-        id: id.parse().expect("an id"),
-        customer: Some("mesa".parse().expect("an id")),
-        queue: queue(priority),
-        accepted_unix_ms: START_UNIX_MS,
-        spec: BatchSpec {
-            payload: "work".to_owned(),
-            steps,
-            schedule: None,
-        },
-        mark: Mark::new("vm-1".parse().expect("an id"), 1, 1),
-        zone: None,
-    }
-}
-
-pub fn step(count: u32, accelerators: u32) -> StepSpec {
-    StepSpec {
-        count,
-        needs: Resources::new(1000, 1000, accelerators),
-        estimate_ms: 2_000,
-        ..StepSpec::default()
-    }
-}
-
-pub fn gang(count: u32, accelerators: u32) -> StepSpec {
-    StepSpec {
-        gang: true,
-        ..step(count, accelerators)
-    }
-}
-
-pub fn catalog(guaranteed: u32) -> Catalog {
-    Catalog {
-        version: 1,
-        routes: (0..3)
-            .map(|priority| Route {
-                host: "h".to_owned(),
-                path_prefix: format!("/{priority}/"),
-                public: false,
-                timeout_ms: 3_000,
-                queue: queue(priority),
-            })
-            .collect(),
-        customers: vec![Customer {
-            name: "mesa".parse::<CustomerId>().expect("an id"),
-            keys: BTreeSet::from(["key".to_owned()]),
-            guaranteed,
-        }],
-        max_body_bytes: 1000,
-    }
-}
-
-pub fn id(text: &str) -> JobId {
-    text.parse().expect("an id")
-}
-
-pub fn task(job: &str, step: u32, index: u32) -> TaskKey {
-    TaskKey::new(id(job), 0, step, index)
-}
-
 impl Fleet {
     /// Creates a planner of the first tenure with workers of 8 accelerators.
     pub fn new(workers: &[(&str, &str)]) -> Self {
