test(batch): tokens of lives, places kept at a life before; drop a check that nothing needs

A refusal by a later life ends no tenure and lets the task go elsewhere at once; a place kept at a life is not used at the next, which may be of another kind; tokens rise with each life and each planner.

--- a/crates/stairstall-core/src/batch/planner/answers.rs
+++ b/crates/stairstall-core/src/batch/planner/answers.rs
@@ -123,10 +123,6 @@
     fn try_again(&mut self, order: &Order, now: Now) {
         let (id, task) = (&order.worker, &order.task);
         self.doubt_unless_heard(id, task, now);
-        if !self.is_present_fence(id, order.token) {
-            // A report of the life that has begun since then tells whether it is there.
-            return;
-        }
         let run = self.run_at(id, task);
         let tries = run.map_or(0, |run| run.tries);
         let is_done = run.is_some_and(|run| run.unwanted_since.is_some());
--- /dev/null
+++ b/crates/stairstall-core/tests/batch/fences.rs
@@ -0,0 +1,97 @@
+//! Tokens that tell the lives of a worker apart, and what a life's beginning undoes.
+
+use stairstall_core::batch::{RefusalReason, StartOutcome, StepSpec};
+
+use crate::harness::{Fleet, job, step, task};
+
+const FENCED: StartOutcome = StartOutcome::Refused(RefusalReason::Fenced);
+
+fn fleet() -> Fleet {
+    let mut fleet = Fleet::new(&[("w1", "r1"), ("w2", "r1")]);
+    fleet.keeps_ids = true;
+    fleet.hold_all();
+    fleet
+}
+
+#[test]
+fn a_start_that_the_next_life_refuses_goes_elsewhere_at_once_and_ends_no_tenure() {
+    let mut fleet = fleet();
+    let start = fleet.first_start();
+    fleet.cut_off(&start.worker);
+    fleet.begin_unheard_life(&start.worker, 1);
+    let now = fleet.now();
+    fleet.planner.take_start(&start, FENCED, now);
+    assert!(!fleet.planner.is_deposed(), "its own later token was seen");
+    fleet.pass(100);
+    let again = fleet.place_of(&task("j", 0, 0));
+    assert!(again.is_some_and(|again| again != start.worker));
+}
+
+#[test]
+fn a_call_that_brings_the_present_token_and_is_refused_ends_the_tenure() {
+    let mut fleet = fleet();
+    let start = fleet.first_start();
+    let now = fleet.now();
+    fleet.planner.take_start(&start, FENCED, now);
+    assert!(fleet.planner.is_deposed());
+}
+
+#[test]
+fn a_request_that_was_meant_for_an_earlier_life_and_is_refused_ends_no_tenure() {
+    let mut fleet = fleet();
+    let start = fleet.first_start();
+    let id = start.worker.clone();
+    fleet.cut_off(&id);
+    fleet.begin_unheard_life(&id, 1);
+    fleet.planner.note_fenced(&id, start.token);
+    assert!(!fleet.planner.is_deposed());
+    let now = fleet.now();
+    let asked = fleet.planner.hold_request(&id, now).expect("it is asked");
+    fleet.planner.note_fenced(&id, asked.token);
+    assert!(fleet.planner.is_deposed());
+}
+
+/// Where a place was kept, the next life may be of another kind.
+#[test]
+fn a_place_that_was_kept_at_a_life_is_not_used_at_the_next() {
+    let mut fleet = fleet();
+    fleet.writes = false;
+    let labelled = StepSpec {
+        required_label: Some("a".to_owned()),
+        ..step(1, 8)
+    };
+    fleet.submit(job("j", 2, vec![labelled]));
+    for name in ["w1", "w2"] {
+        let id = name.parse().expect("an id");
+        fleet
+            .listed
+            .get_mut(&id)
+            .expect("it is listed")
+            .labels
+            .clear();
+        fleet.crash_for(&id, 200);
+    }
+    fleet.pass(500);
+    fleet.writes = true;
+    fleet.pass(500);
+    assert!(fleet.given.is_empty(), "{:?}", fleet.given);
+}
+
+#[test]
+fn each_life_has_a_higher_token_than_all_before_and_the_next_planner_higher_ones() {
+    let mut fleet = fleet();
+    let first = fleet.first_start();
+    let mut highest = first.token;
+    for after_ms in 1..=3 {
+        fleet.begin_unheard_life(&first.worker, after_ms);
+        let now = fleet.now();
+        let asked = fleet.planner.hold_request(&first.worker, now);
+        let token = asked.expect("a life that was not met is asked").token;
+        assert!(token > highest);
+        highest = token;
+    }
+    fleet.succeed(&[]);
+    let now = fleet.now();
+    let asked = fleet.planner.hold_request(&first.worker, now);
+    assert!(asked.expect("it is asked").token > highest);
+}
--- a/crates/stairstall-core/tests/batch/harness.rs
+++ b/crates/stairstall-core/tests/batch/harness.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use stairstall_core::batch::{
-    AcceptedJob, EndKind, GroupKey, HoldReport, HoldRequest, ListedWorker, Now, Order, OrderKind,
-    Planner, Progress, Resources, RunningTask, StartOutcome, StopOutcome, TaskKey,
+    AcceptedJob, EndKind, GroupKey, HoldReport, HoldRequest, Incarnation, ListedWorker, Now, Order,
+    OrderKind, Planner, Progress, Resources, RunningTask, StartOutcome, StopOutcome, TaskKey,
 };
 use stairstall_core::{JobId, Timestamp, WorkerId, ZoneId};
 
@@ -257,6 +257,25 @@
         self.add(listed, now);
     }
 
+    /// Hands in a job of one task and returns its start, which nobody has carried out.
+    pub fn first_start(&mut self) -> Order {
+        let now = self.now();
+        self.planner.submit(job("j", 2, vec![step(1, 8)]), now);
+        self.planner.tick(now);
+        self.write_all();
+        self.planner.tick(now).remove(0)
+    }
+
+    /// Lets the directory name another life of a worker, which does not answer.
+    pub fn begin_unheard_life(&mut self, id: &WorkerId, after_ms: u64) {
+        let mut listed = self.listed[id].clone();
+        listed.incarnation = Some(Incarnation::from_unix_ms(START_UNIX_MS + after_ms));
+        self.listed.insert(id.clone(), listed.clone());
+        let now = self.now();
+        self.planner.list_worker(listed, now);
+        self.settle();
+    }
+
     /// Lets a run give way to other work, so that its stop is taken and its end not yet listed.
     pub fn announce_stop(&mut self, task: &TaskKey, id: &WorkerId) {
         let leaving = self.listed[id].clone();
--- a/crates/stairstall-core/tests/batch/main.rs
+++ b/crates/stairstall-core/tests/batch/main.rs
@@ -6,6 +6,7 @@
 mod ends;
 mod evacuation;
 mod failures;
+mod fences;
 mod flow;
 mod harness;
 mod lasting;
--- a/crates/stairstall-core/tests/batch/restarts.rs
+++ b/crates/stairstall-core/tests/batch/restarts.rs
@@ -13,8 +13,8 @@
 use rand_pcg::Pcg64Mcg;
 use stairstall_core::WorkerId;
 use stairstall_core::batch::{
-    CallerState, DecisionKind, End, EndKind, HoldReport, Incarnation, Order, OrderKind, Outcome,
-    Place, StartOutcome,
+    CallerState, DecisionKind, End, EndKind, HoldReport, Incarnation, OrderKind, Outcome, Place,
+    StartOutcome,
 };
 
 use crate::harness::{Fleet, START_UNIX_MS, gang, id, job, step, task};
@@ -229,15 +229,6 @@
     assert_eq!(stopped, ["w1"]);
 }
 
-/// Hands in a job of one task and returns its start, which nobody has carried out.
-fn first_start(fleet: &mut Fleet) -> Order {
-    let now = fleet.now();
-    fleet.planner.submit(job("j", 2, vec![step(1, 8)]), now);
-    fleet.planner.tick(now);
-    fleet.write_all();
-    fleet.planner.tick(now).remove(0)
-}
-
 /// Starts a job of one task and returns where it runs.
 fn run_one(fleet: &mut Fleet) -> WorkerId {
     fleet.submit(job("j", 2, vec![step(1, 8)]));
@@ -376,28 +367,18 @@
     run_one(&mut fleet);
 }
 
-/// Lets the directory name another life of a worker, which does not answer.
-fn begin_unheard_life(fleet: &mut Fleet, id: &WorkerId, after_ms: u64) {
-    let mut listed = fleet.listed[id].clone();
-    listed.incarnation = Some(Incarnation::from_unix_ms(START_UNIX_MS + after_ms));
-    fleet.listed.insert(id.clone(), listed.clone());
-    let now = fleet.now();
-    fleet.planner.list_worker(listed, now);
-    fleet.settle();
-}
-
 #[test]
 fn a_start_whose_first_try_had_no_answer_goes_elsewhere_once_the_next_life_has_seen_a_higher_token()
 {
     let mut fleet = fleet(&[("w1", "r1"), ("w2", "r1")]);
     let now = fleet.now();
-    let first = first_start(&mut fleet);
+    let first = fleet.first_start();
     fleet.planner.take_start(&first, StartOutcome::Unknown, now);
     fleet.settle();
     let place = first.worker.clone();
     fleet.pass(300);
     fleet.cut_off(&place);
-    begin_unheard_life(&mut fleet, &place, 1);
+    fleet.begin_unheard_life(&place, 1);
     fleet.pass(2_000);
     let elsewhere = |fleet: &Fleet| fleet.given.iter().any(|order| order.run == 2);
     assert!(!elsewhere(&fleet), "the first try may still come");
@@ -416,9 +397,9 @@
 fn a_task_waits_for_the_longest_lease_where_an_unheard_life_may_have_its_start() {
     let mut fleet = fleet(&[("w1", "r1"), ("w2", "r1")]);
     fleet.pass(1_000);
-    let first = first_start(&mut fleet);
+    let first = fleet.first_start();
     fleet.cut_off(&first.worker);
-    begin_unheard_life(&mut fleet, &first.worker, 1_200);
+    fleet.begin_unheard_life(&first.worker, 1_200);
     let now = fleet.now();
     fleet.planner.take_start(&first, StartOutcome::Unknown, now);
     fleet.settle();
@@ -487,13 +468,13 @@
 fn a_run_that_may_come_late_counts_once_however_often_its_worker_starts_again() {
     let mut fleet = fleet(&[("w1", "r1")]);
     let now = fleet.now();
-    let first = first_start(&mut fleet);
+    let first = fleet.first_start();
     fleet.planner.take_start(&first, StartOutcome::Unknown, now);
     fleet.settle();
     fleet.pass(300);
     fleet.cut_off(&first.worker);
     for after_ms in [100, 200, 300, 400] {
-        begin_unheard_life(&mut fleet, &first.worker, after_ms);
+        fleet.begin_unheard_life(&first.worker, after_ms);
     }
     fleet.at_ms += 500;
     fleet.restart_cut_off(&first.worker);
@@ -535,7 +516,7 @@
 fn a_start_without_an_answer_is_not_left_alone_where_its_worker_has_started_again_meanwhile() {
     let mut fleet = fleet(&[("w1", "r1")]);
     let now = fleet.now();
-    let start = first_start(&mut fleet);
+    let start = fleet.first_start();
     fleet.cut_off(&start.worker);
     let mut listed = fleet.listed[&start.worker].clone();
     listed.incarnation = Some(Incarnation::from_unix_ms(START_UNIX_MS + 50));
@@ -571,7 +552,7 @@
     let mut fleet = fleet(&[("w1", "r1"), ("w2", "r1")]);
     fleet.pass(5_000);
     let now = fleet.now();
-    let start = first_start(&mut fleet);
+    let start = fleet.first_start();
     let started = StartOutcome::Started { clock_ms: 40 };
     fleet.planner.take_start(&start, started, now);
     fleet.cut_off(&start.worker);
