--- a/crates/stairstall-core/src/batch/planner/adopt.rs
+++ b/crates/stairstall-core/src/batch/planner/adopt.rs
@@ -95,7 +95,6 @@
         run.incarnation = place.incarnation;
         run.taken = place.taken;
         run.is_listed = false;
-        run.fence = 0;
         let lease_until = now.at + Self::lease_span(self.bounds.hold_max);
         self.recorded_worker(id, now).extend_lease(lease_until);
         self.keep_run(id, task, run);
--- a/crates/stairstall-core/tests/batch/fences.rs
+++ b/crates/stairstall-core/tests/batch/fences.rs
@@ -51,29 +51,26 @@
     assert!(fleet.planner.is_deposed());
 }
 
-/// Where a place was kept, the next life may be of another kind.
+/// The next life may be of another kind, and answer before anything is looked through.
 #[test]
 fn a_place_that_was_kept_at_a_life_is_not_used_at_the_next() {
-    let mut fleet = fleet();
+    let mut fleet = Fleet::new(&[("w1", "r1")]);
+    fleet.hold_all();
     fleet.writes = false;
     let labelled = StepSpec {
         required_label: Some("a".to_owned()),
         ..step(1, 8)
     };
     fleet.submit(job("j", 2, vec![labelled]));
-    for name in ["w1", "w2"] {
-        let id = name.parse().expect("an id");
-        fleet
-            .listed
-            .get_mut(&id)
-            .expect("it is listed")
-            .labels
-            .clear();
-        fleet.crash_for(&id, 200);
-    }
-    fleet.pass(500);
+    let id = "w1".parse().expect("an id");
+    fleet.cut_off(&id);
+    fleet.at_ms += 50;
+    let listed = fleet.listed.get_mut(&id).expect("it is listed");
+    listed.labels.clear();
+    fleet.restart_cut_off(&id);
+    fleet.hold(&id).expect("a life that was not met is asked");
     fleet.writes = true;
-    fleet.pass(500);
+    fleet.settle();
     assert!(fleet.given.is_empty(), "{:?}", fleet.given);
 }
 
--- a/crates/stairstall-core/tests/batch/lossy.rs
+++ b/crates/stairstall-core/tests/batch/lossy.rs
@@ -34,6 +34,8 @@
 const CALM_MS: u64 = 60_000;
 /// Seeds that are played where none are named.
 const SEEDS: u64 = 54;
+/// The same for days with cuts and new planners.
+const ROUGH_SEEDS: u64 = 18;
 
 /// A world of one worker in which nothing goes wrong by itself.
 fn calm(forgetting: Forgetting) -> World {
@@ -222,6 +224,35 @@
     }
 }
 
+/// Cuts some workers off for longer and shorter than their leases, some of them around a crash.
+fn cut_some(world: &mut World) {
+    for id in world.worker_ids() {
+        if world.random.random_range(0..3) == 0 {
+            let at_ms = world.random.random_range(1_000..BUSY_MS);
+            let for_ms = world.random.random_range(300..9_000);
+            world.cut_at(&id, at_ms, for_ms);
+        }
+        if world.random.random_range(0..8) == 0 {
+            let at_ms = world.random.random_range(1_000..BUSY_MS);
+            let for_ms = world.random.random_range(1_000..7_000);
+            world.cut_at(&id, at_ms, for_ms);
+            world.crash_at(&id, at_ms + for_ms / 4, for_ms / 4);
+        }
+    }
+}
+
+/// Replaces the planner now and then.
+fn replace_planners(world: &mut World) {
+    let mut at_ms = 0;
+    loop {
+        at_ms += world.random.random_range(3_000..20_000);
+        if at_ms >= BUSY_MS {
+            return;
+        }
+        world.succeed_at(at_ms);
+    }
+}
+
 /// What days have in common.
 #[derive(Debug, Clone, Copy)]
 struct Day {
@@ -230,12 +261,15 @@
     pause_ms: u64,
     /// Whether a call may reach a life that began after it was sent and has not answered the planner yet.
     reaches_unmet: bool,
+    /// Whether workers are cut off, also where they crash, and planners are replaced.
+    is_rough: bool,
 }
 
 const DAY: Day = Day {
     workers: 48,
     pause_ms: 400,
     reaches_unmet: true,
+    is_rough: false,
 };
 
 /// Plays the day of a seed.
@@ -250,6 +284,10 @@
     let mut world = World::new(day.workers, habits, random);
     world.reaches_unmet = day.reaches_unmet;
     crash_thirds(&mut world);
+    if day.is_rough {
+        cut_some(&mut world);
+        replace_planners(&mut world);
+    }
     let mut count = 0;
     while world.at_ms < BUSY_MS {
         let steps = random_steps(&mut world.random);
@@ -310,6 +348,16 @@
     check(seeds(SEEDS), day);
 }
 
+#[test]
+fn work_runs_once_and_ends_behind_cuts_and_under_new_planners() {
+    let day = Day {
+        reaches_unmet: false,
+        is_rough: true,
+        ..DAY
+    };
+    check(seeds(ROUGH_SEEDS), day);
+}
+
 #[test]
 fn work_runs_once_and_ends_at_350_workers() {
     // One with answers lost and calls late now and then, and one with all three often.
--- a/crates/stairstall-core/tests/batch/lossy/world.rs
+++ b/crates/stairstall-core/tests/batch/lossy/world.rs
@@ -42,6 +42,10 @@
     Listed(WorkerId, Option<ListedWorker>),
     /// An entry lapses, if its life has ended and no other began.
     Lapse(WorkerId, u64),
+    /// Nothing gets through to a worker, and nothing from it, for so long.
+    Cut(WorkerId, u64),
+    /// Another planner takes over.
+    Succeed,
 }
 
 /// What is under way to the planner.
@@ -112,6 +116,8 @@
     tokens: BTreeMap<WorkerId, u64>,
     /// Whether a call may reach a life that began after it was sent and has not answered the planner yet.
     pub reaches_unmet: bool,
+    /// Until when each worker is cut off.
+    cut_until_ms: BTreeMap<WorkerId, u64>,
     /// The job whose progress the store does not take.
     pub unwritten: Option<JobId>,
     /// How much later than others the next start, or request that names ends to forget, arrives, unheard.
@@ -150,6 +156,7 @@
             calls: 0,
             tokens: BTreeMap::new(),
             reaches_unmet: true,
+            cut_until_ms: BTreeMap::new(),
             unwritten: None,
             delays_start_ms: None,
             delays_naming_ms: None,
@@ -194,6 +201,41 @@
         self.events.push(at_ms, Event::Crash(id.clone(), away_ms));
     }
 
+    pub fn cut_at(&mut self, id: &WorkerId, at_ms: u64, for_ms: u64) {
+        self.events.push(at_ms, Event::Cut(id.clone(), for_ms));
+    }
+
+    pub fn succeed_at(&mut self, at_ms: u64) {
+        self.events.push(at_ms, Event::Succeed);
+    }
+
+    /// Replaces the planner by one of the next tenure, which knows what was written down.
+    fn succeed(&mut self) {
+        let now = self.now();
+        let token = self.planner.token() + 1;
+        self.planner = Planner::new(token, bounds());
+        self.planner.set_catalog(Arc::new(catalog(0)));
+        for (id, life) in &self.lives {
+            let mut listed = self.listed[id].clone();
+            listed.incarnation = Some(life.incarnation());
+            self.planner.list_worker(listed, now);
+        }
+        for (id, job) in &self.jobs {
+            let progress = self.kept.get(id);
+            self.planner.load(job.clone(), progress, false, now);
+        }
+        self.busy.clear();
+        self.asking.clear();
+        self.pending.clear();
+        self.tell(format_args!("planner {token} takes over"));
+    }
+
+    fn is_cut(&self, id: &WorkerId) -> bool {
+        self.cut_until_ms
+            .get(id)
+            .is_some_and(|until_ms| self.at_ms < *until_ms)
+    }
+
     pub fn worker_ids(&self) -> Vec<WorkerId> {
         self.listed.keys().cloned().collect()
     }
@@ -234,6 +276,11 @@
         for event in self.events.take(self.at_ms) {
             match event {
                 Event::Crash(id, away_ms) => self.crash(&id, away_ms),
+                Event::Cut(id, for_ms) => {
+                    self.tell(format_args!("{id} is cut off for {for_ms}"));
+                    self.cut_until_ms.insert(id, self.at_ms + for_ms);
+                }
+                Event::Succeed => self.succeed(),
                 Event::Begin(id) => {
                     let behind_ms = self.behind();
                     self.begin(&id, behind_ms);
@@ -321,6 +368,9 @@
 
     fn arrive(&mut self, sent: Sent) {
         let at_ms = self.at_ms;
+        if self.is_cut(&sent.worker) {
+            return;
+        }
         let Some(life) = self.lives.get_mut(&sent.worker) else {
             return;
         };
@@ -411,7 +461,7 @@
     }
 
     fn answer(&mut self, sent: Sent, answer: Answer) {
-        if sent.is_heard {
+        if sent.is_heard && !self.is_cut(&sent.worker) {
             let at_ms = self.at_ms + transit(&mut self.random);
             self.news.push(at_ms, News::Answered(sent, answer));
         }
@@ -515,8 +565,9 @@
                 self.writes.push(self.at_ms + STEP_MS, (token, write));
                 continue;
             }
-            self.busy.remove(&write.job);
+            // A write of an earlier planner fails: the role is no longer its own.
             if token == self.planner.token() {
+                self.busy.remove(&write.job);
                 self.planner.written(&write.job, write.change);
                 self.kept.insert(write.job, write.progress);
             }
