test(batch): an answer of a life that is over sets the clock of the next, failing

Symptom: a start at the next life brings a deadline of 21,600 ms where its clock stands at some hundred: the worker holds the run for its longest lease while the planner counts on 1.5 s, so that after a cut it would start elsewhere beside it.

--- a/crates/stairstall-core/tests/batch/fences.rs
+++ b/crates/stairstall-core/tests/batch/fences.rs
@@ -1,6 +1,6 @@
 //! Tokens that tell the lives of a worker apart, and what a life's beginning undoes.
 
-use stairstall_core::batch::{RefusalReason, StartOutcome, StepSpec};
+use stairstall_core::batch::{OrderKind, RefusalReason, StartOutcome, StepSpec};
 
 use crate::harness::{Fleet, job, step, task};
 
@@ -51,6 +51,35 @@
     assert!(fleet.planner.is_deposed());
 }
 
+/// By the clock of the life before, its deadline would be far ahead, and the worker would hold the run for the longest.
+#[test]
+fn an_answer_of_a_life_that_is_over_sets_no_clock() {
+    let mut fleet = Fleet::new(&[("w1", "r1")]);
+    fleet.hold_all();
+    fleet.pass(20_000);
+    let first = fleet.first_start();
+    fleet.cut_off(&first.worker);
+    fleet.at_ms += 1_000;
+    fleet.restart_cut_off(&first.worker);
+    fleet
+        .hold(&first.worker)
+        .expect("a life that was not met is asked");
+    let now = fleet.now();
+    let late = StartOutcome::Started { clock_ms: 20_000 };
+    fleet.planner.take_start(&first, late, now);
+    fleet.pass(100);
+    let starts = fleet.given.iter().filter_map(|order| match order.kind {
+        OrderKind::Start { deadline_ms, .. } => Some(deadline_ms),
+        OrderKind::Stop => None,
+    });
+    let deadlines: Vec<u64> = starts.collect();
+    assert!(
+        deadlines.iter().all(|deadline| *deadline < 5_000),
+        "{deadlines:?}"
+    );
+    assert_eq!(deadlines.len(), 1);
+}
+
 /// The next life may be of another kind, and answer before anything is looked through.
 #[test]
 fn a_place_that_was_kept_at_a_life_is_not_used_at_the_next() {
