fix(batch): read a worker's clock only from answers to calls that were meant for its present life

Cause: an answer to a start was told from one of an earlier life by the run that it is about; where that run was lost with its life already, its clock was taken for the next life's. Why it holds: each life has its own token, which the order names. Before: a deadline of 21,600 ms on a clock at some hundred; after: by the life's own clock.

--- a/crates/stairstall-core/src/batch/planner/adopt.rs
+++ b/crates/stairstall-core/src/batch/planner/adopt.rs
@@ -155,9 +155,7 @@
             restored: false,
             suspicion: self.suspicion(&running.task),
         };
-        if let Some(worker) = self.workers.get(id) {
-            run.note_running(running, worker.life.incarnation, worker.fence, now.at);
-        }
+        run.note_running(running, self.incarnation_of(id), now.at);
         run
     }
 }
--- a/crates/stairstall-core/src/batch/planner/contact.rs
+++ b/crates/stairstall-core/src/batch/planner/contact.rs
@@ -210,7 +210,7 @@
         match worker.runs.get_mut(&running.task) {
             Some(run) if run.number == running.run => {
                 let before = run.state;
-                run.note_running(running, worker.life.incarnation, worker.fence, now.at);
+                run.note_running(running, worker.life.incarnation, now.at);
                 let has_begun = run.state != before;
                 let was_restored = std::mem::take(&mut run.restored);
                 let lasts = run.lasts;
@@ -275,11 +275,9 @@
         &mut self,
         running: &RunningTask,
         by: Option<Incarnation>,
-        fence: u64,
         at: Timestamp,
     ) {
         self.incarnation = by;
-        self.fence = fence;
         self.taken = true;
         self.is_listed = true;
         if matches!(self.state, RunState::Starting | RunState::Planned) {
--- a/crates/stairstall-core/src/batch/planner/pool/run.rs
+++ b/crates/stairstall-core/src/batch/planner/pool/run.rs
@@ -78,7 +78,7 @@
     pub(in crate::batch::planner) taken: bool,
     /// Which life of its worker was told to start it last, or lists it.
     pub(in crate::batch::planner) incarnation: Option<Incarnation>,
-    /// The token of that life.
+    /// The token that the last start of it brought; none was sent to a run that was found.
     pub(in crate::batch::planner) fence: u64,
     /// Whether a report of that life has listed it.
     pub(in crate::batch::planner) is_listed: bool,
--- a/crates/stairstall-core/src/batch/planner/restarts.rs
+++ b/crates/stairstall-core/src/batch/planner/restarts.rs
@@ -75,8 +75,8 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        let meant = worker.runs.get(&order.task).and_then(|run| run.incarnation);
-        if worker.life.differs(meant) {
+        if order.token != worker.fence {
+            // It is the clock of an earlier life, by which a deadline would be far ahead.
             return;
         }
         if worker.life.is_clock_set_back(clock_ms, now.at) {
