--- a/crates/stairstall-core/tests/batch/story.rs
+++ b/crates/stairstall-core/tests/batch/story.rs
@@ -1,6 +1,6 @@
 //! The account of where a job's time went.
 
-use stairstall_core::batch::{EndKind, JobSummary, Outcome, Setback, Setbacks, Span};
+use stairstall_core::batch::{EndKind, JobSummary, Outcome, Setback, Setbacks, Span, StartOutcome};
 
 use crate::harness::{Fleet, gang, job, step, task};
 
@@ -104,3 +104,24 @@
     setbacks.note(Setback::GaveWay);
     assert_eq!(setbacks.to_string(), "failed:1,gave-way:2");
 }
+
+/// A run that the next life of its worker may have waits for that life to answer.
+#[test]
+fn the_time_until_a_life_answers_is_silent() {
+    let mut fleet = Fleet::new(&[("w1", "r1"), ("w2", "r1")]);
+    fleet.hold_all();
+    let first = fleet.first_start();
+    let now = fleet.now();
+    fleet.planner.take_start(&first, StartOutcome::Unknown, now);
+    fleet.settle();
+    fleet.pass(300);
+    fleet.cut_off(&first.worker);
+    fleet.begin_unheard_life(&first.worker, 1);
+    fleet.pass(2_000);
+    fleet.restart_cut_off(&first.worker);
+    fleet.pass(500);
+    fleet.end_all();
+    fleet.pass(500);
+    let summaries = fleet.planner.take_summaries();
+    assert!(summaries[0].millis(Span::Silent) >= 1_900, "{summaries:?}");
+}
