--- a/crates/stairstall-core/tests/batch/fences.rs
+++ b/crates/stairstall-core/tests/batch/fences.rs
@@ -27,6 +27,29 @@
     assert!(again.is_some_and(|again| again != start.worker));
 }
 
+/// A task ran on two workers at once. The third try of a run had left before its worker's next life was heard of, and was
+/// refused by that life after the next run of the task had been sent there. Told by the task alone, the refusal was taken
+/// for one of the new run: "run=5 stopped; its worker's life was over before" stood 0.12 s before run 5 was found at work there.
+#[test]
+fn a_refusal_of_an_earlier_run_undoes_no_later_one() {
+    let mut fleet = Fleet::new(&[("w1", "r1")]);
+    fleet.hold_all();
+    let first = fleet.first_start();
+    fleet.cut_off(&first.worker);
+    fleet.at_ms += 1_000;
+    fleet.restart_cut_off(&first.worker);
+    fleet
+        .hold(&first.worker)
+        .expect("a life that was not met is asked");
+    let now = fleet.now();
+    fleet.planner.tick(now);
+    fleet.write_all();
+    let second = fleet.planner.tick(now).remove(0);
+    assert!(second.run > first.run && second.token > first.token);
+    fleet.planner.take_start(&first, FENCED, now);
+    assert_eq!(fleet.planner.runs(), 1, "the second run may have begun");
+}
+
 #[test]
 fn a_call_that_brings_the_present_token_and_is_refused_ends_the_tenure() {
     let mut fleet = fleet();
