fix(batch): a refusal counts for the run and token that it answers alone

Callers' work ran on two workers at once: a task began elsewhere while its next run was at work. Cause: a start that another life refuses was never begun, so its run is dropped at once and its task goes elsewhere. The run was looked up by the task alone. A refusal that comes late, after the next run of the task was sent to the new life, dropped that one, which had begun. Why it holds: the run is the refused one only where its number and its token are the order's; the next run, or the next try at a new life, has another of one of them.

--- a/crates/stairstall-core/src/batch/planner/answers.rs
+++ b/crates/stairstall-core/src/batch/planner/answers.rs
@@ -6,7 +6,7 @@
 use crate::{JobId, Timestamp, WorkerId};
 
 impl Planner {
-    /// Takes what became of a start that left at `sent_at`.
+    /// Takes what became of a start.
     pub fn take_start(&mut self, order: &Order, outcome: StartOutcome, now: Now) {
         let id = &order.worker;
         let task = &order.task;
--- a/crates/stairstall-core/src/batch/planner/restarts.rs
+++ b/crates/stairstall-core/src/batch/planner/restarts.rs
@@ -95,7 +95,9 @@
         let Some(worker) = self.workers.get(&refused.worker) else {
             return;
         };
-        let Some(refused_run) = worker.runs.get(&refused.task) else {
+        // A refusal may be late: by then another run, or try, may be on its way to the next life.
+        let is_refused = |run: &&Run| run.number == refused.run && run.fence == refused.token;
+        let Some(refused_run) = worker.runs.get(&refused.task).filter(is_refused) else {
             return;
         };
         let sent_at = refused_run.ordered_at;
--- a/crates/stairstalld/tests/batch/soak.rs
+++ b/crates/stairstalld/tests/batch/soak.rs
@@ -22,8 +22,8 @@
 /// a place whose start was never sent; 9316, the same with a run that had given way;
 /// 9811, a start without an answer was left alone after its worker had started again;
 /// 10008, one run that waited to be barred counted as five losses; 10405, a job that was cancelled while its
-/// planner had no answers from the store started after that.
-const KEPT_SEEDS: [u64; 9] = [704, 707, 838, 9110, 9209, 9316, 9811, 10008, 10405];
+/// planner had no answers from the store started after that; 30010, a late refusal of one run was taken for one of the next.
+const KEPT_SEEDS: [u64; 10] = [704, 707, 838, 9110, 9209, 9316, 9811, 10008, 10405, 30010];
 /// How long jobs may take to end once the faults are over: a takeover, a lease of 3 s and its
 /// margin, and 10 s until a worker that nobody lists is taken for crashed, twice over.
 const SETTLE_PATIENCE: Duration = Duration::from_secs(40);
