fix(batch): a store that serves again does not shorten the time that a long read is given

Cause: each read that takes too long gets twice the time at the next try; each of its time-outs also counts as an outage, after which any other answer counts as recovery, and that set the time back to the shortest. So the read may never get long enough. Why it holds: recovery still reads anew at once, with the time reached so far.

--- a/crates/stairstalld/src/batch/catalog.rs
+++ b/crates/stairstalld/src/batch/catalog.rs
@@ -27,13 +27,15 @@
     loop {
         let followed = tokio::select! {
             biased;
-            followed = follow_store(&node, patience) => followed,
-            () = node.store_health.recovers() => Ok(()),
+            followed = follow_store(&node, patience) => Some(followed),
+            () = node.store_health.recovers() => None,
         };
         node.catalog_confirmed.store(false, Ordering::Release);
         match followed {
-            Ok(()) => patience = shortest,
-            Err(fault) => {
+            Some(Ok(())) => patience = shortest,
+            // The store's other answers show that it serves, not how long this one takes.
+            None => {}
+            Some(Err(fault)) => {
                 log::debug!(target: "config", why:% = fault; "following the configuration again");
                 patience = if fault.is_time_out() {
                     (patience * 2).min(LIST_TIMEOUT)
