--- a/crates/stairstall-core/src/batch/planner/contact.rs
+++ b/crates/stairstall-core/src/batch/planner/contact.rs
@@ -77,7 +77,7 @@
         worker.life.left_quietly = !worker.is_listed;
         let silent_under = std::mem::take(&mut worker.lost);
         let seen = worker.life.seen;
-        let mut absent = worker.expected_in(request, sent_at);
+        let mut absent = worker.expected_in(is_fenced, sent_at);
         for running in &report.running {
             absent.retain(|task| *task != running.task);
             self.take_running(id, running, now);
@@ -255,16 +255,12 @@
     /// Names runs that the answer to a request sent at `sent_at` must list if they are there: those for which
     /// this life had answered, and those meant for an earlier one, which it starts no more once it has
     /// seen its own token.
-    fn expected_in(&self, request: &HoldRequest, sent_at: Timestamp) -> Vec<TaskKey> {
-        let is_fenced = request.token == self.fence;
+    fn expected_in(&self, is_fenced: bool, sent_at: Timestamp) -> Vec<TaskKey> {
         self.tasks_where(|run| {
-            let is_of_this_life = run.fence == self.fence;
-            let has_answered = run.answered_at.is_some_and(|at| at < sent_at);
-            let is_of_earlier = is_fenced && run.was_started();
-            if is_of_this_life {
-                has_answered
+            if run.fence == self.fence {
+                run.answered_at.is_some_and(|at| at < sent_at)
             } else {
-                is_of_earlier
+                is_fenced && run.was_started()
             }
         })
     }
--- a/crates/stairstall-core/tests/batch/fences.rs
+++ b/crates/stairstall-core/tests/batch/fences.rs
@@ -1,5 +1,6 @@
 //! Tokens that tell the lives of a worker apart, and what a life's beginning undoes.
 
+use stairstall_core::WorkerId;
 use stairstall_core::batch::{OrderKind, RefusalReason, StartOutcome, StepSpec};
 
 use crate::harness::{Fleet, job, step, task};
@@ -13,6 +14,14 @@
     fleet
 }
 
+/// Starts a worker again under its id and lets the new life answer, before anything is looked through.
+fn restart_and_meet(fleet: &mut Fleet, id: &WorkerId) {
+    fleet.cut_off(id);
+    fleet.at_ms += 1_000;
+    fleet.restart_cut_off(id);
+    fleet.hold(id).expect("a life that was not met is asked");
+}
+
 #[test]
 fn a_start_that_the_next_life_refuses_goes_elsewhere_at_once_and_ends_no_tenure() {
     let mut fleet = fleet();
@@ -35,12 +44,7 @@
     let mut fleet = Fleet::new(&[("w1", "r1")]);
     fleet.hold_all();
     let first = fleet.first_start();
-    fleet.cut_off(&first.worker);
-    fleet.at_ms += 1_000;
-    fleet.restart_cut_off(&first.worker);
-    fleet
-        .hold(&first.worker)
-        .expect("a life that was not met is asked");
+    restart_and_meet(&mut fleet, &first.worker);
     let now = fleet.now();
     fleet.planner.tick(now);
     fleet.write_all();
@@ -81,12 +85,7 @@
     fleet.hold_all();
     fleet.pass(20_000);
     let first = fleet.first_start();
-    fleet.cut_off(&first.worker);
-    fleet.at_ms += 1_000;
-    fleet.restart_cut_off(&first.worker);
-    fleet
-        .hold(&first.worker)
-        .expect("a life that was not met is asked");
+    restart_and_meet(&mut fleet, &first.worker);
     let now = fleet.now();
     let late = StartOutcome::Started { clock_ms: 20_000 };
     fleet.planner.take_start(&first, late, now);
--- a/crates/stairstall-core/tests/batch/harness.rs
+++ b/crates/stairstall-core/tests/batch/harness.rs
@@ -10,7 +10,7 @@
 };
 use stairstall_core::{JobId, Timestamp, WorkerId, ZoneId};
 
-// A benchmark takes this file by its path, from which it would look for these elsewhere.
+// Where this file is included by its path, these would be looked for beside it.
 #[path = "harness/worker.rs"]
 mod fake_worker;
 #[path = "harness/fixtures.rs"]
--- a/crates/stairstall-core/tests/batch/lossy.rs
+++ b/crates/stairstall-core/tests/batch/lossy.rs
@@ -63,18 +63,8 @@
 }
 
 fn assert_kept(world: &World) {
-    assert!(
-        world.broken.is_empty(),
-        "{:?}\n{}",
-        world.broken,
-        world.story("")
-    );
-    assert!(
-        world.lost().is_empty(),
-        "{:?}\n{}",
-        world.lost(),
-        world.story("")
-    );
+    let faults = [world.broken.clone(), world.lost()].concat();
+    assert!(faults.is_empty(), "{faults:?}\n{}", world.story(""));
 }
 
 fn crash_now(world: &mut World) {
