fix(batch): don't resend an unanswered start that the worker's next incarnation may carry out

Callers saw a finished task run again: the worker that had run it restarted under the same ID, and its new incarnation began the same run.

Cause: a start without an answer was resent at once. The second try began the run. Seconds later, the first try was carried out by the worker's next incarnation, which has the ID that the start names, before that incarnation had answered the planner. If the task was stopped and sent to another worker instead, it ran in both places in the same way. Each such line of the test's output begins the run number that was already done, at the same worker, soon after an incarnation began.

Change: where the incarnations of a worker share its ID (directory entries and reports include an incarnation beside the ID), an unanswered start is not resent, and its task is not started elsewhere, until a report lists the run, another incarnation has answered a request with its own token, or 13 s have passed since the start was sent (orders.late_start). A gang does not wait for such a member. Where each incarnation has its own ID, a call names its incarnation and behaviour is unchanged.

Why this is sufficient: one call is carried out at most once, and while it may still be carried out, nothing else of the task is in progress.

--- a/crates/stairstall-core/src/batch/planner/adopt.rs
+++ b/crates/stairstall-core/src/batch/planner/adopt.rs
@@ -141,6 +141,7 @@
             answered_at: Some(now.at),
             stops: 0,
             tries: 1,
+            late_start_until: None,
             percent: running.percent,
             progressed_at: now.at,
             reported_at: now.at,
--- a/crates/stairstall-core/src/batch/planner/answers.rs
+++ b/crates/stairstall-core/src/batch/planner/answers.rs
@@ -35,6 +35,9 @@
         if run.number != order.run {
             return;
         }
+        if outcome != StartOutcome::Unknown {
+            run.late_start_until = None;
+        }
         if let StartOutcome::Started { .. } = outcome {
             run.answered_at = run.answered_at.or(Some(now.at));
             run.taken = true;
@@ -136,6 +139,12 @@
             "no answer to its start, and its zone may be evacuated"
         } else if tries >= self.policy.orders.max_tries {
             "no answer to its starts"
+        } else if run.is_some_and(|run| run.may_start_late(now.at)) {
+            // A resent start could be carried out twice: now, and by the worker's next incarnation.
+            // The next report tells whether the run has started.
+            self.note_answered(id, task, now.at);
+            self.to_ask.push(id.clone());
+            return;
         } else {
             self.emit_start(id, task, now);
             return;
--- a/crates/stairstall-core/src/batch/planner/contact.rs
+++ b/crates/stairstall-core/src/batch/planner/contact.rs
@@ -116,22 +116,73 @@
             run.is_some_and(|run| worker.life.differs(run.incarnation))
         };
         let lost = absent.extract_if(.., |task| is_of_earlier(task)).collect();
+        let may_start = |task: &TaskKey| {
+            let run = worker.runs.get(task);
+            run.is_some_and(|run| self.waits_for_late_start(task, run, now))
+        };
+        let unconfirmed: Vec<TaskKey> = absent.extract_if(.., |task| may_start(task)).collect();
         self.lose_with_earlier_life(id, lost, now);
+        for task in unconfirmed {
+            self.handle_unconfirmed_start(id, &task, now);
+        }
         for task in absent {
             let why = "the worker does not know it";
             self.run_over(id, &task, EndKind::Lapsed, why, now);
         }
     }
 
+    /// Returns whether an unlisted run must be kept because its start may still be carried out.
+    ///
+    /// The worker's next incarnation accepts a delayed start until it has answered the planner.
+    /// Starting the task elsewhere before then could run it twice.
+    fn waits_for_late_start(&self, task: &TaskKey, run: &Run, now: Now) -> bool {
+        let job = self.jobs.get(&task.group.job);
+        let is_open = job.is_some_and(|job| job.outcome.is_none());
+        let is_done = self.task(task).is_none_or(|task| task.done);
+        is_open && !is_done && run.may_start_late(now.at)
+    }
+
+    /// Handles a run that its worker does not confirm while its start may still be carried out.
+    ///
+    /// Releases the room of a run that is being stopped; otherwise stops the run's gang, if it has
+    /// one.
+    fn handle_unconfirmed_start(&mut self, id: &WorkerId, task: &TaskKey, now: Now) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        let Some(run) = worker.runs.get(task) else {
+            return;
+        };
+        let number = run.number;
+        if run.state == RunState::Stopping {
+            worker.release_room(task);
+        } else {
+            self.stop_gang(task, number, "a member of its gang did not start", now);
+        }
+    }
+
     /// Takes word that a worker did not answer.
     pub fn hold_failed(&mut self, id: &WorkerId, now: Now) {
         if let Some(worker) = self.workers.get_mut(id) {
             worker.set_asked(false);
         }
         self.doubt(id, now);
+        for task in self.unanswered_gang_members(id, now) {
+            self.handle_unconfirmed_start(id, &task, now);
+        }
         self.forget_if_gone(id, now);
     }
 
+    /// Returns the gang members at a worker whose unanswered starts may still be carried out.
+    fn unanswered_gang_members(&self, id: &WorkerId, now: Now) -> Vec<TaskKey> {
+        let is_unanswered =
+            |run: &Run| run.gang && run.state == RunState::Starting && run.answered_at.is_some();
+        let worker = self.workers.get(id);
+        worker.map_or_else(Vec::new, |worker| {
+            worker.tasks_where(|run| is_unanswered(run) && run.may_start_late(now.at))
+        })
+    }
+
     /// Gives a worker nothing new until it answers; with several of a zone, the whole zone.
     pub(super) fn doubt(&mut self, id: &WorkerId, now: Now) {
         let Some(worker) = self.workers.get_mut(id) else {
@@ -203,7 +254,8 @@
             .iter()
             .filter(|(_, w)| !w.is_in_contact() && !w.runs.is_empty())
             .filter(|(_, w)| w.lease_until.is_none_or(|until| now.at > until))
-            .map(|(id, w)| (id.clone(), w.runs.clone().into_iter().collect()))
+            .map(|(id, w)| (id.clone(), self.lapsed_runs(w, now)))
+            .filter(|(_, runs)| !runs.is_empty())
             .collect();
         for (id, runs) in over {
             self.count_silence(&id, &runs);
@@ -214,6 +266,15 @@
         }
     }
 
+    /// Returns the runs that end with the worker's lease: all but those whose start may still be
+    /// carried out.
+    fn lapsed_runs(&self, worker: &Worker, now: Now) -> Vec<(TaskKey, Run)> {
+        let runs = worker.runs.iter();
+        let runs = runs.filter(|(task, run)| !self.waits_for_late_start(task, run, now));
+        runs.map(|(task, run)| (task.clone(), run.clone()))
+            .collect()
+    }
+
     fn take_running(&mut self, id: &WorkerId, running: &RunningTask, now: Now) {
         let Some(worker) = self.workers.get_mut(id) else {
             return;
@@ -287,6 +348,7 @@
         self.incarnation = by;
         self.taken = true;
         self.is_listed = true;
+        self.late_start_until = None;
         if matches!(self.state, RunState::Starting | RunState::Planned) {
             self.enter(RunState::Running, at);
         }
--- a/crates/stairstall-core/src/batch/planner/fit.rs
+++ b/crates/stairstall-core/src/batch/planner/fit.rs
@@ -381,6 +381,7 @@
             answered_at: None,
             stops: 0,
             tries: 0,
+            late_start_until: None,
             percent: 0,
             progressed_at: now.at,
             reported_at: now.at,
--- a/crates/stairstall-core/src/batch/planner/flow.rs
+++ b/crates/stairstall-core/src/batch/planner/flow.rs
@@ -149,7 +149,7 @@
             .flat_map(|worker| worker.runs.values());
         runs.filter(|run| !run.restored)
             .filter(|run| match run.state {
-                RunState::Starting => true,
+                RunState::Starting => run.answered_at.is_none(),
                 RunState::Planned => run.rank > URGENT,
                 RunState::Running | RunState::Stopping => false,
             })
--- a/crates/stairstall-core/src/batch/planner/pool.rs
+++ b/crates/stairstall-core/src/batch/planner/pool.rs
@@ -273,6 +273,22 @@
         self.lease_until = self.lease_until.max(Some(until));
     }
 
+    /// Returns whether the worker may keep its ID across restarts.
+    ///
+    /// Orders carry only the ID, so a delayed one may then reach the next incarnation.
+    pub(super) const fn may_keep_id(&self) -> bool {
+        self.life.incarnation.is_some()
+    }
+
+    /// Releases the room of a stopped run that is kept only because its start may reach the next
+    /// incarnation.
+    pub(super) fn release_room(&mut self, task: &TaskKey) {
+        if let Some(run) = self.runs.get_mut(task) {
+            let room = std::mem::take(&mut run.room);
+            self.claimed = self.claimed.minus(&room);
+        }
+    }
+
     /// Tells whether anything may run there.
     pub(super) fn is_busy(&self) -> bool {
         self.runs.values().any(Run::was_started)
--- a/crates/stairstall-core/src/batch/planner/pool/run.rs
+++ b/crates/stairstall-core/src/batch/planner/pool/run.rs
@@ -58,6 +58,9 @@
     pub(in crate::batch::planner) stops: u8,
     /// Starts that were sent.
     pub(in crate::batch::planner) tries: u8,
+    /// Until when its start may still be carried out, by this incarnation of its worker or the next;
+    /// none once that is ruled out, or if the worker gets a new ID on every restart.
+    pub(in crate::batch::planner) late_start_until: Option<Timestamp>,
     pub(in crate::batch::planner) percent: u8,
     /// When the percentage last rose.
     pub(in crate::batch::planner) progressed_at: Timestamp,
@@ -94,6 +97,11 @@
         self.since = at;
     }
 
+    /// Returns whether its start may still be carried out although no report lists the run.
+    pub(in crate::batch::planner) fn may_start_late(&self, at: Timestamp) -> bool {
+        self.late_start_until.is_some_and(|until| at <= until)
+    }
+
     /// Tells whether it may be stopped for work of `rank`; what lasts gives way to nothing.
     pub(in crate::batch::planner) const fn may_give_way_to(&self, rank: u8) -> bool {
         self.rank > rank && !self.lasts && !matches!(self.state, RunState::Stopping)
--- a/crates/stairstall-core/src/batch/planner/resend.rs
+++ b/crates/stairstall-core/src/batch/planner/resend.rs
@@ -27,7 +27,11 @@
                 {
                     unwanted.push((id.clone(), task.clone()));
                 }
+                // A worker that answered the stop refuses the run; only its next incarnation may
+                // start it.
+                let awaits_late_start = run.answered_at.is_some() && run.may_start_late(now.at);
                 if run.state == RunState::Stopping
+                    && !awaits_late_start
                     && worker.is_in_contact()
                     && now.at - run.ordered_at > patience
                 {
--- a/crates/stairstall-core/src/batch/planner/starts.rs
+++ b/crates/stairstall-core/src/batch/planner/starts.rs
@@ -102,6 +102,8 @@
             return;
         };
         let lease = self.policy.orders.start_lease.min(self.bounds.hold_max);
+        let late_start = self.policy.orders.late_start;
+        let late_start_until = worker.may_keep_id().then(|| now.at + late_start);
         let Some(run) = worker.runs.get_mut(task) else {
             return;
         };
@@ -112,6 +114,7 @@
         run.tries += 1;
         run.incarnation = worker.life.incarnation;
         run.fence = worker.fence;
+        run.late_start_until = late_start_until;
         let (number, tries, token) = (run.number, run.tries, run.fence);
         worker.extend_lease(now.at + Self::lease_span(lease));
         let Some(job) = self.jobs.get(&task.group.job) else {
--- a/crates/stairstall-core/src/batch/policy/planner.rs
+++ b/crates/stairstall-core/src/batch/policy/planner.rs
@@ -290,6 +290,9 @@
     /// How much longer than a stop a planned run waits for its room.
     #[serde(with = "super::millis")]
     pub planned_margin: Duration,
+    /// How long after it was sent an unanswered start may still be carried out.
+    #[serde(with = "super::millis")]
+    pub late_start: Duration,
 }
 
 impl Default for OrderPolicy {
@@ -300,6 +303,7 @@
             stop_again: Duration::from_millis(400),
             unwanted_patience: Duration::from_millis(500),
             planned_margin: Duration::from_millis(500),
+            late_start: Duration::from_secs(13),
         }
     }
 }
