--- a/crates/stairstall-core/tests/batch/turns.rs
+++ b/crates/stairstall-core/tests/batch/turns.rs
@@ -7,6 +7,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use quickcheck::{Gen, QuickCheck, Testable};
@@ -512,6 +513,9 @@
     check(3, nothing_starves as fn(Vec<(u8, u8, u8)>) -> bool);
 }
 
+/// Number of generated loads in which the gang was told a date; at 0, the property holds vacuously.
+static LOADS_WITH_DATE: AtomicUsize = AtomicUsize::new(0);
+
 /// A gang that was told a date starts by then, whatever comes after it that is not urgent.
 fn dates_are_kept(before: Vec<(u8, u8, u8)>, after: Vec<(u8, u8, u8)>) -> bool {
     let mut load = Load::new(3, &Policy::default());
@@ -542,6 +546,7 @@
         }
     }
     let began_ms = load.fleet.at_ms;
+    LOADS_WITH_DATE.fetch_add(usize::from(date_ms.is_some()), Ordering::Relaxed);
     // What the ends of this world lag behind, and a look every 200 ms.
     date_ms.is_none_or(|date_ms| began_ms <= date_ms + 600)
 }
@@ -552,6 +557,10 @@
         5,
         dates_are_kept as fn(Vec<(u8, u8, u8)>, Vec<(u8, u8, u8)>) -> bool,
     );
+    assert!(
+        LOADS_WITH_DATE.load(Ordering::Relaxed) > 0,
+        "no load produced a date"
+    );
 }
 
 /// Urgent work within its customer's guarantee begins within the bound of 3.4 s, whatever else runs or waits.
