--- a/crates/stairstalld/tests/batch/admission.rs
+++ b/crates/stairstalld/tests/batch/admission.rs
@@ -335,7 +335,11 @@
             cancel(&cluster, &path).await;
         }
     }
-    println!("{outcomes:?}");
+    let refused = outcomes.iter().filter(|(_, refused)| *refused == REFUSED);
+    assert!(
+        refused.count() > 0,
+        "no submission was refused: {outcomes:?}"
+    );
     cancel(&cluster, &backlog).await;
     cluster.assert_no_violations();
 }
