refactor(batch): tests place jobs and leave orders unanswered through the harness

The doc comment of Run::answered_at names its second use: a start that was given up unanswered.

No behaviour changes.

--- a/crates/stairstall-core/src/batch/planner/pool/run.rs
+++ b/crates/stairstall-core/src/batch/planner/pool/run.rs
@@ -52,7 +52,8 @@
     pub(in crate::batch::planner) since: Timestamp,
     /// When the last order about it was sent.
     pub(in crate::batch::planner) ordered_at: Timestamp,
-    /// When the worker last answered an order about it, so that a later report must name it.
+    /// When the worker last answered an order about it, or its start was given up without an answer: a
+    /// later report must name it.
     pub(in crate::batch::planner) answered_at: Option<Timestamp>,
     /// Stops that got no answer.
     pub(in crate::batch::planner) stops: u8,
--- a/crates/stairstall-core/tests/batch/harness.rs
+++ b/crates/stairstall-core/tests/batch/harness.rs
@@ -269,13 +269,18 @@
         self.add(listed, now);
     }
 
-    /// Hands in a job of one task and returns its start, which nobody has carried out.
-    pub fn first_start(&mut self) -> Order {
+    /// Submits a job and writes its places down; the next tick returns its starts.
+    pub fn place(&mut self, job: AcceptedJob) {
         let now = self.now();
-        self.planner.submit(job("j", 2, vec![step(1, 8)]), now);
+        self.planner.submit(job, now);
         self.planner.tick(now);
         self.write_all();
-        self.planner.tick(now).remove(0)
+    }
+
+    /// Hands in a job of one task and returns its start, which nobody has carried out.
+    pub fn first_start(&mut self) -> Order {
+        self.place(job("j", 2, vec![step(1, 8)]));
+        self.planner.tick(self.now()).remove(0)
     }
 
     /// Lets the directory name another life of a worker, which does not answer.
@@ -448,7 +453,7 @@
             return self.answer_for_another(order, now);
         }
         let Some(worker) = self.workers.get_mut(&order.worker) else {
-            return self.leave_unanswered(order, now);
+            return self.leave_unanswered(order);
         };
         let clock_ms = at_ms - worker.born_ms;
         match &order.kind {
@@ -483,7 +488,9 @@
         }
     }
 
-    fn leave_unanswered(&mut self, order: &Order, now: Now) {
+    /// Tells the planner that an order got no answer.
+    pub fn leave_unanswered(&mut self, order: &Order) {
+        let now = self.now();
         match order.kind {
             OrderKind::Start { .. } => self.planner.take_start(order, StartOutcome::Unknown, now),
             OrderKind::Stop => self.planner.take_stop(order, StopOutcome::Unknown, now),
--- a/crates/stairstall-core/tests/batch/restarts.rs
+++ b/crates/stairstall-core/tests/batch/restarts.rs
@@ -401,8 +401,7 @@
     let first = fleet.first_start();
     fleet.cut_off(&first.worker);
     fleet.begin_unheard_life(&first.worker, 1_200);
-    let now = fleet.now();
-    fleet.planner.take_start(&first, StartOutcome::Unknown, now);
+    fleet.leave_unanswered(&first);
     fleet.settle();
     fleet.pass(12_500);
     let starts = fleet.starts_of(&task("j", 0, 0));
--- a/crates/stairstall-core/tests/batch/silence.rs
+++ b/crates/stairstall-core/tests/batch/silence.rs
@@ -25,10 +25,8 @@
 fn a_start_without_an_answer_is_sent_again_as_the_same_run_and_then_barred() {
     let mut fleet = Fleet::with_unique_ids(&[("w1", "r1")]);
     fleet.hold_all();
+    fleet.place(job("j", 2, vec![step(1, 8)]));
     let now = fleet.now();
-    fleet.planner.submit(job("j", 2, vec![step(1, 8)]), now);
-    fleet.planner.tick(now);
-    fleet.write_all();
     let mut orders = fleet.planner.tick(now);
     for _ in 0..3 {
         assert!(matches!(orders[0].kind, OrderKind::Start { .. }));
@@ -52,8 +50,7 @@
     let mut fleet = Fleet::new(&[("w1", "r1"), ("w2", "r1")]);
     fleet.hold_all();
     let first = fleet.first_start();
-    let now = fleet.now();
-    fleet.planner.take_start(&first, StartOutcome::Unknown, now);
+    fleet.leave_unanswered(&first);
     fleet.settle();
     fleet.pass(12_000);
     assert_eq!(fleet.given, [], "the start may still be carried out");
@@ -68,8 +65,7 @@
     fleet.hold_all();
     let first = fleet.first_start();
     fleet.begin_without_answer(&first);
-    let now = fleet.now();
-    fleet.planner.take_start(&first, StartOutcome::Unknown, now);
+    fleet.leave_unanswered(&first);
     fleet.pass(300);
     fleet.cut_off(&first.worker);
     fleet.restart_cut_off(&first.worker);
@@ -107,15 +103,11 @@
     for is_silent in [false, true] {
         let mut fleet = Fleet::new(&[("w1", "r1"), ("w2", "r1"), ("w3", "r1")]);
         fleet.hold_all();
-        let now = fleet.now();
-        fleet.planner.submit(job("j", 0, vec![gang(3, 8)]), now);
-        fleet.planner.tick(now);
-        fleet.write_all();
+        fleet.place(job("j", 0, vec![gang(3, 8)]));
         let unanswered: WorkerId = "w2".parse().expect("an id");
         for order in fleet.planner.tick(fleet.now()) {
-            let now = fleet.now();
             if order.worker == unanswered {
-                fleet.planner.take_start(&order, StartOutcome::Unknown, now);
+                fleet.leave_unanswered(&order);
             } else {
                 fleet.carry_out(&order);
             }
@@ -138,10 +130,7 @@
     let names = [("w1", "r1"), ("w2", "r1"), ("w3", "r1")];
     let mut fleet = Fleet::with_unique_ids(&names);
     fleet.hold_all();
-    let now = fleet.now();
-    fleet.planner.submit(job("j", 0, vec![gang(3, 8)]), now);
-    fleet.planner.tick(now);
-    fleet.write_all();
+    fleet.place(job("j", 0, vec![gang(3, 8)]));
     let silent: WorkerId = "w2".parse().expect("an id");
     let mut stopped = Vec::new();
     for _ in 0..8 {
--- a/crates/stairstall-core/tests/batch/story.rs
+++ b/crates/stairstall-core/tests/batch/story.rs
@@ -1,6 +1,6 @@
 //! The account of where a job's time went.
 
-use stairstall_core::batch::{EndKind, JobSummary, Outcome, Setback, Setbacks, Span, StartOutcome};
+use stairstall_core::batch::{EndKind, JobSummary, Outcome, Setback, Setbacks, Span};
 
 use crate::harness::{Fleet, gang, job, step, task};
 
@@ -111,8 +111,7 @@
     let mut fleet = Fleet::new(&[("w1", "r1"), ("w2", "r1")]);
     fleet.hold_all();
     let first = fleet.first_start();
-    let now = fleet.now();
-    fleet.planner.take_start(&first, StartOutcome::Unknown, now);
+    fleet.leave_unanswered(&first);
     fleet.settle();
     fleet.pass(300);
     fleet.cut_off(&first.worker);
--- a/crates/stairstall-core/tests/batch/unasked.rs
+++ b/crates/stairstall-core/tests/batch/unasked.rs
@@ -6,10 +6,7 @@
 
 /// Hands a job in and returns its start, which the worker has not carried out.
 fn start_of(fleet: &mut Fleet, name: &str) -> Order {
-    let now = fleet.now();
-    fleet.planner.submit(job(name, 2, vec![step(1, 8)]), now);
-    fleet.planner.tick(now);
-    fleet.write_all();
+    fleet.place(job(name, 2, vec![step(1, 8)]));
     let starts = fleet.planner.tick(fleet.now());
     starts.into_iter().next().expect("a start")
 }
