fix(planner): nothing runs to its end where a late acknowledgement may hide that

What callers saw: done tasks ran again ("j53.0.1.1 run 15 begins at w37 after it was done").

Cause: run ends are acknowledged by number. An acknowledgement without an answer may be carried out by the worker's next incarnation under the same ID, before that has answered its own fencing token; a worker that lists no end up to the highest number it was ever told then never lists its own first ends, and their tasks are found missing and started again.

Change, for workers that may keep their ID (planner/end_listing): starts and acknowledgements are never on their way to one ID together; after an acknowledgement without an answer nothing starts there until it can't be carried out any more and a report has shown which incarnation is there; an incarnation that may have carried one out gets only runs that surely can't finish (a member of a gang alone, or 1 s of work and more under a lease of 0.1 s), of tasks that find no other place, until it has listed an end. All this outlives the worker's entry in the planner. It needs no knowledge of how a worker forgets ends.

--- a/crates/stairstall-core/src/batch/planner.rs
+++ b/crates/stairstall-core/src/batch/planner.rs
@@ -17,6 +17,7 @@
 mod crashes;
 mod directory;
 mod draining;
+mod end_listing;
 mod evacuation;
 mod explain;
 mod fencing;
@@ -81,6 +82,8 @@
     /// notified. `None` once the job records stored by then have been read.
     jobs_stale_at: Option<Timestamp>,
     workers: BTreeMap<WorkerId, Worker>,
+    /// Until when unanswered acknowledgements to IDs of removed workers may be carried out.
+    late_acknowledgements: BTreeMap<WorkerId, Timestamp>,
     run_index: runs::RunIndex,
     /// Steps that have planned runs.
     planned: BTreeSet<GroupKey>,
@@ -153,6 +156,7 @@
             jobs: BTreeMap::new(),
             jobs_stale_at: None,
             workers: BTreeMap::new(),
+            late_acknowledgements: BTreeMap::new(),
             run_index: runs::RunIndex::default(),
             planned: BTreeSet::new(),
             reservations: BTreeMap::new(),
--- a/crates/stairstall-core/src/batch/planner/adopt.rs
+++ b/crates/stairstall-core/src/batch/planner/adopt.rs
@@ -79,7 +79,8 @@
     pub(super) fn get_or_insert_worker(&mut self, id: &WorkerId, now: Now) -> &mut Worker {
         if !self.workers.contains_key(id) {
             let fence = self.next_fencing_token();
-            let worker = Worker::unlisted(id, fence, now.at);
+            let mut worker = Worker::unlisted(id, fence, now.at);
+            worker.restore_late_acknowledgements(self.take_late_acknowledgements(id));
             self.workers.insert(id.clone(), worker);
         }
         self.workers
--- a/crates/stairstall-core/src/batch/planner/contact.rs
+++ b/crates/stairstall-core/src/batch/planner/contact.rs
@@ -18,7 +18,10 @@
     pub fn report_request(&mut self, id: &WorkerId, now: Now) -> Option<ReportRequest> {
         let report_wait = self.report_wait();
         let jobs = &self.jobs;
+        let late = self.policy.orders.late_start;
         let worker = self.workers.get_mut(id)?;
+        // Requests are sent one at a time, so an earlier one has been given up.
+        worker.late_acknowledgements.record_no_answer();
         let acknowledgeable = worker.incarnation_state.acknowledgeable(|job, change| {
             jobs.get(job).is_none_or(|job| job.stored_changes >= change)
         });
@@ -29,8 +32,11 @@
         let acknowledged_end = worker
             .incarnation_state
             .next_acknowledgement(acknowledgeable);
-        let request = worker.report_request(acknowledged_end, deadline_ms, report_wait)?;
+        let request = worker.report_request(acknowledged_end, deadline_ms, report_wait, now.at)?;
         worker.set_report_pending(true);
+        if request.acknowledged_end > 0 && worker.may_keep_id() {
+            worker.late_acknowledgements.record_sent(now.at + late);
+        }
         if request.deadline_ms.is_some() {
             worker.extend_lease(now.at + Self::max_lease_duration(self.bounds.lease_duration));
         }
@@ -76,6 +82,11 @@
             return;
         };
         self.flow.record_report_size(report.bytes);
+        if request.acknowledged_end > 0 {
+            worker.late_acknowledgements.record_answer();
+            self.starts_due = true;
+        }
+        worker.late_acknowledgements.record_report(sent_at);
         worker.incarnation_state.read_clock(report.clock_ms, now.at);
         worker.incarnation_state.record_acknowledged(acknowledged);
         if !worker.is_in_contact() || !worker.incarnation_state.fenced {
@@ -85,6 +96,8 @@
         let incarnation = &mut worker.incarnation_state;
         if incarnation.record_report(report.incarnation, is_fenced, now.at) {
             self.last_new_report_at = Some(now.at);
+            let longest_lease = Self::max_lease_duration(self.bounds.lease_duration);
+            incarnation.allow_verification_from(now.at + longest_lease);
         }
         let was_unresponsive = !worker.is_in_contact();
         if was_unresponsive {
@@ -94,6 +107,10 @@
         worker.incarnation_state.left_unannounced = !worker.is_listed;
         let lost_tasks = std::mem::take(&mut worker.lost_tasks);
         let last_end_seen = worker.incarnation_state.last_end_seen;
+        self.record_listed_ends(id, &report.ended);
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
         let mut absent = worker.tasks_expected_in_report(is_fenced, sent_at);
         for running in &report.running {
             absent.retain(|task| *task != running.task);
@@ -181,6 +198,7 @@
     pub fn handle_report_failure(&mut self, id: &WorkerId, now: Now) {
         if let Some(worker) = self.workers.get_mut(id) {
             worker.set_report_pending(false);
+            worker.late_acknowledgements.record_no_answer();
         }
         self.mark_unresponsive(id, now);
         for task in self.unanswered_gang_members(id, now) {
--- a/crates/stairstall-core/src/batch/planner/directory.rs
+++ b/crates/stairstall-core/src/batch/planner/directory.rs
@@ -30,7 +30,8 @@
         }
         if known.is_none() {
             let fence = self.next_fencing_token();
-            let worker = Worker::new(listed.clone(), fence, now.at);
+            let mut worker = Worker::new(listed.clone(), fence, now.at);
+            worker.restore_late_acknowledgements(self.take_late_acknowledgements(&id));
             self.workers.insert(id.clone(), worker);
         }
         let Some(worker) = self.workers.get_mut(&id) else {
--- /dev/null
+++ b/crates/stairstall-core/src/batch/planner/end_listing.rs
@@ -0,0 +1,146 @@
+//! Incarnations that may not list their run ends.
+//!
+//! A worker that is told that its run ends up to a number are stored may never list an end up to
+//! that number, not even one that occurs later. If an acknowledgement meant for one incarnation is
+//! carried out by the next, the first ends of that one may stay hidden: the planner would find
+//! their runs missing and start tasks again that are done.
+//!
+//! Three rules exclude that for workers that may keep their ID across restarts:
+//!
+//! - Starts and acknowledgements are never on their way to one ID at the same time. A start that
+//!   arrives late can't end before a late acknowledgement hides it.
+//! - After an acknowledgement without an answer, nothing starts there until it can no longer be
+//!   carried out and a report has shown which incarnation is there.
+//! - An incarnation that may have carried one out is *unverified*: it only gets a run that surely
+//!   can't finish, because its lease is far shorter than its work, until it has listed a run end.
+//!   Numbers of run ends increase, so it lists all later ones too.
+
+use std::time::Duration;
+
+use super::candidate::Candidate;
+use super::candidate_worker::SearchScope;
+use super::pass::Pass;
+use super::placement::choose_one;
+use super::pool::{EndListing, LateAcknowledgements, Worker};
+use super::{Now, Planner};
+use crate::batch::{Decision, GroupKey, RunEnd, StepSpec};
+use crate::{Timestamp, WorkerId};
+
+/// How long after it can have been carried out last an unanswered acknowledgement is remembered
+/// for an ID that no worker has.
+const REMEMBERED_FOR: Duration = Duration::from_secs(600);
+
+impl Planner {
+    /// Returns the late acknowledgements of a worker that becomes known, if it had its ID before.
+    pub(super) fn take_late_acknowledgements(&mut self, id: &WorkerId) -> LateAcknowledgements {
+        let until = self.late_acknowledgements.remove(id);
+        until.map_or_else(LateAcknowledgements::default, LateAcknowledgements::until)
+    }
+
+    /// Remembers the late acknowledgements of a worker that is removed, in case its ID returns.
+    pub(super) fn remember_late_acknowledgements(&mut self, id: &WorkerId, worker: &Worker) {
+        let Some(latest) = worker.late_acknowledgements.latest() else {
+            return;
+        };
+        self.late_acknowledgements
+            .retain(|_, until| latest - *until < REMEMBERED_FOR);
+        self.late_acknowledgements.insert(id.clone(), latest);
+    }
+
+    /// Returns whether a worker's incarnation may not list its run ends.
+    pub(super) fn is_unverified(&self, id: &WorkerId) -> bool {
+        let worker = self.workers.get(id);
+        worker.is_some_and(|worker| !worker.incarnation_state.end_listing.is_verified())
+    }
+
+    /// Records the run ends that an incarnation lists in a report.
+    pub(super) fn record_listed_ends(&mut self, id: &WorkerId, ends: &[RunEnd]) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        let incarnation = &mut worker.incarnation_state;
+        if ends.is_empty() || !incarnation.fenced || incarnation.end_listing.is_verified() {
+            return;
+        }
+        incarnation.end_listing = EndListing::Verified;
+        self.replan = true;
+        let why = "its incarnation lists its run ends; it gets tasks again";
+        self.decisions.push(Decision::of_worker(id, why));
+    }
+
+    /// Places a waiting task of a step on an unverified worker, as a run that can't finish there.
+    ///
+    /// Only called for tasks that have found no other place, which lose nothing by it.
+    pub(super) fn place_verification_run(
+        &mut self,
+        candidate: &Candidate,
+        step: &StepSpec,
+        waiting: &[u32],
+        pass: &mut Pass,
+        now: Now,
+    ) {
+        let needs_ticket = self.ticket_validity(&candidate.key).is_some();
+        if needs_ticket || !self.has_verifiable_worker(pass, now.at) {
+            return;
+        }
+        let mut unfinishable = waiting.iter().copied();
+        let Some(index) =
+            unfinishable.find(|index| self.cannot_finish(&candidate.key, step, *index))
+        else {
+            return;
+        };
+        if self.startable_count(candidate, false, 1, pass) == 0 {
+            return;
+        }
+        let scope = SearchScope {
+            near: false,
+            preempts: false,
+        };
+        let takes_verification = |worker: &Worker| worker.takes_verification_run(now.at);
+        let workers =
+            self.candidate_workers_where(candidate, step, scope, pass, now, takes_verification);
+        if let Some(choice) = choose_one(step, scope, workers) {
+            self.commit_placement(candidate, step, &[index], &choice, scope, now);
+            pass.record_placed(1, step.needs.accelerators);
+            pass.has_verifiable_worker = None;
+        }
+    }
+
+    fn has_verifiable_worker(&self, pass: &mut Pass, at: Timestamp) -> bool {
+        *pass.has_verifiable_worker.get_or_insert_with(|| {
+            let mut workers = self.workers.values();
+            workers.any(|worker| worker.takes_verification_run(at))
+        })
+    }
+
+    /// Returns whether a task surely can't finish within the lease of a verification run: because
+    /// it can't begin without the other members of its gang, or because its work takes far longer.
+    fn cannot_finish(&self, key: &GroupKey, step: &StepSpec, index: u32) -> bool {
+        if step.gang && step.count > 1 {
+            return true;
+        }
+        let task = self.task(&key.task(index));
+        let starts_anew = task.is_some_and(|task| task.checkpoint.is_none());
+        let estimate = Duration::from_millis(step.estimate_ms);
+        starts_anew && estimate >= self.policy.orders.min_verification_work
+    }
+}
+
+impl Worker {
+    /// Sets the late acknowledgements of the time before it became known. Its incarnation may have
+    /// carried them out.
+    pub(super) fn restore_late_acknowledgements(&mut self, late: LateAcknowledgements) {
+        self.late_acknowledgements = late;
+        if late.has_unanswered() {
+            self.incarnation_state.set_unverified();
+        }
+    }
+
+    /// Returns whether the worker may get a verification run: it accepts starts, is idle, and its
+    /// incarnation is unverified.
+    pub(super) fn takes_verification_run(&self, at: Timestamp) -> bool {
+        self.accepts_starts()
+            && self.runs.is_empty()
+            && self.incarnation_state.end_listing.is_verification_due(at)
+    }
+}
--- a/crates/stairstall-core/src/batch/planner/incarnations.rs
+++ b/crates/stairstall-core/src/batch/planner/incarnations.rs
@@ -11,6 +11,7 @@
         let Some(mut worker) = self.workers.remove(id) else {
             return;
         };
+        self.remember_late_acknowledgements(id, &worker);
         self.worker_set_version += 1;
         if worker.is_listed {
             self.paces.record_restart(id, now.at);
@@ -70,7 +71,9 @@
             return;
         }
         if worker.lost_tasks.is_empty() {
-            self.workers.remove(id);
+            if let Some(worker) = self.workers.remove(id) {
+                self.remember_late_acknowledgements(id, &worker);
+            }
             self.worker_set_version += 1;
             self.paces.forget(id);
         } else if worker.has_vanished(now.at, presumed_crashed_after) {
--- a/crates/stairstall-core/src/batch/planner/pass.rs
+++ b/crates/stairstall-core/src/batch/planner/pass.rs
@@ -40,6 +40,8 @@
     pub(super) urgent_headroom: Option<f64>,
     /// Number of runs whose start is planned or not yet answered, once computed.
     pub(super) starts_in_flight: Option<usize>,
+    /// Whether a worker may get a verification run, once computed.
+    pub(super) has_verifiable_worker: Option<bool>,
     /// Cost of preempting each running gang, once computed.
     pub(super) gang_preemption_costs: Option<BTreeMap<GroupKey, u64>>,
 }
--- a/crates/stairstall-core/src/batch/planner/placement.rs
+++ b/crates/stairstall-core/src/batch/planner/placement.rs
@@ -73,6 +73,9 @@
                 }
             }
         }
+        if !waiting.is_empty() {
+            self.place_verification_run(candidate, &step, &waiting, pass, now);
+        }
         let waited = now.at - ready_since;
         if step.gang && !waiting.is_empty() && waited >= self.policy.placement.reserve_after {
             self.reserve_workers(candidate, &step, &mut pass.reserved, now);
@@ -186,6 +189,19 @@
         scope: SearchScope,
         pass: &mut Pass,
         now: Now,
+    ) -> Vec<CandidateWorker> {
+        self.candidate_workers_where(candidate, step, scope, pass, now, Worker::takes_tasks)
+    }
+
+    /// Returns the workers that a step may use among those that pass the test `accepts`.
+    pub(super) fn candidate_workers_where(
+        &self,
+        candidate: &Candidate,
+        step: &StepSpec,
+        scope: SearchScope,
+        pass: &mut Pass,
+        now: Now,
+        accepts: impl Fn(&Worker) -> bool,
     ) -> Vec<CandidateWorker> {
         let key = &candidate.key;
         let urgent = candidate.rank <= URGENT_RANK;
@@ -213,7 +229,7 @@
         self.workers
             .iter()
             .filter(|(_, w)| scope.preempts || is_advised || needs.fits_in(&w.free()))
-            .filter(|(_, w)| w.takes_tasks() && w.has_required_label(step))
+            .filter(|(_, w)| accepts(w) && w.has_required_label(step))
             .filter(|(_, w)| service.as_ref() == Some(&w.listed.service))
             .filter(|(_, w)| w.can_colocate(step))
             .filter(|(_, w)| isolation.allows(w, now.at))
@@ -285,7 +301,7 @@
     }
 
     /// Stops the preemption victims and records the placement of each task.
-    fn commit_placement(
+    pub(super) fn commit_placement(
         &mut self,
         candidate: &Candidate,
         step: &StepSpec,
@@ -414,6 +430,15 @@
     }
 }
 
+/// Chooses a worker for a single task of a step, whatever the workers' paces.
+pub(super) fn choose_one(
+    step: &StepSpec,
+    scope: SearchScope,
+    workers: Vec<CandidateWorker>,
+) -> Option<PlacementChoice> {
+    search(step, 1, scope, workers, None)
+}
+
 fn as_u32(count: usize) -> u32 {
     u32::try_from(count).unwrap_or(u32::MAX)
 }
--- a/crates/stairstall-core/src/batch/planner/pool.rs
+++ b/crates/stairstall-core/src/batch/planner/pool.rs
@@ -7,9 +7,11 @@
 use crate::{RackId, ServiceId, Timestamp, WorkerId, ZoneId};
 
 mod incarnation;
+mod late_acknowledgement;
 mod run;
 
-pub(super) use incarnation::{AnswerSource, IncarnationState};
+pub(super) use incarnation::{AnswerSource, EndListing, IncarnationState};
+pub(super) use late_acknowledgement::LateAcknowledgements;
 pub(super) use run::{CrashSuspicion, Run, RunState};
 
 /// What is required of a worker's recent results before it gets a task.
@@ -34,6 +36,8 @@
     pub(super) incarnation_state: IncarnationState,
     /// Fencing token of all requests that are meant for its current incarnation.
     pub(super) fencing_token: u64,
+    /// Acknowledgements to its ID that may be carried out late.
+    pub(super) late_acknowledgements: LateAcknowledgements,
     /// Whether its availability zone is evacuated, so that nothing may start on it.
     pub(super) in_evacuated_zone: bool,
     pub(super) runs: BTreeMap<TaskKey, Run>,
@@ -68,6 +72,7 @@
             is_listed: true,
             incarnation_state: IncarnationState::new(listed.incarnation),
             fencing_token,
+            late_acknowledgements: LateAcknowledgements::default(),
             in_evacuated_zone: false,
             runs: BTreeMap::new(),
             has_unsettled: false,
@@ -230,13 +235,19 @@
     }
 
     /// Returns whether the worker may be given tasks.
+    pub(super) fn takes_tasks(&self) -> bool {
+        self.accepts_starts() && self.incarnation_state.end_listing.is_verified()
+    }
+
+    /// Returns whether anything may start on the worker, be it a verification run alone.
     ///
     /// Its directory entry must belong to its current incarnation, which may offer another service
     /// or capacity than the previous one.
-    pub(super) fn takes_tasks(&self) -> bool {
+    pub(super) fn accepts_starts(&self) -> bool {
         let is_open = !self.listed.draining && !self.in_evacuated_zone;
         let is_described = !self.incarnation_state.differs_from(self.listed.incarnation);
-        self.is_listed && is_described && self.incarnation_state.fenced && self.contact && is_open
+        let is_known = is_described && !self.late_acknowledgements.has_unanswered();
+        self.is_listed && is_known && self.incarnation_state.fenced && self.contact && is_open
     }
 
     /// Returns whether a run has recently failed or stalled there, or a start was refused.
@@ -327,19 +338,39 @@
         acknowledged_end: u64,
         deadline_ms: Option<u64>,
         max_wait: Duration,
+        at: Timestamp,
     ) -> Option<ReportRequest> {
         let identifies_only = !self.incarnation_state.fenced || !self.contact;
         let started = self.is_busy();
-        if !identifies_only && !started && self.incarnation_state.all_ends_acknowledged() {
+        let is_needed = started
+            || !self.incarnation_state.all_ends_acknowledged()
+            || self.late_acknowledgements.awaits_report(at)
+            || self.incarnation_state.needs_clock_for_verification(at);
+        if !identifies_only && !is_needed {
             return None;
         }
-        let waits = started && !identifies_only && !self.incarnation_state.has_unstored_ends();
+        // After an unresponsive period, another incarnation with other run ends may answer. A late
+        // start may put a run there whose end an acknowledgement would hide.
+        let withholds = identifies_only || self.may_start_late(at);
+        let acknowledged_end = if withholds { 0 } else { acknowledged_end };
+        // While an acknowledgement is in flight nothing starts there, so its answer must not wait.
+        let acknowledges_at_once = acknowledged_end > 0 && self.may_keep_id();
+        let waits = started
+            && !identifies_only
+            && !acknowledges_at_once
+            && !self.incarnation_state.has_unstored_ends();
+        // The lease of a verification run must not be extended: the run must not finish.
+        let extends_leases = !identifies_only && self.incarnation_state.end_listing.is_verified();
         Some(ReportRequest {
             token: self.fencing_token,
-            deadline_ms: if identifies_only { None } else { deadline_ms },
-            // After an unresponsive period, another incarnation with other run ends may answer.
-            acknowledged_end: if identifies_only { 0 } else { acknowledged_end },
+            deadline_ms: if extends_leases { deadline_ms } else { None },
+            acknowledged_end,
             max_wait: if waits { max_wait } else { Duration::ZERO },
         })
     }
+
+    /// Returns whether a start that was sent to the worker may still be carried out late.
+    fn may_start_late(&self, at: Timestamp) -> bool {
+        self.runs.values().any(|run| run.may_start_late(at))
+    }
 }
--- a/crates/stairstall-core/src/batch/planner/pool/incarnation.rs
+++ b/crates/stairstall-core/src/batch/planner/pool/incarnation.rs
@@ -1,6 +1,7 @@
 //! What is known of one incarnation of a worker.
 
 use std::collections::VecDeque;
+use std::time::Duration;
 
 use super::super::Planner;
 use crate::batch::Incarnation;
@@ -18,6 +19,43 @@
     change: Option<(JobId, u64)>,
 }
 
+/// Interval between verification runs, in case the first ends of an incarnation stay hidden.
+const VERIFICATION_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Maximum age of the clock value from which the lease of a verification run is computed.
+const MAX_VERIFICATION_CLOCK_AGE: Duration = Duration::from_secs(1);
+
+/// Whether an incarnation is known to list its run ends.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(in crate::batch::planner) enum EndListing {
+    /// It lists them.
+    #[default]
+    Verified,
+    /// It may have carried out an acknowledgement meant for an earlier incarnation.
+    Unverified {
+        /// From when on it may get the next verification run. `None` until it is fenced.
+        next_run_at: Option<Timestamp>,
+    },
+}
+
+impl EndListing {
+    pub(in crate::batch::planner) fn is_verified(self) -> bool {
+        self == Self::Verified
+    }
+
+    /// Returns whether it may get a verification run now.
+    pub(in crate::batch::planner) fn is_verification_due(self, at: Timestamp) -> bool {
+        matches!(self, Self::Unverified { next_run_at: Some(from) } if at >= from)
+    }
+
+    /// Sets from when on it may get the next verification run.
+    const fn set_next_run(&mut self, at: Timestamp) {
+        if let Self::Unverified { next_run_at } = self {
+            *next_run_at = Some(at);
+        }
+    }
+}
+
 /// What is known of one incarnation of a worker. Nothing of it applies to the next incarnation.
 ///
 /// If the number of the last run end were carried over, the first run ends of a new incarnation
@@ -33,6 +71,8 @@
     /// Whether it has answered a request with its own token. From then on, it carries out nothing
     /// that was meant for an earlier incarnation.
     pub(in crate::batch::planner) fenced: bool,
+    /// Whether it is known to list its run ends.
+    pub(in crate::batch::planner) end_listing: EndListing,
     /// When it last answered any request.
     pub(in crate::batch::planner) last_answer_at: Option<Timestamp>,
     /// Its last known clock value in milliseconds, and when that was read.
@@ -154,6 +194,28 @@
         is_fenced && !std::mem::replace(&mut self.fenced, true)
     }
 
+    /// Records that it may not list its run ends.
+    pub(in crate::batch::planner) const fn set_unverified(&mut self) {
+        self.end_listing = EndListing::Unverified { next_run_at: None };
+    }
+
+    /// Records that late calls can no longer extend leases there after `at`.
+    pub(in crate::batch::planner) const fn allow_verification_from(&mut self, at: Timestamp) {
+        self.end_listing.set_next_run(at);
+    }
+
+    /// Records that a verification run is started.
+    pub(in crate::batch::planner) fn record_verification_run(&mut self, at: Timestamp) {
+        self.end_listing.set_next_run(at + VERIFICATION_INTERVAL);
+    }
+
+    /// Returns whether a verification run is due and the clock was read too long ago for its lease.
+    pub(in crate::batch::planner) fn needs_clock_for_verification(&self, at: Timestamp) -> bool {
+        let read_at = self.clock.map(|(_, read_at)| read_at);
+        self.end_listing.is_verification_due(at)
+            && read_at.is_none_or(|read_at| at - read_at > MAX_VERIFICATION_CLOCK_AGE)
+    }
+
     /// Records the worker's clock value in an answer.
     pub(in crate::batch::planner) const fn read_clock(&mut self, clock_ms: u64, at: Timestamp) {
         self.last_answer_at = Some(at);
--- a/crates/stairstall-core/src/batch/planner/resend.rs
+++ b/crates/stairstall-core/src/batch/planner/resend.rs
@@ -72,7 +72,7 @@
         run: &Run,
         now: Now,
     ) -> Option<&'static str> {
-        if !worker.takes_tasks() {
+        if !worker.accepts_starts() {
             Some("its worker does not accept tasks now")
         } else if self.lacks_ticket(id, &task.group, now) {
             Some("its ticket has expired")
--- a/crates/stairstall-core/src/batch/planner/restarts.rs
+++ b/crates/stairstall-core/src/batch/planner/restarts.rs
@@ -31,6 +31,11 @@
             .incarnation_state
             .successor(incarnation, worker.is_leaving());
         worker.fencing_token = fencing_token;
+        if worker.late_acknowledgements.latest().is_some() {
+            worker.incarnation_state.set_unverified();
+            let why = "its incarnation may not list its first run ends";
+            self.decisions.push(Decision::of_worker(id, why));
+        }
         worker.set_contact(false);
         self.paces.record_restart(id, now.at);
         if worker.is_busy() {
--- a/crates/stairstall-core/src/batch/planner/starts.rs
+++ b/crates/stairstall-core/src/batch/planner/starts.rs
@@ -21,14 +21,22 @@
                 continue;
             }
             let is_gang = self.step(&key).is_some_and(|step| step.gang);
+            let (verifying, members): (Vec<_>, Vec<_>) = members
+                .into_iter()
+                .partition(|(id, _)| self.is_unverified(id));
+            self.send_single_starts(&verifying, now);
             if is_gang {
                 self.send_gang_starts(&key, &members, now);
             } else {
-                for (id, task) in &members {
-                    if self.can_start_now(id, &[task]) {
-                        self.send_start(id, task, now);
-                    }
-                }
+                self.send_single_starts(&members, now);
+            }
+        }
+    }
+
+    fn send_single_starts(&mut self, members: &[(WorkerId, TaskKey)], now: Now) {
+        for (id, task) in members {
+            if self.can_start_now(id, &[task]) {
+                self.send_start(id, task, now);
             }
         }
     }
@@ -88,7 +96,9 @@
             .fold(crate::batch::Resources::default(), |sum, run| {
                 sum.saturating_add(&run.resources)
             });
-        let takes_starts = worker.is_in_contact() && !worker.in_evacuated_zone;
+        let takes_starts = worker.is_in_contact()
+            && !worker.in_evacuated_zone
+            && !worker.late_acknowledgements.is_in_flight();
         is_stored && takes_starts && needed.fits_in(&worker.free_now())
     }
 
@@ -108,11 +118,14 @@
         let Some(clock_ms) = worker.incarnation_state.clock_at(now.at) else {
             return;
         };
-        let lease = self
-            .policy
-            .orders
-            .start_lease
-            .min(self.bounds.lease_duration);
+        let orders = &self.policy.orders;
+        let lease = if worker.incarnation_state.end_listing.is_verified() {
+            orders.start_lease
+        } else {
+            worker.incarnation_state.record_verification_run(now.at);
+            orders.verification_lease
+        };
+        let lease = lease.min(self.bounds.lease_duration);
         let late_start = self.policy.orders.late_start;
         let late_start_until = worker.may_keep_id().then(|| now.at + late_start);
         let Some(run) = worker.runs.get_mut(task) else {
--- a/crates/stairstall-core/src/batch/policy/planner.rs
+++ b/crates/stairstall-core/src/batch/policy/planner.rs
@@ -310,9 +310,16 @@
     /// How long a planned run waits for its resources in addition to the time that a stop takes.
     #[serde(with = "super::millis")]
     pub planned_margin: Duration,
-    /// How long after it was sent an unanswered start order may still be carried out.
+    /// How long after it was sent an unanswered start order, or an unanswered acknowledgement of run
+    /// ends, may still be carried out.
     #[serde(with = "super::millis")]
     pub late_start: Duration,
+    /// Lease of a run that verifies that its worker lists run ends.
+    #[serde(with = "super::millis")]
+    pub verification_lease: Duration,
+    /// Shortest estimated work of a task that may be such a run, unless it is a member of a gang.
+    #[serde(with = "super::millis")]
+    pub min_verification_work: Duration,
 }
 
 impl Default for OrderPolicy {
@@ -324,6 +331,8 @@
             unwanted_grace: Duration::from_millis(500),
             planned_margin: Duration::from_millis(500),
             late_start: Duration::from_secs(13),
+            verification_lease: Duration::from_millis(100),
+            min_verification_work: Duration::from_secs(1),
         }
     }
 }
--- /dev/null
+++ b/crates/stairstall-core/tests/batch/end_listing.rs
@@ -0,0 +1,231 @@
+//! Acknowledgements of run ends that are carried out late, by a later incarnation of their worker.
+//!
+//! Such an incarnation may never list its own first ends. Their tasks were found missing in its
+//! reports and started again although they were done ("j53.0.1.1 run 15 begins at w37 after it was
+//! done", seed 184 of `lossy::work_runs_once_and_ends_whatever_calls_the_next_life_carries_out`).
+
+use stairstall_core::WorkerId;
+use stairstall_core::batch::{CallerState, Order, OrderKind, Outcome, ReportRequest, RunEndKind};
+
+use crate::harness::{Fleet, gang, id, job, step, task};
+
+const COMPLETED: Option<CallerState> = Some(CallerState::Ended(Outcome::Completed));
+/// How long a call without an answer may still be carried out, in milliseconds.
+const LATE_MS: u64 = 13_000;
+/// Longest lease that a start may carry whose run must not finish, in milliseconds.
+const SHORT_LEASE_MS: u64 = 100;
+
+fn fleet(workers: &[(&str, &str)]) -> Fleet {
+    let mut fleet = Fleet::new(workers);
+    fleet.keeps_ids = true;
+    fleet.hold_all();
+    fleet
+}
+
+fn w1() -> WorkerId {
+    "w1".parse().expect("an id")
+}
+
+/// Returns a request that acknowledges the end of a job's task, and has not been answered.
+fn acknowledgement(fleet: &mut Fleet) -> ReportRequest {
+    fleet.submit(job("first", 2, vec![step(1, 1)]));
+    fleet
+        .worker("w1")
+        .end(&task("first", 0, 0), RunEndKind::Done);
+    fleet.hold(&w1());
+    fleet.settle();
+    let now = fleet.now();
+    let request = fleet.planner.report_request(&w1(), now);
+    let request = request.expect("an end to acknowledge");
+    assert_eq!(request.acknowledged_end, 1);
+    request
+}
+
+/// Lets the acknowledgement of an end get no answer, and the worker restart.
+fn restarted_after_a_late_acknowledgement() -> Fleet {
+    let mut fleet = fleet(&[("w1", "r1")]);
+    acknowledgement(&mut fleet);
+    let now = fleet.now();
+    fleet.planner.handle_report_failure(&w1(), now);
+    fleet.cut_off(&w1());
+    fleet.at_ms += 500;
+    fleet.restart_cut_off(&w1());
+    fleet
+}
+
+fn leases_of_starts(fleet: &Fleet, born_ms: u64) -> Vec<u64> {
+    let deadline_ms = |order: &Order| match order.kind {
+        OrderKind::Start { deadline_ms, .. } => Some(deadline_ms),
+        OrderKind::Stop => None,
+    };
+    let deadlines = fleet.given.iter().filter_map(deadline_ms);
+    deadlines
+        .map(|deadline_ms| deadline_ms.saturating_sub(fleet.at_ms - born_ms))
+        .collect()
+}
+
+#[test]
+fn nothing_starts_while_an_acknowledgement_is_on_its_way() {
+    let mut fleet = fleet(&[("w1", "r1")]);
+    let request = acknowledgement(&mut fleet);
+    assert!(request.max_wait.is_zero(), "nothing may start until then");
+    fleet.submit(job("second", 2, vec![step(1, 1)]));
+    fleet.settle();
+    assert_eq!(fleet.starts_of(&task("second", 0, 0)), 0);
+    let now = fleet.now();
+    let report = stairstall_core::batch::WorkerReport {
+        incarnation: fleet.listed[&w1()].incarnation,
+        clock_ms: fleet.at_ms,
+        running: Vec::new(),
+        ended: Vec::new(),
+        truncated: false,
+        bytes: 0,
+    };
+    fleet
+        .planner
+        .handle_worker_report(&w1(), &request, now.at, report, now);
+    assert!(fleet.planner.needs_tick(), "the start waits for nothing");
+    fleet.settle();
+    assert_eq!(fleet.starts_of(&task("second", 0, 0)), 1);
+}
+
+#[test]
+fn nothing_is_acknowledged_while_a_start_may_be_carried_out_late() {
+    let mut fleet = fleet(&[("w1", "r1")]);
+    for name in ["first", "second"] {
+        fleet
+            .planner
+            .submit(job(name, 2, vec![step(1, 1)]), fleet.now());
+    }
+    let now = fleet.now();
+    fleet.planner.tick(now);
+    fleet.write_all();
+    let starts = fleet.planner.tick(now);
+    assert_eq!(starts.len(), 2);
+    fleet.carry_out(&starts[0]);
+    fleet.leave_unanswered(&starts[1]);
+    fleet.worker("w1").end(&starts[0].task, RunEndKind::Done);
+    fleet.pass(LATE_MS - 1_000);
+    assert_eq!(fleet.worker("w1").ended.len(), 1, "it is still listed");
+    fleet.pass(2_000);
+    assert_eq!(fleet.worker("w1").ended.len(), 0);
+}
+
+#[test]
+fn nothing_starts_where_an_acknowledgement_may_come_late_to_an_unknown_incarnation() {
+    let mut fleet = fleet(&[("w1", "r1")]);
+    acknowledgement(&mut fleet);
+    let now = fleet.now();
+    fleet.planner.handle_report_failure(&w1(), now);
+    fleet.submit(job("second", 2, vec![step(1, 1)]));
+    fleet.pass(LATE_MS - 1_000);
+    assert_eq!(fleet.starts_of(&task("second", 0, 0)), 0);
+    fleet.pass(2_000);
+    assert_eq!(fleet.starts_of(&task("second", 0, 0)), 1);
+    let leases = leases_of_starts(&fleet, 0);
+    assert!(leases.last() > Some(&SHORT_LEASE_MS), "{leases:?}");
+}
+
+#[test]
+fn an_incarnation_that_may_hide_ends_first_gets_a_run_that_cannot_finish() {
+    let mut fleet = restarted_after_a_late_acknowledgement();
+    fleet.pass(LATE_MS + 500);
+    fleet.submit(job("second", 2, vec![step(1, 1)]));
+    let key = task("second", 0, 0);
+    assert_eq!(fleet.starts_of(&key), 1);
+    let born_ms = fleet.worker("w1").born_ms;
+    let leases = leases_of_starts(&fleet, born_ms);
+    assert!(leases.last() <= Some(&SHORT_LEASE_MS), "{leases:?}");
+    let request = fleet.hold(&w1()).expect("the end of the run is waited for");
+    assert_eq!(request.deadline_ms, None, "its lease must not be extended");
+    fleet.worker("w1").end(&key, RunEndKind::LeaseExpired);
+    fleet.pass(300);
+    assert_eq!(fleet.starts_of(&key), 2, "it has listed an end");
+    fleet.worker("w1").end(&key, RunEndKind::Done);
+    fleet.pass(300);
+    assert_eq!(fleet.planner.caller_state(&id("second")), COMPLETED);
+}
+
+/// Which of its ends it hides is not known, only that it lists them from some number on.
+#[test]
+fn an_incarnation_that_hides_ends_gets_such_runs_until_it_lists_one() {
+    let mut fleet = restarted_after_a_late_acknowledgement();
+    fleet.pass(LATE_MS + 500);
+    fleet.submit(job("second", 2, vec![step(1, 1)]));
+    let key = task("second", 0, 0);
+    for starts in 1..=3 {
+        assert_eq!(fleet.starts_of(&key), starts);
+        fleet.worker("w1").running.remove(&key);
+        fleet.pass(1_500);
+    }
+    assert_eq!(fleet.starts_of(&key), 4);
+    let born_ms = fleet.worker("w1").born_ms;
+    let leases = leases_of_starts(&fleet, born_ms);
+    assert!(leases[1..].iter().all(|lease| *lease <= SHORT_LEASE_MS));
+    fleet.worker("w1").end(&key, RunEndKind::LeaseExpired);
+    fleet.pass(300);
+    assert_eq!(fleet.starts_of(&key), 5);
+}
+
+#[test]
+fn a_short_task_does_not_run_where_its_end_may_stay_hidden() {
+    let mut fleet = restarted_after_a_late_acknowledgement();
+    fleet.pass(LATE_MS + 500);
+    let spec = stairstall_core::batch::StepSpec {
+        estimate_ms: 300,
+        ..step(1, 1)
+    };
+    fleet.submit(job("second", 2, vec![spec]));
+    fleet.pass(2_000);
+    assert_eq!(fleet.starts_of(&task("second", 0, 0)), 0);
+}
+
+/// A member of a gang can't begin without the others, however short its work is.
+#[test]
+fn a_member_of_a_gang_shows_alone_that_ends_are_listed() {
+    let mut fleet = restarted_after_a_late_acknowledgement();
+    fleet.pass(LATE_MS + 500);
+    let spec = stairstall_core::batch::StepSpec {
+        estimate_ms: 300,
+        ..gang(2, 1)
+    };
+    fleet.submit(job("second", 2, vec![spec]));
+    let members = [task("second", 0, 0), task("second", 0, 1)];
+    assert_eq!(fleet.starts_of(&members[0]), 1);
+    assert_eq!(fleet.starts_of(&members[1]), 0);
+    fleet
+        .worker("w1")
+        .end(&members[0], RunEndKind::LeaseExpired);
+    fleet.pass(300);
+    for member in &members {
+        let runs = fleet.given.iter().filter(|order| order.task == *member);
+        assert_eq!(runs.map(|order| order.run).max(), Some(2));
+    }
+}
+
+/// The worker was unlisted meanwhile, so that the planner knew it no longer.
+#[test]
+fn a_late_acknowledgement_is_remembered_while_its_id_is_away() {
+    let mut fleet = fleet(&[("w1", "r1")]);
+    acknowledgement(&mut fleet);
+    let now = fleet.now();
+    fleet.planner.handle_report_failure(&w1(), now);
+    fleet.crash_for(&w1(), 6_000);
+    fleet.pass(5_000);
+    assert!(!fleet.planner.knows_worker(&w1()));
+    fleet.pass(LATE_MS);
+    fleet.submit(job("second", 2, vec![step(1, 1)]));
+    fleet.pass(100);
+    let born_ms = fleet.worker("w1").born_ms;
+    let leases = leases_of_starts(&fleet, born_ms);
+    assert!(leases.last() <= Some(&SHORT_LEASE_MS), "{leases:?}");
+}
+
+#[test]
+fn workers_with_a_new_id_in_each_incarnation_wait_for_nothing() {
+    let mut fleet = Fleet::with_unique_ids(&[("w1", "r1")]);
+    fleet.hold_all();
+    acknowledgement(&mut fleet);
+    fleet.submit(job("second", 2, vec![step(1, 1)]));
+    assert_eq!(fleet.starts_of(&task("second", 0, 0)), 1);
+}
--- a/crates/stairstall-core/tests/batch/lossy.rs
+++ b/crates/stairstall-core/tests/batch/lossy.rs
@@ -102,6 +102,36 @@
     }
 }
 
+/// The request reaches the next life before that has answered the planner, which then lists none of its own first
+/// ends where ends are forgotten for good.
+#[test]
+fn the_next_life_runs_nothing_to_its_end_while_it_may_hide_that() {
+    for forgetting in Forgetting::ALL {
+        let delays_ms = (1_400..1_600).step_by(10);
+        let told = delays_ms.filter(|delay_ms| tells_the_next_life(forgetting, *delay_ms));
+        assert!(told.count() > 0, "none reaches a life that was not met");
+    }
+}
+
+/// Plays a day on which a request to forget ends is late; returns whether the next life carries it out.
+fn tells_the_next_life(forgetting: Forgetting, delay_ms: u64) -> bool {
+    let mut world = calm(forgetting);
+    world.delays_naming_ms = Some(delay_ms);
+    world.submit(short("j"));
+    world.pass(1_900);
+    let id = world.worker_ids().remove(0);
+    let at_ms = world.at_ms;
+    world.crash_at(&id, at_ms, 600);
+    world.pass(5_000);
+    let is_told = !world.story("is told 1, unheard").is_empty();
+    for name in ["k", "l"] {
+        world.submit(single(name, 1_500));
+    }
+    world.pass(40_000);
+    assert_kept(&world);
+    is_told
+}
+
 /// Ends stay listed that the worker is not told to forget: behind 500 of them later ones would not be seen.
 #[test]
 fn the_next_life_is_told_of_its_own_ends() {
--- a/crates/stairstall-core/tests/batch/main.rs
+++ b/crates/stairstall-core/tests/batch/main.rs
@@ -3,6 +3,7 @@
 mod advice;
 mod capacity;
 mod crashes;
+mod end_listing;
 mod ends;
 mod evacuation;
 mod explain;
