fix(daemon): write the last log lines before the process ends

What operators saw: the log of a stopped daemon ended early, without the lines that say how it stopped, in up to one stop of ten beside load; a_planner_that_leaves_plans_until_its_successor_has_the_role failed by it.

Cause: main returned without waiting for the logging thread (on an error it slept 20 ms). And the tests' daemons took the exit of the process for the end of its log. The users' counts tell the two apart, and rule a failed handover out: the successor had acquired the role in each failing play.

Change: logging::start returns a LogWriter, and main waits for it, 0.5 s at most, since standard output may block. The tests' daemons read the log to its end before a stop or kill is over; no check changed.

--- a/crates/stairstall-standin/src/cluster/daemon.rs
+++ b/crates/stairstall-standin/src/cluster/daemon.rs
@@ -8,12 +8,15 @@
 use tokio::io::{AsyncBufReadExt, BufReader};
 use tokio::process::{Child, Command};
 use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
 
 use super::ClusterPlan;
 use crate::Link;
 
 /// How long a daemon may take to start.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
+/// How long the rest of its log may take once a daemon has ended.
+const LOG_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// A daemon as a process of its own; dropping it kills the process.
 #[derive(Debug)]
@@ -24,6 +27,8 @@
     rpc_address: SocketAddr,
     child: Child,
     lines: Arc<Mutex<Vec<String>>>,
+    /// Reads its log; ends with that.
+    log_reader: JoinHandle<()>,
     running: bool,
     /// The way from this daemon to the store.
     pub store: Link,
@@ -63,7 +68,8 @@
             .take()
             .ok_or_else(|| std::io::Error::other("no stdout"))?;
         let (sender, serving) = oneshot::channel();
-        tokio::spawn(read_log(BufReader::new(stdout), Arc::clone(&lines), sender));
+        let log = read_log(BufReader::new(stdout), Arc::clone(&lines), sender);
+        let log_reader = tokio::spawn(log);
         let started = tokio::time::timeout(START_TIMEOUT, serving).await;
         let Ok(Ok((address, rpc_address))) = started else {
             let log = lines
@@ -81,6 +87,7 @@
             rpc_address,
             child,
             lines,
+            log_reader,
             running: true,
             store,
         })
@@ -137,6 +144,12 @@
     pub async fn kill(&mut self) {
         self.running = false;
         let _ = self.child.kill().await;
+        self.finish_log().await;
+    }
+
+    /// Reads what a process that has ended logged last.
+    async fn finish_log(&mut self) {
+        let _ = tokio::time::timeout(LOG_TIMEOUT, &mut self.log_reader).await;
     }
 
     /// Asks it to stop and waits for its exit code.
@@ -144,6 +157,7 @@
         self.signal(Signal::SIGTERM);
         let status = self.child.wait().await.ok()?;
         self.running = false;
+        self.finish_log().await;
         status.code()
     }
 
--- a/crates/stairstalld/src/logging.rs
+++ b/crates/stairstalld/src/logging.rs
@@ -6,10 +6,10 @@
 
 use std::collections::HashMap;
 use std::io::{self, Write};
-use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
-use std::time::Instant;
+use std::sync::{Arc, Condvar, Mutex, PoisonError};
+use std::time::{Duration, Instant};
 
 use crate::daemon::lock;
 
@@ -25,15 +25,53 @@
     DROPPED.load(Ordering::Relaxed)
 }
 
+/// How many lines were queued and how many of them the writing thread has dealt with.
+#[derive(Debug, Default)]
+struct Progress {
+    queued: AtomicU64,
+    written: Mutex<u64>,
+    changed: Condvar,
+}
+
+impl Progress {
+    fn record_written(&self, lines: u64) {
+        *lock(&self.written) += lines;
+        self.changed.notify_all();
+    }
+}
+
+/// Lets a process wait for its last log lines before it ends.
+#[must_use = "a process that ends without waiting loses its last lines"]
+#[derive(Debug, Clone)]
+pub struct LogWriter(Arc<Progress>);
+
+impl LogWriter {
+    /// Waits until all lines logged so far are written, at most for `timeout`. Returns whether they
+    /// are; an output that blocks may take none.
+    pub fn wait_until_written(&self, timeout: Duration) -> bool {
+        let queued = self.0.queued.load(Ordering::Acquire);
+        let written = lock(&self.0.written);
+        let waited = self
+            .0
+            .changed
+            .wait_timeout_while(written, timeout, |written| *written < queued);
+        let (written, _) = waited.unwrap_or_else(PoisonError::into_inner);
+        *written >= queued
+    }
+}
+
 /// Passes complete lines to the writing thread.
 struct LineQueue {
     sender: SyncSender<Vec<u8>>,
+    progress: Arc<Progress>,
 }
 
 impl Write for LineQueue {
     fn write(&mut self, line: &[u8]) -> io::Result<usize> {
         match self.sender.try_send(line.to_vec()) {
-            Ok(()) => {}
+            Ok(()) => {
+                self.progress.queued.fetch_add(1, Ordering::Release);
+            }
             Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {
                 DROPPED.fetch_add(1, Ordering::Relaxed);
             }
@@ -87,22 +125,32 @@
 
 /// Initializes the logger to write to standard output, with at most `lines_per_target` lines per
 /// second of each target.
-pub fn start(filters: &str, lines_per_target: u32) {
-    start_with_writer(filters, lines_per_target, Box::new(io::stdout()));
+pub fn start(filters: &str, lines_per_target: u32) -> LogWriter {
+    start_with_writer(filters, lines_per_target, Box::new(io::stdout()))
 }
 
 /// Initializes the logger to write to `out`. Only the writing thread waits if `out` blocks.
-pub fn start_with_writer(filters: &str, lines_per_target: u32, out: Box<dyn Write + Send>) {
+pub fn start_with_writer(
+    filters: &str,
+    lines_per_target: u32,
+    out: Box<dyn Write + Send>,
+) -> LogWriter {
     let (sender, receiver) = sync_channel(QUEUE_CAPACITY);
+    let progress = Arc::new(Progress::default());
+    let writer = LogWriter(Arc::clone(&progress));
+    let queue = LineQueue {
+        sender,
+        progress: Arc::clone(&progress),
+    };
     let thread = std::thread::Builder::new().name("log".to_owned());
-    if let Err(error) = thread.spawn(move || write_lines(&receiver, out)) {
+    if let Err(error) = thread.spawn(move || write_lines(&receiver, out, &progress)) {
         eprintln!("stairstalld: could not start the logging thread: {error}");
     }
     let limiter = Mutex::new(RateLimiter::new(lines_per_target));
     let started = Instant::now();
     env_logger::Builder::new()
         .parse_filters(filters)
-        .target(env_logger::Target::Pipe(Box::new(LineQueue { sender })))
+        .target(env_logger::Target::Pipe(Box::new(queue)))
         .format(move |line, record| {
             let second = started.elapsed().as_secs();
             let Some(dropped) = lock(&limiter).admit(record.target(), second) else {
@@ -119,6 +167,7 @@
             writeln!(line, " {}", record.args())
         })
         .init();
+    writer
 }
 
 /// Formats key-value pairs as ` key=value`.
@@ -134,15 +183,18 @@
     }
 }
 
-fn write_lines(receiver: &Receiver<Vec<u8>>, mut out: Box<dyn Write + Send>) {
+fn write_lines(receiver: &Receiver<Vec<u8>>, mut out: Box<dyn Write + Send>, progress: &Progress) {
     while let Ok(line) = receiver.recv() {
+        let mut lines = 1;
         let mut failed = out.write_all(&line).is_err();
         while let Ok(line) = receiver.try_recv() {
+            lines += 1;
             failed |= out.write_all(&line).is_err();
         }
         failed |= out.flush().is_err();
         if failed {
             DROPPED.fetch_add(1, Ordering::Relaxed);
         }
+        progress.record_written(lines);
     }
 }
--- a/crates/stairstalld/src/main.rs
+++ b/crates/stairstalld/src/main.rs
@@ -1,9 +1,10 @@
 //! Entry point of the daemon, with settings from flags and environment variables.
 
 use std::process::ExitCode;
+use std::time::Duration;
 
 use stairstalld::batch::settings::BatchSettings;
-use stairstalld::logging;
+use stairstalld::logging::{self, LogWriter};
 use stairstalld::settings::{InvalidSettings, Settings};
 
 /// Exit code for invalid settings.
@@ -11,6 +12,8 @@
 /// First argument that selects the batch daemon, which schedules jobs of steps and tasks on a
 /// platform with a shared store.
 const BATCH: &str = "batch";
+/// Longest wait for the last log lines before the process ends. Standard output may block.
+const LAST_LINES_TIMEOUT: Duration = Duration::from_millis(500);
 
 fn main() -> ExitCode {
     if std::env::args().nth(1).as_deref() == Some(BATCH) {
@@ -30,7 +33,7 @@
 /// Starts logging and runs a daemon, or prints all invalid settings.
 fn start<S>(
     settings: Result<S, InvalidSettings>,
-    start_logging: impl FnOnce(&S),
+    start_logging: impl FnOnce(&S) -> LogWriter,
     run: impl FnOnce(S) -> Result<(), stairstalld::RunError>,
 ) -> ExitCode {
     let settings = match settings {
@@ -40,14 +43,14 @@
             return ExitCode::from(EXIT_INVALID_SETTINGS);
         }
     };
-    start_logging(&settings);
-    match run(settings) {
+    let log_writer = start_logging(&settings);
+    let exit_code = match run(settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             log::error!(target: "stop", error:% = error; "the daemon ended with an error");
-            // Gives the logging thread time to write the last lines.
-            std::thread::sleep(std::time::Duration::from_millis(20));
             ExitCode::FAILURE
         }
-    }
+    };
+    log_writer.wait_until_written(LAST_LINES_TIMEOUT);
+    exit_code
 }
--- a/crates/stairstalld/tests/batch/cluster.rs
+++ b/crates/stairstalld/tests/batch/cluster.rs
@@ -16,6 +16,7 @@
 use tokio::io::{AsyncBufReadExt, BufReader};
 use tokio::process::{Child, Command};
 use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
 
 /// How long anything may take that must come true.
 pub const PATIENCE: Duration = Duration::from_secs(20);
@@ -31,6 +32,8 @@
     pub store: Link,
     child: Child,
     lines: Arc<Mutex<Vec<String>>>,
+    /// Reads its log; ends with that.
+    log_reader: JoinHandle<()>,
 }
 
 impl Daemon {
@@ -65,7 +68,8 @@
         let stdout = child.stdout.take().expect("standard output");
         let lines = Arc::new(Mutex::new(Vec::new()));
         let (sender, serving) = oneshot::channel();
-        tokio::spawn(read_log(BufReader::new(stdout), Arc::clone(&lines), sender));
+        let log = read_log(BufReader::new(stdout), Arc::clone(&lines), sender);
+        let log_reader = tokio::spawn(log);
         let line = tokio::time::timeout(START_TIMEOUT, serving).await;
         let line = line.expect("started in time").expect("a line");
         let address = |field: &str| {
@@ -80,6 +84,7 @@
             store: link,
             child,
             lines,
+            log_reader,
         }
     }
 
@@ -99,13 +104,22 @@
 
     pub async fn kill(&mut self) {
         self.child.kill().await.expect("it is our own process");
+        self.finish_log().await;
+    }
+
+    /// Reads what a process that has ended logged last.
+    async fn finish_log(&mut self) {
+        let ended = tokio::time::timeout(PATIENCE, &mut self.log_reader).await;
+        ended.expect("its log ends with it").expect("it is read");
     }
 
     /// Asks it to stop and waits for its exit code.
     pub async fn stop(&mut self) -> Option<i32> {
         self.signal(Signal::SIGTERM);
         let ended = tokio::time::timeout(PATIENCE, self.child.wait()).await;
-        ended.expect("it stops in time").ok()?.code()
+        let status = ended.expect("it stops in time").ok()?;
+        self.finish_log().await;
+        status.code()
     }
 
     pub fn has_ended(&mut self) -> bool {
--- a/crates/stairstalld/tests/logging.rs
+++ b/crates/stairstalld/tests/logging.rs
@@ -37,7 +37,8 @@
         lines: sender,
         is_released: false,
     };
-    logging::start_with_writer("info", logging::DEFAULT_LINES_PER_TARGET, Box::new(out));
+    let writer =
+        logging::start_with_writer("info", logging::DEFAULT_LINES_PER_TARGET, Box::new(out));
     let began = Instant::now();
     for number in 0..20_000 {
         log::info!(target: "storm", number; "a line");
@@ -45,6 +46,10 @@
     log::info!(target: "rare", job = "j-1"; "the line that matters");
     assert!(began.elapsed() < Duration::from_secs(5), "logging waited");
     assert!(logging::dropped_lines() > 10_000);
+    let began = Instant::now();
+    let bound = Duration::from_millis(300);
+    assert!(!writer.wait_until_written(bound), "the output takes none");
+    assert!(began.elapsed() < 5 * bound, "a process must still end");
     release.send(()).expect("the writer waits");
     let mut storm = 0;
     loop {
