--- a/crates/stairstall-core/src/batch/planner/crashes.rs
+++ b/crates/stairstall-core/src/batch/planner/crashes.rs
@@ -10,25 +10,28 @@
 use super::pool::{Run, RunState};
 use super::{Now, Planner};
 use crate::batch::{Decision, DecisionKind, Outcome, Progress, SilentWorker, TaskKey, TaskLosses};
+use crate::time::millis;
 use crate::{JobId, Timestamp, WorkerId};
 
 mod attribution;
 mod isolation;
 
+pub(super) use attribution::LostIncarnation;
+
 impl Planner {
     /// Counts a crash against the tasks that may have crashed a worker whose incarnation has ended.
     /// Returns these tasks.
     pub(super) fn count_crash(
         &mut self,
         id: &WorkerId,
-        last_answer_at: Option<Timestamp>,
+        lost: LostIncarnation,
         runs: &[(TaskKey, Run)],
     ) -> Vec<TaskKey> {
-        let crash_suspects = self.crash_suspects(last_answer_at, runs);
+        let crash_suspects = self.crash_suspects(lost, runs);
         for (task, was_running) in &crash_suspects {
             self.update_losses(task, |losses| losses.record_crash(*was_running));
         }
-        self.log_losses(id, runs);
+        self.log_losses(id, lost, runs);
         crash_suspects.into_iter().map(|(task, _)| task).collect()
     }
 
@@ -38,7 +41,11 @@
         let Some(worker) = self.workers.get(id).filter(|worker| !worker.is_leaving()) else {
             return;
         };
-        let crash_suspects = self.crash_suspects(worker.incarnation_state.last_answer_at, runs);
+        let lost = LostIncarnation {
+            last_answer_at: worker.incarnation_state.last_answer_at,
+            successor_began_at: None,
+        };
+        let crash_suspects = self.crash_suspects(lost, runs);
         for (task, was_running) in &crash_suspects {
             let silent = SilentWorker {
                 worker: id.clone(),
@@ -47,7 +54,7 @@
             };
             self.update_losses(task, |losses| losses.silent.push(silent));
         }
-        self.log_losses(id, runs);
+        self.log_losses(id, lost, runs);
         if let Some(worker) = self.workers.get_mut(id) {
             worker
                 .lost_tasks
@@ -161,8 +168,8 @@
     }
 
     /// Logs a decision for each run that was lost with its worker, with the failures and crashes of
-    /// its task so far and their limits.
-    fn log_losses(&mut self, id: &WorkerId, runs: &[(TaskKey, Run)]) {
+    /// its task so far and their limits, and how the loss was timed.
+    fn log_losses(&mut self, id: &WorkerId, lost: LostIncarnation, runs: &[(TaskKey, Run)]) {
         let max_crashes = self.policy.health.max_crashes;
         for (task, run) in runs.iter().filter(|(_, run)| run.was_started()) {
             let failures = self.failures(task);
@@ -177,7 +184,8 @@
             let percent = run.percent;
             let why = format!(
                 "lost with its worker at {percent} percent; {failures} of {attempts} failures, \
-                 {crashes} of {max_crashes} crashes so far, {unanswered} without an answer, {silent} workers silent"
+                 {crashes} of {max_crashes} crashes so far, {unanswered} without an answer, {silent} workers silent; {}",
+                describe_timing(run, lost)
             );
             let loss = Decision::of_run(DecisionKind::Loss, task, run.number, id, why);
             self.decisions.push(loss);
@@ -202,6 +210,26 @@
     }
 }
 
+/// Describes when a run began and was last listed and how long it should take, and when its lost
+/// worker last answered and began its next incarnation, in milliseconds after the last start order.
+fn describe_timing(run: &Run, lost: LostIncarnation) -> String {
+    let after_order = |at: Option<Timestamp>| {
+        at.map_or_else(
+            || "unknown".to_owned(),
+            |at| millis(at - run.ordered_at).to_string(),
+        )
+    };
+    let listed_at = Some(run.reported_at).filter(|_| run.is_listed);
+    format!(
+        "began {}, listed {}, expected {}, answered {}, restarted {} ms after its start",
+        after_order(run.began.map(|(at, _)| at)),
+        after_order(listed_at),
+        run.expected_ms,
+        after_order(lost.last_answer_at),
+        after_order(lost.successor_began_at),
+    )
+}
+
 impl Run {
     /// Returns whether a start order for this run was sent.
     pub(super) fn was_started(&self) -> bool {
--- a/crates/stairstall-core/src/batch/planner/crashes/attribution.rs
+++ b/crates/stairstall-core/src/batch/planner/crashes/attribution.rs
@@ -5,23 +5,32 @@
 use crate::Timestamp;
 use crate::batch::TaskKey;
 
+/// What is known of the end of a worker's incarnation.
+#[derive(Debug, Clone, Copy, Default)]
+pub(in crate::batch::planner) struct LostIncarnation {
+    /// When it last answered any request.
+    pub(in crate::batch::planner) last_answer_at: Option<Timestamp>,
+    /// When the next incarnation under its ID began, if there is one.
+    pub(in crate::batch::planner) successor_began_at: Option<Timestamp>,
+}
+
 impl Planner {
-    /// Returns the tasks that may have crashed a worker that last answered at `last_answer_at`, and
-    /// for each whether its run was certainly active.
+    /// Returns the tasks that may have crashed a lost incarnation, and for each whether its run was
+    /// certainly active.
     ///
-    /// If some runs had begun within `fresh_start` before that answer, these are the suspects,
+    /// If some runs had begun within `fresh_start` before its last answer, these are the suspects,
     /// together with the runs whose start was not confirmed. Otherwise all runs on the worker are
     /// suspects. If crashes were always counted against all runs, jobs that crash their workers
     /// would also fail unrelated jobs there: eight such jobs, one after the other, failed a job of
     /// 36 tasks that shared their workers.
     pub(super) fn crash_suspects(
         &self,
-        last_answer_at: Option<Timestamp>,
+        lost: LostIncarnation,
         runs: &[(TaskKey, Run)],
     ) -> Vec<(TaskKey, bool)> {
         let fresh_start = self.policy.health.fresh_start;
         let just_started = |run: &Run| {
-            let ran_for = run.began.zip(last_answer_at);
+            let ran_for = run.began.zip(lost.last_answer_at);
             let is_short = |((began, _), last_answer_at)| last_answer_at - began <= fresh_start;
             run.has_confirmed_start() && ran_for.is_some_and(is_short)
         };
--- a/crates/stairstall-core/src/batch/planner/incarnations.rs
+++ b/crates/stairstall-core/src/batch/planner/incarnations.rs
@@ -1,5 +1,6 @@
 //! The end of worker incarnations.
 
+use super::crashes::LostIncarnation;
 use super::pool::Run;
 use super::{Now, Planner};
 use crate::WorkerId;
@@ -31,7 +32,11 @@
             // A crashed worker reports no run ends. If the crash were not counted, its tasks would
             // be started on one worker after another and could crash each of them.
             self.confirm_crashes(id, &suspects);
-            suspects.extend(self.count_crash(id, worker.incarnation_state.last_answer_at, &runs));
+            let lost = LostIncarnation {
+                last_answer_at: worker.incarnation_state.last_answer_at,
+                successor_began_at: None,
+            };
+            suspects.extend(self.count_crash(id, lost, &runs));
             self.fail_crashing_jobs(&suspects, now);
         }
         self.replan = true;
--- a/crates/stairstall-core/src/batch/planner/pool/incarnation.rs
+++ b/crates/stairstall-core/src/batch/planner/pool/incarnation.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use super::super::Planner;
+use super::super::{Now, Planner};
 use crate::batch::Incarnation;
 use crate::time::millis;
 use crate::{JobId, Timestamp};
@@ -194,6 +194,13 @@
         is_fenced && !std::mem::replace(&mut self.fenced, true)
     }
 
+    /// Returns when it began, by its own wall clock, but not before the previous one last answered.
+    pub(in crate::batch::planner) fn began_at(&self, now: Now) -> Option<Timestamp> {
+        let age_ms = now.unix_ms.saturating_sub(self.incarnation?.unix_ms());
+        let began_at = Timestamp::from_millis(now.at.as_millis().saturating_sub(age_ms));
+        Some(began_at.max(self.previous.last_answer_at.unwrap_or_default()))
+    }
+
     /// Records that it may not list its run ends.
     pub(in crate::batch::planner) const fn set_unverified(&mut self) {
         self.end_listing = EndListing::Unverified { next_run_at: None };
--- a/crates/stairstall-core/src/batch/planner/restarts.rs
+++ b/crates/stairstall-core/src/batch/planner/restarts.rs
@@ -5,6 +5,7 @@
 //! (see `fencing`). So a run is known to be lost only if the previous incarnation had listed it, or
 //! if a report that answers the higher token does not list it.
 
+use super::crashes::LostIncarnation;
 use super::pool::{Run, RunState};
 use super::{Now, Planner};
 use crate::WorkerId;
@@ -76,7 +77,11 @@
         let suspects = if previous.has_left {
             Vec::new()
         } else {
-            self.count_crash(id, previous.last_answer_at, &runs)
+            let lost = LostIncarnation {
+                last_answer_at: previous.last_answer_at,
+                successor_began_at: worker.incarnation_state.began_at(now),
+            };
+            self.count_crash(id, lost, &runs)
         };
         for (task, _) in &runs {
             self.remove_run(id, task);
--- a/crates/stairstall-core/src/batch/worker.rs
+++ b/crates/stairstall-core/src/batch/worker.rs
@@ -23,6 +23,12 @@
     pub const fn from_unix_ms(unix_ms: u64) -> Self {
         Self(unix_ms)
     }
+
+    /// Returns when it started, in milliseconds since the Unix epoch, by the worker's own clock.
+    #[must_use]
+    pub const fn unix_ms(self) -> u64 {
+        self.0
+    }
 }
 
 /// A worker as the platform's directory lists it.
--- a/crates/stairstalld/tests/batch/soak.rs
+++ b/crates/stairstalld/tests/batch/soak.rs
@@ -23,7 +23,9 @@
 /// 9811, a start without an answer was left alone after its worker had started again;
 /// 10008, one run that waited to be barred counted as five losses; 10405, a job that was cancelled while its
 /// planner had no answers from the store started after that; 30010, a late refusal of one run was taken for one of the next.
-const KEPT_SEEDS: [u64; 10] = [704, 707, 838, 9110, 9209, 9316, 9811, 10008, 10405, 30010];
+const KEPT_SEEDS: [u64; 9] = [704, 707, 838, 9110, 9316, 9811, 10008, 10405, 30010];
+/// The seed of `KEPT_SEEDS` that has a test of its own, so that the others are played while it stands in KNOWN-RED.txt.
+const SEED_OF_A_FAILED_JOB: u64 = 9209;
 /// How long jobs may take to end once the faults are over: a takeover, a lease of 3 s and its
 /// margin, and 10 s until a worker that nobody lists is taken for crashed, twice over.
 const SETTLE_PATIENCE: Duration = Duration::from_secs(40);
@@ -102,6 +104,8 @@
     random: Pcg64Mcg,
     jobs: BTreeMap<String, Known>,
     next_vm: usize,
+    /// Daemons that were replaced, for what they logged.
+    replaced: Vec<Daemon>,
 }
 
 impl Soak {
@@ -111,6 +115,7 @@
             random: Pcg64Mcg::seed_from_u64(seed),
             jobs: BTreeMap::new(),
             next_vm: 4,
+            replaced: Vec::new(),
         }
     }
 
@@ -237,18 +242,21 @@
     async fn replace(&mut self, index: usize) {
         let name = format!("vm-{}", self.next_vm);
         self.next_vm += 1;
-        self.cluster.daemons[index] = Daemon::start(&name, &self.cluster.store).await;
+        let daemon = Daemon::start(&name, &self.cluster.store).await;
+        let replaced = std::mem::replace(&mut self.cluster.daemons[index], daemon);
+        self.replaced.push(replaced);
     }
 
-    /// Returns what the daemons that still run have logged about a job, about workers and their role.
+    /// Returns what the daemons have logged about a job, about workers and their role, and what workers did about the job.
     fn lines_about(&self, job: &str) -> Vec<String> {
-        let daemons = self.cluster.daemons.iter();
+        let daemons = self.cluster.daemons.iter().chain(&self.replaced);
         let mut lines: Vec<String> = daemons
             .flat_map(|daemon| [job, " worker token", " role "].map(|text| daemon.log_lines(text)))
             .flatten()
             .collect();
         lines.sort();
         lines.dedup();
+        lines.extend(self.cluster.workers.history_of(job));
         lines
     }
 
@@ -343,6 +351,12 @@
     play(seeds(), None).await;
 }
 
+/// A job failed "without a cause": the planner counted three crashes under it, the stand-in fewer.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_job_fails_without_a_cause_on_the_seed_where_one_did() {
+    play(seeds_or(&[SEED_OF_A_FAILED_JOB]), None).await;
+}
+
 /// One call in eight to a worker gets no answer and is carried out late, also by the next life.
 #[tokio::test(flavor = "multi_thread")]
 async fn promises_hold_where_workers_carry_calls_out_late() {
