fix(planner): a loss long after a run's likely end is no certain crash under it

What callers saw: a job of short tasks failed after "3 of 3 crashes so far" although fewer workers had crashed under it.

Cause: whatever was not heard to end counted as crashed under its run, however late the worker's next incarnation began.

Change: the next incarnation's ID says when it began. If that is more than a restart (1 s) after the run's likely end, the loss counts like one whose start got no answer: five of both kinds fail a job, or three certain crashes, as before.

--- a/crates/stairstall-core/src/batch/planner/crashes/attribution.rs
+++ b/crates/stairstall-core/src/batch/planner/crashes/attribution.rs
@@ -1,5 +1,7 @@
 //! Crash attribution: which tasks a crash is counted against.
 
+use std::time::Duration;
+
 use super::super::Planner;
 use super::super::pool::{Run, RunState};
 use crate::Timestamp;
@@ -39,19 +41,32 @@
         let is_suspect = |run: &Run| !any_fresh || !run.has_confirmed_start() || just_started(run);
         let crash_suspects = started.filter(|(_, run)| is_suspect(run));
         crash_suspects
-            .map(|(task, run)| (task.clone(), run.was_certainly_running()))
+            .map(|(task, run)| (task.clone(), self.was_certainly_running(run, lost)))
             .collect()
     }
-}
 
-impl Run {
-    /// Returns whether the run was certainly active when its worker was lost. A run whose stop the
-    /// worker had answered may have ended without the planner knowing.
-    fn was_certainly_running(&self) -> bool {
-        let may_have_ended = self.state == RunState::Stopping && self.answered_at.is_some();
-        self.has_confirmed_start() && !may_have_ended
+    /// Returns whether a run was certainly active when its worker was lost. A run whose stop the
+    /// worker had answered, or whose likely end is long past, may have ended without the planner
+    /// knowing.
+    fn was_certainly_running(&self, run: &Run, lost: LostIncarnation) -> bool {
+        let is_stopped = run.state == RunState::Stopping && run.answered_at.is_some();
+        let had_ended = self.had_likely_ended(run, lost);
+        run.has_confirmed_start() && !is_stopped && !had_ended
+    }
+
+    /// Returns whether the next incarnation began so late that the run had likely ended before the
+    /// crash, by its progress or its expected run time.
+    fn had_likely_ended(&self, run: &Run, lost: LostIncarnation) -> bool {
+        let Some(((began_at, _), restarted_at)) = run.began.zip(lost.successor_began_at) else {
+            return false;
+        };
+        let left_ms = run.remaining_ms(self.policy.placement.min_progress_percent);
+        let likely_end = began_at.max(run.reported_at) + Duration::from_millis(left_ms);
+        restarted_at > likely_end + self.policy.health.restart_time
     }
+}
 
+impl Run {
     /// Returns whether the worker has confirmed the start.
     const fn has_confirmed_start(&self) -> bool {
         self.start_confirmed
--- a/crates/stairstall-core/src/batch/policy/health.rs
+++ b/crates/stairstall-core/src/batch/policy/health.rs
@@ -45,6 +45,10 @@
     /// answer, rather than to runs that had worked for longer.
     #[serde(with = "super::millis")]
     pub fresh_start: Duration,
+    /// How long a worker takes to restart after a crash. A crash that must have come later than the
+    /// likely end of a run is not certainly the run's.
+    #[serde(with = "super::millis")]
+    pub restart_time: Duration,
     /// How long a lost worker must be missing from the directory, and silent, to be presumed
     /// crashed. Healthy workers register again within 2 s of the store's return.
     #[serde(rename = "vanished_after", with = "super::millis")]
@@ -68,6 +72,7 @@
             max_crashes: 3,
             max_losses: 5,
             fresh_start: Duration::from_secs(1),
+            restart_time: Duration::from_secs(1),
             presumed_crashed_after: Duration::from_secs(10),
             crashes_forgiven_after: Duration::from_secs(600),
         }
--- a/crates/stairstall-core/tests/batch/main.rs
+++ b/crates/stairstall-core/tests/batch/main.rs
@@ -27,3 +27,4 @@
 mod turns;
 mod unasked;
 mod uneven_demand;
+mod unheard_ends;
