fix(daemon): hear the last ends of a worker that leaves while the store is slow

Shown by the test: "an end was listed and nobody asked", each time before.

Change: for a worker that is leaving the wait is 75 ms at most, so that an end listed for 0.1 s is heard.

--- a/crates/stairstall-core/src/batch/planner/draining.rs
+++ b/crates/stairstall-core/src/batch/planner/draining.rs
@@ -1,12 +1,19 @@
 //! Draining of leaving workers.
 
-use super::pool::{Run, RunState};
+use super::pool::{Run, RunState, Worker};
 use super::{Now, Planner};
 use crate::WorkerId;
 use crate::batch::{Setback, TaskKey};
 use crate::time::millis;
 
 impl Planner {
+    /// Returns whether a worker is known and leaves as planned.
+    #[must_use]
+    pub fn is_worker_leaving(&self, id: &WorkerId) -> bool {
+        let worker = self.workers.get(id);
+        worker.is_some_and(Worker::is_leaving)
+    }
+
     /// Stops the runs that can't end before a leaving worker goes, so that they continue elsewhere.
     /// Planned runs are stopped in any case.
     ///
--- a/crates/stairstall-core/src/batch/policy/daemon.rs
+++ b/crates/stairstall-core/src/batch/policy/daemon.rs
@@ -195,6 +195,9 @@
     /// How long to wait at most for run ends to be stored before the worker is polled again.
     #[serde(rename = "write_patience", with = "super::millis")]
     pub write_wait: Duration,
+    /// The same for a worker that is leaving, whose last run ends must be heard before it is gone.
+    #[serde(with = "super::millis")]
+    pub leaving_write_wait: Duration,
     /// Timeout of a start or stop order.
     #[serde(with = "super::millis")]
     pub order_timeout: Duration,
@@ -209,6 +212,7 @@
             report_timeout: Duration::from_millis(500),
             pause_after_timeout: Duration::from_millis(250),
             write_wait: Duration::from_millis(250),
+            leaving_write_wait: Duration::from_millis(75),
             order_timeout: Duration::from_millis(350),
             pipeline_after: Duration::from_millis(60),
         }
--- a/crates/stairstalld/src/batch/worker_links.rs
+++ b/crates/stairstalld/src/batch/worker_links.rs
@@ -203,11 +203,17 @@
             node.telemetry.report("ok");
             let has_run_ends = !report.ended.is_empty();
             let written = tenure.write_done.notified();
-            tenure.with_planner(|planner, now| {
+            let is_leaving = tenure.with_planner(|planner, now| {
                 planner.handle_worker_report(&worker.id, &request, sent_at, report, now);
+                planner.is_worker_leaving(&worker.id)
             });
             if has_run_ends {
-                let _ = tokio::time::timeout(policy.write_wait, written).await;
+                let wait = if is_leaving {
+                    policy.leaving_write_wait
+                } else {
+                    policy.write_wait
+                };
+                let _ = tokio::time::timeout(wait, written).await;
             }
         }
         Err(WorkerFault::OtherLife) => {
--- a/crates/stairstalld/tests/batch/main.rs
+++ b/crates/stairstalld/tests/batch/main.rs
@@ -7,6 +7,7 @@
 mod evacuation;
 mod explain;
 mod faults;
+mod last_ends;
 mod learnt;
 mod leaving;
 mod path;
