fix(planner): a successor knows of starts that got no answer

Cause: a start without an answer may be carried out for 13 s by the worker's next incarnation. The planner that sent it keeps the task back for so long; its successor took the run for over with the first report that did not list it.

Change: that a start got no answer, and until when it may be carried out, is stored with the job's progress, and restored. A placement that was written and not sent, or answered, waits for nothing, as before.

Test: takeover::a_start_without_an_answer_is_known_to_the_successor (before: "left: 1 right: 0, run 1 may still begin").

--- a/crates/stairstall-core/src/batch/planner/adopt.rs
+++ b/crates/stairstall-core/src/batch/planner/adopt.rs
@@ -1,5 +1,7 @@
 //! Adoption of runs that an earlier planner started.
 
+use std::time::Duration;
+
 use super::pool::{Run, RunState, Worker};
 use super::{Now, Planner};
 use crate::batch::{Decision, DecisionKind, Progress, RunPlacement, RunningTask, TaskKey};
@@ -69,6 +71,9 @@
                 let is_done = self.task(&task).is_some_and(|task| task.done);
                 if !is_done {
                     self.restore_run(placement, &task, now);
+                    if let Some(until_unix_ms) = group.late_starts.get(index) {
+                        self.restore_late_start(&placement.worker, &task, *until_unix_ms, now);
+                    }
                 }
             }
         }
@@ -108,6 +113,15 @@
         self.ranked_guaranteed_jobs = None;
     }
 
+    /// Restores until when an unanswered start of an earlier planner may be carried out.
+    fn restore_late_start(&mut self, id: &WorkerId, task: &TaskKey, until_unix_ms: u64, now: Now) {
+        let left = Duration::from_millis(until_unix_ms.saturating_sub(now.unix_ms));
+        let worker = self.workers.get_mut(id);
+        if let Some(run) = worker.and_then(|worker| worker.runs.get_mut(task)) {
+            run.late_start_until = Some(now.at + left.min(self.policy.orders.late_start));
+        }
+    }
+
     /// Handles the first report of a run that was restored from its stored placement. Stops the run
     /// if its job has ended or its gang is incomplete.
     pub(super) fn check_restored_run(&mut self, id: &WorkerId, task: &TaskKey, now: Now) {
--- a/crates/stairstall-core/src/batch/planner/job.rs
+++ b/crates/stairstall-core/src/batch/planner/job.rs
@@ -23,6 +23,9 @@
     pub(super) incarnation: Option<Incarnation>,
     /// Whether the worker has confirmed the start of the run.
     pub(super) start_confirmed: bool,
+    /// Until when the start of the run may be carried out although it got no answer, in
+    /// milliseconds since the Unix epoch.
+    pub(super) late_start_until_unix_ms: Option<u64>,
     /// Number of failed runs.
     pub(super) failures: u32,
     /// Its latest checkpoint.
--- a/crates/stairstall-core/src/batch/planner/placement.rs
+++ b/crates/stairstall-core/src/batch/planner/placement.rs
@@ -352,6 +352,7 @@
                 task.run = number;
                 task.incarnation = run.incarnation;
                 task.start_confirmed = false;
+                task.late_start_until_unix_ms = None;
             }
             self.insert_run(id, &task, run);
             let why = format!(
--- a/crates/stairstall-core/src/batch/planner/progress.rs
+++ b/crates/stairstall-core/src/batch/planner/progress.rs
@@ -193,6 +193,11 @@
                 .zip(&self.tasks)
                 .filter_map(|(index, task)| Some((index, task.stored_placement()?)))
                 .collect(),
+            late_starts: open
+                .clone()
+                .filter(|(_, task)| task.worker.is_some())
+                .filter_map(|(index, task)| Some((index, task.late_start_until_unix_ms?)))
+                .collect(),
             losses: open
                 .clone()
                 .filter(|(_, task)| !task.losses.is_empty())
@@ -224,6 +229,11 @@
                 task.start_confirmed = placement.start_confirmed;
             }
         }
+        for (index, until_unix_ms) in &stored.late_starts {
+            if let Some(task) = self.tasks.get_mut(*index as usize) {
+                task.late_start_until_unix_ms = Some(*until_unix_ms);
+            }
+        }
         for (index, run) in &stored.counted_runs {
             if let Some(task) = self.tasks.get_mut(*index as usize) {
                 task.last_failed_run = *run;
--- a/crates/stairstall-core/src/batch/planner/start_outcomes.rs
+++ b/crates/stairstall-core/src/batch/planner/start_outcomes.rs
@@ -3,6 +3,7 @@
 use super::pool::RunState;
 use super::{Now, Order, Planner};
 use crate::batch::{Decision, DecisionKind, RefusalReason, RunEndKind, StartOutcome, TaskKey};
+use crate::time::millis;
 use crate::{JobId, Timestamp, WorkerId};
 
 impl Planner {
@@ -53,7 +54,12 @@
             return;
         }
         let is_first_attempt = run.start_attempts <= 1;
-        if run.state == RunState::Starting {
+        let is_starting = run.state == RunState::Starting;
+        let late_start_until = run.late_start_until;
+        if let Some(until) = late_start_until {
+            self.record_late_start(task, order.run, until, now);
+        }
+        if is_starting {
             self.handle_failed_start(order, outcome, is_first_attempt, now);
         }
     }
@@ -77,6 +83,20 @@
         }
     }
 
+    /// Records that a start got no answer and may be carried out until `until`. This is stored, so
+    /// that a later planner starts the task nowhere else before then.
+    fn record_late_start(&mut self, task: &TaskKey, number: u32, until: Timestamp, now: Now) {
+        let Some(job) = self.jobs.get_mut(&task.group.job) else {
+            return;
+        };
+        let Some(entry) = job.task_mut(task).filter(|entry| entry.run == number) else {
+            return;
+        };
+        entry.late_start_until_unix_ms = Some(now.unix_ms + millis(until - now.at));
+        job.record_change();
+        self.changed_jobs.insert(task.group.job.clone());
+    }
+
     fn record_first_start(&mut self, id: &JobId, now: Now) {
         let Some(job) = self.jobs.get_mut(id).filter(|job| !job.has_started) else {
             return;
--- a/crates/stairstall-core/src/batch/record.rs
+++ b/crates/stairstall-core/src/batch/record.rs
@@ -144,6 +144,10 @@
     /// Placement of each current run, by index of the task; written before the run is started.
     #[serde(rename = "places", default, skip_serializing_if = "BTreeMap::is_empty")]
     pub placements: BTreeMap<u32, RunPlacement>,
+    /// Until when an unanswered start of a current run may be carried out, in milliseconds since the
+    /// Unix epoch, by index of the task.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub late_starts: BTreeMap<u32, u64>,
     /// Workers lost under unfinished tasks, by index of the task; written before the task is
     /// started again.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
--- a/crates/stairstall-core/tests/batch/takeover.rs
+++ b/crates/stairstall-core/tests/batch/takeover.rs
@@ -188,3 +188,25 @@
     fleet.pass(400);
     assert!(fleet.place_of(&task("waits", 0, 0)).is_some());
 }
+
+/// Its start got no answer, and might still be carried out by the worker's next incarnation ("j19.0.2.4 run 2 at w13 of
+/// 30820: Started", 7 s after the planner that sent it had lost the role, and after run 3 was done).
+#[test]
+fn a_start_without_an_answer_is_known_to_the_successor() {
+    let mut fleet = Fleet::new(&[("w1", "r1")]);
+    fleet.keeps_ids = true;
+    fleet.hold_all();
+    let accepted = job("j", 2, vec![step(1, 8)]);
+    fleet.place(accepted.clone());
+    let now = fleet.now();
+    let start = fleet.planner.tick(now).remove(0);
+    fleet.leave_unanswered(&start);
+    fleet.write_all();
+    fleet.succeed(&[accepted]);
+    let key = task("j", 0, 0);
+    fleet.pass(11_000);
+    assert_eq!(fleet.starts_of(&key), 0, "run 1 may still begin");
+    fleet.pass(3_000);
+    assert_eq!(fleet.starts_of(&key), 1);
+    assert_eq!(fleet.given[0].run, 2);
+}
