fix(planner): an incarnation that begins just after a takeover may have had acknowledgements of the planner before

Those that were there at the takeover are not: verifying all workers after each takeover would stop all work.

--- a/crates/stairstall-core/src/batch/planner.rs
+++ b/crates/stairstall-core/src/batch/planner.rs
@@ -84,6 +84,8 @@
     workers: BTreeMap<WorkerId, Worker>,
     /// Until when unanswered acknowledgements to IDs of removed workers may be carried out.
     late_acknowledgements: BTreeMap<WorkerId, Timestamp>,
+    /// Until when calls of an earlier planner may be carried out. `None` if there was none.
+    earlier_calls_until: Option<Timestamp>,
     run_index: runs::RunIndex,
     /// Steps that have planned runs.
     planned: BTreeSet<GroupKey>,
@@ -157,6 +159,7 @@
             jobs_stale_at: None,
             workers: BTreeMap::new(),
             late_acknowledgements: BTreeMap::new(),
+            earlier_calls_until: None,
             run_index: runs::RunIndex::default(),
             planned: BTreeSet::new(),
             reservations: BTreeMap::new(),
@@ -250,6 +253,8 @@
         job.timeline.taken_over = true;
         if let Some(progress) = progress {
             job.restore(progress, now);
+            let late_start = self.policy.orders.late_start;
+            self.earlier_calls_until.get_or_insert(now.at + late_start);
         }
         if job.outcome.is_some() {
             // An earlier planner has already published this job's summary, as far as it knew it.
--- a/crates/stairstall-core/src/batch/planner/end_listing.rs
+++ b/crates/stairstall-core/src/batch/planner/end_listing.rs
@@ -5,6 +5,9 @@
 //! carried out by the next, the first ends of that one may stay hidden: the planner would find
 //! their runs missing and start tasks again that are done.
 //!
+//! An earlier planner may have sent such an acknowledgement too: an incarnation that begins shortly
+//! after a takeover counts as one that may have carried it out.
+//!
 //! Three rules exclude that for workers that may keep their ID across restarts:
 //!
 //! - Starts and acknowledgements are never on their way to one ID at the same time. A start that
--- a/crates/stairstall-core/src/batch/planner/restarts.rs
+++ b/crates/stairstall-core/src/batch/planner/restarts.rs
@@ -32,7 +32,11 @@
             .incarnation_state
             .successor(incarnation, worker.is_leaving());
         worker.fencing_token = fencing_token;
-        if worker.late_acknowledgements.latest().is_some() {
+        let answered_at = worker.incarnation_state.previous.last_answer_at;
+        let may_have_had_earlier_calls = self
+            .earlier_calls_until
+            .is_some_and(|until| answered_at.is_none_or(|answered_at| answered_at <= until));
+        if may_have_had_earlier_calls || worker.late_acknowledgements.latest().is_some() {
             worker.incarnation_state.set_unverified();
             let why = "its incarnation may not list its first run ends";
             self.decisions.push(Decision::of_worker(id, why));
--- a/crates/stairstall-core/tests/batch/end_listing.rs
+++ b/crates/stairstall-core/tests/batch/end_listing.rs
@@ -229,3 +229,24 @@
     fleet.submit(job("second", 2, vec![step(1, 1)]));
     assert_eq!(fleet.starts_of(&task("second", 0, 0)), 1);
 }
+
+/// "w45 of 31430 is told 2, unheard", by the planner before: the end of its first run was never listed.
+#[test]
+fn an_acknowledgement_of_the_planner_before_may_reach_a_worker_that_restarts_soon_after() {
+    let mut fleet = fleet(&[("w1", "r1")]);
+    let accepted = job("first", 2, vec![step(1, 1)]);
+    fleet.submit(accepted.clone());
+    fleet.succeed(&[accepted]);
+    fleet.pass(500);
+    fleet
+        .worker("w1")
+        .end(&task("first", 0, 0), RunEndKind::Done);
+    fleet.pass(500);
+    fleet.crash_for(&w1(), 700);
+    fleet.pass(LATE_MS);
+    fleet.submit(job("second", 2, vec![step(1, 1)]));
+    fleet.pass(100);
+    let born_ms = fleet.worker("w1").born_ms;
+    let leases = leases_of_starts(&fleet, born_ms);
+    assert!(leases.last() <= Some(&SHORT_LEASE_MS), "{leases:?}");
+}
