fix(planner): the answer to an acknowledgement asks for a tick only where a start may have waited for it

Workers with a new ID in each incarnation hold no start back while an acknowledgement is in flight, so nothing is due when it is answered. Without this each answered acknowledgement caused one more tick there.

--- a/crates/stairstall-core/src/batch/planner/contact.rs
+++ b/crates/stairstall-core/src/batch/planner/contact.rs
@@ -82,7 +82,7 @@
             return;
         };
         self.flow.record_report_size(report.bytes);
-        if request.acknowledged_end > 0 {
+        if request.acknowledged_end > 0 && worker.late_acknowledgements.is_in_flight() {
             worker.late_acknowledgements.record_answer();
             self.starts_due = true;
         }
