--- a/crates/stairstalld/tests/batch/last_ends.rs
+++ b/crates/stairstalld/tests/batch/last_ends.rs
@@ -13,9 +13,9 @@
 use stairstall_standin::LinkMode;
 use stairstall_standin::server::{Answer, Server, json as json_answer, read_json};
 
-use crate::cluster::{Cluster, Daemon, PATIENCE, job};
+use crate::cluster::{Cluster, Daemon, job};
+use crate::leaving::{STEP, entry, until};
 
-const STEP: Duration = Duration::from_millis(5);
 /// How long a message to the store or from it takes.
 const STORE_DELAY: Duration = Duration::from_millis(100);
 /// How long after the first end was reported the second run ends.
@@ -98,14 +98,6 @@
     (!is_gone).then(|| json_answer(StatusCode::OK, &leaver.report()))
 }
 
-async fn until(what: &str, test: impl Fn() -> bool) {
-    let until = Instant::now() + PATIENCE;
-    while !test() {
-        assert!(Instant::now() < until, "{what}");
-        tokio::time::sleep(STEP).await;
-    }
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn the_last_end_before_a_worker_leaves_is_heard_while_the_store_is_slow() {
     let mut cluster = Cluster::start(0, 0).await;
@@ -113,9 +105,7 @@
     let told = Arc::clone(&shared);
     let server = Server::start(move |request| handle(Arc::clone(&told), request).boxed()).await;
     let server = server.expect("a server");
-    let mut entry = json!({"service": "desk", "address": server.address().to_string(),
-        "zone": "zone-a", "version": "1", "slots": 8, "state": "ready", "coldLeftMs": 0, "seq": 1,
-        "capacity": {"cpu": 32_000, "memMb": 64_000, "gpu": 8}, "labels": ["a", "r1"]});
+    let mut entry = entry(server.address(), "desk");
     cluster.store.put("servers/i-leaves", &entry);
     let daemon = Daemon::start_with("vm-0", &cluster.store, &[]).await;
     cluster.daemons.push(daemon);
--- a/crates/stairstalld/tests/batch/leaving.rs
+++ b/crates/stairstalld/tests/batch/leaving.rs
@@ -12,7 +12,7 @@
 
 use crate::cluster::{Cluster, Daemon, PATIENCE, job};
 
-const STEP: Duration = Duration::from_millis(5);
+pub const STEP: Duration = Duration::from_millis(5);
 /// How long the daemon has had to drop its way to the worker when the report comes.
 const DROPS_WITHIN: Duration = Duration::from_millis(50);
 
@@ -61,13 +61,15 @@
     teller.is_asked && !teller.may_tell
 }
 
-fn entry(address: SocketAddr, service: &str) -> Value {
+/// Returns the directory entry of a worker at an address.
+pub fn entry(address: SocketAddr, service: &str) -> Value {
     json!({"service": service, "address": address.to_string(), "zone": "zone-a", "version": "1",
         "slots": 8, "state": "ready", "coldLeftMs": 0, "seq": 1,
         "capacity": {"cpu": 32_000, "memMb": 64_000, "gpu": 8}, "labels": ["a", "r1"]})
 }
 
-async fn until(what: &str, test: impl Fn() -> bool) {
+/// Waits until something has come true.
+pub async fn until(what: &str, test: impl Fn() -> bool) {
     let until = Instant::now() + PATIENCE;
     while !test() {
         assert!(Instant::now() < until, "{what}");
