fix(planner): work does not wait for ever where all its workers are unverified

Cause, from the kept log: all six workers restarted within 13 s of a takeover, "its incarnation may not list its first run ends", and nothing waited but one task under 1 s, which is no verification run; so no worker was verified, and the task never started.

Change: where every worker that could run a step is unverified, any of its tasks is started under the short lease: what takes longer than 0.1 s still can't finish. My test of short tasks now has a second, sound worker, which is the case that it is about.

Tests: a_short_task_shows_that_ends_are_listed_where_no_other_worker_could_run_it; without the change it has 0 starts instead of 1, as the test it replaces had asserted.

--- a/crates/stairstall-core/src/batch/planner/end_listing.rs
+++ b/crates/stairstall-core/src/batch/planner/end_listing.rs
@@ -16,13 +16,15 @@
 //!   carried out and a report has shown which incarnation is there.
 //! - An incarnation that may have carried one out is *unverified*: it only gets a run that surely
 //!   can't finish, because its lease is far shorter than its work, until it has listed a run end.
-//!   Numbers of run ends increase, so it lists all later ones too.
+//!   Numbers of run ends increase, so it lists all later ones too. Where only such incarnations
+//!   could run a step, any of its tasks is started so: one that takes longer than that lease still
+//!   can't finish.
 
 use std::time::Duration;
 
 use super::candidate::Candidate;
 use super::candidate_worker::SearchScope;
-use super::pass::Pass;
+use super::pass::{CapacityKind, Pass};
 use super::placement::choose_one;
 use super::pool::{EndListing, LateAcknowledgements, Worker};
 use super::{Now, Planner};
@@ -86,10 +88,17 @@
         if needs_ticket || !self.has_verifiable_worker(pass, now.at) {
             return;
         }
-        let mut unfinishable = waiting.iter().copied();
-        let Some(index) =
-            unfinishable.find(|index| self.cannot_finish(&candidate.key, step, *index))
-        else {
+        let key = &candidate.key;
+        // Where every worker that could run the step is unverified, none of its tasks would ever
+        // start if each of them is too short.
+        let has_verified_worker = self
+            .ceiling(key, step, false, CapacityKind::Whole, pass)
+            .total
+            > 0;
+        let mut tasks = waiting.iter().copied();
+        let suitable =
+            tasks.find(|index| !has_verified_worker || self.cannot_finish(key, step, *index));
+        let Some(index) = suitable else {
             return;
         };
         if self.startable_count(candidate, false, 1, pass) == 0 {
--- a/crates/stairstall-core/tests/batch/end_listing.rs
+++ b/crates/stairstall-core/tests/batch/end_listing.rs
@@ -167,17 +167,58 @@
     assert_eq!(fleet.starts_of(&key), 5);
 }
 
-#[test]
-fn a_short_task_does_not_run_where_its_end_may_stay_hidden() {
-    let mut fleet = restarted_after_a_late_acknowledgement();
-    fleet.pass(LATE_MS + 500);
+fn short_job() -> stairstall_core::batch::AcceptedJob {
     let spec = stairstall_core::batch::StepSpec {
         estimate_ms: 300,
-        ..step(1, 1)
+        ..step(1, 8)
     };
-    fleet.submit(job("second", 2, vec![spec]));
+    job("short", 2, vec![spec])
+}
+
+#[test]
+fn a_short_task_does_not_run_where_its_end_may_stay_hidden() {
+    let mut fleet = fleet(&[("w1", "r1"), ("w2", "r1")]);
+    fleet.submit(job("long", 2, vec![step(1, 8)]));
+    let busy = fleet.place_of(&task("long", 0, 0)).expect("it runs");
+    let idle = if busy == w1() { "w2" } else { "w1" };
+    let idle: WorkerId = idle.parse().expect("an id");
+    fleet.submit(job("first", 2, vec![step(1, 8)]));
+    fleet
+        .worker(idle.as_str())
+        .end(&task("first", 0, 0), RunEndKind::Done);
+    fleet.hold(&idle);
+    fleet.settle();
+    let now = fleet.now();
+    fleet.planner.report_request(&idle, now).expect("an end");
+    fleet.planner.handle_report_failure(&idle, now);
+    fleet.cut_off(&idle);
+    fleet.at_ms += 500;
+    fleet.restart_cut_off(&idle);
+    fleet.pass(LATE_MS + 500);
+    fleet.submit(short_job());
     fleet.pass(2_000);
-    assert_eq!(fleet.starts_of(&task("second", 0, 0)), 0);
+    assert_eq!(
+        fleet.starts_of(&task("short", 0, 0)),
+        0,
+        "a sound worker will be free"
+    );
+}
+
+/// A soak's job waited for ever: all six workers had restarted soon after a takeover, and nothing
+/// waited but its one short task (seed 9110, "not ended: running").
+#[test]
+fn a_short_task_shows_that_ends_are_listed_where_no_other_worker_could_run_it() {
+    let mut fleet = restarted_after_a_late_acknowledgement();
+    fleet.pass(LATE_MS + 500);
+    fleet.submit(short_job());
+    let key = task("short", 0, 0);
+    assert_eq!(fleet.starts_of(&key), 1);
+    let born_ms = fleet.worker("w1").born_ms;
+    let leases = leases_of_starts(&fleet, born_ms);
+    assert!(leases.last() <= Some(&SHORT_LEASE_MS), "{leases:?}");
+    fleet.worker("w1").end(&key, RunEndKind::LeaseExpired);
+    fleet.pass(300);
+    assert_eq!(fleet.starts_of(&key), 2);
 }
 
 /// A member of a gang can't begin without the others, however short its work is.
