--- a/crates/stairstall-core/tests/batch/end_listing.rs
+++ b/crates/stairstall-core/tests/batch/end_listing.rs
@@ -5,7 +5,10 @@
 //! done", seed 184 of `lossy::work_runs_once_and_ends_whatever_calls_the_next_life_carries_out`).
 
 use stairstall_core::WorkerId;
-use stairstall_core::batch::{CallerState, Order, OrderKind, Outcome, ReportRequest, RunEndKind};
+use stairstall_core::batch::{
+    AcceptedJob, CallerState, Order, OrderKind, Outcome, ReportRequest, RunEndKind, StepSpec,
+    WorkerReport,
+};
 
 use crate::harness::{Fleet, gang, id, job, step, task};
 
@@ -41,12 +44,17 @@
     request
 }
 
+/// Lets the acknowledgement of an end get no answer.
+fn leave_acknowledgement_unanswered(fleet: &mut Fleet) {
+    acknowledgement(fleet);
+    let now = fleet.now();
+    fleet.planner.handle_report_failure(&w1(), now);
+}
+
 /// Lets the acknowledgement of an end get no answer, and the worker restart.
 fn restarted_after_a_late_acknowledgement() -> Fleet {
     let mut fleet = fleet(&[("w1", "r1")]);
-    acknowledgement(&mut fleet);
-    let now = fleet.now();
-    fleet.planner.handle_report_failure(&w1(), now);
+    leave_acknowledgement_unanswered(&mut fleet);
     fleet.cut_off(&w1());
     fleet.at_ms += 500;
     fleet.restart_cut_off(&w1());
@@ -64,6 +72,12 @@
         .collect()
 }
 
+fn assert_last_lease_is_short(fleet: &mut Fleet) {
+    let born_ms = fleet.worker("w1").born_ms;
+    let leases = leases_of_starts(fleet, born_ms);
+    assert!(leases.last() <= Some(&SHORT_LEASE_MS), "{leases:?}");
+}
+
 #[test]
 fn nothing_starts_while_an_acknowledgement_is_on_its_way() {
     let mut fleet = fleet(&[("w1", "r1")]);
@@ -73,7 +87,7 @@
     fleet.settle();
     assert_eq!(fleet.starts_of(&task("second", 0, 0)), 0);
     let now = fleet.now();
-    let report = stairstall_core::batch::WorkerReport {
+    let report = WorkerReport {
         incarnation: fleet.listed[&w1()].incarnation,
         clock_ms: fleet.at_ms,
         running: Vec::new(),
@@ -114,9 +128,7 @@
 #[test]
 fn nothing_starts_where_an_acknowledgement_may_come_late_to_an_unknown_incarnation() {
     let mut fleet = fleet(&[("w1", "r1")]);
-    acknowledgement(&mut fleet);
-    let now = fleet.now();
-    fleet.planner.handle_report_failure(&w1(), now);
+    leave_acknowledgement_unanswered(&mut fleet);
     fleet.submit(job("second", 2, vec![step(1, 1)]));
     fleet.pass(LATE_MS - 1_000);
     assert_eq!(fleet.starts_of(&task("second", 0, 0)), 0);
@@ -133,9 +145,7 @@
     fleet.submit(job("second", 2, vec![step(1, 1)]));
     let key = task("second", 0, 0);
     assert_eq!(fleet.starts_of(&key), 1);
-    let born_ms = fleet.worker("w1").born_ms;
-    let leases = leases_of_starts(&fleet, born_ms);
-    assert!(leases.last() <= Some(&SHORT_LEASE_MS), "{leases:?}");
+    assert_last_lease_is_short(&mut fleet);
     let request = fleet.hold(&w1()).expect("the end of the run is waited for");
     assert_eq!(request.deadline_ms, None, "its lease must not be extended");
     fleet.worker("w1").end(&key, RunEndKind::LeaseExpired);
@@ -167,8 +177,8 @@
     assert_eq!(fleet.starts_of(&key), 5);
 }
 
-fn short_job() -> stairstall_core::batch::AcceptedJob {
-    let spec = stairstall_core::batch::StepSpec {
+fn short_job() -> AcceptedJob {
+    let spec = StepSpec {
         estimate_ms: 300,
         ..step(1, 8)
     };
@@ -213,9 +223,7 @@
     fleet.submit(short_job());
     let key = task("short", 0, 0);
     assert_eq!(fleet.starts_of(&key), 1);
-    let born_ms = fleet.worker("w1").born_ms;
-    let leases = leases_of_starts(&fleet, born_ms);
-    assert!(leases.last() <= Some(&SHORT_LEASE_MS), "{leases:?}");
+    assert_last_lease_is_short(&mut fleet);
     fleet.worker("w1").end(&key, RunEndKind::LeaseExpired);
     fleet.pass(300);
     assert_eq!(fleet.starts_of(&key), 2);
@@ -226,7 +234,7 @@
 fn a_member_of_a_gang_shows_alone_that_ends_are_listed() {
     let mut fleet = restarted_after_a_late_acknowledgement();
     fleet.pass(LATE_MS + 500);
-    let spec = stairstall_core::batch::StepSpec {
+    let spec = StepSpec {
         estimate_ms: 300,
         ..gang(2, 1)
     };
@@ -248,18 +256,14 @@
 #[test]
 fn a_late_acknowledgement_is_remembered_while_its_id_is_away() {
     let mut fleet = fleet(&[("w1", "r1")]);
-    acknowledgement(&mut fleet);
-    let now = fleet.now();
-    fleet.planner.handle_report_failure(&w1(), now);
+    leave_acknowledgement_unanswered(&mut fleet);
     fleet.crash_for(&w1(), 6_000);
     fleet.pass(5_000);
     assert!(!fleet.planner.knows_worker(&w1()));
     fleet.pass(LATE_MS);
     fleet.submit(job("second", 2, vec![step(1, 1)]));
     fleet.pass(100);
-    let born_ms = fleet.worker("w1").born_ms;
-    let leases = leases_of_starts(&fleet, born_ms);
-    assert!(leases.last() <= Some(&SHORT_LEASE_MS), "{leases:?}");
+    assert_last_lease_is_short(&mut fleet);
 }
 
 #[test]
@@ -287,7 +291,5 @@
     fleet.pass(LATE_MS);
     fleet.submit(job("second", 2, vec![step(1, 1)]));
     fleet.pass(100);
-    let born_ms = fleet.worker("w1").born_ms;
-    let leases = leases_of_starts(&fleet, born_ms);
-    assert!(leases.last() <= Some(&SHORT_LEASE_MS), "{leases:?}");
+    assert_last_lease_is_short(&mut fleet);
 }
