fix(planner): the directory is loaded in time that grows with the fleet

Cause: each listed worker was compared with all others by its address, to find those it replaces, and each unlisted one too. With 10,000 workers the listing alone took 1.2 s of processor time (growth.rs, debug build), more than the planner's lease of 1 s lasts, and nothing else of the daemon ran meanwhile. Change: an index of addresses; the daemon applies 200 entries at a time, so that its lease is renewed in between. Both tests failed before (28 times as long at four times the size).

--- a/crates/stairstall-core/src/batch/planner.rs
+++ b/crates/stairstall-core/src/batch/planner.rs
@@ -8,6 +8,7 @@
 };
 use crate::{JobId, Timestamp, WorkerId};
 
+mod addresses;
 mod adopt;
 mod advice;
 mod bounds;
@@ -82,6 +83,7 @@
     /// notified. `None` once the job records stored by then have been read.
     jobs_stale_at: Option<Timestamp>,
     workers: BTreeMap<WorkerId, Worker>,
+    addresses: addresses::AddressIndex,
     /// Until when unanswered acknowledgements to IDs of removed workers may be carried out.
     late_acknowledgements: BTreeMap<WorkerId, Timestamp>,
     /// Until when calls of an earlier planner may be carried out. `None` if there was none.
@@ -158,6 +160,7 @@
             jobs: BTreeMap::new(),
             jobs_stale_at: None,
             workers: BTreeMap::new(),
+            addresses: addresses::AddressIndex::default(),
             late_acknowledgements: BTreeMap::new(),
             earlier_calls_until: None,
             run_index: runs::RunIndex::default(),
--- a/crates/stairstall-core/src/batch/planner/directory.rs
+++ b/crates/stairstall-core/src/batch/planner/directory.rs
@@ -25,10 +25,15 @@
         self.end_replaced_incarnations(&listed, now);
         let id = listed.id.clone();
         let known = self.workers.get(&id);
-        if known.is_none_or(|known| known.listed.address != listed.address) {
+        let is_known = known.is_some();
+        let known_address = known.map(|known| known.listed.address.clone());
+        if known_address.as_ref() != Some(&listed.address) {
             self.worker_set_version += 1;
+            self.addresses
+                .remove(&known_address.unwrap_or_default(), &id);
+            self.addresses.insert(&listed.address, &id);
         }
-        if known.is_none() {
+        if !is_known {
             let fence = self.next_fencing_token();
             let mut worker = Worker::new(listed.clone(), fence, now.at);
             worker.restore_late_acknowledgements(self.take_late_acknowledgements(&id));
@@ -52,12 +57,10 @@
     /// Ends unlisted workers whose address is now used by a newly listed worker: the new worker
     /// replaces them.
     fn end_replaced_incarnations(&mut self, listed: &ListedWorker, now: Now) {
-        let replaced: Vec<WorkerId> = self
-            .workers
-            .values()
-            .filter(|w| w.listed.address == listed.address && w.listed.id != listed.id)
-            .filter(|w| !w.is_listed)
-            .map(|w| w.listed.id.clone())
+        let others = self.addresses.others_at(&listed.address, &listed.id);
+        let replaced: Vec<WorkerId> = others
+            .filter(|id| self.workers.get(*id).is_some_and(|w| !w.is_listed))
+            .cloned()
             .collect();
         for id in replaced {
             self.end_incarnation(&id, "another worker is listed at its address", now);
@@ -71,8 +74,8 @@
         };
         worker.unlist(now.at);
         let address = worker.listed.address.clone();
-        let is_replaced = |other: &Worker| other.is_listed && other.listed.address == address;
-        if !address.is_empty() && self.workers.values().any(is_replaced) {
+        let is_listed = |other: &WorkerId| self.workers.get(other).is_some_and(|w| w.is_listed);
+        if self.addresses.others_at(&address, id).any(is_listed) {
             self.end_incarnation(id, "another worker is listed at its address", now);
             return;
         }
--- a/crates/stairstall-core/src/batch/planner/incarnations.rs
+++ b/crates/stairstall-core/src/batch/planner/incarnations.rs
@@ -1,7 +1,7 @@
 //! The end of worker incarnations.
 
 use super::crashes::LostIncarnation;
-use super::pool::Run;
+use super::pool::{Run, Worker};
 use super::{Now, Planner};
 use crate::WorkerId;
 use crate::batch::{Decision, Setback, TaskKey};
@@ -9,11 +9,9 @@
 impl Planner {
     /// Handles the end of a worker's current incarnation, and with it of all its runs.
     pub fn end_incarnation(&mut self, id: &WorkerId, why: &str, now: Now) {
-        let Some(mut worker) = self.workers.remove(id) else {
+        let Some(mut worker) = self.remove_worker(id) else {
             return;
         };
-        self.remember_late_acknowledgements(id, &worker);
-        self.worker_set_version += 1;
         if worker.is_listed {
             self.paces.record_restart(id, now.at);
         } else {
@@ -42,6 +40,15 @@
         self.replan = true;
     }
 
+    /// Removes a worker from the set of known workers.
+    fn remove_worker(&mut self, id: &WorkerId) -> Option<Worker> {
+        let worker = self.workers.remove(id)?;
+        self.addresses.remove(&worker.listed.address, id);
+        self.remember_late_acknowledgements(id, &worker);
+        self.worker_set_version += 1;
+        Some(worker)
+    }
+
     /// Releases the tasks of runs that were lost with their worker, and stops the gangs that can't
     /// continue without them.
     ///
@@ -76,10 +83,7 @@
             return;
         }
         if worker.lost_tasks.is_empty() {
-            if let Some(worker) = self.workers.remove(id) {
-                self.remember_late_acknowledgements(id, &worker);
-            }
-            self.worker_set_version += 1;
+            self.remove_worker(id);
             self.paces.forget(id);
         } else if worker.has_vanished(now.at, presumed_crashed_after) {
             self.end_incarnation(id, "it is no longer listed and does not answer", now);
--- /dev/null
+++ b/crates/stairstall-core/tests/growth.rs
@@ -0,0 +1,102 @@
+//! What the planner does for each worker costs about the same however large the fleet is.
+//!
+//! Each test does the same to two fleets, one four times as large as the other. Work that takes the
+//! same time for each worker takes four times as long there, work that looks at the whole fleet for
+//! each worker sixteen times.
+#![allow(dead_code, missing_docs, reason = "the harness is shared")]
+
+use std::time::{Duration, Instant};
+
+use stairstall_core::WorkerId;
+use stairstall_core::batch::{ListedWorker, Resources};
+
+#[path = "batch/harness.rs"]
+mod harness;
+
+use harness::{Fleet, worker};
+
+/// Workers of the smaller fleet.
+const FEW: usize = 2_500;
+/// How many times as many workers the larger fleet has.
+const GROWTH: usize = 4;
+/// How many times as long the larger fleet may take: half way, in powers of two, between work that
+/// grows with the fleet and work that grows with its square.
+const MOST_GROWTH: f64 = 8.0;
+/// Times that each size is measured: the system may count processor time in steps of 4 ms.
+const REPEATS: usize = 10;
+/// Workers in a rack.
+const RACK: usize = 20;
+/// Availability zones of the fleet.
+const ZONES: usize = 5;
+
+/// Processor time of this thread, so that other work on the machine does not count.
+fn processor_time() -> Duration {
+    let stat = std::fs::read_to_string("/proc/thread-self/schedstat");
+    let ns = stat.ok().and_then(|stat| {
+        let ns = stat.split_whitespace().next()?;
+        ns.parse().ok()
+    });
+    // Where the system does not tell, time on the clock has to do.
+    ns.map_or_else(since_start, Duration::from_nanos)
+}
+
+fn since_start() -> Duration {
+    static START: std::sync::OnceLock<Instant> = std::sync::OnceLock::new();
+    START.get_or_init(Instant::now).elapsed()
+}
+
+fn listed(index: usize) -> ListedWorker {
+    let name = format!("w{index}");
+    let rack = format!("r{}", index / RACK);
+    let zone = format!("z{}", index % ZONES);
+    let mut listed = worker(&name, &rack, Resources::new(32_000, 64_000, 8));
+    listed.zone = zone.parse().expect("an id");
+    listed
+}
+
+/// A planner to which a directory lists workers.
+fn fleet(workers: usize) -> Fleet {
+    let mut fleet = Fleet::new(&[]);
+    let now = fleet.now();
+    for index in 0..workers {
+        fleet.planner.handle_listed_worker(listed(index), now);
+    }
+    fleet
+}
+
+/// Fails if `act`, which is given a number of workers, takes longer for each of more workers.
+fn assert_grows_no_faster_than_the_fleet(act: impl Fn(usize) -> Duration) {
+    let total = |workers| -> Duration { (0..REPEATS).map(|_| act(workers)).sum() };
+    let few = total(FEW);
+    let many = total(FEW * GROWTH);
+    let growth = many.as_secs_f64() / few.as_secs_f64();
+    println!("{FEW} workers {few:?}, {GROWTH} times as many {many:?}: {growth:.1} times as long");
+    assert!(growth <= MOST_GROWTH, "{growth:.1} times as long");
+}
+
+/// Guards against a new planner that can't renew its lease while it loads the directory.
+#[test]
+fn the_directory_is_loaded_in_time_that_grows_with_the_fleet() {
+    assert_grows_no_faster_than_the_fleet(|workers| {
+        let began = processor_time();
+        let fleet = fleet(workers);
+        let took = processor_time().saturating_sub(began);
+        assert_eq!(fleet.planner.workers().count(), workers);
+        took
+    });
+}
+
+/// Guards against a planner that is busy with the entries of workers that leave together.
+#[test]
+fn workers_that_leave_the_directory_cost_time_that_grows_with_the_fleet() {
+    assert_grows_no_faster_than_the_fleet(|workers| {
+        let mut fleet = fleet(workers);
+        let ids: Vec<WorkerId> = (0..workers).map(|index| listed(index).id).collect();
+        let began = processor_time();
+        let now = fleet.now();
+        for id in &ids {
+            fleet.planner.handle_unlisted_worker(id, now);
+        }
+        processor_time().saturating_sub(began)
+    });
+}
--- a/crates/stairstalld/src/batch/directory.rs
+++ b/crates/stairstalld/src/batch/directory.rs
@@ -21,6 +21,9 @@
 /// store returns a limited number of changes at a time; with 3,000 workers a planner that delayed
 /// each call would fall further and further behind.
 const LARGE_BATCH: usize = 200;
+/// Number of entries that are applied before other tasks run. Applying thousands at once would delay
+/// the renewal of the planner's lease.
+const ENTRIES_PER_TURN: usize = 200;
 /// Delay before a failed store call is retried.
 const STORE_RETRY_DELAY: Duration = Duration::from_millis(200);
 
@@ -28,10 +31,15 @@
 pub(crate) async fn load(node: &Node, tenure: &Tenure) -> Result<Revision, StoreFault> {
     let prefix = node.dialect.directory_prefix();
     let (items, at) = node.read_all("list workers", prefix).await?;
-    let listed: BTreeSet<WorkerId> = items
-        .iter()
-        .filter_map(|item| apply_item(node, tenure, item))
-        .collect();
+    let mut listed: BTreeSet<WorkerId> = BTreeSet::new();
+    for entries in items.chunks(ENTRIES_PER_TURN) {
+        listed.extend(
+            entries
+                .iter()
+                .filter_map(|item| apply_item(node, tenure, item)),
+        );
+        tokio::task::yield_now().await;
+    }
     tenure.with_planner(|planner, now| {
         let known: Vec<WorkerId> = planner.workers().map(|(id, _)| id.clone()).collect();
         for id in known.iter().filter(|id| !listed.contains(*id)) {
