fix(planner): a zone is checked once a tick, not for each of its workers that falls silent

Cause: each worker that did not answer had its whole zone counted, and from the third on all workers of the zone looked at, to mark those that had not answered recently. Where all have, as after a report just before the planner's own link is cut, this took time that grows with the square of the fleet. Change: the zones of workers that fell silent are checked before each pass and with the housekeeping, each once.

--- a/crates/stairstall-core/src/batch/planner.rs
+++ b/crates/stairstall-core/src/batch/planner.rs
@@ -6,7 +6,7 @@
     AcceptedJob, CallerState, Catalog, CustomerUsage, Decision, DecisionKind, GroupKey, JobSummary,
     Outcome, Policy, Progress, RunTimes, UrgentDemand, WorkerPaces,
 };
-use crate::{JobId, Timestamp, WorkerId};
+use crate::{JobId, Timestamp, WorkerId, ZoneId};
 
 mod addresses;
 mod adopt;
@@ -121,6 +121,8 @@
     last_new_report_at: Option<Timestamp>,
     /// Workers to ask for a report immediately.
     workers_to_poll: Vec<WorkerId>,
+    /// Zones in which a worker has become unresponsive since they were last checked.
+    zones_to_check: BTreeSet<ZoneId>,
     /// The guaranteed jobs when the ranks of runs were last set. `None` if a run was adopted or
     /// restored since then.
     ranked_guaranteed_jobs: Option<BTreeSet<JobId>>,
@@ -185,6 +187,7 @@
             first_tick_at: None,
             last_new_report_at: None,
             workers_to_poll: Vec::new(),
+            zones_to_check: BTreeSet::new(),
             ranked_guaranteed_jobs: None,
             worker_set_version: 0,
             has_urgent_arrival: false,
@@ -309,6 +312,7 @@
             .is_none_or(|at| now.at - at >= HOUSEKEEPING_INTERVAL)
         {
             self.last_housekeeping_at = Some(now.at);
+            self.check_suspect_zones(now);
             self.end_departed_incarnations(now);
             self.end_vanished_incarnations(now);
             self.expire_leases(now);
@@ -322,6 +326,7 @@
             self.replan = false;
             self.has_urgent_arrival = false;
             self.last_pass_at = Some(now.at);
+            self.check_suspect_zones(now);
             self.replan_at = if self.has_enough_reports(now) {
                 let waits = self.plan(now);
                 waits.then(|| now.at + Self::MAX_TICK_INTERVAL)
--- a/crates/stairstall-core/src/batch/planner/contact.rs
+++ b/crates/stairstall-core/src/batch/planner/contact.rs
@@ -218,9 +218,8 @@
         })
     }
 
-    /// Marks a worker as unresponsive, so that it gets no new work until it answers a poll. If
-    /// enough workers of its zone are unresponsive, marks the others too, except those that have
-    /// answered recently.
+    /// Marks a worker as unresponsive, so that it gets no new work until it answers a poll. Its zone
+    /// is checked before anything else is placed.
     pub(super) fn mark_unresponsive(&mut self, id: &WorkerId, now: Now) {
         let Some(worker) = self.workers.get_mut(id) else {
             return;
@@ -233,11 +232,23 @@
         self.workers_to_poll.push(id.clone());
         self.mark_timelines_changed_at(id);
         self.decisions.push(Decision::of_worker(id, "unresponsive"));
-        let in_zone = |w: &&Worker| w.is_listed && w.listed.zone == zone;
-        let unresponsive = self.workers.values().filter(in_zone);
-        let unresponsive = unresponsive.filter(|w| !w.is_in_contact()).count();
-        if unresponsive >= usize::from(self.policy.health.suspect_zone_workers) {
-            self.mark_zone_unresponsive(&zone, now);
+        self.zones_to_check.insert(zone);
+    }
+
+    /// Marks the workers of a zone as unresponsive, except those that have answered recently, if
+    /// enough of its workers are unresponsive and one of them became so since the last check.
+    ///
+    /// When a zone is lost, its workers fall silent one by one. A check for each of them would take
+    /// time that grows with the square of the fleet.
+    pub(super) fn check_suspect_zones(&mut self, now: Now) {
+        let threshold = usize::from(self.policy.health.suspect_zone_workers);
+        for zone in std::mem::take(&mut self.zones_to_check) {
+            let is_unresponsive_there =
+                |w: &&Worker| !w.is_in_contact() && w.is_listed && w.listed.zone == zone;
+            let unresponsive = self.workers.values().filter(is_unresponsive_there);
+            if unresponsive.take(threshold).count() >= threshold {
+                self.mark_zone_unresponsive(&zone, now);
+            }
         }
     }
 
--- a/crates/stairstall-core/tests/growth.rs
+++ b/crates/stairstall-core/tests/growth.rs
@@ -13,7 +13,7 @@
 #[path = "batch/harness.rs"]
 mod harness;
 
-use harness::{Fleet, worker};
+use harness::{FakeWorker, Fleet, worker};
 
 /// Workers of the smaller fleet.
 const FEW: usize = 2_500;
@@ -24,6 +24,9 @@
 const MOST_GROWTH: f64 = 8.0;
 /// Times that each size is measured: the system may count processor time in steps of 4 ms.
 const REPEATS: usize = 10;
+/// Time within which all workers fall silent, and how often the planner ticks meanwhile.
+const SILENCE_MS: u64 = 500;
+const SILENCE_TICKS: usize = 25;
 /// Workers in a rack.
 const RACK: usize = 20;
 /// Availability zones of the fleet.
@@ -64,6 +67,19 @@
     fleet
 }
 
+/// A planner all of whose workers have just answered.
+fn answering_fleet(workers: usize) -> Fleet {
+    let mut fleet = fleet(workers);
+    let at_ms = fleet.at_ms;
+    for index in 0..workers {
+        let id = listed(index).id;
+        fleet.workers.insert(id.clone(), FakeWorker::default());
+        fleet.hold(&id);
+        fleet.at_ms = at_ms;
+    }
+    fleet
+}
+
 /// Fails if `act`, which is given a number of workers, takes longer for each of more workers.
 fn assert_grows_no_faster_than_the_fleet(act: impl Fn(usize) -> Duration) {
     let total = |workers| -> Duration { (0..REPEATS).map(|_| act(workers)).sum() };
@@ -86,6 +102,26 @@
     });
 }
 
+/// Guards against a planner that is busy with the workers of a lost zone and neglects the others.
+#[test]
+fn workers_that_fall_silent_together_cost_time_that_grows_with_the_fleet() {
+    assert_grows_no_faster_than_the_fleet(|workers| {
+        let mut fleet = answering_fleet(workers);
+        let ids: Vec<WorkerId> = (0..workers).map(|index| listed(index).id).collect();
+        let began = processor_time();
+        for (number, id) in ids.iter().enumerate() {
+            let now = fleet.now();
+            fleet.planner.handle_report_failure(id, now);
+            if number % (workers / SILENCE_TICKS) == 0 {
+                fleet.at_ms += SILENCE_MS / SILENCE_TICKS as u64;
+                let now = fleet.now();
+                fleet.planner.tick(now);
+            }
+        }
+        processor_time().saturating_sub(began)
+    });
+}
+
 /// Guards against a planner that is busy with the entries of workers that leave together.
 #[test]
 fn workers_that_leave_the_directory_cost_time_that_grows_with_the_fleet() {
