fix(planner): a new planner asks no more workers at once than its VM can handle

Cause: a new planner asked all workers at once. Their answers are handled one after the other, at some 0.1 ms each and a connection, so with 10,000 workers most of them came later than the 0.5 s allowed; each of those was asked again, on a new connection. Change: requests that only find out whether a worker answers wait for each other: at most as many are in flight as the VM's processor and link handle in 0.1 s (1,000 on a core). Workers with runs come first: their leases need it.

--- a/crates/stairstall-core/src/batch/planner/contact.rs
+++ b/crates/stairstall-core/src/batch/planner/contact.rs
@@ -43,10 +43,21 @@
         Some(request)
     }
 
-    /// Returns the IDs and addresses of all workers that have an address.
+    /// Returns whether it has to be found out whether a worker answers, and which incarnation does.
+    /// Until then it gets no work.
+    #[must_use]
+    pub fn needs_contact(&self, id: &WorkerId) -> bool {
+        let worker = self.workers.get(id);
+        worker.is_some_and(Worker::needs_contact)
+    }
+
+    /// Returns the IDs and addresses of all workers that have an address, those with runs first:
+    /// their leases have to be renewed.
     pub fn workers(&self) -> impl Iterator<Item = (&WorkerId, &str)> {
-        self.workers
-            .iter()
+        let with_runs = self.workers.iter().filter(|(_, w)| !w.runs.is_empty());
+        let without_runs = self.workers.iter().filter(|(_, w)| w.runs.is_empty());
+        with_runs
+            .chain(without_runs)
             .filter(|(_, w)| !w.listed.address.is_empty())
             .map(|(id, w)| (id, w.listed.address.as_str()))
     }
--- a/crates/stairstall-core/src/batch/planner/flow.rs
+++ b/crates/stairstall-core/src/batch/planner/flow.rs
@@ -66,6 +66,14 @@
         per_s * u64::try_from(policy.start_window.as_millis()).unwrap_or(u64::MAX) / 1000
     }
 
+    /// Returns how many requests that only find out whether a worker answers may be in flight.
+    fn contact_window(&self, policy: &FlowPolicy) -> u64 {
+        let link_per_s = self.limits.link_bytes_per_s / u64::from(policy.message_bytes);
+        let cpu_per_s = u64::from(self.limits.cpu_percent) * 10_000 / u64::from(policy.message_us);
+        let window_ms = u64::try_from(policy.contact_window.as_millis()).unwrap_or(u64::MAX);
+        link_per_s.min(cpu_per_s).saturating_mul(window_ms) / 1000
+    }
+
     /// Returns how many messages per second fit into their share of the CPU.
     fn messages_per_s(&self, policy: &FlowPolicy) -> u64 {
         let percent = u64::from(self.limits.cpu_percent) * u64::from(policy.cpu_percent);
@@ -88,6 +96,18 @@
         (Duration::from_secs(1) * workers / per_s).clamp(policy.shortest_wait, policy.longest_wait)
     }
 
+    /// Returns how many workers may be asked at the same time only to find out whether they answer:
+    /// at least one.
+    ///
+    /// A new planner has to reach all workers. If it asked all of them at once, its own CPU would
+    /// delay most answers beyond their time limit, and the requests that repeat them would delay
+    /// the next ones.
+    #[must_use]
+    pub fn contact_window(&self) -> usize {
+        let window = self.flow.contact_window(&self.policy.flow);
+        usize::try_from(window).unwrap_or(usize::MAX).max(1)
+    }
+
     /// Returns how many of `count` tasks may be placed now; for a gang all or none. Work that is
     /// not urgent is placed no faster than its starts are answered.
     ///
--- a/crates/stairstall-core/src/batch/planner/pool.rs
+++ b/crates/stairstall-core/src/batch/planner/pool.rs
@@ -329,6 +329,11 @@
         self.runs.values().any(Run::was_started)
     }
 
+    /// Returns whether it has to be found out whether the worker answers, and which incarnation does.
+    pub(super) const fn needs_contact(&self) -> bool {
+        !self.incarnation_state.fenced || !self.contact
+    }
+
     /// Returns the next report request to send, or `None` if the worker need not be polled.
     ///
     /// A request to a worker that is not fenced or is unresponsive only finds out which incarnation
@@ -340,7 +345,7 @@
         max_wait: Duration,
         at: Timestamp,
     ) -> Option<ReportRequest> {
-        let identifies_only = !self.incarnation_state.fenced || !self.contact;
+        let identifies_only = self.needs_contact();
         let started = self.is_busy();
         let is_needed = started
             || !self.incarnation_state.all_ends_acknowledged()
--- a/crates/stairstall-core/src/batch/policy/planner.rs
+++ b/crates/stairstall-core/src/batch/policy/planner.rs
@@ -264,6 +264,10 @@
     /// which a start counts as unanswered.
     #[serde(with = "super::millis")]
     pub start_window: Duration,
+    /// Maximum time that the CPU and the link need for all requests in flight that only find out
+    /// whether a worker answers. Well below the time after which a report counts as missing.
+    #[serde(with = "super::millis")]
+    pub contact_window: Duration,
     /// Time between two planning passes over the waiting work, in microseconds per worker. A pass
     /// takes a tenth of that or less.
     pub pass_gap_us: u32,
@@ -287,6 +291,7 @@
             message_bytes: 350,
             start_bytes: 1_000,
             start_window: Duration::from_millis(150),
+            contact_window: Duration::from_millis(100),
             pass_gap_us: 5,
         }
     }
--- a/crates/stairstall-core/tests/batch/flow.rs
+++ b/crates/stairstall-core/tests/batch/flow.rs
@@ -235,3 +235,44 @@
     fleet.at_ms += 5;
     assert_eq!(count_of(&starts(&mut fleet), "later"), 8);
 }
+
+#[test]
+fn a_planner_asks_as_many_workers_at_once_as_its_machine_handles_within_a_tenth_of_a_second() {
+    let weak = VmLimits {
+        cpu_percent: 12,
+        ..VmLimits::default()
+    };
+    let weakest = VmLimits {
+        cpu_percent: 0,
+        ..VmLimits::default()
+    };
+    let window = |limits| fleet(0, limits).planner.contact_window();
+    assert_eq!(window(VmLimits::default()), 1_000);
+    assert_eq!(window(weak), 120);
+    assert_eq!(window(NARROW), 71);
+    assert_eq!(window(weakest), 1);
+}
+
+/// Guards against leases that end before a new planner has reached the workers that need renewal.
+#[test]
+fn workers_with_runs_are_asked_first() {
+    let mut fleet = fleet(10, VmLimits::default());
+    fleet.submit(job("j", 2, vec![gang(3, 8)]));
+    let busy: Vec<WorkerId> = fleet
+        .given
+        .iter()
+        .map(|order| order.worker.clone())
+        .collect();
+    assert_eq!(busy.len(), 3);
+    let jobs = [job("j", 2, vec![gang(3, 8)])];
+    fleet.succeed(&jobs);
+    let first: Vec<WorkerId> = fleet
+        .planner
+        .workers()
+        .map(|(id, _)| id.clone())
+        .take(3)
+        .collect();
+    let mut busy = busy;
+    busy.sort();
+    assert_eq!(first, busy);
+}
--- a/crates/stairstalld/src/batch/worker_links.rs
+++ b/crates/stairstalld/src/batch/worker_links.rs
@@ -9,8 +9,8 @@
 use stairstall_core::WorkerId;
 use stairstall_core::batch::{Order, ReportRequest};
 use stairstall_ports::{WorkerAddress, WorkerFault};
-use tokio::sync::Notify;
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
+use tokio::sync::{Notify, Semaphore};
 use tokio::task::JoinSet;
 
 use super::node::Node;
@@ -58,6 +58,8 @@
     node: Arc<Node>,
     tenure: Arc<Tenure>,
     open: HashMap<WorkerId, WorkerLink>,
+    /// Limits how many workers are asked at once only to find out whether they answer.
+    contacts: Arc<Semaphore>,
     /// Version of the planner's worker set for which links were last updated.
     linked_worker_set: Option<u64>,
     tasks: JoinSet<()>,
@@ -65,10 +67,12 @@
 
 impl WorkerLinks {
     pub(crate) fn new(node: Arc<Node>, tenure: Arc<Tenure>) -> Self {
+        let contact_window = tenure.with_planner(|planner, _| planner.contact_window());
         Self {
             node,
             tenure,
             open: HashMap::new(),
+            contacts: Arc::new(Semaphore::new(contact_window.min(Semaphore::MAX_PERMITS))),
             linked_worker_set: None,
             tasks: JoinSet::new(),
         }
@@ -89,18 +93,23 @@
             return;
         }
         self.linked_worker_set = Some(worker_set);
-        let known: HashMap<WorkerId, String> = self.tenure.with_planner(|planner, _| {
-            let workers = planner.workers();
-            workers
-                .map(|(id, address)| (id.clone(), address.to_owned()))
-                .collect()
+        let known: Vec<WorkerAddress> = self.tenure.with_planner(|planner, _| {
+            let workers = planner.workers().map(|(id, address)| WorkerAddress {
+                id: id.clone(),
+                address: address.to_owned(),
+            });
+            workers.collect()
         });
+        let addresses: HashMap<&WorkerId, &String> = known
+            .iter()
+            .map(|worker| (&worker.id, &worker.address))
+            .collect();
         // A new incarnation may listen at another address under the same ID.
         self.open
-            .retain(|id, link| known.get(id) == Some(&link.address));
-        for (id, address) in known {
-            if !self.open.contains_key(&id) {
-                self.open_link(WorkerAddress { id, address });
+            .retain(|id, link| addresses.get(id) == Some(&&link.address));
+        for worker in known {
+            if !self.open.contains_key(&worker.id) {
+                self.open_link(worker);
             }
         }
         while self.tasks.try_join_next().is_some() {}
@@ -120,6 +129,7 @@
             Arc::clone(&self.tenure),
             worker.clone(),
             Arc::clone(&control),
+            Arc::clone(&self.contacts),
         ));
         let link = WorkerLink {
             address: worker.address,
@@ -151,29 +161,49 @@
     tenure: Arc<Tenure>,
     worker: WorkerAddress,
     control: Arc<PollControl>,
+    contacts: Arc<Semaphore>,
 ) {
     while !control.is_closed() {
+        let needs_contact = tenure.with_planner(|planner, _| planner.needs_contact(&worker.id));
+        let permit = if needs_contact {
+            contacts.acquire().await.ok()
+        } else {
+            None
+        };
         if !tenure.is_active() {
+            drop(permit);
             tokio::time::sleep(SUSPENDED_DELAY).await;
             continue;
         }
         let request = tenure.with_planner(|planner, now| planner.report_request(&worker.id, now));
-        match request {
-            None => {
-                let _ = tokio::time::timeout(IDLE_CHECK_INTERVAL, control.wake.notified()).await;
-            }
-            Some(request) => poll_once(&node, &tenure, &worker, &control, request).await,
+        let Some(request) = request else {
+            drop(permit);
+            let _ = tokio::time::timeout(IDLE_CHECK_INTERVAL, control.wake.notified()).await;
+            continue;
+        };
+        let outcome = poll_once(&node, &tenure, &worker, &control, request).await;
+        drop(permit);
+        if outcome == PollOutcome::Unanswered {
+            node.back_off(node.settings.policy.links.pause_after_timeout)
+                .await;
         }
     }
 }
 
+/// Whether a poll was answered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum PollOutcome {
+    Answered,
+    Unanswered,
+}
+
 async fn poll_once(
     node: &Node,
     tenure: &Tenure,
     worker: &WorkerAddress,
     control: &PollControl,
     request: ReportRequest,
-) {
+) -> PollOutcome {
     let policy = &node.settings.policy.links;
     let sent_at = node.clock.now();
     let timeout = request.max_wait + policy.report_timeout;
@@ -196,7 +226,7 @@
                     "no report before its link closed");
             }
         }
-        return;
+        return PollOutcome::Answered;
     }
     match answer {
         Ok(report) => {
@@ -230,7 +260,8 @@
             node.telemetry.report("no answer");
             log::debug!(target: "hold", worker:% = worker.id, why:% = fault; "worker did not report");
             tenure.with_planner(|planner, now| planner.handle_report_failure(&worker.id, now));
-            node.back_off(policy.pause_after_timeout).await;
+            return PollOutcome::Unanswered;
         }
     }
+    PollOutcome::Answered
 }
--- a/crates/stairstalld/tests/batch/main.rs
+++ b/crates/stairstalld/tests/batch/main.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod catalog;
 mod cluster;
+mod contacts;
 mod directory;
 mod evacuation;
 mod explain;
