feat(planner): a planner connects to no more workers than its VM can hold, says so, and offers its role

Cause: one planner speaks to each worker, with 1.3 to 1.5 connections and some 37 KB each. Any VM may get the role, strong ones by a shorter delay alone, so a small one (4,100 descriptors, 160 MB) could hold 6,000 workers for as long as its memory lasted, and the next small one after it. The planner selects as many workers as nine tenths of both carry, those with runs first; the others are unresponsive: nothing starts there, what ran there starts again once its lease is over, and that loss is not counted against the work. A line in the log (links), a field of the contact line and a gauge say so; each second the role is offered to a known daemon on a VM with more capacity.

--- a/crates/stairstall-core/src/batch/planner.rs
+++ b/crates/stairstall-core/src/batch/planner.rs
@@ -36,6 +36,7 @@
 mod pool;
 mod progress;
 mod queue;
+mod reach;
 mod resend;
 mod restarts;
 mod run_ends;
@@ -126,6 +127,8 @@
     /// The guaranteed jobs when the ranks of runs were last set. `None` if a run was adopted or
     /// restored since then.
     ranked_guaranteed_jobs: Option<BTreeSet<JobId>>,
+    /// Number of workers that the VM of the planner can't hold connections to.
+    unselected_workers: usize,
     /// Incremented whenever the set of workers or a worker's address changes.
     worker_set_version: u64,
     /// Whether an urgent job has arrived since the last scheduling pass.
@@ -189,6 +192,7 @@
             workers_to_poll: Vec::new(),
             zones_to_check: BTreeSet::new(),
             ranked_guaranteed_jobs: None,
+            unselected_workers: 0,
             worker_set_version: 0,
             has_urgent_arrival: false,
             last_pass_at: None,
@@ -214,7 +218,7 @@
         self
     }
 
-    /// Sets the network and processor limits of the VM that the planner runs on.
+    /// Sets the limits of the VM that the planner runs on.
     #[must_use]
     pub const fn with_limits(mut self, limits: VmLimits) -> Self {
         self.flow.set_limits(limits);
--- a/crates/stairstall-core/src/batch/planner/bounds.rs
+++ b/crates/stairstall-core/src/batch/planner/bounds.rs
@@ -21,21 +21,27 @@
     }
 }
 
-/// Network and CPU capacity of the VM that the planner runs on.
+/// Capacity of the VM that the planner runs on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct VmLimits {
     /// Link capacity in each direction, in bytes per second.
     pub link_bytes_per_s: u64,
     /// CPU capacity, in percent of one core.
     pub cpu_percent: u32,
+    /// Memory of the daemon, in bytes.
+    pub memory_bytes: u64,
+    /// Number of files and connections that the daemon may have open.
+    pub open_files: u64,
 }
 
 impl Default for VmLimits {
-    /// One full core and a link of 1 Gbit/s.
+    /// One full core and a link of 1 Gbit/s; memory and open files without a limit.
     fn default() -> Self {
         Self {
             link_bytes_per_s: 125_000_000,
             cpu_percent: 100,
+            memory_bytes: u64::MAX,
+            open_files: u64::MAX,
         }
     }
 }
--- a/crates/stairstall-core/src/batch/planner/contact.rs
+++ b/crates/stairstall-core/src/batch/planner/contact.rs
@@ -51,15 +51,11 @@
         worker.is_some_and(Worker::needs_contact)
     }
 
-    /// Returns the IDs and addresses of all workers that have an address, those with runs first:
-    /// their leases have to be renewed.
-    pub fn workers(&self) -> impl Iterator<Item = (&WorkerId, &str)> {
-        let with_runs = self.workers.iter().filter(|(_, w)| !w.runs.is_empty());
-        let without_runs = self.workers.iter().filter(|(_, w)| w.runs.is_empty());
-        with_runs
-            .chain(without_runs)
-            .filter(|(_, w)| !w.listed.address.is_empty())
-            .map(|(id, w)| (id, w.listed.address.as_str()))
+    /// Returns the IDs of all workers that have an address.
+    pub fn workers(&self) -> impl Iterator<Item = &WorkerId> {
+        let workers = self.workers.iter();
+        let with_address = workers.filter(|(_, w)| !w.listed.address.is_empty());
+        with_address.map(|(id, _)| id)
     }
 
     /// Handles a worker's report: the answer to `request`, which was sent at `sent_at`.
@@ -211,7 +207,7 @@
             worker.set_report_pending(false);
             worker.late_acknowledgements.record_no_answer();
         }
-        self.mark_unresponsive(id, now);
+        self.mark_unresponsive(id);
         for task in self.unanswered_gang_members(id, now) {
             self.handle_unconfirmed_start(id, &task, now);
         }
@@ -231,7 +227,7 @@
 
     /// Marks a worker as unresponsive, so that it gets no new work until it answers a poll. Its zone
     /// is checked before anything else is placed.
-    pub(super) fn mark_unresponsive(&mut self, id: &WorkerId, now: Now) {
+    pub(super) fn mark_unresponsive(&mut self, id: &WorkerId) {
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
@@ -270,12 +266,7 @@
     /// Marking a worker without need is costly. It gets no work until its next report. Three such
     /// workers at once (the default of `suspect_zone_workers`) make their whole zone unresponsive,
     /// and no planned run is started there then.
-    pub(super) fn mark_unresponsive_unless_answered(
-        &mut self,
-        id: &WorkerId,
-        task: &TaskKey,
-        now: Now,
-    ) {
+    pub(super) fn mark_unresponsive_unless_answered(&mut self, id: &WorkerId, task: &TaskKey) {
         let Some(worker) = self.workers.get(id) else {
             return;
         };
@@ -283,7 +274,7 @@
         let has_answered_since =
             ordered_at.is_some_and(|at| worker.incarnation_state.last_answer_at > Some(at));
         if !(has_answered_since && self.policy.health.trusts_reports) {
-            self.mark_unresponsive(id, now);
+            self.mark_unresponsive(id);
         }
     }
 
--- a/crates/stairstall-core/src/batch/planner/crashes.rs
+++ b/crates/stairstall-core/src/batch/planner/crashes.rs
@@ -7,7 +7,7 @@
 //! answers again.
 
 use super::job::Task;
-use super::pool::{Run, RunState};
+use super::pool::{Run, RunState, Worker};
 use super::{Now, Planner};
 use crate::batch::{Decision, DecisionKind, Outcome, Progress, SilentWorker, TaskKey, TaskLosses};
 use crate::time::millis;
@@ -36,9 +36,10 @@
     }
 
     /// Counts the silence of a worker beyond its lease against the tasks that may have crashed it.
-    /// The silence of a leaving worker is not counted.
+    /// The silence of a worker that is leaving, or that the planner does not ask, is not counted.
     pub(super) fn count_silence(&mut self, id: &WorkerId, runs: &[(TaskKey, Run)]) {
-        let Some(worker) = self.workers.get(id).filter(|worker| !worker.is_leaving()) else {
+        let may_have_crashed = |worker: &&Worker| !worker.is_leaving() && worker.is_selected();
+        let Some(worker) = self.workers.get(id).filter(may_have_crashed) else {
             return;
         };
         let lost = LostIncarnation {
--- a/crates/stairstall-core/src/batch/planner/flow.rs
+++ b/crates/stairstall-core/src/batch/planner/flow.rs
@@ -26,6 +26,8 @@
     pub report_wait: Duration,
     /// Number of starts that wait for an answer, or for their placement to be stored.
     pub starts_in_flight: usize,
+    /// Number of workers that the planner's VM can't hold connections to.
+    pub unselected: usize,
 }
 
 /// Capacity of this VM, and the measured size of reports.
@@ -74,6 +76,18 @@
         link_per_s.min(cpu_per_s).saturating_mul(window_ms) / 1000
     }
 
+    /// Returns to how many workers the VM can hold connections: at least one.
+    pub(super) fn max_workers(&self, policy: &FlowPolicy) -> usize {
+        let share = u64::from(policy.workers_vm_percent);
+        let memory_kb = (self.limits.memory_bytes / 1000).saturating_mul(share) / 100;
+        let by_memory = memory_kb / u64::from(policy.worker_memory_kb.max(1));
+        let connections = self.limits.open_files.saturating_mul(share) / 100;
+        let per_hundred = u64::from(policy.worker_connections_percent.max(1));
+        let by_files = connections.saturating_mul(100) / per_hundred;
+        let workers = by_memory.min(by_files).max(1);
+        usize::try_from(workers).unwrap_or(usize::MAX)
+    }
+
     /// Returns how many messages per second fit into their share of the CPU.
     fn messages_per_s(&self, policy: &FlowPolicy) -> u64 {
         let percent = u64::from(self.limits.cpu_percent) * u64::from(policy.cpu_percent);
@@ -165,6 +179,7 @@
             oldest_report: ages.max().unwrap_or_default(),
             report_wait: self.report_wait(),
             starts_in_flight: self.starts_in_flight(),
+            unselected: self.unselected_workers(),
         }
     }
 
--- a/crates/stairstall-core/src/batch/planner/pool.rs
+++ b/crates/stairstall-core/src/batch/planner/pool.rs
@@ -47,6 +47,8 @@
     occupied: Resources,
     /// Whether the worker answers; `false` while it is unresponsive.
     contact: bool,
+    /// Whether the planner keeps in contact with it, as far as its VM can hold connections.
+    is_selected: bool,
     /// Whether a report was requested and the request has neither been answered nor failed.
     report_pending: bool,
     /// Until when runs may go on there, by the latest deadline that was ever sent to it.
@@ -78,6 +80,7 @@
             has_unsettled: false,
             occupied: Resources::default(),
             contact: true,
+            is_selected: true,
             report_pending: false,
             lease_until: None,
             leaves_at: None,
@@ -299,6 +302,17 @@
         self.contact = contact;
     }
 
+    pub(super) const fn is_selected(&self) -> bool {
+        self.is_selected
+    }
+
+    /// Sets whether the planner keeps in contact with the worker. A worker that is not selected is
+    /// unresponsive.
+    pub(super) const fn set_selected(&mut self, is_selected: bool) {
+        self.is_selected = is_selected;
+        self.contact &= is_selected;
+    }
+
     pub(super) const fn set_report_pending(&mut self, pending: bool) {
         self.report_pending = pending;
     }
--- a/crates/stairstall-core/src/batch/planner/restarts.rs
+++ b/crates/stairstall-core/src/batch/planner/restarts.rs
@@ -111,7 +111,7 @@
         }
         if worker.incarnation_state.is_clock_set_back(clock_ms, now.at) {
             worker.extend_lease(now.at + Self::max_lease_duration(self.bounds.lease_duration));
-            self.mark_unresponsive(id, now);
+            self.mark_unresponsive(id);
         } else {
             worker.incarnation_state.read_clock(clock_ms, now.at);
         }
--- a/crates/stairstall-core/src/batch/planner/start_outcomes.rs
+++ b/crates/stairstall-core/src/batch/planner/start_outcomes.rs
@@ -134,7 +134,7 @@
             _ => false,
         };
         if outcome == StartOutcome::NotSent {
-            self.mark_unresponsive(id, now);
+            self.mark_unresponsive(id);
         }
         if outcome == StartOutcome::Refused(RefusalReason::NoTicket) {
             self.drop_ticket(&task.group, id);
@@ -161,7 +161,7 @@
 
     fn retry_start(&mut self, order: &Order, now: Now) {
         let (id, task) = (&order.worker, &order.task);
-        self.mark_unresponsive_unless_answered(id, task, now);
+        self.mark_unresponsive_unless_answered(id, task);
         let run = self.run_at(id, task);
         let attempts = run.map_or(0, |run| run.start_attempts);
         let is_done = run.is_some_and(|run| run.redundant_since.is_some());
--- a/crates/stairstall-core/src/batch/planner/stops.rs
+++ b/crates/stairstall-core/src/batch/planner/stops.rs
@@ -101,7 +101,7 @@
     fn retry_stop(&mut self, order: &Order, now: Now) {
         let (id, task) = (&order.worker, &order.task);
         let max_tries = self.policy.orders.max_tries;
-        self.mark_unresponsive_unless_answered(id, task, now);
+        self.mark_unresponsive_unless_answered(id, task);
         let run = self.workers.get_mut(id).and_then(|w| w.runs.get_mut(task));
         let Some(run) = run.filter(|run| run.number == order.run) else {
             return;
--- a/crates/stairstall-core/src/batch/policy/planner.rs
+++ b/crates/stairstall-core/src/batch/policy/planner.rs
@@ -268,6 +268,15 @@
     /// whether a worker answers. Well below the time after which a report counts as missing.
     #[serde(with = "super::millis")]
     pub contact_window: Duration,
+    /// Memory of the planner for each worker that it is connected to, with its connections, tasks
+    /// and jobs, in KB.
+    pub worker_memory_kb: u32,
+    /// Connections of the planner to each worker, in hundredths: a report that waits takes one, an
+    /// order a second one.
+    pub worker_connections_percent: u32,
+    /// Share of the VM's memory and open files for workers, in percent. The rest is for callers,
+    /// other daemons and the store.
+    pub workers_vm_percent: u32,
     /// Time between two planning passes over the waiting work, in microseconds per worker. A pass
     /// takes a tenth of that or less.
     pub pass_gap_us: u32,
@@ -292,6 +301,9 @@
             start_bytes: 1_000,
             start_window: Duration::from_millis(150),
             contact_window: Duration::from_millis(100),
+            worker_memory_kb: 40,
+            worker_connections_percent: 140,
+            workers_vm_percent: 90,
             pass_gap_us: 5,
         }
     }
--- a/crates/stairstall-core/tests/batch/flow.rs
+++ b/crates/stairstall-core/tests/batch/flow.rs
@@ -11,6 +11,8 @@
 const NARROW: VmLimits = VmLimits {
     link_bytes_per_s: 250_000,
     cpu_percent: 100,
+    memory_bytes: u64::MAX,
+    open_files: u64::MAX,
 };
 /// Length of a report of some ten runs, without its head.
 const REPORT_BYTES: u32 = 700;
@@ -257,22 +259,84 @@
 #[test]
 fn workers_with_runs_are_asked_first() {
     let mut fleet = fleet(10, VmLimits::default());
-    fleet.submit(job("j", 2, vec![gang(3, 8)]));
-    let busy: Vec<WorkerId> = fleet
+    let jobs = [job("j", 2, vec![gang(3, 8)])];
+    fleet.submit(jobs[0].clone());
+    let mut busy: Vec<WorkerId> = fleet
         .given
         .iter()
         .map(|order| order.worker.clone())
         .collect();
+    busy.sort();
     assert_eq!(busy.len(), 3);
-    let jobs = [job("j", 2, vec![gang(3, 8)])];
     fleet.succeed(&jobs);
-    let first: Vec<WorkerId> = fleet
+    let mut first = selected(&mut fleet);
+    first.truncate(3);
+    assert_eq!(first, busy);
+}
+
+fn selected(fleet: &mut Fleet) -> Vec<WorkerId> {
+    let selected = fleet.planner.select_links().into_iter();
+    selected.map(|(id, _)| id).collect()
+}
+
+/// A VM that can hold connections to five workers.
+const SMALL: VmLimits = VmLimits {
+    open_files: 8,
+    ..NARROW
+};
+
+/// Guards against a planner that runs out of memory or connections, and against one that counts on
+/// workers it is not connected to.
+#[test]
+fn a_planner_on_a_small_machine_plans_for_the_workers_it_can_hold_connections_to() {
+    let mut fleet = fleet(20, SMALL);
+    let held = selected(&mut fleet);
+    assert_eq!(held.len(), 5);
+    assert_eq!(fleet.planner.unselected_workers(), 15);
+    fleet.submit(job("j", 2, vec![step(160, 1)]));
+    let used: std::collections::BTreeSet<WorkerId> = fleet
+        .given
+        .iter()
+        .map(|order| order.worker.clone())
+        .collect();
+    assert!(used.iter().all(|id| held.contains(id)), "{used:?}");
+    assert_eq!(used.len(), 5);
+    // The same workers stay selected, and no more of them once some have left.
+    assert_eq!(selected(&mut fleet), held);
+    let now = fleet.now();
+    fleet
         .planner
-        .workers()
-        .map(|(id, _)| id.clone())
-        .take(3)
+        .handle_unlisted_worker(&"w19".parse().expect("an id"), now);
+    assert_eq!(selected(&mut fleet).len(), 5);
+}
+
+/// Guards against runs that a new planner on a small machine takes to go on, although it does not
+/// renew them.
+#[test]
+fn what_ran_at_workers_beyond_its_connections_starts_again_where_a_small_planner_can_renew_it() {
+    let mut fleet = fleet(20, VmLimits::default());
+    let jobs = [job("j", 2, vec![step(20, 8)])];
+    fleet.submit(jobs[0].clone());
+    assert_eq!(fleet.given.len(), 20);
+    fleet.succeed(&jobs);
+    fleet.planner = fleet.planner.clone().with_limits(SMALL);
+    let held = selected(&mut fleet);
+    let beyond: Vec<WorkerId> = fleet
+        .workers
+        .keys()
+        .filter(|id| !held.contains(id))
+        .cloned()
         .collect();
-    let mut busy = busy;
-    busy.sort();
-    assert_eq!(first, busy);
+    for id in &beyond {
+        fleet.cut_off(id);
+    }
+    fleet.given.clear();
+    for _ in 0..30 {
+        fleet.pass(1_000);
+        fleet.end_all();
+        selected(&mut fleet);
+    }
+    assert!(!fleet.given.is_empty(), "nothing starts again");
+    assert!(fleet.given.iter().all(|order| held.contains(&order.worker)));
+    assert_eq!(fleet.planner.open_jobs(), 0);
 }
--- a/crates/stairstall-core/tests/batch/harness.rs
+++ b/crates/stairstall-core/tests/batch/harness.rs
@@ -373,7 +373,7 @@
     pub fn hold(&mut self, id: &WorkerId) -> Option<ReportRequest> {
         let now = self.now();
         if self.crashed.iter().any(|crashed| crashed.worker == *id) {
-            let has_address = self.planner.workers().any(|(known, _)| known == id);
+            let has_address = self.planner.workers().any(|known| known == id);
             if has_address {
                 self.planner.handle_report_failure(id, now);
             }
--- a/crates/stairstall-core/tests/batch/lossy/world.rs
+++ b/crates/stairstall-core/tests/batch/lossy/world.rs
@@ -575,7 +575,7 @@
                 self.asking.insert(id, Asking::Rests(self.at_ms));
             }
         }
-        let known: Vec<WorkerId> = self.planner.workers().map(|(id, _)| id.clone()).collect();
+        let known: Vec<WorkerId> = self.planner.workers().cloned().collect();
         self.asking.retain(|id, _| known.contains(id));
         for id in known {
             let asking = self.asking.entry(id.clone()).or_insert(Asking::Rests(0));
--- a/crates/stairstalld/src/batch/directory.rs
+++ b/crates/stairstalld/src/batch/directory.rs
@@ -41,7 +41,7 @@
         tokio::task::yield_now().await;
     }
     tenure.with_planner(|planner, now| {
-        let known: Vec<WorkerId> = planner.workers().map(|(id, _)| id.clone()).collect();
+        let known: Vec<WorkerId> = planner.workers().cloned().collect();
         for id in known.iter().filter(|id| !listed.contains(*id)) {
             planner.handle_unlisted_worker(id, now);
         }
--- a/crates/stairstalld/src/batch/maintenance.rs
+++ b/crates/stairstalld/src/batch/maintenance.rs
@@ -9,7 +9,7 @@
 
 use super::node::Node;
 use super::tenure::Tenure;
-use super::{encoding, keys};
+use super::{encoding, keys, role};
 use crate::clock::millis;
 
 /// Interval between rounds of maintenance.
@@ -37,6 +37,9 @@
             log_paces(&tenure);
             log_usage(&tenure);
         }
+        if tenure.contact_lag().unselected > 0 {
+            role::offer_to_stronger(&node, &tenure).await;
+        }
         if node.settings.policy.run_times.is_stored && round.is_multiple_of(ROUNDS_PER_LEARNED) {
             store_learned(&node, &tenure, &mut stored).await;
         }
@@ -53,7 +56,7 @@
     let (evacuated, evacuated_age) = tenure.evacuated_zones();
     log::info!(target: "contact", token = tenure.token(), silent = lag.unresponsive,
         oldest_report_ms = millis(lag.oldest_report), report_wait_ms = millis(lag.report_wait),
-        starts_under_way = lag.starts_in_flight, evacuated_zones = evacuated,
+        starts_under_way = lag.starts_in_flight, unselected = lag.unselected, evacuated_zones = evacuated,
         evacuations_age_ms = millis(evacuated_age.unwrap_or_default()); "worker contact of this planner");
 }
 
--- a/crates/stairstalld/src/batch/role.rs
+++ b/crates/stairstalld/src/batch/role.rs
@@ -23,7 +23,7 @@
 pub(crate) use acquire::{AcquiredRole, capacity_shortfall_percent};
 use acquire::{LastTenure, acquire, acquire_delay};
 use handover::{acquire_from, hand_over, next_offer};
-pub(crate) use handover::{handle_offer, wait_until_released};
+pub(crate) use handover::{handle_offer, offer_to_stronger, wait_until_released};
 
 /// Longest time for one watch call on the role.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(15);
--- a/crates/stairstalld/src/batch/role/handover.rs
+++ b/crates/stairstalld/src/batch/role/handover.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use stairstall_core::batch::PeerAddress;
 use stairstall_ports::{Revision, StoreFault};
 use tokio::sync::watch;
 
@@ -34,11 +35,18 @@
 /// successor notifies this daemon.
 pub(super) async fn hand_over(node: &Node, tenure: &Tenure) {
     let wait = node.settings.policy.role.handover_wait;
-    if !wait.is_zero() && offer_role(node, tenure).await {
+    if !wait.is_zero() && offer_role(node, tenure, |_| true).await {
         tokio::time::sleep(wait).await;
     }
 }
 
+/// Offers the role of this planner, whose VM can't hold connections to all workers, to a daemon on a
+/// VM with more capacity. It keeps planning until that daemon has acquired the role.
+pub(crate) async fn offer_to_stronger(node: &Node, tenure: &Tenure) {
+    let own = node.peer_address().capacity_shortfall_percent;
+    offer_role(node, tenure, |peer| peer.capacity_shortfall_percent < own).await;
+}
+
 /// Records an offer of the role; returns whether this daemon wants it.
 pub(crate) fn handle_offer(node: &Node, offer: RoleOffer) -> bool {
     let wants = !node.is_leaving()
@@ -66,8 +74,8 @@
     acquire(node, Some(last), Some(revision)).await
 }
 
-/// Offers the role to other daemons in turn; returns whether one of them wants it.
-async fn offer_role(node: &Node, tenure: &Tenure) -> bool {
+/// Offers the role in turn to other daemons that pass a test; returns whether one of them wants it.
+async fn offer_role(node: &Node, tenure: &Tenure, may_plan: impl Fn(&PeerAddress) -> bool) -> bool {
     let Some(record) = node.planner.borrow().clone() else {
         return false;
     };
@@ -76,7 +84,7 @@
         revision: tenure.role_revision.0,
     };
     let successors = lock(&node.peer_table).successor_candidates(node.clock.now());
-    for successor in successors {
+    for successor in successors.into_iter().filter(may_plan) {
         let Some(client) = node.peer_clients.client(&successor.rpc) else {
             continue;
         };
--- a/crates/stairstalld/src/batch/settings.rs
+++ b/crates/stairstalld/src/batch/settings.rs
@@ -20,6 +20,10 @@
 
 /// Bytes in one megabit.
 const BYTES_PER_MBIT: u64 = 125_000;
+/// Bytes in one megabyte.
+const BYTES_PER_MB: u64 = 1_000_000;
+/// Largest allowed limit of memory, in megabytes, and of open files.
+const MAX_LIMIT: u64 = 1_000_000_000;
 
 /// Unchecked settings as they were given.
 #[derive(Debug, Clone)]
@@ -34,6 +38,8 @@
     adviser: String,
     cpu_percent: String,
     link_mbps: String,
+    memory_mb: String,
+    open_files: String,
     store_timeout_ms: String,
     role_lease_ms: String,
     hold_max_ms: String,
@@ -73,6 +79,10 @@
     pub cpu_percent: u32,
     /// Capacity of this VM's network link, in megabits per second.
     pub link_mbps: u32,
+    /// Memory of this daemon, in megabytes; 0 if it is not limited.
+    pub memory_mb: u32,
+    /// Number of files and connections that this daemon may have open; 0 if it is not limited.
+    pub open_files: u32,
     /// Timeout of a call to the store.
     pub store_timeout: Duration,
     /// Length of the lease on the planner role.
@@ -97,10 +107,20 @@
         VmLimits {
             link_bytes_per_s: u64::from(self.link_mbps) * BYTES_PER_MBIT,
             cpu_percent: self.cpu_percent,
+            memory_bytes: limit(self.memory_mb, BYTES_PER_MB),
+            open_files: limit(self.open_files, 1),
         }
     }
 }
 
+/// Returns a limit that is set in units of `unit`, or the largest number if it is 0, which sets none.
+fn limit(units: u32, unit: u64) -> u64 {
+    match units {
+        0 => u64::MAX,
+        units => u64::from(units).saturating_mul(unit),
+    }
+}
+
 macro_rules! flag {
     ($name:literal, $env:literal, $help:literal) => {
         string_option($name, $env, $help).fallback(String::new())
@@ -152,6 +172,18 @@
         "Megabits a second that this VM's link carries",
         "1000"
     );
+    let memory_mb = flag!(
+        "memory-mb",
+        "STAIRSTALL_MEMORY_MB",
+        "Megabytes of memory that this daemon may use; 0 sets no limit",
+        "0"
+    );
+    let open_files = flag!(
+        "open-files",
+        "STAIRSTALL_OPEN_FILES",
+        "Files and connections that this daemon may have open; 0 sets no limit",
+        "0"
+    );
     let store_timeout_ms = flag!(
         "store-timeout-ms",
         "STAIRSTALL_STORE_TIMEOUT_MS",
@@ -236,6 +268,8 @@
         adviser,
         cpu_percent,
         link_mbps,
+        memory_mb,
+        open_files,
         store_timeout_ms,
         role_lease_ms,
         hold_max_ms,
@@ -309,6 +343,8 @@
         let adviser = (!raw.adviser.is_empty()).then(|| checks.address("--adviser", &raw.adviser));
         let cpu_percent = parse_cpu_percent(checks, "--cpu-percent", &raw.cpu_percent);
         let link_mbps = parse_rounded_up(checks, "--link-mbps", &raw.link_mbps);
+        let memory_mb = checks.number("--memory-mb", &raw.memory_mb, 0, MAX_LIMIT);
+        let open_files = checks.number("--open-files", &raw.open_files, 0, MAX_LIMIT);
         let store_timeout = checks.millis("--store-timeout-ms", &raw.store_timeout_ms, 10, 10_000);
         let role_lease = checks.millis("--role-lease-ms", &raw.role_lease_ms, 500, 60_000);
         let bounds = Self::read_bounds(raw, checks);
@@ -327,6 +363,8 @@
             adviser: adviser.flatten(),
             cpu_percent: cpu_percent?,
             link_mbps: link_mbps?,
+            memory_mb: u32::try_from(memory_mb?).ok()?,
+            open_files: u32::try_from(open_files?).ok()?,
             store_timeout: store_timeout?,
             role_lease: role_lease?,
             bounds: bounds?,
--- a/crates/stairstalld/src/batch/telemetry.rs
+++ b/crates/stairstalld/src/batch/telemetry.rs
@@ -33,6 +33,7 @@
     open_jobs: IntGauge,
     runs: IntGauge,
     silent_workers: IntGauge,
+    unselected_workers: IntGauge,
     oldest_report: IntGauge,
     report_wait: IntGauge,
     starts_under_way: IntGauge,
@@ -135,6 +136,10 @@
             open_jobs: gauge("stairstall_open_jobs", "Jobs that have not ended"),
             runs: gauge("stairstall_runs", "Runs at workers"),
             silent_workers: gauge("stairstall_silent_workers", "Workers that do not answer"),
+            unselected_workers: gauge(
+                "stairstall_unselected_workers",
+                "Workers that the planner's VM can't hold connections to",
+            ),
             oldest_report: gauge(
                 "stairstall_oldest_report_milliseconds",
                 "Since a busy worker that answers was heard, at the most",
@@ -171,7 +176,7 @@
     }
 
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 24] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 25] = [
             Box::new(self.calls.clone()),
             Box::new(self.call_time.clone()),
             Box::new(self.store_calls.clone()),
@@ -187,6 +192,7 @@
             Box::new(self.open_jobs.clone()),
             Box::new(self.runs.clone()),
             Box::new(self.silent_workers.clone()),
+            Box::new(self.unselected_workers.clone()),
             Box::new(self.oldest_report.clone()),
             Box::new(self.report_wait.clone()),
             Box::new(self.starts_under_way.clone()),
@@ -280,6 +286,7 @@
 
     pub(crate) fn contact(&self, lag: &ContactLag) {
         self.silent_workers.set(gauge_count(lag.unresponsive));
+        self.unselected_workers.set(gauge_count(lag.unselected));
         self.oldest_report.set(gauge_millis(lag.oldest_report));
         self.report_wait.set(gauge_millis(lag.report_wait));
         self.starts_under_way.set(gauge_count(lag.starts_in_flight));
--- a/crates/stairstalld/src/batch/worker_links.rs
+++ b/crates/stairstalld/src/batch/worker_links.rs
@@ -62,6 +62,8 @@
     contacts: Arc<Semaphore>,
     /// Version of the planner's worker set for which links were last updated.
     linked_worker_set: Option<u64>,
+    /// Whether this VM can't hold links to all workers.
+    is_limited: bool,
     tasks: JoinSet<()>,
 }
 
@@ -74,6 +76,7 @@
             open: HashMap::new(),
             contacts: Arc::new(Semaphore::new(contact_window.min(Semaphore::MAX_PERMITS))),
             linked_worker_set: None,
+            is_limited: false,
             tasks: JoinSet::new(),
         }
     }
@@ -93,13 +96,12 @@
             return;
         }
         self.linked_worker_set = Some(worker_set);
-        let known: Vec<WorkerAddress> = self.tenure.with_planner(|planner, _| {
-            let workers = planner.workers().map(|(id, address)| WorkerAddress {
-                id: id.clone(),
-                address: address.to_owned(),
-            });
-            workers.collect()
+        let (known, unselected) = self.tenure.with_planner(|planner, _| {
+            let selected = planner.select_links().into_iter();
+            let known = selected.map(|(id, address)| WorkerAddress { id, address });
+            (known.collect::<Vec<_>>(), planner.unselected_workers())
         });
+        self.log_unselected(known.len(), unselected);
         let addresses: HashMap<&WorkerId, &String> = known
             .iter()
             .map(|worker| (&worker.id, &worker.address))
@@ -115,6 +117,21 @@
         while self.tasks.try_join_next().is_some() {}
     }
 
+    /// Logs how many workers this VM can't hold links to, when that begins or ends.
+    fn log_unselected(&mut self, selected: usize, unselected: usize) {
+        let is_limited = unselected > 0;
+        if is_limited == std::mem::replace(&mut self.is_limited, is_limited) {
+            return;
+        }
+        let token = self.tenure.token();
+        if is_limited {
+            log::warn!(target: "links", token, selected, unselected;
+                "this VM can't hold links to all workers; the others get no work from it");
+        } else {
+            log::info!(target: "links", token, selected; "this VM holds links to all workers again");
+        }
+    }
+
     fn open_link(&mut self, worker: WorkerAddress) {
         let (sender, receiver) = unbounded_channel();
         let control = Arc::new(PollControl::default());
--- a/crates/stairstalld/tests/batch/contacts.rs
+++ b/crates/stairstalld/tests/batch/contacts.rs
@@ -1,7 +1,9 @@
-//! How many workers a new planner asks at once whether they answer.
+//! How many workers a planner asks at once, and how many it can hold connections to.
 
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
+use hyper::StatusCode;
 use stairstall_standin::LinkMode;
 
 use crate::cluster::{Cluster, Daemon, PATIENCE, job};
@@ -47,3 +49,41 @@
     cluster.wait_for(&path, "completed").await;
     cluster.assert_no_violations();
 }
+
+/// Guards against a small machine that plans for a fleet it can't hold and says nothing.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planner_on_a_small_machine_plans_for_a_part_and_hands_over_to_a_stronger_one() {
+    const HELD: usize = 10;
+    let mut cluster = Cluster::start(0, 2 * HELD).await;
+    let flags = ["--cpu-percent", "0.1", "--open-files", "16"];
+    let small = Daemon::start_with("small", &cluster.store, &flags).await;
+    cluster.daemons.push(small);
+    cluster.wait_until_planned().await;
+    let path = format!("/q2/{}", cluster.new_id());
+    let status = cluster.submit(0, &path, &job(160, "ms=200")).await;
+    assert_eq!(status, Some(StatusCode::OK));
+    cluster.wait_for(&path, "completed").await;
+    let limited = cluster.daemons[0].log_lines("can't hold links to all workers");
+    assert_eq!(limited.len(), 1, "{limited:?}");
+    let records = cluster.workers.records();
+    let used: BTreeSet<&str> = records.iter().map(|run| run.worker.as_str()).collect();
+    assert_eq!(used.len(), HELD);
+
+    let strong = Daemon::start("strong", &cluster.store).await;
+    cluster.daemons.push(strong);
+    let patience = Instant::now() + PATIENCE;
+    while cluster.daemons[1]
+        .log_lines("acquired the planner role")
+        .is_empty()
+    {
+        assert!(Instant::now() < patience, "it does not hand over");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let path = format!("/q2/{}", cluster.new_id());
+    cluster.submit(1, &path, &job(160, "ms=500")).await;
+    cluster.wait_for(&path, "completed").await;
+    let records = cluster.workers.records();
+    let used: BTreeSet<&str> = records.iter().map(|run| run.worker.as_str()).collect();
+    assert!(used.len() > HELD, "{} workers are used", used.len());
+    cluster.assert_no_violations();
+}
