fix(daemon): a new daemon does not break off its first read of the configuration

Cause: the first read had 0.6 s. When a whole fleet starts at once, the answers wait for each other on the store's link (0.39 s at 998 VMs by calculation, longer with larger configurations); what is broken off is read again, so the link carries more the fuller it is. Change: the first read has the time of a listing, 5 s; its connection is new, so it can't be dead. Measured: the test alone (two reads before, one after).

--- a/crates/stairstalld/src/batch/catalog.rs
+++ b/crates/stairstalld/src/batch/catalog.rs
@@ -24,16 +24,17 @@
 /// and if each of them read the whole configuration, a large fleet would fill the store's link with
 /// it. The answers to other calls would then be late, which looks like the next outage.
 ///
-/// After a call that timed out, the timeout is doubled: on a weak VM a configuration of 500 kB
-/// takes longer than the store timeout, and every further call with that timeout would fail too.
-/// The first call has the short timeout because the connection may be dead.
+/// The first call has the timeout of a listing. After a restart of the whole fleet, a shorter one
+/// would break off most reads, whose answers wait for each other on the store's link, and repeat
+/// them. Later calls begin with the store timeout, because the connection may be dead; it is doubled
+/// after each call that timed out: on a weak VM a configuration of 500 kB takes longer.
 ///
 /// When the store recovers after a partition, the changes are asked for by a new call. A watch
 /// opened before the partition was seen to hang for up to 4.8 s, during which callers were refused
 /// by the outdated configuration.
 pub(crate) async fn follow(node: Arc<Node>) {
     let min_timeout = node.settings.store_timeout;
-    let mut timeout = min_timeout;
+    let mut timeout = LIST_TIMEOUT;
     let mut known_at = None;
     loop {
         let followed = tokio::select! {
--- a/crates/stairstalld/tests/batch/catalog.rs
+++ b/crates/stairstalld/tests/batch/catalog.rs
@@ -4,9 +4,9 @@
 
 use hyper::StatusCode;
 use serde_json::json;
-use stairstall_standin::LinkMode;
+use stairstall_standin::{Link, LinkMode};
 
-use crate::cluster::{Cluster, PATIENCE, configuration, job};
+use crate::cluster::{Cluster, Daemon, PATIENCE, configuration, job};
 
 /// How long a change may take to be in force after a cut: half of what the users allow.
 const SOON: Duration = Duration::from_secs(1);
@@ -99,3 +99,20 @@
     let status = cluster.submit(0, &path, &job(1, "ms=10")).await;
     assert_eq!(status, Some(StatusCode::OK));
 }
+
+/// Guards against reads that are broken off and repeated while a restarted fleet waits for the
+/// answers of the store.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_new_daemon_waits_for_a_configuration_that_comes_late() {
+    const LATE: Duration = Duration::from_millis(400);
+    let cluster = Cluster::start(0, 1).await;
+    let store = Link::start(cluster.store.address()).await.expect("a link");
+    store.set(LinkMode::Delay(LATE));
+    let daemon = Daemon::start_behind(store, "zone-a", "late", &[]).await;
+    let until = Instant::now() + PATIENCE;
+    while daemon.log_lines("in force").is_empty() {
+        assert!(Instant::now() < until, "it knows no configuration");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    assert_eq!(cluster.store.listings("op/config"), 1);
+}
--- a/crates/stairstalld/tests/batch/cluster.rs
+++ b/crates/stairstalld/tests/batch/cluster.rs
@@ -50,6 +50,11 @@
     /// Starts a daemon of another zone with further flags and waits until it serves.
     pub async fn start_in(zone: &str, name: &str, store: &StandinStore, flags: &[&str]) -> Self {
         let link = Link::start(store.address()).await.expect("a link");
+        Self::start_behind(link, zone, name, flags).await
+    }
+
+    /// Starts a daemon that reaches the store by a link, and waits until it serves.
+    pub async fn start_behind(link: Link, zone: &str, name: &str, flags: &[&str]) -> Self {
         let local = "127.0.0.1:0";
         let mut child = Command::new(env!("CARGO_BIN_EXE_stairstalld"))
             .arg("batch")
