fix(daemon): of the peers that are probed one is asked for the configuration

Cause: while the store does not serve a daemon it probes four peers every 0.15 s, and each of them sent the whole configuration if it had a newer one. After a change at 998 VMs that is four times 49 KB for each VM, on links of 20 Mbit/s. Change: one of the four is asked for it, the others only whether the store serves them.

--- a/crates/stairstalld/src/batch/reachability.rs
+++ b/crates/stairstalld/src/batch/reachability.rs
@@ -13,6 +13,9 @@
 use super::{catalog, keys, role};
 use crate::daemon::lock;
 
+/// Stands for the version of the configuration in a call that wants none: no version is newer.
+const NO_CATALOG: u64 = u64::MAX;
+
 /// Runs the checks for as long as the daemon runs.
 pub(crate) async fn follow(node: Arc<Node>) {
     tokio::join!(ping_store(&node), probe_peers(&node), announce(&node));
@@ -44,7 +47,12 @@
         tokio::time::sleep(policy.probe_interval).await;
         if node.store_health.may_be_down(node.clock.now()) {
             let peers = lock(&node.peer_table).peers_to_probe();
-            join_all(peers.iter().map(|rpc| request_update(node, rpc))).await;
+            // The configuration may be large, so only one of them is asked for it.
+            let probes = peers.iter().enumerate().map(|(index, rpc)| {
+                let wants_catalog = index == 0;
+                request_update(node, rpc, wants_catalog)
+            });
+            join_all(probes).await;
         }
         let cut_off = node.is_cut_off();
         if cut_off != was_cut_off {
@@ -60,9 +68,13 @@
 
 /// Asks one peer for a [`PeerUpdate`] and applies it. Returns how long to wait before the next
 /// call, or `None` if the peer did not answer.
-async fn request_update(node: &Node, rpc: &str) -> Option<Duration> {
+async fn request_update(node: &Node, rpc: &str, wants_catalog: bool) -> Option<Duration> {
     let timeout = node.settings.policy.peers.probe_timeout;
-    let version = node.current_catalog().map_or(0, |catalog| catalog.version);
+    let version = if wants_catalog {
+        node.current_catalog().map_or(0, |catalog| catalog.version)
+    } else {
+        NO_CATALOG
+    };
     let client = node.peer_clients.client(rpc)?;
     let requested_at = node.clock.now();
     let wants_load = node.load.should_request(requested_at);
@@ -96,7 +108,7 @@
         let now = node.clock.now();
         if let Some(planner) = node.remote_planner()
             && !node.store_health.may_be_down(now)
-            && let Some(next) = request_update(node, &planner.rpc).await
+            && let Some(next) = request_update(node, &planner.rpc, true).await
         {
             interval = next;
         }
