--- a/crates/stairstalld/src/batch/settings.rs
+++ b/crates/stairstalld/src/batch/settings.rs
@@ -22,8 +22,6 @@
 const BYTES_PER_MBIT: u64 = 125_000;
 /// Bytes in one megabyte.
 const BYTES_PER_MB: u64 = 1_000_000;
-/// Largest allowed limit of memory, in megabytes, and of open files.
-const MAX_LIMIT: u64 = 1_000_000_000;
 
 /// Unchecked settings as they were given.
 #[derive(Debug, Clone)]
@@ -343,8 +341,8 @@
         let adviser = (!raw.adviser.is_empty()).then(|| checks.address("--adviser", &raw.adviser));
         let cpu_percent = parse_cpu_percent(checks, "--cpu-percent", &raw.cpu_percent);
         let link_mbps = parse_rounded_up(checks, "--link-mbps", &raw.link_mbps);
-        let memory_mb = checks.number("--memory-mb", &raw.memory_mb, 0, MAX_LIMIT);
-        let open_files = checks.number("--open-files", &raw.open_files, 0, MAX_LIMIT);
+        let memory_mb = parse_limit(checks, "--memory-mb", &raw.memory_mb);
+        let open_files = parse_limit(checks, "--open-files", &raw.open_files);
         let store_timeout = checks.millis("--store-timeout-ms", &raw.store_timeout_ms, 10, 10_000);
         let role_lease = checks.millis("--role-lease-ms", &raw.role_lease_ms, 500, 60_000);
         let bounds = Self::read_bounds(raw, checks);
@@ -363,8 +361,8 @@
             adviser: adviser.flatten(),
             cpu_percent: cpu_percent?,
             link_mbps: link_mbps?,
-            memory_mb: u32::try_from(memory_mb?).ok()?,
-            open_files: u32::try_from(open_files?).ok()?,
+            memory_mb: memory_mb?,
+            open_files: open_files?,
             store_timeout: store_timeout?,
             role_lease: role_lease?,
             bounds: bounds?,
@@ -398,7 +396,8 @@
     }
 }
 
-/// Largest allowed CPU share, in percent of a core, and link capacity, in megabits per second.
+/// Largest allowed CPU share, in percent of a core, link capacity, in megabits per second, memory, in
+/// megabytes, and number of open files.
 const MAX_CAPACITY: f64 = 1_000_000.0;
 
 /// Parses a positive number as percent; a number up to 1 is a fraction of a core.
@@ -427,6 +426,14 @@
     Some(parse_positive(checks, flag, value)?.ceil() as u32)
 }
 
+/// Parses a limit: a positive number, rounded up, or 0 for none.
+fn parse_limit(checks: &mut Validator, flag: &'static str, value: &str) -> Option<u32> {
+    match value {
+        "" | "0" => Some(0),
+        value => parse_rounded_up(checks, flag, value),
+    }
+}
+
 fn parse_positive(checks: &mut Validator, flag: &'static str, value: &str) -> Option<f64> {
     let found = value
         .parse::<f64>()
--- a/crates/stairstalld/tests/batch/faults.rs
+++ b/crates/stairstalld/tests/batch/faults.rs
@@ -327,6 +327,43 @@
     }
 }
 
+/// Guards against a daemon that does not start where a platform writes its limits with decimals.
+#[test]
+fn limits_of_the_machine_may_have_decimals() {
+    let local = "127.0.0.1:1";
+    let settings = |memory_mb, open_files| {
+        stairstalld::batch::settings::BatchSettings::from_arguments(&[
+            "--vm",
+            "vm-1",
+            "--zone",
+            "a",
+            "--listen",
+            local,
+            "--health-listen",
+            local,
+            "--rpc-listen",
+            local,
+            "--metrics-listen",
+            local,
+            "--store",
+            local,
+            "--hold-max-ms",
+            "6000",
+            "--stop-max-ms",
+            "400",
+            "--memory-mb",
+            memory_mb,
+            "--open-files",
+            open_files,
+        ])
+    };
+    let read = settings("159.5", "4100.0").expect("they are right");
+    assert_eq!((read.memory_mb, read.open_files), (160, 4_100));
+    let unlimited = settings("0", "").expect("they are right");
+    assert_eq!((unlimited.memory_mb, unlimited.open_files), (0, 0));
+    assert!(settings("-1", "many").is_err());
+}
+
 #[test]
 fn all_wrong_settings_are_named_at_once() {
     let flags = [
