--- a/crates/stairstalld/tests/batch/catalog.rs
+++ b/crates/stairstalld/tests/batch/catalog.rs
@@ -6,7 +6,7 @@
 use serde_json::json;
 use stairstall_standin::{Link, LinkMode};
 
-use crate::cluster::{Cluster, Daemon, PATIENCE, configuration, job};
+use crate::cluster::{Cluster, Daemon, configuration, job};
 
 /// How long a change may take to be in force after a cut: half of what the users allow.
 const SOON: Duration = Duration::from_secs(1);
@@ -24,12 +24,8 @@
 }
 
 async fn wait_for_version(cluster: &Cluster, version: u64) {
-    let until = Instant::now() + PATIENCE;
     let in_force = format!("version={version} ");
-    while cluster.daemons[0].log_lines(&in_force).is_empty() {
-        assert!(Instant::now() < until, "version {version} is not in force");
-        tokio::time::sleep(Duration::from_millis(5)).await;
-    }
+    cluster.daemons[0].wait_for_line(&in_force).await;
 }
 
 /// The watch from before the cut hangs on its connection, as does what would bring it up to date.
@@ -112,10 +108,6 @@
     let store = Link::start(cluster.store.address()).await.expect("a link");
     store.set(LinkMode::Delay(LATE));
     let daemon = Daemon::start_behind(store, "zone-a", "late", &[]).await;
-    let until = Instant::now() + PATIENCE;
-    while daemon.log_lines("in force").is_empty() {
-        assert!(Instant::now() < until, "it knows no configuration");
-        tokio::time::sleep(Duration::from_millis(5)).await;
-    }
+    daemon.wait_for_line("in force").await;
     assert_eq!(cluster.store.listings("op/config"), 1);
 }
--- a/crates/stairstalld/tests/batch/cluster.rs
+++ b/crates/stairstalld/tests/batch/cluster.rs
@@ -100,6 +100,15 @@
         found.cloned().collect()
     }
 
+    /// Waits until a log line contains a text.
+    pub async fn wait_for_line(&self, text: &str) {
+        let until = Instant::now() + PATIENCE;
+        while self.log_lines(text).is_empty() {
+            assert!(Instant::now() < until, "no line says: {text}");
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+
     pub fn signal(&self, signal: Signal) {
         let id = self.child.id().and_then(|id| i32::try_from(id).ok());
         if let Some(id) = id {
--- a/crates/stairstalld/tests/batch/contacts.rs
+++ b/crates/stairstalld/tests/batch/contacts.rs
@@ -71,14 +71,9 @@
 
     let strong = Daemon::start("strong", &cluster.store).await;
     cluster.daemons.push(strong);
-    let patience = Instant::now() + PATIENCE;
-    while cluster.daemons[1]
-        .log_lines("acquired the planner role")
-        .is_empty()
-    {
-        assert!(Instant::now() < patience, "it does not hand over");
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
+    cluster.daemons[1]
+        .wait_for_line("acquired the planner role")
+        .await;
     let path = format!("/q2/{}", cluster.new_id());
     cluster.submit(1, &path, &job(160, "ms=500")).await;
     cluster.wait_for(&path, "completed").await;
--- a/crates/stairstalld/tests/batch/faults.rs
+++ b/crates/stairstalld/tests/batch/faults.rs
@@ -284,14 +284,9 @@
     let mut cluster = Cluster::start(3, 2).await;
     let planner = cluster.planner();
     cluster.daemons[planner].store.set(LinkMode::Cut);
-    let until = std::time::Instant::now() + crate::cluster::PATIENCE;
-    while cluster.daemons[planner]
-        .log_lines("another daemon has acquired the role")
-        .is_empty()
-    {
-        assert!(std::time::Instant::now() < until, "it does not learn it");
-        tokio::time::sleep(Duration::from_millis(50)).await;
-    }
+    cluster.daemons[planner]
+        .wait_for_line("another daemon has acquired the role")
+        .await;
     let path = format!("/q2/{}", cluster.new_id());
     let status = cluster.submit(planner, &path, &job(2, "ms=50")).await;
     assert_eq!(status, Some(StatusCode::OK));
@@ -311,17 +306,9 @@
     cluster.daemons.push(strong);
     tokio::time::sleep(Duration::from_millis(500)).await;
     cluster.daemons[0].kill().await;
-    let until = std::time::Instant::now() + crate::cluster::PATIENCE;
-    while cluster.daemons[4]
-        .log_lines("acquired the planner role")
-        .is_empty()
-    {
-        assert!(
-            std::time::Instant::now() < until,
-            "it does not take the role"
-        );
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
+    cluster.daemons[4]
+        .wait_for_line("acquired the planner role")
+        .await;
     for weak in &cluster.daemons[1..4] {
         assert!(weak.log_lines("acquired the planner role").is_empty());
     }
--- a/crates/stairstalld/tests/batch/learnt.rs
+++ b/crates/stairstalld/tests/batch/learnt.rs
@@ -1,10 +1,8 @@
 //! What a planner has learnt reaches the next one through the store.
 
-use std::time::{Duration, Instant};
-
 use hyper::StatusCode;
 
-use crate::cluster::{Cluster, PATIENCE, job};
+use crate::cluster::{Cluster, job};
 
 /// Runs enough short work for its run times to be known.
 async fn run_some(cluster: &mut Cluster) {
@@ -14,24 +12,18 @@
     cluster.wait_for(&path, "completed").await;
 }
 
-async fn wait_for_line(cluster: &Cluster, daemon: usize, text: &str) {
-    let until = Instant::now() + PATIENCE;
-    while cluster.daemons[daemon].log_lines(text).is_empty() {
-        assert!(Instant::now() < until, "no line says: {text}");
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn a_successor_reads_what_a_killed_planner_had_learnt() {
     let mut cluster = Cluster::start(2, 2).await;
     run_some(&mut cluster).await;
     let planner = cluster.planner();
     let written = "done=true storing learned estimates";
-    wait_for_line(&cluster, planner, written).await;
+    cluster.daemons[planner].wait_for_line(written).await;
     cluster.daemons[planner].kill().await;
     cluster.daemons.remove(planner);
-    wait_for_line(&cluster, 0, "read learned estimates").await;
+    cluster.daemons[0]
+        .wait_for_line("read learned estimates")
+        .await;
     run_some(&mut cluster).await;
     cluster.assert_no_violations();
 }
@@ -45,7 +37,9 @@
         let daemon = crate::cluster::Daemon::start(&name, &cluster.store).await;
         cluster.daemons.push(daemon);
         cluster.wait_until_planned().await;
-        wait_for_line(&cluster, 0, "can't decode learned estimates").await;
+        cluster.daemons[0]
+            .wait_for_line("can't decode learned estimates")
+            .await;
         run_some(&mut cluster).await;
         cluster.daemons[0].stop().await;
         cluster.daemons.clear();
--- a/crates/stairstalld/tests/batch/path.rs
+++ b/crates/stairstalld/tests/batch/path.rs
@@ -45,14 +45,9 @@
     cluster.submit(0, &path, &job(3, "ms=50")).await;
     cluster.wait_for(&path, "completed").await;
     let planner = cluster.planner();
-    let until = std::time::Instant::now() + crate::cluster::PATIENCE;
-    while cluster.daemons[planner]
-        .log_lines("shortening records of ended jobs")
-        .is_empty()
-    {
-        assert!(std::time::Instant::now() < until, "it is not shortened");
-        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
-    }
+    cluster.daemons[planner]
+        .wait_for_line("shortening records of ended jobs")
+        .await;
     cluster.daemons[planner].kill().await;
     cluster.daemons.remove(planner);
     let again = cluster.submit(0, &path, &job(3, "ms=50")).await;
