--- a/crates/stairstall-core/src/batch/planner.rs
+++ b/crates/stairstall-core/src/batch/planner.rs
@@ -127,8 +127,6 @@
     /// The guaranteed jobs when the ranks of runs were last set. `None` if a run was adopted or
     /// restored since then.
     ranked_guaranteed_jobs: Option<BTreeSet<JobId>>,
-    /// Number of workers that the VM of the planner can't hold connections to.
-    unselected_workers: usize,
     /// Incremented whenever the set of workers or a worker's address changes.
     worker_set_version: u64,
     /// Whether an urgent job has arrived since the last scheduling pass.
@@ -192,7 +190,6 @@
             workers_to_poll: Vec::new(),
             zones_to_check: BTreeSet::new(),
             ranked_guaranteed_jobs: None,
-            unselected_workers: 0,
             worker_set_version: 0,
             has_urgent_arrival: false,
             last_pass_at: None,
--- a/crates/stairstall-core/src/batch/planner/flow.rs
+++ b/crates/stairstall-core/src/batch/planner/flow.rs
@@ -11,6 +11,7 @@
 use super::pool::RunState;
 use super::{Now, Planner, VmLimits};
 use crate::batch::FlowPolicy;
+use crate::time::millis;
 
 /// The newest report counts for one part in this many in the running mean of report sizes.
 const MEAN_WEIGHT_DIVISOR: u32 = 16;
@@ -58,22 +59,22 @@
             * u64::from(policy.reports_bandwidth_percent)
             / 100
             / bytes;
-        link_reports_per_s.min(self.messages_per_s(policy)).max(1)
+        let cpu_reports_per_s = self.messages_per_s(policy, policy.cpu_percent);
+        link_reports_per_s.min(cpu_reports_per_s).max(1)
     }
 
     /// Returns how many starts may be unanswered at the same time.
     fn start_window(&self, policy: &FlowPolicy) -> u64 {
-        let per_s = self.limits.link_bytes_per_s / u64::from(policy.start_bytes);
-        let per_s = per_s.min(self.messages_per_s(policy));
-        per_s * u64::try_from(policy.start_window.as_millis()).unwrap_or(u64::MAX) / 1000
+        let link_per_s = self.limits.link_bytes_per_s / u64::from(policy.start_bytes);
+        let cpu_per_s = self.messages_per_s(policy, policy.cpu_percent);
+        count_within(policy.start_window, link_per_s.min(cpu_per_s))
     }
 
     /// Returns how many requests that only find out whether a worker answers may be in flight.
     fn contact_window(&self, policy: &FlowPolicy) -> u64 {
         let link_per_s = self.limits.link_bytes_per_s / u64::from(policy.message_bytes);
-        let cpu_per_s = u64::from(self.limits.cpu_percent) * 10_000 / u64::from(policy.message_us);
-        let window_ms = u64::try_from(policy.contact_window.as_millis()).unwrap_or(u64::MAX);
-        link_per_s.min(cpu_per_s).saturating_mul(window_ms) / 1000
+        let cpu_per_s = self.messages_per_s(policy, 100);
+        count_within(policy.contact_window, link_per_s.min(cpu_per_s))
     }
 
     /// Returns to how many workers the VM can hold connections: at least one.
@@ -88,14 +89,19 @@
         usize::try_from(workers).unwrap_or(usize::MAX)
     }
 
-    /// Returns how many messages per second fit into their share of the CPU.
-    fn messages_per_s(&self, policy: &FlowPolicy) -> u64 {
-        let percent = u64::from(self.limits.cpu_percent) * u64::from(policy.cpu_percent);
+    /// Returns how many messages per second fit into a share of the CPU, given in percent.
+    fn messages_per_s(&self, policy: &FlowPolicy, share: u32) -> u64 {
+        let percent = u64::from(self.limits.cpu_percent) * u64::from(share);
         let us_per_s = percent * 1_000_000 / 10_000;
         us_per_s / u64::from(policy.message_us)
     }
 }
 
+/// Returns how many messages at a rate fall within a time.
+fn count_within(window: Duration, per_s: u64) -> u64 {
+    per_s.saturating_mul(millis(window)) / 1000
+}
+
 impl Planner {
     /// Returns how long a worker may wait for a run to end before it reports. It is as short as the
     /// VM and the policy allow, because frequent reports reveal problems sooner and leave more of
--- a/crates/stairstall-core/src/batch/planner/reach.rs
+++ b/crates/stairstall-core/src/batch/planner/reach.rs
@@ -34,14 +34,14 @@
         for (id, worker) in &mut self.workers {
             worker.set_selected(!beyond.contains(id));
         }
-        self.unselected_workers = beyond.len();
         selected
     }
 
     /// Returns how many workers the planner has no contact with because its VM can't hold
     /// connections to all of them.
     #[must_use]
-    pub const fn unselected_workers(&self) -> usize {
-        self.unselected_workers
+    pub fn unselected_workers(&self) -> usize {
+        let workers = self.workers.values();
+        workers.filter(|worker| !worker.is_selected()).count()
     }
 }
--- a/crates/stairstalld/src/batch/maintenance.rs
+++ b/crates/stairstalld/src/batch/maintenance.rs
@@ -37,7 +37,7 @@
             log_paces(&tenure);
             log_usage(&tenure);
         }
-        if tenure.contact_lag().unselected > 0 {
+        if tenure.leaves_workers_out() {
             role::offer_to_stronger(&node, &tenure).await;
         }
         if node.settings.policy.run_times.is_stored && round.is_multiple_of(ROUNDS_PER_LEARNED) {
--- a/crates/stairstalld/src/batch/worker_links.rs
+++ b/crates/stairstalld/src/batch/worker_links.rs
@@ -10,7 +10,7 @@
 use stairstall_core::batch::{Order, ReportRequest};
 use stairstall_ports::{WorkerAddress, WorkerFault};
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
-use tokio::sync::{Notify, Semaphore};
+use tokio::sync::{Notify, Semaphore, SemaphorePermit};
 use tokio::task::JoinSet;
 
 use super::node::Node;
@@ -193,38 +193,30 @@
             continue;
         }
         let request = tenure.with_planner(|planner, now| planner.report_request(&worker.id, now));
-        let Some(request) = request else {
-            drop(permit);
-            let _ = tokio::time::timeout(IDLE_CHECK_INTERVAL, control.wake.notified()).await;
-            continue;
-        };
-        let outcome = poll_once(&node, &tenure, &worker, &control, request).await;
-        drop(permit);
-        if outcome == PollOutcome::Unanswered {
-            node.back_off(node.settings.policy.links.pause_after_timeout)
-                .await;
+        match request {
+            None => {
+                drop(permit);
+                let _ = tokio::time::timeout(IDLE_CHECK_INTERVAL, control.wake.notified()).await;
+            }
+            Some(request) => poll_once(&node, &tenure, &worker, &control, request, permit).await,
         }
     }
 }
 
-/// Whether a poll was answered.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum PollOutcome {
-    Answered,
-    Unanswered,
-}
-
+/// Polls a worker. The permit for a first contact, if there is one, is held until the answer.
 async fn poll_once(
     node: &Node,
     tenure: &Tenure,
     worker: &WorkerAddress,
     control: &PollControl,
     request: ReportRequest,
-) -> PollOutcome {
+    permit: Option<SemaphorePermit<'_>>,
+) {
     let policy = &node.settings.policy.links;
     let sent_at = node.clock.now();
     let timeout = request.max_wait + policy.report_timeout;
     let answer = node.workers.poll(worker, request, timeout).await;
+    drop(permit);
     if control.is_closed() {
         // The link is closed, but the run ends in the report must still be recorded.
         match answer {
@@ -243,7 +235,7 @@
                     "no report before its link closed");
             }
         }
-        return PollOutcome::Answered;
+        return;
     }
     match answer {
         Ok(report) => {
@@ -277,8 +269,7 @@
             node.telemetry.report("no answer");
             log::debug!(target: "hold", worker:% = worker.id, why:% = fault; "worker did not report");
             tenure.with_planner(|planner, now| planner.handle_report_failure(&worker.id, now));
-            return PollOutcome::Unanswered;
+            node.back_off(policy.pause_after_timeout).await;
         }
     }
-    PollOutcome::Answered
 }
