feat(config): each call's line and a metric say how old the known configuration is

The age counts from when the last answered request for the configuration was sent; a watch that is not answered is said with how long it was open. No decision changes.

--- a/crates/stairstall-core/src/batch.rs
+++ b/crates/stairstall-core/src/batch.rs
@@ -15,6 +15,7 @@
 mod decision;
 mod demand;
 mod explanation;
+mod freshness;
 mod learned;
 mod load;
 mod peers;
@@ -35,6 +36,7 @@
 pub use decision::{Decision, DecisionKind};
 pub use demand::{DemandHorizon, UrgentDemand, UrgentWork};
 pub use explanation::{JobExplanation, StepExplanation, WaitExplanation};
+pub use freshness::Freshness;
 pub use learned::LearnedEstimates;
 pub use load::{
     CustomerBacklog, FleetHistory, LoadSummary, QueueRunTime, ResourceRequest, ResourceTime,
--- a/crates/stairstalld/src/batch/caller_api.rs
+++ b/crates/stairstalld/src/batch/caller_api.rs
@@ -61,11 +61,14 @@
     let response = close_if_not_ready(node, response);
     node.telemetry.call(kind, status, took);
     let version = node.current_catalog().map_or(0, |catalog| catalog.version);
+    let catalog_age_ms = node.catalog_age().map(crate::clock::millis);
     let ms = crate::clock::millis(took);
     if response.status().is_success() && kind == "ask" {
-        log::debug!(target: "call", call:% = target, status, ms, catalog = version; "{why}");
+        log::debug!(target: "call", call:% = target, status, ms, catalog = version,
+            catalog_age_ms:? = catalog_age_ms; "{why}");
     } else {
-        log::info!(target: "call", call:% = target, status, ms, catalog = version; "{why}");
+        log::info!(target: "call", call:% = target, status, ms, catalog = version,
+            catalog_age_ms:? = catalog_age_ms; "{why}");
     }
     response
 }
--- a/crates/stairstalld/src/batch/catalog.rs
+++ b/crates/stairstalld/src/batch/catalog.rs
@@ -9,6 +9,7 @@
 use stairstall_ports::{Change, Item, Revision, StoreFault};
 
 use super::node::{LIST_TIMEOUT, Node};
+use crate::daemon::lock;
 
 /// Longest time for one watch call. If a watch misses a change, the change is seen after this time
 /// at the latest.
@@ -89,12 +90,18 @@
     *timeout = min_timeout;
     node.catalog_confirmed.store(true, Ordering::Release);
     loop {
+        let sent_at = node.clock.now();
         let watched = watch_once(node, at, WATCH_TIMEOUT).await;
         *known_at = known_after(*known_at, &watched);
         match watched {
             Ok(revision) => at = revision,
             Err(fault) => {
-                log::debug!(target: "config", why:% = fault; "configuration watch ended");
+                let open_ms = crate::clock::millis(node.clock.now() - sent_at);
+                if fault.is_timeout() {
+                    log::warn!(target: "config", open_ms; "a configuration watch was not answered");
+                } else {
+                    log::debug!(target: "config", open_ms, why:% = fault; "configuration watch ended");
+                }
                 return Ok(());
             }
         }
@@ -120,10 +127,12 @@
 /// Reads the whole configuration; returns the store's revision.
 async fn read(node: &Node, timeout: Duration) -> Result<Revision, StoreFault> {
     let key = node.dialect.configuration_key();
+    let sent_at = node.clock.now();
     let (item, at) = node.read_at("read config", key, timeout).await?;
     if let Some(item) = item {
         apply_item(node, &item, "read");
     }
+    lock(&node.catalog_freshness).confirm(sent_at);
     Ok(at)
 }
 
@@ -132,12 +141,14 @@
 async fn watch_once(node: &Node, at: Revision, wait: Duration) -> Result<Revision, StoreFault> {
     let key = node.dialect.configuration_key();
     let watched = node.store.watch(key, at, wait);
+    let sent_at = node.clock.now();
     let watched = node.store_call("watch config", watched).await?;
     for change in &watched.changes {
         if let Change::Written(item) = change {
             apply_item(node, item, "watch");
         }
     }
+    lock(&node.catalog_freshness).confirm(sent_at);
     Ok(watched.revision)
 }
 
--- a/crates/stairstalld/src/batch/health.rs
+++ b/crates/stairstalld/src/batch/health.rs
@@ -70,6 +70,8 @@
 }
 
 fn metrics(node: &Node) -> Response {
+    node.telemetry
+        .catalog_age(node.catalog_age().unwrap_or(Duration::MAX));
     if let Some(tenure) = node.tenure() {
         let (open_jobs, runs) = tenure.load_counts();
         node.telemetry.contact(&tenure.contact_lag());
--- a/crates/stairstalld/src/batch/node.rs
+++ b/crates/stairstalld/src/batch/node.rs
@@ -7,7 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 use stairstall_core::VmId;
-use stairstall_core::batch::{Catalog, Now, PeerAddress, PeerTable};
+use stairstall_core::batch::{Catalog, Freshness, Now, PeerAddress, PeerTable};
 use stairstall_core::claim::Mark;
 use stairstall_ports::{Adviser, Dialect, Item, Revision, SharedStore, StoreFault, WorkerCalls};
 use tokio::sync::watch;
@@ -63,6 +63,8 @@
     /// Whether the configuration is known to be the newest: it has been read, and watched without
     /// a failure since.
     pub(crate) catalog_confirmed: AtomicBool,
+    /// As of when the configuration is known to be the newest.
+    pub(crate) catalog_freshness: Mutex<Freshness>,
     pub(crate) workers: Arc<dyn WorkerCalls>,
     pub(crate) dialect: Arc<dyn Dialect>,
     pub(crate) adviser: Option<Arc<dyn Adviser>>,
@@ -101,6 +103,7 @@
             clock: Clock::new(),
             store,
             catalog_confirmed: AtomicBool::new(false),
+            catalog_freshness: Mutex::default(),
             store_health: StoreHealth::new(
                 settings.policy.acceptance.silent_after,
                 settings.policy.peers.silent_after,
@@ -192,6 +195,11 @@
         self.catalog.borrow().clone()
     }
 
+    /// Returns how long ago the configuration was known to be the newest, or `None` if it never was.
+    pub(crate) fn catalog_age(&self) -> Option<Duration> {
+        lock(&self.catalog_freshness).age(self.clock.now())
+    }
+
     /// Returns whether the configuration is known to be the newest, so that callers may be refused
     /// by it.
     pub(crate) fn is_catalog_current(&self) -> bool {
--- a/crates/stairstalld/src/batch/telemetry.rs
+++ b/crates/stairstalld/src/batch/telemetry.rs
@@ -30,6 +30,7 @@
     first_start: Histogram,
     takeover: Histogram,
     catalog_version: IntGauge,
+    catalog_age: IntGauge,
     open_jobs: IntGauge,
     runs: IntGauge,
     silent_workers: IntGauge,
@@ -133,6 +134,10 @@
                 "From taking the planner's role to the first decision",
             ),
             catalog_version: gauge("stairstall_catalog_version", "Configuration in force"),
+            catalog_age: gauge(
+                "stairstall_catalog_age_milliseconds",
+                "Since the configuration was known to be the newest",
+            ),
             open_jobs: gauge("stairstall_open_jobs", "Jobs that have not ended"),
             runs: gauge("stairstall_runs", "Runs at workers"),
             silent_workers: gauge("stairstall_silent_workers", "Workers that do not answer"),
@@ -176,7 +181,7 @@
     }
 
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 25] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 26] = [
             Box::new(self.calls.clone()),
             Box::new(self.call_time.clone()),
             Box::new(self.store_calls.clone()),
@@ -189,6 +194,7 @@
             Box::new(self.first_start.clone()),
             Box::new(self.takeover.clone()),
             Box::new(self.catalog_version.clone()),
+            Box::new(self.catalog_age.clone()),
             Box::new(self.open_jobs.clone()),
             Box::new(self.runs.clone()),
             Box::new(self.silent_workers.clone()),
@@ -269,6 +275,10 @@
             .set(i64::try_from(version).unwrap_or(i64::MAX));
     }
 
+    pub(crate) fn catalog_age(&self, age: Duration) {
+        self.catalog_age.set(gauge_millis(age));
+    }
+
     pub(crate) fn load(&self, open_jobs: usize, runs: usize) {
         self.open_jobs.set(gauge_count(open_jobs));
         self.runs.set(gauge_count(runs));
