--- a/crates/stairstalld/tests/batch/main.rs
+++ b/crates/stairstalld/tests/batch/main.rs
@@ -15,4 +15,5 @@
 mod policy;
 mod reach;
 mod restarts;
+mod silent_watches;
 mod soak;
--- /dev/null
+++ b/crates/stairstalld/tests/batch/silent_watches.rs
@@ -0,0 +1,125 @@
+//! What a daemon does with what it knows while the connections of its open watches are silent and
+//! all others work, so that nothing else tells it.
+
+use std::time::{Duration, Instant};
+
+use hyper::{Method, StatusCode};
+use serde_json::{Value, json};
+use stairstall_platform_standin::StandinStore;
+
+use crate::cluster::{Cluster, configuration, job};
+
+/// Within what time of its acknowledgement a change of the configuration has to be in force.
+const CONFIG_APPLY: Duration = Duration::from_secs(2);
+/// Within what time urgent work has to start.
+const URGENT_START: Duration = Duration::from_millis(4_400);
+/// Within what time of a worker's word that it leaves nothing new may start there.
+const DRAIN: Duration = Duration::from_secs(2);
+/// How long a daemon that has just got an answer takes, at the most, to watch again.
+const WATCHES_AGAIN: Duration = Duration::from_millis(50);
+
+/// Makes all daemons watch anew, and makes these watches silent.
+async fn silence_new_watches(cluster: &Cluster) {
+    cluster.store.put("op/config", &configuration(2));
+    for daemon in &cluster.daemons {
+        daemon.wait_for_line("version=2 ").await;
+    }
+    tokio::time::sleep(WATCHES_AGAIN).await;
+    cluster.store.silence_open_watches();
+}
+
+/// Acknowledges a change and waits until it has to be in force.
+async fn change_configuration(store: &StandinStore, newest: &Value) {
+    store.put("op/config", newest);
+    tokio::time::sleep(CONFIG_APPLY).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_added_route_is_served_while_the_watch_is_silent() {
+    let mut cluster = Cluster::start(1, 1).await;
+    silence_new_watches(&cluster).await;
+    let mut newest = configuration(3);
+    let mut route = newest["routes"][2].clone();
+    route["name"] = json!("q9");
+    route["pathPrefix"] = json!("/q9/");
+    newest["routes"].as_array_mut().expect("routes").push(route);
+    change_configuration(&cluster.store, &newest).await;
+    let path = format!("/q9/{}", cluster.new_id());
+    let status = cluster.submit(0, &path, &job(1, "ms=10")).await;
+    assert_eq!(status, Some(StatusCode::OK));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_removed_route_is_not_served_while_the_watch_is_silent() {
+    let mut cluster = Cluster::start(1, 1).await;
+    silence_new_watches(&cluster).await;
+    let mut newest = configuration(3);
+    newest["routes"].as_array_mut().expect("routes").pop();
+    change_configuration(&cluster.store, &newest).await;
+    let path = format!("/q2/{}", cluster.new_id());
+    let status = cluster.submit(0, &path, &job(1, "ms=10")).await;
+    assert_eq!(status, Some(StatusCode::NOT_FOUND));
+    let answer = cluster.call(0, Method::GET, "/q2/", &Value::Null).await;
+    assert_eq!(
+        answer.map(|answer| answer.status),
+        Some(StatusCode::NOT_FOUND)
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_removed_key_is_not_accepted_while_the_watch_is_silent() {
+    let mut cluster = Cluster::start(1, 1).await;
+    let path = format!("/q0/{}", cluster.new_id());
+    let status = cluster.submit(0, &path, &job(1, "ms=10")).await;
+    assert_eq!(status, Some(StatusCode::OK));
+    silence_new_watches(&cluster).await;
+    let mut newest = configuration(3);
+    newest["tenants"][0]["apiKeys"] = json!(["key-mesa-2"]);
+    change_configuration(&cluster.store, &newest).await;
+    let answer = cluster.call(0, Method::GET, &path, &Value::Null).await;
+    assert_eq!(
+        answer.map(|answer| answer.status),
+        Some(StatusCode::UNAUTHORIZED)
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planner_that_dies_is_replaced_while_the_watches_of_its_role_are_silent() {
+    let mut cluster = Cluster::start(3, 1).await;
+    tokio::time::sleep(WATCHES_AGAIN).await;
+    cluster.store.silence_open_watches();
+    let planner = cluster.planner();
+    let caller = (planner + 1) % cluster.daemons.len();
+    cluster.daemons[planner].kill().await;
+    let died = Instant::now();
+    let path = format!("/q0/{}", cluster.new_id());
+    let status = cluster.submit(caller, &path, &job(1, "ms=10")).await;
+    assert_eq!(status, Some(StatusCode::OK));
+    while cluster.runs_of(&path[4..]) == 0 {
+        assert!(died.elapsed() < URGENT_START, "nobody has taken the role");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+/// The planner learns of a worker that leaves by the directory alone here.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_worker_is_noticed_while_the_watch_of_the_directory_is_silent() {
+    let cluster = Cluster::start(1, 1).await;
+    let entry = |state: &str| {
+        json!({"service": "other", "address": "127.0.0.1:20000", "zone": "zone-a", "version": "1",
+            "slots": 1, "state": state, "coldLeftMs": 0, "seq": 1, "labels": ["a", "r1"],
+            "capacity": {"cpu": 1000, "memMb": 1000, "gpu": 1}, "remainingMs": 5_000})
+    };
+    cluster.store.put("servers/i-7", &entry("ready"));
+    tokio::time::sleep(DRAIN).await;
+    let watches = cluster.store.watches("servers/");
+    while cluster.store.watches("servers/") == watches {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    cluster.store.silence_open_watches();
+    cluster.store.put("servers/i-7", &entry("draining"));
+    let said = Instant::now();
+    cluster.daemons[0].wait_for_line("it is leaving").await;
+    let noticed_after = said.elapsed();
+    assert!(noticed_after < DRAIN, "noticed after {noticed_after:?}");
+}
