fix(directory): a watch of the directory that goes silent is over after the timeout of a call

A watch now takes its wait and as long as any call to the store; it is opened again when the store answers again after calls that timed out, however short that was; and one that was answered too late goes on where it began instead of reading all workers.

--- a/crates/stairstalld/src/batch/directory.rs
+++ b/crates/stairstalld/src/batch/directory.rs
@@ -73,11 +73,18 @@
 }
 
 /// Follows the directory for as long as the tenure lasts.
+///
+/// After a watch that was answered too late, the next one continues where that began. After any
+/// other failure the whole directory is read again.
 pub(crate) async fn follow(node: Arc<Node>, tenure: Arc<Tenure>, mut at: Revision) {
     loop {
-        if let Err(fault) = watch(&node, &tenure, at).await {
-            log::debug!(target: "directory", why:% = fault; "reading the worker directory again");
+        let Err(fault) = watch(&node, &tenure, &mut at).await else {
+            continue;
+        };
+        if fault.is_timeout() {
+            continue;
         }
+        log::debug!(target: "directory", why:% = fault; "reading the worker directory again");
         at = loop {
             match load(&node, &tenure).await {
                 Ok(at) => break at,
@@ -87,12 +94,17 @@
     }
 }
 
-async fn watch(node: &Node, tenure: &Tenure, mut at: Revision) -> Result<(), StoreFault> {
+/// Watches the directory until a call fails, or until the store answers again after calls that timed
+/// out: the connection of the open watch may have become silent as well.
+async fn watch(node: &Node, tenure: &Tenure, at: &mut Revision) -> Result<(), StoreFault> {
     let prefix = node.dialect.directory_prefix();
     loop {
-        let watched = node.store.watch(prefix, at, WATCH_TIMEOUT);
-        let watched = node.store_call("watch workers", watched).await?;
-        at = watched.revision;
+        let watched = node.store.watch(prefix, *at, WATCH_TIMEOUT);
+        let watched = tokio::select! {
+            watched = node.store_call("watch workers", watched) => watched?,
+            () = node.store_health.wait_for_recovery() => return Ok(()),
+        };
+        *at = watched.revision;
         for change in &watched.changes {
             match change {
                 Change::Written(item) => {
