fix(role): a daemon whose watch of the role is silent notices that the planner does not answer

Cause: the role was watched for 15 s at a time and nothing else asked about it. If the connections of these watches went silent before the planner died, nobody took the role for up to 16 s. A failed call to the planner, and a store that answers again after calls that timed out, now make a daemon read the role again: one read, and none while all is well.

--- a/crates/stairstalld/src/batch/node.rs
+++ b/crates/stairstalld/src/batch/node.rs
@@ -31,6 +31,10 @@
 /// Timeout for reading one page of a listing, which may be 1 MB over a slow link.
 pub(crate) const LIST_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Longest wait of a watch of a key that seldom changes. It may be long because nothing relies on the
+/// watch alone: its connection may become silent. It is shorter than stores keep their history.
+pub(crate) const IDLE_WATCH_WAIT: Duration = Duration::from_secs(15);
+
 /// The holder of the planner role, as it is stored.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct PlannerRecord {
@@ -172,6 +176,12 @@
     /// have disappeared without closing them.
     pub(crate) fn peer_failed(&self, rpc: &str) {
         self.peer_clients.drop_client(rpc);
+        if self
+            .remote_planner()
+            .is_some_and(|planner| planner.rpc == rpc)
+        {
+            self.peer_clients.report_planner_failure();
+        }
         lock(&self.peer_table).record_failure(rpc);
     }
 
--- a/crates/stairstalld/src/batch/role.rs
+++ b/crates/stairstalld/src/batch/role.rs
@@ -13,7 +13,7 @@
 use tokio::time::MissedTickBehavior;
 
 use super::keys;
-use super::node::{Node, PlannerRecord};
+use super::node::{IDLE_WATCH_WAIT, Node, PlannerRecord};
 use super::rpc::PeerClient;
 use super::tenure::{self, Tenure};
 
@@ -25,8 +25,6 @@
 use handover::{acquire_from, hand_over, next_offer};
 pub(crate) use handover::{handle_offer, offer_to_stronger, wait_until_released};
 
-/// Longest time for one watch call on the role.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(15);
 /// Delay before a failed store call is retried.
 const STORE_RETRY_DELAY: Duration = Duration::from_millis(200);
 
@@ -44,7 +42,11 @@
     }
 }
 
-/// Waits while another daemon holds the role. Returns the role once this daemon has acquired it.
+/// Waits while another daemon holds the role. Returns the role once this daemon has acquired it, and
+/// `None` if the role has to be read again.
+///
+/// The role is read again when the planner does not answer and when the store answers again after
+/// calls that timed out, since the connection of the open watch may have become silent.
 async fn wait_for_role(node: &Node) -> Result<Option<AcquiredRole>, StoreFault> {
     let (item, mut at) = node
         .read_at("read role", keys::PLANNER_ROLE, node.settings.store_timeout)
@@ -60,13 +62,15 @@
     let mut last = record_role_item(node, &item);
     let mut offers = node.offer.subscribe();
     loop {
-        let watched = node.store.watch(keys::PLANNER_ROLE, at, WATCH_TIMEOUT);
+        let watched = node.store.watch(keys::PLANNER_ROLE, at, IDLE_WATCH_WAIT);
         let watched = tokio::select! {
             watched = node.store_call("watch role", watched) => watched?,
             offer = next_offer(&mut offers) => {
                 node.offer.send_replace(None);
                 return acquire_from(node, &offer).await;
             }
+            () = node.peer_clients.wait_for_planner_failure() => return Ok(None),
+            () = node.store_health.wait_for_recovery() => return Ok(None),
         };
         at = watched.revision;
         for change in watched.changes {
--- a/crates/stairstalld/src/batch/rpc.rs
+++ b/crates/stairstalld/src/batch/rpc.rs
@@ -15,6 +15,7 @@
     AcceptedJob, CallerState, Catalog, JobExplanation, LoadSummary, PeerAddress,
 };
 use stairstall_core::{CustomerId, JobId};
+use tokio::sync::Notify;
 
 use super::accept::{self, Acceptance, Cancellation, OnRefusal};
 use super::node::{Node, PlannerRecord, RoleOffer};
@@ -243,6 +244,8 @@
     clients: Mutex<HashMap<String, HttpClient>>,
     /// The address of the last failed call to the planner.
     last_failed: Mutex<Option<String>>,
+    /// Wakes the task that follows the planner role when the planner does not answer.
+    planner_failed: Notify,
 }
 
 impl PeerClients {
@@ -251,6 +254,7 @@
             timeout,
             clients: Mutex::default(),
             last_failed: Mutex::default(),
+            planner_failed: Notify::new(),
         }
     }
 
@@ -276,6 +280,17 @@
         lock(&self.clients).remove(address);
     }
 
+    /// Wakes the task that follows the planner role: the planner does not answer, so the role may be
+    /// free.
+    pub(crate) fn report_planner_failure(&self) {
+        self.planner_failed.notify_waiters();
+    }
+
+    /// Waits until a call to the planner fails.
+    pub(crate) async fn wait_for_planner_failure(&self) {
+        self.planner_failed.notified().await;
+    }
+
     /// Records the result of a call to the planner. After a failure its connections are dropped,
     /// since the other end may have disappeared without closing them.
     pub(crate) fn record_call<T>(&self, address: &str, answer: &Result<T, RpcError>) {
@@ -294,6 +309,7 @@
         match answer {
             Err(error) if !had_failed => {
                 log::warn!(target: "dependency", on = "planner", address, why:% = error; "planner does not answer");
+                self.report_planner_failure();
             }
             Ok(_) if had_failed => {
                 log::info!(target: "dependency", on = "planner", address; "planner answers again");
