fix(config): a configuration is relied on only while it is known to be recent

Cause: what a daemon knew counted as the newest until its watch failed, and a watch whose connection goes silent fails after its wait and a second (5 s), while all other calls succeed. An open request proves nothing.

Now the age of what is known counts, from when the last answered request for it was sent. Within three quarters of the platform's limit (--config-apply-ms, from its bounds) a call is handled by it; beyond that the daemon first asks the store for the changes, once for all callers that wait, a second time if the first call meets a silent connection. What can't be confirmed refuses nobody for good and accepts nothing; questions are answered by it only in an outage. A peer's answer confirms as well (it says its version and its age). A change that is learned otherwise than by the open watch replaces that.

--- a/crates/stairstall-core/src/batch/planner/bounds.rs
+++ b/crates/stairstall-core/src/batch/planner/bounds.rs
@@ -58,8 +58,20 @@
     pub guaranteed_start_limit: Duration,
     /// Longest time from an operator's evacuation of a zone until nothing starts there any more.
     pub evacuation_limit: Duration,
+    /// Longest time from the acknowledgement of a configuration until it is in force everywhere.
+    pub configuration_limit: Duration,
     /// Factor by which a task takes longer on a worker that is not on the rack of its data.
     pub far_factor: u32,
     /// How long the planner still answers requests about a job that has ended.
     pub keep_ended: Duration,
 }
+
+impl Bounds {
+    /// Returns the age above which a daemon's copy of the configuration is no longer relied on.
+    ///
+    /// The rest of the limit is left for the time between the check and what is done by it.
+    #[must_use]
+    pub fn max_configuration_age(&self) -> Duration {
+        self.configuration_limit * 3 / 4
+    }
+}
--- a/crates/stairstall-core/src/time.rs
+++ b/crates/stairstall-core/src/time.rs
@@ -27,6 +27,12 @@
         self.0
     }
 
+    /// Returns the point that lies `duration` earlier, or `None` if that is before the process started.
+    #[must_use]
+    pub fn checked_sub(self, duration: Duration) -> Option<Self> {
+        self.0.checked_sub(millis(duration)).map(Self)
+    }
+
     /// Returns the time from `earlier` to `self`, or zero if `earlier` is later.
     #[must_use]
     pub const fn since(self, earlier: Self) -> Duration {
--- a/crates/stairstall-core/tests/batch/harness.rs
+++ b/crates/stairstall-core/tests/batch/harness.rs
@@ -27,6 +27,8 @@
 pub const STOP_MAX: Duration = Duration::from_millis(200);
 /// Within what time nothing starts any more in an evacuated zone.
 pub const EVACUATE: Duration = Duration::from_secs(5);
+/// Within what time of its acknowledgement a configuration is in force.
+pub const CONFIG_APPLY: Duration = Duration::from_secs(2);
 /// How long a task's work takes at a worker that is sound, in milliseconds.
 pub const SPAN_MS: u64 = 20_000;
 /// How long a worker that has crashed is away.
--- a/crates/stairstall-core/tests/batch/harness/fixtures.rs
+++ b/crates/stairstall-core/tests/batch/harness/fixtures.rs
@@ -10,7 +10,7 @@
 use stairstall_core::claim::Mark;
 use stairstall_core::{CustomerId, JobId};
 
-use super::{EVACUATE, HOLD_MAX, START_UNIX_MS, STOP_MAX};
+use super::{CONFIG_APPLY, EVACUATE, HOLD_MAX, START_UNIX_MS, STOP_MAX};
 
 pub fn worker(id: &str, rack: &str, capacity: Resources) -> ListedWorker {
     ListedWorker {
@@ -33,6 +33,7 @@
         stop_max: STOP_MAX,
         guaranteed_start_limit: Duration::from_millis(3_400),
         evacuation_limit: EVACUATE,
+        configuration_limit: CONFIG_APPLY,
         far_factor: 3,
         keep_ended: Duration::from_secs(120),
     }
--- a/crates/stairstalld/src/batch.rs
+++ b/crates/stairstalld/src/batch.rs
@@ -25,6 +25,7 @@
 mod health;
 mod job_watch;
 mod keys;
+mod known_catalog;
 mod load;
 mod maintenance;
 mod node;
--- a/crates/stairstalld/src/batch/caller_api.rs
+++ b/crates/stairstalld/src/batch/caller_api.rs
@@ -14,6 +14,7 @@
 
 use super::accept::{self, Acceptance, Cancellation};
 use super::admission::{self, RefusalOutcome};
+use super::catalog;
 use super::node::Node;
 use super::queries;
 use super::rpc::JobAnswer;
@@ -21,6 +22,8 @@
 
 /// `Retry-After` delay for callers while the store does not serve this daemon.
 const STORE_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Longest time that a call may take, whatever its caller and its route allow.
+const MAX_CALL_TIME: Duration = Duration::from_secs(24 * 3600);
 /// Longest time that a caller may take to send its request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -60,8 +63,9 @@
     let status = response.status().as_u16();
     let response = close_if_not_ready(node, response);
     node.telemetry.call(kind, status, took);
-    let version = node.current_catalog().map_or(0, |catalog| catalog.version);
-    let catalog_age_ms = node.catalog_age().map(crate::clock::millis);
+    let version = node.catalog_version();
+    let catalog_age = node.known_catalog.age(node.clock.now());
+    let catalog_age_ms = catalog_age.map(crate::clock::millis);
     let ms = crate::clock::millis(took);
     if response.status().is_success() && kind == "ask" {
         log::debug!(target: "call", call:% = target, status, ms, catalog = version,
@@ -93,17 +97,21 @@
 }
 
 async fn respond(node: &Node, request: Request) -> std::result::Result<Response, ErrorResponse> {
+    let called_at = node.clock.now();
+    let is_current = confirm_catalog(node, &request).await?;
     let Some(catalog) = node.current_catalog() else {
         return Err(ErrorResponse::unavailable(
             "no configuration is known yet",
             STORE_RETRY_AFTER,
         ));
     };
+    let may_refuse = is_current && !node.store_health.should_fail_fast(node.clock.now());
+    let access_failure = |failure| access_failure(may_refuse, failure);
     let path = request.uri().path();
     let host = requested_host(&request);
     let route = catalog
         .route(&host, path)
-        .ok_or_else(|| access_failure(node, ErrorResponse::not_found("there is no such queue")))?;
+        .ok_or_else(|| access_failure(ErrorResponse::not_found("there is no such queue")))?;
     let key = api_key(&request, node.dialect.key_scheme());
     let customer = match catalog.access(route, key.as_deref()) {
         Access::Customer(customer) => Some(customer),
@@ -111,7 +119,7 @@
         Access::Unknown => {
             let why = "there is no such key";
             let failure = ErrorResponse::new(StatusCode::UNAUTHORIZED, Verdict::NotRun, why);
-            return Err(access_failure(node, failure));
+            return Err(access_failure(failure));
         }
     };
     let rest = path[route.path_prefix.len()..].to_owned();
@@ -122,7 +130,7 @@
         customer,
         rest,
     };
-    let limit = time_limit(&call, &request);
+    let limit = time_limit(&call, &request).saturating_sub(node.clock.now() - called_at);
     let response = tokio::time::timeout(limit, call.dispatch(request)).await;
     response.unwrap_or_else(|_| {
         Err(ErrorResponse::new(
@@ -133,26 +141,72 @@
     })
 }
 
-/// Returns the response to a request that the configuration does not allow. If a newer
-/// configuration may exist that this daemon has not read, tells the caller to retry instead.
-fn access_failure(node: &Node, failure: ErrorResponse) -> ErrorResponse {
-    if node.is_catalog_current() {
+/// Makes sure that the configuration is current before a call is handled by it; returns whether it
+/// is.
+///
+/// A question is answered by an older configuration only in an outage: when the store, asked again,
+/// has not answered for the timeout of a call. A call that changes something needs the store anyway
+/// and is refused as soon as the store counts as failing.
+///
+/// # Errors
+///
+/// Returns the response to a call that changes something if the configuration can't be confirmed.
+async fn confirm_catalog(
+    node: &Node,
+    request: &Request,
+) -> std::result::Result<bool, ErrorResponse> {
+    let is_question = request.method() == Method::GET;
+    let is_outage = || {
+        let now = node.clock.now();
+        if is_question {
+            let timeout = node.settings.store_timeout;
+            node.store_health.has_failed_for(timeout, now)
+        } else {
+            node.store_health.should_fail_fast(now)
+        }
+    };
+    let confirmed = catalog::confirm(node, is_outage);
+    let confirmed = tokio::time::timeout(caller_limit(node, request), confirmed);
+    let is_current = confirmed.await.unwrap_or(false);
+    if is_current || is_question {
+        return Ok(is_current);
+    }
+    Err(outdated_catalog())
+}
+
+/// Returns the response to a request that the configuration does not allow. If that may not be the
+/// newest, tells the caller to retry instead.
+fn access_failure(may_refuse: bool, failure: ErrorResponse) -> ErrorResponse {
+    if may_refuse {
         return failure;
     }
+    outdated_catalog()
+}
+
+fn outdated_catalog() -> ErrorResponse {
     ErrorResponse::unavailable("a newer configuration may be in force", STORE_RETRY_AFTER)
 }
 
 /// Returns the time within which a call must be answered: a fraction of the shorter of the caller's
 /// deadline and the route's timeout.
 fn time_limit(call: &Call<'_>, request: &Request) -> Duration {
-    let requested = request
+    let route_limit = Duration::from_millis(call.route.timeout_ms);
+    caller_limit(call.node, request).min(share_for_response(call.node, route_limit))
+}
+
+/// Returns the time within which the caller's deadline allows an answer.
+fn caller_limit(node: &Node, request: &Request) -> Duration {
+    let deadline = request
         .headers()
-        .get(call.node.dialect.deadline_header())
+        .get(node.dialect.deadline_header())
         .and_then(|value| value.to_str().ok()?.parse().ok())
-        .unwrap_or(u64::MAX);
-    let limit = requested.min(call.route.timeout_ms);
-    Duration::from_millis(limit)
-        .mul_f64(call.node.settings.policy.acceptance.response_time_fraction)
+        .map_or(MAX_CALL_TIME, Duration::from_millis);
+    share_for_response(node, deadline.min(MAX_CALL_TIME))
+}
+
+/// Returns the part of a time limit that a call may take, so that its answer still arrives in time.
+fn share_for_response(node: &Node, limit: Duration) -> Duration {
+    limit.mul_f64(node.settings.policy.acceptance.response_time_fraction)
 }
 
 impl Call<'_> {
--- a/crates/stairstalld/src/batch/catalog.rs
+++ b/crates/stairstalld/src/batch/catalog.rs
@@ -1,21 +1,19 @@
 //! Follows the operators' configuration in the store; never replaces it by an older version.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use stairstall_core::batch::Catalog;
-use stairstall_http::CallError;
 use stairstall_ports::{Change, Item, Revision, StoreFault};
 
-use super::node::{LIST_TIMEOUT, Node};
-use crate::daemon::lock;
+use super::node::{IDLE_WATCH_WAIT, LIST_TIMEOUT, Node};
+use crate::clock::millis;
 
-/// Longest time for one watch call. If a watch misses a change, the change is seen after this time
-/// at the latest.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(4);
 /// Wait of a watch call that only asks for the changes so far.
 const SHORTEST_WAIT: Duration = Duration::from_millis(1);
+/// How often the store is asked to confirm the configuration before a call is handled without that.
+/// The first attempt may meet a silent connection, the next one then opens another.
+const CONFIRM_ATTEMPTS: u32 = 2;
 /// Delay before a failed store call is retried.
 const STORE_RETRY_DELAY: Duration = Duration::from_millis(250);
 
@@ -32,20 +30,18 @@
 /// them. Later calls begin with the store timeout, because the connection may be dead; it is doubled
 /// after each call that timed out: on a weak VM a configuration of 500 kB takes longer.
 ///
-/// When the store recovers after a partition, the changes are asked for by a new call. A watch
-/// opened before the partition was seen to hang for up to 4.8 s, during which callers were refused
-/// by the outdated configuration.
+/// The changes are asked for by a new call when the store answers again after calls that timed out,
+/// and when a change is known that the open watch has not shown: its connection may be silent.
 pub(crate) async fn follow(node: Arc<Node>) {
     let min_timeout = node.settings.store_timeout;
     let mut timeout = LIST_TIMEOUT;
-    let mut known_at = None;
     loop {
         let followed = tokio::select! {
             biased;
-            followed = catch_up_and_watch(&node, &mut known_at, &mut timeout) => Some(followed),
+            followed = catch_up_and_watch(&node, &mut timeout) => Some(followed),
             () = node.store_health.wait_for_recovery() => None,
+            () = node.known_catalog.wait_for_missed_change() => None,
         };
-        node.catalog_confirmed.store(false, Ordering::Release);
         // A recovery is seen by other calls, which does not show how long this one takes, so the
         // timeout then stays as it is.
         if let Some(Err(fault)) = followed {
@@ -65,38 +61,19 @@
 /// Finds out about the newest configuration within `timeout`, which is then reset, and watches it
 /// until the watch ends.
 ///
-/// `known_at` is the store's revision up to which the configuration is known, `None` before it was
-/// read.
-///
 /// # Errors
 ///
 /// Returns why the newest configuration is not known. The end of a watch is not an error: the caller
 /// catches up at once.
-async fn catch_up_and_watch(
-    node: &Node,
-    known_at: &mut Option<Revision>,
-    timeout: &mut Duration,
-) -> Result<(), StoreFault> {
-    let min_timeout = node.settings.store_timeout;
-    let caught_up = match *known_at {
-        None => read(node, *timeout).await,
-        Some(at) => {
-            let wait = timeout.saturating_sub(min_timeout);
-            watch_once(node, at, wait.clamp(SHORTEST_WAIT, WATCH_TIMEOUT)).await
-        }
-    };
-    *known_at = known_after(*known_at, &caught_up);
-    let mut at = caught_up?;
-    *timeout = min_timeout;
-    node.catalog_confirmed.store(true, Ordering::Release);
+async fn catch_up_and_watch(node: &Node, timeout: &mut Duration) -> Result<(), StoreFault> {
+    let mut at = catch_up(node, *timeout).await?;
+    *timeout = node.settings.store_timeout;
     loop {
-        let sent_at = node.clock.now();
-        let watched = watch_once(node, at, WATCH_TIMEOUT).await;
-        *known_at = known_after(*known_at, &watched);
-        match watched {
+        let opened_at = node.clock.now();
+        match read_changes(node, at, IDLE_WATCH_WAIT).await {
             Ok(revision) => at = revision,
             Err(fault) => {
-                let open_ms = crate::clock::millis(node.clock.now() - sent_at);
+                let open_ms = millis(node.clock.now() - opened_at);
                 if fault.is_timeout() {
                     log::warn!(target: "config", open_ms; "a configuration watch was not answered");
                 } else {
@@ -108,47 +85,86 @@
     }
 }
 
-/// Returns the revision up to which the configuration is known after a call.
-///
-/// A call that the store refused or answered too late says nothing about what is known. After any
-/// other failure the configuration is read again: the store cuts its watches when it drops the
-/// history, and a watch may have missed a change just before that.
-fn known_after(
-    known_at: Option<Revision>,
-    answer: &Result<Revision, StoreFault>,
-) -> Option<Revision> {
-    match answer {
-        Ok(at) => Some(*at),
-        Err(StoreFault::Refused(_) | StoreFault::Call(CallError::TimedOut(_))) => known_at,
-        Err(_) => None,
+/// Asks the store for the newest configuration, or for the changes alone where that suffices.
+/// Returns the revision up to which it is then known.
+async fn catch_up(node: &Node, timeout: Duration) -> Result<Revision, StoreFault> {
+    let Some(at) = node.known_catalog.position() else {
+        return read(node, timeout).await;
+    };
+    let wait = timeout.saturating_sub(node.settings.store_timeout);
+    read_changes(node, at, wait.max(SHORTEST_WAIT)).await
+}
+
+/// Makes sure that the configuration is current before something is decided by it, and asks the store
+/// where that is not known, unless `is_outage`. Returns whether it is current.
+pub(crate) async fn confirm(node: &Node, is_outage: impl Fn() -> bool) -> bool {
+    let max_age = node.settings.bounds.max_configuration_age();
+    confirm_within(node, max_age, is_outage).await
+}
+
+/// Like [`confirm`], for a copy that must have been the newest at most `max_age` ago.
+async fn confirm_within(node: &Node, max_age: Duration, is_outage: impl Fn() -> bool) -> bool {
+    let is_current = || node.known_catalog.is_within(max_age, node.clock.now());
+    for _ in 0..CONFIRM_ATTEMPTS {
+        // The first read is left to `follow`, so that a new daemon reads the configuration once.
+        if is_current() || node.current_catalog().is_none() {
+            break;
+        }
+        let _turn = node.known_catalog.confirming().await;
+        if is_current() || is_outage() {
+            break;
+        }
+        let version = node.catalog_version();
+        if let Err(fault) = catch_up(node, node.settings.store_timeout).await {
+            log::debug!(target: "config", why:% = fault; "the configuration could not be confirmed");
+        }
+        if node.catalog_version() > version {
+            node.known_catalog.report_missed_change();
+        }
+    }
+    is_current()
+}
+
+/// Confirms the configuration in the background if it is too old for peers to rely on for long.
+pub(crate) fn refresh_for_peers(node: &Arc<Node>) {
+    let max_age = node.settings.bounds.max_configuration_age() / 2;
+    if node.known_catalog.is_within(max_age, node.clock.now()) {
+        return;
     }
+    let node = Arc::clone(node);
+    tokio::spawn(async move {
+        let is_outage = || node.store_health.should_fail_fast(node.clock.now());
+        confirm_within(&node, max_age, is_outage).await
+    });
 }
 
 /// Reads the whole configuration; returns the store's revision.
 async fn read(node: &Node, timeout: Duration) -> Result<Revision, StoreFault> {
     let key = node.dialect.configuration_key();
     let sent_at = node.clock.now();
-    let (item, at) = node.read_at("read config", key, timeout).await?;
+    let read = node.read_at("read config", key, timeout).await;
+    let (item, at) = read.inspect_err(|fault| node.known_catalog.record_fault(fault))?;
     if let Some(item) = item {
         apply_item(node, &item, "read");
     }
-    lock(&node.catalog_freshness).confirm(sent_at);
+    node.known_catalog.record_read(at, sent_at);
     Ok(at)
 }
 
 /// Waits for changes of the configuration after a revision; returns the revision up to which it is
 /// then known.
-async fn watch_once(node: &Node, at: Revision, wait: Duration) -> Result<Revision, StoreFault> {
+async fn read_changes(node: &Node, at: Revision, wait: Duration) -> Result<Revision, StoreFault> {
     let key = node.dialect.configuration_key();
-    let watched = node.store.watch(key, at, wait);
     let sent_at = node.clock.now();
-    let watched = node.store_call("watch config", watched).await?;
+    let watched = node.store.watch(key, at, wait);
+    let watched = node.store_call("watch config", watched).await;
+    let watched = watched.inspect_err(|fault| node.known_catalog.record_fault(fault))?;
     for change in &watched.changes {
         if let Change::Written(item) = change {
             apply_item(node, item, "watch");
         }
     }
-    lock(&node.catalog_freshness).confirm(sent_at);
+    node.known_catalog.record_changes(watched.revision, sent_at);
     Ok(watched.revision)
 }
 
--- a/crates/stairstalld/src/batch/health.rs
+++ b/crates/stairstalld/src/batch/health.rs
@@ -70,8 +70,9 @@
 }
 
 fn metrics(node: &Node) -> Response {
+    let catalog_age = node.known_catalog.age(node.clock.now());
     node.telemetry
-        .catalog_age(node.catalog_age().unwrap_or(Duration::MAX));
+        .catalog_age(catalog_age.unwrap_or(Duration::MAX));
     if let Some(tenure) = node.tenure() {
         let (open_jobs, runs) = tenure.load_counts();
         node.telemetry.contact(&tenure.contact_lag());
--- a/crates/stairstalld/src/batch/node.rs
+++ b/crates/stairstalld/src/batch/node.rs
@@ -1,17 +1,18 @@
 //! State shared by the parts of one daemon.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use stairstall_core::VmId;
-use stairstall_core::batch::{Catalog, Freshness, Now, PeerAddress, PeerTable};
+use stairstall_core::batch::{Catalog, Now, PeerAddress, PeerTable};
 use stairstall_core::claim::Mark;
 use stairstall_ports::{Adviser, Dialect, Item, Revision, SharedStore, StoreFault, WorkerCalls};
 use tokio::sync::watch;
 
+use super::known_catalog::KnownCatalog;
 use super::load::LoadCache;
 use super::refusals::Refusals;
 use super::role;
@@ -64,11 +65,8 @@
     pub(crate) clock: Clock,
     pub(crate) store: Arc<dyn SharedStore>,
     pub(crate) store_health: StoreHealth,
-    /// Whether the configuration is known to be the newest: it has been read, and watched without
-    /// a failure since.
-    pub(crate) catalog_confirmed: AtomicBool,
-    /// As of when the configuration is known to be the newest.
-    pub(crate) catalog_freshness: Mutex<Freshness>,
+    /// How current the configuration in `catalog` is.
+    pub(crate) known_catalog: KnownCatalog,
     pub(crate) workers: Arc<dyn WorkerCalls>,
     pub(crate) dialect: Arc<dyn Dialect>,
     pub(crate) adviser: Option<Arc<dyn Adviser>>,
@@ -106,8 +104,7 @@
         Self {
             clock: Clock::new(),
             store,
-            catalog_confirmed: AtomicBool::new(false),
-            catalog_freshness: Mutex::default(),
+            known_catalog: KnownCatalog::default(),
             store_health: StoreHealth::new(
                 settings.policy.acceptance.silent_after,
                 settings.policy.peers.silent_after,
@@ -205,16 +202,17 @@
         self.catalog.borrow().clone()
     }
 
-    /// Returns how long ago the configuration was known to be the newest, or `None` if it never was.
-    pub(crate) fn catalog_age(&self) -> Option<Duration> {
-        lock(&self.catalog_freshness).age(self.clock.now())
+    /// Returns the version of the configuration, or 0 if none is known.
+    pub(crate) fn catalog_version(&self) -> u64 {
+        let catalog = self.catalog.borrow();
+        catalog.as_ref().map_or(0, |catalog| catalog.version)
     }
 
-    /// Returns whether the configuration is known to be the newest, so that callers may be refused
-    /// by it.
+    /// Returns whether the configuration was known to be the newest so recently that callers may be
+    /// refused, and their jobs accepted, by it.
     pub(crate) fn is_catalog_current(&self) -> bool {
-        let is_confirmed = self.catalog_confirmed.load(Ordering::Acquire);
-        is_confirmed && !self.store_health.should_fail_fast(self.clock.now())
+        let max_age = self.settings.bounds.max_configuration_age();
+        self.known_catalog.is_within(max_age, self.clock.now())
     }
 
     pub(crate) fn is_leaving(&self) -> bool {
--- a/crates/stairstalld/src/batch/reachability.rs
+++ b/crates/stairstalld/src/batch/reachability.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use futures::future::join_all;
+use stairstall_core::Timestamp;
 use stairstall_core::batch::{Catalog, PeerAddress};
 
 use super::node::Node;
@@ -71,7 +72,7 @@
 async fn request_update(node: &Node, rpc: &str, wants_catalog: bool) -> Option<Duration> {
     let timeout = node.settings.policy.peers.probe_timeout;
     let version = if wants_catalog {
-        node.current_catalog().map_or(0, |catalog| catalog.version)
+        node.catalog_version()
     } else {
         NO_CATALOG
     };
@@ -88,7 +89,7 @@
             if let Some(load) = update.load.take() {
                 node.load.update(load, requested_at);
             }
-            apply_update(node, update);
+            apply_update(node, update, requested_at);
             return Some(interval);
         }
         Ok(Err(error)) => {
@@ -115,10 +116,16 @@
     }
 }
 
-fn apply_update(node: &Node, update: PeerUpdate) {
+/// Applies an update that was requested at `requested_at`.
+fn apply_update(node: &Node, update: PeerUpdate, requested_at: Timestamp) {
     if let Some(catalog) = update.catalog {
         catalog::activate(node, catalog, "peer");
     }
+    if let Some(confirmation) = update.catalog_confirmation {
+        let version = node.catalog_version();
+        node.known_catalog
+            .record_confirmation(confirmation, version, requested_at);
+    }
     role::record_planner(node, update.planner);
     let now = node.clock.now();
     let mut peer_table = lock(&node.peer_table);
@@ -141,6 +148,7 @@
     peers.push(node.peer_address());
     PeerUpdate {
         catalog: catalog.map(|catalog| Catalog::clone(&catalog)),
+        catalog_confirmation: node.known_catalog.confirmation(node.catalog_version(), now),
         planner: node.planner.borrow().clone(),
         pause_ms: crate::clock::millis(peer_table.introduction_interval()),
         is_served: node.store_health.serves(now),
--- a/crates/stairstalld/src/batch/rpc.rs
+++ b/crates/stairstalld/src/batch/rpc.rs
@@ -18,8 +18,9 @@
 use tokio::sync::Notify;
 
 use super::accept::{self, Acceptance, Cancellation, OnRefusal};
+use super::known_catalog::CatalogConfirmation;
 use super::node::{Node, PlannerRecord, RoleOffer};
-use super::{load, reachability, role};
+use super::{catalog, load, reachability, role};
 use crate::daemon::lock;
 
 /// Largest number of cached clients; a full cache is cleared.
@@ -129,6 +130,9 @@
 pub(crate) struct PeerUpdate {
     /// The configuration, if it is newer than that of the asking daemon.
     pub(crate) catalog: Option<Catalog>,
+    /// How current the answering daemon's configuration is. Older daemons don't say.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) catalog_confirmation: Option<CatalogConfirmation>,
     /// The latest known holder of the planner role.
     pub(crate) planner: Option<PlannerRecord>,
     /// Whether the store serves the answering daemon.
@@ -209,6 +213,7 @@
         wants_load: Option<bool>,
     ) -> RpcResult<PeerUpdate> {
         let mut update = reachability::peer_update(&self.0, version, asker);
+        catalog::refresh_for_peers(&self.0);
         if wants_load == Some(true) {
             update.load = self.0.tenure().and_then(|tenure| tenure.load_summary());
         }
--- a/crates/stairstalld/src/batch/settings.rs
+++ b/crates/stairstalld/src/batch/settings.rs
@@ -18,6 +18,10 @@
 /// none. The only platform known to evacuate zones requires 5 s.
 const DEFAULT_EVACUATE_MS: &str = "5000";
 
+/// Default time limit for a configuration to be in force, in milliseconds, for platforms that state
+/// none.
+const DEFAULT_CONFIG_APPLY_MS: &str = "2000";
+
 /// Bytes in one megabit.
 const BYTES_PER_MBIT: u64 = 125_000;
 /// Bytes in one megabyte.
@@ -44,6 +48,7 @@
     stop_max_ms: String,
     reclaim_ms: String,
     evacuate_ms: String,
+    config_apply_ms: String,
     far_factor: String,
     keep_ended_s: String,
     drain_delay_ms: String,
@@ -111,6 +116,11 @@
     }
 }
 
+/// Returns what was given for a setting, or `default` if that is empty.
+fn given_or<'a>(given: &'a str, default: &'a str) -> &'a str {
+    if given.is_empty() { default } else { given }
+}
+
 /// Returns a limit that is set in units of `unit`, or the largest number if it is 0, which sets none.
 fn limit(units: u32, unit: u64) -> u64 {
     match units {
@@ -215,6 +225,11 @@
         "STAIRSTALL_EVACUATE_MS",
         "Within what time of the operator's word nothing starts in an evacuated zone any more; 5000 where nothing is given"
     );
+    let config_apply_ms = flag!(
+        "config-apply-ms",
+        "STAIRSTALL_CONFIG_APPLY_MS",
+        "Within what time of its acknowledgement a configuration is in force; 2000 where nothing is given"
+    );
     let far_factor = flag!(
         "far-factor",
         "STAIRSTALL_FAR_FACTOR",
@@ -274,6 +289,7 @@
         stop_max_ms,
         reclaim_ms,
         evacuate_ms,
+        config_apply_ms,
         far_factor,
         keep_ended_s,
         drain_delay_ms,
@@ -378,11 +394,10 @@
         let hold_max = checks.millis("--hold-max-ms", &raw.hold_max_ms, 500, DAY_MS);
         let stop_max = checks.millis("--stop-max-ms", &raw.stop_max_ms, 1, DAY_MS);
         let reclaim = checks.millis("--reclaim-ms", &raw.reclaim_ms, 1, DAY_MS);
-        let evacuate_ms = match raw.evacuate_ms.as_str() {
-            "" => DEFAULT_EVACUATE_MS,
-            given => given,
-        };
+        let evacuate_ms = given_or(&raw.evacuate_ms, DEFAULT_EVACUATE_MS);
         let evacuate = checks.millis("--evacuate-ms", evacuate_ms, 500, DAY_MS);
+        let config_apply_ms = given_or(&raw.config_apply_ms, DEFAULT_CONFIG_APPLY_MS);
+        let config_apply = checks.millis("--config-apply-ms", config_apply_ms, 500, DAY_MS);
         let far_factor = checks.number("--far-factor", &raw.far_factor, 1, 1_000);
         let keep_ended_s = checks.number("--keep-ended-s", &raw.keep_ended_s, 1, DAY_MS);
         Some(Bounds {
@@ -390,6 +405,7 @@
             stop_max: stop_max?,
             guaranteed_start_limit: reclaim?,
             evacuation_limit: evacuate?,
+            configuration_limit: config_apply?,
             far_factor: u32::try_from(far_factor?).ok()?,
             keep_ended: Duration::from_secs(keep_ended_s?),
         })
