fix(config): the planner confirms the configuration by the poll that it makes anyway

The planner lists the evacuated zones five times within their limit; it now asks for the changes of all keys that operators write, by the same number of calls, which confirms its configuration too, and says so in the answers that other daemons get from it anyhow (questions about jobs, accepted jobs, introductions). A daemon that the store does not serve has its peers confirm theirs before they answer. An age of nine tenths of the limit is relied on: what is asked for then was sent after the change was acknowledged in any case.

--- a/crates/stairstall-core/src/batch/planner/bounds.rs
+++ b/crates/stairstall-core/src/batch/planner/bounds.rs
@@ -72,6 +72,6 @@
     /// The rest of the limit is left for the time between the check and what is done by it.
     #[must_use]
     pub fn max_configuration_age(&self) -> Duration {
-        self.configuration_limit * 3 / 4
+        self.configuration_limit * 9 / 10
     }
 }
--- a/crates/stairstall-ports/src/dialect.rs
+++ b/crates/stairstall-ports/src/dialect.rs
@@ -30,6 +30,10 @@
     /// Store key of the operators' configuration.
     fn configuration_key(&self) -> &'static str;
 
+    /// Prefix of all store keys that operators write, the configuration's and those of evacuated
+    /// zones among them.
+    fn operator_prefix(&self) -> &'static str;
+
     /// Prefix of the store keys that mark availability zones as evacuated. A key is the prefix
     /// followed by the zone's name; deleting it restores the zone.
     fn evacuated_zone_prefix(&self) -> &'static str;
--- a/crates/stairstalld/src/batch/caller_api.rs
+++ b/crates/stairstalld/src/batch/caller_api.rs
@@ -340,7 +340,9 @@
             ErrorResponse::unavailable(format!("the job can't be read: {fault}"), STORE_RETRY_AFTER)
         })?;
         match answer {
-            JobAnswer::Known { customer, state } => {
+            JobAnswer::Known {
+                customer, state, ..
+            } => {
                 if customer != self.customer {
                     return Err(other_customers_job());
                 }
--- a/crates/stairstalld/src/batch/catalog.rs
+++ b/crates/stairstalld/src/batch/catalog.rs
@@ -30,8 +30,8 @@
 /// them. Later calls begin with the store timeout, because the connection may be dead; it is doubled
 /// after each call that timed out: on a weak VM a configuration of 500 kB takes longer.
 ///
-/// The changes are asked for by a new call when the store answers again after calls that timed out,
-/// and when a change is known that the open watch has not shown: its connection may be silent.
+/// The changes are asked for by a new call when the store recovers from an outage, and when a change
+/// is known that the open watch has not shown: its connection may be silent.
 pub(crate) async fn follow(node: Arc<Node>) {
     let min_timeout = node.settings.store_timeout;
     let mut timeout = LIST_TIMEOUT;
@@ -125,17 +125,14 @@
     is_current()
 }
 
-/// Confirms the configuration in the background if it is too old for peers to rely on for long.
-pub(crate) fn refresh_for_peers(node: &Arc<Node>) {
+/// Confirms the configuration for a peer that the store does not serve. Takes a part of the time for
+/// which the peer waits.
+pub(crate) async fn confirm_for_peers(node: &Node) {
+    // A peer can rely on it for the rest of that time.
     let max_age = node.settings.bounds.max_configuration_age() / 2;
-    if node.known_catalog.is_within(max_age, node.clock.now()) {
-        return;
-    }
-    let node = Arc::clone(node);
-    tokio::spawn(async move {
-        let is_outage = || node.store_health.should_fail_fast(node.clock.now());
-        confirm_within(&node, max_age, is_outage).await
-    });
+    let is_outage = || node.store_health.should_fail_fast(node.clock.now());
+    let limit = node.settings.policy.peers.probe_timeout / 2;
+    let _ = tokio::time::timeout(limit, confirm_within(node, max_age, is_outage)).await;
 }
 
 /// Reads the whole configuration; returns the store's revision.
@@ -168,18 +165,20 @@
     Ok(watched.revision)
 }
 
-fn apply_item(node: &Node, item: &Item, source: &str) {
+/// Activates a configuration as it is stored; returns whether it is newer than the active one.
+pub(crate) fn apply_item(node: &Node, item: &Item, source: &str) -> bool {
     match node.dialect.read_catalog(&item.value) {
         Ok(catalog) => activate(node, catalog, source),
         Err(error) => {
             log::error!(target: "config", revision:% = item.revision, why:% = error;
                 "can't decode the configuration; the previous one stays active");
+            false
         }
     }
 }
 
-/// Activates a configuration unless a newer one is already active.
-pub(crate) fn activate(node: &Node, catalog: Catalog, source: &str) {
+/// Activates a configuration unless a newer one is already active; returns whether it was activated.
+pub(crate) fn activate(node: &Node, catalog: Catalog, source: &str) -> bool {
     let version = catalog.version;
     let catalog = Arc::new(catalog);
     let is_activated = node.catalog.send_if_modified(|current| {
@@ -197,4 +196,5 @@
             tenure.set_catalog(catalog);
         }
     }
+    is_activated
 }
--- a/crates/stairstalld/src/batch/directory.rs
+++ b/crates/stairstalld/src/batch/directory.rs
@@ -94,8 +94,8 @@
     }
 }
 
-/// Watches the directory until a call fails, or until the store answers again after calls that timed
-/// out: the connection of the open watch may have become silent as well.
+/// Watches the directory until a call fails, or until the store recovers from an outage: the
+/// connection of the open watch may have become silent in it.
 async fn watch(node: &Node, tenure: &Tenure, at: &mut Revision) -> Result<(), StoreFault> {
     let prefix = node.dialect.directory_prefix();
     loop {
--- a/crates/stairstalld/src/batch/load.rs
+++ b/crates/stairstalld/src/batch/load.rs
@@ -91,3 +91,11 @@
             .ok()
     }))
 }
+
+/// Like [`read_leniently`], for a summary in a message that is mostly sent without one.
+pub(crate) fn read_boxed_leniently<'de, D>(from: D) -> Result<Option<Box<LoadSummary>>, D::Error>
+where
+    D: Deserializer<'de>,
+{
+    read_leniently(from).map(|summary| summary.map(Box::new))
+}
--- a/crates/stairstalld/src/batch/node.rs
+++ b/crates/stairstalld/src/batch/node.rs
@@ -6,13 +6,13 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use stairstall_core::VmId;
 use stairstall_core::batch::{Catalog, Now, PeerAddress, PeerTable};
 use stairstall_core::claim::Mark;
+use stairstall_core::{Timestamp, VmId};
 use stairstall_ports::{Adviser, Dialect, Item, Revision, SharedStore, StoreFault, WorkerCalls};
 use tokio::sync::watch;
 
-use super::known_catalog::KnownCatalog;
+use super::known_catalog::{CatalogConfirmation, KnownCatalog};
 use super::load::LoadCache;
 use super::refusals::Refusals;
 use super::role;
@@ -208,6 +208,24 @@
         catalog.as_ref().map_or(0, |catalog| catalog.version)
     }
 
+    /// Returns what to tell a peer of how current the configuration is.
+    pub(crate) fn catalog_confirmation(&self) -> Option<CatalogConfirmation> {
+        let now = self.clock.now();
+        self.known_catalog.confirmation(self.catalog_version(), now)
+    }
+
+    /// Records what a peer said of its configuration in its answer to a request sent at `sent_at`.
+    pub(crate) fn record_catalog_confirmation(
+        &self,
+        confirmation: Option<CatalogConfirmation>,
+        sent_at: Timestamp,
+    ) {
+        if let Some(confirmation) = confirmation {
+            self.known_catalog
+                .record_confirmation(confirmation, self.catalog_version(), sent_at);
+        }
+    }
+
     /// Returns whether the configuration was known to be the newest so recently that callers may be
     /// refused, and their jobs accepted, by it.
     pub(crate) fn is_catalog_current(&self) -> bool {
--- a/crates/stairstalld/src/batch/queries.rs
+++ b/crates/stairstalld/src/batch/queries.rs
@@ -29,9 +29,18 @@
     let Some(client) = node.peer_clients.client(&planner.rpc) else {
         return JobAnswer::NotPlanner;
     };
+    let sent_at = node.clock.now();
     let answer = client.job(id.clone()).await;
     node.peer_clients.record_call(&planner.rpc, &answer);
-    answer.unwrap_or(JobAnswer::NotPlanner)
+    let answer = answer.unwrap_or(JobAnswer::NotPlanner);
+    if let JobAnswer::Known {
+        catalog_confirmation,
+        ..
+    } = &answer
+    {
+        node.record_catalog_confirmation(*catalog_confirmation, sent_at);
+    }
+    answer
 }
 
 async fn from_store(
@@ -54,6 +63,7 @@
         return Ok(JobAnswer::Known {
             customer,
             state: CallerState::Queued,
+            catalog_confirmation: None,
         });
     }
     let key = keys::progress(id);
@@ -67,6 +77,7 @@
     Ok(JobAnswer::Known {
         customer,
         state: progress.caller_state(),
+        catalog_confirmation: None,
     })
 }
 
@@ -85,8 +96,16 @@
         let wants_load = node.load.should_request(requested_at);
         let answer = client.job_accepted(job, Some(wants_load)).await;
         node.peer_clients.record_call(&planner.rpc, &answer);
-        if let Some(load) = answer.ok().and_then(SubmitAnswer::load) {
-            node.load.update(load, requested_at);
+        if let Ok(SubmitAnswer::WithLoad {
+            load,
+            catalog_confirmation,
+            ..
+        }) = answer
+        {
+            node.record_catalog_confirmation(catalog_confirmation, requested_at);
+            if let Some(load) = load {
+                node.load.update(*load, requested_at);
+            }
         }
     }
 }
--- a/crates/stairstalld/src/batch/reachability.rs
+++ b/crates/stairstalld/src/batch/reachability.rs
@@ -79,7 +79,13 @@
     let client = node.peer_clients.client(rpc)?;
     let requested_at = node.clock.now();
     let wants_load = node.load.should_request(requested_at);
-    let update = client.peer_update(version, node.peer_address(), Some(wants_load));
+    let relies_on_peers = node.store_health.may_be_down(requested_at);
+    let update = client.peer_update(
+        version,
+        node.peer_address(),
+        Some(wants_load),
+        Some(relies_on_peers),
+    );
     let answer = tokio::time::timeout(timeout, update).await;
     match answer {
         Ok(Ok(mut update)) => {
@@ -121,11 +127,7 @@
     if let Some(catalog) = update.catalog {
         catalog::activate(node, catalog, "peer");
     }
-    if let Some(confirmation) = update.catalog_confirmation {
-        let version = node.catalog_version();
-        node.known_catalog
-            .record_confirmation(confirmation, version, requested_at);
-    }
+    node.record_catalog_confirmation(update.catalog_confirmation, requested_at);
     role::record_planner(node, update.planner);
     let now = node.clock.now();
     let mut peer_table = lock(&node.peer_table);
@@ -148,7 +150,7 @@
     peers.push(node.peer_address());
     PeerUpdate {
         catalog: catalog.map(|catalog| Catalog::clone(&catalog)),
-        catalog_confirmation: node.known_catalog.confirmation(node.catalog_version(), now),
+        catalog_confirmation: node.catalog_confirmation(),
         planner: node.planner.borrow().clone(),
         pause_ms: crate::clock::millis(peer_table.introduction_interval()),
         is_served: node.store_health.serves(now),
--- a/crates/stairstalld/src/batch/role.rs
+++ b/crates/stairstalld/src/batch/role.rs
@@ -45,8 +45,8 @@
 /// Waits while another daemon holds the role. Returns the role once this daemon has acquired it, and
 /// `None` if the role has to be read again.
 ///
-/// The role is read again when the planner does not answer and when the store answers again after
-/// calls that timed out, since the connection of the open watch may have become silent.
+/// The role is read again when the planner does not answer and when the store recovers from an
+/// outage, since the connection of the open watch may have become silent.
 async fn wait_for_role(node: &Node) -> Result<Option<AcquiredRole>, StoreFault> {
     let (item, mut at) = node
         .read_at("read role", keys::PLANNER_ROLE, node.settings.store_timeout)
--- a/crates/stairstalld/src/batch/rpc.rs
+++ b/crates/stairstalld/src/batch/rpc.rs
@@ -38,6 +38,9 @@
     Known {
         customer: Option<CustomerId>,
         state: CallerState,
+        /// How current the planner's configuration is. Older daemons don't say.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        catalog_confirmation: Option<CatalogConfirmation>,
     },
 }
 
@@ -52,26 +55,19 @@
         /// Whether the daemon is the planner and has added the job.
         taken: bool,
         /// The load of the fleet, if the daemon is the planner.
-        #[serde(default, deserialize_with = "load::read_leniently")]
-        load: Option<LoadSummary>,
+        #[serde(default, deserialize_with = "load::read_boxed_leniently")]
+        load: Option<Box<LoadSummary>>,
+        /// How current the daemon's configuration is. Older daemons don't say.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        catalog_confirmation: Option<CatalogConfirmation>,
     },
 }
 
-impl SubmitAnswer {
-    /// Returns the load summary, if the answer has one.
-    pub(crate) fn load(self) -> Option<LoadSummary> {
-        match self {
-            Self::Taken(_) => None,
-            Self::WithLoad { load, .. } => load,
-        }
-    }
-}
-
 /// Calls between daemons.
 #[rpc(server, client)]
 pub(crate) trait Peer {
     /// Notifies the planner of an accepted job. The answer has a load summary if `wants_load` is
-    /// true.
+    /// true. A caller that gives no `wants_load` is told only whether the job was added.
     #[method(name = "submitted")]
     async fn job_accepted(
         &self,
@@ -107,13 +103,15 @@
 
     /// Returns what the daemon knows: the configuration if it is newer than `version`, the planner,
     /// whether the store serves the daemon, and some other daemons. A planner adds a load summary
-    /// if `wants_load` is true.
+    /// if `wants_load` is true. If `relies_on_peers` is true, the store does not serve the asking
+    /// daemon, and the answering one keeps its own configuration confirmed.
     #[method(name = "news")]
     async fn peer_update(
         &self,
         version: u64,
         asker: PeerAddress,
         wants_load: Option<bool>,
+        relies_on_peers: Option<bool>,
     ) -> RpcResult<PeerUpdate>;
 
     /// Offers the planner role to the daemon; returns whether it wants the role.
@@ -164,11 +162,18 @@
     ) -> RpcResult<SubmitAnswer> {
         let tenure = self.0.tenure();
         let taken = tenure.as_ref().is_some_and(|tenure| tenure.submit(job));
-        if wants_load != Some(true) {
+        let Some(wants_load) = wants_load else {
             return Ok(SubmitAnswer::Taken(taken));
-        }
-        let load = tenure.and_then(|tenure| tenure.load_summary());
-        Ok(SubmitAnswer::WithLoad { taken, load })
+        };
+        let load = tenure
+            .filter(|_| wants_load)
+            .and_then(|tenure| tenure.load_summary())
+            .map(Box::new);
+        Ok(SubmitAnswer::WithLoad {
+            taken,
+            load,
+            catalog_confirmation: self.0.catalog_confirmation(),
+        })
     }
 
     async fn job_cancelled(&self, id: JobId) -> RpcResult<bool> {
@@ -178,7 +183,15 @@
 
     async fn job(&self, id: JobId) -> RpcResult<JobAnswer> {
         let tenure = self.0.tenure();
-        Ok(tenure.map_or(JobAnswer::NotPlanner, |tenure| tenure.job(&id)))
+        let mut answer = tenure.map_or(JobAnswer::NotPlanner, |tenure| tenure.job(&id));
+        if let JobAnswer::Known {
+            catalog_confirmation,
+            ..
+        } = &mut answer
+        {
+            *catalog_confirmation = self.0.catalog_confirmation();
+        }
+        Ok(answer)
     }
 
     async fn pending(&self, queue: String) -> RpcResult<Option<u64>> {
@@ -211,9 +224,12 @@
         version: u64,
         asker: PeerAddress,
         wants_load: Option<bool>,
+        relies_on_peers: Option<bool>,
     ) -> RpcResult<PeerUpdate> {
+        if relies_on_peers == Some(true) {
+            catalog::confirm_for_peers(&self.0).await;
+        }
         let mut update = reachability::peer_update(&self.0, version, asker);
-        catalog::refresh_for_peers(&self.0);
         if wants_load == Some(true) {
             update.load = self.0.tenure().and_then(|tenure| tenure.load_summary());
         }
--- a/crates/stairstalld/src/batch/store_health.rs
+++ b/crates/stairstalld/src/batch/store_health.rs
@@ -13,8 +13,6 @@
 struct State {
     /// Since when all calls have failed, if the last one did.
     failing_since: Option<Timestamp>,
-    /// Whether a call has timed out since then.
-    has_timed_out: bool,
     /// When a call to the store last completed, successfully or not.
     last_result_at: Option<Timestamp>,
     /// When the open ping was sent, if there is one.
@@ -42,11 +40,10 @@
         }
     }
 
-    /// Waits until the store answers again after calls that timed out, or after an outage during which
-    /// requests failed fast.
+    /// Waits until the store recovers from an outage during which requests failed fast.
     ///
-    /// Calls made before that may hang on a dead connection until their own timeout, while new calls
-    /// are answered.
+    /// Calls made before the recovery may hang on a dead connection until their own timeout, while
+    /// new calls are answered.
     pub(crate) async fn wait_for_recovery(&self) {
         self.recovered.notified().await;
     }
@@ -58,9 +55,8 @@
         state.last_result_at = Some(now);
         if !outage {
             state.ping_sent_at = None;
-            let has_timed_out = std::mem::take(&mut state.has_timed_out);
             if let Some(since) = state.failing_since.take() {
-                if has_timed_out || now - since >= self.fail_fast_after {
+                if now - since >= self.fail_fast_after {
                     self.recovered.notify_waiters();
                 }
                 let ms = crate::clock::millis(now - since);
@@ -68,7 +64,6 @@
             }
             return;
         }
-        state.has_timed_out |= result.as_ref().is_err_and(StoreFault::is_timeout);
         if state.failing_since.is_none() {
             let why = result
                 .as_ref()
--- a/crates/stairstalld/src/batch/tenure.rs
+++ b/crates/stairstalld/src/batch/tenure.rs
@@ -13,6 +13,7 @@
 use tokio::sync::{Notify, watch};
 use tokio::task::JoinSet;
 
+use super::evacuated_zones::OperatorKeys;
 use super::node::Node;
 use super::role::AcquiredRole;
 use super::rpc::JobAnswer;
@@ -164,6 +165,7 @@
             (Some(accepted), Some(state)) => JobAnswer::Known {
                 customer: accepted.customer.clone(),
                 state,
+                catalog_confirmation: None,
             },
             _ => JobAnswer::Unknown,
         }
@@ -243,7 +245,12 @@
 
 async fn run_planner(node: &Arc<Node>, tenure: &Arc<Tenure>) {
     let started = node.clock.now();
-    let (directory_at, jobs_at, revisions) = load_state(node, tenure).await;
+    let LoadedState {
+        directory_at,
+        jobs_at,
+        revisions,
+        operator_keys,
+    } = load_state(node, tenure).await;
     tenure.loaded.store(true, Ordering::Release);
     node.set_tenure(Some(Arc::clone(tenure)));
     let took = node.clock.now() - started;
@@ -260,6 +267,7 @@
     tasks.spawn(evacuated_zones::follow(
         Arc::clone(node),
         Arc::clone(tenure),
+        operator_keys,
     ));
     tasks.spawn(job_watch::follow(
         Arc::clone(node),
@@ -324,17 +332,30 @@
     while tasks.try_join_next().is_some() {}
 }
 
+/// Where the tasks that follow the store continue after the initial load.
+struct LoadedState {
+    directory_at: Revision,
+    jobs_at: Revision,
+    revisions: writer::Revisions,
+    operator_keys: OperatorKeys,
+}
+
 /// Loads what earlier planners have stored; retries until everything is read.
-async fn load_state(node: &Node, tenure: &Tenure) -> (Revision, Revision, writer::Revisions) {
+async fn load_state(node: &Node, tenure: &Tenure) -> LoadedState {
     loop {
         let loaded = async {
             let workers = directory::load(node, tenure);
             let listings = node.read_both(workers, job_watch::read(node));
             // A short response, read concurrently so that a slow store adds its latency only once.
             let zones = evacuated_zones::load(node, tenure);
-            let ((directory_at, stored), ()) = futures::try_join!(listings, zones)?;
+            let ((directory_at, stored), operator_keys) = futures::try_join!(listings, zones)?;
             let (jobs_at, revisions) = job_watch::load(stored, tenure);
-            Ok::<_, stairstall_ports::StoreFault>((directory_at, jobs_at, revisions))
+            Ok::<_, stairstall_ports::StoreFault>(LoadedState {
+                directory_at,
+                jobs_at,
+                revisions,
+                operator_keys,
+            })
         };
         match loaded.await {
             Ok(loaded) => return loaded,
