test(soak): connections go silent while the configuration changes

A soak of its own, with its own draws (the seeds of the others play as before): open watches, one daemon's store, one worker, the connections between daemons or all of them go silent, often just before a queue is added or removed; 2 s later no daemon may refuse the one or accept for the other. For the connections between daemons a daemon may advertise another address than it listens on (--rpc-advertise), here that of a link.

--- a/crates/stairstall-standin/src/link.rs
+++ b/crates/stairstall-standin/src/link.rs
@@ -46,6 +46,7 @@
     mode: Arc<watch::Sender<LinkMode>>,
     silenced: Arc<watch::Sender<Silenced>>,
     opened: Arc<AtomicU64>,
+    target: Arc<watch::Sender<Option<SocketAddr>>>,
     task: JoinHandle<()>,
 }
 
@@ -56,15 +57,27 @@
     ///
     /// Returns why no port could be bound.
     pub async fn start(target: SocketAddr) -> std::io::Result<Self> {
+        let link = Self::start_without_target().await?;
+        link.set_target(target);
+        Ok(link)
+    }
+
+    /// Starts a link whose connections wait until [`Link::set_target`] names where they go.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no port could be bound.
+    pub async fn start_without_target() -> std::io::Result<Self> {
         let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
         let address = listener.local_addr()?;
         let (mode, _) = watch::channel(LinkMode::Pass);
         let mode = Arc::new(mode);
         let silenced = Arc::new(watch::channel(Silenced::default()).0);
         let opened = Arc::new(AtomicU64::new(0));
+        let target = Arc::new(watch::channel(None).0);
         let task = tokio::spawn(accept(
             listener,
-            target,
+            Arc::clone(&target),
             Arc::clone(&mode),
             Arc::clone(&silenced),
             Arc::clone(&opened),
@@ -74,10 +87,16 @@
             mode,
             silenced,
             opened,
+            target,
             task,
         })
     }
 
+    /// Sets where the link's connections go.
+    pub fn set_target(&self, target: SocketAddr) {
+        self.target.send_replace(Some(target));
+    }
+
     /// Returns how many connections were opened so far.
     #[must_use]
     pub fn opened(&self) -> u64 {
@@ -113,7 +132,7 @@
 
 async fn accept(
     listener: TcpListener,
-    target: SocketAddr,
+    target: Arc<watch::Sender<Option<SocketAddr>>>,
     mode: Arc<watch::Sender<LinkMode>>,
     silenced: Arc<watch::Sender<Silenced>>,
     opened: Arc<AtomicU64>,
@@ -127,7 +146,11 @@
         }
         let number = opened.fetch_add(1, Ordering::SeqCst);
         let silenced = silenced.subscribe();
+        let mut target = target.subscribe();
         connections.spawn(async move {
+            let Some(target) = target.wait_for(Option::is_some).await.ok().and_then(|t| *t) else {
+                return;
+            };
             let Ok(outer) = TcpStream::connect(target).await else {
                 return;
             };
--- a/crates/stairstalld/src/batch/node.rs
+++ b/crates/stairstalld/src/batch/node.rs
@@ -148,7 +148,7 @@
         &self.settings.vm
     }
 
-    /// Sets the address at which other daemons reach this one.
+    /// Sets the address on which this daemon listens for other daemons.
     pub(crate) fn set_rpc_address(&self, address: SocketAddr) {
         // Called once, before any task starts.
         let _ = self.rpc_address.set(address);
@@ -156,7 +156,11 @@
 
     /// Returns the address at which other daemons reach this one.
     pub(crate) fn rpc_address(&self) -> SocketAddr {
-        *self.rpc_address.get().unwrap_or(&self.settings.rpc_listen)
+        let listens_on = self.rpc_address.get();
+        let advertised = self.settings.rpc_advertise.as_ref();
+        *advertised
+            .or(listens_on)
+            .unwrap_or(&self.settings.rpc_listen)
     }
 
     /// Returns the entry of this daemon for the peer tables of other daemons.
--- a/crates/stairstalld/src/batch/settings.rs
+++ b/crates/stairstalld/src/batch/settings.rs
@@ -35,6 +35,7 @@
     listen: String,
     health_listen: String,
     rpc_listen: String,
+    rpc_advertise: String,
     metrics_listen: String,
     store: String,
     adviser: String,
@@ -71,6 +72,8 @@
     pub health_listen: SocketAddr,
     /// Address that serves other daemons.
     pub rpc_listen: SocketAddr,
+    /// Address at which other daemons reach this one, if that is not the one it listens on.
+    pub rpc_advertise: Option<SocketAddr>,
     /// Address that serves metrics as text.
     pub metrics_listen: SocketAddr,
     /// Address of the platform's shared store.
@@ -153,6 +156,11 @@
         "STAIRSTALL_RPC_LISTEN",
         "IP:PORT for other daemons"
     );
+    let rpc_advertise = flag!(
+        "rpc-advertise",
+        "STAIRSTALL_RPC_ADVERTISE",
+        "IP:PORT at which other daemons reach this one; the one it listens on where nothing is given"
+    );
     let metrics_listen = flag!(
         "metrics-listen",
         "STAIRSTALL_METRICS_LISTEN",
@@ -276,6 +284,7 @@
         listen,
         health_listen,
         rpc_listen,
+        rpc_advertise,
         metrics_listen,
         store,
         adviser,
@@ -352,6 +361,8 @@
         let listen = checks.address("--listen", &raw.listen);
         let health_listen = checks.address("--health-listen", &raw.health_listen);
         let rpc_listen = checks.address("--rpc-listen", &raw.rpc_listen);
+        let rpc_advertise = (!raw.rpc_advertise.is_empty())
+            .then(|| checks.address("--rpc-advertise", &raw.rpc_advertise));
         let metrics_listen = checks.address("--metrics-listen", &raw.metrics_listen);
         let store = checks.address("--store", &raw.store);
         let adviser = (!raw.adviser.is_empty()).then(|| checks.address("--adviser", &raw.adviser));
@@ -372,6 +383,7 @@
             listen: listen?,
             health_listen: health_listen?,
             rpc_listen: rpc_listen?,
+            rpc_advertise: rpc_advertise.flatten(),
             metrics_listen: metrics_listen?,
             store: store?,
             adviser: adviser.flatten(),
--- a/crates/stairstalld/tests/batch/cluster.rs
+++ b/crates/stairstalld/tests/batch/cluster.rs
@@ -30,6 +30,8 @@
     pub health: SocketAddr,
     pub metrics: SocketAddr,
     pub store: Link,
+    /// The way by which other daemons reach it, if that is a link.
+    pub peers: Option<Link>,
     child: Child,
     lines: Arc<Mutex<Vec<String>>>,
     /// Reads its log; ends with that.
@@ -55,6 +57,25 @@
 
     /// Starts a daemon that reaches the store by a link, and waits until it serves.
     pub async fn start_behind(link: Link, zone: &str, name: &str, flags: &[&str]) -> Self {
+        Self::launch(link, None, zone, name, flags).await
+    }
+
+    /// Starts a daemon that other daemons reach by a link, and waits until it serves.
+    pub async fn start_behind_peer_link(name: &str, store: &StandinStore) -> Self {
+        let link = Link::start(store.address()).await.expect("a link");
+        let peers = Link::start_without_target().await.expect("a link");
+        let advertised = peers.address().to_string();
+        let flags = ["--rpc-advertise", &advertised];
+        Self::launch(link, Some(peers), "zone-a", name, &flags).await
+    }
+
+    async fn launch(
+        link: Link,
+        peers: Option<Link>,
+        zone: &str,
+        name: &str,
+        flags: &[&str],
+    ) -> Self {
         let local = "127.0.0.1:0";
         let mut child = Command::new(env!("CARGO_BIN_EXE_stairstalld"))
             .arg("batch")
@@ -82,11 +103,15 @@
             let word = rest.split_whitespace().next().expect("a word");
             word.parse().expect("an address")
         };
+        if let Some(peers) = &peers {
+            peers.set_target(address("rpc"));
+        }
         Self {
             address: address("listen"),
             health: address("health"),
             metrics: address("metrics"),
             store: link,
+            peers,
             child,
             lines,
             log_reader,
@@ -325,6 +350,17 @@
         }
     }
 
+    /// Makes all connections that are open between daemons silent for good.
+    pub fn silence_peers(&self, silence: Silence) {
+        for peers in self
+            .daemons
+            .iter()
+            .filter_map(|daemon| daemon.peers.as_ref())
+        {
+            peers.silence_open(silence);
+        }
+    }
+
     /// Counts the runs of a job that were begun.
     pub fn runs_of(&self, job: &str) -> usize {
         let records = self.workers.records();
--- a/crates/stairstalld/tests/batch/soak.rs
+++ b/crates/stairstalld/tests/batch/soak.rs
@@ -11,10 +11,10 @@
 use nix::sys::signal::Signal;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use serde_json::Value;
+use serde_json::{Value, json};
 use stairstall_standin::{LinkMode, Silence};
 
-use crate::cluster::{Cluster, Daemon, gang, job};
+use crate::cluster::{Cluster, Daemon, configuration, gang, job};
 
 /// Seeds that failed once: 704, innocent work failed beside work that crashes its workers; 707, a
 /// start was sent again after its task was done; 838, a worker that a new planner knew from a
@@ -39,6 +39,10 @@
 /// Longest time by which a call is late.
 const LATE_BY: Duration = Duration::from_secs(6);
 const DEFAULT_SECONDS: u64 = 8;
+/// Seeds that are played with silent connections and changes of the configuration.
+const SILENT_SEEDS: [u64; 2] = [1, 4];
+/// Within what time of its acknowledgement a change of the configuration has to be in force.
+const CONFIG_APPLY: Duration = Duration::from_secs(2);
 
 /// One fault, and how to undo it.
 #[derive(Debug, Clone, Copy)]
@@ -99,6 +103,66 @@
     crashes: bool,
 }
 
+/// Connections that go silent for good.
+#[derive(Debug, Clone, Copy)]
+enum Silent {
+    /// Those of the watches that are open at the store.
+    Watches,
+    /// Those of one daemon to the store.
+    Store(usize),
+    /// Those of all daemons to one worker.
+    Worker(usize),
+    /// Those between daemons.
+    Peers,
+    /// All of these.
+    All,
+}
+
+impl Silent {
+    fn draw(random: &mut Pcg64Mcg, daemons: usize, workers: usize) -> Self {
+        match random.random_range(0..8) {
+            0 | 1 => Self::Watches,
+            2 => Self::Store(random.random_range(0..daemons)),
+            3 => Self::Worker(random.random_range(0..workers)),
+            4 | 5 => Self::Peers,
+            _ => Self::All,
+        }
+    }
+}
+
+/// The configurations that an operator writes: each adds the queue `q9` or removes it.
+#[derive(Debug)]
+struct Operator {
+    version: u64,
+    has_queue: bool,
+    changed_at: Instant,
+}
+
+impl Operator {
+    fn new() -> Self {
+        Self {
+            version: 1,
+            has_queue: false,
+            changed_at: Instant::now(),
+        }
+    }
+
+    /// Returns the next configuration; the change counts from now.
+    fn next(&mut self, has_queue: bool) -> Value {
+        self.version += 1;
+        self.has_queue = has_queue;
+        self.changed_at = Instant::now();
+        let mut newest = configuration(self.version);
+        if has_queue {
+            let mut route = newest["routes"][2].clone();
+            route["name"] = json!("q9");
+            route["pathPrefix"] = json!("/q9/");
+            newest["routes"].as_array_mut().expect("routes").push(route);
+        }
+        newest
+    }
+}
+
 struct Soak {
     cluster: Cluster,
     random: Pcg64Mcg,
@@ -106,6 +170,8 @@
     next_vm: usize,
     /// Daemons that were replaced, for what they logged.
     replaced: Vec<Daemon>,
+    /// Who changes the configuration while connections go silent, where that is played.
+    operator: Option<Operator>,
 }
 
 impl Soak {
@@ -116,6 +182,26 @@
             jobs: BTreeMap::new(),
             next_vm: 4,
             replaced: Vec::new(),
+            operator: None,
+        }
+    }
+
+    /// Starts a soak in which connections go silent and an operator changes the configuration.
+    async fn start_with_silence(seed: u64) -> Self {
+        let mut cluster = Cluster::start(0, 6).await;
+        for number in 0..4 {
+            let name = format!("vm-{number}");
+            let daemon = Daemon::start_behind_peer_link(&name, &cluster.store).await;
+            cluster.daemons.push(daemon);
+        }
+        cluster.wait_until_planned().await;
+        Self {
+            cluster,
+            random: Pcg64Mcg::seed_from_u64(seed),
+            jobs: BTreeMap::new(),
+            next_vm: 4,
+            replaced: Vec::new(),
+            operator: Some(Operator::new()),
         }
     }
 
@@ -132,11 +218,84 @@
             if self.random.random_range(0..12) == 0 {
                 self.cancel_one().await;
             }
+            if self.operator.is_some() {
+                self.silence_and_reconfigure().await;
+            }
+        }
+        if let Some(operator) = &mut self.operator {
+            self.cluster.store.put("op/config", &operator.next(true));
         }
         self.cluster.workers.carry_out_late(None);
         self.settle().await;
     }
 
+    /// Makes connections silent, changes the configuration, or checks that a change is in force. A
+    /// change comes only when the one before was in force for a while, often on silent connections.
+    async fn silence_and_reconfigure(&mut self) {
+        let unchanged_for = self.operator.as_ref().map(|o| o.changed_at.elapsed());
+        let may_change = unchanged_for.is_some_and(|unchanged| unchanged > CONFIG_APPLY * 3 / 2);
+        let draws_silence = self.random.random_range(0..8) == 0;
+        let changes = may_change && self.random.random_range(0..2) == 0;
+        if draws_silence || (changes && self.random.random_range(0..4) != 0) {
+            let daemons = self.cluster.daemons.len();
+            let workers = self.cluster.workers.count();
+            let silent = Silent::draw(&mut self.random, daemons, workers);
+            self.silence(silent);
+        }
+        if changes && let Some(operator) = &mut self.operator {
+            let has_queue = !operator.has_queue;
+            self.cluster
+                .store
+                .put("op/config", &operator.next(has_queue));
+        }
+        self.check_configuration().await;
+    }
+
+    fn silence(&mut self, silent: Silent) {
+        let silence = match self.random.random_range(0..2) {
+            0 => Silence::Both,
+            _ => Silence::Answers,
+        };
+        match silent {
+            Silent::Watches => self.cluster.store.silence_open_watches(),
+            Silent::Store(index) => self.cluster.daemons[index].store.silence_open(silence),
+            Silent::Worker(index) => self.cluster.workers.silence_open(index, silence),
+            Silent::Peers => self.cluster.silence_peers(silence),
+            Silent::All => {
+                self.cluster.silence_open(silence);
+                self.cluster.silence_peers(silence);
+            }
+        }
+    }
+
+    /// Hands a job in to the queue that comes and goes. From some time after a change on, no daemon
+    /// may go by the configuration before it.
+    async fn check_configuration(&mut self) {
+        let path = format!("/q9/{}", self.cluster.new_id());
+        let daemon = self.random.random_range(0..self.cluster.daemons.len());
+        let is_settled = self
+            .operator
+            .as_ref()
+            .is_some_and(|operator| operator.changed_at.elapsed() > CONFIG_APPLY);
+        let status = self.cluster.submit(daemon, &path, &job(1, "ms=20")).await;
+        let has_queue = self.operator.as_ref().is_some_and(|o| o.has_queue);
+        if is_settled {
+            let outdated = if has_queue {
+                StatusCode::NOT_FOUND
+            } else {
+                StatusCode::OK
+            };
+            let lines = || self.cluster.daemons[daemon].log_lines("").join("\n");
+            assert_ne!(status, Some(outdated), "{path} at {daemon}\n{}", lines());
+        }
+        let known = Known {
+            accepted: status == Some(StatusCode::OK),
+            maybe: status.is_none_or(|status| status == StatusCode::GATEWAY_TIMEOUT),
+            ..Known::default()
+        };
+        self.jobs.insert(path, known);
+    }
+
     async fn hand_in(&mut self) {
         let queue = self.random.random_range(0..3);
         let path = format!("/q{queue}/{}", self.cluster.new_id());
@@ -242,7 +401,11 @@
     async fn replace(&mut self, index: usize) {
         let name = format!("vm-{}", self.next_vm);
         self.next_vm += 1;
-        let daemon = Daemon::start(&name, &self.cluster.store).await;
+        let daemon = if self.operator.is_some() {
+            Daemon::start_behind_peer_link(&name, &self.cluster.store).await
+        } else {
+            Daemon::start(&name, &self.cluster.store).await
+        };
         let replaced = std::mem::replace(&mut self.cluster.daemons[index], daemon);
         self.replaced.push(replaced);
     }
@@ -333,16 +496,19 @@
     named
 }
 
-async fn play(seeds: impl IntoIterator<Item = u64>, late_by: Option<Duration>) {
+/// Returns how long each seed is played.
+fn length() -> Duration {
     let seconds = std::env::var("STAIRSTALL_SOAK_SECONDS").ok();
-    let seconds = seconds
-        .and_then(|s| s.parse().ok())
-        .unwrap_or(DEFAULT_SECONDS);
+    let seconds = seconds.and_then(|s| s.parse().ok());
+    Duration::from_secs(seconds.unwrap_or(DEFAULT_SECONDS))
+}
+
+async fn play(seeds: impl IntoIterator<Item = u64>, late_by: Option<Duration>) {
     for seed in seeds {
         println!("soak seed {seed}");
         let mut soak = Soak::start(seed).await;
         soak.cluster.workers.carry_out_late(late_by);
-        soak.run(Duration::from_secs(seconds)).await;
+        soak.run(length()).await;
     }
 }
 
@@ -362,3 +528,14 @@
 async fn promises_hold_where_workers_carry_calls_out_late() {
     play(seeds_or(&LATE_SEEDS), Some(LATE_BY)).await;
 }
+
+/// Connections to the store, to workers and between daemons go silent while the configuration changes
+/// and the other faults come.
+#[tokio::test(flavor = "multi_thread")]
+async fn promises_hold_while_connections_go_silent() {
+    for seed in seeds_or(&SILENT_SEEDS) {
+        println!("soak seed {seed}");
+        let mut soak = Soak::start_with_silence(seed).await;
+        soak.run(length()).await;
+    }
+}
