test(planner): a task is stopped again and again beside ends that a new planner heard first

The test gives a new planner two ends right away: four stops of the task that goes on, none is right.

--- a/crates/stairstall-core/tests/batch/stuck.rs
+++ b/crates/stairstall-core/tests/batch/stuck.rs
@@ -1,7 +1,7 @@
 //! Runs that stand still or are far slower than their like.
 
 use stairstall_core::WorkerId;
-use stairstall_core::batch::OrderKind;
+use stairstall_core::batch::{OrderKind, RunEndKind};
 
 use crate::harness::{Fleet, SPAN_MS, gang, job, step, task};
 
@@ -99,3 +99,24 @@
     assert_eq!(stops(&fleet), 0);
     assert_eq!(fleet.place_of(&task("j", 0, 0)), Some(odd));
 }
+
+/// Accepted work was left unplaced because the last task of the step before it was stopped again and
+/// again: it seemed far slower than tasks whose ends were heard just after a new planner had begun.
+#[test]
+fn ends_that_a_new_planner_hears_first_do_not_make_the_others_slow() {
+    let mut fleet = Fleet::new(&workers());
+    fleet.hold_all();
+    let batch = job("j", 2, vec![step(3, 8)]);
+    fleet.submit(batch.clone());
+    let last = fleet.place_of(&task("j", 0, 0)).expect("it runs");
+    fleet.pass(4_000);
+    for index in 1..3 {
+        let place = fleet.place_of(&task("j", 0, index)).expect("it runs");
+        let worker = fleet.worker(place.as_str());
+        worker.end(&task("j", 0, index), RunEndKind::Done);
+    }
+    fleet.take_over(&[batch], &workers());
+    fleet.pass(4_000);
+    assert_eq!(stops(&fleet), 0);
+    assert_eq!(fleet.place_of(&task("j", 0, 0)), Some(last));
+}
--- a/crates/stairstalld/tests/batch/silent_watches.rs
+++ b/crates/stairstalld/tests/batch/silent_watches.rs
@@ -1,13 +1,14 @@
-//! What a daemon does with what it knows while the connections of its open watches are silent and
-//! all others work, so that nothing else tells it.
+//! What a daemon does with what it knows while connections are silent that it keeps open: those of its
+//! watches, so that nothing else tells it of a change, or those to other daemons.
 
 use std::time::{Duration, Instant};
 
 use hyper::{Method, StatusCode};
 use serde_json::{Value, json};
 use stairstall_platform_standin::StandinStore;
+use stairstall_standin::{LinkMode, Silence};
 
-use crate::cluster::{Cluster, configuration, job};
+use crate::cluster::{CALL_TIMEOUT, Cluster, Daemon, configuration, job};
 
 /// Within what time of its acknowledgement a change of the configuration has to be in force.
 const CONFIG_APPLY: Duration = Duration::from_secs(2);
@@ -123,3 +124,50 @@
     let noticed_after = said.elapsed();
     assert!(noticed_after < DRAIN, "noticed after {noticed_after:?}");
 }
+
+/// Two daemons that reach each other by links.
+async fn linked_daemons() -> Cluster {
+    let mut cluster = Cluster::start(0, 1).await;
+    for name in ["vm-0", "vm-1"] {
+        let daemon = Daemon::start_behind_peer_link(name, &cluster.store).await;
+        cluster.daemons.push(daemon);
+    }
+    cluster.wait_until_planned().await;
+    cluster
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_are_answered_in_time_while_the_connections_between_daemons_are_silent() {
+    for silence in [Silence::Both, Silence::Answers] {
+        let mut cluster = linked_daemons().await;
+        let other = 1 - cluster.planner();
+        let path = format!("/q0/{}", cluster.new_id());
+        let status = cluster.submit(other, &path, &job(1, "ms=10")).await;
+        assert_eq!(status, Some(StatusCode::OK));
+        cluster.wait_for(&path, "completed").await;
+        cluster.silence_peers(silence);
+        let asked = Instant::now();
+        let answer = cluster.call(other, Method::GET, &path, &Value::Null).await;
+        assert_eq!(answer.map(|answer| answer.status), Some(StatusCode::OK));
+        assert!(asked.elapsed() < CALL_TIMEOUT);
+    }
+}
+
+/// A daemon that the store does not serve goes by what its peers confirm.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_removed_route_is_not_served_by_a_daemon_that_only_its_peers_tell() {
+    let mut cluster = linked_daemons().await;
+    let other = 1 - cluster.planner();
+    // Daemons are introduced to the planner once a second.
+    tokio::time::sleep(CONFIG_APPLY).await;
+    cluster.daemons[other].store.set(LinkMode::Silent);
+    let mut newest = configuration(2);
+    newest["routes"].as_array_mut().expect("routes").pop();
+    change_configuration(&cluster.store, &newest).await;
+    let path = format!("/q2/{}", cluster.new_id());
+    let status = cluster.submit(other, &path, &job(1, "ms=10")).await;
+    assert_ne!(status, Some(StatusCode::OK), "the route is gone");
+    let path = format!("/q0/{}", cluster.new_id());
+    let status = cluster.submit(other, &path, &job(1, "ms=10")).await;
+    assert_eq!(status, Some(StatusCode::OK), "its peer passes work on");
+}
