fix(planner): the end of a run that was hardly observed says nothing about how long its work takes

Cause: a new planner knows when an earlier one's run was restored, not when it began, yet took the time from then to its end for the whole work. Ends heard right after a takeover made 10 s of work look like 0.4 to 2 s, and three times that is a straggler. Such runs now count only for what was seen of them: those that were never listed, and those of which less than a twentieth was seen, say nothing. The learned paces of workers and run times left them out already.

--- a/crates/stairstall-core/src/batch/planner/paces.rs
+++ b/crates/stairstall-core/src/batch/planner/paces.rs
@@ -266,6 +266,18 @@
         is_enough.then(|| Duration::from_millis(millis(worked) * 100 / u64::from(gained)))
     }
 
+    /// Returns how long the whole work takes by what was observed until the run's end, or `None` if
+    /// too little was observed: a run of an earlier planner, and one that continues from a
+    /// checkpoint, may have done nearly all of it before it was first listed.
+    pub(super) fn whole_duration(&self, ended_at: Timestamp) -> Option<Duration> {
+        let (began, from) = self.began?;
+        let done = 100_u8
+            .checked_sub(from)
+            .filter(|done| *done >= MIN_PROJECTION_PERCENT)?;
+        let is_observed = !self.restored && !self.resumes;
+        is_observed.then(|| Duration::from_millis(millis(ended_at - began) * 100 / u64::from(done)))
+    }
+
     /// Returns a hash that identifies the run.
     fn sample_id(&self, task: &TaskKey) -> u64 {
         let name = task.group.job.as_str().as_bytes();
--- a/crates/stairstall-core/src/batch/planner/run_ends.rs
+++ b/crates/stairstall-core/src/batch/planner/run_ends.rs
@@ -160,16 +160,15 @@
 
     /// Records how long the whole work of a task took, as a reference for tasks of the same group.
     fn record_duration(&mut self, id: &WorkerId, task: &TaskKey, run: Option<&Run>, now: Now) {
-        let Some((began, from)) = run.and_then(|run| run.began) else {
+        let Some(whole) = run.and_then(|run| run.whole_duration(now.at)) else {
             return;
         };
-        let done = u64::from(100_u8.saturating_sub(from)).max(1);
         let key = &task.group;
         let step = self.jobs.get(&key.job).and_then(|job| job.step(key));
         let Some(slowdown) = step.map(|step| self.slowdown(step, id)) else {
             return;
         };
-        let duration_ms = millis(now.at - began) * 100 / done / u64::from(slowdown);
+        let duration_ms = millis(whole) / u64::from(slowdown);
         if let Some(group) = self.jobs.get_mut(&key.job).and_then(|j| j.group_mut(key)) {
             group.durations_ms.push(duration_ms);
         }
