--- a/crates/stairstall-core/src/batch.rs
+++ b/crates/stairstall-core/src/batch.rs
@@ -44,7 +44,8 @@
 };
 pub use peers::{PeerAddress, PeerTable};
 pub use planner::{
-    AdviceRequest, Bounds, ContactLag, Now, Order, OrderKind, Planner, ProgressWrite, VmLimits,
+    AdviceRequest, Bounds, ContactLag, Now, OldestWait, Order, OrderKind, Planner, ProgressWrite,
+    VmLimits,
 };
 pub use policy::{
     AcceptancePolicy, AdmissionPolicy, AdvicePolicy, FlowPolicy, HeadroomPolicy, HealthPolicy,
--- a/crates/stairstall-core/src/batch/explanation.rs
+++ b/crates/stairstall-core/src/batch/explanation.rs
@@ -93,6 +93,9 @@
     pub done: u32,
     /// How long the step has waited for placements, in milliseconds.
     pub waited_ms: u64,
+    /// Whether it waits although one of its tasks, or its whole gang, fits on free capacity.
+    #[serde(default)]
+    pub fits: bool,
     /// Number of waiting steps that are scheduled before it.
     #[serde(rename = "behind")]
     pub steps_ahead: u32,
@@ -110,6 +113,7 @@
             waiting: 0,
             done: 0,
             waited_ms: 0,
+            fits: false,
             steps_ahead: 0,
         }
     }
--- a/crates/stairstall-core/src/batch/planner.rs
+++ b/crates/stairstall-core/src/batch/planner.rs
@@ -59,6 +59,7 @@
 pub use orders::{Order, OrderKind};
 use pool::Worker;
 pub use progress::ProgressWrite;
+pub use waiting::OldestWait;
 
 /// Interval between checks of time-dependent state, such as leases and scheduled occurrences.
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(25);
--- a/crates/stairstall-core/src/batch/planner/explain.rs
+++ b/crates/stairstall-core/src/batch/planner/explain.rs
@@ -1,6 +1,7 @@
 //! Explanations of a job's state and of what it waits for.
 
 use super::job::{Job, Task, TaskGroup};
+use super::pass::Pass;
 use super::{Now, Planner};
 use crate::JobId;
 use crate::batch::{GroupKey, JobExplanation, StepExplanation};
@@ -59,6 +60,7 @@
             waiting,
             done: count_tasks(group, |task| task.done),
             waited_ms: group.ready_since.map_or(0, |since| millis(now.at - since)),
+            fits: self.fits_now(key, &mut Pass::default()),
             steps_ahead,
             ..StepExplanation::new(key, phase)
         })
--- a/crates/stairstall-core/src/batch/planner/placement.rs
+++ b/crates/stairstall-core/src/batch/planner/placement.rs
@@ -288,7 +288,7 @@
         }
     }
 
-    fn group_of(&self, key: &GroupKey) -> Option<&TaskGroup> {
+    pub(super) fn group_of(&self, key: &GroupKey) -> Option<&TaskGroup> {
         self.jobs.get(&key.job)?.group(key)
     }
 
--- a/crates/stairstall-core/src/batch/planner/waiting.rs
+++ b/crates/stairstall-core/src/batch/planner/waiting.rs
@@ -3,13 +3,68 @@
 use std::time::Duration;
 
 use super::candidate::{Candidate, GUARANTEED_RANK, URGENT_RANK};
+use super::candidate_worker::SearchScope;
 use super::job::{Job, Task};
-use super::pass::Pass;
+use super::pass::{CapacityKind, Pass};
 use super::{Now, Planner};
 use crate::JobId;
 use crate::batch::{GroupKey, WaitReason, WaitStatus};
 
+/// The step that has waited longest for placements although its tasks fit on the fleet as it is.
+#[derive(Debug, Clone, PartialEq)]
+pub struct OldestWait {
+    /// The step.
+    pub group: GroupKey,
+    /// How long it has waited.
+    pub waited: Duration,
+    /// What it waits for.
+    pub reason: WaitReason,
+}
+
 impl Planner {
+    /// Returns the step that has waited longest although its tasks fit, if there is one.
+    #[must_use]
+    pub fn oldest_fitting_wait(&self, now: Now) -> Option<OldestWait> {
+        let mut pass = Pass::default();
+        let mut oldest: Option<(GroupKey, Duration)> = None;
+        for (id, job) in &self.jobs {
+            if job.outcome.is_some() {
+                continue;
+            }
+            for key in job.ready_keys(id) {
+                let waited = self.waiting_time(&key, now);
+                let is_older = oldest.as_ref().is_none_or(|(_, longest)| waited > *longest);
+                if is_older && self.fits_now(&key, &mut pass) {
+                    oldest = Some((key, waited));
+                }
+            }
+        }
+        let (group, waited) = oldest?;
+        let reason = self.wait_status(&group.job, now)?.reason;
+        Some(OldestWait {
+            group,
+            waited,
+            reason,
+        })
+    }
+
+    /// Returns whether a step waits for placements and one of its tasks, or its whole gang, fits on
+    /// the free capacity of the fleet.
+    pub(super) fn fits_now(&self, key: &GroupKey, pass: &mut Pass) -> bool {
+        let (Some(step), Some(group)) = (self.step(key), self.group_of(key)) else {
+            return false;
+        };
+        let waits = group.tasks.iter().any(Task::is_waiting);
+        let scope = SearchScope {
+            near: false,
+            preempts: false,
+        };
+        waits
+            && self
+                .ceiling(key, step, scope.near, CapacityKind::Free, pass)
+                .allows(step, step.count, scope)
+    }
+
     /// Returns why a job is waiting, by its first open step, or `None` if nothing of it is waiting.
     #[must_use]
     pub fn wait_status(&self, id: &JobId, now: Now) -> Option<WaitStatus> {
--- a/crates/stairstall-core/tests/batch/explain.rs
+++ b/crates/stairstall-core/tests/batch/explain.rs
@@ -44,6 +44,18 @@
     assert_eq!(runs.wait, None);
 }
 
+#[test]
+fn a_step_that_waits_because_nothing_is_free_does_not_fit() {
+    let mut fleet = Fleet::new(&[("w1", "r1")]);
+    fleet.hold_all();
+    fleet.submit(job("runs", 1, vec![step(8, 1)]));
+    fleet.submit(job("full", 2, vec![step(4, 1)]));
+    fleet.pass(700);
+    assert_eq!(fleet.planner.oldest_fitting_wait(fleet.now()), None);
+    let explained = fleet.planner.explain(&id("full"), fleet.now());
+    assert!(!explained.expect("it is known").steps[0].fits);
+}
+
 #[test]
 fn a_job_that_nobody_handed_in_is_not_explained() {
     let fleet = Fleet::new(&[("w1", "r1")]);
--- a/crates/stairstall-core/tests/batch/room.rs
+++ b/crates/stairstall-core/tests/batch/room.rs
@@ -2,9 +2,9 @@
 
 use std::sync::Arc;
 
-use stairstall_core::batch::{OrderKind, Resources};
+use stairstall_core::batch::{OrderKind, Resources, WaitReason};
 
-use crate::harness::{Fleet, catalog, gang, job, step, task, worker};
+use crate::harness::{Fleet, catalog, gang, id, job, step, task, worker};
 
 fn stops(fleet: &Fleet) -> usize {
     let orders = fleet.given.iter();
@@ -41,6 +41,22 @@
     assert_eq!(fleet.planner.runs(), 2);
 }
 
+#[test]
+fn the_oldest_step_that_waits_although_it_fits_is_named() {
+    let mut fleet = fleet_under_urgent_work();
+    let mut wide = job("wide", 1, vec![gang(2, 8)]);
+    wide.accepted_unix_ms = fleet.now().unix_ms;
+    fleet.submit(wide);
+    fleet.pass(700);
+    let now = fleet.now();
+    let oldest = fleet.planner.oldest_fitting_wait(now).expect("it fits");
+    assert_eq!(oldest.group.job, id("wide"));
+    assert!(oldest.waited.as_millis() >= 700, "{oldest:?}");
+    assert_eq!(oldest.reason, WaitReason::Headroom);
+    let explained = fleet.planner.explain(&id("wide"), now);
+    assert!(explained.expect("it is known").steps[0].fits);
+}
+
 /// Two workers, after urgent work has come and gone for two seconds.
 fn fleet_under_urgent_work() -> Fleet {
     let mut fleet = Fleet::new(&[("w1", "r1"), ("w2", "r1")]);
--- a/crates/stairstalld/src/batch/health.rs
+++ b/crates/stairstalld/src/batch/health.rs
@@ -77,6 +77,9 @@
         let (open_jobs, runs) = tenure.load_counts();
         node.telemetry.contact(&tenure.contact_lag());
         node.telemetry.load(open_jobs, runs);
+        let oldest = tenure.oldest_fitting_wait();
+        node.telemetry
+            .oldest_fitting_wait(oldest.map_or(Duration::ZERO, |oldest| oldest.waited));
         node.telemetry.paces(&tenure.pace_summary());
         let (zones, age) = tenure.evacuated_zones();
         node.telemetry
@@ -84,6 +87,7 @@
     } else {
         node.telemetry.evacuated_zones(0, Duration::ZERO);
         node.telemetry.load(0, 0);
+        node.telemetry.oldest_fitting_wait(Duration::ZERO);
         node.telemetry.paces(&PaceSummary::default());
         node.telemetry.contact(&ContactLag::default());
     }
--- a/crates/stairstalld/src/batch/maintenance.rs
+++ b/crates/stairstalld/src/batch/maintenance.rs
@@ -34,6 +34,7 @@
         }
         if round.is_multiple_of(ROUNDS_PER_STATUS) {
             log_contact_lag(&tenure);
+            log_oldest_wait(&tenure);
             log_paces(&tenure);
             log_usage(&tenure);
         }
@@ -60,6 +61,14 @@
         evacuations_age_ms = millis(evacuated_age.unwrap_or_default()); "worker contact of this planner");
 }
 
+/// Logs which step has waited longest although its tasks fit on free capacity, if one does.
+fn log_oldest_wait(tenure: &Tenure) {
+    if let Some(oldest) = tenure.oldest_fitting_wait() {
+        log::info!(target: "waiting", token = tenure.token(), job:% = oldest.group.job,
+            step:% = oldest.group, waited_ms = millis(oldest.waited); "{}", oldest.reason.as_str());
+    }
+}
+
 /// Logs how many workers differ in pace.
 fn log_paces(tenure: &Tenure) {
     let paces = tenure.pace_summary();
--- a/crates/stairstalld/src/batch/telemetry.rs
+++ b/crates/stairstalld/src/batch/telemetry.rs
@@ -31,18 +31,8 @@
     takeover: Histogram,
     catalog_version: IntGauge,
     catalog_age: IntGauge,
-    open_jobs: IntGauge,
-    runs: IntGauge,
-    silent_workers: IntGauge,
-    unselected_workers: IntGauge,
-    oldest_report: IntGauge,
-    report_wait: IntGauge,
-    starts_under_way: IntGauge,
-    evacuated_zones: IntGauge,
-    evacuations_age: IntGauge,
     load_age: IntGauge,
-    known_paces: IntGauge,
-    slow_workers: IntGauge,
+    planner: PlannerGauges,
     dropped_lines: IntGauge,
 }
 
@@ -76,6 +66,86 @@
     i64::try_from(duration.as_millis()).unwrap_or(i64::MAX)
 }
 
+/// Gauges that the planner sets; 0 at other daemons.
+#[derive(Debug)]
+struct PlannerGauges {
+    open_jobs: IntGauge,
+    runs: IntGauge,
+    oldest_fitting_wait: IntGauge,
+    silent_workers: IntGauge,
+    unselected_workers: IntGauge,
+    oldest_report: IntGauge,
+    report_wait: IntGauge,
+    starts_under_way: IntGauge,
+    evacuated_zones: IntGauge,
+    evacuations_age: IntGauge,
+    known_paces: IntGauge,
+    slow_workers: IntGauge,
+}
+
+impl PlannerGauges {
+    fn new() -> Self {
+        Self {
+            open_jobs: gauge("stairstall_open_jobs", "Jobs that have not ended"),
+            runs: gauge("stairstall_runs", "Runs at workers"),
+            oldest_fitting_wait: gauge(
+                "stairstall_oldest_fitting_wait_milliseconds",
+                "How long a step has waited for placements at most although its tasks fit",
+            ),
+            silent_workers: gauge("stairstall_silent_workers", "Workers that do not answer"),
+            unselected_workers: gauge(
+                "stairstall_unselected_workers",
+                "Workers that the planner's VM can't hold connections to",
+            ),
+            oldest_report: gauge(
+                "stairstall_oldest_report_milliseconds",
+                "Since a busy worker that answers was heard, at the most",
+            ),
+            report_wait: gauge(
+                "stairstall_report_wait_milliseconds",
+                "How long workers wait for an end before they report",
+            ),
+            starts_under_way: gauge(
+                "stairstall_starts_under_way",
+                "Starts without an answer, and places without a record",
+            ),
+            evacuated_zones: gauge(
+                "stairstall_evacuated_zones",
+                "Availability zones in which nothing may start",
+            ),
+            evacuations_age: gauge(
+                "stairstall_evacuations_age_milliseconds",
+                "Since the list of evacuated zones was asked for",
+            ),
+            known_paces: gauge("stairstall_known_paces", "Workers whose pace is known"),
+            slow_workers: gauge(
+                "stairstall_slow_workers",
+                "Workers that are known to be slower than usual",
+            ),
+        }
+    }
+
+    fn collectors(&self) -> Vec<Box<dyn prometheus::core::Collector>> {
+        let gauges = [
+            &self.open_jobs,
+            &self.runs,
+            &self.oldest_fitting_wait,
+            &self.silent_workers,
+            &self.unselected_workers,
+            &self.oldest_report,
+            &self.report_wait,
+            &self.starts_under_way,
+            &self.evacuated_zones,
+            &self.evacuations_age,
+            &self.known_paces,
+            &self.slow_workers,
+        ];
+        let boxed =
+            |gauge: &IntGauge| -> Box<dyn prometheus::core::Collector> { Box::new(gauge.clone()) };
+        gauges.into_iter().map(boxed).collect()
+    }
+}
+
 impl Telemetry {
     pub(crate) fn new() -> Self {
         let telemetry = Self {
@@ -138,42 +208,11 @@
                 "stairstall_catalog_age_milliseconds",
                 "Since the configuration was known to be the newest",
             ),
-            open_jobs: gauge("stairstall_open_jobs", "Jobs that have not ended"),
-            runs: gauge("stairstall_runs", "Runs at workers"),
-            silent_workers: gauge("stairstall_silent_workers", "Workers that do not answer"),
-            unselected_workers: gauge(
-                "stairstall_unselected_workers",
-                "Workers that the planner's VM can't hold connections to",
-            ),
-            oldest_report: gauge(
-                "stairstall_oldest_report_milliseconds",
-                "Since a busy worker that answers was heard, at the most",
-            ),
-            report_wait: gauge(
-                "stairstall_report_wait_milliseconds",
-                "How long workers wait for an end before they report",
-            ),
-            starts_under_way: gauge(
-                "stairstall_starts_under_way",
-                "Starts without an answer, and places without a record",
-            ),
-            evacuated_zones: gauge(
-                "stairstall_evacuated_zones",
-                "Availability zones in which nothing may start",
-            ),
-            evacuations_age: gauge(
-                "stairstall_evacuations_age_milliseconds",
-                "Since the list of evacuated zones was asked for",
-            ),
             load_age: gauge(
                 "stairstall_load_age_milliseconds",
                 "How old the planner's word on the load was when a job was last handed in",
             ),
-            known_paces: gauge("stairstall_known_paces", "Workers whose pace is known"),
-            slow_workers: gauge(
-                "stairstall_slow_workers",
-                "Workers that are known to be slower than usual",
-            ),
+            planner: PlannerGauges::new(),
             dropped_lines: gauge("stairstall_log_lines_dropped", "Log lines left out"),
         };
         telemetry.register();
@@ -181,7 +220,7 @@
     }
 
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 26] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 15] = [
             Box::new(self.calls.clone()),
             Box::new(self.call_time.clone()),
             Box::new(self.store_calls.clone()),
@@ -195,21 +234,10 @@
             Box::new(self.takeover.clone()),
             Box::new(self.catalog_version.clone()),
             Box::new(self.catalog_age.clone()),
-            Box::new(self.open_jobs.clone()),
-            Box::new(self.runs.clone()),
-            Box::new(self.silent_workers.clone()),
-            Box::new(self.unselected_workers.clone()),
-            Box::new(self.oldest_report.clone()),
-            Box::new(self.report_wait.clone()),
-            Box::new(self.starts_under_way.clone()),
-            Box::new(self.evacuated_zones.clone()),
-            Box::new(self.evacuations_age.clone()),
             Box::new(self.load_age.clone()),
-            Box::new(self.known_paces.clone()),
-            Box::new(self.slow_workers.clone()),
             Box::new(self.dropped_lines.clone()),
         ];
-        for collector in collectors {
+        for collector in collectors.into_iter().chain(self.planner.collectors()) {
             self.registry
                 .register(collector)
                 .expect("each name is registered once");
@@ -280,26 +308,38 @@
     }
 
     pub(crate) fn load(&self, open_jobs: usize, runs: usize) {
-        self.open_jobs.set(gauge_count(open_jobs));
-        self.runs.set(gauge_count(runs));
+        self.planner.open_jobs.set(gauge_count(open_jobs));
+        self.planner.runs.set(gauge_count(runs));
+    }
+
+    pub(crate) fn oldest_fitting_wait(&self, waited: Duration) {
+        self.planner.oldest_fitting_wait.set(gauge_millis(waited));
     }
 
     pub(crate) fn paces(&self, paces: &PaceSummary) {
-        self.known_paces.set(gauge_count(paces.known));
-        self.slow_workers.set(gauge_count(paces.slow));
+        self.planner.known_paces.set(gauge_count(paces.known));
+        self.planner.slow_workers.set(gauge_count(paces.slow));
     }
 
     pub(crate) fn evacuated_zones(&self, zones: usize, age: Duration) {
-        self.evacuated_zones.set(gauge_count(zones));
-        self.evacuations_age.set(gauge_millis(age));
+        self.planner.evacuated_zones.set(gauge_count(zones));
+        self.planner.evacuations_age.set(gauge_millis(age));
     }
 
     pub(crate) fn contact(&self, lag: &ContactLag) {
-        self.silent_workers.set(gauge_count(lag.unresponsive));
-        self.unselected_workers.set(gauge_count(lag.unselected));
-        self.oldest_report.set(gauge_millis(lag.oldest_report));
-        self.report_wait.set(gauge_millis(lag.report_wait));
-        self.starts_under_way.set(gauge_count(lag.starts_in_flight));
+        self.planner
+            .silent_workers
+            .set(gauge_count(lag.unresponsive));
+        self.planner
+            .unselected_workers
+            .set(gauge_count(lag.unselected));
+        self.planner
+            .oldest_report
+            .set(gauge_millis(lag.oldest_report));
+        self.planner.report_wait.set(gauge_millis(lag.report_wait));
+        self.planner
+            .starts_under_way
+            .set(gauge_count(lag.starts_in_flight));
     }
 
     /// Returns all metrics in the Prometheus text format.
--- a/crates/stairstalld/src/batch/tenure.rs
+++ b/crates/stairstalld/src/batch/tenure.rs
@@ -6,7 +6,7 @@
 
 use stairstall_core::batch::{
     AcceptedJob, Catalog, ContactLag, CustomerUsageTotal, Decision, JobExplanation, JobPhase,
-    JobSummary, LoadSummary, Now, PaceSummary, Planner,
+    JobSummary, LoadSummary, Now, OldestWait, PaceSummary, Planner,
 };
 use stairstall_core::{JobId, Lease};
 use stairstall_ports::Revision;
@@ -192,6 +192,11 @@
             .then(|| lock(&self.planner).load_summary(now))
     }
 
+    /// Returns the step that has waited longest although its tasks fit, if there is one.
+    pub(crate) fn oldest_fitting_wait(&self) -> Option<OldestWait> {
+        lock(&self.planner).oldest_fitting_wait(self.now())
+    }
+
     /// Returns how current the planner's contact with its workers is.
     pub(crate) fn contact_lag(&self) -> ContactLag {
         lock(&self.planner).contact_lag(self.now())
