--- a/crates/stairstalld/tests/batch/catalog.rs
+++ b/crates/stairstalld/tests/batch/catalog.rs
@@ -3,26 +3,15 @@
 use std::time::{Duration, Instant};
 
 use hyper::StatusCode;
-use serde_json::json;
 use stairstall_standin::{Link, LinkMode};
 
-use crate::cluster::{Cluster, Daemon, configuration, job};
+use crate::cluster::{Cluster, Daemon, configuration, configuration_with_q9, job};
 
 /// How long a change may take to be in force after a cut: half of what the users allow.
 const SOON: Duration = Duration::from_secs(1);
 /// How long the cut is.
 const CUT: Duration = Duration::from_millis(1_200);
 
-/// The newest configuration, with one queue more.
-fn with_another_queue(version: u64) -> serde_json::Value {
-    let mut newest = configuration(version);
-    let mut route = newest["routes"][2].clone();
-    route["name"] = json!("q9");
-    route["pathPrefix"] = json!("/q9/");
-    newest["routes"].as_array_mut().expect("routes").push(route);
-    newest
-}
-
 async fn wait_for_version(cluster: &Cluster, version: u64) {
     let in_force = format!("version={version} ");
     cluster.daemons[0].wait_for_line(&in_force).await;
@@ -37,7 +26,7 @@
     wait_for_version(&cluster, 2).await;
     tokio::time::sleep(Duration::from_millis(50)).await;
     cluster.daemons[0].store.set(LinkMode::Silent);
-    cluster.store.put("op/config", &with_another_queue(3));
+    cluster.store.put("op/config", &configuration_with_q9(3));
     tokio::time::sleep(CUT).await;
     let path = format!("/q9/{}", cluster.new_id());
     let status = cluster.submit(0, &path, &job(1, "ms=10")).await;
@@ -87,7 +76,7 @@
     for mode in [LinkMode::Silent, LinkMode::Cut] {
         let mut cluster = Cluster::start(1, 1).await;
         cluster.daemons[0].store.set(mode);
-        cluster.store.put("op/config", &with_another_queue(2));
+        cluster.store.put("op/config", &configuration_with_q9(2));
         cluster.store.forget_history();
         tokio::time::sleep(CUT).await;
         cluster.daemons[0].store.set(LinkMode::Pass);
--- a/crates/stairstalld/tests/batch/cluster.rs
+++ b/crates/stairstalld/tests/batch/cluster.rs
@@ -212,6 +212,16 @@
             {"name": "fonts", "apiKeys": ["key-fonts"], "guaranteed": {"gpu": 8}}]})
 }
 
+/// The same configuration with one queue more, `q9`.
+pub fn configuration_with_q9(version: u64) -> Value {
+    let mut newest = configuration(version);
+    let mut route = newest["routes"][2].clone();
+    route["name"] = json!("q9");
+    route["pathPrefix"] = json!("/q9/");
+    newest["routes"].as_array_mut().expect("routes").push(route);
+    newest
+}
+
 impl Cluster {
     pub async fn start(daemons: usize, workers: usize) -> Self {
         let store = StandinStore::start().await.expect("a store");
--- a/crates/stairstalld/tests/batch/silent_watches.rs
+++ b/crates/stairstalld/tests/batch/silent_watches.rs
@@ -8,7 +8,7 @@
 use stairstall_platform_standin::StandinStore;
 use stairstall_standin::{LinkMode, Silence};
 
-use crate::cluster::{CALL_TIMEOUT, Cluster, Daemon, configuration, job};
+use crate::cluster::{CALL_TIMEOUT, Cluster, Daemon, configuration, configuration_with_q9, job};
 
 /// Within what time of its acknowledgement a change of the configuration has to be in force.
 const CONFIG_APPLY: Duration = Duration::from_secs(2);
@@ -39,12 +39,7 @@
 async fn an_added_route_is_served_while_the_watch_is_silent() {
     let mut cluster = Cluster::start(1, 1).await;
     silence_new_watches(&cluster).await;
-    let mut newest = configuration(3);
-    let mut route = newest["routes"][2].clone();
-    route["name"] = json!("q9");
-    route["pathPrefix"] = json!("/q9/");
-    newest["routes"].as_array_mut().expect("routes").push(route);
-    change_configuration(&cluster.store, &newest).await;
+    change_configuration(&cluster.store, &configuration_with_q9(3)).await;
     let path = format!("/q9/{}", cluster.new_id());
     let status = cluster.submit(0, &path, &job(1, "ms=10")).await;
     assert_eq!(status, Some(StatusCode::OK));
--- a/crates/stairstalld/tests/batch/soak.rs
+++ b/crates/stairstalld/tests/batch/soak.rs
@@ -11,10 +11,10 @@
 use nix::sys::signal::Signal;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use serde_json::{Value, json};
+use serde_json::Value;
 use stairstall_standin::{LinkMode, Silence};
 
-use crate::cluster::{Cluster, Daemon, configuration, gang, job};
+use crate::cluster::{Cluster, Daemon, configuration, configuration_with_q9, gang, job};
 
 /// Seeds that failed once: 704, innocent work failed beside work that crashes its workers; 707, a
 /// start was sent again after its task was done; 838, a worker that a new planner knew from a
@@ -152,14 +152,11 @@
         self.version += 1;
         self.has_queue = has_queue;
         self.changed_at = Instant::now();
-        let mut newest = configuration(self.version);
         if has_queue {
-            let mut route = newest["routes"][2].clone();
-            route["name"] = json!("q9");
-            route["pathPrefix"] = json!("/q9/");
-            newest["routes"].as_array_mut().expect("routes").push(route);
+            configuration_with_q9(self.version)
+        } else {
+            configuration(self.version)
         }
-        newest
     }
 }
 
