fix(config): a peer's answer names a version that is not older than its age says

Found on reading: the version was read before the age, so that a daemon that activated a newer one in between could call the older one confirmed as of now. Not seen; a matter of microseconds.

--- a/crates/stairstalld/src/batch/caller_api.rs
+++ b/crates/stairstalld/src/batch/caller_api.rs
@@ -98,13 +98,11 @@
 
 async fn respond(node: &Node, request: Request) -> std::result::Result<Response, ErrorResponse> {
     let called_at = node.clock.now();
+    if node.current_catalog().is_none() {
+        return Err(no_catalog());
+    }
     let is_current = confirm_catalog(node, &request).await?;
-    let Some(catalog) = node.current_catalog() else {
-        return Err(ErrorResponse::unavailable(
-            "no configuration is known yet",
-            STORE_RETRY_AFTER,
-        ));
-    };
+    let catalog = node.current_catalog().ok_or_else(no_catalog)?;
     let may_refuse = is_current && !node.store_health.should_fail_fast(node.clock.now());
     let access_failure = |failure| access_failure(may_refuse, failure);
     let path = request.uri().path();
@@ -183,6 +181,10 @@
     outdated_catalog()
 }
 
+fn no_catalog() -> ErrorResponse {
+    ErrorResponse::unavailable("no configuration is known yet", STORE_RETRY_AFTER)
+}
+
 fn outdated_catalog() -> ErrorResponse {
     ErrorResponse::unavailable("a newer configuration may be in force", STORE_RETRY_AFTER)
 }
--- a/crates/stairstalld/src/batch/known_catalog.rs
+++ b/crates/stairstalld/src/batch/known_catalog.rs
@@ -11,7 +11,6 @@
 use stairstall_ports::{Revision, StoreFault};
 use tokio::sync::{Mutex as AsyncMutex, MutexGuard as AsyncMutexGuard, Notify};
 
-use crate::clock::millis;
 use crate::daemon::lock;
 
 /// What a daemon tells a peer of its own copy of the configuration.
@@ -92,12 +91,6 @@
         }
     }
 
-    /// Returns what to tell a peer of the copy, whose version is `version`.
-    pub(crate) fn confirmation(&self, version: u64, now: Timestamp) -> Option<CatalogConfirmation> {
-        let age_ms = millis(self.age(now)?);
-        Some(CatalogConfirmation { version, age_ms })
-    }
-
     /// Records what a peer said in its answer to a request sent at `sent_at`, if the copy here, whose
     /// version is `version`, includes all that the peer knew. Otherwise wakes the task that follows
     /// the configuration.
--- a/crates/stairstalld/src/batch/node.rs
+++ b/crates/stairstalld/src/batch/node.rs
@@ -214,8 +214,12 @@
 
     /// Returns what to tell a peer of how current the configuration is.
     pub(crate) fn catalog_confirmation(&self) -> Option<CatalogConfirmation> {
-        let now = self.clock.now();
-        self.known_catalog.confirmation(self.catalog_version(), now)
+        // The age is read first: a version that is activated in between is newer than it says.
+        let age = self.known_catalog.age(self.clock.now())?;
+        Some(CatalogConfirmation {
+            version: self.catalog_version(),
+            age_ms: crate::clock::millis(age),
+        })
     }
 
     /// Records what a peer said of its configuration in its answer to a request sent at `sent_at`.
--- a/crates/stairstalld/src/batch/role.rs
+++ b/crates/stairstalld/src/batch/role.rs
@@ -42,7 +42,7 @@
     }
 }
 
-/// Waits while another daemon holds the role. Returns the role once this daemon has acquired it, and
+/// Waits while another daemon holds the role. Returns the role once this daemon has acquired it, or
 /// `None` if the role has to be read again.
 ///
 /// The role is read again when the planner does not answer and when the store recovers from an
