--- a/crates/stairstalld/tests/batch/faults.rs
+++ b/crates/stairstalld/tests/batch/faults.rs
@@ -9,6 +9,11 @@
 
 use crate::cluster::{Cluster, Daemon, PATIENCE, configuration, gang, job};
 
+/// Longer than the planner's lease.
+const LEASE_ENDS: Duration = Duration::from_millis(1_500);
+/// Longer than a test.
+const FOR_GOOD: Duration = Duration::from_secs(3_600);
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_hang_up_ends_nothing() {
     let mut cluster = Cluster::start(1, 1).await;
@@ -483,3 +488,25 @@
     assert_eq!(cluster.runs_of(&cancelled[4..]), 0, "{later:?} later");
     assert_eq!(cluster.planner(), planner, "it kept the role");
 }
+
+/// Ends that a tenure hears while the store is down can't be stored; the next tenure of the same
+/// daemon must not run that work again, though its worker is gone by then.
+#[tokio::test(flavor = "multi_thread")]
+async fn what_ended_while_the_store_was_down_does_not_run_again_under_the_next_tenure() {
+    let mut cluster = Cluster::start(1, 2).await;
+    let path = format!("/q1/{}", cluster.new_id());
+    let status = cluster.submit(0, &path, &job(1, "ms=700")).await;
+    assert_eq!(status, Some(StatusCode::OK));
+    cluster.wait_for(&path, "running").await;
+    cluster.store.set_down(true);
+    cluster.daemons[0].wait_for_line(" done; ").await;
+    let ran_at = &cluster.workers.records()[0].worker;
+    let index = ran_at.strip_prefix("i-").and_then(|n| n.parse().ok());
+    cluster.workers.crash(index.expect("a worker"), FOR_GOOD);
+    tokio::time::sleep(LEASE_ENDS).await;
+    cluster.store.set_down(false);
+    cluster.wait_for(&path, "completed").await;
+    let tenures = cluster.daemons[0].log_lines("acquired the planner role");
+    assert!(tenures.len() > 1, "its lease has ended meanwhile");
+    assert_eq!(cluster.runs_of(&path[4..]), 1);
+}
