fix(planner): a tenure hands the ends that it could not store to the next tenure of its process

Cause: a planner hears that a task is done and can't store it; its lease ends; the same daemon acquires the role again, restores the run from its stored placement, waits for the lease of a worker that has gone (10 s) and runs the work again.

Why this works: that a run ended done stays true whatever happens to the role. The daemon keeps, when a tenure ends, which tasks of jobs with changes that may not be stored are done, and the next tenure takes them as done after loading, if the job is the same acceptance (its mark).

--- a/crates/stairstall-core/src/batch.rs
+++ b/crates/stairstall-core/src/batch.rs
@@ -45,7 +45,7 @@
 pub use peers::{PeerAddress, PeerTable};
 pub use planner::{
     AdviceRequest, Bounds, ContactLag, Now, OldestWait, Order, OrderKind, Planner, ProgressWrite,
-    VmLimits,
+    UnstoredTasks, VmLimits,
 };
 pub use policy::{
     AcceptancePolicy, AdmissionPolicy, AdvicePolicy, FlowPolicy, HeadroomPolicy, HealthPolicy,
--- a/crates/stairstall-core/src/batch/planner.rs
+++ b/crates/stairstall-core/src/batch/planner.rs
@@ -14,6 +14,7 @@
 mod bounds;
 mod candidate;
 mod candidate_worker;
+mod carry_over;
 mod contact;
 mod crashes;
 mod directory;
@@ -54,6 +55,7 @@
 
 pub use advice::AdviceRequest;
 pub use bounds::{Bounds, Now, VmLimits};
+pub use carry_over::UnstoredTasks;
 pub use flow::ContactLag;
 use job::Job;
 pub use orders::{Order, OrderKind};
--- a/crates/stairstall-core/src/batch/planner/run_ends.rs
+++ b/crates/stairstall-core/src/batch/planner/run_ends.rs
@@ -174,7 +174,7 @@
         }
     }
 
-    fn complete_task(&mut self, task: &TaskKey, now: Now) {
+    pub(super) fn complete_task(&mut self, task: &TaskKey, now: Now) {
         let key = &task.group;
         let Some(job) = self.jobs.get_mut(&key.job) else {
             return;
--- a/crates/stairstall-core/tests/batch/takeover.rs
+++ b/crates/stairstall-core/tests/batch/takeover.rs
@@ -1,8 +1,9 @@
 //! A planner that takes over knows what its predecessor may have started.
 
-use stairstall_core::batch::{OrderKind, RunEndKind};
+use stairstall_core::batch::{AcceptedJob, OrderKind, RunEndKind};
+use stairstall_core::claim::Mark;
 
-use crate::harness::{Fleet, HOLD_MAX, gang, job, step, task};
+use crate::harness::{Fleet, HOLD_MAX, gang, id, job, step, task};
 
 const BOTH: [(&str, &str); 2] = [("w1", "r1"), ("w2", "r1")];
 
@@ -210,3 +211,42 @@
     assert_eq!(fleet.starts_of(&key), 1);
     assert_eq!(fleet.given[0].run, 2);
 }
+
+/// A job of two tasks, of which one ended while nothing could be stored.
+fn fleet_with_an_unstored_end() -> (Fleet, AcceptedJob) {
+    let mut fleet = Fleet::new(&[("w1", "r1"), ("w2", "r1")]);
+    fleet.hold_all();
+    let accepted = job("j", 2, vec![step(2, 8)]);
+    fleet.submit(accepted.clone());
+    fleet.pass(500);
+    let key = task("j", 0, 0);
+    let place = fleet.place_of(&key).expect("it runs");
+    fleet.worker(place.as_str()).end(&key, RunEndKind::Done);
+    // Its report is handled, and nothing is written after that.
+    fleet.hold_all();
+    (fleet, accepted)
+}
+
+#[test]
+fn a_tenure_tells_the_next_one_which_tasks_are_done_though_it_could_not_store_that() {
+    let (mut fleet, accepted) = fleet_with_an_unstored_end();
+    let unstored = fleet.planner.unstored_tasks();
+    assert_eq!(unstored[0].done, [task("j", 0, 0)]);
+    fleet.succeed(&[accepted]);
+    let now = fleet.now();
+    fleet.planner.restore_done_tasks(&unstored, now);
+    let explained = fleet.planner.explain(&id("j"), now).expect("it is known");
+    assert_eq!(explained.steps[0].done, 1);
+}
+
+#[test]
+fn what_is_done_of_a_job_says_nothing_of_another_one_under_its_name() {
+    let (mut fleet, accepted) = fleet_with_an_unstored_end();
+    let mut unstored = fleet.planner.unstored_tasks();
+    unstored[0].mark = Mark::new("vm-other".parse().expect("an id"), 7, 7);
+    fleet.succeed(&[accepted]);
+    let now = fleet.now();
+    fleet.planner.restore_done_tasks(&unstored, now);
+    let explained = fleet.planner.explain(&id("j"), now).expect("it is known");
+    assert_eq!(explained.steps[0].done, 0);
+}
--- a/crates/stairstalld/src/batch/node.rs
+++ b/crates/stairstalld/src/batch/node.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use stairstall_core::batch::{Catalog, Now, PeerAddress, PeerTable};
+use stairstall_core::batch::{Catalog, Now, PeerAddress, PeerTable, UnstoredTasks};
 use stairstall_core::claim::Mark;
 use stairstall_core::{Timestamp, VmId};
 use stairstall_ports::{Adviser, Dialect, Item, Revision, SharedStore, StoreFault, WorkerCalls};
@@ -83,6 +83,8 @@
     pub(crate) planner: watch::Sender<Option<PlannerRecord>>,
     /// The offer of a leaving planner to hand its role to this daemon.
     pub(crate) offer: watch::Sender<Option<RoleOffer>>,
+    /// Tasks that were done at the end of this daemon's last tenure although that may not be stored.
+    pub(crate) unstored_tasks: Mutex<Vec<UnstoredTasks>>,
     /// The tenure of this daemon, while it holds the planner role.
     tenure: Mutex<Option<Arc<Tenure>>>,
     pub(crate) leaving: watch::Sender<bool>,
@@ -120,6 +122,7 @@
             catalog: watch::channel(None).0,
             planner: watch::channel(None).0,
             offer: watch::channel(None).0,
+            unstored_tasks: Mutex::default(),
             tenure: Mutex::new(None),
             leaving: watch::channel(false).0,
             rpc_address: OnceLock::new(),
--- a/crates/stairstalld/src/batch/role.rs
+++ b/crates/stairstalld/src/batch/role.rs
@@ -16,6 +16,7 @@
 use super::node::{IDLE_WATCH_WAIT, Node, PlannerRecord};
 use super::rpc::PeerClient;
 use super::tenure::{self, Tenure};
+use crate::daemon::lock;
 
 mod acquire;
 mod handover;
@@ -151,6 +152,9 @@
     ));
     let why = tenure::run(node, &tenure).await;
     renewing.abort();
+    if let Some(unstored) = tenure.unstored_tasks() {
+        *lock(&node.unstored_tasks) = unstored;
+    }
     node.set_tenure(None);
     let token = tenure.token();
     log::info!(target: "role", token, why; "released the planner role");
--- a/crates/stairstalld/src/batch/tenure.rs
+++ b/crates/stairstalld/src/batch/tenure.rs
@@ -6,7 +6,7 @@
 
 use stairstall_core::batch::{
     AcceptedJob, Catalog, ContactLag, CustomerUsageTotal, Decision, JobExplanation, JobPhase,
-    JobSummary, LoadSummary, Now, OldestWait, PaceSummary, Planner,
+    JobSummary, LoadSummary, Now, OldestWait, PaceSummary, Planner, UnstoredTasks,
 };
 use stairstall_core::{JobId, Lease};
 use stairstall_ports::Revision;
@@ -192,6 +192,13 @@
             .then(|| lock(&self.planner).load_summary(now))
     }
 
+    /// Returns the tasks that are done although that may not be stored, or `None` if the stored state
+    /// was not loaded in this tenure.
+    pub(crate) fn unstored_tasks(&self) -> Option<Vec<UnstoredTasks>> {
+        let is_loaded = self.loaded.load(Ordering::Acquire);
+        is_loaded.then(|| lock(&self.planner).unstored_tasks())
+    }
+
     /// Returns the step that has waited longest although its tasks fit, if there is one.
     pub(crate) fn oldest_fitting_wait(&self) -> Option<OldestWait> {
         lock(&self.planner).oldest_fitting_wait(self.now())
@@ -355,6 +362,8 @@
             let zones = evacuated_zones::load(node, tenure);
             let ((directory_at, stored), operator_keys) = futures::try_join!(listings, zones)?;
             let (jobs_at, revisions) = job_watch::load(stored, tenure);
+            let unstored = lock(&node.unstored_tasks).clone();
+            tenure.with_planner(|planner, now| planner.restore_done_tasks(&unstored, now));
             Ok::<_, stairstall_ports::StoreFault>(LoadedState {
                 directory_at,
                 jobs_at,
