--- a/crates/stairstall-core/src/batch/planner/carry_over.rs
+++ b/crates/stairstall-core/src/batch/planner/carry_over.rs
@@ -4,9 +4,10 @@
 //! the store is back, a new tenure restores those runs from their stored placements. Where their
 //! workers have left meanwhile, nobody lists the ends again, and the work would run a second time.
 
+use super::job::Job;
 use super::{Now, Planner};
 use crate::JobId;
-use crate::batch::{GroupKey, TaskKey};
+use crate::batch::TaskKey;
 use crate::claim::Mark;
 
 /// Tasks of a job that are done, although the store may not say so.
@@ -29,31 +30,12 @@
             .map(|(id, job)| UnstoredTasks {
                 job: id.clone(),
                 mark: job.accepted.mark.clone(),
-                done: self.done_tasks(id),
+                done: job.done_tasks(id),
             })
             .filter(|unstored| !unstored.done.is_empty())
             .collect()
     }
 
-    fn done_tasks(&self, id: &JobId) -> Vec<TaskKey> {
-        let Some(job) = self.jobs.get(id) else {
-            return Vec::new();
-        };
-        let mut done = Vec::new();
-        for (occurrence, groups) in (0..).zip(&job.occurrences) {
-            for (step, group) in (0..).zip(groups) {
-                let key = GroupKey {
-                    job: id.clone(),
-                    occurrence,
-                    step,
-                };
-                let tasks = (0..).zip(&group.tasks).filter(|(_, task)| task.done);
-                done.extend(tasks.map(|(index, _)| key.task(index)));
-            }
-        }
-        done
-    }
-
     /// Restores the tasks that an earlier tenure of this process knew to be done. Call this after
     /// [`Planner::restore_job`].
     pub fn restore_done_tasks(&mut self, unstored: &[UnstoredTasks], now: Now) {
@@ -70,3 +52,14 @@
         }
     }
 }
+
+impl Job {
+    fn done_tasks(&self, id: &JobId) -> Vec<TaskKey> {
+        let mut done = Vec::new();
+        for (key, group) in self.groups(id) {
+            let tasks = (0..).zip(&group.tasks).filter(|(_, task)| task.done);
+            done.extend(tasks.map(|(index, _)| key.task(index)));
+        }
+        done
+    }
+}
--- a/crates/stairstall-core/src/batch/planner/job.rs
+++ b/crates/stairstall-core/src/batch/planner/job.rs
@@ -265,14 +265,21 @@
 
     /// Returns the steps whose dependencies are done, over all eligible occurrences.
     pub(super) fn ready_keys(&self, id: &JobId) -> impl Iterator<Item = GroupKey> {
+        let keys = self.groups(id).map(|(key, _)| key);
+        keys.filter(|key| self.is_ready(key.occurrence, key.step as usize))
+    }
+
+    /// Returns all steps of all occurrences, with their keys.
+    pub(super) fn groups(&self, id: &JobId) -> impl Iterator<Item = (GroupKey, &TaskGroup)> {
         let occurrences = (0..).zip(&self.occurrences);
         occurrences.flat_map(move |(occurrence, groups)| {
-            let steps = (0_u32..).zip(groups).map(|(step, _)| step);
-            let ready = steps.filter(move |step| self.is_ready(occurrence, *step as usize));
-            ready.map(move |step| GroupKey {
-                job: id.clone(),
-                occurrence,
-                step,
+            (0..).zip(groups).map(move |(step, group)| {
+                let key = GroupKey {
+                    job: id.clone(),
+                    occurrence,
+                    step,
+                };
+                (key, group)
             })
         })
     }
--- a/crates/stairstall-core/src/batch/planner/timelines.rs
+++ b/crates/stairstall-core/src/batch/planner/timelines.rs
@@ -66,17 +66,10 @@
             return (!job.is_stored()).then_some(JobPhase::RecordingOutcome);
         }
         let mut least_advanced = None;
-        for (occurrence, groups) in (0..).zip(&job.occurrences) {
-            for (step, group) in (0..).zip(groups) {
-                let key = GroupKey {
-                    job: id.clone(),
-                    occurrence,
-                    step,
-                };
-                if job.is_ready(occurrence, step as usize) {
-                    let phase = self.phase_of_group(&key, group, job);
-                    least_advanced = [least_advanced, phase].into_iter().flatten().min();
-                }
+        for (key, group) in job.groups(id) {
+            if job.is_ready(key.occurrence, key.step as usize) {
+                let phase = self.phase_of_group(&key, group, job);
+                least_advanced = [least_advanced, phase].into_iter().flatten().min();
             }
         }
         least_advanced
--- a/crates/stairstalld/src/batch/caller_api.rs
+++ b/crates/stairstalld/src/batch/caller_api.rs
@@ -22,8 +22,6 @@
 
 /// `Retry-After` delay for callers while the store does not serve this daemon.
 const STORE_RETRY_AFTER: Duration = Duration::from_secs(1);
-/// Longest time that a call may take, whatever its caller and its route allow.
-const MAX_CALL_TIME: Duration = Duration::from_secs(24 * 3600);
 /// Longest time that a caller may take to send its request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -202,8 +200,8 @@
         .headers()
         .get(node.dialect.deadline_header())
         .and_then(|value| value.to_str().ok()?.parse().ok())
-        .map_or(MAX_CALL_TIME, Duration::from_millis);
-    share_for_response(node, deadline.min(MAX_CALL_TIME))
+        .unwrap_or(u64::MAX);
+    share_for_response(node, Duration::from_millis(deadline))
 }
 
 /// Returns the part of a time limit that a call may take, so that its answer still arrives in time.
--- a/crates/stairstalld/src/batch/directory.rs
+++ b/crates/stairstalld/src/batch/directory.rs
@@ -73,18 +73,11 @@
 }
 
 /// Follows the directory for as long as the tenure lasts.
-///
-/// After a watch that was answered too late, the next one continues where that began. After any
-/// other failure the whole directory is read again.
 pub(crate) async fn follow(node: Arc<Node>, tenure: Arc<Tenure>, mut at: Revision) {
     loop {
-        let Err(fault) = watch(&node, &tenure, &mut at).await else {
-            continue;
-        };
-        if fault.is_timeout() {
-            continue;
+        if let Err(fault) = watch(&node, &tenure, at).await {
+            log::debug!(target: "directory", why:% = fault; "reading the worker directory again");
         }
-        log::debug!(target: "directory", why:% = fault; "reading the worker directory again");
         at = loop {
             match load(&node, &tenure).await {
                 Ok(at) => break at,
@@ -94,17 +87,23 @@
     }
 }
 
-/// Watches the directory until a call fails, or until the store recovers from an outage: the
-/// connection of the open watch may have become silent in it.
-async fn watch(node: &Node, tenure: &Tenure, at: &mut Revision) -> Result<(), StoreFault> {
+/// Watches the directory until the changes since `at` can't be read.
+///
+/// A watch is opened again where it began if it is answered too late, and when the store recovers
+/// from an outage: its connection may have become silent.
+async fn watch(node: &Node, tenure: &Tenure, mut at: Revision) -> Result<(), StoreFault> {
     let prefix = node.dialect.directory_prefix();
     loop {
-        let watched = node.store.watch(prefix, *at, WATCH_TIMEOUT);
+        let watched = node.store.watch(prefix, at, WATCH_TIMEOUT);
         let watched = tokio::select! {
-            watched = node.store_call("watch workers", watched) => watched?,
-            () = node.store_health.wait_for_recovery() => return Ok(()),
+            watched = node.store_call("watch workers", watched) => watched,
+            () = node.store_health.wait_for_recovery() => continue,
+        };
+        let watched = match watched {
+            Err(fault) if fault.is_timeout() => continue,
+            watched => watched?,
         };
-        *at = watched.revision;
+        at = watched.revision;
         for change in &watched.changes {
             match change {
                 Change::Written(item) => {
--- a/crates/stairstalld/tests/batch/cluster.rs
+++ b/crates/stairstalld/tests/batch/cluster.rs
@@ -246,6 +246,18 @@
         cluster
     }
 
+    /// Starts a cluster whose daemons reach each other by links.
+    pub async fn start_linked(daemons: usize, workers: usize) -> Self {
+        let mut cluster = Self::start(0, workers).await;
+        for number in 0..daemons {
+            let name = format!("vm-{number}");
+            let daemon = Daemon::start_behind_peer_link(&name, &cluster.store).await;
+            cluster.daemons.push(daemon);
+        }
+        cluster.wait_until_planned().await;
+        cluster
+    }
+
     /// Waits until a daemon plans and every other one knows of it.
     pub async fn wait_until_planned(&self) {
         let ready = Instant::now() + PATIENCE;
--- a/crates/stairstalld/tests/batch/silent_watches.rs
+++ b/crates/stairstalld/tests/batch/silent_watches.rs
@@ -8,7 +8,7 @@
 use stairstall_platform_standin::StandinStore;
 use stairstall_standin::{LinkMode, Silence};
 
-use crate::cluster::{CALL_TIMEOUT, Cluster, Daemon, configuration, configuration_with_q9, job};
+use crate::cluster::{CALL_TIMEOUT, Cluster, configuration, configuration_with_q9, job};
 
 /// Within what time of its acknowledgement a change of the configuration has to be in force.
 const CONFIG_APPLY: Duration = Duration::from_secs(2);
@@ -120,21 +120,10 @@
     assert!(noticed_after < DRAIN, "noticed after {noticed_after:?}");
 }
 
-/// Two daemons that reach each other by links.
-async fn linked_daemons() -> Cluster {
-    let mut cluster = Cluster::start(0, 1).await;
-    for name in ["vm-0", "vm-1"] {
-        let daemon = Daemon::start_behind_peer_link(name, &cluster.store).await;
-        cluster.daemons.push(daemon);
-    }
-    cluster.wait_until_planned().await;
-    cluster
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn callers_are_answered_in_time_while_the_connections_between_daemons_are_silent() {
     for silence in [Silence::Both, Silence::Answers] {
-        let mut cluster = linked_daemons().await;
+        let mut cluster = Cluster::start_linked(2, 1).await;
         let other = 1 - cluster.planner();
         let path = format!("/q0/{}", cluster.new_id());
         let status = cluster.submit(other, &path, &job(1, "ms=10")).await;
@@ -151,7 +140,7 @@
 /// A daemon that the store does not serve goes by what its peers confirm.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_removed_route_is_not_served_by_a_daemon_that_only_its_peers_tell() {
-    let mut cluster = linked_daemons().await;
+    let mut cluster = Cluster::start_linked(2, 1).await;
     let other = 1 - cluster.planner();
     // Daemons are introduced to the planner once a second.
     tokio::time::sleep(CONFIG_APPLY).await;
--- a/crates/stairstalld/tests/batch/soak.rs
+++ b/crates/stairstalld/tests/batch/soak.rs
@@ -173,8 +173,12 @@
 
 impl Soak {
     async fn start(seed: u64) -> Self {
+        Self::on(Cluster::start(4, 6).await, seed)
+    }
+
+    fn on(cluster: Cluster, seed: u64) -> Self {
         Self {
-            cluster: Cluster::start(4, 6).await,
+            cluster,
             random: Pcg64Mcg::seed_from_u64(seed),
             jobs: BTreeMap::new(),
             next_vm: 4,
@@ -185,20 +189,9 @@
 
     /// Starts a soak in which connections go silent and an operator changes the configuration.
     async fn start_with_silence(seed: u64) -> Self {
-        let mut cluster = Cluster::start(0, 6).await;
-        for number in 0..4 {
-            let name = format!("vm-{number}");
-            let daemon = Daemon::start_behind_peer_link(&name, &cluster.store).await;
-            cluster.daemons.push(daemon);
-        }
-        cluster.wait_until_planned().await;
         Self {
-            cluster,
-            random: Pcg64Mcg::seed_from_u64(seed),
-            jobs: BTreeMap::new(),
-            next_vm: 4,
-            replaced: Vec::new(),
             operator: Some(Operator::new()),
+            ..Self::on(Cluster::start_linked(4, 6).await, seed)
         }
     }
 
