--- a/review/1/scenario.py
+++ b/review/1/scenario.py
@@ -9,10 +9,13 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 from standin.case import ZONES, main  # noqa: E402
+from standin.daemons import CannotRun  # noqa: E402
 
 # PROTOCOL.md: the steady clock of a minion "may be 2% slow".
 CLOCK_RATE = 0.98
 IDLE_S = 88
+# One of them is cut off: a twelfth, where `node_cut` takes up to twice 0.17 of the workers.
+WORKERS = 12
 # `applied_late`: "carried out 2 to 12 s later".
 LATE_S = 2.0
 JOB = "5c0e7a21d94b36f8"
@@ -60,20 +63,23 @@
 
 
 def scenario(deployment, has_trouble):
-    for index, zone in enumerate(ZONES):
-        deployment.add_worker(f"i-{index}", zone=zone, rack=f"r{index + 1}-1", clock_rate=CLOCK_RATE)
+    for index in range(WORKERS):
+        zone = index % len(ZONES)
+        deployment.add_worker(f"i-{index}", zone=ZONES[zone], rack=f"r{zone + 1}-1", clock_rate=CLOCK_RATE)
     deployment.start_daemons()
     time.sleep(IDLE_S)
+    is_taken = threading.Event()
     if has_trouble:
-        is_taken = threading.Event()
         for worker in deployment.workers:
             bring_trouble(worker, is_taken)
     step = {"count": 1, "cpu": 13000, "memMb": 26000, "gpu": 4, "estimateMs": WORK_MS}
     status, _ = deployment.submit(JOB, "hinting-preview", "gazeti", f"work_ms={WORK_MS}", [step])
     if status != 200:
-        return True, f"the job was not accepted: {status}"
+        raise CannotRun(f"the job was not accepted: {status}")
     time.sleep(WATCHED_S)
     deployment.state(JOB, "hinting-preview", "gazeti")
+    if not deployment.runs(JOB) or has_trouble != is_taken.is_set():
+        raise CannotRun("the job did not start, or the disruption did not come about")
     twice = overlap(deployment.runs(JOB))
     if twice:
         first, second, shared = twice
--- a/review/2/scenario.py
+++ b/review/2/scenario.py
@@ -6,7 +6,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 from standin.case import TENANTS, ZONES, main  # noqa: E402
-from standin.daemons import SETTINGS  # noqa: E402
+from standin.daemons import SETTINGS, CannotRun  # noqa: E402
 
 WORKERS = 6
 ACCELERATORS = 8 * WORKERS
@@ -31,15 +31,17 @@
         step = {"count": ACCELERATORS, "cpu": 2800, "memMb": 5000, "gpu": 1, "estimateMs": 6000, "longRunning": True}
         status, _ = deployment.submit(LASTING, "ebook-batch", "shule", "lasts", [step])
         if status != 200:
-            return True, f"the large job was not taken: {status}"
+            raise CannotRun(f"the large job was not taken: {status}")
         begun = wait_for_runs(deployment, LASTING, ACCELERATORS, 10)
         deployment.record.add("script", "tasks of the large job at work", begun=begun)
+        if begun < ACCELERATORS:
+            raise CannotRun(f"only {begun} tasks of the large job began")
         time.sleep(2)
     guaranteed = TENANTS["gazeti"][1]
     step = {"count": 1, "cpu": 3700, "memMb": 11000, "gpu": guaranteed, "estimateMs": 2500}
     status, _ = deployment.submit(CLAIM, "glyph-subset", "gazeti", "work_ms=2500", [step])
     if status != 200:
-        return True, f"the claim was not accepted: {status}"
+        raise CannotRun(f"the claim was not accepted: {status}")
     accepted = time.monotonic()
     wait_for_runs(deployment, CLAIM, 1, WATCHED_S)
     runs = deployment.runs(CLAIM)
--- a/review/standin/case.py
+++ b/review/standin/case.py
@@ -73,6 +73,22 @@
             time.sleep(0.1)
         raise CannotRun("the daemons do not become ready")
 
+    def check_daemons(self):
+        """A play in which a daemon ended tells nothing of the case."""
+        ended = [daemon.node for daemon in self.daemons if daemon.process.poll() is not None]
+        if ended:
+            raise CannotRun(f"ended during the play: {', '.join(ended)}")
+
+    def room_for(self, step):
+        """Returns how many tasks like this the workers that are up have room for."""
+        return sum(worker.copies(step) for worker in self.workers if worker.is_up and not worker.is_cut)
+
+    def share_in_use(self):
+        """Returns the share of the service's capacity that is in use, of the part that is used most."""
+        up = [worker for worker in self.workers if worker.is_up]
+        used = [self.needs(task) for worker in up for task in list(worker.running)]
+        return max(sum(n[part] for n in used) / (len(up) * has) for part, has in WORKER_CAPACITY.items())
+
     def runs(self, job=None):
         """Returns every run that ever began, oldest first."""
         runs = [run for worker in self.workers for run in worker.log]
@@ -152,6 +168,7 @@
         try:
             deployment = Deployment(record, log_dir)
             held, why = scenario(deployment, has_trouble)
+            deployment.check_daemons()
             code = HELD if held else BROKEN
         except CannotRun as error:
             why = str(error)
--- a/review/standin/worker.py
+++ b/review/standin/worker.py
@@ -57,6 +57,13 @@
     def clock_ms(self):
         return int((time.monotonic() - self.born) * 1000 * self.clock_rate) + 1000
 
+    def copies(self, step):
+        """Returns how many tasks with these needs there is room for."""
+        with self.changed:
+            used = [self.needs(task) for task in self.running]
+        free = {part: has - sum(n[part] for n in used) for part, has in self.capacity.items()}
+        return min(free[part] // step[part] for part in free if step.get(part))
+
     # Life.
 
     def entry(self):
