test(planned-work): planned stops in series around callers that keep their connections open, in real time

Plays real daemons in the shape of a grown site: stops that overlap, SIGHUP, changes of the configuration. Checks each request's answer, accepted jobs' states, and that no job stands still. The stand-in's workers may begin each life under a new ID, as the platform's do.

--- a/crates/stairstalld/tests/batch/cluster.rs
+++ b/crates/stairstalld/tests/batch/cluster.rs
@@ -84,7 +84,12 @@
             .args(["--metrics-listen", local])
             .args(["--store", &link.address().to_string()])
             .args(["--hold-max-ms", "3000", "--stop-max-ms", "100"])
-            .args(["--role-lease-ms", "1000", "--drain-delay-ms", "200"])
+            .args(["--role-lease-ms", "1000"])
+            .args(if flags.contains(&"--drain-delay-ms") {
+                &[][..]
+            } else {
+                &["--drain-delay-ms", "200"]
+            })
             .args(flags)
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
@@ -125,6 +130,11 @@
         found.cloned().collect()
     }
 
+    /// Returns its log, which outlasts it.
+    pub fn log(&self) -> Arc<Mutex<Vec<String>>> {
+        Arc::clone(&self.lines)
+    }
+
     /// Waits until a log line contains a text.
     pub async fn wait_for_line(&self, text: &str) {
         let until = Instant::now() + PATIENCE;
@@ -161,6 +171,13 @@
         status.code()
     }
 
+    /// Waits until the process has ended; returns its exit code.
+    pub async fn wait(&mut self) -> Option<i32> {
+        let status = self.child.wait().await.ok()?;
+        self.finish_log().await;
+        status.code()
+    }
+
     pub fn has_ended(&mut self) -> bool {
         self.child.try_wait().ok().flatten().is_some()
     }
--- a/crates/stairstalld/tests/batch/main.rs
+++ b/crates/stairstalld/tests/batch/main.rs
@@ -12,6 +12,7 @@
 mod learnt;
 mod leaving;
 mod path;
+mod planned_work;
 mod policy;
 mod reach;
 mod restarts;
