fix(server): a planned stop reads what has arrived before it closes the listener and idle connections

What callers saw: the connection of a request that had arrived at a stopping daemon closed without an answer, 0.7 s after the request's last byte (LOST).

Cause: at the end of the drain delay the listener was closed with all connections that waited in its queue, and each connection on which nothing was being read counted as idle. What the system receives while the process does not run is in neither view. Class: a resource is closed by what the process knows, not by what has arrived.

Change: the daemon serves HTTP by a module of its own. A stop accepts what waits, then reads on for 50 ms before a connection counts as idle; a wait that took over 100 ms means that the process did not run, and is repeated. Both modes, health checks and metrics use it.

--- a/crates/stairstalld/src/batch/serve.rs
+++ b/crates/stairstalld/src/batch/serve.rs
@@ -4,8 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hyper_util::rt::{TokioExecutor, TokioTimer};
-use hyper_util::server::conn::auto::Builder;
 use stairstall_http::HttpClient;
 use stairstall_platform::{PlatformAdviser, PlatformDialect, PlatformStore, PlatformWorkers};
 use stairstall_ports::Adviser;
@@ -14,8 +12,8 @@
 use super::node::Node;
 use super::settings::BatchSettings;
 use super::{caller_api, catalog, health, reachability, role, rpc};
-use crate::listener::NoDelayListener;
 use crate::serve::{RunError, system_error};
+use crate::server::Server;
 use crate::shutdown::{self, DrainOutcome, Shutdown};
 
 /// Longest time that a caller may take to send a request head, or leave a connection idle.
@@ -87,10 +85,9 @@
         delay: node.settings.drain_delay,
         limit: node.settings.drain_limit,
     };
-    let server =
-        viz::Server::with_builder(callers, caller_api::router(&node), connection_builder())
-            .signal(shutdown.clone().stop_requested());
-    let drained = shutdown.drain(tokio::spawn(server.into_future())).await;
+    let server = Server::new(callers, caller_api::router(&node), HEAD_TIMEOUT)
+        .run_until(shutdown.clone().stop_requested());
+    let drained = shutdown.drain(tokio::spawn(server)).await;
     role::wait_until_released(&node).await;
     role.abort();
     let _ = rpc.stop();
@@ -104,26 +101,15 @@
 async fn bind(
     address: SocketAddr,
     flag: &'static str,
-) -> Result<(NoDelayListener, SocketAddr), RunError> {
+) -> Result<(TcpListener, SocketAddr), RunError> {
     let listener = TcpListener::bind(address)
         .await
         .map_err(system_error(flag))?;
     let bound = listener.local_addr().map_err(system_error(flag))?;
-    Ok((NoDelayListener(listener), bound))
+    Ok((listener, bound))
 }
 
-fn connection_builder() -> Builder<TokioExecutor> {
-    let mut builder = Builder::new(TokioExecutor::new());
-    builder
-        .http1()
-        .timer(TokioTimer::new())
-        .header_read_timeout(HEAD_TIMEOUT);
-    builder
-}
-
-async fn serve_router(listener: NoDelayListener, router: viz::Router) {
-    let server = viz::Server::with_builder(listener, router, connection_builder());
-    if let Err(error) = server.into_future().await {
-        log::error!(target: "start", error:% = error; "a listening address is no longer served");
-    }
+async fn serve_router(listener: TcpListener, router: viz::Router) {
+    let server = Server::new(listener, router, HEAD_TIMEOUT);
+    server.run_until(std::future::pending()).await;
 }
--- a/crates/stairstalld/src/lib.rs
+++ b/crates/stairstalld/src/lib.rs
@@ -26,13 +26,13 @@
 mod incoming;
 mod jobs;
 pub mod keys;
-mod listener;
 pub mod logging;
 mod metrics;
 mod peers;
 mod response;
 mod retention;
 mod serve;
+mod server;
 pub mod settings;
 mod shutdown;
 
--- a/crates/stairstalld/src/serve.rs
+++ b/crates/stairstalld/src/serve.rs
@@ -3,8 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hyper_util::rt::{TokioExecutor, TokioTimer};
-use hyper_util::server::conn::auto::Builder;
 use quick_error::quick_error;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
@@ -12,8 +10,8 @@
 
 use crate::daemon::Daemon;
 use crate::dispatch::DISPATCH_INTERVAL;
-use crate::listener::NoDelayListener;
 use crate::metrics::Metrics;
+use crate::server::Server;
 use crate::settings::Settings;
 use crate::shutdown::{self, DrainOutcome, Shutdown};
 use crate::{api, follow, holder, peers};
@@ -79,11 +77,6 @@
         listen:% = address, rpc:% = rpc_address; "serving");
     start_background(&daemon, inbox);
 
-    let mut builder = Builder::new(TokioExecutor::new());
-    builder
-        .http1()
-        .timer(TokioTimer::new())
-        .header_read_timeout(HEAD_TIMEOUT);
     tokio::spawn(shutdown::log_hangup_signals(daemon.vm().clone()));
     let shutdown = Shutdown {
         vm: daemon.vm().clone(),
@@ -91,10 +84,9 @@
         delay: daemon.settings.drain_delay,
         limit: daemon.settings.drain_limit,
     };
-    let server =
-        viz::Server::with_builder(NoDelayListener(listener), api::router(&daemon), builder)
-            .signal(shutdown.clone().stop_requested());
-    let serving = tokio::spawn(server.into_future());
+    let server = Server::new(listener, api::router(&daemon), HEAD_TIMEOUT)
+        .run_until(shutdown.clone().stop_requested());
+    let serving = tokio::spawn(server);
     let result = drain(&daemon, &shutdown, serving).await;
     let _ = rpc.stop();
     result
@@ -119,7 +111,7 @@
 async fn drain(
     daemon: &Daemon,
     shutdown: &Shutdown,
-    serving: JoinHandle<std::io::Result<()>>,
+    serving: JoinHandle<()>,
 ) -> Result<(), RunError> {
     if shutdown.drain(serving).await? == DrainOutcome::TimedOut {
         return Err(RunError::RequestsAborted(daemon.dispatcher.in_flight()));
--- /dev/null
+++ b/crates/stairstalld/src/server.rs
@@ -0,0 +1,180 @@
+//! HTTP server for callers, health checks and metrics. A planned stop drops no request that has
+//! arrived.
+
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::server::conn::http1;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+use viz::{Responder, Router, Tree};
+
+/// How long a stopping server reads on before it takes a connection for idle, or the queue of
+/// connections that wait to be accepted for empty.
+const QUIET: Duration = Duration::from_millis(50);
+/// Longest time that a wait of [`QUIET`] may take. After a longer one the process has not run for a
+/// while, and what arrived meanwhile may not have been read.
+const QUIET_ON_TIME: Duration = Duration::from_millis(100);
+/// Delay after a connection could not be accepted for lack of resources, such as open files.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
+
+/// Serves HTTP/1.1 on a bound address.
+pub(crate) struct Server {
+    listener: TcpListener,
+    tree: Arc<Tree>,
+    connections: http1::Builder,
+    open: JoinSet<()>,
+    /// Becomes true when connections should close once they are idle.
+    closing: watch::Sender<bool>,
+}
+
+impl Server {
+    /// Creates a server. A caller may take `head_timeout` to send a request's head, or leave its
+    /// connection idle for as long.
+    pub(crate) fn new(listener: TcpListener, router: Router, head_timeout: Duration) -> Self {
+        let mut connections = http1::Builder::new();
+        connections
+            .timer(TokioTimer::new())
+            .header_read_timeout(head_timeout);
+        Self {
+            listener,
+            tree: Arc::new(router.into()),
+            connections,
+            open: JoinSet::new(),
+            closing: watch::channel(false).0,
+        }
+    }
+
+    /// Serves until `stop` is ready, then answers every request that has arrived by then.
+    ///
+    /// The system receives connections and requests while this process does not run. They are
+    /// accepted and read before the listener and idle connections are closed.
+    pub(crate) async fn run_until(mut self, stop: impl Future<Output = ()>) {
+        let mut stop = pin!(stop);
+        loop {
+            tokio::select! {
+                biased;
+                () = &mut stop => break,
+                () = self.accept() => {}
+            }
+        }
+        self.accept_waiting().await;
+        let Self {
+            listener,
+            mut open,
+            closing,
+            ..
+        } = self;
+        drop(listener);
+        closing.send_replace(true);
+        while open.join_next().await.is_some() {}
+    }
+
+    /// Accepts the connections that wait for it.
+    async fn accept_waiting(&mut self) {
+        let mut quiet = QuietPeriod::start();
+        loop {
+            tokio::select! {
+                biased;
+                () = self.accept() => {}
+                () = quiet.wait() => {
+                    if quiet.was_on_time() {
+                        return;
+                    }
+                    quiet = QuietPeriod::start();
+                }
+            }
+        }
+    }
+
+    /// Accepts one connection and serves it in the background.
+    async fn accept(&mut self) {
+        match self.listener.accept().await {
+            Ok((stream, address)) => {
+                while self.open.try_join_next().is_some() {}
+                self.serve(stream, address);
+            }
+            Err(error) => {
+                log::warn!(target: "listen", error:% = error; "a connection could not be accepted");
+                if !is_connection_error(&error) {
+                    tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                }
+            }
+        }
+    }
+
+    fn serve(&mut self, stream: TcpStream, address: SocketAddr) {
+        // The head and the body of a response are often two writes. With Nagle's algorithm the
+        // second one waits for the caller's delayed acknowledgement, about 40 ms.
+        if let Err(error) = stream.set_nodelay(true) {
+            log::debug!(target: "listen", caller:% = address, error:% = error; "small writes may be delayed");
+        }
+        let responder = Responder::new(Arc::clone(&self.tree), Some(Arc::new(address)));
+        let connection = self
+            .connections
+            .serve_connection(TokioIo::new(stream), responder);
+        let mut closing = self.closing.subscribe();
+        self.open.spawn(async move {
+            let mut connection = pin!(connection);
+            let ended = tokio::select! {
+                biased;
+                ended = connection.as_mut() => ended,
+                () = wait_until_idle_may_close(&mut closing) => {
+                    connection.as_mut().graceful_shutdown();
+                    connection.await
+                }
+            };
+            if let Err(error) = ended {
+                log::debug!(target: "listen", caller:% = address, error:% = error; "a connection broke off");
+            }
+        });
+    }
+}
+
+/// Waits until the server closes idle connections and what had arrived by then has been read.
+async fn wait_until_idle_may_close(closing: &mut watch::Receiver<bool>) {
+    // An error means that the server is gone; its connections then close as well.
+    let _ = closing.wait_for(|closing| *closing).await;
+    loop {
+        let mut quiet = QuietPeriod::start();
+        quiet.wait().await;
+        if quiet.was_on_time() {
+            return;
+        }
+    }
+}
+
+/// A wait of [`QUIET`], which tells whether the process ran all the while.
+struct QuietPeriod {
+    started: Instant,
+}
+
+impl QuietPeriod {
+    fn start() -> Self {
+        Self {
+            started: Instant::now(),
+        }
+    }
+
+    async fn wait(&mut self) {
+        tokio::time::sleep_until(self.started + QUIET).await;
+    }
+
+    fn was_on_time(&self) -> bool {
+        self.started.elapsed() <= QUIET_ON_TIME
+    }
+}
+
+/// Returns whether an error concerns only the connection that would have been accepted.
+fn is_connection_error(error: &std::io::Error) -> bool {
+    use std::io::ErrorKind;
+    matches!(
+        error.kind(),
+        ErrorKind::ConnectionRefused | ErrorKind::ConnectionAborted | ErrorKind::ConnectionReset
+    )
+}
--- a/crates/stairstalld/src/shutdown.rs
+++ b/crates/stairstalld/src/shutdown.rs
@@ -58,20 +58,17 @@
     /// # Errors
     ///
     /// Returns why serving failed.
-    pub(crate) async fn drain(
-        &self,
-        mut server: JoinHandle<std::io::Result<()>>,
-    ) -> Result<DrainOutcome, RunError> {
+    pub(crate) async fn drain(&self, mut server: JoinHandle<()>) -> Result<DrainOutcome, RunError> {
         let mut leaving = self.leaving.subscribe();
         let limit = async {
             let _ = leaving.wait_for(|leaving| *leaving).await;
             tokio::time::sleep(self.delay + self.limit).await;
         };
         tokio::select! {
-            ended = &mut server => match ended {
-                Ok(result) => result.map(|()| DrainOutcome::Completed).map_err(system_error("serving")),
-                Err(error) => Err(RunError::System("serving", std::io::Error::other(error))),
-            },
+            ended = &mut server => {
+                let ended = ended.map_err(std::io::Error::other);
+                ended.map(|()| DrainOutcome::Completed).map_err(system_error("serving"))
+            }
             () = limit => Ok(DrainOutcome::TimedOut),
         }
     }
--- a/crates/stairstalld/tests/batch/planned_work.rs
+++ b/crates/stairstalld/tests/batch/planned_work.rs
@@ -253,7 +253,9 @@
         let starting = (0..shape.daemons).map(|number| start_daemon(&store, number));
         let daemons: Vec<Daemon> = join_all(starting).await;
         let shared = Arc::<Shared>::default();
-        daemons.iter().for_each(|daemon| shared.add_log(daemon));
+        for daemon in &daemons {
+            shared.add_log(daemon);
+        }
         let daemons = daemons.into_iter();
         Self {
             store: Arc::clone(&store),
