refactor: one place parses command lines of both modes, and one tells which run ends count

The two modes parsed flags by the same code, and a done and a failed run asked the same three questions of their step. A test's arguments that can't be parsed now name 'command line' as the process does.

--- a/crates/stairstall-core/src/batch/planner/run_ends.rs
+++ b/crates/stairstall-core/src/batch/planner/run_ends.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::job::Job;
 use super::pool::{Run, RunState};
 use super::{Now, Planner};
 use crate::batch::{
@@ -181,14 +182,9 @@
         let Some(job) = self.jobs.get_mut(&key.job) else {
             return;
         };
-        let Some((is_gang, long_running)) =
-            job.step(key).map(|step| (step.gang, step.long_running))
-        else {
+        let Some(is_gang) = gang_if_ends_count(job, key) else {
             return;
         };
-        if job.outcome.is_some() || long_running {
-            return;
-        }
         let Some(group) = job.group_mut(key) else {
             return;
         };
@@ -241,14 +237,9 @@
         let Some(job) = self.jobs.get_mut(&key.job) else {
             return;
         };
-        let Some((is_gang, long_running)) =
-            job.step(key).map(|step| (step.gang, step.long_running))
-        else {
+        let Some(is_gang) = gang_if_ends_count(job, key) else {
             return;
         };
-        if job.outcome.is_some() || long_running {
-            return;
-        }
         let Some(group) = job.group_mut(key) else {
             return;
         };
@@ -389,3 +380,11 @@
     let ran = run.began.map_or(0, |(at, _)| millis(now.at - at));
     format!("{} percent after {ran} ms", run.percent)
 }
+
+/// Returns whether a step's tasks form a gang, or `None` if their ends decide nothing: the job has
+/// ended, or the step runs until the job is cancelled.
+fn gang_if_ends_count(job: &Job, key: &GroupKey) -> Option<bool> {
+    let step = job.step(key)?;
+    let ends_count = job.outcome.is_none() && !step.long_running;
+    ends_count.then_some(step.gang)
+}
--- a/crates/stairstalld/src/batch/settings.rs
+++ b/crates/stairstalld/src/batch/settings.rs
@@ -3,11 +3,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bpaf::{OptionParser, ParseFailure, Parser, construct};
+use bpaf::{Args, OptionParser, Parser, construct};
 use stairstall_core::batch::{Bounds, Policy, VmLimits};
 use stairstall_core::{VmId, ZoneId};
 
-use crate::settings::{HELP_WIDTH, InvalidSetting, InvalidSettings, Validator, string_option};
+use crate::settings::{
+    InvalidSetting, InvalidSettings, Validator, parse_arguments, parse_command_line, string_option,
+};
 
 mod policy;
 
@@ -322,14 +324,8 @@
     pub fn from_process() -> Result<Self, InvalidSettings> {
         let arguments: Vec<String> = std::env::args().skip(2).collect();
         let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
-        match parser().run_inner(arguments.as_slice()) {
-            Ok(raw) => Self::check(&raw),
-            Err(ParseFailure::Stderr(doc)) => Err(InvalidSettings::unreadable(doc.to_string())),
-            Err(help) => {
-                help.print_message(HELP_WIDTH);
-                std::process::exit(0);
-            }
-        }
+        let raw = parse_command_line(&parser(), Args::from(arguments.as_slice()))?;
+        Self::check(&raw)
     }
 
     /// Reads the settings from arguments, for tests.
@@ -338,10 +334,8 @@
     ///
     /// Returns every setting that is not allowed, or why the arguments can't be parsed.
     pub fn from_arguments(arguments: &[&str]) -> Result<Self, InvalidSettings> {
-        match parser().run_inner(arguments) {
-            Ok(raw) => Self::check(&raw),
-            Err(failure) => Err(InvalidSettings::unreadable(failure.unwrap_stderr())),
-        }
+        let raw = parse_arguments(&parser(), arguments)?;
+        Self::check(&raw)
     }
 
     fn check(raw: &RawSettings) -> Result<Self, InvalidSettings> {
--- a/crates/stairstalld/src/settings.rs
+++ b/crates/stairstalld/src/settings.rs
@@ -4,11 +4,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bpaf::{OptionParser, ParseFailure, Parser, construct, long};
+use bpaf::{Args, OptionParser, ParseFailure, Parser, construct, long};
 use stairstall_core::{VmId, ZoneId};
 
 /// Width of the help text, in characters.
-pub(crate) const HELP_WIDTH: usize = 100;
+const HELP_WIDTH: usize = 100;
 
 /// Settings as given, before they are validated.
 #[derive(Debug, Clone)]
@@ -106,6 +106,31 @@
     }
 }
 
+/// Parses the command line of this process. `--help` and `--version` print their text and exit.
+pub(crate) fn parse_command_line<T>(
+    parser: &OptionParser<T>,
+    arguments: Args,
+) -> Result<T, InvalidSettings> {
+    parser
+        .run_inner(arguments)
+        .map_err(|failure| match failure {
+            ParseFailure::Stderr(doc) => InvalidSettings::unreadable(doc.to_string()),
+            help => {
+                help.print_message(HELP_WIDTH);
+                std::process::exit(0);
+            }
+        })
+}
+
+/// Parses arguments that a test gives.
+pub(crate) fn parse_arguments<T>(
+    parser: &OptionParser<T>,
+    arguments: &[&str],
+) -> Result<T, InvalidSettings> {
+    let parsed = parser.run_inner(arguments);
+    parsed.map_err(|failure| InvalidSettings::unreadable(failure.unwrap_stderr()))
+}
+
 /// Returns the parser of one setting, which is a flag or an environment variable.
 pub(crate) fn string_option(
     flag: &'static str,
@@ -309,14 +334,8 @@
     ///
     /// Returns all invalid settings.
     pub fn from_process() -> Result<Self, InvalidSettings> {
-        match parser().run_inner(bpaf::Args::current_args()) {
-            Ok(raw) => Self::check(&raw),
-            Err(ParseFailure::Stderr(doc)) => Err(InvalidSettings::unreadable(doc.to_string())),
-            Err(help) => {
-                help.print_message(HELP_WIDTH);
-                std::process::exit(0);
-            }
-        }
+        let raw = parse_command_line(&parser(), Args::current_args())?;
+        Self::check(&raw)
     }
 
     /// Reads the settings from arguments instead of the command line, for tests.
@@ -325,15 +344,7 @@
     ///
     /// Returns all invalid settings, or that the arguments can't be parsed.
     pub fn from_arguments(arguments: &[&str]) -> Result<Self, InvalidSettings> {
-        let raw = parser().run_inner(arguments).map_err(|failure| {
-            let value = arguments.join(" ");
-            let allowed = failure.unwrap_stderr();
-            InvalidSettings(vec![InvalidSetting {
-                flag: "arguments",
-                value,
-                allowed,
-            }])
-        })?;
+        let raw = parse_arguments(&parser(), arguments)?;
         Self::check(&raw)
     }
 
