fix(shutdown): signals are handled before a daemon listens

What callers saw: a SIGHUP or SIGTERM that came as a daemon began to serve ended the process at once, with every request that had arrived (LOST; a process that ends by itself).

Cause: the handlers were installed by tasks that ran for the first time after the listeners were bound and 'serving' was logged. Until then the system's default ends the process. Class: the same as that of the stop: what arrives while the process is not yet, or not, running is left out of account.

Change: the handlers are installed before anything else, in both modes.

The test failed before: the daemon logged nothing of its SIGHUP, because it had ended.

--- a/crates/stairstalld/src/batch/serve.rs
+++ b/crates/stairstalld/src/batch/serve.rs
@@ -14,7 +14,7 @@
 use super::{caller_api, catalog, health, reachability, role, rpc};
 use crate::serve::{RunError, system_error};
 use crate::server::Server;
-use crate::shutdown::{self, DrainOutcome, Shutdown};
+use crate::shutdown::{self, DrainOutcome, Shutdown, Signals};
 
 /// Longest time that a caller may take to send a request head, or leave a connection idle.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(20);
@@ -60,6 +60,7 @@
 }
 
 async fn serve(settings: BatchSettings) -> Result<(), RunError> {
+    let signals = Signals::install()?;
     let (callers, listen) = bind(settings.listen, "--listen").await?;
     let (health, health_listen) = bind(settings.health_listen, "--health-listen").await?;
     let (metrics, metrics_listen) = bind(settings.metrics_listen, "--metrics-listen").await?;
@@ -77,7 +78,10 @@
     let role = tokio::spawn(role::run(Arc::clone(&node)));
     tokio::spawn(serve_router(health, health::health_router(&node)));
     tokio::spawn(serve_router(metrics, health::metrics_router(&node)));
-    tokio::spawn(shutdown::log_hangup_signals(node.vm().clone()));
+    tokio::spawn(shutdown::log_hangup_signals(
+        node.vm().clone(),
+        signals.hangup,
+    ));
 
     let shutdown = Shutdown {
         vm: node.vm().clone(),
@@ -86,7 +90,7 @@
         limit: node.settings.drain_limit,
     };
     let server = Server::new(callers, caller_api::router(&node), HEAD_TIMEOUT)
-        .run_until(shutdown.clone().stop_requested());
+        .run_until(shutdown.clone().stop_requested(signals.stop));
     let drained = shutdown.drain(tokio::spawn(server)).await;
     role::wait_until_released(&node).await;
     role.abort();
--- a/crates/stairstalld/src/serve.rs
+++ b/crates/stairstalld/src/serve.rs
@@ -13,7 +13,7 @@
 use crate::metrics::Metrics;
 use crate::server::Server;
 use crate::settings::Settings;
-use crate::shutdown::{self, DrainOutcome, Shutdown};
+use crate::shutdown::{self, DrainOutcome, Shutdown, Signals};
 use crate::{api, follow, holder, peers};
 
 /// Timeout for reading a request's head.
@@ -63,6 +63,7 @@
 }
 
 async fn serve(settings: Settings) -> Result<(), RunError> {
+    let signals = Signals::install()?;
     let listener = TcpListener::bind(settings.listen)
         .await
         .map_err(system_error("--listen"))?;
@@ -77,7 +78,10 @@
         listen:% = address, rpc:% = rpc_address; "serving");
     start_background(&daemon, inbox);
 
-    tokio::spawn(shutdown::log_hangup_signals(daemon.vm().clone()));
+    tokio::spawn(shutdown::log_hangup_signals(
+        daemon.vm().clone(),
+        signals.hangup,
+    ));
     let shutdown = Shutdown {
         vm: daemon.vm().clone(),
         leaving: daemon.leaving.clone(),
@@ -85,7 +89,7 @@
         limit: daemon.settings.drain_limit,
     };
     let server = Server::new(listener, api::router(&daemon), HEAD_TIMEOUT)
-        .run_until(shutdown.clone().stop_requested());
+        .run_until(shutdown.clone().stop_requested(signals.stop));
     let serving = tokio::spawn(server);
     let result = drain(&daemon, &shutdown, serving).await;
     let _ = rpc.stop();
--- a/crates/stairstalld/src/shutdown.rs
+++ b/crates/stairstalld/src/shutdown.rs
@@ -3,12 +3,45 @@
 use std::time::Duration;
 
 use stairstall_core::VmId;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
 use crate::serve::{RunError, system_error};
 
+/// The signals that a daemon handles. A signal whose handler is not installed ends the process, so
+/// they are installed before anything else.
+#[derive(Debug)]
+pub(crate) struct Signals {
+    pub(crate) stop: StopSignals,
+    pub(crate) hangup: Signal,
+}
+
+/// The signals that request a stop.
+#[derive(Debug)]
+pub(crate) struct StopSignals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl Signals {
+    /// Installs the handlers.
+    ///
+    /// # Errors
+    ///
+    /// Returns which handler could not be installed.
+    pub(crate) fn install() -> Result<Self, RunError> {
+        let install = |kind, name| signal(kind).map_err(system_error(name));
+        Ok(Self {
+            stop: StopSignals {
+                terminate: install(SignalKind::terminate(), "handler for SIGTERM")?,
+                interrupt: install(SignalKind::interrupt(), "handler for SIGINT")?,
+            },
+            hangup: install(SignalKind::hangup(), "handler for SIGHUP")?,
+        })
+    }
+}
+
 /// Settings and state of a daemon's stop.
 #[derive(Debug, Clone)]
 pub(crate) struct Shutdown {
@@ -34,17 +67,10 @@
 
 impl Shutdown {
     /// Waits until a stop was requested and the load balancer has had time to notice.
-    pub(crate) async fn stop_requested(self) {
-        let (Ok(mut terminate), Ok(mut interrupt)) = (
-            signal(SignalKind::terminate()),
-            signal(SignalKind::interrupt()),
-        ) else {
-            log::error!(target: "stop", vm:% = self.vm; "could not install handlers for SIGTERM and SIGINT");
-            return std::future::pending().await;
-        };
+    pub(crate) async fn stop_requested(self, mut signals: StopSignals) {
         tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
+            _ = signals.terminate.recv() => {}
+            _ = signals.interrupt.recv() => {}
         }
         log::info!(target: "stop", vm:% = self.vm,
             delay_ms = crate::clock::millis(self.delay);
@@ -76,11 +102,7 @@
 
 /// Logs on each SIGHUP that settings can't be reloaded, because they are flags and environment
 /// variables.
-pub(crate) async fn log_hangup_signals(vm: VmId) {
-    let Ok(mut hangups) = signal(SignalKind::hangup()) else {
-        log::error!(target: "reload", "could not install a handler for SIGHUP");
-        return;
-    };
+pub(crate) async fn log_hangup_signals(vm: VmId, mut hangups: Signal) {
     while hangups.recv().await.is_some() {
         log::info!(target: "reload", vm:% = vm;
             "settings are flags and environment variables: they hold until the next start");
--- a/crates/stairstalld/tests/batch/planned_stop.rs
+++ b/crates/stairstalld/tests/batch/planned_stop.rs
@@ -17,6 +17,8 @@
 /// request to wait for the end of its connection.
 const STALL: Duration = Duration::from_millis(700);
 const PATIENCE: Duration = Duration::from_secs(3);
+/// Number of daemons that are started one after the other.
+const STARTS: usize = 5;
 /// Number of connections of a kind.
 const CONNECTIONS: usize = 16;
 
@@ -131,3 +133,21 @@
     let code = tokio::time::timeout(DRAIN_DELAY * 2, stopping).await;
     assert_eq!(code, Ok(Some(0)));
 }
+
+/// A signal whose handler is not installed yet ends a process.
+#[tokio::test(flavor = "multi_thread")]
+async fn signals_that_come_as_a_daemon_starts_to_serve_are_handled() {
+    let cluster = Cluster::start(0, 1).await;
+    for number in 0..STARTS {
+        let mut daemon = Daemon::start(&format!("vm-{number}"), &cluster.store).await;
+        daemon.signal(Signal::SIGHUP);
+        daemon.wait_for_line("hold until the next start").await;
+        assert_eq!(daemon.stop().await, Some(0), "start {number}");
+        let mut daemon = Daemon::start(&format!("vm-{number}"), &cluster.store).await;
+        assert_eq!(
+            daemon.stop().await,
+            Some(0),
+            "start {number}, SIGTERM alone"
+        );
+    }
+}
