test: odd entries in the worker directory and in the list of VMs

Plays with daemons as processes (debug build), each odd value with a cluster of its own, beside good entries, in the place of a busy worker's, at start, and with a successor. As of this commit fail:

- capacity in the place of a good one, once its worker is idle beside another (a planner that runs, and one that starts): "attempt to add with overflow" in Pass::free_accelerators; the task that runs the tenure ends, its lease is renewed on, the daemon lives and nothing is planned any more ("queued instead of completed").
- draining with remainingMs 1e300 over runs that are nearly done: "attempt to add with overflow" in draining.rs:36; the task that follows the directory ends, later changes are unseen.
- addresses with port 0, [::1]:9, 0.0.0.0:0, 255.255.255.255:9, of the store and of a daemon, where the good entry stays away: leases aren't renewed, 14 tasks begin 22 times.
With another worker's address 14 tasks begin 16 to 22 times, also where the good entry comes back: the other answers 421, and the runs count as lost while they run on.
- born 2^64 - 1: 14 tasks begin 22 times; the worker's reports are passed over for good, also once its entry is good again; a successor leaves the job "running".
- native mode: one odd entry makes the whole list unreadable: a running daemon misses later minions, a daemon that starts knows none.

All other kinds pass: nesting of 20,000, 1e999, 2^64, negative and fractional numbers, ports above 65535, host names, not UTF-8, empty, null, arrays, 1 MB, 5,000 labels, fields twice, unknown states, born 0, keys that are no ID, and another ID at a used address.

The core's four tests in odd_entries fail for the same causes.

--- a/crates/stairstall-core/tests/batch/main.rs
+++ b/crates/stairstall-core/tests/batch/main.rs
@@ -17,6 +17,7 @@
 mod leaving;
 mod locality;
 mod lossy;
+mod odd_entries;
 mod paces;
 mod reach;
 mod records;
--- a/crates/stairstall-standin/src/vm_list.rs
+++ b/crates/stairstall-standin/src/vm_list.rs
@@ -6,7 +6,7 @@
 use stairstall_core::protocol::{VmEntry, VmList, VmState};
 use tokio::time::Instant;
 
-use crate::server::{Server, json};
+use crate::server::{Server, answer};
 
 /// A list as it will be from some time on.
 #[derive(Debug, Clone)]
@@ -20,6 +20,8 @@
 pub struct VmListStandin {
     server: Server,
     versions: Arc<Mutex<Vec<Version>>>,
+    /// Entries of any form as JSON text, as another writer may leave them.
+    odd: Arc<Mutex<Vec<String>>>,
     lag: Duration,
 }
 
@@ -36,13 +38,16 @@
         };
         let versions = Arc::new(Mutex::new(vec![first]));
         let shown = Arc::clone(&versions);
+        let odd = Arc::<Mutex<Vec<String>>>::default();
+        let shown_odd = Arc::clone(&odd);
         let server = Server::start(move |_| {
-            let list = visible(&shown);
-            Box::pin(async move { Some(json(StatusCode::OK, &list)) })
+            let list = with_odd(&visible(&shown), &shown_odd);
+            Box::pin(async move { Some(answer(StatusCode::OK, list)) })
         });
         Ok(Self {
             server: server.await?,
             versions,
+            odd,
             lag,
         })
     }
@@ -61,6 +66,18 @@
         });
     }
 
+    /// Lists an entry of any form, given as JSON text, before the others; shows at once.
+    pub fn put_odd(&self, entry: &str) {
+        let mut odd = self.odd.lock().unwrap_or_else(PoisonError::into_inner);
+        odd.push(entry.to_owned());
+    }
+
+    /// Takes all entries of any form from the list; shows at once.
+    pub fn remove_odd(&self) {
+        let mut odd = self.odd.lock().unwrap_or_else(PoisonError::into_inner);
+        odd.clear();
+    }
+
     /// Says that a VM leaves; shows after the lag.
     pub fn set_leaving(&self, id: &str) {
         self.change(self.lag, |list| {
@@ -86,6 +103,15 @@
     }
 }
 
+/// Returns the list as JSON text, with the entries of any form first.
+fn with_odd(list: &VmList, odd: &Mutex<Vec<String>>) -> String {
+    let odd = odd.lock().unwrap_or_else(PoisonError::into_inner);
+    let mut entries = odd.clone();
+    let typed = list.vms.iter().map(serde_json::to_string);
+    entries.extend(typed.filter_map(Result::ok));
+    format!("{{\"vms\":[{}]}}", entries.join(","))
+}
+
 fn visible(versions: &Mutex<Vec<Version>>) -> VmList {
     let now = Instant::now();
     let versions = versions.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/stairstalld/tests/batch/main.rs
+++ b/crates/stairstalld/tests/batch/main.rs
@@ -11,6 +11,7 @@
 mod last_ends;
 mod learnt;
 mod leaving;
+mod odd_entries;
 mod path;
 mod policy;
 mod reach;
