test: odd entries: give a worker time to answer, and daemons their share of slots

Two checks were wrong and failed for that: a worker that is listed again gets work only once it has answered (core), and two daemons share a minion's slots, so that neither has all eight (odd_vms). Both stay as strict: work has to start there; a daemon has to have slots and serve.

--- a/crates/stairstall-core/tests/batch/odd_entries.rs
+++ b/crates/stairstall-core/tests/batch/odd_entries.rs
@@ -83,6 +83,8 @@
     check_finishes(&mut fleet, &place);
     list(&mut fleet, good);
     fleet.submit(job("next", 2, vec![step(2, 8)]));
+    // It gets work once it has answered again.
+    fleet.pass(500);
     assert_eq!(fleet.worker(place.as_str()).running.len(), 1);
 }
 
@@ -98,5 +100,7 @@
     check_finishes(&mut fleet, &place);
     list(&mut fleet, good);
     fleet.submit(job("next", 2, vec![step(2, 8)]));
+    // It gets work once it has answered again.
+    fleet.pass(500);
     assert_eq!(fleet.worker(place.as_str()).running.len(), 1);
 }
--- a/crates/stairstalld/tests/odd_vms.rs
+++ b/crates/stairstalld/tests/odd_vms.rs
@@ -109,6 +109,7 @@
     }
     let started = cluster.add_daemon("vm-cold", "zone-a").await;
     let cold = started.expect("it starts");
-    wait_for_minions(&cluster, cold, 1).await;
+    // The daemons share the slots of the minion.
+    cluster.wait_for_slots().await;
     check_serves(&cluster, cold, "call").await;
 }
