fix(core): a worker that leaves in a very long time no longer stops the planner from following

Cause: remainingMs 1e300 counts as the largest time, and the margin for runs that are nearly done was added to that. In a debug build the task that follows the directory panicked (draining.rs:36, "attempt to add with overflow"), and later changes were unseen while the daemon and its role lived on. A release build would have wrapped and stopped runs that had time enough (not run).

Change: both sums of times saturate.

--- a/crates/stairstall-core/src/batch/planner/draining.rs
+++ b/crates/stairstall-core/src/batch/planner/draining.rs
@@ -25,15 +25,16 @@
         };
         let policy = self.policy.leaving;
         let leaves_in_ms = worker.listed.remaining_ms.unwrap_or(0);
+        let late_margin_ms = millis(policy.late_margin);
         let margin_ms = millis(policy.end_margin.min(self.bounds.stop_max));
         let to_stop: Vec<TaskKey> = worker
             .runs
             .iter()
             .filter(|(task, run)| {
                 let run_ms = self.remaining_run_ms(task, run);
-                let ends_in_time = run_ms + margin_ms < leaves_in_ms;
+                let ends_in_time = run_ms.saturating_add(margin_ms) < leaves_in_ms;
                 let may_end_late = run.percent >= policy.nearly_done
-                    && run_ms < leaves_in_ms + millis(policy.late_margin);
+                    && run_ms < leaves_in_ms.saturating_add(late_margin_ms);
                 run.state == RunState::Planned || !(ends_in_time || may_end_late)
             })
             .map(|(task, _)| task.clone())
