fix(core): a busy worker listed at another address keeps its runs

Cause: the planner followed any new address of a known ID. Where the entry of a busy worker named another worker's address, that one answered 421 and the runs counted as lost at once, while they ran on: 14 tasks began 16 to 22 times. At the address of another program, or of none, nobody renewed the leases, and the runs began again after 3 s.

Change: one incarnation listens at one address. An entry that names the known incarnation, or none, at another address than the one where it has answered is not the worker's own: it lists no usable worker, as one that can't be read. The worker is polled where it is known, its runs go on, and it gets nothing new until its own entry is back. It doesn't apply to a worker that has not answered yet, nor to one that neither answers nor has runs: these may come back anywhere.

--- a/crates/stairstall-core/src/batch/planner/directory.rs
+++ b/crates/stairstall-core/src/batch/planner/directory.rs
@@ -8,8 +8,15 @@
 impl Planner {
     /// Handles a worker's entry in the directory.
     ///
-    /// An unchanged entry, as in most heartbeats, has no effect.
+    /// An unchanged entry, as in most heartbeats, has no effect. An entry that can't be the worker's
+    /// own lists no usable worker.
     pub fn handle_listed_worker(&mut self, listed: ListedWorker, now: Now) {
+        if let Some(why) = self.why_implausible(&listed) {
+            let id = listed.id;
+            self.decisions.push(Decision::of_worker(&id, why));
+            self.handle_unlisted_worker(&id, now);
+            return;
+        }
         let known = self.workers.get(&listed.id);
         if known.is_some_and(|known| known.is_listed && known.listed == listed) {
             return;
@@ -54,6 +61,17 @@
         }
     }
 
+    /// Returns why an entry can't be the worker's own, if it can't.
+    ///
+    /// Other programs can write to the directory too. If the planner believed such an entry, it
+    /// would give up runs that go on, and start them a second time.
+    fn why_implausible(&self, listed: &ListedWorker) -> Option<&'static str> {
+        let known = self.workers.get(&listed.id)?;
+        let moves = known.is_reached() && known.listed.address != listed.address;
+        let is_same = !known.incarnation_state.differs_from(listed.incarnation);
+        (moves && is_same).then_some("its directory entry names an address that is not its own")
+    }
+
     /// Ends unlisted workers whose address is now used by a newly listed worker: the new worker
     /// replaces them.
     fn end_replaced_incarnations(&mut self, listed: &ListedWorker, now: Now) {
@@ -107,3 +125,12 @@
         self.worker_set_version
     }
 }
+
+impl Worker {
+    /// Returns whether the current incarnation has answered at the known address, and still answers
+    /// or may have runs.
+    fn is_reached(&self) -> bool {
+        let has_answered = self.incarnation_state.last_answer_at.is_some();
+        has_answered && (self.is_in_contact() || !self.runs.is_empty())
+    }
+}
