fix(core): a worker said to have begun after the year 2100 keeps its runs

Cause: `born` 2^64 - 1 in the place of a good entry counted as a restart. The runs counted as lost while they ran on (14 tasks began 22 times), and the worker's reports and its good entry as those of an earlier incarnation, for the rest of the tenure: it got no more work. A successor that started on such an entry left the job running for ever.

Change: an entry whose incarnation begins after the year 2100, such as a time in microseconds, is not the worker's own and lists no usable worker. The limit does not depend on the planner's time of day.

Left: a `born` that is only a little too late, with all else right, can't be told from a restart by the directory alone.

Measured: a_run_goes_on_though_its_worker_is_said_to_have_begun_in_the_future (core) and "born 2^64 - 1" in an_odd_time_of_a_busy_worker_loses_no_run, a_busy_worker_whose_entry_stays_odd_finishes_its_runs, a_planner_starts_on_an_odd_entry_in_the_place_of_a_good_one and a_successor_takes_over_with_an_odd_entry_in_a_busy_workers_place (processes) failed before and pass.

--- a/crates/stairstall-core/src/batch/planner/directory.rs
+++ b/crates/stairstall-core/src/batch/planner/directory.rs
@@ -3,7 +3,14 @@
 use super::pool::Worker;
 use super::{Now, Planner};
 use crate::WorkerId;
-use crate::batch::{Decision, ListedWorker};
+use crate::batch::{Decision, Incarnation, ListedWorker};
+
+/// The latest plausible start of an incarnation, in milliseconds since the Unix epoch: the year
+/// 2100. A time in microseconds or nanoseconds is later.
+///
+/// The limit does not depend on the planner's time of day, so that a planner whose clock is wrong
+/// still uses its workers.
+const LATEST_START_UNIX_MS: u64 = 4_102_444_800_000;
 
 impl Planner {
     /// Handles a worker's entry in the directory.
@@ -66,6 +73,10 @@
     /// Other programs can write to the directory too. If the planner believed such an entry, it
     /// would give up runs that go on, and start them a second time.
     fn why_implausible(&self, listed: &ListedWorker) -> Option<&'static str> {
+        let start = listed.incarnation.map(Incarnation::unix_ms);
+        if start.is_some_and(|start| start > LATEST_START_UNIX_MS) {
+            return Some("its directory entry names no possible start");
+        }
         let known = self.workers.get(&listed.id)?;
         let moves = known.is_reached() && known.listed.address != listed.address;
         let is_same = !known.incarnation_state.differs_from(listed.incarnation);
