fix(follow): one odd entry in the list of VMs hides no other

Cause: the native mode read the platform's list of VMs as one value. An unknown state or role, a port out of range, a name of no valid form or a number too large in one entry made all of it unreadable: a daemon that ran missed every later change, and one that started knew no minion.

Change: each entry is read alone, from its text (serde_json's raw values), so that numbers too large and deep nesting in one entry don't concern the others. What can't be read names no VM.

Left: a list that is no JSON stays out as a whole; the last one that could be read stays in force.

--- a/crates/stairstalld/src/follow.rs
+++ b/crates/stairstalld/src/follow.rs
@@ -4,8 +4,10 @@
 use std::time::Duration;
 
 use hyper::Method;
+use serde::Deserialize;
+use serde_json::value::RawValue;
 use stairstall_core::config::{Configuration, Head, OfferOutcome, Revision};
-use stairstall_core::protocol::{VmList, VmRole};
+use stairstall_core::protocol::{VmEntry, VmList, VmRole};
 use stairstall_core::routing::MinionInfo;
 use stairstall_store::{Event, StoreError};
 
@@ -128,7 +130,25 @@
     let answer = daemon
         .http
         .json::<()>(Method::GET, address, "/vms", None, VM_LIST_TIMEOUT);
-    answer.await?.read()
+    let raw: RawVmList = answer.await?.read()?;
+    Ok(VmList {
+        vms: raw.vms.iter().filter_map(|entry| read_vm(entry)).collect(),
+    })
+}
+
+/// The list of VMs with entries that are not decoded yet, so that one odd entry hides no other.
+#[derive(Debug, Deserialize)]
+struct RawVmList {
+    vms: Vec<Box<RawValue>>,
+}
+
+/// Reads an entry of the list; an entry that can't be read names no VM.
+fn read_vm(entry: &RawValue) -> Option<VmEntry> {
+    let read = serde_json::from_str(entry.get());
+    read.inspect_err(|error| {
+        log::debug!(target: "vms", error:% = error; "an entry in the list of VMs can't be read");
+    })
+    .ok()
 }
 
 /// Passes a new list of VMs to the dispatcher and to the rest of the daemon.
