--- a/crates/stairstalld/tests/batch/main.rs
+++ b/crates/stairstalld/tests/batch/main.rs
@@ -11,6 +11,7 @@
 mod last_ends;
 mod learnt;
 mod leaving;
+mod odd_entries;
 mod open_connection;
 mod path;
 mod planned_stop;
