test(daemon): odd records, answers, calls and bodies at daemons as processes

tests/batch/odd_input plays what operators, earlier planners, workers, peers and callers may write. 9 of 13 fail on: - huge_numbers_of_the_configuration: panic in mul_f64 (stretch 1e300); the planner's task ends, the daemon lives on, renews the lease, and nothing is planned any more; - odd_jobs: spec.rs:237 "attempt to add with overflow", same end, by one caller's job; - any_count_of_tenures: acquire.rs:83 "attempt to add with overflow", no daemon ever plans; - a_role_record_of_no_planner: no daemon ever plans; - odd_records, odd_calls_of_peers: 4 billion tasks in one record: "memory allocation failed", abort; - a_job_whose_progress_cannot_be_read: the job starts again, and is answered as queued or done; - rows_of_a_report: a row about no task of ours makes the worker unresponsive for good; - the_version_after_the_highest_one: the later version never comes into force.

--- a/crates/stairstalld/tests/batch/main.rs
+++ b/crates/stairstalld/tests/batch/main.rs
@@ -11,6 +11,7 @@
 mod last_ends;
 mod learnt;
 mod leaving;
+mod odd_input;
 mod path;
 mod policy;
 mod reach;
