fix(role): a panic of the planner ends the tenure, not planning

Cause: a panic ended only the task of the role; its lease was renewed by another task for good, so no daemon planned again until the process was restarted by hand. A panic in one of the tenure's other tasks (polls of workers, watches, the writer) ended only that one, unseen. Change: a panic while the planner is used, or of a task of the tenure, ends the tenure: the lease is released, an error line says so, another tenure reads everything anew; the daemon waits 1 s, so that another one goes first.

--- a/crates/stairstalld/src/batch/role.rs
+++ b/crates/stairstalld/src/batch/role.rs
@@ -1,5 +1,6 @@
 //! Acquires, renews and releases the planner role.
 
+use std::panic::AssertUnwindSafe;
 use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
@@ -29,6 +30,10 @@
 /// Delay before a failed store call is retried.
 const STORE_RETRY_DELAY: Duration = Duration::from_millis(200);
 
+/// Delay before a daemon whose planning panicked may acquire the role again. Another daemon, whose
+/// state may be sound, goes first.
+const PANIC_DELAY: Duration = Duration::from_secs(1);
+
 /// Acquires the role whenever it is free, for as long as the daemon runs.
 pub(crate) async fn run(node: Arc<Node>) {
     loop {
@@ -150,8 +155,10 @@
         lease_id,
         node.leaving.subscribe(),
     ));
-    let why = tenure::run(node, &tenure).await;
+    let planning = AssertUnwindSafe(tenure::run(node, &tenure)).catch_unwind();
+    let why = planning.await.unwrap_or(tenure::PANICKED);
     renewing.abort();
+    tenure.end(why);
     if let Some(unstored) = tenure.unstored_tasks() {
         *lock(&node.unstored_tasks) = unstored;
     }
@@ -164,6 +171,10 @@
     {
         log::warn!(target: "role", token, why:% = fault; "could not release the lease; it will expire");
     }
+    if why == tenure::PANICKED {
+        log::error!(target: "role", token; "planning ended by a panic; another tenure begins anew");
+        node.back_off(PANIC_DELAY).await;
+    }
 }
 
 /// Renews the lease until it ends or the leaving daemon has handed its role over.
--- a/crates/stairstalld/src/batch/tenure.rs
+++ b/crates/stairstalld/src/batch/tenure.rs
@@ -24,6 +24,8 @@
 
 /// Interval at which the lease is checked again while it is not valid.
 const SUSPENDED_DELAY: Duration = Duration::from_millis(50);
+/// Why a tenure ends whose planner, or one of whose tasks, panicked.
+pub(crate) const PANICKED: &str = "a part of the planner panicked";
 /// Delay before the initial load is retried.
 const LOAD_RETRY_DELAY: Duration = Duration::from_millis(100);
 
@@ -116,8 +118,10 @@
     }
 
     /// Calls `act` with the planner, then wakes the planning loop and the writer if they have work
-    /// to do. Ends the tenure if a worker has seen a higher fencing token.
+    /// to do. Ends the tenure if a worker has seen a higher fencing token, or if `act` panics: what
+    /// the planner knows may be inconsistent then.
     pub(crate) fn with_planner<T>(&self, act: impl FnOnce(&mut Planner, Now) -> T) -> T {
+        let _end_on_panic = EndOnPanic(self);
         let now = self.now();
         let mut planner = lock(&self.planner);
         let result = act(&mut planner, now);
@@ -246,6 +250,17 @@
     }
 }
 
+/// Ends a tenure if it is dropped by a panic.
+struct EndOnPanic<'a>(&'a Tenure);
+
+impl Drop for EndOnPanic<'_> {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            self.0.end(PANICKED);
+        }
+    }
+}
+
 /// Runs the planner until the tenure ends; returns why it ended.
 pub(crate) async fn run(node: &Arc<Node>, tenure: &Arc<Tenure>) -> &'static str {
     let mut ended = tenure.ended.subscribe();
@@ -313,6 +328,7 @@
             log_decision(node, tenure.token, decision);
         }
         ask_adviser(node, tenure, &mut tasks);
+        reap(tenure, &mut tasks);
         links.update();
         links.send(orders);
     }
@@ -346,7 +362,16 @@
             }
         });
     }
-    while tasks.try_join_next().is_some() {}
+}
+
+/// Removes the tasks that have ended. Ends the tenure if one of them panicked, since nothing else
+/// does its work.
+fn reap(tenure: &Tenure, tasks: &mut JoinSet<()>) {
+    while let Some(ended) = tasks.try_join_next() {
+        if ended.is_err_and(|error| error.is_panic()) {
+            tenure.end(PANICKED);
+        }
+    }
 }
 
 /// Where the tasks that follow the store continue after the initial load.
