fix(core): numbers that others write no longer overflow what is planned by them

Cause: estimates, objectives, run numbers, counts and amounts from callers, operators, workers and stored records were added and multiplied without bounds: a panic where overflows are checked, a wrapped value (a run number 0, a cost near 0) in a release.

--- a/crates/stairstall-core/src/batch.rs
+++ b/crates/stairstall-core/src/batch.rs
@@ -30,6 +30,7 @@
 mod spec;
 mod task;
 mod timeline;
+mod within;
 mod worker;
 mod worker_pace;
 
--- a/crates/stairstall-core/src/batch/catalog.rs
+++ b/crates/stairstall-core/src/batch/catalog.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::within;
 use crate::{CustomerId, ServiceId};
 
 /// How jobs submitted on one route are run.
@@ -19,14 +20,34 @@
     pub attempts: u32,
     /// Factor by which the critical path of a job is multiplied to get its objective, before
     /// `target_ms` is added.
+    #[serde(deserialize_with = "within::stretch")]
     pub stretch: f64,
     /// Constant part of the objective, in milliseconds.
+    #[serde(deserialize_with = "within::duration_ms")]
     pub target_ms: u64,
     /// How long an adviser's ticket is valid, in milliseconds; none where starts need no ticket.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(
+        default,
+        skip_serializing_if = "Option::is_none",
+        deserialize_with = "within::optional_duration_ms"
+    )]
     pub ticket_valid_ms: Option<u64>,
 }
 
+impl Queue {
+    /// Returns the queue with its times and its stretch shortened to what is planned with at most,
+    /// so that objectives can't overflow.
+    #[must_use]
+    pub fn within_bounds(mut self) -> Self {
+        self.stretch = self.stretch.clamp(0.0, within::MAX_STRETCH);
+        self.target_ms = self.target_ms.min(within::MAX_DURATION_MS);
+        self.ticket_valid_ms = self
+            .ticket_valid_ms
+            .map(|ms| ms.min(within::MAX_DURATION_MS));
+        self
+    }
+}
+
 /// Which calls belong to a queue.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Route {
@@ -37,6 +58,7 @@
     /// Whether calls need no key.
     pub public: bool,
     /// Longest time until a call is answered, in milliseconds.
+    #[serde(deserialize_with = "within::duration_ms")]
     pub timeout_ms: u64,
     /// Queue of the jobs submitted on this route.
     pub queue: Queue,
--- a/crates/stairstall-core/src/batch/load/forecast.rs
+++ b/crates/stairstall-core/src/batch/load/forecast.rs
@@ -147,7 +147,9 @@
         let better = better.fold(ResourceTime::default(), |sum, work| {
             sum.plus(&work.remaining)
         });
-        let queued_ms = better.millis_in(&usable) + self.own_rank_ms(request, &usable);
+        let queued_ms = better
+            .millis_in(&usable)
+            .saturating_add(self.own_rank_ms(request, &usable));
         if queued_ms == 0 {
             return freed_ms;
         }
@@ -155,7 +157,7 @@
             let remaining = ResourceTime::of(&runs.resources, runs.first_end_ms.unwrap_or(0));
             sum.plus(&remaining)
         });
-        freed_ms.max(queued_ms + running.millis_in(&usable))
+        freed_ms.max(queued_ms.saturating_add(running.millis_in(&usable)))
     }
 
     /// Returns how long the work of the same rank takes that is expected to start first. Capacity
--- a/crates/stairstall-core/src/batch/planner/adopt.rs
+++ b/crates/stairstall-core/src/batch/planner/adopt.rs
@@ -4,7 +4,7 @@
 
 use super::pool::{Run, RunState, Worker};
 use super::{Now, Planner};
-use crate::batch::{Decision, DecisionKind, Progress, RunPlacement, RunningTask, TaskKey};
+use crate::batch::{Decision, DecisionKind, Progress, RunPlacement, RunningTask, TaskKey, within};
 use crate::{JobId, WorkerId};
 
 impl Planner {
@@ -16,7 +16,9 @@
             let task = job
                 .group(key)
                 .and_then(|group| group.tasks.get(running.task.index as usize));
-            job.outcome.is_none() && task.is_some_and(super::job::Task::is_waiting)
+            // No planner gives numbers above this, and none could follow them.
+            let is_ours = running.run <= within::MAX_RUN;
+            is_ours && job.outcome.is_none() && task.is_some_and(super::job::Task::is_waiting)
         });
         let run = self.adopted_run(id, running, now);
         self.insert_run(id, &running.task, run);
--- a/crates/stairstall-core/src/batch/planner/candidate_worker.rs
+++ b/crates/stairstall-core/src/batch/planner/candidate_worker.rs
@@ -95,7 +95,7 @@
         } else {
             policy.stop_cost
         };
-        lost_work + run.resources.weight() * millis(away) / 1000
+        lost_work.saturating_add(run.resources.weight().saturating_mul(millis(away)) / 1000)
     }
 }
 
@@ -178,14 +178,14 @@
 /// Returns the cost of preempting runs of one worker, with each gang counted once.
 fn cost_of(chosen: &[&Victim]) -> u64 {
     let mut gangs: Vec<&GroupKey> = Vec::new();
-    let mut cost = 0;
+    let mut cost = 0_u64;
     for victim in chosen {
         let gang = Some(&victim.task.group).filter(|_| victim.gang);
         if gang.is_some_and(|gang| gangs.contains(&gang)) {
             continue;
         }
         gangs.extend(gang);
-        cost += victim.cost;
+        cost = cost.saturating_add(victim.cost);
     }
     cost
 }
--- a/crates/stairstall-core/src/batch/planner/draining.rs
+++ b/crates/stairstall-core/src/batch/planner/draining.rs
@@ -31,9 +31,9 @@
             .iter()
             .filter(|(task, run)| {
                 let run_ms = self.remaining_run_ms(task, run);
-                let ends_in_time = run_ms + margin_ms < leaves_in_ms;
+                let ends_in_time = run_ms.saturating_add(margin_ms) < leaves_in_ms;
                 let may_end_late = run.percent >= policy.nearly_done
-                    && run_ms < leaves_in_ms + millis(policy.late_margin);
+                    && run_ms < leaves_in_ms.saturating_add(millis(policy.late_margin));
                 run.state == RunState::Planned || !(ends_in_time || may_end_late)
             })
             .map(|(task, _)| task.clone())
--- a/crates/stairstall-core/src/batch/planner/job.rs
+++ b/crates/stairstall-core/src/batch/planner/job.rs
@@ -123,7 +123,7 @@
             }
             task.failed_on = Some(worker.clone());
             self.last_failed_gang_run = run;
-            self.gang_failures += 1;
+            self.gang_failures = self.gang_failures.saturating_add(1);
             return Some(self.gang_failures);
         }
         if task.done || task.last_failed_run >= run {
@@ -131,7 +131,7 @@
         }
         task.last_failed_run = run;
         task.failed_on = Some(worker.clone());
-        task.failures += 1;
+        task.failures = task.failures.saturating_add(1);
         Some(task.failures)
     }
 
--- a/crates/stairstall-core/src/batch/planner/load.rs
+++ b/crates/stairstall-core/src/batch/planner/load.rs
@@ -249,7 +249,11 @@
             let remaining = self.customers.entry(key).or_default();
             *remaining = remaining.plus(&work.remaining);
         }
-        let size = u64::from(work.gang_size) * work.needs.weight().max(1);
+        let size = work
+            .needs
+            .weight()
+            .max(1)
+            .saturating_mul(u64::from(work.gang_size));
         let kind = (
             work.service.clone(),
             work.priority,
@@ -307,7 +311,10 @@
     if run.state == RunState::Stopping {
         return 0;
     }
-    let by_percent = run.expected_ms * u64::from(100 - run.percent.min(100)) / 100;
+    let by_percent = run
+        .expected_ms
+        .saturating_mul(u64::from(100 - run.percent.min(100)))
+        / 100;
     let Some((at, 0)) = run.began else {
         return by_percent;
     };
--- a/crates/stairstall-core/src/batch/planner/pass.rs
+++ b/crates/stairstall-core/src/batch/planner/pass.rs
@@ -170,7 +170,8 @@
     pub(super) fn free_accelerators(&self, pass: &mut Pass) -> u32 {
         *pass.free_accelerators.get_or_insert_with(|| {
             let workers = self.workers.values().filter(|w| w.takes_tasks());
-            workers.map(|w| w.free().accelerators).sum()
+            let free = workers.map(|w| w.free().accelerators);
+            free.fold(0, u32::saturating_add)
         })
     }
 }
--- a/crates/stairstall-core/src/batch/planner/placement.rs
+++ b/crates/stairstall-core/src/batch/planner/placement.rs
@@ -64,7 +64,10 @@
                 with_preemption.unwrap_or(choice)
             });
             if let Some(choice) = choice {
-                let accelerators = step.needs.accelerators * as_u32(choice.workers.len());
+                let accelerators = step
+                    .needs
+                    .accelerators
+                    .saturating_mul(as_u32(choice.workers.len()));
                 allowance = allowance.saturating_sub(accelerators);
                 let placed: Vec<u32> = waiting.drain(..choice.workers.len()).collect();
                 self.commit_placement(candidate, &step, &placed, &choice, scope, now);
@@ -172,7 +175,7 @@
     ) -> u64 {
         let typical_ms = crate::time::millis(self.run_time(key, step, now).typical);
         let here_ms = self.pace_of(id, now).scale_ms(typical_ms);
-        here_ms * u64::from(self.slowdown(step, id))
+        here_ms.saturating_mul(u64::from(self.slowdown(step, id)))
     }
 
     /// Returns the factor by which a step's tasks take longer on a worker because of its rack.
@@ -474,8 +477,9 @@
         let projected_ms = self.began.and_then(|(began, from)| {
             let gained = self.percent.saturating_sub(from);
             let worked_ms = crate::time::millis(self.reported_at - began);
-            (gained >= min_progress_percent).then(|| worked_ms * left / u64::from(gained))
+            (gained >= min_progress_percent)
+                .then(|| worked_ms.saturating_mul(left) / u64::from(gained))
         });
-        projected_ms.unwrap_or(self.expected_ms * left / 100)
+        projected_ms.unwrap_or(self.expected_ms.saturating_mul(left) / 100)
     }
 }
--- a/crates/stairstall-core/src/batch/planner/placement/choose.rs
+++ b/crates/stairstall-core/src/batch/planner/placement/choose.rs
@@ -64,7 +64,8 @@
     }
     let mut workers = workers;
     for worker in &mut workers {
-        worker.penalty += paces.cost_on(worker, worker.pace.factor);
+        let cost = paces.cost_on(worker, worker.pace.factor);
+        worker.penalty = worker.penalty.saturating_add(cost);
     }
     choose(workers, needs, count, false, Some(paces))
 }
@@ -87,7 +88,8 @@
             return None;
         }
         for worker in &mut set {
-            worker.penalty += paces.cost_on(worker, slowest);
+            let cost = paces.cost_on(worker, slowest);
+            worker.penalty = worker.penalty.saturating_add(cost);
         }
         choose(set, needs, count, true, None)
     });
@@ -180,7 +182,7 @@
         let left = self.free.saturating_sub(needs);
         Some(PlacementOption {
             sort_key: (
-                cost + self.penalty,
+                cost.saturating_add(self.penalty),
                 newest,
                 self.in_other_zone,
                 left.accelerators,
@@ -220,7 +222,8 @@
         let Some(option) = options[index].take() else {
             break;
         };
-        choice.cost += option.cost + workers[index].penalty;
+        let cost = option.cost.saturating_add(workers[index].penalty);
+        choice.cost = choice.cost.saturating_add(cost);
         choice.in_other_zones += usize::from(workers[index].in_other_zone);
         for victim in option.victims {
             for changed in candidate_worker::preempt(&mut workers, index, &victim) {
--- a/crates/stairstall-core/src/batch/planner/placement/cost.rs
+++ b/crates/stairstall-core/src/batch/planner/placement/cost.rs
@@ -27,18 +27,19 @@
 impl PlacementCosts<'_> {
     /// Returns the cost of placing a task on a worker, in core-milliseconds.
     pub(super) fn cost_on(&self, worker: &Worker, step: &StepSpec, at: Timestamp) -> u64 {
-        let mut cost = 0;
+        let mut cost = 0_u64;
+        let mut add = |factor: u64| cost = cost.saturating_add(self.work.saturating_mul(factor));
         if !worker.is_near(step) {
-            cost += self.work * u64::from(self.far_factor.saturating_sub(1));
+            add(u64::from(self.far_factor.saturating_sub(1)));
         }
         if worker.is_suspect(at) {
-            cost += self.work * u64::from(self.policy.suspect_penalty);
+            add(u64::from(self.policy.suspect_penalty));
         }
         if self.has_failed && worker.incarnation_state.succeeded_at.is_none() {
-            cost += self.work * u64::from(self.policy.unproven_penalty);
+            add(u64::from(self.policy.unproven_penalty));
         }
         if self.failed_on.contains(&&worker.listed.id) {
-            cost += self.work * u64::from(self.policy.failed_here_penalty);
+            add(u64::from(self.policy.failed_here_penalty));
         }
         // If two jobs under which workers were lost ran on one worker, a crash could not be
         // attributed to either of them.
@@ -46,7 +47,7 @@
             .suspect_job
             .is_some_and(|job| worker.runs_other_suspect_job(job))
         {
-            cost += self.work * u64::from(self.policy.suspect_neighbour_penalty);
+            add(u64::from(self.policy.suspect_neighbour_penalty));
         }
         cost
     }
@@ -166,7 +167,8 @@
         let eligible_ms = job.eligible_unix_ms(key.occurrence);
         let objective_ms = job.objective_unix_ms(key.occurrence);
         let late_bound = u64::from(self.policy.scheduling.late_bound);
-        let late_bound_ms = eligible_ms + late_bound * objective_ms.saturating_sub(eligible_ms);
+        let late_bound_ms = eligible_ms
+            .saturating_add(late_bound.saturating_mul(objective_ms.saturating_sub(eligible_ms)));
         let run_time = self.run_time(key, step, now);
         let is_urgent = candidate.rank <= URGENT_RANK;
         let time = if is_urgent {
--- a/crates/stairstall-core/src/batch/planner/placement/reservations.rs
+++ b/crates/stairstall-core/src/batch/planner/placement/reservations.rs
@@ -154,7 +154,7 @@
         }
         let p90_ms = crate::time::millis(self.run_time(&candidate.key, step, now).p90);
         let here_ms = self.pace_of(id, now).scale_ms(p90_ms);
-        let expected_ms = here_ms * u64::from(self.slowdown(step, id));
+        let expected_ms = here_ms.saturating_mul(u64::from(self.slowdown(step, id)));
         now.at + Duration::from_millis(expected_ms) <= deadline
     }
 
@@ -177,7 +177,7 @@
         let min_improvement_ms = crate::time::millis(MIN_IMPROVEMENT);
         match (current, earliest) {
             (Some(current), Some(earliest))
-                if current.free_in_ms <= earliest.free_in_ms + min_improvement_ms =>
+                if current.free_in_ms <= earliest.free_in_ms.saturating_add(min_improvement_ms) =>
             {
                 Some(current)
             }
--- a/crates/stairstall-core/src/batch/planner/start_outcomes.rs
+++ b/crates/stairstall-core/src/batch/planner/start_outcomes.rs
@@ -92,7 +92,7 @@
         let Some(entry) = job.task_mut(task).filter(|entry| entry.run == number) else {
             return;
         };
-        entry.late_start_until_unix_ms = Some(now.unix_ms + millis(until - now.at));
+        entry.late_start_until_unix_ms = Some(now.unix_ms.saturating_add(millis(until - now.at)));
         job.record_change();
         self.changed_jobs.insert(task.group.job.clone());
     }
--- a/crates/stairstall-core/src/batch/planner/starts.rs
+++ b/crates/stairstall-core/src/batch/planner/starts.rs
@@ -195,7 +195,7 @@
             },
         });
         if let Some(job) = self.jobs.get_mut(&task.group.job) {
-            job.timeline.starts += 1;
+            job.timeline.starts = job.timeline.starts.saturating_add(1);
         }
         self.mark_timeline_changed(&task.group.job);
         self.decisions.push(Decision::of_run(
--- a/crates/stairstall-core/src/batch/planner/stuck/pace.rs
+++ b/crates/stairstall-core/src/batch/planner/stuck/pace.rs
@@ -90,15 +90,15 @@
         let Some(duration_ms) = self.min_duration_ms(policy) else {
             return false;
         };
-        let remaining_here = duration_ms * u64::from(self.left) / 100;
+        let remaining_here = duration_ms.saturating_mul(u64::from(self.left)) / 100;
         let remaining_elsewhere = if self.is_resumable {
-            typical_ms * u64::from(self.left) / 100
+            typical_ms.saturating_mul(u64::from(self.left)) / 100
         } else {
             typical_ms
         };
-        let cost = millis(stop_max) + remaining_elsewhere;
-        without_slowdown(duration_ms, self.slowdown) > typical_ms * policy.slow_factor
-            && remaining_here > cost + cost / policy.gain_divisor
+        let cost = millis(stop_max).saturating_add(remaining_elsewhere);
+        without_slowdown(duration_ms, self.slowdown) > typical_ms.saturating_mul(policy.slow_factor)
+            && remaining_here > cost.saturating_add(cost / policy.gain_divisor)
     }
 }
 
--- a/crates/stairstall-core/src/batch/planner/usage.rs
+++ b/crates/stairstall-core/src/batch/planner/usage.rs
@@ -180,7 +180,7 @@
             return 0;
         }
         let step_ms = millis(self.run_time(key, step, now).typical);
-        step_ms * u64::from(group.percent.min(100)) / 100
+        step_ms.saturating_mul(u64::from(group.percent.min(100))) / 100
     }
 
     /// Sorts candidates into scheduling order. For each step, the work ahead of it in its
@@ -208,7 +208,7 @@
                 .or_insert_with(|| (self.usage.used_ms(customer, now.at), 0));
             candidate.scheduling_key.usage_level =
                 self.usage.usage_level(*used_ms, *ahead_ms, WEIGHT);
-            *ahead_ms += self.cost_ms(key, job, now);
+            *ahead_ms = ahead_ms.saturating_add(self.cost_ms(key, job, now));
         }
         candidates.sort_unstable();
     }
--- a/crates/stairstall-core/src/batch/planner/victims.rs
+++ b/crates/stairstall-core/src/batch/planner/victims.rs
@@ -72,7 +72,7 @@
             }
         }
         for (key, cost) in &mut costs {
-            *cost += self.extra_preemption_cost(key, now);
+            *cost = cost.saturating_add(self.extra_preemption_cost(key, now));
         }
         costs
     }
@@ -87,14 +87,17 @@
             return 0;
         };
         let policy = &self.policy.victims;
-        let weight = step.reserved_resources().weight() * u64::from(step.count);
+        let weight = step
+            .reserved_resources()
+            .weight()
+            .saturating_mul(u64::from(step.count));
         let repeat_ms = millis(policy.repeat_preemption_cost) * u64::from(group.preemptions);
         let late_ms = if policy.counts_caused_lateness && self.would_become_late(key, job, now) {
             millis(self.run_time(key, step, now).typical)
         } else {
             0
         };
-        weight.saturating_mul(repeat_ms + late_ms) / 1000
+        weight.saturating_mul(repeat_ms.saturating_add(late_ms)) / 1000
     }
 
     /// Returns whether a running gang would be in time, but late if it were restarted.
@@ -106,8 +109,8 @@
         let remaining_ms = run.map_or(restart_ms, |run| {
             run.remaining_ms(self.policy.placement.min_progress_percent)
         });
-        now.unix_ms + remaining_ms <= objective_unix_ms
-            && now.unix_ms + restart_ms > objective_unix_ms
+        now.unix_ms.saturating_add(remaining_ms) <= objective_unix_ms
+            && now.unix_ms.saturating_add(restart_ms) > objective_unix_ms
     }
 
     /// Returns whether the preemptions of a choice are worthwhile: what they discard is at most
@@ -141,13 +144,20 @@
                 continue;
             };
             if !run.gang {
-                lost += run.lost_work(now.at, self.policy.victims.restore_cost);
+                let work = run.lost_work(now.at, self.policy.victims.restore_cost);
+                lost = lost.saturating_add(work);
             } else if gangs.insert(&task.group) {
-                lost += costs.get(&task.group).copied().unwrap_or(0);
+                let work = costs.get(&task.group).copied().unwrap_or(0);
+                lost = lost.saturating_add(work);
             }
         }
         let tasks = choice.workers.len() as u64;
-        let work = step.reserved_resources().weight() * tasks * millis(run_time) / 1000;
+        let work = step
+            .reserved_resources()
+            .weight()
+            .saturating_mul(tasks)
+            .saturating_mul(millis(run_time))
+            / 1000;
         lost <= work.saturating_mul(max_lost_factor.into())
     }
 
@@ -155,8 +165,10 @@
     /// has expired, or the next check would be too late to meet its objective.
     fn must_start_now(&self, candidate: &Candidate, run_time: Duration, now: Now) -> bool {
         let waited = self.since_accepted(&candidate.key, now);
-        let ends_ms = now.unix_ms + millis(self.bounds.stop_max + run_time);
-        let recheck_ms = ends_ms + millis(RECHECK_INTERVAL);
+        let ends_ms = now
+            .unix_ms
+            .saturating_add(millis(self.bounds.stop_max.saturating_add(run_time)));
+        let recheck_ms = ends_ms.saturating_add(millis(RECHECK_INTERVAL));
         let objective_unix_ms = candidate.scheduling_key.objective_unix_ms;
         let is_last_chance_in_time = ends_ms <= objective_unix_ms && recheck_ms > objective_unix_ms;
         is_last_chance_in_time || waited >= self.guaranteed_wait_limit()
--- a/crates/stairstall-core/src/batch/record.rs
+++ b/crates/stairstall-core/src/batch/record.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::timeline::StoredTimeline;
-use super::{BatchSpec, GroupKey, Incarnation, Queue};
+use super::{BatchSpec, GroupKey, Incarnation, Queue, within};
 use crate::claim::Mark;
 use crate::{CustomerId, JobId, WorkerId, ZoneId};
 
@@ -20,6 +20,7 @@
     /// Queue as it was configured when the job was accepted.
     pub queue: Queue,
     /// When the job was accepted, in milliseconds since the Unix epoch.
+    #[serde(deserialize_with = "within::unix_ms")]
     pub accepted_unix_ms: u64,
     /// What to run.
     pub spec: BatchSpec,
@@ -142,7 +143,11 @@
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub counted_runs: BTreeMap<u32, u32>,
     /// Highest run number assigned so far.
-    #[serde(default, skip_serializing_if = "is_zero")]
+    #[serde(
+        default,
+        skip_serializing_if = "is_zero",
+        deserialize_with = "within::run"
+    )]
     pub last_run: u32,
     /// Placement of each current run, by index of the task; written before the run is started.
     #[serde(rename = "places", default, skip_serializing_if = "BTreeMap::is_empty")]
@@ -227,9 +232,9 @@
     /// Counts a crash of a worker that has, or has not, confirmed the start.
     pub const fn record_crash(&mut self, start_confirmed: bool) {
         if start_confirmed {
-            self.crashes += 1;
+            self.crashes = self.crashes.saturating_add(1);
         } else {
-            self.unanswered += 1;
+            self.unanswered = self.unanswered.saturating_add(1);
         }
     }
 
--- a/crates/stairstall-core/src/batch/scheduling/usage.rs
+++ b/crates/stairstall-core/src/batch/scheduling/usage.rs
@@ -188,7 +188,7 @@
         let customers = self.accounts.keys();
         let sum: u64 = customers
             .map(|customer| self.used_ms(customer.as_ref(), at))
-            .sum();
+            .fold(0, u64::saturating_add);
         sum.checked_div(self.accounts.len() as u64).unwrap_or(0)
     }
 
--- a/crates/stairstall-core/src/batch/spec.rs
+++ b/crates/stairstall-core/src/batch/spec.rs
@@ -3,7 +3,7 @@
 use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
 
-use super::Resources;
+use super::{Resources, within};
 
 /// Maximum length of a payload, in bytes.
 const MAX_PAYLOAD_BYTES: usize = 4_000;
@@ -51,7 +51,7 @@
     /// Resources that each task needs.
     pub needs: Resources,
     /// Rough estimate of a task's run time, in milliseconds; 0 where there is none.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "within::duration_ms")]
     pub estimate_ms: u64,
     /// Indices, from 0, of earlier steps whose tasks must all be done first.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
@@ -83,7 +83,12 @@
     pub max_unavailable: Option<u32>,
     /// Target for the tail latency of the tasks' answers, in milliseconds, where they serve users;
     /// 0 where they do not.
-    #[serde(rename = "target_ms", default, skip_serializing_if = "is_zero")]
+    #[serde(
+        rename = "target_ms",
+        default,
+        skip_serializing_if = "is_zero",
+        deserialize_with = "within::duration_ms"
+    )]
     pub latency_target_ms: u64,
     /// Whether the CPU that the tasks need is left unreserved on their workers.
     #[serde(rename = "fills", default, skip_serializing_if = "is_false")]
@@ -135,8 +140,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Schedule {
     /// When the first occurrence may start, in milliseconds since the Unix epoch.
+    #[serde(deserialize_with = "within::unix_ms")]
     pub first_unix_ms: u64,
     /// Time between two occurrences, in milliseconds.
+    #[serde(deserialize_with = "within::duration_ms")]
     pub interval_ms: u64,
     /// Number of occurrences.
     #[serde(rename = "times")]
@@ -165,6 +172,21 @@
 }
 
 impl BatchSpec {
+    /// Returns the specification with every time in it shortened to the longest that is planned
+    /// with, so that sums of times can't overflow.
+    #[must_use]
+    pub fn with_times_within_bounds(mut self) -> Self {
+        for step in &mut self.steps {
+            step.estimate_ms = step.estimate_ms.min(within::MAX_DURATION_MS);
+            step.latency_target_ms = step.latency_target_ms.min(within::MAX_DURATION_MS);
+        }
+        if let Some(schedule) = &mut self.schedule {
+            schedule.first_unix_ms = schedule.first_unix_ms.min(within::MAX_UNIX_MS);
+            schedule.interval_ms = schedule.interval_ms.min(within::MAX_DURATION_MS);
+        }
+        self
+    }
+
     /// Checks the bounds of every field.
     ///
     /// # Errors
@@ -234,7 +256,7 @@
         let mut paths = vec![0; self.steps.len()];
         for (index, step) in self.steps.iter().enumerate().rev() {
             // Steps that depend on this one come later in the list and are already included.
-            paths[index] += duration_ms(step);
+            paths[index] = u64::saturating_add(paths[index], duration_ms(step));
             let path = paths[index];
             for on in &step.depends_on {
                 if let Some(earlier) = paths.get_mut(*on as usize) {
--- a/crates/stairstall-core/src/batch/timeline.rs
+++ b/crates/stairstall-core/src/batch/timeline.rs
@@ -120,7 +120,8 @@
 impl Setbacks {
     /// Counts one setback.
     pub fn record(&mut self, setback: Setback) {
-        *self.0.entry(setback).or_default() += 1;
+        let count = self.0.entry(setback).or_default();
+        *count = count.saturating_add(1);
     }
 
     /// Returns whether there was no setback.
@@ -190,10 +191,11 @@
 impl JobTimeline {
     /// Adds time spent in a phase; without a setback in it, running time also counts as work.
     pub(super) fn add_time(&mut self, phase: JobPhase, spent: Duration) {
-        *self.phases.entry(phase).or_default() += spent;
+        let total = self.phases.entry(phase).or_default();
+        *total = total.saturating_add(spent);
         let had_setback = std::mem::take(&mut self.has_setback_in_phase);
         if matches!(phase, JobPhase::Running | JobPhase::Rerunning) && !had_setback {
-            self.work += spent;
+            self.work = self.work.saturating_add(spent);
         }
     }
 
--- a/crates/stairstalld/tests/batch/odd_input.rs
+++ b/crates/stairstalld/tests/batch/odd_input.rs
@@ -56,6 +56,9 @@
         assert_eq!(status, Some(StatusCode::OK), "daemon {daemon}");
         cluster.wait_for(&path, "completed").await;
     }
+    for daemon in &cluster.daemons {
+        assert_eq!(daemon.log_lines("ended by a panic"), [""; 0]);
+    }
 }
 
 /// Ends the daemon that plans, so that another one has to read everything stored.
