fix(intake): a job whose stored progress can't be read does not run again

Cause: a planner that could not decode the progress of a job restored the job without it, as one of which nothing has run; the watch and the daemons' notices handed it in again likewise. Change: such a job is held back for the tenure, also where the progress has other tasks than the job (marks that are too few would count as undone); callers are told 503, that it can't be read. A stored job out of a job's bounds (4 billion tasks, dependencies on later steps), or under another job's key, is refused alone with an error line.

--- a/crates/stairstall-core/src/batch/planner/progress.rs
+++ b/crates/stairstall-core/src/batch/planner/progress.rs
@@ -14,8 +14,6 @@
 const OPEN: char = '-';
 /// Stored mark of a task that is done.
 const DONE: char = 'D';
-/// Stored instead of all marks if every task of the step is done.
-const ALL_DONE: &str = "*";
 
 /// The progress of one job, to be written to the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -174,7 +172,7 @@
 impl TaskGroup {
     fn progress(&self) -> GroupProgress {
         let tasks = if self.is_done() {
-            ALL_DONE.to_owned()
+            GroupProgress::ALL_DONE.to_owned()
         } else {
             self.tasks.iter().map(task_mark).collect()
         };
@@ -218,7 +216,7 @@
         self.gang_failures = stored.gang_failures;
         self.last_run = self.last_run.max(stored.last_run);
         self.last_failed_gang_run = stored.counted_failure;
-        if stored.tasks == ALL_DONE {
+        if stored.tasks == GroupProgress::ALL_DONE {
             self.tasks.iter_mut().for_each(|task| task.done = true);
             return;
         }
--- a/crates/stairstall-core/src/batch/record.rs
+++ b/crates/stairstall-core/src/batch/record.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::timeline::StoredTimeline;
-use super::{BatchSpec, GroupKey, Incarnation, Queue, within};
+use super::{BatchSpec, GroupKey, Incarnation, Queue, SpecError, StepSpec, within};
 use crate::claim::Mark;
 use crate::{CustomerId, JobId, WorkerId, ZoneId};
 
@@ -93,6 +93,18 @@
         }
     }
 
+    /// Checks what the job runs, unless the record no longer contains that.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first violation of the bounds that callers' jobs are held to.
+    pub fn check(&self) -> Result<(), SpecError> {
+        if self.is_trimmed() {
+            return Ok(());
+        }
+        self.spec.check()
+    }
+
     /// Returns whether the record no longer contains what the job ran.
     #[must_use]
     pub const fn is_trimmed(&self) -> bool {
@@ -289,7 +301,35 @@
     pub timeline: Option<StoredTimeline>,
 }
 
+impl GroupProgress {
+    /// Returns whether this may be the progress of a step: whether each of its tasks, and no other,
+    /// has a mark.
+    fn fits(&self, step: &StepSpec) -> bool {
+        let is_all_done = self.tasks == Self::ALL_DONE;
+        is_all_done || self.tasks.chars().count() == step.count as usize
+    }
+
+    /// Stands for all marks if every task of the step is done.
+    pub(super) const ALL_DONE: &str = "*";
+}
+
 impl Progress {
+    /// Returns whether this may be the progress of a job. If it is not, it does not tell which
+    /// tasks are done.
+    #[must_use]
+    pub fn fits(&self, job: &AcceptedJob) -> bool {
+        let steps = &job.spec.steps;
+        let is_of_job = |groups: &Vec<GroupProgress>| {
+            groups.len() == steps.len()
+                && groups
+                    .iter()
+                    .zip(steps)
+                    .all(|(group, step)| group.fits(step))
+        };
+        let is_short_enough = self.occurrences.len() <= job.spec.occurrences() as usize;
+        self.outcome.is_some() || is_short_enough && self.occurrences.iter().all(is_of_job)
+    }
+
     /// Returns the groups of a job that has not ended, with their progress.
     pub(super) fn unfinished_groups(
         &self,
--- a/crates/stairstalld/src/batch/job_watch.rs
+++ b/crates/stairstalld/src/batch/job_watch.rs
@@ -87,6 +87,7 @@
     }
     let mut revisions = Revisions::new();
     let mut progress: BTreeMap<JobId, Progress> = BTreeMap::new();
+    let mut unreadable = BTreeSet::new();
     for item in stored.progress {
         let Ok(StoreKey::BatchProgress(id)) = item.key.parse() else {
             continue;
@@ -97,7 +98,9 @@
                 progress.insert(id, found);
             }
             Err(error) => {
-                log::error!(target: "intake", job:% = id, why:% = error; "can't decode the job's progress");
+                log::error!(target: "intake", job:% = id, why:% = error;
+                    "can't decode the job's progress; none of its tasks is started in this tenure");
+                unreadable.insert(id);
             }
         }
     }
@@ -109,8 +112,20 @@
             _ => None,
         })
         .collect();
-    for job in stored.jobs.iter().filter_map(decode_job) {
+    let jobs: Vec<AcceptedJob> = stored.jobs.iter().filter_map(decode_job).collect();
+    for job in &jobs {
+        if progress.get(&job.id).is_some_and(|found| !found.fits(job)) {
+            log::error!(target: "intake", job:% = job.id;
+                "the job's progress is not that of the job; none of its tasks is started in this tenure");
+            unreadable.insert(job.id.clone());
+        }
+    }
+    tenure.hold_back(unreadable);
+    for job in jobs {
         let id = job.id.clone();
+        if tenure.is_held_back(&id) {
+            continue;
+        }
         tenure.with_planner(|planner, now| {
             planner.restore_job(job, progress.get(&id), cancelled.contains(&id), now);
         });
@@ -119,17 +134,24 @@
 }
 
 /// Returns the accepted job that an item holds, or `None` if the item is a cancellation, a refusal
-/// record or unreadable.
+/// record, unreadable or out of the bounds of a job.
 fn decode_job(item: &Item) -> Option<AcceptedJob> {
     let Ok(StoreKey::BatchJob(id)) = item.key.parse() else {
         return None;
     };
-    StoredJob::read(&item.value)
-        .inspect_err(|error| {
-            log::error!(target: "intake", job:% = id, why:% = error; "can't decode the job");
-        })
-        .ok()?
-        .accepted()
+    let read = StoredJob::read(&item.value).inspect_err(|error| {
+        log::error!(target: "intake", job:% = id, why:% = error; "can't decode the job");
+    });
+    let job = read.ok()?.accepted()?;
+    if let Err(error) = job.check() {
+        log::error!(target: "intake", job:% = id, why:% = error; "the stored job can't be planned");
+        return None;
+    }
+    if job.id != id {
+        log::error!(target: "intake", job:% = id, stored:% = job.id; "another job is stored under the job's key");
+        return None;
+    }
+    Some(job)
 }
 
 /// Polls for changes for as long as the tenure lasts.
@@ -191,7 +213,7 @@
     match item.key.parse() {
         Ok(StoreKey::BatchJob(_)) => {
             if let Some(job) = decode_job(item) {
-                tenure.with_planner(|planner, now| planner.submit(job, now));
+                tenure.add(job);
             }
         }
         Ok(StoreKey::BatchCancellation(id)) => {
--- a/crates/stairstalld/src/batch/tenure.rs
+++ b/crates/stairstalld/src/batch/tenure.rs
@@ -1,5 +1,6 @@
 //! Runs the planner while this daemon holds the planner role.
 
+use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -38,6 +39,9 @@
     lease: Mutex<Lease>,
     /// Revision of the role's key.
     pub(crate) role_revision: Revision,
+    /// Jobs whose stored progress can't be read. What they have done is not known, so that none of
+    /// their tasks may be started: it could run a second time.
+    held_back: Mutex<BTreeSet<JobId>>,
     /// Whether the stored jobs and workers have been loaded.
     loaded: AtomicBool,
     /// Wakes the planning loop.
@@ -67,6 +71,7 @@
             planner: Mutex::new(planner),
             lease: Mutex::new(acquired.lease),
             role_revision: acquired.revision,
+            held_back: Mutex::default(),
             loaded: AtomicBool::new(false),
             wake: Notify::new(),
             writes_pending: Notify::new(),
@@ -142,11 +147,28 @@
         self.loaded.load(Ordering::Acquire) && self.is_active()
     }
 
+    /// Keeps jobs from being planned in this tenure.
+    pub(crate) fn hold_back(&self, jobs: BTreeSet<JobId>) {
+        *lock(&self.held_back) = jobs;
+    }
+
+    /// Returns whether a job is kept from being planned in this tenure.
+    pub(crate) fn is_held_back(&self, id: &JobId) -> bool {
+        lock(&self.held_back).contains(id)
+    }
+
+    /// Adds an accepted job, unless it is held back.
+    pub(crate) fn add(&self, job: AcceptedJob) {
+        if !self.is_held_back(&job.id) {
+            self.with_planner(|planner, now| planner.submit(job, now));
+        }
+    }
+
     /// Adds an accepted job; returns false if this tenure is not serving.
     pub(crate) fn submit(&self, job: AcceptedJob) -> bool {
         let is_serving = self.is_serving();
         if is_serving {
-            self.with_planner(|planner, now| planner.submit(job, now));
+            self.add(job);
         }
         is_serving
     }
@@ -161,7 +183,8 @@
     }
 
     pub(crate) fn job(&self, id: &JobId) -> JobAnswer {
-        if !self.is_serving() {
+        // The store has what callers are told of a job that is held back: that it can't be read.
+        if !self.is_serving() || self.is_held_back(id) {
             return JobAnswer::NotPlanner;
         }
         let planner = lock(&self.planner);
