fix(rpc): jobs that peers send are checked as callers' are

Cause: a job of 4 billion tasks in a peer's call ended the process: "memory allocation of bytes failed". One with a dependency on a later step would have been stored. Change: both calls that carry a job check its bounds; others are invalid parameters.

--- a/crates/stairstalld/src/batch/rpc.rs
+++ b/crates/stairstalld/src/batch/rpc.rs
@@ -159,12 +159,20 @@
     /// Checks an ID that another daemon sends, as callers' IDs are checked.
     fn check_job_id(&self, id: &JobId) -> RpcResult<()> {
         let checked = self.0.dialect.read_job_id(id.as_str());
-        checked.map(drop).map_err(|error| {
-            ErrorObjectOwned::owned(INVALID_PARAMS_CODE, error.to_string(), None::<()>)
-        })
+        checked.map(drop).map_err(|error| invalid(&error))
+    }
+
+    /// Checks a job that another daemon sends, as callers' jobs are checked.
+    fn check_job(&self, job: &AcceptedJob) -> RpcResult<()> {
+        self.check_job_id(&job.id)?;
+        job.check().map_err(|error| invalid(&error))
     }
 }
 
+fn invalid(why: &impl ToString) -> ErrorObjectOwned {
+    ErrorObjectOwned::owned(INVALID_PARAMS_CODE, why.to_string(), None::<()>)
+}
+
 #[async_trait]
 impl PeerServer for PeerService {
     async fn job_accepted(
@@ -172,7 +180,7 @@
         job: AcceptedJob,
         wants_load: Option<bool>,
     ) -> RpcResult<SubmitAnswer> {
-        self.check_job_id(&job.id)?;
+        self.check_job(&job)?;
         let tenure = self.0.tenure();
         let taken = tenure.as_ref().is_some_and(|tenure| tenure.submit(job));
         let Some(wants_load) = wants_load else {
@@ -219,7 +227,7 @@
     }
 
     async fn accept(&self, job: AcceptedJob) -> RpcResult<Acceptance> {
-        self.check_job_id(&job.id)?;
+        self.check_job(&job)?;
         if self.0.store_health.should_fail_fast(self.0.clock.now()) {
             return Ok(Acceptance::NotKept);
         }
