fix(encoding): a stored value is inflated to 8 MB at most, not 32

Cause: nothing else runs in the daemon's one thread while a value is inflated and read. Two values of 256 MB that took 0.3 MB in the store kept debug daemons from renewing their lease, so that one tenure followed another (stacks: inflate, then serde_json over blanks). Measured: odd_records_do_not_keep_others_from_being_planned failed before (2 of 2 runs, calls without answers) and passes.

--- a/crates/stairstalld/src/batch/encoding.rs
+++ b/crates/stairstalld/src/batch/encoding.rs
@@ -16,8 +16,9 @@
 /// Values with shorter JSON than this many bytes are stored uncompressed: compression saves little,
 /// and the values stay readable for people.
 const MIN_COMPRESSED_LEN: usize = 400;
-/// Longest decoded value in bytes, far above the 1 MB that the store accepts for a value.
-const MAX_DECODED_BYTES: u64 = 32 * 1024 * 1024;
+/// Longest decoded value in bytes, far above what a job of the largest size takes. Nothing else runs
+/// in this process while a value is decoded, so a longer one would cost the planner its lease.
+const MAX_DECODED_BYTES: u64 = 8 * 1024 * 1024;
 
 quick_error! {
     /// A value that can't be encoded or decoded.
