fix(role): tenure counts and planner records that can't be are not gone on from

Cause: "last.count + 1" overflowed at the highest count, so the role's task ended in every daemon; one that could not be read counted as 0, below the tokens that workers have seen; a record under the role's key that names no planner was waited for without end; a token of 2^64-1 in a peer's call made every later planner look outdated. Change: tokens are below 2^42. A count that is not goes on from the revision of its key, which is at least as high, since each tenure wrote it. A role record that is none is replaced, under the condition of its revision, after a lease's time. Offers and notices with other tokens are refused.

--- a/crates/stairstall-core/src/batch/planner/fencing.rs
+++ b/crates/stairstall-core/src/batch/planner/fencing.rs
@@ -17,6 +17,10 @@
 const INCARNATIONS_PER_TENURE: u64 = 1 << 20;
 
 impl Planner {
+    /// Highest token of a tenure. Tenures count up by one, so that none of real life gets there; the
+    /// tokens of its incarnations still fit.
+    pub const MAX_TOKEN: u64 = 1 << 42;
+
     /// Returns a token above all tokens used so far.
     ///
     /// When the tokens of this tenure are used up, the planner gives up its role, and the last
@@ -27,7 +31,9 @@
         } else {
             self.incarnations_started += 1;
         }
-        self.token * INCARNATIONS_PER_TENURE + self.incarnations_started
+        self.token
+            .saturating_mul(INCARNATIONS_PER_TENURE)
+            .saturating_add(self.incarnations_started)
     }
 
     /// Handles a call that a worker refused because it has seen a higher token than the call's
--- a/crates/stairstalld/src/batch/node.rs
+++ b/crates/stairstalld/src/batch/node.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use stairstall_core::batch::{Catalog, Now, PeerAddress, PeerTable, UnstoredTasks};
+use stairstall_core::batch::{Catalog, Now, PeerAddress, PeerTable, Planner, UnstoredTasks};
 use stairstall_core::claim::Mark;
 use stairstall_core::{Timestamp, VmId};
 use stairstall_ports::{Adviser, Dialect, Item, Revision, SharedStore, StoreFault, WorkerCalls};
@@ -49,6 +49,14 @@
     pub(crate) mark: Mark,
 }
 
+impl PlannerRecord {
+    /// Returns whether the token is one that tenures count up to. A record with another one names
+    /// no planner: no later planner could supersede it.
+    pub(crate) const fn is_plausible(&self) -> bool {
+        self.token < Planner::MAX_TOKEN
+    }
+}
+
 /// Offers the role of a leaving planner to another daemon.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct RoleOffer {
--- a/crates/stairstalld/src/batch/role.rs
+++ b/crates/stairstalld/src/batch/role.rs
@@ -66,6 +66,9 @@
         return acquire(node, None, None).await;
     };
     let mut last = record_role_item(node, &item);
+    if last.is_none() && !node.is_leaving() {
+        return replace_odd_record(node, &item).await;
+    }
     let mut offers = node.offer.subscribe();
     loop {
         let watched = node.store.watch(keys::PLANNER_ROLE, at, IDLE_WATCH_WAIT);
@@ -81,7 +84,12 @@
         at = watched.revision;
         for change in watched.changes {
             match change {
-                Change::Written(item) => last = record_role_item(node, &item),
+                Change::Written(item) => {
+                    last = record_role_item(node, &item);
+                    if last.is_none() {
+                        return Ok(None);
+                    }
+                }
                 Change::Deleted { .. } if node.is_leaving() => return Ok(None),
                 Change::Deleted { .. } => {
                     tokio::time::sleep(acquire_delay(node)).await;
@@ -92,10 +100,22 @@
     }
 }
 
+/// Acquires the role although its key has a value, which names no planner. Waits for a lease first,
+/// with which the value may end.
+async fn replace_odd_record(node: &Node, item: &Item) -> Result<Option<AcquiredRole>, StoreFault> {
+    log::error!(target: "role", revision:% = item.revision;
+        "the record of the planner names none; it is replaced");
+    tokio::time::sleep(node.settings.role_lease + acquire_delay(node)).await;
+    acquire(node, None, Some(item.revision)).await
+}
+
 /// Records the planner that the role's key names and returns its tenure, or `None` if the value
-/// can't be decoded.
+/// names no planner.
 fn record_role_item(node: &Node, item: &Item) -> Option<LastTenure> {
     let record: PlannerRecord = serde_json::from_slice(&item.value).ok()?;
+    if !record.is_plausible() {
+        return None;
+    }
     let count = record.token;
     record_planner(node, Some(record));
     Some(LastTenure {
@@ -107,7 +127,7 @@
 /// Records the planner unless a later one is known. Ends this daemon's tenure if the new planner
 /// supersedes it.
 pub(crate) fn record_planner(node: &Node, record: Option<PlannerRecord>) {
-    let Some(record) = record else {
+    let Some(record) = record.filter(PlannerRecord::is_plausible) else {
         return;
     };
     let changed = node.planner.send_if_modified(|known| {
--- a/crates/stairstalld/src/batch/role/acquire.rs
+++ b/crates/stairstalld/src/batch/role/acquire.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use stairstall_core::Lease;
-use stairstall_ports::{Commit, CommitOutcome, LeaseId, Revision, StoreFault};
+use stairstall_core::batch::Planner;
+use stairstall_ports::{Commit, CommitOutcome, Item, LeaseId, Revision, StoreFault};
 
 use super::super::node::{Node, PlannerRecord};
 use super::super::settings::BatchSettings;
@@ -52,15 +53,26 @@
         count: 0,
         revision: Revision(0),
     };
-    Ok(item.map_or(none, |item| {
-        let count = std::str::from_utf8(&item.value).ok();
-        LastTenure {
-            count: count.and_then(|count| count.parse().ok()).unwrap_or(0),
-            revision: item.revision,
-        }
+    Ok(item.map_or(none, |item| LastTenure {
+        count: read_count(&item),
+        revision: item.revision,
     }))
 }
 
+/// Returns the tenure count that an item holds. If that can't be read, returns the item's revision,
+/// which is at least as high: each tenure began with a write of its own.
+fn read_count(item: &Item) -> u64 {
+    let text = std::str::from_utf8(&item.value).ok();
+    let count = text.and_then(|count| count.parse().ok());
+    count
+        .filter(|count| *count < Planner::MAX_TOKEN)
+        .unwrap_or_else(|| {
+            log::error!(target: "role", revision:% = item.revision;
+                "can't read the tenure count; the store's revision is gone on from");
+            item.revision.0
+        })
+}
+
 /// Acquires the role; returns `None` if another daemon was faster.
 ///
 /// `last` is the latest tenure, if it is known without reading it. `replaces` is the revision of
@@ -80,7 +92,7 @@
     let record = PlannerRecord {
         vm: node.vm().clone(),
         rpc: node.rpc_address().to_string(),
-        token: last.count + 1,
+        token: last.count.saturating_add(1),
         mark: node.next_mark(),
     };
     let Ok(value) = serde_json::to_vec(&record) else {
--- a/crates/stairstalld/src/batch/role/handover.rs
+++ b/crates/stairstalld/src/batch/role/handover.rs
@@ -49,7 +49,8 @@
 
 /// Records an offer of the role; returns whether this daemon wants it.
 pub(crate) fn handle_offer(node: &Node, offer: RoleOffer) -> bool {
-    let wants = !node.is_leaving()
+    let wants = offer.record.is_plausible()
+        && !node.is_leaving()
         && node.tenure().is_none()
         && node.current_catalog().is_some()
         && node.store_health.serves(node.clock.now());
