fix(catalog): a version that none could follow does not come into force

Cause: the highest version seen stays active; after 2^64-1, written by mistake, no later configuration of the operators was ever in force. Change: versions above 2^53 are refused with an error line, from the store and from peers.

--- a/crates/stairstall-core/src/batch/catalog.rs
+++ b/crates/stairstall-core/src/batch/catalog.rs
@@ -100,6 +100,10 @@
 }
 
 impl Catalog {
+    /// Highest version that comes into force. Many writers of JSON can't tell higher numbers apart,
+    /// and versions count up by one.
+    pub const MAX_VERSION: u64 = 1 << 53;
+
     /// Returns the route of `host` with the longest prefix of `path`.
     #[must_use]
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
--- a/crates/stairstalld/src/batch/catalog.rs
+++ b/crates/stairstalld/src/batch/catalog.rs
@@ -194,6 +194,11 @@
 /// Activates a configuration unless a newer one is already active; returns whether it was activated.
 pub(crate) fn activate(node: &Node, catalog: Catalog, source: &str) -> bool {
     let version = catalog.version;
+    if version > Catalog::MAX_VERSION {
+        log::error!(target: "config", version, source;
+            "no later version could follow this one; the previous one stays active");
+        return false;
+    }
     let catalog = Arc::new(catalog);
     let is_activated = node.catalog.send_if_modified(|current| {
         let is_newer = current.as_ref().is_none_or(|c| c.version < version);
