--- a/crates/stairstalld/src/batch/role.rs
+++ b/crates/stairstalld/src/batch/role.rs
@@ -1,5 +1,6 @@
 //! Acquires, renews and releases the planner role.
 
+use std::panic::AssertUnwindSafe;
 use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
@@ -29,6 +30,10 @@
 /// Delay before a failed store call is retried.
 const STORE_RETRY_DELAY: Duration = Duration::from_millis(200);
 
+/// Delay before a daemon whose planning panicked may acquire the role again. Another daemon, whose
+/// state may be sound, goes first.
+const PANIC_DELAY: Duration = Duration::from_secs(1);
+
 /// Acquires the role whenever it is free, for as long as the daemon runs.
 pub(crate) async fn run(node: Arc<Node>) {
     loop {
@@ -61,6 +66,9 @@
         return acquire(node, None, None).await;
     };
     let mut last = record_role_item(node, &item);
+    if last.is_none() && !node.is_leaving() {
+        return replace_odd_record(node, &item).await;
+    }
     let mut offers = node.offer.subscribe();
     loop {
         let watched = node.store.watch(keys::PLANNER_ROLE, at, IDLE_WATCH_WAIT);
@@ -76,7 +84,12 @@
         at = watched.revision;
         for change in watched.changes {
             match change {
-                Change::Written(item) => last = record_role_item(node, &item),
+                Change::Written(item) => {
+                    last = record_role_item(node, &item);
+                    if last.is_none() {
+                        return Ok(None);
+                    }
+                }
                 Change::Deleted { .. } if node.is_leaving() => return Ok(None),
                 Change::Deleted { .. } => {
                     tokio::time::sleep(acquire_delay(node)).await;
@@ -87,10 +100,22 @@
     }
 }
 
+/// Acquires the role although its key has a value, which names no planner. Waits for a lease first,
+/// with which the value may end.
+async fn replace_odd_record(node: &Node, item: &Item) -> Result<Option<AcquiredRole>, StoreFault> {
+    log::error!(target: "role", revision:% = item.revision;
+        "the record of the planner names none; it is replaced");
+    tokio::time::sleep(node.settings.role_lease + acquire_delay(node)).await;
+    acquire(node, None, Some(item.revision)).await
+}
+
 /// Records the planner that the role's key names and returns its tenure, or `None` if the value
-/// can't be decoded.
+/// names no planner.
 fn record_role_item(node: &Node, item: &Item) -> Option<LastTenure> {
     let record: PlannerRecord = serde_json::from_slice(&item.value).ok()?;
+    if !record.is_plausible() {
+        return None;
+    }
     let count = record.token;
     record_planner(node, Some(record));
     Some(LastTenure {
@@ -102,7 +127,7 @@
 /// Records the planner unless a later one is known. Ends this daemon's tenure if the new planner
 /// supersedes it.
 pub(crate) fn record_planner(node: &Node, record: Option<PlannerRecord>) {
-    let Some(record) = record else {
+    let Some(record) = record.filter(PlannerRecord::is_plausible) else {
         return;
     };
     let changed = node.planner.send_if_modified(|known| {
@@ -150,8 +175,10 @@
         lease_id,
         node.leaving.subscribe(),
     ));
-    let why = tenure::run(node, &tenure).await;
+    let planning = AssertUnwindSafe(tenure::run(node, &tenure)).catch_unwind();
+    let why = planning.await.unwrap_or(tenure::PANICKED);
     renewing.abort();
+    tenure.end(why);
     if let Some(unstored) = tenure.unstored_tasks() {
         *lock(&node.unstored_tasks) = unstored;
     }
@@ -164,6 +191,10 @@
     {
         log::warn!(target: "role", token, why:% = fault; "could not release the lease; it will expire");
     }
+    if why == tenure::PANICKED {
+        log::error!(target: "role", token; "planning ended by a panic; another tenure begins anew");
+        node.back_off(PANIC_DELAY).await;
+    }
 }
 
 /// Renews the lease until it ends or the leaving daemon has handed its role over.
--- a/crates/stairstalld/src/batch/tenure.rs
+++ b/crates/stairstalld/src/batch/tenure.rs
@@ -1,5 +1,6 @@
 //! Runs the planner while this daemon holds the planner role.
 
+use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -24,6 +25,8 @@
 
 /// Interval at which the lease is checked again while it is not valid.
 const SUSPENDED_DELAY: Duration = Duration::from_millis(50);
+/// Why a tenure ends whose planner, or one of whose tasks, panicked.
+pub(crate) const PANICKED: &str = "a part of the planner panicked";
 /// Delay before the initial load is retried.
 const LOAD_RETRY_DELAY: Duration = Duration::from_millis(100);
 
@@ -36,6 +39,9 @@
     lease: Mutex<Lease>,
     /// Revision of the role's key.
     pub(crate) role_revision: Revision,
+    /// Jobs whose stored progress can't be read. What they have done is not known, so that none of
+    /// their tasks may be started: it could run a second time.
+    held_back: Mutex<BTreeSet<JobId>>,
     /// Whether the stored jobs and workers have been loaded.
     loaded: AtomicBool,
     /// Wakes the planning loop.
@@ -65,6 +71,7 @@
             planner: Mutex::new(planner),
             lease: Mutex::new(acquired.lease),
             role_revision: acquired.revision,
+            held_back: Mutex::default(),
             loaded: AtomicBool::new(false),
             wake: Notify::new(),
             writes_pending: Notify::new(),
@@ -116,8 +123,10 @@
     }
 
     /// Calls `act` with the planner, then wakes the planning loop and the writer if they have work
-    /// to do. Ends the tenure if a worker has seen a higher fencing token.
+    /// to do. Ends the tenure if a worker has seen a higher fencing token, or if `act` panics: what
+    /// the planner knows may be inconsistent then.
     pub(crate) fn with_planner<T>(&self, act: impl FnOnce(&mut Planner, Now) -> T) -> T {
+        let _end_on_panic = EndOnPanic(self);
         let now = self.now();
         let mut planner = lock(&self.planner);
         let result = act(&mut planner, now);
@@ -138,11 +147,28 @@
         self.loaded.load(Ordering::Acquire) && self.is_active()
     }
 
+    /// Keeps jobs from being planned in this tenure.
+    pub(crate) fn hold_back(&self, jobs: BTreeSet<JobId>) {
+        *lock(&self.held_back) = jobs;
+    }
+
+    /// Returns whether a job is kept from being planned in this tenure.
+    pub(crate) fn is_held_back(&self, id: &JobId) -> bool {
+        lock(&self.held_back).contains(id)
+    }
+
+    /// Adds an accepted job, unless it is held back.
+    pub(crate) fn add(&self, job: AcceptedJob) {
+        if !self.is_held_back(&job.id) {
+            self.with_planner(|planner, now| planner.submit(job, now));
+        }
+    }
+
     /// Adds an accepted job; returns false if this tenure is not serving.
     pub(crate) fn submit(&self, job: AcceptedJob) -> bool {
         let is_serving = self.is_serving();
         if is_serving {
-            self.with_planner(|planner, now| planner.submit(job, now));
+            self.add(job);
         }
         is_serving
     }
@@ -157,7 +183,8 @@
     }
 
     pub(crate) fn job(&self, id: &JobId) -> JobAnswer {
-        if !self.is_serving() {
+        // The store has what callers are told of a job that is held back: that it can't be read.
+        if !self.is_serving() || self.is_held_back(id) {
             return JobAnswer::NotPlanner;
         }
         let planner = lock(&self.planner);
@@ -246,6 +273,17 @@
     }
 }
 
+/// Ends a tenure if it is dropped by a panic.
+struct EndOnPanic<'a>(&'a Tenure);
+
+impl Drop for EndOnPanic<'_> {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            self.0.end(PANICKED);
+        }
+    }
+}
+
 /// Runs the planner until the tenure ends; returns why it ended.
 pub(crate) async fn run(node: &Arc<Node>, tenure: &Arc<Tenure>) -> &'static str {
     let mut ended = tenure.ended.subscribe();
@@ -313,6 +351,7 @@
             log_decision(node, tenure.token, decision);
         }
         ask_adviser(node, tenure, &mut tasks);
+        reap(tenure, &mut tasks);
         links.update();
         links.send(orders);
     }
@@ -346,7 +385,16 @@
             }
         });
     }
-    while tasks.try_join_next().is_some() {}
+}
+
+/// Removes the tasks that have ended. Ends the tenure if one of them panicked, since nothing else
+/// does its work.
+fn reap(tenure: &Tenure, tasks: &mut JoinSet<()>) {
+    while let Some(ended) = tasks.try_join_next() {
+        if ended.is_err_and(|error| error.is_panic()) {
+            tenure.end(PANICKED);
+        }
+    }
 }
 
 /// Where the tasks that follow the store continue after the initial load.
--- a/crates/stairstalld/tests/batch/main.rs
+++ b/crates/stairstalld/tests/batch/main.rs
@@ -12,6 +12,7 @@
 mod learnt;
 mod leaving;
 mod odd_entries;
+mod odd_input;
 mod open_connection;
 mod path;
 mod planned_stop;
