test(role): a tenure's task, a planner in use and a call to a worker that panic

A daemon in the test's process, with the platform's stand-in, whose store and workers' ports panic when the test says so: no hook in the program, and the ports are the seams where a real reader would panic.

--- a/crates/stairstalld/src/batch/role.rs
+++ b/crates/stairstalld/src/batch/role.rs
@@ -20,6 +20,8 @@
 
 mod acquire;
 mod handover;
+#[cfg(test)]
+mod tests;
 
 pub(crate) use acquire::{AcquiredRole, capacity_shortfall_percent};
 use acquire::{LastTenure, acquire, acquire_delay};
