fix(tenure): the end of a background task is noticed, and a half-changed planner is not used again

Cause: the tasks of a tenure were kept in a JoinSet whose results were thrown away; the planning loop and the renewal of the role ran in, or beside, the role loop's task. A writer that ended left a planner that kept the role; a panic in the planning loop would have ended the role loop and left the renewal running. Tasks of the daemon were spawned and forgotten. `lock` went on with a poisoned planner.

Change: `background` runs named tasks and tells their owner which one ended and why; it logs that and counts it (`stairstall_ended_tasks_total`, `task.ended.NAME` over StatsD). A tenure's tasks (renewal, planning, directory, operator keys, jobs, writer, maintenance, advice, links) live and die with it. A planner that a panic unwound past ends its tenure at once and is used for nothing more: tasks that come to it leave quietly, callers and peers are answered as by a daemon that does not plan, nothing of it is carried over. After a fault the daemon leaves the role to others for a lease's length; a tenure of under 30 s does not revoke its lease, so a fault that ends every tenure hands the role round once a lease at most. The daemon's own tasks (configuration, reachability, role, SIGHUP; in the other mode VM list, configuration, heartbeats, holder, dispatch) are started again after 0.5 s, doubling to 30 s; servers whose listener is gone (health, metrics, RPC) stop the daemon as a SIGTERM does, and it exits with 1.

The one for a fault that recurs counts panics instead of comparing tokens: a token is not seen while the next tenure loads, so it said 0 after five tenures; it needs two now, where the code before has one. The role loop's and the configuration's follower's tests are new and failed with plain spawns in place of `start_background` (no next tenure, no next watch within 30 s). Patience is 30 s instead of 15 s, as a start without an answer waits up to 13 s.

--- a/crates/stairstalld/src/batch/node.rs
+++ b/crates/stairstalld/src/batch/node.rs
@@ -21,6 +21,7 @@
 use super::store_health::StoreHealth;
 use super::telemetry::Telemetry;
 use super::tenure::Tenure;
+use crate::background::{EndedTask, TaskOwner};
 use crate::clock::{Clock, unix_millis};
 use crate::daemon::lock;
 
@@ -95,6 +96,16 @@
     serial: AtomicU64,
 }
 
+impl TaskOwner for Node {
+    fn task_ended(&self, ended: EndedTask) {
+        self.telemetry.task_ended(ended.name);
+    }
+
+    fn is_over(&self) -> bool {
+        self.is_leaving()
+    }
+}
+
 impl Node {
     pub(crate) fn new(
         settings: BatchSettings,
@@ -248,9 +259,16 @@
         *self.leaving.borrow()
     }
 
-    /// Returns the tenure of this daemon while it holds the planner role.
+    /// Returns the tenure of this daemon while it holds the planner role. A tenure that a panic made
+    /// unusable is not returned.
     pub(crate) fn tenure(&self) -> Option<Arc<Tenure>> {
-        lock(&self.tenure).clone()
+        let tenure = lock(&self.tenure).clone();
+        tenure.filter(|tenure| !tenure.is_poisoned())
+    }
+
+    /// Returns whether this daemon holds the planner role, even if it can't plan any more.
+    pub(crate) fn holds_role(&self) -> bool {
+        lock(&self.tenure).is_some()
     }
 
     pub(crate) fn set_tenure(&self, tenure: Option<Arc<Tenure>>) {
--- a/crates/stairstalld/src/batch/role.rs
+++ b/crates/stairstalld/src/batch/role.rs
@@ -14,7 +14,7 @@
 
 use super::node::{IDLE_WATCH_WAIT, Node, PlannerRecord};
 use super::rpc::PeerClient;
-use super::tenure::{self, Tenure};
+use super::tenure::{self, Tenure, TenureEnd};
 use crate::daemon::lock;
 use crate::keys;
 
@@ -33,6 +33,8 @@
 
 /// Acquires the role whenever it is free, for as long as the daemon runs.
 pub(crate) async fn run(node: Arc<Node>) {
+    // When this is started again after a panic, the tenure of that time is over.
+    node.set_tenure(None);
     loop {
         match wait_for_role(&node).await {
             Ok(Some(acquired)) => run_tenure(&node, acquired).await,
@@ -135,6 +137,31 @@
     }
 }
 
+/// How a daemon gives the role back, by how its tenure ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Release {
+    /// Whether the lease is revoked, so that another daemon can acquire the role at once. Otherwise it
+    /// expires.
+    at_once: bool,
+    /// How long this daemon leaves the role to the others.
+    rest: Duration,
+}
+
+impl Release {
+    /// A tenure that lasted this long before a fault ended it can't have met the fault at its start.
+    const LASTING_TENURE: Duration = Duration::from_secs(30);
+
+    /// A fault that ends each tenure soon must not hand the role round at full speed: each of them
+    /// then holds it for a lease at least.
+    fn after(end: &TenureEnd, lasted: Duration, role_lease: Duration) -> Self {
+        let is_fault = end.is_fault();
+        Self {
+            at_once: !is_fault || lasted >= Self::LASTING_TENURE,
+            rest: if is_fault { role_lease } else { Duration::ZERO },
+        }
+    }
+}
+
 /// Runs the planner for as long as this daemon holds the role.
 async fn run_tenure(node: &Arc<Node>, acquired: AcquiredRole) {
     log::info!(target: "role", token = acquired.record.token, lease_ms = crate::clock::millis(node.settings.role_lease);
@@ -146,26 +173,30 @@
     tokio::spawn(async move { notify_predecessor(&notifier, predecessor, record).await });
     let lease_id = acquired.lease_id;
     let tenure = Arc::new(Tenure::new(node, &acquired));
-    let renewing = tokio::spawn(renew(
+    let started = node.clock.now();
+    let renewal = renew(
         Arc::clone(node),
         Arc::clone(&tenure),
         lease_id,
         node.leaving.subscribe(),
-    ));
-    let why = tenure::run(node, &tenure).await;
-    renewing.abort();
+    );
+    let end = tenure::run(node, &tenure, renewal).await;
     if let Some(unstored) = tenure.unstored_tasks() {
         *lock(&node.unstored_tasks) = unstored;
     }
     node.set_tenure(None);
     let token = tenure.token();
-    log::info!(target: "role", token, why; "released the planner role");
-    if let Err(fault) = node
-        .store_call("release", node.store.revoke_lease(lease_id))
-        .await
+    let lasted = node.clock.now() - started;
+    let release = Release::after(&end, lasted, node.settings.role_lease);
+    log::info!(target: "role", token, why:% = end, at_once = release.at_once; "released the planner role");
+    if release.at_once
+        && let Err(fault) = node
+            .store_call("release", node.store.revoke_lease(lease_id))
+            .await
     {
         log::warn!(target: "role", token, why:% = fault; "could not release the lease; it will expire");
     }
+    tokio::time::sleep(release.rest).await;
 }
 
 /// Renews the lease until it ends or the leaving daemon has handed its role over.
--- a/crates/stairstalld/src/batch/role/handover.rs
+++ b/crates/stairstalld/src/batch/role/handover.rs
@@ -20,7 +20,7 @@
     let settings = &node.settings;
     let limit = settings.policy.role.handover_wait + settings.store_timeout;
     let released = async {
-        while node.tenure().is_some() {
+        while node.holds_role() {
             tokio::time::sleep(RELEASE_CHECK_INTERVAL).await;
         }
     };
@@ -50,7 +50,7 @@
 /// Records an offer of the role; returns whether this daemon wants it.
 pub(crate) fn handle_offer(node: &Node, offer: RoleOffer) -> bool {
     let wants = !node.is_leaving()
-        && node.tenure().is_none()
+        && !node.holds_role()
         && node.current_catalog().is_some()
         && node.store_health.serves(node.clock.now());
     if wants {
--- a/crates/stairstalld/src/batch/role/tests.rs
+++ b/crates/stairstalld/src/batch/role/tests.rs
@@ -20,11 +20,11 @@
 
 use super::super::node::Node;
 use super::super::settings::BatchSettings;
-use super::super::{caller_api, catalog};
+use super::super::{caller_api, serve};
 use crate::listener::NoDelayListener;
 
 /// How long anything may take that must come true.
-const PATIENCE: Duration = Duration::from_secs(15);
+const PATIENCE: Duration = Duration::from_secs(30);
 const ROLE_LEASE: Duration = Duration::from_secs(1);
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -33,6 +33,7 @@
 enum Call {
     WriteProgress,
     RenewLease,
+    GrantLease,
     /// A watch of keys that start with this.
     Watch(&'static str),
     Poll,
@@ -45,6 +46,8 @@
     call: Call,
     left: AtomicU32,
     sprung: AtomicU32,
+    /// How often the call was made without a panic.
+    passed: AtomicU32,
 }
 
 impl Trap {
@@ -53,6 +56,7 @@
             call,
             left: AtomicU32::new(0),
             sprung: AtomicU32::new(0),
+            passed: AtomicU32::new(0),
         })
     }
 
@@ -64,6 +68,10 @@
         self.sprung.load(Ordering::SeqCst)
     }
 
+    fn passed(&self) -> u32 {
+        self.passed.load(Ordering::SeqCst)
+    }
+
     /// Panics if this call is to.
     fn pass(&self, is_call: impl FnOnce(Call) -> bool) {
         if !is_call(self.call) {
@@ -78,6 +86,7 @@
             self.sprung.fetch_add(1, Ordering::SeqCst);
             panic!("a trap for {:?}", self.call);
         }
+        self.passed.fetch_add(1, Ordering::SeqCst);
     }
 }
 
@@ -126,6 +135,7 @@
     }
 
     fn grant_lease(&self, ttl: Duration) -> BoxFuture<'_, Result<(LeaseId, Duration), StoreFault>> {
+        self.trap.pass(|call| call == Call::GrantLease);
         self.store.grant_lease(ttl)
     }
 
@@ -184,13 +194,13 @@
     workers: StandinWorkers,
     address: String,
     http: HttpClient,
-    _store: StandinStore,
+    store: StandinStore,
 }
 
 impl Planning {
     async fn start(call: Call) -> Self {
         let store = StandinStore::start().await.expect("a store");
-        store.put("op/config", &configuration());
+        store.put("op/config", &configuration(1));
         let workers = StandinWorkers::start(&store, "desk", 4)
             .await
             .expect("workers");
@@ -200,15 +210,14 @@
         let address = listener.local_addr().expect("an address").to_string();
         let server = viz::Server::new(NoDelayListener(listener), caller_api::router(&node));
         tokio::spawn(server.into_future());
-        tokio::spawn(catalog::follow(Arc::clone(&node)));
-        tokio::spawn(super::run(Arc::clone(&node)));
+        serve::start_background(&node);
         let planning = Self {
             node,
             trap,
             workers,
             address,
             http: HttpClient::new(Duration::from_millis(500), 4),
-            _store: store,
+            store,
         };
         planning.wait_for_tenure_after(0).await;
         planning
@@ -267,8 +276,8 @@
     }
 }
 
-fn configuration() -> Value {
-    json!({"version": 1, "services": [], "limits": {"maxBodyBytes": 20_000},
+fn configuration(version: u64) -> Value {
+    json!({"version": version, "services": [], "limits": {"maxBodyBytes": 20_000},
         "routes": [{"name": "q0", "host": "jobs.example", "pathPrefix": "/q0/", "timeoutMs": 3000,
             "targetLatencyMs": 500, "priority": 0, "service": "desk", "attempts": 3, "stretch": 2.0}],
         "tenants": [{"name": "mesa", "apiKeys": ["key-mesa"], "guaranteed": {"gpu": 4}}]})
@@ -374,37 +383,57 @@
 }
 
 /// A call to a worker that panics is a call without an answer: the tenure goes on.
-async fn worker_counts_as_not_answering(call: Call) {
+async fn worker_counts_as_not_answering(call: Call, times: u32) {
     let planning = Planning::start(call).await;
     planning.finish_job("0000000000000001").await;
     let token = planning.token();
-    planning.trap.arm(3);
+    planning.trap.arm(times);
     planning.finish_job("0000000000000002").await;
-    wait_until("the panics", || planning.trap.sprung() == 3).await;
+    wait_until("the panics", || planning.trap.sprung() == times).await;
     planning.finish_job("0000000000000003").await;
     assert_eq!(planning.token(), token);
 }
 
 #[tokio::test]
 async fn a_poll_of_a_worker_panics() {
-    worker_counts_as_not_answering(Call::Poll).await;
+    worker_counts_as_not_answering(Call::Poll, 3).await;
 }
 
 #[tokio::test]
 async fn a_start_at_a_worker_panics() {
-    worker_counts_as_not_answering(Call::Start).await;
+    // A start without an answer keeps its task waiting for up to 13 s.
+    worker_counts_as_not_answering(Call::Start, 1).await;
 }
 
 #[tokio::test]
 async fn a_task_that_always_ends_does_not_hand_the_role_round_at_full_speed() {
     let planning = Planning::start(Call::RenewLease).await;
-    let token = planning.token();
     planning.trap.arm(u32::MAX);
     let watched = ROLE_LEASE * 5;
     tokio::time::sleep(watched).await;
-    let tenures = planning.token().max(token) - token;
+    let tenures = planning.trap.sprung();
     assert!(
-        (1..=5).contains(&tenures),
+        (2..=5).contains(&tenures),
         "{tenures} tenures in {watched:?}"
     );
 }
+
+#[tokio::test]
+async fn the_role_loop_ends() {
+    let planning = Planning::start(Call::GrantLease).await;
+    let tenure = planning.node.tenure().expect("it plans");
+    planning.trap.arm(1);
+    tenure.end("the test says so");
+    wait_until("the panic", || planning.trap.sprung() == 1).await;
+    planning.wait_for_tenure_after(tenure.token()).await;
+}
+
+#[tokio::test]
+async fn the_configurations_follower_ends() {
+    let planning = Planning::start(Call::Watch("op/config")).await;
+    planning.trap.arm(1);
+    planning.store.put("op/config", &configuration(2));
+    wait_until("the panic", || planning.trap.sprung() == 1).await;
+    let passed = planning.trap.passed();
+    wait_until("the next watch", || planning.trap.passed() > passed).await;
+}
--- a/crates/stairstalld/src/batch/serve.rs
+++ b/crates/stairstalld/src/batch/serve.rs
@@ -10,10 +10,12 @@
 use stairstall_platform::{PlatformAdviser, PlatformDialect, PlatformStore, PlatformWorkers};
 use stairstall_ports::Adviser;
 use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
 
 use super::node::Node;
 use super::settings::BatchSettings;
 use super::{caller_api, catalog, health, reachability, role, rpc};
+use crate::background::{RequiredTasks, keep_running};
 use crate::listener::NoDelayListener;
 use crate::serve::{RunError, system_error};
 use crate::shutdown::{self, DrainOutcome, Shutdown};
@@ -74,12 +76,14 @@
         listen:% = listen, rpc:% = rpc_address, health:% = health_listen,
         metrics:% = metrics_listen, store:% = node.settings.store,
         version = env!("CARGO_PKG_VERSION"); "serving");
-    tokio::spawn(catalog::follow(Arc::clone(&node)));
-    tokio::spawn(reachability::follow(Arc::clone(&node)));
-    let role = tokio::spawn(role::run(Arc::clone(&node)));
-    tokio::spawn(serve_router(health, health::health_router(&node)));
-    tokio::spawn(serve_router(metrics, health::metrics_router(&node)));
-    tokio::spawn(shutdown::log_hangup_signals(node.vm().clone()));
+    let role = start_background(&node);
+    let required = RequiredTasks::new(Arc::clone(&node) as _);
+    required.spawn("health", serve_router(health, health::health_router(&node)));
+    required.spawn(
+        "metrics",
+        serve_router(metrics, health::metrics_router(&node)),
+    );
+    required.spawn("rpc", rpc.clone().stopped());
 
     let shutdown = Shutdown {
         vm: node.vm().clone(),
@@ -97,10 +101,37 @@
     if drained? == DrainOutcome::TimedOut {
         return Err(RunError::CallsAborted);
     }
+    if let Some(name) = required.ended() {
+        return Err(RunError::TaskEnded(name));
+    }
     log::info!(target: "stop", vm:% = node.vm(); "stopped; no calls were open");
     Ok(())
 }
 
+/// Starts the tasks that go on from the node's state; returns that of the role.
+pub(crate) fn start_background(node: &Arc<Node>) -> JoinHandle<()> {
+    spawn_kept(node, "configuration", catalog::follow);
+    spawn_kept(node, "reachability", reachability::follow);
+    spawn_kept(node, "hangups", |node| {
+        shutdown::log_hangup_signals(node.vm().clone())
+    });
+    spawn_kept(node, "role", role::run)
+}
+
+/// Starts a task that goes on from the node's state whenever it is started again.
+fn spawn_kept<T: Future<Output = ()> + Send + 'static>(
+    node: &Arc<Node>,
+    name: &'static str,
+    start: impl Fn(Arc<Node>) -> T + Send + 'static,
+) -> JoinHandle<()> {
+    let owner = Arc::clone(node);
+    let start_again = {
+        let node = Arc::clone(node);
+        move || start(Arc::clone(&node))
+    };
+    tokio::spawn(keep_running(owner, name, start_again))
+}
+
 async fn bind(
     address: SocketAddr,
     flag: &'static str,
--- a/crates/stairstalld/src/batch/telemetry.rs
+++ b/crates/stairstalld/src/batch/telemetry.rs
@@ -27,6 +27,7 @@
     decisions: IntCounterVec,
     orders: IntCounterVec,
     reports: IntCounterVec,
+    ended_tasks: IntCounterVec,
     phases: HistogramVec,
     admissions: IntCounterVec,
     first_start: Histogram,
@@ -202,6 +203,11 @@
                 "Renewals and reports of workers by outcome",
                 &["outcome"],
             ),
+            ended_tasks: counters(
+                "stairstall_ended_tasks_total",
+                "Background tasks that ended before their time",
+                &["task"],
+            ),
             phases: histograms(
                 "stairstall_job_span_seconds",
                 "What ended jobs spent time on, by their queue's priority",
@@ -246,7 +252,7 @@
     }
 
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 16] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 17] = [
             Box::new(self.calls.clone()),
             Box::new(self.call_time.clone()),
             Box::new(self.store_calls.clone()),
@@ -254,6 +260,7 @@
             Box::new(self.decisions.clone()),
             Box::new(self.orders.clone()),
             Box::new(self.reports.clone()),
+            Box::new(self.ended_tasks.clone()),
             Box::new(self.phases.clone()),
             Box::new(self.admissions.clone()),
             Box::new(self.first_start.clone()),
@@ -298,6 +305,11 @@
         self.reports.with_label_values(&[outcome]).inc();
     }
 
+    /// Counts a background task that ended before its time.
+    pub(crate) fn task_ended(&self, name: &'static str) {
+        self.ended_tasks.with_label_values(&[name]).inc();
+    }
+
     pub(crate) fn phase(&self, priority: u8, phase: &'static str, spent: Duration) {
         let priority = priority.to_string();
         self.phases
--- a/crates/stairstalld/src/batch/tenure.rs
+++ b/crates/stairstalld/src/batch/tenure.rs
@@ -1,7 +1,8 @@
 //! Runs the planner while this daemon holds the planner role.
 
+use std::fmt;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use stairstall_core::batch::{
@@ -11,7 +12,6 @@
 use stairstall_core::{JobId, Lease};
 use stairstall_ports::Revision;
 use tokio::sync::{Notify, watch};
-use tokio::task::JoinSet;
 
 use super::evacuated_zones::OperatorKeys;
 use super::node::Node;
@@ -19,6 +19,7 @@
 use super::rpc::JobAnswer;
 use super::worker_links::WorkerLinks;
 use super::{directory, evacuated_zones, job_watch, maintenance, writer};
+use crate::background::{BackgroundTasks, EndedTask, TaskOwner, leave_task};
 use crate::clock::{Clock, unix_millis};
 use crate::daemon::lock;
 
@@ -27,6 +28,34 @@
 /// Delay before the initial load is retried.
 const LOAD_RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// Why a tenure has ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum TenureEnd {
+    /// The role is over.
+    RoleOver(&'static str),
+    /// A task without which the tenure can't go on has ended.
+    TaskEnded(EndedTask),
+    /// A panic left the planner half changed.
+    PlannerPanicked,
+}
+
+impl TenureEnd {
+    /// Returns whether the tenure ended by a fault of this program, which the next one may meet too.
+    pub(crate) const fn is_fault(&self) -> bool {
+        !matches!(self, Self::RoleOver(_))
+    }
+}
+
+impl fmt::Display for TenureEnd {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::RoleOver(why) => f.write_str(why),
+            Self::TaskEnded(ended) => ended.fmt(f),
+            Self::PlannerPanicked => f.write_str("a panic left the planner half changed"),
+        }
+    }
+}
+
 /// One tenure: the time during which this daemon holds the planner role.
 #[derive(Debug)]
 pub(crate) struct Tenure {
@@ -47,7 +76,7 @@
     /// Notifies the job watch that the lease is valid again after it had lapsed.
     pub(crate) lease_restored: Notify,
     /// Why the tenure has ended, once it has.
-    ended: watch::Sender<Option<&'static str>>,
+    ended: watch::Sender<Option<TenureEnd>>,
 }
 
 impl Tenure {
@@ -101,11 +130,17 @@
     /// Returns whether the planner may give orders: the tenure has not ended and its lease is
     /// valid.
     pub(crate) fn is_active(&self) -> bool {
-        self.ended.borrow().is_none() && lock(&self.lease).is_valid(self.clock.now())
+        self.ended.borrow().is_none()
+            && !self.is_poisoned()
+            && lock(&self.lease).is_valid(self.clock.now())
     }
 
     /// Ends the tenure, unless it has ended already.
     pub(crate) fn end(&self, why: &'static str) {
+        self.end_for(TenureEnd::RoleOver(why));
+    }
+
+    fn end_for(&self, why: TenureEnd) {
         self.ended.send_if_modified(|ended| {
             let first = ended.is_none();
             if first {
@@ -115,11 +150,23 @@
         });
     }
 
+    /// Returns whether a panic has left the planner half changed. It is then not used again, neither
+    /// for orders and writes nor for answers.
+    pub(crate) fn is_poisoned(&self) -> bool {
+        self.planner.is_poisoned()
+    }
+
+    /// Locks the planner. If it is poisoned, the tenure is over, and the calling task ends.
+    fn planner(&self) -> MutexGuard<'_, Planner> {
+        self.planner.lock().unwrap_or_else(|_| leave_task())
+    }
+
     /// Calls `act` with the planner, then wakes the planning loop and the writer if they have work
-    /// to do. Ends the tenure if a worker has seen a higher fencing token.
+    /// to do. Ends the tenure if a worker has seen a higher fencing token, and if `act` panics.
     pub(crate) fn with_planner<T>(&self, act: impl FnOnce(&mut Planner, Now) -> T) -> T {
         let now = self.now();
-        let mut planner = lock(&self.planner);
+        let mut planner = self.planner();
+        let _end_on_panic = EndOnPanic(self);
         let result = act(&mut planner, now);
         if planner.needs_tick() {
             self.wake.notify_one();
@@ -160,7 +207,7 @@
         if !self.is_serving() {
             return JobAnswer::NotPlanner;
         }
-        let planner = lock(&self.planner);
+        let planner = self.planner();
         match (planner.accepted(id), planner.caller_state(id)) {
             (Some(accepted), Some(state)) => JobAnswer::Known {
                 customer: accepted.customer.clone(),
@@ -176,52 +223,51 @@
     pub(crate) fn explain(&self, id: &JobId) -> Option<JobExplanation> {
         let is_serving = self.is_serving();
         is_serving
-            .then(|| lock(&self.planner).explain(id, self.now()))
+            .then(|| self.planner().explain(id, self.now()))
             .flatten()
     }
 
     pub(crate) fn pending(&self, queue: &str) -> Option<u64> {
-        self.is_serving()
-            .then(|| lock(&self.planner).pending(queue))
+        self.is_serving().then(|| self.planner().pending(queue))
     }
 
     /// Returns a summary of the fleet's load, or `None` if this tenure is not serving.
     pub(crate) fn load_summary(&self) -> Option<LoadSummary> {
         let now = self.now();
-        self.is_serving()
-            .then(|| lock(&self.planner).load_summary(now))
+        self.is_serving().then(|| self.planner().load_summary(now))
     }
 
     /// Returns the tasks that are done although that may not be stored, or `None` if the stored state
-    /// was not loaded in this tenure.
+    /// was not loaded in this tenure or a panic left the planner half changed.
     pub(crate) fn unstored_tasks(&self) -> Option<Vec<UnstoredTasks>> {
         let is_loaded = self.loaded.load(Ordering::Acquire);
-        is_loaded.then(|| lock(&self.planner).unstored_tasks())
+        let is_known = is_loaded && !self.is_poisoned();
+        is_known.then(|| self.planner().unstored_tasks())
     }
 
     /// Returns the step that has waited longest although its tasks fit, if there is one.
     pub(crate) fn oldest_fitting_wait(&self) -> Option<OldestWait> {
-        lock(&self.planner).oldest_fitting_wait(self.now())
+        self.planner().oldest_fitting_wait(self.now())
     }
 
     /// Returns the step of a guaranteed job that has waited longest for placements, if one does.
     pub(crate) fn oldest_guaranteed_wait(&self) -> Option<OldestWait> {
-        lock(&self.planner).oldest_guaranteed_wait(self.now())
+        self.planner().oldest_guaranteed_wait(self.now())
     }
 
     /// Returns how current the planner's contact with its workers is.
     pub(crate) fn contact_lag(&self) -> ContactLag {
-        lock(&self.planner).contact_lag(self.now())
+        self.planner().contact_lag(self.now())
     }
 
     /// Returns whether this VM can't hold connections to all workers.
     pub(crate) fn leaves_workers_out(&self) -> bool {
-        lock(&self.planner).unselected_workers() > 0
+        self.planner().unselected_workers() > 0
     }
 
     /// Returns the number of evacuated zones, and the age of the list of them if it is known.
     pub(crate) fn evacuated_zones(&self) -> (usize, Option<Duration>) {
-        let planner = lock(&self.planner);
+        let planner = self.planner();
         (
             planner.evacuated_zone_count(),
             planner.evacuated_zones_age(self.now()),
@@ -230,37 +276,79 @@
 
     /// Returns a summary of the known paces of workers.
     pub(crate) fn pace_summary(&self) -> PaceSummary {
-        lock(&self.planner).pace_summary()
+        self.planner().pace_summary()
     }
 
     /// Returns the customers with the highest usage, at most `most`, and the fair usage of each
     /// customer, in milliseconds of the whole fleet.
     pub(crate) fn customer_usage(&self, most: usize) -> (Vec<CustomerUsageTotal>, u64) {
-        lock(&self.planner).customer_usage(most, self.now())
+        self.planner().customer_usage(most, self.now())
     }
 
     /// Returns the number of open jobs and the number of runs.
     pub(crate) fn load_counts(&self) -> (usize, usize) {
-        let planner = lock(&self.planner);
+        let planner = self.planner();
         (planner.open_jobs(), planner.runs())
     }
 }
 
-/// Runs the planner until the tenure ends; returns why it ended.
-pub(crate) async fn run(node: &Arc<Node>, tenure: &Arc<Tenure>) -> &'static str {
-    let mut ended = tenure.ended.subscribe();
-    let planning = run_planner(node, tenure);
-    let stopped = async {
-        let ended = ended.wait_for(Option::is_some).await;
-        ended.ok().and_then(|why| *why)
-    };
-    tokio::select! {
-        why = stopped => why.unwrap_or("the daemon is shutting down"),
-        () = planning => "the planning loop ended",
+/// Ends a tenure when a panic unwinds past it.
+struct EndOnPanic<'a>(&'a Tenure);
+
+impl Drop for EndOnPanic<'_> {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            self.0.end_for(TenureEnd::PlannerPanicked);
+        }
+    }
+}
+
+/// Ends a tenure when one of its tasks ends.
+#[derive(Debug)]
+struct TenureTasks {
+    node: Arc<Node>,
+    tenure: Arc<Tenure>,
+}
+
+impl TaskOwner for TenureTasks {
+    fn task_ended(&self, ended: EndedTask) {
+        self.node.telemetry.task_ended(ended.name);
+        self.tenure.end_for(TenureEnd::TaskEnded(ended));
+    }
+
+    fn is_over(&self) -> bool {
+        self.tenure.ended.borrow().is_some()
     }
 }
 
-async fn run_planner(node: &Arc<Node>, tenure: &Arc<Tenure>) {
+/// Returns the set for tasks that live and die with a tenure.
+pub(crate) fn tasks(node: &Arc<Node>, tenure: &Arc<Tenure>) -> BackgroundTasks {
+    BackgroundTasks::new(Arc::new(TenureTasks {
+        node: Arc::clone(node),
+        tenure: Arc::clone(tenure),
+    }))
+}
+
+/// Runs the planner and the `renewal` of the role until the tenure ends; returns why it ended.
+pub(crate) async fn run(
+    node: &Arc<Node>,
+    tenure: &Arc<Tenure>,
+    renewal: impl Future<Output = ()> + Send + 'static,
+) -> TenureEnd {
+    let mut ended = tenure.ended.subscribe();
+    let mut tasks = tasks(node, tenure);
+    tasks.spawn("renewal", renewal);
+    tasks.spawn(
+        "planning",
+        run_planner(Arc::clone(node), Arc::clone(tenure)),
+    );
+    let ended = ended.wait_for(Option::is_some).await;
+    let why = ended.ok().and_then(|why| why.clone());
+    why.unwrap_or(TenureEnd::RoleOver("the daemon is shutting down"))
+}
+
+async fn run_planner(node: Arc<Node>, tenure: Arc<Tenure>) {
+    let (node, tenure) = (&node, &tenure);
     let started = node.clock.now();
     let LoadedState {
         directory_at,
@@ -275,24 +363,27 @@
     let (open_jobs, _) = tenure.load_counts();
     log::info!(target: "role", token = tenure.token, open_jobs, ms = crate::clock::millis(took);
         "jobs and workers loaded");
-    let mut tasks = JoinSet::new();
-    tasks.spawn(directory::follow(
-        Arc::clone(node),
-        Arc::clone(tenure),
-        directory_at,
-    ));
-    tasks.spawn(evacuated_zones::follow(
-        Arc::clone(node),
-        Arc::clone(tenure),
-        operator_keys,
-    ));
-    tasks.spawn(job_watch::follow(
-        Arc::clone(node),
-        Arc::clone(tenure),
-        jobs_at,
-    ));
-    tasks.spawn(writer::run(Arc::clone(node), Arc::clone(tenure), revisions));
-    tasks.spawn(maintenance::run(Arc::clone(node), Arc::clone(tenure)));
+    let mut tasks = tasks(node, tenure);
+    tasks.spawn(
+        "directory",
+        directory::follow(Arc::clone(node), Arc::clone(tenure), directory_at),
+    );
+    tasks.spawn(
+        "operator keys",
+        evacuated_zones::follow(Arc::clone(node), Arc::clone(tenure), operator_keys),
+    );
+    tasks.spawn(
+        "jobs",
+        job_watch::follow(Arc::clone(node), Arc::clone(tenure), jobs_at),
+    );
+    tasks.spawn(
+        "writer",
+        writer::run(Arc::clone(node), Arc::clone(tenure), revisions),
+    );
+    tasks.spawn(
+        "maintenance",
+        maintenance::run(Arc::clone(node), Arc::clone(tenure)),
+    );
     let mut links = WorkerLinks::new(Arc::clone(node), Arc::clone(tenure));
     loop {
         let next = tenure.with_planner(|planner, now| planner.next_tick(now));
@@ -322,7 +413,7 @@
 const ADVICE_TIMEOUT: Duration = Duration::from_millis(1_800);
 
 /// Sends the planner's requests to the adviser, each in its own task.
-fn ask_adviser(node: &Arc<Node>, tenure: &Arc<Tenure>, tasks: &mut JoinSet<()>) {
+fn ask_adviser(node: &Arc<Node>, tenure: &Arc<Tenure>, tasks: &mut BackgroundTasks) {
     let requests = tenure.with_planner(|planner, _| planner.take_advice_requests());
     for request in requests {
         let Some(adviser) = node.adviser.clone() else {
@@ -331,7 +422,7 @@
             continue;
         };
         let tenure = Arc::clone(tenure);
-        tasks.spawn(async move {
+        tasks.spawn_until_done("advice", async move {
             let advice = adviser.advise(&request, ADVICE_TIMEOUT).await;
             match advice {
                 Ok(good) => {
@@ -346,7 +437,6 @@
             }
         });
     }
-    while tasks.try_join_next().is_some() {}
 }
 
 /// Where the tasks that follow the store continue after the initial load.
--- a/crates/stairstalld/src/batch/worker_links.rs
+++ b/crates/stairstalld/src/batch/worker_links.rs
@@ -11,11 +11,11 @@
 use stairstall_ports::{WorkerAddress, WorkerFault};
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 use tokio::sync::{Notify, Semaphore, SemaphorePermit};
-use tokio::task::JoinSet;
 
 use super::node::Node;
 use super::orders;
-use super::tenure::Tenure;
+use super::tenure::{self, Tenure};
+use crate::background::BackgroundTasks;
 
 /// Interval at which the planner is asked whether an idle worker should be polled. The worker is not
 /// called for this.
@@ -64,12 +64,13 @@
     linked_worker_set: Option<u64>,
     /// Whether this VM can't hold links to all workers.
     is_limited: bool,
-    tasks: JoinSet<()>,
+    tasks: BackgroundTasks,
 }
 
 impl WorkerLinks {
     pub(crate) fn new(node: Arc<Node>, tenure: Arc<Tenure>) -> Self {
         let contact_window = tenure.with_planner(|planner, _| planner.contact_window());
+        let tasks = tenure::tasks(&node, &tenure);
         Self {
             node,
             tenure,
@@ -77,7 +78,7 @@
             contacts: Arc::new(Semaphore::new(contact_window.min(Semaphore::MAX_PERMITS))),
             linked_worker_set: None,
             is_limited: false,
-            tasks: JoinSet::new(),
+            tasks,
         }
     }
 
@@ -114,7 +115,6 @@
                 self.open_link(worker);
             }
         }
-        while self.tasks.try_join_next().is_some() {}
     }
 
     /// Logs how many workers this VM can't hold links to, when that begins or ends.
@@ -135,19 +135,25 @@
     fn open_link(&mut self, worker: WorkerAddress) {
         let (sender, receiver) = unbounded_channel();
         let control = Arc::new(PollControl::default());
-        self.tasks.spawn(orders::run(
-            Arc::clone(&self.node),
-            Arc::clone(&self.tenure),
-            worker.clone(),
-            receiver,
-        ));
-        self.tasks.spawn(poll_worker(
-            Arc::clone(&self.node),
-            Arc::clone(&self.tenure),
-            worker.clone(),
-            Arc::clone(&control),
-            Arc::clone(&self.contacts),
-        ));
+        self.tasks.spawn_until_done(
+            "orders",
+            orders::run(
+                Arc::clone(&self.node),
+                Arc::clone(&self.tenure),
+                worker.clone(),
+                receiver,
+            ),
+        );
+        self.tasks.spawn_until_done(
+            "poll",
+            poll_worker(
+                Arc::clone(&self.node),
+                Arc::clone(&self.tenure),
+                worker.clone(),
+                Arc::clone(&control),
+                Arc::clone(&self.contacts),
+            ),
+        );
         let link = WorkerLink {
             address: worker.address,
             orders: sender,
--- a/crates/stairstalld/src/daemon.rs
+++ b/crates/stairstalld/src/daemon.rs
@@ -16,6 +16,7 @@
 use stairstall_store::{Store, StoreError};
 use tokio::sync::{mpsc, watch};
 
+use crate::background::{EndedTask, TaskOwner};
 use crate::clock::Clock;
 use crate::dispatch::Dispatcher;
 use crate::holder::Query;
@@ -69,11 +70,22 @@
     serial: AtomicU64,
 }
 
-/// Locks a mutex, also after a panic in another thread: the data behind it stays consistent.
+/// Locks a mutex, also after a panic in another task. For data that no change leaves inconsistent half
+/// way: single values and entries of tables. A planner is not: see `batch::tenure`.
 pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+impl TaskOwner for Daemon {
+    fn task_ended(&self, ended: EndedTask) {
+        self.metrics.count(&format!("task.ended.{}", ended.name));
+    }
+
+    fn is_over(&self) -> bool {
+        self.is_leaving()
+    }
+}
+
 impl Daemon {
     pub(crate) fn new(
         settings: Settings,
--- a/crates/stairstalld/src/holder.rs
+++ b/crates/stairstalld/src/holder.rs
@@ -70,18 +70,18 @@
 }
 
 /// Acquires the role, serves a tenure and releases the role, for as long as the daemon runs.
-pub(crate) async fn run(daemon: Arc<Daemon>, mut queries: mpsc::Receiver<Query>) {
+pub(crate) async fn run(daemon: Arc<Daemon>, queries: &mut mpsc::Receiver<Query>) {
+    // A tenure that a panic ended has left its role published.
+    *lock(&daemon.role) = Role::default();
     let mut history = History::default();
     loop {
-        let role = wait_for_role(&daemon, &mut queries, &history).await;
+        let role = wait_for_role(&daemon, queries, &history).await;
         let token = role.token;
         let without_store = role.lease.is_none();
         log::info!(target: "holder", zone:% = daemon.settings.zone, token, without_store;
             "placement role acquired");
         daemon.metrics.count("holder.taken");
-        let end = Tenure::new(Arc::clone(&daemon), role)
-            .serve(&mut queries)
-            .await;
+        let end = Tenure::new(Arc::clone(&daemon), role).serve(queries).await;
         *lock(&daemon.role) = Role::default();
         log::info!(target: "holder", zone:% = daemon.settings.zone, token; "placement role ended: {end}");
         record_end(&daemon, &mut history, end, without_store);
--- a/crates/stairstalld/src/lib.rs
+++ b/crates/stairstalld/src/lib.rs
@@ -9,12 +9,14 @@
 //! - `dispatch` assigns slots of minions to waiting requests.
 //! - `holder` acquires the placement role of the zone and places jobs while it holds it.
 //! - `peers` exchanges heartbeats and configuration with other daemons.
+//! - `background` notices when a background task ends.
 //! - [`batch`] runs jobs of steps and tasks on a platform with a shared store.
 //! - [`keys`] names the keys in the platform's store.
 //! - [`logging`] writes log lines at a limited rate and without blocking.
 //! - `follow` keeps the configuration and the list of VMs up to date.
 
 mod api;
+mod background;
 pub mod batch;
 mod call;
 mod clock;
--- a/crates/stairstalld/src/serve.rs
+++ b/crates/stairstalld/src/serve.rs
@@ -10,6 +10,7 @@
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 
+use crate::background::{RequiredTasks, keep_running};
 use crate::daemon::Daemon;
 use crate::dispatch::DISPATCH_INTERVAL;
 use crate::listener::NoDelayListener;
@@ -38,6 +39,10 @@
         RequestsAborted(in_flight: usize) {
             display("stopped with {in_flight} requests in flight: the drain limit was reached")
         }
+        /// A task without which the daemon can't go on has ended.
+        TaskEnded(task: &'static str) {
+            display("stopped because its task {task} has ended")
+        }
         /// The drain limit was reached with calls still open.
         CallsAborted {
             display("stopped before all calls had their answers: the drain limit was reached")
@@ -78,13 +83,17 @@
     log::info!(target: "start", vm:% = daemon.vm(), zone:% = daemon.settings.zone,
         listen:% = address, rpc:% = rpc_address; "serving");
     start_background(&daemon, inbox);
+    let required = RequiredTasks::new(Arc::clone(&daemon) as _);
+    required.spawn("rpc", rpc.clone().stopped());
 
     let mut builder = Builder::new(TokioExecutor::new());
     builder
         .http1()
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_TIMEOUT);
-    tokio::spawn(shutdown::log_hangup_signals(daemon.vm().clone()));
+    spawn_kept(&daemon, "hangups", |daemon| {
+        shutdown::log_hangup_signals(daemon.vm().clone())
+    });
     let shutdown = Shutdown {
         vm: daemon.vm().clone(),
         leaving: daemon.leaving.clone(),
@@ -97,23 +106,41 @@
     let serving = tokio::spawn(server.into_future());
     let result = drain(&daemon, &shutdown, serving).await;
     let _ = rpc.stop();
-    result
+    result?;
+    required
+        .ended()
+        .map_or(Ok(()), |name| Err(RunError::TaskEnded(name)))
 }
 
 fn start_background(daemon: &Arc<Daemon>, inbox: mpsc::Receiver<holder::Query>) {
-    tokio::spawn(follow::follow_vms(Arc::clone(daemon)));
-    tokio::spawn(follow::follow_configuration(Arc::clone(daemon)));
-    tokio::spawn(peers::exchange_heartbeats(Arc::clone(daemon)));
-    tokio::spawn(holder::run(Arc::clone(daemon), inbox));
-    let dispatching = Arc::clone(daemon);
-    tokio::spawn(async move {
+    spawn_kept(daemon, "vms", follow::follow_vms);
+    spawn_kept(daemon, "configuration", follow::follow_configuration);
+    spawn_kept(daemon, "heartbeats", peers::exchange_heartbeats);
+    let inbox = Arc::new(tokio::sync::Mutex::new(inbox));
+    spawn_kept(daemon, "holder", move |daemon| {
+        let inbox = Arc::clone(&inbox);
+        async move { holder::run(daemon, &mut *inbox.lock().await).await }
+    });
+    spawn_kept(daemon, "dispatch", |daemon| async move {
         loop {
             tokio::time::sleep(DISPATCH_INTERVAL).await;
-            dispatching.dispatcher.assign_free_slots();
+            daemon.dispatcher.assign_free_slots();
         }
     });
 }
 
+/// Starts a task that goes on from the daemon's state whenever it is started again.
+fn spawn_kept<T: Future<Output = ()> + Send + 'static>(
+    daemon: &Arc<Daemon>,
+    name: &'static str,
+    start: impl Fn(Arc<Daemon>) -> T + Send + 'static,
+) {
+    let owner = Arc::clone(daemon);
+    let daemon = Arc::clone(daemon);
+    let start_again = move || start(Arc::clone(&daemon));
+    tokio::spawn(keep_running(owner, name, start_again));
+}
+
 /// Waits for the server to answer its open requests, up to the drain limit, and then for the
 /// requests whose callers have disconnected. The latter end at their own deadlines.
 async fn drain(
