fix(links): a call to a worker that panics is a call without an answer

Cause: a panic in a worker's poll or order ended that link's task for good: nothing renewed the worker's runs any more, and its orders went nowhere. With the tenure's rule alone, one worker whose answer makes its reader panic would end each tenure there is. Change: the panic is caught round the call to the worker, before the planner hears of it, and counts as no answer: the worker is unresponsive, a poll is sent again after the pause, a start or stop is `unknown`, and the runs' leases end or are renewed as after any silence. A panic anywhere else in a link ends the tenure.

--- a/crates/stairstalld/src/background.rs
+++ b/crates/stairstalld/src/background.rs
@@ -4,6 +4,7 @@
 //! - [`BackgroundTasks`] belong to something that can't go on without them, such as a tenure.
 //! - [`keep_running`] starts a task again that can go on from shared state.
 //! - [`RequiredTasks`] can't be started again: the daemon stops, for its supervisor to start it.
+//! - [`catch_panic`] makes a panic in one call an outcome of that call.
 
 use std::any::Any;
 use std::fmt;
@@ -67,6 +68,22 @@
     resume_unwind(Box::new(OwnerIsOver))
 }
 
+/// A panic that was caught, with its message.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Panic(pub(crate) String);
+
+/// Awaits a future; a panic in it is returned. What the future shares must not be left half changed
+/// by a panic.
+///
+/// A task that leaves because its owner is over is not caught.
+pub(crate) async fn catch_panic<T>(future: impl Future<Output = T>) -> Result<T, Panic> {
+    match AssertUnwindSafe(future).catch_unwind().await {
+        Ok(output) => Ok(output),
+        Err(payload) if payload.is::<OwnerIsOver>() => resume_unwind(payload),
+        Err(payload) => Err(Panic(message(payload.as_ref()))),
+    }
+}
+
 /// Returns the message of a panic.
 fn message(payload: &(dyn Any + Send)) -> String {
     let text = payload
--- a/crates/stairstalld/src/background/tests.rs
+++ b/crates/stairstalld/src/background/tests.rs
@@ -5,8 +5,8 @@
 use tokio::signal::unix::{SignalKind, signal};
 
 use super::{
-    BackgroundTasks, EndedTask, RequiredTasks, RestartDelay, TaskEnd, TaskOwner, keep_running,
-    leave_task,
+    BackgroundTasks, EndedTask, Panic, RequiredTasks, RestartDelay, TaskEnd, TaskOwner,
+    catch_panic, keep_running, leave_task,
 };
 use crate::daemon::lock;
 
@@ -69,10 +69,21 @@
     let owner = Arc::new(Owner::default());
     let mut tasks = BackgroundTasks::new(owner.clone());
     tasks.spawn("leaves", async { leave_task() });
+    tasks.spawn("leaves in a call", async {
+        let _ = catch_panic(async { leave_task() }).await;
+        panic!("it must not go on");
+    });
     settle().await;
     assert_eq!(owner.ends(), vec![]);
 }
 
+#[tokio::test]
+async fn a_panic_in_a_call_is_its_outcome() {
+    assert_eq!(catch_panic(async { 3 }).await, Ok(3));
+    let failed: Result<u32, Panic> = catch_panic(async { panic!("no answer") }).await;
+    assert_eq!(failed, Err(Panic("no answer".to_owned())));
+}
+
 #[test]
 fn a_task_that_ends_each_time_is_started_ever_later() {
     let mut delay = RestartDelay::default();
--- a/crates/stairstalld/src/batch/orders.rs
+++ b/crates/stairstalld/src/batch/orders.rs
@@ -10,6 +10,7 @@
 
 use super::node::Node;
 use super::tenure::Tenure;
+use crate::background::{Panic, catch_panic};
 
 /// Sends orders until the link is closed and all answers have arrived.
 pub(crate) async fn run(
@@ -49,7 +50,12 @@
     match order.kind {
         OrderKind::Start { .. } => {
             let outcome = if tenure.is_active() {
-                node.workers.start(&worker, &order, timeout).await
+                let call = async { node.workers.start(&worker, &order, timeout).await };
+                let outcome = catch_panic(call).await;
+                outcome.unwrap_or_else(|panic| {
+                    log_panic(&worker, &panic);
+                    StartOutcome::Unknown
+                })
             } else {
                 StartOutcome::NotSent
             };
@@ -58,7 +64,12 @@
         }
         OrderKind::Stop => {
             let outcome = if tenure.is_active() {
-                node.workers.stop(&worker, &order, timeout).await
+                let call = async { node.workers.stop(&worker, &order, timeout).await };
+                let outcome = catch_panic(call).await;
+                outcome.unwrap_or_else(|panic| {
+                    log_panic(&worker, &panic);
+                    StopOutcome::Unknown
+                })
             } else {
                 StopOutcome::Unknown
             };
@@ -68,6 +79,12 @@
     }
 }
 
+/// Logs an order whose call panicked: the worker may have received it.
+fn log_panic(worker: &WorkerAddress, Panic(why): &Panic) {
+    log::error!(target: "orders", worker:% = worker.id, why;
+        "an order panicked: it counts as not answered");
+}
+
 const fn start_label(outcome: StartOutcome) -> &'static str {
     match outcome {
         StartOutcome::Started { .. } => "started",
--- a/crates/stairstalld/src/batch/worker_links.rs
+++ b/crates/stairstalld/src/batch/worker_links.rs
@@ -15,7 +15,7 @@
 use super::node::Node;
 use super::orders;
 use super::tenure::{self, Tenure};
-use crate::background::BackgroundTasks;
+use crate::background::{BackgroundTasks, Panic, catch_panic};
 
 /// Interval at which the planner is asked whether an idle worker should be polled. The worker is not
 /// called for this.
@@ -221,7 +221,11 @@
     let policy = &node.settings.policy.links;
     let sent_at = node.clock.now();
     let timeout = request.max_wait + policy.report_timeout;
-    let answer = node.workers.poll(worker, request, timeout).await;
+    let call = async { node.workers.poll(worker, request, timeout).await };
+    let answer = catch_panic(call).await.unwrap_or_else(|Panic(why)| {
+        log::error!(target: "links", worker:% = worker.id, why; "a poll panicked: it counts as not answered");
+        Err(WorkerFault::Unexpected(why))
+    });
     drop(permit);
     if control.is_closed() {
         // The link is closed, but the run ends in the report must still be recorded.
