fix(logging): a panic is a line of the log

Cause: the default hook prints panics on standard error only, in several lines without time or target, while the log is standard output; operators who collect that saw nothing. Change: a hook logs `ERROR panic place=… thread=…` with the message in one line, and prints as before.

--- a/crates/stairstalld/src/background.rs
+++ b/crates/stairstalld/src/background.rs
@@ -80,12 +80,12 @@
     match AssertUnwindSafe(future).catch_unwind().await {
         Ok(output) => Ok(output),
         Err(payload) if payload.is::<OwnerIsOver>() => resume_unwind(payload),
-        Err(payload) => Err(Panic(message(payload.as_ref()))),
+        Err(payload) => Err(Panic(panic_message(payload.as_ref()))),
     }
 }
 
 /// Returns the message of a panic.
-fn message(payload: &(dyn Any + Send)) -> String {
+pub(crate) fn panic_message(payload: &(dyn Any + Send)) -> String {
     let text = payload
         .downcast_ref::<&str>()
         .map(|text| (*text).to_owned());
@@ -113,7 +113,7 @@
         Ok(()) if lifetime == Lifetime::UntilDone => return,
         Ok(()) => TaskEnd::Returned,
         Err(payload) if payload.is::<OwnerIsOver>() => return,
-        Err(payload) => TaskEnd::Panicked(message(payload.as_ref())),
+        Err(payload) => TaskEnd::Panicked(panic_message(payload.as_ref())),
     };
     if why == TaskEnd::Returned && owner.is_over() {
         return;
--- a/crates/stairstalld/src/logging.rs
+++ b/crates/stairstalld/src/logging.rs
@@ -11,6 +11,7 @@
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+use crate::background::panic_message;
 use crate::daemon::lock;
 
 /// Maximum number of lines that wait to be written.
@@ -167,9 +168,25 @@
             writeln!(line, " {}", record.args())
         })
         .init();
+    log_panics();
     writer
 }
 
+/// Makes each panic a log line, beside what the hook so far prints on standard error.
+fn log_panics() {
+    let print = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |panic| {
+        let place = panic
+            .location()
+            .map_or_else(String::new, ToString::to_string);
+        let message = panic_message(panic.payload());
+        // A log line is one line.
+        let message = message.replace('\n', " ");
+        log::error!(target: "panic", place, thread = std::thread::current().name(); "{message}");
+        print(panic);
+    }));
+}
+
 /// Formats key-value pairs as ` key=value`.
 struct Fields(Vec<u8>);
 
