fix(holder): a tenure ends with its renewal or its jobs' watch, and a call that panics has no answer

Cause: a renewal that ended left a holder whose lease ran out and that did nothing more, for good where no other daemon takes over; a watch of jobs that ended hid every new job; a sync that panicked was never answered, and a tenure waits for all of them when it begins; a write that panicked never ended.

Test: `a_tenure_ends_with_a_task_that_ends`; without the arm that hears of ended tasks it fails (no end within 10 s). The sync's and the write's panics have no test: the store and the workers of this mode are no ports.

--- a/crates/stairstalld/src/holder/records.rs
+++ b/crates/stairstalld/src/holder/records.rs
@@ -9,6 +9,7 @@
 use stairstall_store::{Entry, Event, Expect, Store, StoreError, Swap};
 use tokio::sync::mpsc;
 
+use crate::background::catch_panic;
 use crate::daemon::{Daemon, lock};
 use crate::keys;
 
@@ -171,11 +172,12 @@
         let records = Arc::clone(self);
         tokio::spawn(async move {
             while records.is_latest(&write) {
-                let answer = match records.try_write(&write).await {
-                    Ok(WriteOutcome::Done) => WriteResult::Done,
-                    Ok(WriteOutcome::Superseded) => WriteResult::Superseded,
-                    Ok(WriteOutcome::Retry) => continue,
-                    Err(_) => WriteResult::Unreachable,
+                let answer = match catch_panic(records.try_write(&write)).await {
+                    Ok(Ok(WriteOutcome::Done)) => WriteResult::Done,
+                    Ok(Ok(WriteOutcome::Superseded)) => WriteResult::Superseded,
+                    Ok(Ok(WriteOutcome::Retry)) => continue,
+                    // A write that panicked may have been stored, as one without an answer.
+                    Ok(Err(_)) | Err(_) => WriteResult::Unreachable,
                 };
                 let sent = records
                     .answers
--- a/crates/stairstalld/src/holder/tenure.rs
+++ b/crates/stairstalld/src/holder/tenure.rs
@@ -2,6 +2,8 @@
 
 mod effects;
 mod end;
+#[cfg(test)]
+mod tests;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -12,12 +14,12 @@
 use stairstall_core::{Lease, Timestamp, WorkerId};
 use stairstall_store::StoreError;
 use tokio::sync::mpsc;
-use tokio::task::JoinHandle;
 
 use super::Query;
 use super::acquire::{AcquiredRole, ROLE_TTL, RoleLease};
 use super::records::Records;
 use super::workers::{SyncOutcome, Workers};
+use crate::background::{BackgroundTasks, EndedTask, TaskOwner};
 use crate::daemon::{Daemon, lock};
 pub(super) use end::End;
 
@@ -38,13 +40,23 @@
     Lost,
 }
 
-/// A background task that is aborted on drop, at the end of the tenure.
+/// Tells a tenure which of its tasks has ended.
 #[derive(Debug)]
-struct AbortOnDrop(JoinHandle<()>);
+struct TenureTasks {
+    daemon: Arc<Daemon>,
+    ended: mpsc::Sender<&'static str>,
+}
 
-impl Drop for AbortOnDrop {
-    fn drop(&mut self) {
-        self.0.abort();
+impl TaskOwner for TenureTasks {
+    fn task_ended(&self, ended: EndedTask) {
+        let name = ended.name;
+        self.daemon.task_ended(ended);
+        // The first one ends the tenure.
+        let _ = self.ended.try_send(name);
+    }
+
+    fn is_over(&self) -> bool {
+        self.ended.is_closed()
     }
 }
 
@@ -55,6 +67,7 @@
     write_results: mpsc::Receiver<(JobKey, WriteId, WriteResult)>,
     jobs: mpsc::Receiver<JobRecord>,
     lease_renewals: mpsc::Receiver<LeaseRenewal>,
+    ended_tasks: mpsc::Receiver<&'static str>,
 }
 
 /// A tenure of the placement role: connects the scheduler with workers, store and queries.
@@ -66,6 +79,8 @@
     records: Arc<Records>,
     lease: Option<RoleLease>,
     inbox: Inbox,
+    /// The renewal of the lease and the watch of jobs; they end with the tenure.
+    tasks: BackgroundTasks,
     jobs_sender: mpsc::Sender<JobRecord>,
     lease_sender: mpsc::Sender<LeaseRenewal>,
     /// When a replan was last requested because [`REPLAN_INTERVAL`] had passed.
@@ -80,6 +95,11 @@
         let (write_sender, write_results) = mpsc::channel(CHANNEL_CAPACITY);
         let (jobs_sender, jobs) = mpsc::channel(CHANNEL_CAPACITY);
         let (lease_sender, lease_renewals) = mpsc::channel(CHANNEL_CAPACITY);
+        let (ended, ended_tasks) = mpsc::channel(CHANNEL_CAPACITY);
+        let tasks = BackgroundTasks::new(Arc::new(TenureTasks {
+            daemon: Arc::clone(&daemon),
+            ended,
+        }));
         let zone = daemon.settings.zone.clone();
         let vm = daemon.vm().clone();
         let scheduler = Scheduler::new(vm, zone, role.token, Policy::standard());
@@ -94,7 +114,9 @@
                 write_results,
                 jobs,
                 lease_renewals,
+                ended_tasks,
             },
+            tasks,
             jobs_sender,
             lease_sender,
             replanned_at: now,
@@ -106,7 +128,9 @@
     /// Sends the token to the workers, reads the store, then places jobs until the tenure ends.
     pub(super) async fn serve(mut self, queries: &mut mpsc::Receiver<Query>) -> End {
         let started = self.daemon.clock.now();
-        let renewal = self.lease.map(|lease| self.renew_lease(lease));
+        if let Some(lease) = self.lease {
+            self.renew_lease(lease);
+        }
         self.scheduler
             .set_configuration(self.daemon.configuration());
         self.update_workers();
@@ -116,28 +140,26 @@
         if let Err(end) = self.send_token_to_workers().await {
             return end;
         }
-        let watch = match self.read_store().await {
-            Ok(watch) => watch,
-            Err(error) => {
-                log::warn!(target: "holder", error:% = error; "could not read home blocks and jobs from the store");
-                self.release_lease().await;
-                return End::StoreUnreadable;
-            }
-        };
+        if let Err(error) = self.read_store().await {
+            log::warn!(target: "holder", error:% = error; "could not read home blocks and jobs from the store");
+            self.release_lease().await;
+            return End::StoreUnreadable;
+        }
         let took = self.daemon.clock.now() - started;
         self.daemon.metrics.time("holder.rebuild", took);
         log::info!(target: "holder", token = self.scheduler.token(), took_ms = crate::clock::millis(took),
             summary:? = self.scheduler.summary(); "rebuilt the placement from the store and the workers");
         let end = self.handle_events(queries).await;
-        drop((renewal, watch));
-        self.release_lease().await;
+        if !matches!(end, End::TaskEnded(_)) {
+            self.release_lease().await;
+        }
         end
     }
 
     /// Renews the role's lease in the background.
-    fn renew_lease(&self, role: RoleLease) -> AbortOnDrop {
+    fn renew_lease(&mut self, role: RoleLease) {
         let (daemon, sender) = (Arc::clone(&self.daemon), self.lease_sender.clone());
-        AbortOnDrop(tokio::spawn(async move {
+        self.tasks.spawn("holder renewal", async move {
             loop {
                 tokio::time::sleep(RENEW_INTERVAL).await;
                 let requested_at = daemon.clock.now();
@@ -152,7 +174,7 @@
                     return;
                 }
             }
-        }))
+        });
     }
 
     /// Revokes the role's lease, if the tenure has one.
@@ -213,9 +235,9 @@
 
     /// Reads home blocks and jobs, and watches the jobs from then on. A tenure without the store
     /// reads nothing.
-    async fn read_store(&mut self) -> Result<Option<AbortOnDrop>, StoreError> {
+    async fn read_store(&mut self) -> Result<(), StoreError> {
         if self.lease.is_none() {
-            return Ok(None);
+            return Ok(());
         }
         self.scheduler
             .restore_home_blocks(self.records.read_homes().await?);
@@ -226,7 +248,8 @@
         }
         self.scheduler.mark_store_read();
         let watch = Arc::clone(&self.records).watch(next, self.jobs_sender.clone());
-        Ok(Some(AbortOnDrop(tokio::spawn(watch))))
+        self.tasks.spawn("holder jobs", watch);
+        Ok(())
     }
 
     /// Handles events until the tenure ends.
@@ -252,6 +275,7 @@
                     LeaseRenewal::Renewed(lease) => self.set_lease(lease),
                     LeaseRenewal::Lost => return End::LeaseLost,
                 },
+                Some(name) = self.inbox.ended_tasks.recv() => return End::TaskEnded(name),
                 Some(query) = queries.recv() => self.reply_to(query),
                 Ok(()) = vms.changed() => self.update_workers(),
                 Ok(()) = revision.changed() => {
--- a/crates/stairstalld/src/holder/tenure/end.rs
+++ b/crates/stairstalld/src/holder/tenure/end.rs
@@ -13,6 +13,9 @@
     StoreAvailable,
     /// The store could not be read at the start of the tenure.
     StoreUnreadable,
+    /// A task without which the tenure can't go on has ended. Its lease is left to expire, so that a
+    /// fault that ends each tenure does not hand the role round at full speed.
+    TaskEnded(&'static str),
     /// The daemon was asked to stop.
     Leaving,
 }
@@ -26,6 +29,7 @@
             Self::StoreUnreadable => {
                 write!(f, "the store could not be read at the start of the tenure")
             }
+            Self::TaskEnded(task) => write!(f, "its task {task} has ended"),
             Self::Leaving => write!(f, "this daemon is leaving"),
         }
     }
--- a/crates/stairstalld/src/holder/workers.rs
+++ b/crates/stairstalld/src/holder/workers.rs
@@ -10,6 +10,7 @@
 use stairstall_core::protocol::{StaleRequest, SyncReply, SyncRequest};
 use tokio::sync::mpsc;
 
+use crate::background::catch_panic;
 use crate::daemon::Daemon;
 
 /// Timeout of a sync. The scheduler relies on it when it sets how long leases may last.
@@ -54,7 +55,9 @@
         let (daemon, sender) = (Arc::clone(&self.daemon), self.sender.clone());
         tokio::spawn(async move {
             let outcome = match address {
-                Some(address) => sync(&daemon, address, &request).await,
+                Some(address) => catch_panic(sync(&daemon, address, &request))
+                    .await
+                    .unwrap_or(SyncOutcome::Failed),
                 None => SyncOutcome::Failed,
             };
             let _ = sender.send((worker, outcome)).await;
