fix(batch): what is left of an ended job is no new job

Cause: the planner drops an ended job when its time is over and only then removes its records. Until the removal arrives (or for good, where it fails), a daemon that asks the planner is told "unknown", finds the record, shows the job as queued and hands it to the planner as new; the planner's own reading of the store does the same. A shortened record has no tasks, so it stays queued for ever; and a job that was handed in again then ran again, since the caller's copy was passed on.

Change: a shortened record is not submitted; where the planner doesn't know a job, its progress is read and an end is answered from there; a job that is known in the store is passed on as stored.

--- a/crates/stairstall-core/src/batch/planner.rs
+++ b/crates/stairstall-core/src/batch/planner.rs
@@ -281,9 +281,10 @@
         self.replan = true;
     }
 
-    /// Adds a newly accepted job. A job that is already known is ignored.
+    /// Adds a newly accepted job. A job that is already known is ignored, and so is a shortened
+    /// record: it is what is left of a job that has ended and was dropped since.
     pub fn submit(&mut self, accepted: AcceptedJob, now: Now) {
-        if self.jobs.contains_key(&accepted.id) {
+        if self.jobs.contains_key(&accepted.id) || accepted.is_trimmed() {
             return;
         }
         let id = accepted.id.clone();
--- a/crates/stairstall-core/tests/batch/records.rs
+++ b/crates/stairstall-core/tests/batch/records.rs
@@ -108,3 +108,13 @@
     );
     assert_eq!(fleet.planner.caller_state(&id("j")), cancelled);
 }
+
+#[test]
+fn a_shortened_record_is_no_new_job() {
+    let mut fleet = Fleet::new(&[("w1", "r1")]);
+    fleet.hold_all();
+    fleet.submit(job("j", 2, vec![step(1, 8)]).trimmed());
+    fleet.pass(300);
+    assert!(fleet.given.is_empty());
+    assert_eq!(fleet.planner.caller_state(&id("j")), None);
+}
--- a/crates/stairstalld/src/batch/accept.rs
+++ b/crates/stairstalld/src/batch/accept.rs
@@ -113,8 +113,8 @@
 }
 
 /// Writes a job to the store if its key is free or, depending on `on_refusal`, holds a refusal
-/// record. If the customer has already stored a job under this name, replaces `job` by that one
-/// unless its record was shortened after it ended.
+/// record. If the customer has already stored a job under this name, replaces `job` by that one, so
+/// that the planner is notified of what is stored.
 pub(crate) async fn write_job(
     node: &Node,
     job: &mut AcceptedJob,
@@ -137,9 +137,7 @@
             Ok(CommitOutcome::Conflict(items)) => match existing_entry(job, items.first()) {
                 ExistingEntry::Decisive(outcome) => return outcome,
                 ExistingEntry::Known(stored) => {
-                    if !stored.is_trimmed() {
-                        *job = *stored;
-                    }
+                    *job = *stored;
                     return Acceptance::Known;
                 }
                 ExistingEntry::Refusal(first_asked_unix_ms, revision) => {
--- a/crates/stairstalld/src/batch/queries.rs
+++ b/crates/stairstalld/src/batch/queries.rs
@@ -64,14 +64,6 @@
         return Ok(JobAnswer::Unknown);
     };
     let customer = accepted.customer.clone();
-    if is_unknown_to_planner {
-        notify_accepted(node, accepted).await;
-        return Ok(JobAnswer::Known {
-            customer,
-            state: CallerState::Queued,
-            catalog_confirmation: None,
-        });
-    }
     let key = keys::batch_progress(id);
     let item = node
         .store_call("read progress", node.store.get(&key))
@@ -80,9 +72,19 @@
         Some(item) => encoding::decode(&item.value).map_err(undecodable)?,
         None => Progress::default(),
     };
+    let mut state = progress.caller_state();
+    // The planner drops a job that has ended before the store has removed its records.
+    if is_unknown_to_planner && progress.outcome.is_none() {
+        if accepted.is_trimmed() {
+            // They were removed between the two reads.
+            return Ok(JobAnswer::Unknown);
+        }
+        state = CallerState::Queued;
+        notify_accepted(node, accepted).await;
+    }
     Ok(JobAnswer::Known {
         customer,
-        state: progress.caller_state(),
+        state,
         catalog_confirmation: None,
     })
 }
--- a/crates/stairstalld/tests/batch/main.rs
+++ b/crates/stairstalld/tests/batch/main.rs
@@ -1,5 +1,6 @@
 //! Batch daemons as processes against a stand-in of the users' platform.
 
+mod accepted;
 mod admission;
 mod catalog;
 mod cluster;
