fix(batch): a cancellation is stored only beside the job that was found

Cause: a daemon reads the job, then writes the cancellation without a condition. If the job's records are removed in between (its time is over), the cancellation stays, and the next job of that name is cancelled when a planner reads it.

Measured: accepted::a_cancellation_of_a_job_that_is_gone_meanwhile_is_not_left_for_the_next_of_its_name failed before (the cancellation's key was there) and passes.

--- a/crates/stairstalld/src/batch/accept.rs
+++ b/crates/stairstalld/src/batch/accept.rs
@@ -311,7 +311,11 @@
         // The same calls as for an ID that no job has, so that the time tells nothing.
         return mark_cancelled(node, id, customer).await;
     }
-    let commit = Commit::default().put(keys::batch_cancellation(id), Vec::new());
+    // If the job's records are removed meanwhile, the cancellation must not be left for the next job
+    // of its name.
+    let commit = Commit::default()
+        .when(keys::batch_job(id), item.revision)
+        .put(keys::batch_cancellation(id), Vec::new());
     match node.store_call("cancel", node.store.commit(commit)).await {
         Ok(CommitOutcome::Done(_)) => Some(Cancellation::Cancelled),
         _ => None,
--- a/crates/stairstalld/tests/batch/accepted.rs
+++ b/crates/stairstalld/tests/batch/accepted.rs
@@ -155,3 +155,28 @@
     }
     assert_eq!(cluster.runs_of(&id), 0);
 }
+
+/// A cancellation that comes as the job's records are removed must not stay for the next job of that name.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cancellation_of_a_job_that_is_gone_meanwhile_is_not_left_for_the_next_of_its_name() {
+    let mut cluster = Cluster::start(2, 1).await;
+    let planner = cluster.planner();
+    let other = 1 - planner;
+    let id = cluster.new_id();
+    let path = format!("/q0/{id}");
+    cluster.store.put(&job_key(&id), &stored_job(&id));
+    cluster.wait_for(&path, "completed").await;
+    // Its record is shortened within a second.
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let slow = LinkMode::Delay(Duration::from_millis(200));
+    cluster.daemons[other].store.set(slow);
+    let removal = async {
+        // The read has been answered by then, and the write is on its way.
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        cluster.store.remove(&job_key(&id));
+    };
+    let cancelling = cluster.call(other, Method::DELETE, &path, &Value::Null);
+    tokio::join!(cancelling, removal);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert!(!cluster.store.has(&format!("{}.cancel", job_key(&id))));
+}
