fix(batch): a new planner asks the one before it what that could not store

Cause: a planner hears of run ends that it can't store while the store is down. Its own next tenure keeps them; another daemon that takes the role did not know of them.

Weighed: that the predecessor sends its list when it learns of the successor, which needs it to know when the successor has loaded; a stored record of until when a leaving worker is there, which shortens the wait and still runs the work again.

Measured: faults::what_ended_while_the_store_was_down_does_not_run_again_under_another_daemon failed before (two runs; one expected) and passes. takeover::a_successor_that_is_told_late_stops_what_it_has_started_again holds what the core does with a late answer; the core's logic did not change, so it was not red before.

--- a/crates/stairstall-core/src/batch/planner/carry_over.rs
+++ b/crates/stairstall-core/src/batch/planner/carry_over.rs
@@ -1,8 +1,9 @@
-//! What one tenure of the planner role leaves the next tenure of the same process beside the store.
+//! What one tenure of the planner role leaves the next one beside the store.
 //!
 //! While the store is down, a planner hears of run ends that it can't store. If its lease ends before
 //! the store is back, a new tenure restores those runs from their stored placements. Where their
 //! workers have left meanwhile, nobody lists the ends again, and the work would run a second time.
+//! The next tenure of the same process keeps them; another daemon asks the one before it.
 
 use super::job::Job;
 use super::{Now, Planner};
@@ -36,8 +37,9 @@
             .collect()
     }
 
-    /// Restores the tasks that an earlier tenure of this process knew to be done. Call this after
-    /// [`Planner::restore_job`].
+    /// Restores the tasks that an earlier tenure knew to be done. Jobs that are not restored yet are
+    /// passed over, so call this again after [`Planner::restore_job`]. It may come at any later time
+    /// too: runs that were started again meanwhile are no longer needed.
     pub fn restore_done_tasks(&mut self, unstored: &[UnstoredTasks], now: Now) {
         for earlier in unstored {
             let job = self.jobs.get(&earlier.job);
--- a/crates/stairstall-core/tests/batch/takeover.rs
+++ b/crates/stairstall-core/tests/batch/takeover.rs
@@ -250,3 +250,35 @@
     let explained = fleet.planner.explain(&id("j"), now).expect("it is known");
     assert_eq!(explained.steps[0].done, 0);
 }
+
+/// The successor has waited for the lease and started the task again by the time it is told.
+#[test]
+fn a_successor_that_is_told_late_stops_what_it_has_started_again() {
+    let (mut fleet, accepted) = fleet_with_an_unstored_end();
+    let unstored = fleet.planner.unstored_tasks();
+    let key = task("j", 0, 0);
+    let gone = fleet.planner.workers().cloned().collect::<Vec<_>>();
+    let ran_at = gone.iter().find(|id| {
+        let worker = fleet.workers.get(*id).expect("a worker");
+        worker.ended.iter().any(|end| end.task == key)
+    });
+    let ran_at = ran_at.expect("it ended there").clone();
+    let other = gone.iter().find(|id| **id != ran_at).expect("two").clone();
+    fleet.workers.remove(&ran_at);
+    let third = "w3".parse().expect("an id");
+    let idle = crate::harness::FakeWorker::default();
+    fleet.workers.insert(third, idle);
+    fleet.take_over(&[accepted], &[(other.as_str(), "r1"), ("w3", "r1")]);
+    let lease_ms = u64::try_from(HOLD_MAX.as_millis()).expect("small");
+    fleet.pass(lease_ms + 1_000);
+    assert_eq!(fleet.starts_of(&key), 2, "nobody has told it yet");
+    let now = fleet.now();
+    fleet.planner.restore_done_tasks(&unstored, now);
+    let explained = fleet.planner.explain(&id("j"), now).expect("it is known");
+    assert_eq!(explained.steps[0].done, 1);
+    fleet.planner.restore_done_tasks(&unstored, now);
+    fleet.pass(3_000);
+    assert_eq!(fleet.starts_of(&key), 2, "it is done for good");
+    let stops = fleet.given.iter().filter(|o| o.kind == OrderKind::Stop);
+    assert!(stops.into_iter().all(|stop| stop.task == key));
+}
--- a/crates/stairstalld/src/batch.rs
+++ b/crates/stairstalld/src/batch.rs
@@ -29,6 +29,7 @@
 mod maintenance;
 mod node;
 mod orders;
+mod predecessor;
 mod queries;
 mod reachability;
 mod refusals;
--- a/crates/stairstalld/src/batch/role.rs
+++ b/crates/stairstalld/src/batch/role.rs
@@ -13,7 +13,7 @@
 use tokio::time::MissedTickBehavior;
 
 use super::node::{IDLE_WATCH_WAIT, Node, PlannerRecord};
-use super::rpc::PeerClient;
+use super::predecessor;
 use super::tenure::{self, Tenure};
 use crate::daemon::lock;
 use crate::keys;
@@ -121,29 +121,24 @@
     }
 }
 
-/// Notifies the previous planner, which may not reach the store, that it is superseded.
-async fn notify_predecessor(node: &Node, predecessor: Option<PlannerRecord>, own: PlannerRecord) {
-    let Some(predecessor) = predecessor.filter(|p| p.vm != own.vm) else {
-        return;
-    };
-    if let Some(client) = node.peer_clients.client(&predecessor.rpc) {
-        let result = client.planner_changed(own).await;
-        log::info!(target: "role", predecessor:% = predecessor.vm, told = result.is_ok();
-            "notifying the previous planner");
-    }
-}
-
 /// Runs the planner for as long as this daemon holds the role.
 async fn run_tenure(node: &Arc<Node>, acquired: AcquiredRole) {
     log::info!(target: "role", token = acquired.record.token, lease_ms = crate::clock::millis(node.settings.role_lease);
         "acquired the planner role");
     let predecessor = node.planner.borrow().clone();
     record_planner(node, Some(acquired.record.clone()));
-    let notifier = Arc::clone(node);
-    let record = acquired.record.clone();
-    tokio::spawn(async move { notify_predecessor(&notifier, predecessor, record).await });
     let lease_id = acquired.lease_id;
     let tenure = Arc::new(Tenure::new(node, &acquired));
+    let predecessor = predecessor.filter(|earlier| earlier.vm != acquired.record.vm);
+    let notifying = predecessor.map(|earlier| {
+        let (node, tenure) = (Arc::clone(node), Arc::clone(&tenure));
+        tokio::spawn(predecessor::supersede(
+            node,
+            tenure,
+            earlier,
+            acquired.record.clone(),
+        ))
+    });
     let renewing = tokio::spawn(renew(
         Arc::clone(node),
         Arc::clone(&tenure),
@@ -152,6 +147,9 @@
     ));
     let why = tenure::run(node, &tenure).await;
     renewing.abort();
+    if let Some(notifying) = notifying {
+        notifying.abort();
+    }
     if let Some(unstored) = tenure.unstored_tasks() {
         *lock(&node.unstored_tasks) = unstored;
     }
--- a/crates/stairstalld/src/batch/rpc.rs
+++ b/crates/stairstalld/src/batch/rpc.rs
@@ -22,6 +22,7 @@
 use super::accept::{self, Acceptance, Cancellation, OnRefusal};
 use super::known_catalog::CatalogConfirmation;
 use super::node::{Node, PlannerRecord, RoleOffer};
+use super::predecessor::{self, Superseded};
 use super::{catalog, load, reachability, role};
 use crate::daemon::lock;
 
@@ -123,6 +124,11 @@
     /// Notifies a daemon that held the planner role of the new planner.
     #[method(name = "taken")]
     async fn planner_changed(&self, planner: PlannerRecord) -> RpcResult<()>;
+
+    /// Does the same and returns what that daemon could not store. Older daemons don't know this
+    /// call.
+    #[method(name = "superseded")]
+    async fn superseded(&self, planner: PlannerRecord) -> RpcResult<Superseded>;
 }
 
 /// What a daemon reports to a peer that asks.
@@ -262,6 +268,10 @@
         role::record_planner(&self.0, Some(planner));
         Ok(())
     }
+
+    async fn superseded(&self, planner: PlannerRecord) -> RpcResult<Superseded> {
+        Ok(predecessor::handle_superseded(&self.0, planner))
+    }
 }
 
 /// Starts the RPC server.
--- a/crates/stairstalld/tests/batch/faults.rs
+++ b/crates/stairstalld/tests/batch/faults.rs
@@ -510,3 +510,31 @@
     assert!(tenures.len() > 1, "its lease has ended meanwhile");
     assert_eq!(cluster.runs_of(&path[4..]), 1);
 }
+
+/// The next planner is another daemon: the one that heard the end is still cut off from the store.
+#[tokio::test(flavor = "multi_thread")]
+async fn what_ended_while_the_store_was_down_does_not_run_again_under_another_daemon() {
+    // Well below the lease of the worker, which is 3 s.
+    const SOON: Duration = Duration::from_millis(1_500);
+    let mut cluster = Cluster::start(2, 2).await;
+    let planner = cluster.planner();
+    let other = 1 - planner;
+    let path = format!("/q1/{}", cluster.new_id());
+    let status = cluster.submit(planner, &path, &job(1, "ms=700")).await;
+    assert_eq!(status, Some(StatusCode::OK));
+    cluster.wait_for(&path, "running").await;
+    cluster.store.set_down(true);
+    cluster.daemons[planner].wait_for_line(" done; ").await;
+    let ran_at = &cluster.workers.records()[0].worker;
+    let index = ran_at.strip_prefix("i-").and_then(|n| n.parse().ok());
+    cluster.workers.crash(index.expect("a worker"), FOR_GOOD);
+    tokio::time::sleep(LEASE_ENDS).await;
+    cluster.daemons[planner].store.set(LinkMode::Cut);
+    cluster.store.set_down(false);
+    let loaded = "jobs and workers loaded";
+    cluster.daemons[other].wait_for_line(loaded).await;
+    let since = std::time::Instant::now();
+    cluster.wait_for(&path, "completed").await;
+    assert_eq!(cluster.runs_of(&path[4..]), 1);
+    assert!(since.elapsed() < SOON, "it took {:?}", since.elapsed());
+}
