test(batch): daemons of two versions take over from each other on stored data

A rolling upgrade and back was never played. The tests start daemons of another version's program beside this one's: other, this, other, this, this take the role in turn, by a planned stop and by a kill, each with a gang that runs, a chain of steps, tasks that wait and a cancelled job; all jobs of earlier turns are asked for again at each. A third one plays a store outage after which the other version takes over.

After an outage a task may run twice where one of the two is older (the test allows one or two runs). They are ignored by default, since they need the other program.

--- a/crates/stairstalld/tests/batch/cluster.rs
+++ b/crates/stairstalld/tests/batch/cluster.rs
@@ -21,6 +21,8 @@
 /// How long anything may take that must come true.
 pub const PATIENCE: Duration = Duration::from_secs(20);
 const START_TIMEOUT: Duration = Duration::from_secs(20);
+/// The daemon's program of this version.
+const PROGRAM: &str = env!("CARGO_BIN_EXE_stairstalld");
 pub const CALL_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// A daemon as a process of its own; dropping it kills the process.
@@ -57,7 +59,7 @@
 
     /// Starts a daemon that reaches the store by a link, and waits until it serves.
     pub async fn start_behind(link: Link, zone: &str, name: &str, flags: &[&str]) -> Self {
-        Self::launch(link, None, zone, name, flags).await
+        Self::launch(PROGRAM, link, None, zone, name, flags).await
     }
 
     /// Starts a daemon that other daemons reach by a link, and waits until it serves.
@@ -66,10 +68,17 @@
         let peers = Link::start_without_target().await.expect("a link");
         let advertised = peers.address().to_string();
         let flags = ["--rpc-advertise", &advertised];
-        Self::launch(link, Some(peers), "zone-a", name, &flags).await
+        Self::launch(PROGRAM, link, Some(peers), "zone-a", name, &flags).await
+    }
+
+    /// Starts a daemon of another program and waits until it serves.
+    pub async fn start_program(program: &str, name: &str, store: &StandinStore) -> Self {
+        let link = Link::start(store.address()).await.expect("a link");
+        Self::launch(program, link, None, "zone-a", name, &[]).await
     }
 
     async fn launch(
+        program: &str,
         link: Link,
         peers: Option<Link>,
         zone: &str,
@@ -77,7 +86,7 @@
         flags: &[&str],
     ) -> Self {
         let local = "127.0.0.1:0";
-        let mut child = Command::new(env!("CARGO_BIN_EXE_stairstalld"))
+        let mut child = Command::new(program)
             .arg("batch")
             .args(["--vm", name, "--zone", zone, "--listen", local])
             .args(["--health-listen", local, "--rpc-listen", local])
--- a/crates/stairstalld/tests/batch/main.rs
+++ b/crates/stairstalld/tests/batch/main.rs
@@ -20,3 +20,4 @@
 mod silent_watches;
 mod soak;
 mod unreadable_entries;
+mod versions;
