test(batch): a job whose acceptance is written as the planner ends runs once

The write's answer is lost, or the write is carried out 0.3 or 1.2 s later, while the planner is killed.

--- a/crates/stairstalld/tests/batch/accepted.rs
+++ b/crates/stairstalld/tests/batch/accepted.rs
@@ -4,6 +4,7 @@
 
 use hyper::{Method, StatusCode};
 use serde_json::{Value, json};
+use stairstall_platform_standin::WriteFault;
 use stairstall_standin::LinkMode;
 
 use crate::cluster::{Cluster, Daemon, PATIENCE, job};
@@ -180,3 +181,38 @@
     tokio::time::sleep(Duration::from_millis(500)).await;
     assert!(!cluster.store.has(&format!("{}.cancel", job_key(&id))));
 }
+
+/// The write of the acceptance gets no answer, or is carried out late, as the planner ends.
+#[tokio::test(flavor = "multi_thread")]
+async fn what_is_accepted_as_the_planner_ends_runs_once() {
+    let faults = [
+        WriteFault::LoseAnswer,
+        WriteFault::CarryOutLate(Duration::from_millis(300)),
+        WriteFault::CarryOutLate(Duration::from_millis(1_200)),
+    ];
+    futures::future::join_all(faults.map(accept_as_the_planner_ends)).await;
+}
+
+async fn accept_as_the_planner_ends(fault: WriteFault) {
+    let mut cluster = Cluster::start(2, 1).await;
+    let planner = cluster.planner();
+    let id = cluster.new_id();
+    let path = format!("/q0/{id}");
+    cluster.store.fail_write(&job_key(&id), 0, fault);
+    let body = job(1, "ms=50");
+    let mut ending = cluster.daemons.remove(planner);
+    let submitted = cluster.submit(0, &path, &body);
+    let (status, ()) = tokio::join!(submitted, ending.kill());
+    assert_eq!(cluster.store.faults_left(), 0, "{fault:?} was met");
+    if status != Some(StatusCode::OK) {
+        // It may be kept: the caller hands it in again under its name.
+        let until = Instant::now() + PATIENCE;
+        while cluster.submit(0, &path, &body).await != Some(StatusCode::OK) {
+            assert!(Instant::now() < until, "{fault:?}: it is never accepted");
+            tokio::time::sleep(POLL).await;
+        }
+    }
+    cluster.wait_for(&path, "completed").await;
+    assert_eq!(cluster.runs_of(&id), 1, "{fault:?}");
+    cluster.assert_no_violations();
+}
