--- a/crates/stairstalld/src/batch/accept.rs
+++ b/crates/stairstalld/src/batch/accept.rs
@@ -113,8 +113,8 @@
 }
 
 /// Writes a job to the store if its key is free or, depending on `on_refusal`, holds a refusal
-/// record. If the customer has already stored a job under this name, replaces `job` by that one
-/// unless its record was shortened after it ended.
+/// record. If the customer has already stored a job under this name, replaces `job` by that one, so
+/// that the planner is notified of what is stored.
 pub(crate) async fn write_job(
     node: &Node,
     job: &mut AcceptedJob,
@@ -137,9 +137,7 @@
             Ok(CommitOutcome::Conflict(items)) => match existing_entry(job, items.first()) {
                 ExistingEntry::Decisive(outcome) => return outcome,
                 ExistingEntry::Known(stored) => {
-                    if !stored.is_trimmed() {
-                        *job = *stored;
-                    }
+                    *job = *stored;
                     return Acceptance::Known;
                 }
                 ExistingEntry::Refusal(first_asked_unix_ms, revision) => {
@@ -313,7 +311,11 @@
         // The same calls as for an ID that no job has, so that the time tells nothing.
         return mark_cancelled(node, id, customer).await;
     }
-    let commit = Commit::default().put(keys::batch_cancellation(id), Vec::new());
+    // If the job's records are removed meanwhile, the cancellation must not be left for the next job
+    // of its name.
+    let commit = Commit::default()
+        .when(keys::batch_job(id), item.revision)
+        .put(keys::batch_cancellation(id), Vec::new());
     match node.store_call("cancel", node.store.commit(commit)).await {
         Ok(CommitOutcome::Done(_)) => Some(Cancellation::Cancelled),
         _ => None,
--- a/crates/stairstalld/tests/batch/main.rs
+++ b/crates/stairstalld/tests/batch/main.rs
@@ -1,5 +1,6 @@
 //! Batch daemons as processes against a stand-in of the users' platform.
 
+mod accepted;
 mod admission;
 mod catalog;
 mod cluster;
@@ -23,3 +24,4 @@
 mod silent_watches;
 mod soak;
 mod unreadable_entries;
+mod versions;
