--- a/crates/stairstalld/tests/batch/main.rs
+++ b/crates/stairstalld/tests/batch/main.rs
@@ -14,7 +14,6 @@
 mod leaving;
 mod odd_entries;
 mod odd_input;
-mod open_connection;
 mod path;
 mod planned_stop;
 mod planned_work;
--- a/crates/stairstalld/tests/batch/planned_stop.rs
+++ b/crates/stairstalld/tests/batch/planned_stop.rs
@@ -7,7 +7,7 @@
 use serde_json::Value;
 
 use crate::cluster::{Cluster, Daemon};
-use crate::open_connection::{Exchange, OpenConnection};
+use crate::planned_work::open_connection::{Exchange, OpenConnection};
 
 /// How long the daemon takes new calls after SIGTERM.
 const DRAIN_DELAY: Duration = Duration::from_millis(800);
--- a/crates/stairstalld/tests/batch/planned_work.rs
+++ b/crates/stairstalld/tests/batch/planned_work.rs
@@ -18,7 +18,10 @@
 use tokio::task::JoinSet;
 
 use crate::cluster::{Daemon, configuration, configuration_with_q9};
-use crate::open_connection::{Exchange, OpenConnection};
+
+pub(crate) mod open_connection;
+
+use open_connection::{Exchange, OpenConnection};
 
 /// Longest time between a request's last byte and the end of its connection without an answer.
 const LOSS_SLACK: Duration = Duration::from_millis(200);
