--- a/crates/stairstalld/src/batch/role/tests.rs
+++ b/crates/stairstalld/src/batch/role/tests.rs
@@ -21,7 +21,6 @@
 use super::super::node::Node;
 use super::super::settings::BatchSettings;
 use super::super::{caller_api, serve};
-use crate::listener::NoDelayListener;
 
 /// How long anything may take that must come true.
 const PATIENCE: Duration = Duration::from_secs(30);
@@ -208,7 +207,7 @@
         let node = Arc::new(build_node(&store, &trap));
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address").to_string();
-        let server = viz::Server::new(NoDelayListener(listener), caller_api::router(&node));
+        let server = viz::Server::new(listener, caller_api::router(&node));
         tokio::spawn(server.into_future());
         serve::start_background(&node);
         let planning = Self {
