--- a/crates/stairstalld/tests/batch/odd_input.rs
+++ b/crates/stairstalld/tests/batch/odd_input.rs
@@ -564,3 +564,37 @@
     }
     assert_works(&mut cluster, "q1").await;
 }
+
+/// Writes a value to the store that is not in the form in which values are sent.
+async fn put_unencoded(cluster: &Cluster, key: &str, value: &str) {
+    let address = cluster.store.address().to_string();
+    let put = json!({"key": key, "value": value, "lease": 0});
+    let body = json!({"expectedRev": [], "put": [put], "remove": []});
+    let call = JsonRequest {
+        method: Method::POST,
+        address: &address,
+        path: "/v1/kv-txn",
+        headers: &[],
+        body: body.to_string().into_bytes(),
+    };
+    let answer = cluster.http.exchange(call, CALL_TIMEOUT).await;
+    assert_eq!(answer.expect("an answer").status, StatusCode::OK);
+}
+
+/// Guards against one value that the store hands out in another form and that hides all others of its
+/// listing, so that no planner loads anything.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_value_of_another_form_does_not_hide_the_others() {
+    let mut cluster = Cluster::start(2, 1).await;
+    for key in [
+        &job_key("00000000000000f0"),
+        &progress_key("00000000000000f1"),
+        "op/evacuate/zone-z",
+        "op/unknown",
+    ] {
+        put_unencoded(&cluster, key, "!no base64!").await;
+    }
+    assert_works(&mut cluster, "q1").await;
+    change_planner(&mut cluster).await;
+    assert_works(&mut cluster, "q1").await;
+}
