test(role): the platform's words stay out of the daemon's sources; bound of the recurring fault by measured time

The recurring fault's bound was five tenures in a nominal 5 s; a late timer could have let a sixth fit. It is one a lease of the time measured, and one as it begins.

--- a/crates/stairstalld/src/batch/role/tests.rs
+++ b/crates/stairstalld/src/batch/role/tests.rs
@@ -13,8 +13,8 @@
 use stairstall_platform::{PlatformDialect, PlatformStore, PlatformWorkers};
 use stairstall_platform_standin::{StandinStore, StandinWorkers};
 use stairstall_ports::{
-    Commit, CommitOutcome, Item, LeaseId, Page, Revision, SharedStore, StoreFault, WatchBatch,
-    WorkerAddress, WorkerCalls, WorkerFault,
+    Commit, CommitOutcome, Dialect, Item, LeaseId, Page, Revision, SharedStore, StoreFault,
+    WatchBatch, WorkerAddress, WorkerCalls, WorkerFault,
 };
 use tokio::net::TcpListener;
 
@@ -200,7 +200,7 @@
 impl Planning {
     async fn start(call: Call) -> Self {
         let store = StandinStore::start().await.expect("a store");
-        store.put("op/config", &configuration(1));
+        store.put(PlatformDialect.configuration_key(), &configuration(1));
         let workers = StandinWorkers::start(&store, "desk", 4)
             .await
             .expect("workers");
@@ -276,11 +276,12 @@
     }
 }
 
+/// A configuration of one queue, as operators write it.
 fn configuration(version: u64) -> Value {
-    json!({"version": version, "services": [], "limits": {"maxBodyBytes": 20_000},
-        "routes": [{"name": "q0", "host": "jobs.example", "pathPrefix": "/q0/", "timeoutMs": 3000,
-            "targetLatencyMs": 500, "priority": 0, "service": "desk", "attempts": 3, "stretch": 2.0}],
-        "tenants": [{"name": "mesa", "apiKeys": ["key-mesa"], "guaranteed": {"gpu": 4}}]})
+    let text = include_str!("../../../tests/data/one-queue.json");
+    let mut configuration: Value = serde_json::from_str(text).expect("it is JSON");
+    configuration["version"] = json!(version);
+    configuration
 }
 
 fn build_node(store: &StandinStore, trap: &Arc<Trap>) -> Node {
@@ -353,7 +354,7 @@
 
 #[tokio::test]
 async fn the_directorys_follower_ends() {
-    next_tenure_follows(Call::Watch("servers/")).await;
+    next_tenure_follows(Call::Watch(PlatformDialect.directory_prefix())).await;
 }
 
 #[tokio::test]
@@ -363,7 +364,7 @@
 
 #[tokio::test]
 async fn the_operators_keys_follower_ends() {
-    next_tenure_follows(Call::Watch("op/")).await;
+    next_tenure_follows(Call::Watch(PlatformDialect.operator_prefix())).await;
 }
 
 #[tokio::test]
@@ -409,12 +410,14 @@
 async fn a_task_that_always_ends_does_not_hand_the_role_round_at_full_speed() {
     let planning = Planning::start(Call::RenewLease).await;
     planning.trap.arm(u32::MAX);
-    let watched = ROLE_LEASE * 5;
-    tokio::time::sleep(watched).await;
-    let tenures = planning.trap.sprung();
+    let armed_at = Instant::now();
+    tokio::time::sleep(ROLE_LEASE * 5).await;
+    let tenures = u128::from(planning.trap.sprung());
+    // One may end as the watch begins.
+    let most = armed_at.elapsed().as_millis() / ROLE_LEASE.as_millis() + 1;
     assert!(
-        (2..=5).contains(&tenures),
-        "{tenures} tenures in {watched:?}"
+        (2..=most).contains(&tenures),
+        "{tenures} tenures, {most} at the most"
     );
 }
 
@@ -430,9 +433,11 @@
 
 #[tokio::test]
 async fn the_configurations_follower_ends() {
-    let planning = Planning::start(Call::Watch("op/config")).await;
+    let planning = Planning::start(Call::Watch(PlatformDialect.configuration_key())).await;
     planning.trap.arm(1);
-    planning.store.put("op/config", &configuration(2));
+    planning
+        .store
+        .put(PlatformDialect.configuration_key(), &configuration(2));
     wait_until("the panic", || planning.trap.sprung() == 1).await;
     let passed = planning.trap.passed();
     wait_until("the next watch", || planning.trap.passed() > passed).await;
