fix(http): a call whose time was over while the process stood still gets as much time again

What callers saw: accepted jobs with nothing running for seconds although most workers were free (LOST), on daemons that get little processor time. 'not started: unknown' for starts that their workers had answered; such a task waits until it is certain that the run is not there.

Cause: a time limit counted the time in which this process did not run. After a stall the timer fired before the answer, which had arrived, was read.

Change: a timer that fires over 25 ms late shows a stall; the call then waits once more. Calls with a caller's own deadline do not.

--- a/crates/stairstall-http/src/client.rs
+++ b/crates/stairstall-http/src/client.rs
@@ -1,5 +1,6 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -24,6 +25,9 @@
 /// Idle time after which a pooled connection is closed; shorter than the idle timeout of servers.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Largest delay of a timer in a process that runs. A longer one shows that the process stood still.
+const TIMER_DELAY: Duration = Duration::from_millis(25);
+
 /// A complete HTTP response: status and body.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct JsonResponse {
@@ -59,6 +63,18 @@
     pub body: Vec<u8>,
 }
 
+/// What becomes of a call if this process stood still when its time was over.
+///
+/// While a process stands still, as on a small VM at its processor limit, its requests do not leave,
+/// and answers arrive without being read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum AfterStall {
+    /// It gets as much time again, once.
+    WaitAgain,
+    /// It has timed out: somebody else has given the time limit.
+    GiveUp,
+}
+
 /// Pool of HTTP connections.
 type Pool = Client<HttpConnector, Body>;
 
@@ -133,13 +149,14 @@
         &self,
         host: &str,
         timeout: Duration,
+        after_stall: AfterStall,
         call: impl FnOnce(Pool) -> F,
     ) -> Result<T, CallError>
     where
         F: Future<Output = Result<T, CallError>>,
     {
         let (pool, pool_created) = self.pool_of(host);
-        let Ok(result) = tokio::time::timeout(timeout, call(pool)).await else {
+        let Some(result) = within(timeout, after_stall, call(pool)).await else {
             self.replace_pool(host, pool_created);
             return Err(CallError::TimedOut(timeout));
         };
@@ -158,7 +175,8 @@
     ) -> Result<Response<Incoming>, CallError> {
         let host = request.uri().authority().map(ToString::to_string);
         let call = |pool: Pool| async move { Ok(pool.request(request).await?) };
-        self.with_timeout(&host.unwrap_or_default(), timeout, call)
+        let host = host.unwrap_or_default();
+        self.with_timeout(&host, timeout, AfterStall::GiveUp, call)
             .await
     }
 
@@ -219,7 +237,8 @@
             let body = read_limited(response.into_body(), MAX_JSON_BYTES).await?;
             Ok(JsonResponse { status, body })
         };
-        self.with_timeout(call.address, timeout, exchange).await
+        self.with_timeout(call.address, timeout, AfterStall::WaitAgain, exchange)
+            .await
     }
 }
 
@@ -241,3 +260,20 @@
             Err(_) => CallError::BodyTooLarge(limit),
         })
 }
+
+/// Awaits a call for `timeout`; `None` if it takes longer.
+async fn within<T>(
+    timeout: Duration,
+    after_stall: AfterStall,
+    call: impl Future<Output = T>,
+) -> Option<T> {
+    let mut call = pin!(call);
+    let due = Instant::now() + timeout;
+    if let Ok(output) = tokio::time::timeout_at(due, call.as_mut()).await {
+        return Some(output);
+    }
+    if after_stall == AfterStall::GiveUp || due.elapsed() <= TIMER_DELAY {
+        return None;
+    }
+    tokio::time::timeout(timeout, call).await.ok()
+}
