test(odd-input): no panic and no ended task, by the lines that say so now

The check looked for the line of the first mend of a panic, which is worded otherwise since tenures' tasks are watched; it would have passed whatever happened. Now it looks for each panic's line and each ended task's.

--- a/crates/stairstalld/tests/batch/odd_input.rs
+++ b/crates/stairstalld/tests/batch/odd_input.rs
@@ -57,7 +57,9 @@
         cluster.wait_for(&path, "completed").await;
     }
     for daemon in &cluster.daemons {
-        assert_eq!(daemon.log_lines("ended by a panic"), [""; 0]);
+        for text in [" ERROR panic ", "a background task has ended"] {
+            assert_eq!(daemon.log_lines(text), [""; 0]);
+        }
     }
 }
 
