test(planned-work): stalls, kills and failures of the platform beside planned stops, in real time

Three kinds of plays: planned work alone (now also a second SIGTERM, SIGHUPs in series, changes of the configuration during a series, and bodies of which half comes later), with stalls of daemons by SIGSTOP (also of the planner, of several, and one that ends when a drain delay does), and with all that processes and the platform have. Planned work alone is judged as before. Beside troubles a request that is cut late, or a job that stands still, counts after 4 s of calm; what accepted jobs may never be shown as counts always. Jobs end within 33 s of the traffic after troubles, 46 s where lives share IDs; the sum is derived beside the constant. A failing play writes what daemons logged, what was done and what workers did, in one order of time.

--- a/crates/stairstalld/tests/batch/planned_work.rs
+++ b/crates/stairstalld/tests/batch/planned_work.rs
@@ -1,13 +1,18 @@
 //! Planned work in the shape of a customer's site, in real time: daemons are stopped and started in
 //! series that overlap while callers keep using their open connections.
 //!
+//! There are three kinds of plays: planned work alone, with stalls of daemons, and with all troubles
+//! that processes and the platform have. Troubles come in windows; calm lies between them.
+//!
 //! `STAIRSTALL_PLANNED_SEEDS=1,2,3` names seeds, `STAIRSTALL_PLANNED_SECONDS` how long each runs and
-//! `STAIRSTALL_PLANNED_SHAPE=grown` plays as many daemons, workers and callers as a grown site has.
+//! `STAIRSTALL_PLANNED_SHAPE=grown` plays as many daemons, workers and callers as a grown site has;
+//! with `STAIRSTALL_PLANNED_IDS=shared` a worker begins each life under its ID.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use futures::future::join_all;
 use nix::sys::signal::Signal;
@@ -19,9 +24,13 @@
 
 use crate::cluster::{Daemon, configuration, configuration_with_q9};
 
+mod calm;
 mod open_connection;
+mod troubles;
 
+use calm::Calm;
 use open_connection::{Exchange, OpenConnection};
+use troubles::{Kind, Troubles};
 
 /// Longest time between a request's last byte and the end of its connection without an answer.
 const LOSS_SLACK: Duration = Duration::from_millis(200);
@@ -33,8 +42,23 @@
 const MAX_IDLE: Duration = Duration::from_secs(3);
 /// How often it is looked which jobs have nothing running.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
-/// How long after the traffic jobs may take to end.
+/// How long it has been calm before a job that stands still, or a request that is cut, counts.
+const CALM_BEFORE: Duration = Duration::from_secs(4);
+/// How long after the traffic jobs may take to end where planned work was all.
 const FINISH: Duration = Duration::from_secs(14);
+/// The same after troubles: a takeover (a lease of the role of 1 s, a new planner that reads and
+/// hears all, 3 s in all), leases of 3 s on clocks that are 2% slow and a margin (4 s), 10 s until a
+/// worker that nobody lists is taken for crashed, and what was held back by the longest trouble
+/// (8 s) and has to run for two turns of the longest task (8 s).
+const FINISH_AFTER_TROUBLES: Duration = Duration::from_secs(3 + 4 + 10 + 8 + 8);
+/// How much longer where lives share an ID: a start without an answer may come for so long.
+const LATE_START: Duration = Duration::from_secs(13);
+/// Workers that crash under a task before its job may be shown as failed.
+const MAX_CRASHES: u32 = 3;
+/// How long daemons take calls after SIGTERM.
+const DRAIN_DELAY_MS: u64 = 2_500;
+/// How often it is looked how late this process itself is.
+const LATENESS_INTERVAL: Duration = Duration::from_millis(50);
 /// How long callers wait for an answer.
 const DEADLINE: Duration = Duration::from_secs(3);
 /// How often the balancer asks for readiness.
@@ -43,6 +67,9 @@
 const VIOLATIONS_SHOWN: usize = 20;
 const DEFAULT_SEEDS: [u64; 2] = [1, 2];
 const DEFAULT_SECONDS: u64 = 12;
+/// The same with troubles.
+const TROUBLE_SEEDS: [u64; 1] = [1];
+const TROUBLE_SECONDS: u64 = 10;
 
 /// How many of each kind there are.
 #[derive(Debug, Clone, Copy)]
@@ -87,6 +114,13 @@
     /// Requests whose connections closed without an answer within the slack.
     cut_soon: Mutex<Vec<Duration>>,
     answers: Mutex<BTreeMap<String, usize>>,
+    calm: Arc<Calm>,
+    /// What was done to whom, with the time of day.
+    notes: Mutex<Vec<String>>,
+    /// Number of the next VM.
+    next_vm: AtomicUsize,
+    /// The most by which this process was late.
+    late: Mutex<Duration>,
     /// The logs of all daemons, also of those that have ended.
     logs: Mutex<Vec<Arc<Mutex<Vec<String>>>>>,
 }
@@ -104,17 +138,31 @@
         *lock(&self.answers).entry(what).or_default() += 1;
     }
 
+    fn note(&self, what: &str) {
+        lock(&self.notes).push(format!("{} NOTE {what}", time_of_day()));
+    }
+
+    fn next_vm(&self) -> usize {
+        self.next_vm.fetch_add(1, Ordering::SeqCst)
+    }
+
     fn add_log(&self, daemon: &Daemon) {
         lock(&self.logs).push(daemon.log());
     }
 
-    /// Returns what daemons logged that contains a text, oldest first.
-    fn lines_with(&self, text: &str) -> Vec<String> {
-        let mut lines = Vec::new();
+    /// Returns what all daemons logged and what was done to them, by time of day, with the VM's name.
+    fn all_lines(&self) -> Vec<String> {
+        let mut lines = lock(&self.notes).clone();
         for log in lock(&self.logs).iter() {
-            lines.extend(lock(log).iter().filter(|line| line.contains(text)).cloned());
+            let log = lock(log);
+            let vm = log.iter().find_map(|line| line.split_once(" start vm="));
+            let vm = vm.and_then(|(_, rest)| rest.split(' ').next());
+            let vm = vm.unwrap_or("vm-?");
+            let stamped = log
+                .iter()
+                .filter_map(|line| line.split_once('T')?.1.split_once("Z "));
+            lines.extend(stamped.map(|(time, rest)| format!("{time} {vm} {rest}")));
         }
-        lines.sort();
         lines
     }
 
@@ -126,9 +174,19 @@
     }
 }
 
+/// Returns the time of day in UTC, as daemons and workers log it.
+fn time_of_day() -> String {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    let ms = since_epoch.map_or(0, |elapsed| elapsed.as_millis()) % 86_400_000;
+    let (hours, minutes) = (ms / 3_600_000, ms / 60_000 % 60);
+    let (seconds, millis) = (ms / 1_000 % 60, ms % 1_000);
+    format!("{hours:02}:{minutes:02}:{seconds:02}.{millis:03}")
+}
+
 /// One caller, which keeps its connection for as long as it can.
 struct Caller {
     shared: Arc<Shared>,
+    workers: Arc<StandinWorkers>,
     random: Pcg64Mcg,
     shape: Shape,
     number: usize,
@@ -153,14 +211,22 @@
         }
     }
 
-    /// Sends one request on the open connection, or on a new one.
-    async fn call(&mut self, method: &str, path: &str, body: &Value) -> Option<(u16, Vec<u8>)> {
+    /// Sends one request on the open connection, or on a new one; half of its body so much later, if
+    /// that is said.
+    async fn call(
+        &mut self,
+        method: &str,
+        path: &str,
+        body: &Value,
+        gap: Option<Duration>,
+    ) -> Option<(u16, Vec<u8>)> {
         if self.connection.is_none() {
             let address = self.shared.pick(&mut self.random)?;
             self.connection = OpenConnection::open(address).await.ok();
         }
         let mut connection = self.connection.take()?;
-        match connection.exchange(method, path, body, DEADLINE).await {
+        let exchange = connection.exchange_in_parts(method, path, body, gap, DEADLINE);
+        match exchange.await {
             Exchange::Answered(answer) => {
                 self.shared.count(format!("{method} {}", answer.status));
                 if !answer.closes {
@@ -171,16 +237,27 @@
             Exchange::Cut(after) if after > LOSS_SLACK => {
                 let address = connection.address();
                 let at = self.started.elapsed();
-                self.shared.report(format!(
-                    "{at:?}: {method} {path} at {address}: no answer, closed {after:?} after its last byte"
-                ));
+                let time = time_of_day();
+                let cut = format!(
+                    "{time} ({at:?}): {method} {path} at {address}: no answer, closed {after:?} after its last byte"
+                );
+                self.shared.note(&cut);
+                if self.shared.calm.lasted() >= CALM_BEFORE + after {
+                    self.shared.report(cut);
+                } else {
+                    self.shared
+                        .count(format!("{method} cut late beside troubles"));
+                }
                 None
             }
             Exchange::Cut(after) => {
                 lock(&self.shared.cut_soon).push(after);
                 None
             }
-            Exchange::NotSent => None,
+            Exchange::NotSent => {
+                self.shared.count(format!("{method} not sent"));
+                None
+            }
             Exchange::GivenUp => {
                 self.shared.count(format!("{method} given up"));
                 None
@@ -198,7 +275,10 @@
             {"count": tasks, "cpu": 1000, "memMb": 500, "gpu": 1, "estimateMs": ms}]});
         let path = format!("/q{queue}/{id}");
         for _ in 0..4 {
-            let answer = self.call("POST", &path, &body).await;
+            let is_slow = self.random.random_range(0..5) == 0;
+            let gap = is_slow.then(|| self.random.random_range(50..2_000));
+            let gap = gap.map(Duration::from_millis);
+            let answer = self.call("POST", &path, &body, gap).await;
             if answer.is_some_and(|(status, _)| status == 200) {
                 let accepted = Accepted {
                     at: Instant::now(),
@@ -217,22 +297,32 @@
         let index = self.random.random_range(0..self.own_jobs.len());
         let path = self.own_jobs[index].clone();
         let asked_at = Instant::now();
-        let Some((status, body)) = self.call("GET", &path, &Value::Null).await else {
+        let Some((status, body)) = self.call("GET", &path, &Value::Null, None).await else {
             return;
         };
-        check_state(&self.shared, &path, asked_at, status, &body);
+        check_state(&self.shared, &self.workers, &path, asked_at, status, &body);
     }
 }
 
 /// Checks what a daemon says of an accepted job.
-fn check_state(shared: &Shared, path: &str, asked_at: Instant, status: u16, body: &[u8]) {
+fn check_state(
+    shared: &Shared,
+    workers: &StandinWorkers,
+    path: &str,
+    asked_at: Instant,
+    status: u16,
+    body: &[u8],
+) {
     let accepted = lock(&shared.accepted).get(path).copied();
     let is_visible = accepted.is_some_and(|job| asked_at - job.at > VISIBLE_AFTER);
     let state = serde_json::from_slice::<Value>(body).unwrap_or_default();
     let state = state["state"].as_str().unwrap_or_default();
     let is_unknown = matches!(status, 404 | 410) && is_visible;
-    if is_unknown || matches!(state, "failed" | "cancelled") {
-        shared.report(format!("{path}: {status} {state:?}"));
+    let may_fail = || workers.most_lost_under(&path[4..]) >= MAX_CRASHES;
+    let is_failed = state == "failed" && !may_fail();
+    if is_unknown || is_failed || state == "cancelled" {
+        let time = time_of_day();
+        shared.report(format!("{time} {path}: {status} {state:?}"));
     }
 }
 
@@ -244,19 +334,26 @@
     shared: Arc<Shared>,
     random: Pcg64Mcg,
     version: u64,
-    next_vm: usize,
+    kind: Kind,
 }
 
 impl Site {
-    async fn start(shape: Shape, seed: u64) -> Self {
+    async fn start(kind: Kind, shape: Shape, seed: u64) -> Self {
         let store = StandinStore::start().await.expect("a store");
         store.put("op/config", &configuration(1));
-        let workers = StandinWorkers::start_with_new_ids(&store, "desk", shape.workers).await;
+        let workers = if shares_ids() {
+            StandinWorkers::start(&store, "desk", shape.workers).await
+        } else {
+            StandinWorkers::start_with_new_ids(&store, "desk", shape.workers).await
+        };
         let store = Arc::new(store);
         let starting = (0..shape.daemons).map(|number| start_daemon(&store, number));
         let daemons: Vec<Daemon> = join_all(starting).await;
         let shared = Arc::<Shared>::default();
-        daemons.iter().for_each(|daemon| shared.add_log(daemon));
+        for daemon in &daemons {
+            shared.add_log(daemon);
+        }
+        shared.next_vm.store(shape.daemons, Ordering::SeqCst);
         let daemons = daemons.into_iter();
         Self {
             store: Arc::clone(&store),
@@ -267,7 +364,7 @@
             shared,
             random: Pcg64Mcg::seed_from_u64(seed),
             version: 1,
-            next_vm: shape.daemons,
+            kind,
         }
     }
 
@@ -276,31 +373,74 @@
         let daemon = Arc::clone(&self.daemons[index]);
         let store = Arc::clone(&self.store);
         let shared = Arc::clone(&self.shared);
-        let number = self.next_vm;
-        self.next_vm += 1;
         let away = Duration::from_millis(self.random.random_range(100..1_500));
-        let hangs_up = self.random.random_range(0..4) == 0;
+        let mut signals = self.draw_stop_signals();
+        let pauses = self.kind.has_stalls() && self.random.random_range(0..3) == 0;
+        if pauses {
+            signals.extend(troubles::pause_until_drained(&mut self.random));
+        }
+        signals.sort_by_key(|(after_ms, _)| *after_ms);
         in_flight.spawn(async move {
             let Ok(mut daemon) = daemon.try_lock_owned() else {
                 return;
             };
-            if hangs_up {
-                daemon.signal(Signal::SIGHUP);
+            let disturbance = pauses.then(|| Calm::disturb(&shared.calm));
+            shared.note(&format!("stop of {}: {signals:?}", daemon.address));
+            let begun = Instant::now();
+            for (after_ms, signal) in signals {
+                let due = begun + Duration::from_millis(after_ms);
+                tokio::time::sleep_until(due.into()).await;
+                daemon.signal(signal);
             }
-            daemon.signal(Signal::SIGTERM);
-            let stopped = tokio::time::timeout(GRACE, daemon.wait()).await;
+            let left = GRACE.saturating_sub(begun.elapsed());
+            let stopped = tokio::time::timeout(left, daemon.wait()).await;
             if stopped != Ok(Some(0)) {
                 let last = daemon.log_lines("stop").join("\n");
-                shared.report(format!("planned stop ended with {stopped:?}: {last}"));
+                let what = format!("planned stop ended with {stopped:?}: {last}");
+                shared.note(&what);
+                if shared.calm.lasted() >= CALM_BEFORE + begun.elapsed() {
+                    shared.report(what);
+                } else {
+                    shared.count("stops not ended well beside troubles".to_owned());
+                }
                 daemon.kill().await;
             }
+            drop(disturbance);
             lock(&shared.ready).remove(&index);
             tokio::time::sleep(away).await;
-            *daemon = start_daemon(&store, number).await;
+            *daemon = start_daemon(&store, shared.next_vm()).await;
             shared.add_log(&daemon);
         });
     }
 
+    /// Draws the signals of a planned stop, with how many milliseconds after its beginning they come.
+    fn draw_stop_signals(&mut self) -> Vec<(u64, Signal)> {
+        let mut signals = vec![(0, Signal::SIGTERM)];
+        if self.random.random_range(0..4) == 0 {
+            signals.insert(0, (0, Signal::SIGHUP));
+        }
+        if self.random.random_range(0..4) == 0 {
+            let after_ms = self.random.random_range(0..DRAIN_DELAY_MS);
+            signals.push((after_ms, Signal::SIGHUP));
+        }
+        if self.random.random_range(0..3) == 0 {
+            let after_ms = self.random.random_range(0..DRAIN_DELAY_MS + 100);
+            signals.push((after_ms, Signal::SIGTERM));
+        }
+        signals
+    }
+
+    /// Writes the next configuration, which adds a queue or removes it.
+    fn reconfigure(&mut self) {
+        self.version += 1;
+        let next = if self.version.is_multiple_of(2) {
+            configuration_with_q9(self.version)
+        } else {
+            configuration(self.version)
+        };
+        self.store.put("op/config", &next);
+    }
+
     /// Draws planned work for a while; some of it comes in series that overlap.
     async fn operate(&mut self, until: Instant) {
         let mut in_flight = JoinSet::new();
@@ -316,30 +456,44 @@
                         self.stop_and_start(index, &mut in_flight);
                         let gap = self.random.random_range(0..700);
                         tokio::time::sleep(Duration::from_millis(gap)).await;
+                        if self.random.random_range(0..6) == 0 {
+                            self.reconfigure();
+                        }
                     }
                 }
                 4 => {
-                    if let Ok(daemon) = self.daemons[index].try_lock() {
-                        daemon.signal(Signal::SIGHUP);
+                    for _ in 0..self.random.random_range(1..4) {
+                        if let Ok(daemon) = self.daemons[index].try_lock() {
+                            daemon.signal(Signal::SIGHUP);
+                        }
+                        let gap = self.random.random_range(0..300);
+                        tokio::time::sleep(Duration::from_millis(gap)).await;
                     }
                 }
-                _ => {
-                    self.version += 1;
-                    let next = if self.version.is_multiple_of(2) {
-                        configuration_with_q9(self.version)
-                    } else {
-                        configuration(self.version)
-                    };
-                    self.store.put("op/config", &next);
-                }
+                _ => self.reconfigure(),
+            }
+        }
+        while let Some(ended) = in_flight.join_next().await {
+            if let Err(error) = ended {
+                self.shared.report(format!("a planned stop: {error}"));
             }
         }
-        while in_flight.join_next().await.is_some() {}
+    }
+
+    /// Returns how long after the traffic jobs may take to end.
+    fn finish(&self) -> Duration {
+        if !self.kind.has_stalls() {
+            return FINISH;
+        }
+        if shares_ids() {
+            return FINISH_AFTER_TROUBLES + LATE_START;
+        }
+        FINISH_AFTER_TROUBLES
     }
 
     /// Asks for every accepted job after the traffic.
     async fn check_ends(&self) {
-        let until = Instant::now() + FINISH;
+        let until = Instant::now() + self.finish();
         let mut open: BTreeSet<String> = lock(&self.shared.accepted).keys().cloned().collect();
         let address = self.daemons[0].lock().await.address;
         let mut connection = OpenConnection::open(address).await.expect("a connection");
@@ -353,7 +507,14 @@
                     left.insert(path);
                     continue;
                 };
-                check_state(&self.shared, &path, asked_at, answer.status, &answer.body);
+                check_state(
+                    &self.shared,
+                    &self.workers,
+                    &path,
+                    asked_at,
+                    answer.status,
+                    &answer.body,
+                );
                 let body: Value = serde_json::from_slice(&answer.body).unwrap_or_default();
                 if body["state"] != "completed" {
                     left.insert(path);
@@ -388,16 +549,18 @@
         done.entry(job_of(record)).or_default().insert(&record.task);
     }
     let now = Instant::now();
+    let is_calm = shared.calm.lasted() >= CALM_BEFORE;
     for (path, job) in lock(&shared.accepted).iter_mut() {
         let id = &path[4..];
         let is_done = done.get(id).is_some_and(|tasks| tasks.len() >= job.tasks);
-        if is_done || running.contains(id) || !has_room {
+        if is_done || running.contains(id) || !has_room || !is_calm {
             job.idle_since = None;
             continue;
         }
         let since = *job.idle_since.get_or_insert(now);
         if now - since > MAX_IDLE {
-            shared.report(format!("{path}: nothing runs for {:?}", now - since));
+            let time = time_of_day();
+            shared.report(format!("{time} {path}: nothing runs for {:?}", now - since));
             job.idle_since = None;
         }
     }
@@ -406,7 +569,8 @@
 async fn start_daemon(store: &StandinStore, number: usize) -> Daemon {
     let zone = ["zone-a", "zone-b", "zone-c"][number % 3];
     let name = format!("vm-{number}");
-    let flags = ["--drain-delay-ms", "2500", "--config-apply-ms", "3000"];
+    let delay = DRAIN_DELAY_MS.to_string();
+    let flags = ["--drain-delay-ms", &delay, "--config-apply-ms", "3000"];
     Daemon::start_in(zone, &name, store, &flags).await
 }
 
@@ -420,10 +584,15 @@
             if let Ok(daemon) = daemon.try_lock() {
                 known[index] = Some((daemon.health, daemon.address));
             }
-            let Some((health, address)) = known[index] else {
+        }
+        let asked = known.iter().map(|known| async move {
+            let (health, address) = (*known)?;
+            Some((address, is_ready(health).await))
+        });
+        for (index, answer) in join_all(asked).await.into_iter().enumerate() {
+            let Some((address, is_ready)) = answer else {
                 continue;
             };
-            let is_ready = is_ready(health).await;
             misses[index] = if is_ready { 0 } else { misses[index] + 1 };
             if is_ready {
                 lock(&shared.ready).insert(index, address);
@@ -444,74 +613,110 @@
     matches!(exchange.await, Exchange::Answered(answer) if answer.status == 200)
 }
 
-async fn play(shape: Shape, seed: u64, length: Duration) {
-    let mut site = Site::start(shape, seed).await;
-    let started = Instant::now();
-    let until = started + length;
-    let balancer = tokio::spawn(balance(Arc::clone(&site.shared), site.daemons.clone()));
-    while lock(&site.shared.ready).len() < shape.daemons {
-        tokio::time::sleep(Duration::from_millis(50)).await;
+/// Notes by how much this process is late, which plays the store, the workers and the callers.
+async fn watch_lateness(shared: Arc<Shared>) {
+    loop {
+        let due = Instant::now() + LATENESS_INTERVAL;
+        tokio::time::sleep_until(due.into()).await;
+        let mut late = lock(&shared.late);
+        *late = due.elapsed().max(*late);
     }
+}
+
+fn start_callers(site: &Site, shape: Shape, seed: u64, until: Instant) -> JoinSet<()> {
     let mut callers = JoinSet::new();
     for number in 0..shape.callers {
         let caller = Caller {
             shared: Arc::clone(&site.shared),
+            workers: Arc::clone(&site.workers),
             random: Pcg64Mcg::seed_from_u64(seed << 16 | number as u64),
             shape,
             number,
             next_job: 0,
             own_jobs: Vec::new(),
             connection: None,
-            started,
+            started: Instant::now(),
         };
         callers.spawn(caller.run(until));
     }
+    callers
+}
+
+async fn play(kind: Kind, shape: Shape, seed: u64, length: Duration) {
+    println!("{kind:?}, seed {seed}, load {}", load());
+    let mut site = Site::start(kind, shape, seed).await;
     let shared = Arc::clone(&site.shared);
-    let watcher = tokio::spawn(watch_idle_jobs(
-        Arc::clone(&site.workers),
-        Arc::clone(&shared),
-    ));
-    site.operate(until).await;
+    let mut watchers = JoinSet::new();
+    watchers.spawn(balance(Arc::clone(&shared), site.daemons.clone()));
+    while lock(&shared.ready).len() < shape.daemons {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let until = Instant::now() + length;
+    let mut callers = start_callers(&site, shape, seed, until);
+    let workers = Arc::clone(&site.workers);
+    watchers.spawn(watch_idle_jobs(workers, Arc::clone(&shared)));
+    watchers.spawn(watch_lateness(Arc::clone(&shared)));
+    let troubles = Troubles::new(&site, seed);
+    tokio::join!(site.operate(until), troubles.run(until));
     while callers.join_next().await.is_some() {}
+    let traffic_ended = Instant::now();
     site.check_ends().await;
-    watcher.abort();
-    balancer.abort();
+    watchers.abort_all();
     let mut violations = lock(&shared.violations).clone();
     violations.extend(site.workers.violations().iter().map(ToString::to_string));
     println!(
-        "seed {seed}: {} jobs accepted, answers {:?}, cut within the slack {:?}",
+        "{kind:?}, seed {seed}: {} jobs accepted, all asked for {:?} after the traffic; answers {:?}, cut within \
+         the slack {:?}; this process late by up to {:?}; load {}",
         lock(&shared.accepted).len(),
+        traffic_ended.elapsed(),
         lock(&shared.answers),
         lock(&shared.cut_soon),
+        lock(&shared.late),
+        load(),
     );
     if !violations.is_empty() {
-        keep_logs(&shared, seed);
+        keep_logs(&site, seed);
     }
     let shown = violations.iter().take(VIOLATIONS_SHOWN);
     let shown: Vec<&String> = shown.collect();
     let count = violations.len();
     assert!(
         violations.is_empty(),
-        "seed {seed}: {count} violations: {shown:#?}"
+        "{kind:?}, seed {seed}: {count} violations: {shown:#?}"
     );
 }
 
-/// Writes what all daemons logged to a file and prints its path.
-fn keep_logs(shared: &Shared, seed: u64) {
-    let path = format!("{}/planned-work-{seed}.log", env!("CARGO_TARGET_TMPDIR"));
-    let lines = shared.lines_with("");
+/// Returns the load of the machine, which says how much a play tells.
+fn load() -> String {
+    let load = std::fs::read_to_string("/proc/loadavg").unwrap_or_default();
+    load.split(' ').next().unwrap_or_default().to_owned()
+}
+
+/// Writes what all daemons logged, what was done to them and what workers did to a file and prints
+/// its path.
+fn keep_logs(site: &Site, seed: u64) {
+    let directory = env!("CARGO_TARGET_TMPDIR");
+    let stamp = time_of_day().replace([':', '.'], "");
+    let path = format!(
+        "{directory}/planned-work-{:?}-{seed}-{stamp}.log",
+        site.kind
+    );
+    let mut lines = site.shared.all_lines();
+    lines.extend(site.workers.history_of(""));
+    lines.sort();
+    lines.extend(lock(&site.shared.violations).iter().cloned());
     std::fs::write(&path, lines.join("\n")).expect("a file for the logs");
     println!("logs of all daemons: {path}");
 }
 
-fn seeds() -> Vec<u64> {
+fn seeds_or(default: &[u64]) -> Vec<u64> {
     let given = std::env::var("STAIRSTALL_PLANNED_SEEDS").unwrap_or_default();
     let named: Vec<u64> = given
         .split(',')
         .filter_map(|s| s.trim().parse().ok())
         .collect();
     if named.is_empty() {
-        return DEFAULT_SEEDS.to_vec();
+        return default.to_vec();
     }
     named
 }
@@ -523,17 +728,36 @@
     }
 }
 
-fn length() -> Duration {
+fn length(default: u64) -> Duration {
     let seconds = std::env::var("STAIRSTALL_PLANNED_SECONDS").ok();
     let seconds = seconds.and_then(|s| s.parse().ok());
-    Duration::from_secs(seconds.unwrap_or(DEFAULT_SECONDS))
+    Duration::from_secs(seconds.unwrap_or(default))
+}
+
+fn shares_ids() -> bool {
+    std::env::var("STAIRSTALL_PLANNED_IDS").is_ok_and(|ids| ids == "shared")
 }
 
 /// No request that was sent on an open connection is lost, and no accepted job, whatever daemons stop.
 #[tokio::test(flavor = "multi_thread")]
 async fn nothing_is_lost_while_daemons_stop_and_start_in_series() {
-    for seed in seeds() {
-        println!("planned work, seed {seed}");
-        play(shape(), seed, length()).await;
+    for seed in seeds_or(&DEFAULT_SEEDS) {
+        play(Kind::Planned, shape(), seed, length(DEFAULT_SECONDS)).await;
+    }
+}
+
+/// No accepted job is lost or runs twice where daemons stall meanwhile, also the planner.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_job_is_lost_while_daemons_stall() {
+    for seed in seeds_or(&TROUBLE_SEEDS) {
+        play(Kind::Stalls, shape(), seed, length(TROUBLE_SECONDS)).await;
+    }
+}
+
+/// No accepted job is lost or runs twice where daemons, the store, links and workers fail meanwhile.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_job_is_lost_while_processes_and_the_platform_fail() {
+    for seed in seeds_or(&TROUBLE_SEEDS) {
+        play(Kind::Failures, shape(), seed, length(TROUBLE_SECONDS)).await;
     }
 }
--- a/crates/stairstalld/tests/batch/planned_work/open_connection.rs
+++ b/crates/stairstalld/tests/batch/planned_work/open_connection.rs
@@ -54,11 +54,32 @@
         path: &str,
         body: &Value,
         patience: Duration,
+    ) -> Exchange {
+        let request = self.exchange_in_parts(method, path, body, None, patience);
+        request.await
+    }
+
+    /// Sends a request, half of its body so much later if that is said, and reads its answer.
+    pub(crate) async fn exchange_in_parts(
+        &mut self,
+        method: &str,
+        path: &str,
+        body: &Value,
+        gap: Option<Duration>,
+        patience: Duration,
     ) -> Exchange {
         let request = request_bytes(method, path, body);
-        if self.stream.write_all(&request).await.is_err() {
+        let later = gap.map_or(0, |_| body.to_string().len() / 2);
+        let (first, rest) = request.split_at(request.len() - later);
+        if self.stream.write_all(first).await.is_err() {
             return Exchange::NotSent;
         }
+        if let Some(gap) = gap {
+            tokio::time::sleep(gap).await;
+            if self.stream.write_all(rest).await.is_err() {
+                return Exchange::NotSent;
+            }
+        }
         let sent_at = Instant::now();
         match tokio::time::timeout(patience, self.read_answer()).await {
             Ok(Some(answer)) => Exchange::Answered(answer),
