test(planned-work): small VMs, callers that rest, steps that follow others, and completed work counted

Another kind of play gives each daemon a share of a core (an eighth of one, or what STAIRSTALL_PLANNED_CORE_PERCENT says): its processor time is read every 4 ms and it stands still by SIGSTOP until the next 100 ms once its share is used up, as under a quota. It is judged as planned work alone. A quarter of the callers leave their connections idle for longer than a drain delay now and then; a quarter of the jobs have a second step; a job that was shown as completed must have had all its tasks done.

--- a/crates/stairstalld/tests/batch/cluster.rs
+++ b/crates/stairstalld/tests/batch/cluster.rs
@@ -144,6 +144,11 @@
         }
     }
 
+    /// Returns its process's ID, unless that has ended.
+    pub fn id(&self) -> Option<u32> {
+        self.child.id()
+    }
+
     pub fn signal(&self, signal: Signal) {
         let id = self.child.id().and_then(|id| i32::try_from(id).ok());
         if let Some(id) = id {
--- a/crates/stairstalld/tests/batch/planned_work.rs
+++ b/crates/stairstalld/tests/batch/planned_work.rs
@@ -1,12 +1,14 @@
 //! Planned work in the shape of a customer's site, in real time: daemons are stopped and started in
 //! series that overlap while callers keep using their open connections.
 //!
-//! There are three kinds of plays: planned work alone, with stalls of daemons, and with all troubles
-//! that processes and the platform have. Troubles come in windows; calm lies between them.
+//! There are four kinds of plays: planned work alone, on small VMs that give a daemon an eighth of a
+//! core, with stalls of daemons, and with all troubles that processes and the platform have. Troubles
+//! come in windows; calm lies between them.
 //!
 //! `STAIRSTALL_PLANNED_SEEDS=1,2,3` names seeds, `STAIRSTALL_PLANNED_SECONDS` how long each runs and
 //! `STAIRSTALL_PLANNED_SHAPE=grown` plays as many daemons, workers and callers as a grown site has;
 //! with `STAIRSTALL_PLANNED_IDS=shared` a worker begins each life under its ID.
+//! `STAIRSTALL_PLANNED_CORE_PERCENT` gives small VMs another share of a core than an eighth.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -26,6 +28,7 @@
 
 mod calm;
 mod open_connection;
+mod processor_limit;
 mod troubles;
 
 use calm::Calm;
@@ -57,6 +60,8 @@
 const MAX_CRASHES: u32 = 3;
 /// How long daemons take calls after SIGTERM.
 const DRAIN_DELAY_MS: u64 = 2_500;
+/// Processor time that a small VM gives a daemon in 100 ms: an eighth of a core.
+const SMALL_VM_SHARE: Duration = Duration::from_micros(12_500);
 /// How often it is looked how late this process itself is.
 const LATENESS_INTERVAL: Duration = Duration::from_millis(50);
 /// How long callers wait for an answer.
@@ -114,6 +119,8 @@
     /// Requests whose connections closed without an answer within the slack.
     cut_soon: Mutex<Vec<Duration>>,
     answers: Mutex<BTreeMap<String, usize>>,
+    /// Jobs that were shown as completed.
+    completed: Mutex<BTreeSet<String>>,
     calm: Arc<Calm>,
     /// What was done to whom, with the time of day.
     notes: Mutex<Vec<String>>,
@@ -142,10 +149,6 @@
         lock(&self.notes).push(format!("{} NOTE {what}", time_of_day()));
     }
 
-    fn next_vm(&self) -> usize {
-        self.next_vm.fetch_add(1, Ordering::SeqCst)
-    }
-
     fn add_log(&self, daemon: &Daemon) {
         lock(&self.logs).push(daemon.log());
     }
@@ -206,7 +209,10 @@
             } else {
                 self.ask().await;
             }
-            let pause = self.random.random_range(20..400);
+            // Some callers leave their connections idle for longer than a drain delay.
+            let rests = self.number.is_multiple_of(4) && self.random.random_range(0..6) == 0;
+            let pause_ms = if rests { 1_000..4_000 } else { 20..400 };
+            let pause = self.random.random_range(pause_ms);
             tokio::time::sleep(Duration::from_millis(pause)).await;
         }
     }
@@ -271,8 +277,13 @@
         let queue = self.random.random_range(0..3);
         let ms = self.random.random_range(500..4_000);
         let tasks = self.random.random_range(1..8);
-        let body = json!({"spec": format!("ms={ms}"), "steps": [
-            {"count": tasks, "cpu": 1000, "memMb": 500, "gpu": 1, "estimateMs": ms}]});
+        let mut steps =
+            vec![json!({"count": tasks, "cpu": 1000, "memMb": 500, "gpu": 1, "estimateMs": ms})];
+        let follows = self.random.random_range(0..4) == 0;
+        if follows {
+            steps.push(json!({"count": 1, "cpu": 1000, "memMb": 500, "gpu": 1, "estimateMs": ms, "dependsOn": [0]}));
+        }
+        let body = json!({"spec": format!("ms={ms}"), "steps": steps});
         let path = format!("/q{queue}/{id}");
         for _ in 0..4 {
             let is_slow = self.random.random_range(0..5) == 0;
@@ -282,7 +293,7 @@
             if answer.is_some_and(|(status, _)| status == 200) {
                 let accepted = Accepted {
                     at: Instant::now(),
-                    tasks,
+                    tasks: tasks + usize::from(follows),
                     idle_since: None,
                 };
                 lock(&self.shared.accepted).insert(path.clone(), accepted);
@@ -318,6 +329,9 @@
     let state = serde_json::from_slice::<Value>(body).unwrap_or_default();
     let state = state["state"].as_str().unwrap_or_default();
     let is_unknown = matches!(status, 404 | 410) && is_visible;
+    if state == "completed" {
+        lock(&shared.completed).insert(path.to_owned());
+    }
     let may_fail = || workers.most_lost_under(&path[4..]) >= MAX_CRASHES;
     let is_failed = state == "failed" && !may_fail();
     if is_unknown || is_failed || state == "cancelled" {
@@ -347,13 +361,9 @@
             StandinWorkers::start_with_new_ids(&store, "desk", shape.workers).await
         };
         let store = Arc::new(store);
-        let starting = (0..shape.daemons).map(|number| start_daemon(&store, number));
-        let daemons: Vec<Daemon> = join_all(starting).await;
         let shared = Arc::<Shared>::default();
-        for daemon in &daemons {
-            shared.add_log(daemon);
-        }
-        shared.next_vm.store(shape.daemons, Ordering::SeqCst);
+        let starting = (0..shape.daemons).map(|_| start_daemon(kind, &store, &shared));
+        let daemons: Vec<Daemon> = join_all(starting).await;
         let daemons = daemons.into_iter();
         Self {
             store: Arc::clone(&store),
@@ -373,6 +383,7 @@
         let daemon = Arc::clone(&self.daemons[index]);
         let store = Arc::clone(&self.store);
         let shared = Arc::clone(&self.shared);
+        let kind = self.kind;
         let away = Duration::from_millis(self.random.random_range(100..1_500));
         let mut signals = self.draw_stop_signals();
         let pauses = self.kind.has_stalls() && self.random.random_range(0..3) == 0;
@@ -408,8 +419,7 @@
             drop(disturbance);
             lock(&shared.ready).remove(&index);
             tokio::time::sleep(away).await;
-            *daemon = start_daemon(&store, shared.next_vm()).await;
-            shared.add_log(&daemon);
+            *daemon = start_daemon(kind, &store, &shared).await;
         });
     }
 
@@ -527,6 +537,23 @@
             let lines = self.workers.history_of(&path[4..]).join("\n");
             self.shared.report(format!("{path} has not ended\n{lines}"));
         }
+        self.check_completed_work();
+    }
+
+    /// Checks that workers did all tasks of the jobs that were shown as completed.
+    fn check_completed_work(&self) {
+        let records = self.workers.records();
+        let done = done_tasks(&records);
+        for path in lock(&self.shared.completed).iter() {
+            let id = &path[4..];
+            let count = done.get(id).map_or(0, BTreeSet::len);
+            let tasks = lock(&self.shared.accepted).get(path).map(|job| job.tasks);
+            if tasks != Some(count) {
+                self.shared.report(format!(
+                    "{path}: completed with {count} of {tasks:?} tasks done"
+                ));
+            }
+        }
     }
 }
 
@@ -538,16 +565,25 @@
     }
 }
 
+fn job_of(record: &RunRecord) -> &str {
+    record.task.split('.').next().unwrap_or_default()
+}
+
+/// Returns by job which of its tasks were done.
+fn done_tasks(records: &[RunRecord]) -> BTreeMap<&str, BTreeSet<&str>> {
+    let mut done: BTreeMap<&str, BTreeSet<&str>> = BTreeMap::new();
+    for record in records.iter().filter(|r| r.how == Some("done")) {
+        done.entry(job_of(record)).or_default().insert(&record.task);
+    }
+    done
+}
+
 fn check_idle_jobs(workers: &StandinWorkers, shared: &Shared) {
     let records = workers.records();
-    let job_of = |record: &RunRecord| record.task.split('.').next().unwrap_or_default().to_owned();
     let running = || records.iter().filter(|record| record.how.is_none());
     let has_room = running().count() < workers.count() * ACCELERATORS / 2;
-    let running: BTreeSet<String> = running().map(job_of).collect();
-    let mut done: BTreeMap<String, BTreeSet<&str>> = BTreeMap::new();
-    for record in records.iter().filter(|r| r.how == Some("done")) {
-        done.entry(job_of(record)).or_default().insert(&record.task);
-    }
+    let running: BTreeSet<&str> = running().map(job_of).collect();
+    let done = done_tasks(&records);
     let now = Instant::now();
     let is_calm = shared.calm.lasted() >= CALM_BEFORE;
     for (path, job) in lock(&shared.accepted).iter_mut() {
@@ -566,12 +602,31 @@
     }
 }
 
-async fn start_daemon(store: &StandinStore, number: usize) -> Daemon {
+async fn start_daemon(kind: Kind, store: &StandinStore, shared: &Arc<Shared>) -> Daemon {
+    let number = shared.next_vm.fetch_add(1, Ordering::SeqCst);
     let zone = ["zone-a", "zone-b", "zone-c"][number % 3];
     let name = format!("vm-{number}");
     let delay = DRAIN_DELAY_MS.to_string();
     let flags = ["--drain-delay-ms", &delay, "--config-apply-ms", "3000"];
-    Daemon::start_in(zone, &name, store, &flags).await
+    let daemon = Daemon::start_in(zone, &name, store, &flags).await;
+    if let (Kind::SmallVms, Some(id)) = (kind, daemon.id()) {
+        tokio::spawn(limit_processor(id, Arc::clone(shared)));
+    }
+    shared.add_log(&daemon);
+    daemon
+}
+
+/// Gives a daemon the processor time of a small VM and counts how often it stood still for that.
+async fn limit_processor(id: u32, shared: Arc<Shared>) {
+    let percent = std::env::var("STAIRSTALL_PLANNED_CORE_PERCENT").ok();
+    let percent = percent.and_then(|percent| percent.parse::<u32>().ok());
+    let share = percent.map_or(SMALL_VM_SHARE, |percent| {
+        processor_limit::PERIOD * percent / 100
+    });
+    processor_limit::limit(id, share, || {
+        shared.count("standing still for a share that is used up".to_owned());
+    })
+    .await;
 }
 
 /// Gives new connections to the daemons that are ready; one that misses twice gets none.
@@ -674,6 +729,12 @@
         lock(&shared.late),
         load(),
     );
+    for cut in lock(&shared.notes)
+        .iter()
+        .filter(|note| note.contains("no answer, closed"))
+    {
+        println!("{cut}");
+    }
     if !violations.is_empty() {
         keep_logs(&site, seed);
     }
@@ -746,6 +807,14 @@
     }
 }
 
+/// Nothing is lost either where each daemon has an eighth of a core and stands still when it is used up.
+#[tokio::test(flavor = "multi_thread")]
+async fn nothing_is_lost_in_planned_work_on_small_vms() {
+    for seed in seeds_or(&TROUBLE_SEEDS) {
+        play(Kind::SmallVms, shape(), seed, length(TROUBLE_SECONDS)).await;
+    }
+}
+
 /// No accepted job is lost or runs twice where daemons stall meanwhile, also the planner.
 #[tokio::test(flavor = "multi_thread")]
 async fn no_job_is_lost_while_daemons_stall() {
--- /dev/null
+++ b/crates/stairstalld/tests/batch/planned_work/processor_limit.rs
@@ -0,0 +1,52 @@
+//! Limits a daemon's processor time as a small VM does: a share of each period, then nothing until the
+//! next.
+
+use std::time::{Duration, Instant};
+
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::{Pid, getpid};
+
+/// How often a share is given out anew.
+pub(super) const PERIOD: Duration = Duration::from_millis(100);
+/// How often it is looked how much was used.
+const POLL: Duration = Duration::from_millis(4);
+
+/// Stops a child of this process by signal whenever it has used its share of a period, until it ends.
+pub(super) async fn limit(id: u32, share: Duration, mut on_stop: impl FnMut()) {
+    let mut period_ends = Instant::now() + PERIOD;
+    let Some(mut used_before) = processor_time(id) else {
+        return;
+    };
+    while let Some(used) = processor_time(id) {
+        if Instant::now() >= period_ends {
+            period_ends = Instant::now() + PERIOD;
+            used_before = used;
+        }
+        if used.saturating_sub(used_before) < share {
+            tokio::time::sleep(POLL).await;
+            continue;
+        }
+        on_stop();
+        signal_child(id, Signal::SIGSTOP);
+        tokio::time::sleep_until(period_ends.into()).await;
+        signal_child(id, Signal::SIGCONT);
+    }
+}
+
+/// Returns for how long a process has run so far; none once it is gone.
+fn processor_time(id: u32) -> Option<Duration> {
+    let text = std::fs::read_to_string(format!("/proc/{id}/schedstat")).ok()?;
+    let nanoseconds = text.split(' ').next()?.parse().ok()?;
+    Some(Duration::from_nanos(nanoseconds))
+}
+
+/// Signals a process if it is a child of this one: its ID may be another's after its end.
+fn signal_child(id: u32, signal: Signal) {
+    let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).unwrap_or_default();
+    let fields = stat.rsplit_once(") ").map_or("", |(_, fields)| fields);
+    let parent = fields.split(' ').nth(1).and_then(|id| id.parse().ok());
+    let is_child = parent == Some(getpid().as_raw());
+    if let (true, Ok(id)) = (is_child, i32::try_from(id)) {
+        let _ = kill(Pid::from_raw(id), signal);
+    }
+}
--- a/crates/stairstalld/tests/batch/planned_work/troubles.rs
+++ b/crates/stairstalld/tests/batch/planned_work/troubles.rs
@@ -28,6 +28,8 @@
 pub(super) enum Kind {
     /// Planned work alone.
     Planned,
+    /// Planned work on VMs that give each daemon little processor time.
+    SmallVms,
     /// Daemons stall too.
     Stalls,
     /// Daemons stall and are killed; the store, links and workers fail.
@@ -36,7 +38,7 @@
 
 impl Kind {
     pub(super) const fn has_stalls(self) -> bool {
-        !matches!(self, Self::Planned)
+        matches!(self, Self::Stalls | Self::Failures)
     }
 }
 
@@ -210,6 +212,7 @@
             Trouble::Kill(indices, away_ms) => {
                 for (index, mut daemon) in self.take(&indices) {
                     let store = Arc::clone(&store);
+                    let kind = self.kind;
                     let shared = Arc::clone(&shared);
                     let disturbance = Calm::disturb(&shared.calm);
                     self.in_flight.spawn(async move {
@@ -217,8 +220,7 @@
                         daemon.kill().await;
                         tokio::time::sleep(Duration::from_millis(away_ms)).await;
                         lock(&shared.ready).remove(&index);
-                        *daemon = start_daemon(&store, shared.next_vm()).await;
-                        shared.add_log(&daemon);
+                        *daemon = start_daemon(kind, &store, &shared).await;
                         drop(disturbance);
                     });
                 }
