test(batch): requests that a stalled daemon has not read when its drain delay ends (fail)

A daemon gets SIGTERM with a drain delay of 800 ms, stands still (SIGSTOP) from 200 to 900 ms after it, and is asked at once on eight connections. The end of the delay closes the listener with what waits in it, and idle connections without a look at what has arrived.

--- a/crates/stairstalld/tests/batch/main.rs
+++ b/crates/stairstalld/tests/batch/main.rs
@@ -18,4 +18,5 @@
 mod restarts;
 mod silent_watches;
 mod soak;
+mod stalled_stop;
 mod unreadable_entries;
--- a/crates/stairstalld/tests/batch/planned_work.rs
+++ b/crates/stairstalld/tests/batch/planned_work.rs
@@ -27,7 +27,7 @@
 use crate::cluster::{Daemon, configuration, configuration_with_q9};
 
 mod calm;
-mod open_connection;
+pub(crate) mod open_connection;
 mod processor_limit;
 mod troubles;
 
