--- a/crates/stairstalld/tests/batch/main.rs
+++ b/crates/stairstalld/tests/batch/main.rs
@@ -22,5 +22,6 @@
 mod restarts;
 mod silent_watches;
 mod soak;
+mod stalled_stop;
 mod unreadable_entries;
 mod versions;
