test: review of the stop and of held-back jobs; five of these fail

Seen on, in four of four runs each (load 14 to 16 on 8 cores): - work_of_a_job_whose_progress_cannot_be_read_goes_on: run 1 'stopped' 1.0 s after it began, by the next planner. - what_ends_while_its_job_is_held_back_does_not_run_again: with a task of 800 ms two runs, both done (with 1500 ms it failed earlier, by the stop above). - requests_that_arrive_while_the_drain_limit_passes_in_a_stall_are_answered: 32 of 32 cut. - connections_that_wait_for_open_files_are_served_at_a_stop: 12, 14, 14, 14 of 16 cut. - idle_connections_do_not_hold_up_a_stop_at_the_processor_limit: exit code 1 after 3.8 s (delay 0.8 s and limit 3 s).

--- a/crates/stairstalld/tests/batch/cluster.rs
+++ b/crates/stairstalld/tests/batch/cluster.rs
@@ -153,6 +153,11 @@
         }
     }
 
+    /// Returns the ID of its process.
+    pub fn id(&self) -> u32 {
+        self.child.id().expect("it has not ended")
+    }
+
     pub fn signal(&self, signal: Signal) {
         let id = self.child.id().and_then(|id| i32::try_from(id).ok());
         if let Some(id) = id {
--- a/crates/stairstalld/tests/batch/odd_input.rs
+++ b/crates/stairstalld/tests/batch/odd_input.rs
@@ -231,6 +231,69 @@
     }
 }
 
+/// Submits a job of one task and waits until it runs; returns its ID and its stored progress.
+async fn running_job(cluster: &mut Cluster, payload: &str) -> (String, Vec<u8>) {
+    let id = cluster.new_id();
+    let path = format!("/q1/{id}");
+    let status = cluster.submit(0, &path, &job(1, payload)).await;
+    assert_eq!(status, Some(StatusCode::OK));
+    cluster.wait_for(&path, "running").await;
+    let progress = cluster.store.get_bytes(&progress_key(&id));
+    (
+        id,
+        progress.expect("a placement is stored before the start"),
+    )
+}
+
+/// What a planner can't read, another version may have written. The work under way is not its to end.
+#[tokio::test(flavor = "multi_thread")]
+async fn work_of_a_job_whose_progress_cannot_be_read_goes_on() {
+    let mut cluster = Cluster::start(2, 2).await;
+    let (id, _) = running_job(&mut cluster, "ms=15000").await;
+    cluster
+        .store
+        .put_bytes(&progress_key(&id), b"x\x9cnewer form");
+    change_planner(&mut cluster).await;
+    tokio::time::sleep(WATCHED_FOR).await;
+    let history = cluster.workers.history_of(&id);
+    let ends: Vec<_> = cluster
+        .workers
+        .records()
+        .iter()
+        .map(|run| run.how)
+        .collect();
+    assert_eq!(ends, [None], "{history:?}");
+}
+
+/// A planner that holds a job back must leave the ends of its runs for one that can read the job.
+#[tokio::test(flavor = "multi_thread")]
+async fn what_ends_while_its_job_is_held_back_does_not_run_again() {
+    let mut cluster = Cluster::start(2, 2).await;
+    let (id, progress) = running_job(&mut cluster, "ms=800").await;
+    cluster
+        .store
+        .put_bytes(&progress_key(&id), b"x\x9cnewer form");
+    change_planner(&mut cluster).await;
+    tokio::time::sleep(WATCHED_FOR * 2).await;
+    let before = cluster.workers.history_of(&id);
+    let ends: Vec<_> = cluster
+        .workers
+        .records()
+        .iter()
+        .map(|run| run.how)
+        .collect();
+    assert_eq!(ends, [Some("done")], "{before:?}");
+    cluster.store.put_bytes(&progress_key(&id), &progress);
+    change_planner(&mut cluster).await;
+    cluster.wait_for(&format!("/q1/{id}"), "completed").await;
+    assert_eq!(
+        cluster.runs_of(&id),
+        1,
+        "{:?}",
+        cluster.workers.history_of(&id)
+    );
+}
+
 /// Guards against one stored record of any form that keeps a planner from loading the others.
 #[tokio::test(flavor = "multi_thread")]
 async fn odd_records_do_not_keep_others_from_being_planned() {
--- a/crates/stairstalld/tests/batch/planned_stop.rs
+++ b/crates/stairstalld/tests/batch/planned_stop.rs
@@ -1,6 +1,6 @@
 //! What callers see of a planned stop when the daemon has not run for a moment.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures::future::join_all;
 use nix::sys::signal::Signal;
@@ -16,6 +16,8 @@
 /// How long it does not run; longer than the rest of the drain delay and than the users allow a
 /// request to wait for the end of its connection.
 const STALL: Duration = Duration::from_millis(700);
+/// A stall that ends after the drain limit of 3 s.
+const LONG_STALL: Duration = Duration::from_millis(3_400);
 const PATIENCE: Duration = Duration::from_secs(3);
 /// Number of daemons that are started one after the other.
 const STARTS: usize = 5;
@@ -123,6 +125,55 @@
     stop.assert_ends_well().await;
 }
 
+/// The drain limit passes while the daemon does not run. What has arrived meanwhile was not read.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_that_arrive_while_the_drain_limit_passes_in_a_stall_are_answered() {
+    let stop = StalledStop::start().await;
+    let mut connections = Vec::new();
+    for _ in 0..CONNECTIONS {
+        connections.push(stop.used_connection().await);
+        connections.push(stop.fresh_connection().await);
+    }
+    stop.stop_and_stall().await;
+    let asking = connections
+        .iter_mut()
+        .map(|connection| connection.exchange("GET", "/q1/", &Value::Null, LONG_STALL + PATIENCE));
+    let resume = async {
+        tokio::time::sleep(LONG_STALL).await;
+        stop.daemon().signal(Signal::SIGCONT);
+    };
+    let (exchanges, ()) = tokio::join!(join_all(asking), resume);
+    assert_answered(&exchanges);
+}
+
+/// A daemon at its limit of open files can't accept the connections that wait, until its stop closes
+/// idle ones.
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_that_wait_for_open_files_are_served_at_a_stop() {
+    let stop = StalledStop::start().await;
+    let mut open = Vec::new();
+    for _ in 0..CONNECTIONS {
+        open.push(stop.used_connection().await);
+    }
+    let id = stop.daemon().id();
+    let files = std::fs::read_dir(format!("/proc/{id}/fd"));
+    let files = files.expect("it is our own process").count();
+    let limited = std::process::Command::new("prlimit")
+        .args([
+            "--pid",
+            &id.to_string(),
+            &format!("--nofile={files}:{files}"),
+        ])
+        .status();
+    assert!(limited.is_ok_and(|status| status.success()));
+    stop.daemon().signal(Signal::SIGTERM);
+    let calls = (0..CONNECTIONS).map(|_| async {
+        let mut waiting = stop.fresh_connection().await;
+        ask(&mut waiting).await
+    });
+    assert_answered(&join_all(calls).await);
+}
+
 /// An idle connection must not keep a stopping daemon from ending.
 #[tokio::test(flavor = "multi_thread")]
 async fn idle_connections_do_not_hold_up_a_stop() {
@@ -134,6 +185,28 @@
     assert_eq!(code, Ok(Some(0)));
 }
 
+/// A small VM at its processor limit runs for a part of each period only, so that every wait is late.
+/// Its stop has to end all the same.
+#[tokio::test(flavor = "multi_thread")]
+async fn idle_connections_do_not_hold_up_a_stop_at_the_processor_limit() {
+    let mut stop = StalledStop::start().await;
+    let _used = stop.used_connection().await;
+    let _fresh = stop.fresh_connection().await;
+    let started = Instant::now();
+    stop.daemon().signal(Signal::SIGTERM);
+    stop.daemon().wait_for_line("stop requested").await;
+    while !stop.cluster.daemons[1].has_ended() {
+        stop.daemon().signal(Signal::SIGSTOP);
+        tokio::time::sleep(Duration::from_millis(110)).await;
+        stop.daemon().signal(Signal::SIGCONT);
+        tokio::time::sleep(Duration::from_millis(15)).await;
+    }
+    let took = started.elapsed();
+    let code = stop.cluster.daemons[1].wait().await;
+    assert_eq!(code, Some(0), "after {took:?}");
+    assert!(took < DRAIN_DELAY + DRAIN_DELAY, "{took:?}");
+}
+
 /// A signal whose handler is not installed yet ends a process.
 #[tokio::test(flavor = "multi_thread")]
 async fn signals_that_come_as_a_daemon_starts_to_serve_are_handled() {
