fix(server): a stop ends on a VM at its processor limit, and serves what waits for open files

Change: at most three waits; connections that become idle close while others are accepted, which frees files; a connection that can't be accepted for lack of them means that the queue is not empty; at most a second in all.

--- a/crates/stairstalld/src/server.rs
+++ b/crates/stairstalld/src/server.rs
@@ -20,8 +20,23 @@
 /// Longest time that a wait of [`QUIET`] may take. After a longer one the process has not run for a
 /// while, and what arrived meanwhile may not have been read.
 const QUIET_ON_TIME: Duration = Duration::from_millis(100);
+/// Number of waits after which a process that never runs for that long goes on with its stop.
+const QUIET_ATTEMPTS: u32 = 3;
 /// Delay after a connection could not be accepted for lack of resources, such as open files.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// Longest time for which a stopping server accepts the connections that wait for it.
+const ACCEPT_WAITING_LIMIT: Duration = Duration::from_secs(1);
+
+/// Outcome of accepting a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Accepted {
+    /// It is served.
+    Connection,
+    /// It was closed before it was accepted.
+    Nothing,
+    /// It waits on, since resources such as open files are lacking.
+    LacksResources,
+}
 
 /// Serves HTTP/1.1 on a bound address.
 pub(crate) struct Server {
@@ -60,50 +75,50 @@
             tokio::select! {
                 biased;
                 () = &mut stop => break,
-                () = self.accept() => {}
+                _ = self.accept() => {}
             }
         }
+        self.closing.send_replace(true);
         self.accept_waiting().await;
         let Self {
-            listener,
-            mut open,
-            closing,
-            ..
+            listener, mut open, ..
         } = self;
         drop(listener);
-        closing.send_replace(true);
         while open.join_next().await.is_some() {}
     }
 
-    /// Accepts the connections that wait for it.
+    /// Accepts the connections that wait for it. Idle connections close meanwhile, which frees
+    /// resources that were lacking.
     async fn accept_waiting(&mut self) {
-        let mut quiet = QuietPeriod::start();
+        let mut quiet = Box::pin(quiet_period());
+        let mut limit = pin!(tokio::time::sleep(ACCEPT_WAITING_LIMIT));
         loop {
             tokio::select! {
                 biased;
-                () = self.accept() => {}
-                () = quiet.wait() => {
-                    if quiet.was_on_time() {
-                        return;
-                    }
-                    quiet = QuietPeriod::start();
-                }
+                () = &mut limit => return,
+                accepted = self.accept() => if accepted == Accepted::LacksResources {
+                    quiet.set(quiet_period());
+                },
+                () = &mut quiet => return,
             }
         }
     }
 
     /// Accepts one connection and serves it in the background.
-    async fn accept(&mut self) {
+    async fn accept(&mut self) -> Accepted {
         match self.listener.accept().await {
             Ok((stream, address)) => {
                 while self.open.try_join_next().is_some() {}
                 self.serve(stream, address);
+                Accepted::Connection
             }
             Err(error) => {
                 log::warn!(target: "listen", error:% = error; "a connection could not be accepted");
-                if !is_connection_error(&error) {
-                    tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                if is_connection_error(&error) {
+                    return Accepted::Nothing;
                 }
+                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                Accepted::LacksResources
             }
         }
     }
@@ -140,34 +155,19 @@
 async fn wait_until_idle_may_close(closing: &mut watch::Receiver<bool>) {
     // An error means that the server is gone; its connections then close as well.
     let _ = closing.wait_for(|closing| *closing).await;
-    loop {
-        let mut quiet = QuietPeriod::start();
-        quiet.wait().await;
-        if quiet.was_on_time() {
-            return;
-        }
-    }
+    quiet_period().await;
 }
 
-/// A wait of [`QUIET`], which tells whether the process ran all the while.
-struct QuietPeriod {
-    started: Instant,
-}
-
-impl QuietPeriod {
-    fn start() -> Self {
-        Self {
-            started: Instant::now(),
+/// Waits for [`QUIET`], and again if the process did not run all the while, up to [`QUIET_ATTEMPTS`]
+/// times.
+async fn quiet_period() {
+    for _ in 0..QUIET_ATTEMPTS {
+        let started = Instant::now();
+        tokio::time::sleep(QUIET).await;
+        if started.elapsed() <= QUIET_ON_TIME {
+            return;
         }
     }
-
-    async fn wait(&mut self) {
-        tokio::time::sleep_until(self.started + QUIET).await;
-    }
-
-    fn was_on_time(&self) -> bool {
-        self.started.elapsed() <= QUIET_ON_TIME
-    }
 }
 
 /// Returns whether an error concerns only the connection that would have been accepted.
