fix(shutdown): what arrived while a stall passed the drain limit is answered

Found by the review. Cause: limit and server are both due when the process wakes up, and the limit won. Class: as before, what has arrived is not looked at. Change: the server gets 0.3 s more.

--- a/crates/stairstalld/src/shutdown.rs
+++ b/crates/stairstalld/src/shutdown.rs
@@ -9,6 +9,10 @@
 
 use crate::serve::{RunError, system_error};
 
+/// How much longer than the limit calls may take that have arrived, or were answered, while the process
+/// did not run.
+const LIMIT_MARGIN: Duration = Duration::from_millis(300);
+
 /// The signals that a daemon handles. A signal whose handler is not installed ends the process, so
 /// they are installed before anything else.
 #[derive(Debug)]
@@ -90,13 +94,17 @@
             let _ = leaving.wait_for(|leaving| *leaving).await;
             tokio::time::sleep(self.delay + self.limit).await;
         };
-        tokio::select! {
-            ended = &mut server => {
-                let ended = ended.map_err(std::io::Error::other);
-                ended.map(|()| DrainOutcome::Completed).map_err(system_error("serving"))
-            }
-            () = limit => Ok(DrainOutcome::TimedOut),
-        }
+        let ended = tokio::select! {
+            ended = &mut server => ended,
+            () = limit => match tokio::time::timeout(LIMIT_MARGIN, server).await {
+                Ok(ended) => ended,
+                Err(_) => return Ok(DrainOutcome::TimedOut),
+            },
+        };
+        let ended = ended.map_err(std::io::Error::other);
+        ended
+            .map(|()| DrainOutcome::Completed)
+            .map_err(system_error("serving"))
     }
 }
 
