fix(caller-api): a request whose handling panics has an answer

Found by the review, by reading: a panic in the planner that a submission ran into closed its connection without an answer, possibly after the job was stored. Now it is 503, 'it may have taken effect'. No test: nothing is known that panics there.

--- a/crates/stairstalld/src/batch/caller_api.rs
+++ b/crates/stairstalld/src/batch/caller_api.rs
@@ -1,8 +1,10 @@
 //! The HTTP interface for callers, described in docs/INTERFACE.md.
 
+use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::FutureExt;
 use http_body_util::{BodyExt, Collected, Full, LengthLimitError, Limited};
 use stairstall_core::batch::{
     AcceptedJob, Access, Admission, AdmissionRefusal, AdmissionRefusalReason, BatchSpec,
@@ -50,7 +52,10 @@
     let started = node.clock.now();
     let kind = call_kind(request.method());
     let target = format!("{} {}", request.method(), request.uri().path());
-    let outcome = respond(node, request).await;
+    let outcome = AssertUnwindSafe(respond(node, request))
+        .catch_unwind()
+        .await;
+    let outcome = outcome.unwrap_or_else(|_| Err(internal_failure()));
     let took = node.clock.now() - started;
     let (response, why) = match outcome {
         Ok(response) => (response, String::new()),
@@ -404,6 +409,16 @@
     ErrorResponse::new(StatusCode::TOO_MANY_REQUESTS, Verdict::NotRun, error)
 }
 
+/// Returns the failure for a request whose handling panicked, which is logged.
+fn internal_failure() -> ErrorResponse {
+    ErrorResponse::new(
+        StatusCode::SERVICE_UNAVAILABLE,
+        Verdict::MayHaveRun,
+        "the request could not be handled; it may have taken effect",
+    )
+    .with_retry_after(STORE_RETRY_AFTER)
+}
+
 fn no_such_job() -> ErrorResponse {
     ErrorResponse::new(StatusCode::GONE, Verdict::NotRun, "there is no such job")
 }
