fix(core): work of a job that can't be read goes on, and its ends are kept for a planner that can read it

Found by the review. Cause: the planner did not know which jobs were held back, so that 'can't be read' was again taken for 'absent'. Change: the planner is told; it adopts their runs, and no end of theirs is acknowledged. The same for jobs whose own record can't be read.

--- a/crates/stairstall-core/src/batch/planner.rs
+++ b/crates/stairstall-core/src/batch/planner.rs
@@ -26,6 +26,7 @@
 mod flow;
 mod guarantees;
 mod headroom;
+mod held_back;
 mod incarnations;
 mod job;
 mod job_sync;
@@ -89,6 +90,8 @@
     jobs_stale_at: Option<Timestamp>,
     workers: BTreeMap<WorkerId, Worker>,
     addresses: addresses::AddressIndex,
+    /// Jobs that are stored but can't be read.
+    held_back: BTreeSet<JobId>,
     /// Until when unanswered acknowledgements to IDs of removed workers may be carried out.
     late_acknowledgements: BTreeMap<WorkerId, Timestamp>,
     /// Until when calls of an earlier planner may be carried out. `None` if there was none.
@@ -166,6 +169,7 @@
             jobs_stale_at: None,
             workers: BTreeMap::new(),
             addresses: addresses::AddressIndex::default(),
+            held_back: BTreeSet::new(),
             late_acknowledgements: BTreeMap::new(),
             earlier_calls_until: None,
             run_index: runs::RunIndex::default(),
--- a/crates/stairstall-core/src/batch/planner/adopt.rs
+++ b/crates/stairstall-core/src/batch/planner/adopt.rs
@@ -20,6 +20,7 @@
             let is_ours = running.run <= within::MAX_RUN;
             is_ours && job.outcome.is_none() && task.is_some_and(super::job::Task::is_waiting)
         });
+        let is_needed = is_needed || self.is_held_back(&key.job);
         let run = self.adopted_run(id, running, now);
         self.insert_run(id, &running.task, run);
         self.ranked_guaranteed_jobs = None;
--- a/crates/stairstall-core/src/batch/planner/contact.rs
+++ b/crates/stairstall-core/src/batch/planner/contact.rs
@@ -5,6 +5,7 @@
 
 use crate::time::millis;
 
+use super::held_back::NEVER_STORED;
 use super::pool::{AnswerSource, Run, RunState};
 use super::{Now, Planner, Worker};
 use crate::batch::{
@@ -26,7 +27,8 @@
         // Requests are sent one at a time, so an earlier one has been given up.
         worker.late_acknowledgements.record_no_answer();
         let acknowledgeable = worker.incarnation_state.acknowledgeable(|job, change| {
-            jobs.get(job).is_none_or(|job| job.stored_changes >= change)
+            let stored = jobs.get(job).map(|job| job.stored_changes);
+            stored.map_or(change != NEVER_STORED, |stored| stored >= change)
         });
         let clock = worker.incarnation_state.clock();
         let deadline_ms = clock.map(|clock| clock.deadline(self.bounds.lease_duration, now.at));
--- a/crates/stairstall-core/src/batch/planner/run_ends.rs
+++ b/crates/stairstall-core/src/batch/planner/run_ends.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::held_back::NEVER_STORED;
 use super::job::Job;
 use super::pool::{Run, RunState};
 use super::{Now, Planner};
@@ -100,6 +101,9 @@
     /// also holds for a run end that changed nothing itself, because the change that it reports may
     /// already have been made by another one, such as that of another member of its gang.
     fn latest_change(&self, id: &JobId) -> Option<(JobId, u64)> {
+        if self.is_held_back(id) {
+            return Some((id.clone(), NEVER_STORED));
+        }
         let job = self.jobs.get(id)?;
         Some((id.clone(), job.change_count))
     }
--- a/crates/stairstalld/src/batch/job_watch.rs
+++ b/crates/stairstalld/src/batch/job_watch.rs
@@ -112,7 +112,16 @@
             _ => None,
         })
         .collect();
-    let jobs: Vec<AcceptedJob> = stored.jobs.iter().filter_map(decode_job).collect();
+    let mut jobs = Vec::new();
+    for item in &stored.jobs {
+        match StoredItem::read(item) {
+            StoredItem::Job(job) => jobs.push(*job),
+            StoredItem::Unreadable(id) => {
+                unreadable.insert(id);
+            }
+            StoredItem::Other => {}
+        }
+    }
     for job in &jobs {
         if progress.get(&job.id).is_some_and(|found| !found.fits(job)) {
             log::error!(target: "intake", job:% = job.id;
@@ -133,25 +142,34 @@
     (stored.at, revisions)
 }
 
-/// Returns the accepted job that an item holds, or `None` if the item is a cancellation, a refusal
-/// record, unreadable or out of the bounds of a job.
-fn decode_job(item: &Item) -> Option<AcceptedJob> {
-    let Ok(StoreKey::BatchJob(id)) = item.key.parse() else {
-        return None;
-    };
-    let read = StoredJob::read(&item.value).inspect_err(|error| {
-        log::error!(target: "intake", job:% = id, why:% = error; "can't decode the job");
-    });
-    let job = read.ok()?.accepted()?;
-    if let Err(error) = job.check() {
-        log::error!(target: "intake", job:% = id, why:% = error; "the stored job can't be planned");
-        return None;
-    }
-    if job.id != id {
-        log::error!(target: "intake", job:% = id, stored:% = job.id; "another job is stored under the job's key");
-        return None;
+/// What the store has under a key.
+enum StoredItem {
+    Job(Box<AcceptedJob>),
+    /// A job that can't be read, or not planned as it is stored.
+    Unreadable(JobId),
+    /// No job: a cancellation or the record of a refusal.
+    Other,
+}
+
+impl StoredItem {
+    fn read(item: &Item) -> Self {
+        let Ok(StoreKey::BatchJob(id)) = item.key.parse() else {
+            return Self::Other;
+        };
+        let why = match StoredJob::read(&item.value) {
+            Err(error) => error.to_string(),
+            Ok(StoredJob::Refused(_)) => return Self::Other,
+            Ok(StoredJob::Accepted(job)) if job.id != id => {
+                format!("{} is stored under its key", job.id)
+            }
+            Ok(StoredJob::Accepted(job)) => match job.check() {
+                Ok(()) => return Self::Job(job),
+                Err(error) => error.to_string(),
+            },
+        };
+        log::error!(target: "intake", job:% = id, why; "can't read the job; none of its tasks is started in this tenure");
+        Self::Unreadable(id)
     }
-    Some(job)
 }
 
 /// Polls for changes for as long as the tenure lasts.
@@ -212,8 +230,8 @@
     };
     match item.key.parse() {
         Ok(StoreKey::BatchJob(_)) => {
-            if let Some(job) = decode_job(item) {
-                tenure.add(job);
+            if let StoredItem::Job(job) = StoredItem::read(item) {
+                tenure.add(*job);
             }
         }
         Ok(StoreKey::BatchCancellation(id)) => {
--- a/crates/stairstalld/src/batch/tenure.rs
+++ b/crates/stairstalld/src/batch/tenure.rs
@@ -192,6 +192,7 @@
 
     /// Keeps jobs from being planned in this tenure.
     pub(crate) fn hold_back(&self, jobs: BTreeSet<JobId>) {
+        self.with_planner(|planner, _| planner.hold_back_jobs(jobs.clone()));
         *lock(&self.held_back) = jobs;
     }
 
