--- a/crates/stairstalld/src/shutdown.rs
+++ b/crates/stairstalld/src/shutdown.rs
@@ -14,7 +14,7 @@
 const LIMIT_MARGIN: Duration = Duration::from_millis(300);
 
 /// The signals that a daemon handles. A signal whose handler is not installed ends the process, so
-/// they are installed before anything else.
+/// they are installed before the daemon listens.
 #[derive(Debug)]
 pub(crate) struct Signals {
     pub(crate) stop: StopSignals,
