--- a/crates/stairstalld/src/server.rs
+++ b/crates/stairstalld/src/server.rs
@@ -24,8 +24,8 @@
 const QUIET_ATTEMPTS: u32 = 3;
 /// Delay after a connection could not be accepted for lack of resources, such as open files.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
-/// Longest time for which a stopping server accepts the connections that wait for it.
-const ACCEPT_WAITING_LIMIT: Duration = Duration::from_secs(1);
+/// How often a stopping server tries again after that.
+const ACCEPT_RETRIES: u32 = 50;
 
 /// Outcome of accepting a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -91,12 +91,12 @@
     /// resources that were lacking.
     async fn accept_waiting(&mut self) {
         let mut quiet = Box::pin(quiet_period());
-        let mut limit = pin!(tokio::time::sleep(ACCEPT_WAITING_LIMIT));
-        loop {
+        let mut retries = 0;
+        while retries < ACCEPT_RETRIES {
             tokio::select! {
                 biased;
-                () = &mut limit => return,
                 accepted = self.accept() => if accepted == Accepted::LacksResources {
+                    retries += 1;
                     quiet.set(quiet_period());
                 },
                 () = &mut quiet => return,
