refactor(planner): which jobs are held back stands in the planner alone

The tenure and the planner each had the set, with a check before every submission and restoration, and a change that is never stored was a special number. Now the planner ignores held-back jobs itself, and their ends are not acknowledged because they are held back.

--- a/crates/stairstall-core/src/batch/planner.rs
+++ b/crates/stairstall-core/src/batch/planner.rs
@@ -249,8 +249,8 @@
         }
     }
 
-    /// Restores a job from the records of an earlier planner. A job that is already known is
-    /// ignored.
+    /// Restores a job from the records of an earlier planner. A job that is already known or held
+    /// back is ignored.
     pub fn restore_job(
         &mut self,
         accepted: AcceptedJob,
@@ -259,7 +259,7 @@
         now: Now,
     ) {
         let id = accepted.id.clone();
-        if self.jobs.contains_key(&id) {
+        if self.jobs.contains_key(&id) || self.is_held_back(&id) {
             return;
         }
         let mut job = Job::new(Arc::new(accepted), now);
@@ -285,10 +285,11 @@
         self.replan = true;
     }
 
-    /// Adds a newly accepted job. A job that is already known is ignored, and so is a shortened
-    /// record: it is what is left of a job that has ended and was dropped since.
+    /// Adds a newly accepted job. A job that is already known or held back is ignored, and so is a
+    /// shortened record: it is what is left of a job that has ended and was dropped since.
     pub fn submit(&mut self, accepted: AcceptedJob, now: Now) {
-        if self.jobs.contains_key(&accepted.id) || accepted.is_trimmed() {
+        let is_known = self.jobs.contains_key(&accepted.id) || self.is_held_back(&accepted.id);
+        if is_known || accepted.is_trimmed() {
             return;
         }
         let id = accepted.id.clone();
--- a/crates/stairstall-core/src/batch/planner/contact.rs
+++ b/crates/stairstall-core/src/batch/planner/contact.rs
@@ -5,7 +5,6 @@
 
 use crate::time::millis;
 
-use super::held_back::NEVER_STORED;
 use super::pool::{AnswerSource, Run, RunState};
 use super::{Now, Planner, Worker};
 use crate::batch::{
@@ -21,14 +20,14 @@
     pub fn report_request(&mut self, id: &WorkerId, now: Now) -> Option<ReportRequest> {
         let report_wait = self.report_wait();
         let awaits_clock = self.awaits_clock(self.workers.get(id)?, now.at);
-        let jobs = &self.jobs;
+        let (jobs, held_back) = (&self.jobs, &self.held_back);
         let late = self.policy.orders.late_start;
         let worker = self.workers.get_mut(id)?;
         // Requests are sent one at a time, so an earlier one has been given up.
         worker.late_acknowledgements.record_no_answer();
-        let acknowledgeable = worker.incarnation_state.acknowledgeable(|job, change| {
-            let stored = jobs.get(job).map(|job| job.stored_changes);
-            stored.map_or(change != NEVER_STORED, |stored| stored >= change)
+        let acknowledgeable = worker.incarnation_state.acknowledgeable(|id, change| {
+            let is_stored = jobs.get(id).is_none_or(|job| job.stored_changes >= change);
+            is_stored && !held_back.contains(id)
         });
         let clock = worker.incarnation_state.clock();
         let deadline_ms = clock.map(|clock| clock.deadline(self.bounds.lease_duration, now.at));
--- a/crates/stairstall-core/src/batch/planner/held_back.rs
+++ b/crates/stairstall-core/src/batch/planner/held_back.rs
@@ -9,16 +9,15 @@
 use super::Planner;
 use crate::JobId;
 
-/// Number of a change that is never stored.
-pub(super) const NEVER_STORED: u64 = u64::MAX;
-
 impl Planner {
-    /// Holds back jobs that are stored but can't be read.
+    /// Holds back jobs that are stored but can't be read: they are neither restored nor added.
     pub fn hold_back_jobs(&mut self, jobs: BTreeSet<JobId>) {
         self.held_back = jobs;
     }
 
-    pub(super) fn is_held_back(&self, job: &JobId) -> bool {
+    /// Returns whether a job is stored but can't be read.
+    #[must_use]
+    pub fn is_held_back(&self, job: &JobId) -> bool {
         self.held_back.contains(job)
     }
 }
--- a/crates/stairstall-core/src/batch/planner/run_ends.rs
+++ b/crates/stairstall-core/src/batch/planner/run_ends.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use super::held_back::NEVER_STORED;
 use super::job::Job;
 use super::pool::{Run, RunState};
 use super::{Now, Planner};
@@ -102,7 +101,8 @@
     /// already have been made by another one, such as that of another member of its gang.
     fn latest_change(&self, id: &JobId) -> Option<(JobId, u64)> {
         if self.is_held_back(id) {
-            return Some((id.clone(), NEVER_STORED));
+            // No change of such a job is stored in this tenure.
+            return Some((id.clone(), 0));
         }
         let job = self.jobs.get(id)?;
         Some((id.clone(), job.change_count))
--- a/crates/stairstalld/src/batch/job_watch.rs
+++ b/crates/stairstalld/src/batch/job_watch.rs
@@ -129,12 +129,9 @@
             unreadable.insert(job.id.clone());
         }
     }
-    tenure.hold_back(unreadable);
+    tenure.with_planner(|planner, _| planner.hold_back_jobs(unreadable));
     for job in jobs {
         let id = job.id.clone();
-        if tenure.is_held_back(&id) {
-            continue;
-        }
         tenure.with_planner(|planner, now| {
             planner.restore_job(job, progress.get(&id), cancelled.contains(&id), now);
         });
@@ -231,7 +228,7 @@
     match item.key.parse() {
         Ok(StoreKey::BatchJob(_)) => {
             if let StoredItem::Job(job) = StoredItem::read(item) {
-                tenure.add(*job);
+                tenure.with_planner(|planner, now| planner.submit(*job, now));
             }
         }
         Ok(StoreKey::BatchCancellation(id)) => {
--- a/crates/stairstalld/src/batch/tenure.rs
+++ b/crates/stairstalld/src/batch/tenure.rs
@@ -1,6 +1,5 @@
 //! Runs the planner while this daemon holds the planner role.
 
-use std::collections::BTreeSet;
 use std::fmt;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -66,9 +65,6 @@
     lease: Mutex<Lease>,
     /// Revision of the role's key.
     pub(crate) role_revision: Revision,
-    /// Jobs whose stored progress can't be read. What they have done is not known, so that none of
-    /// their tasks may be started: it could run a second time.
-    held_back: Mutex<BTreeSet<JobId>>,
     /// Whether the stored jobs and workers have been loaded.
     loaded: AtomicBool,
     /// Wakes the planning loop.
@@ -98,7 +94,6 @@
             planner: Mutex::new(planner),
             lease: Mutex::new(acquired.lease),
             role_revision: acquired.revision,
-            held_back: Mutex::default(),
             loaded: AtomicBool::new(false),
             wake: Notify::new(),
             writes_pending: Notify::new(),
@@ -190,29 +185,11 @@
         self.loaded.load(Ordering::Acquire) && self.is_active()
     }
 
-    /// Keeps jobs from being planned in this tenure.
-    pub(crate) fn hold_back(&self, jobs: BTreeSet<JobId>) {
-        self.with_planner(|planner, _| planner.hold_back_jobs(jobs.clone()));
-        *lock(&self.held_back) = jobs;
-    }
-
-    /// Returns whether a job is kept from being planned in this tenure.
-    pub(crate) fn is_held_back(&self, id: &JobId) -> bool {
-        lock(&self.held_back).contains(id)
-    }
-
-    /// Adds an accepted job, unless it is held back.
-    pub(crate) fn add(&self, job: AcceptedJob) {
-        if !self.is_held_back(&job.id) {
-            self.with_planner(|planner, now| planner.submit(job, now));
-        }
-    }
-
     /// Adds an accepted job; returns false if this tenure is not serving.
     pub(crate) fn submit(&self, job: AcceptedJob) -> bool {
         let is_serving = self.is_serving();
         if is_serving {
-            self.add(job);
+            self.with_planner(|planner, now| planner.submit(job, now));
         }
         is_serving
     }
@@ -227,11 +204,14 @@
     }
 
     pub(crate) fn job(&self, id: &JobId) -> JobAnswer {
-        // The store has what callers are told of a job that is held back: that it can't be read.
-        if !self.is_serving() || self.is_held_back(id) {
+        if !self.is_serving() {
             return JobAnswer::NotPlanner;
         }
         let planner = self.planner();
+        // The store has what callers are told of a job that is held back: that it can't be read.
+        if planner.is_held_back(id) {
+            return JobAnswer::NotPlanner;
+        }
         match (planner.accepted(id), planner.caller_state(id)) {
             (Some(accepted), Some(state)) => JobAnswer::Known {
                 customer: accepted.customer.clone(),
