--- a/crates/stairstalld/src/background.rs
+++ b/crates/stairstalld/src/background.rs
@@ -2,7 +2,7 @@
 //! ends before its time.
 //!
 //! - [`BackgroundTasks`] belong to something that can't go on without them, such as a tenure.
-//! - [`keep_running`] starts a task again that can go on from shared state.
+//! - [`spawn_kept`] starts a task again that can go on from shared state.
 //! - [`RequiredTasks`] can't be started again: the daemon stops, for its supervisor to start it.
 //! - [`catch_panic`] makes a panic in one call an outcome of that call.
 
@@ -14,7 +14,7 @@
 
 use futures::FutureExt;
 use nix::sys::signal::{Signal, raise};
-use tokio::task::JoinSet;
+use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::Instant;
 
 #[cfg(test)]
@@ -195,7 +195,7 @@
 
 /// Runs a task that lasts as long as its owner, and starts it again when it ends. For tasks that
 /// keep what must last elsewhere.
-pub(crate) async fn keep_running<T: Future<Output = ()>>(
+async fn keep_running<T: Future<Output = ()>>(
     owner: Arc<dyn TaskOwner>,
     name: &'static str,
     start: impl Fn() -> T,
@@ -208,6 +208,21 @@
     }
 }
 
+/// Starts a task that goes on from its owner's state whenever it is started again.
+pub(crate) fn spawn_kept<O, T>(
+    owner: &Arc<O>,
+    name: &'static str,
+    start: impl Fn(Arc<O>) -> T + Send + 'static,
+) -> JoinHandle<()>
+where
+    O: TaskOwner + 'static,
+    T: Future<Output = ()> + Send + 'static,
+{
+    let state = Arc::clone(owner);
+    let start_again = move || start(Arc::clone(&state));
+    tokio::spawn(keep_running(Arc::clone(owner) as _, name, start_again))
+}
+
 /// Tasks without which the daemon can't go on, and which can't be started again. When one ends, the
 /// daemon stops as after a SIGTERM, and [`ended`](Self::ended) says why.
 #[derive(Debug, Clone)]
--- a/crates/stairstalld/src/batch/serve.rs
+++ b/crates/stairstalld/src/batch/serve.rs
@@ -13,7 +13,7 @@
 use super::node::Node;
 use super::settings::BatchSettings;
 use super::{caller_api, catalog, health, reachability, role, rpc};
-use crate::background::{RequiredTasks, keep_running};
+use crate::background::{RequiredTasks, spawn_kept};
 use crate::serve::{RunError, system_error};
 use crate::server::Server;
 use crate::shutdown::{self, DrainOutcome, Shutdown, Signals};
@@ -117,20 +117,6 @@
     spawn_kept(node, "role", role::run)
 }
 
-/// Starts a task that goes on from the node's state whenever it is started again.
-fn spawn_kept<T: Future<Output = ()> + Send + 'static>(
-    node: &Arc<Node>,
-    name: &'static str,
-    start: impl Fn(Arc<Node>) -> T + Send + 'static,
-) -> JoinHandle<()> {
-    let owner = Arc::clone(node);
-    let start_again = {
-        let node = Arc::clone(node);
-        move || start(Arc::clone(&node))
-    };
-    tokio::spawn(keep_running(owner, name, start_again))
-}
-
 async fn bind(
     address: SocketAddr,
     flag: &'static str,
--- a/crates/stairstalld/src/serve.rs
+++ b/crates/stairstalld/src/serve.rs
@@ -8,7 +8,7 @@
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 
-use crate::background::{RequiredTasks, keep_running};
+use crate::background::{RequiredTasks, spawn_kept};
 use crate::daemon::Daemon;
 use crate::dispatch::DISPATCH_INTERVAL;
 use crate::metrics::Metrics;
@@ -123,18 +123,6 @@
     });
 }
 
-/// Starts a task that goes on from the daemon's state whenever it is started again.
-fn spawn_kept<T: Future<Output = ()> + Send + 'static>(
-    daemon: &Arc<Daemon>,
-    name: &'static str,
-    start: impl Fn(Arc<Daemon>) -> T + Send + 'static,
-) {
-    let owner = Arc::clone(daemon);
-    let daemon = Arc::clone(daemon);
-    let start_again = move || start(Arc::clone(&daemon));
-    tokio::spawn(keep_running(owner, name, start_again));
-}
-
 /// Waits for the server to answer its open requests, up to the drain limit, and then for the
 /// requests whose callers have disconnected. The latter end at their own deadlines.
 async fn drain(
