feat(observability): which jobs have nothing running although a step fits, and why

Now the planner says once of each job that has had nothing running for a second although a step fits twice over, and what it waits for; another line when it starts (target idle). New reasons: data or one rack, starts under way, another gang's reservation. Gauge stairstall_idle_jobs; the contact line has free and unusable accelerators, which tell a planner that believes in less capacity than there is. No decision changes.

--- a/crates/stairstall-core/src/batch/decision.rs
+++ b/crates/stairstall-core/src/batch/decision.rs
@@ -12,6 +12,8 @@
     Place,
     /// A task was ordered to start.
     Start,
+    /// A job has had nothing running for a while although a step of it fits, or goes on.
+    Idle,
     /// The first task of a job started.
     Begin,
     /// A run is stopped.
@@ -37,6 +39,7 @@
         match self {
             Self::Place => "place",
             Self::Start => "start",
+            Self::Idle => "idle",
             Self::Begin => "begin",
             Self::Stop => "stop",
             Self::End => "end",
--- a/crates/stairstall-core/src/batch/planner.rs
+++ b/crates/stairstall-core/src/batch/planner.rs
@@ -27,6 +27,7 @@
 mod guarantees;
 mod headroom;
 mod held_back;
+mod idle_jobs;
 mod incarnations;
 mod job;
 mod job_sync;
--- a/crates/stairstall-core/src/batch/planner/flow.rs
+++ b/crates/stairstall-core/src/batch/planner/flow.rs
@@ -10,7 +10,7 @@
 use super::pass::Pass;
 use super::pool::RunState;
 use super::{Now, Planner, VmLimits};
-use crate::batch::FlowPolicy;
+use crate::batch::{FlowPolicy, GroupKey};
 use crate::time::millis;
 
 /// The newest report counts for one part in this many in the running mean of report sizes.
@@ -29,6 +29,10 @@
     pub starts_in_flight: usize,
     /// Number of workers that the planner's VM can't hold connections to.
     pub unselected: usize,
+    /// Number of accelerators that neither a run nor a planned run uses, on workers that take tasks.
+    pub free_accelerators: u32,
+    /// Number of accelerators of listed workers that take no tasks now.
+    pub unusable_accelerators: u32,
     /// How far a worker's clock has fallen behind the planner's between two readings, at most, in
     /// this tenure.
     pub clock_drift: Duration,
@@ -173,6 +177,16 @@
         startable_count
     }
 
+    /// Returns whether a step that is not urgent can't start because of the starts in flight.
+    pub(super) fn is_start_window_closed(&self, key: &GroupKey) -> bool {
+        let tasks = self
+            .step(key)
+            .map_or(0, |step| if step.gang { step.count } else { 1 });
+        let in_flight = self.starts_in_flight() as u64;
+        let window = self.flow.start_window(&self.policy.flow).max(1);
+        in_flight > 0 && in_flight + u64::from(tasks) > window
+    }
+
     /// Records that a start was answered or timed out, so that further starts may be sent.
     pub(super) const fn record_start_answered(&mut self) {
         if self.flow.starts_limited {
@@ -184,6 +198,9 @@
     /// Returns how well the planner keeps up with its workers.
     #[must_use]
     pub fn contact_lag(&self, now: Now) -> ContactLag {
+        let unusable = self.workers.values().filter(|w| !w.takes_tasks());
+        let unusable = unusable.filter(|w| w.is_listed);
+        let unusable = unusable.map(|w| w.listed.capacity.accelerators);
         let listed = self.workers.values().filter(|w| w.is_listed);
         let (responsive, unresponsive): (Vec<_>, Vec<_>) = listed.partition(|w| w.is_in_contact());
         let busy = responsive.into_iter().filter(|w| !w.runs.is_empty());
@@ -196,6 +213,8 @@
             report_wait: self.report_wait(),
             starts_in_flight: self.starts_in_flight(),
             unselected: self.unselected_workers(),
+            free_accelerators: self.free_accelerators(&mut Pass::default()),
+            unusable_accelerators: unusable.fold(0, u32::saturating_add),
             clock_drift: self.flow.clock_drift,
         }
     }
--- /dev/null
+++ b/crates/stairstall-core/src/batch/planner/idle_jobs.rs
@@ -0,0 +1,116 @@
+//! Jobs that have nothing running although a step of them may start.
+
+use std::time::Duration;
+
+use super::candidate::Candidate;
+use super::candidate_worker::SearchScope;
+use super::pass::{CapacityKind, Pass};
+use super::pool::RunState;
+use super::{Now, Planner};
+use crate::JobId;
+use crate::batch::{Decision, DecisionKind, GroupKey};
+use crate::time::millis;
+
+/// How long a job has nothing running although a step fits before it is reported. Well above the
+/// time that a start takes.
+const IDLE_REPORTED_AFTER: Duration = Duration::from_secs(1);
+
+/// How many times over a step has to fit so that its job counts as idle beside capacity. What fits
+/// only once may be meant for other work.
+const FITS_TIMES: u32 = 2;
+
+impl Planner {
+    /// Records since when the jobs of these candidates have had nothing running.
+    pub(super) fn track_idle_jobs(&mut self, candidates: &[Candidate], now: Now) {
+        for candidate in candidates {
+            let id = &candidate.key.job;
+            let runs = self.has_active_run(id);
+            let Some(job) = self.jobs.get_mut(id) else {
+                continue;
+            };
+            if runs {
+                job.idle_since = None;
+                job.idle_reported = false;
+            } else {
+                job.idle_since.get_or_insert(now.at);
+            }
+        }
+    }
+
+    /// Records that a run of a job starts.
+    pub(super) fn end_idle_time(&mut self, id: &JobId, now: Now) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let idle_since = job.idle_since.take();
+        if std::mem::take(&mut job.idle_reported) {
+            let idle_ms = idle_since.map_or(0, |since| millis(now.at - since));
+            let why = format!("it starts after {idle_ms} ms with nothing running");
+            let decision = Decision::of_job(DecisionKind::Idle, id, why);
+            self.decisions.push(decision);
+        }
+    }
+
+    /// Returns for how long a job has had nothing running although a step may start.
+    pub(super) fn idle_time(&self, id: &JobId, now: Now) -> Duration {
+        let since = self.jobs.get(id).and_then(|job| job.idle_since);
+        since.map_or(Duration::ZERO, |since| now.at - since)
+    }
+
+    /// Reports once which jobs have had nothing running for a while although a step fits.
+    pub(super) fn report_idle_jobs(&mut self, candidates: &[Candidate], now: Now) {
+        let mut pass = Pass::default();
+        for candidate in candidates {
+            let id = &candidate.key.job;
+            let is_reported = self.jobs.get(id).is_none_or(|job| job.idle_reported);
+            let is_due = self.idle_time(id, now) >= IDLE_REPORTED_AFTER;
+            if is_reported || !is_due || !self.fits_beside_others(&candidate.key, &mut pass) {
+                continue;
+            }
+            let reason = self
+                .wait_status(id, now)
+                .map_or("nothing", |status| status.reason.as_str());
+            let why = format!(
+                "nothing of it runs for {} ms, step {} fits {FITS_TIMES} times over, waits for {reason}",
+                millis(self.idle_time(id, now)),
+                candidate.key.step,
+            );
+            self.decisions
+                .push(Decision::of_job(DecisionKind::Idle, id, why));
+            if let Some(job) = self.jobs.get_mut(id) {
+                job.idle_reported = true;
+            }
+        }
+    }
+
+    /// Returns how many jobs are reported as idle and have not started since.
+    #[must_use]
+    pub fn idle_jobs(&self) -> usize {
+        let open = self.jobs.values().filter(|job| job.outcome.is_none());
+        open.filter(|job| job.idle_reported).count()
+    }
+
+    /// Returns whether one task of a step, or its whole gang, fits on the free capacity of the fleet
+    /// and leaves capacity for as much again.
+    pub(super) fn fits_beside_others(&self, key: &GroupKey, pass: &mut Pass) -> bool {
+        let Some(step) = self.step(key) else {
+            return false;
+        };
+        let scope = SearchScope {
+            near: false,
+            preempts: false,
+        };
+        let tasks = if step.gang { step.count } else { 1 };
+        let ceiling = self.ceiling(key, step, scope.near, CapacityKind::Free, pass);
+        ceiling.total >= tasks.saturating_mul(FITS_TIMES)
+    }
+
+    /// Returns whether a job has runs beyond planned ones.
+    fn has_active_run(&self, id: &JobId) -> bool {
+        let mut runs = self.run_index.of_job(id).into_iter();
+        runs.any(|(worker, task)| {
+            self.run_at(&worker, &task)
+                .is_some_and(|run| run.state != RunState::Planned)
+        })
+    }
+}
--- a/crates/stairstall-core/src/batch/planner/job.rs
+++ b/crates/stairstall-core/src/batch/planner/job.rs
@@ -168,6 +168,10 @@
     pub(super) has_started: bool,
     /// When this planner first received the job.
     pub(super) arrived_at: Timestamp,
+    /// Since when nothing of it runs although a step may start.
+    pub(super) idle_since: Option<Timestamp>,
+    /// Whether it was reported as idle since then.
+    pub(super) idle_reported: bool,
     /// Number of changes that must be stored.
     pub(super) change_count: u64,
     /// Number of those changes that are stored.
@@ -191,6 +195,8 @@
             ended_unix_ms: 0,
             has_started: false,
             arrived_at: now.at,
+            idle_since: None,
+            idle_reported: false,
             change_count: 0,
             stored_changes: 0,
             trim_state: TrimState::default(),
--- a/crates/stairstall-core/src/batch/planner/queue.rs
+++ b/crates/stairstall-core/src/batch/planner/queue.rs
@@ -26,6 +26,7 @@
         for candidate in &candidates {
             self.place_step(candidate, &mut pass, now);
         }
+        self.report_idle_jobs(&candidates, now);
         if aged.is_some_and(|key| !self.has_waiting_tasks(&key)) {
             self.last_aged_at = Some(now.at);
         }
@@ -141,6 +142,7 @@
         for candidate in &found {
             self.record_ready(&candidate.key, now);
         }
+        self.track_idle_jobs(&found, now);
         found
     }
 
--- a/crates/stairstall-core/src/batch/planner/starts.rs
+++ b/crates/stairstall-core/src/batch/planner/starts.rs
@@ -197,6 +197,7 @@
         if let Some(job) = self.jobs.get_mut(&task.group.job) {
             job.timeline.starts = job.timeline.starts.saturating_add(1);
         }
+        self.end_idle_time(&task.group.job, now);
         self.mark_timeline_changed(&task.group.job);
         self.decisions.push(Decision::of_run(
             DecisionKind::Start,
--- a/crates/stairstall-core/src/batch/planner/waiting.rs
+++ b/crates/stairstall-core/src/batch/planner/waiting.rs
@@ -170,11 +170,32 @@
             && self.accelerator_allowance(candidate, &mut pass, now) < accelerators;
         if is_reserved {
             WaitReason::Headroom
+        } else if !self.fits_now(&candidate.key, &mut pass) {
+            WaitReason::Capacity
+        } else if !self.fits_near(&candidate.key, &mut pass) {
+            WaitReason::Locality
+        } else if candidate.rank > URGENT_RANK && self.is_start_window_closed(&candidate.key) {
+            WaitReason::StartWindow
+        } else if !self.reservations.is_empty() {
+            WaitReason::ReservedForOthers
         } else {
             WaitReason::Capacity
         }
     }
 
+    /// Returns whether one task of a step, or its whole gang, fits on the free capacity near its
+    /// data, on a single rack if the gang requests one.
+    fn fits_near(&self, key: &GroupKey, pass: &mut Pass) -> bool {
+        let scope = SearchScope {
+            near: true,
+            preempts: false,
+        };
+        self.step(key).is_some_and(|step| {
+            self.ceiling(key, step, scope.near, CapacityKind::Free, pass)
+                .allows(step, step.count, scope)
+        })
+    }
+
     /// Returns whether a step would fit once all runs that its rank may preempt have ended.
     fn fits_after_preemption(&self, candidate: &Candidate, pass: &mut Pass) -> bool {
         let scope = SearchScope {
--- a/crates/stairstall-core/src/batch/scheduling/waiting.rs
+++ b/crates/stairstall-core/src/batch/scheduling/waiting.rs
@@ -17,6 +17,12 @@
     ReservedCapacity(Duration),
     /// Capacity that is free but kept as headroom for urgent work.
     Headroom,
+    /// Capacity near its data, or on a single rack; it fits elsewhere.
+    Locality,
+    /// Answers to other starts, of which only so many may be under way.
+    StartWindow,
+    /// Capacity that is free but reserved for gangs that come before it.
+    ReservedForOthers,
     /// Capacity held by runs that its rank can't preempt.
     NotPreemptible,
     /// Its start: it has placements, but runs are still being stopped there or the record is still
@@ -34,6 +40,9 @@
             Self::Capacity => "room, behind others",
             Self::ReservedCapacity(_) => "room that is kept for it",
             Self::Headroom => "room that is kept for urgent work",
+            Self::Locality => "room near its data or on one rack",
+            Self::StartWindow => "answers to the starts before it",
+            Self::ReservedForOthers => "room that is reserved for a gang before it",
             Self::NotPreemptible => "room that is held by work it can't preempt",
             Self::PendingStart => "its start",
         }
--- a/crates/stairstalld/src/batch/health.rs
+++ b/crates/stairstalld/src/batch/health.rs
@@ -78,6 +78,7 @@
         let oldest = tenure.oldest_fitting_wait();
         node.telemetry
             .oldest_fitting_wait(oldest.map_or(Duration::ZERO, |oldest| oldest.waited));
+        node.telemetry.idle_jobs(tenure.idle_jobs());
         let oldest = tenure.oldest_guaranteed_wait();
         node.telemetry
             .oldest_guaranteed_wait(oldest.map_or(Duration::ZERO, |oldest| oldest.waited));
@@ -89,6 +90,7 @@
         node.telemetry.evacuated_zones(0, Duration::ZERO);
         node.telemetry.load(0, 0);
         node.telemetry.oldest_fitting_wait(Duration::ZERO);
+        node.telemetry.idle_jobs(0);
         node.telemetry.oldest_guaranteed_wait(Duration::ZERO);
         node.telemetry.paces(&PaceSummary::default());
         node.telemetry.contact(&ContactLag::default());
--- a/crates/stairstalld/src/batch/maintenance.rs
+++ b/crates/stairstalld/src/batch/maintenance.rs
@@ -59,6 +59,7 @@
     log::info!(target: "contact", token = tenure.token(), silent = lag.unresponsive,
         oldest_report_ms = millis(lag.oldest_report), report_wait_ms = millis(lag.report_wait),
         starts_under_way = lag.starts_in_flight, unselected = lag.unselected,
+        free_accelerators = lag.free_accelerators, unusable_accelerators = lag.unusable_accelerators,
         clock_drift_ms = millis(lag.clock_drift), evacuated_zones = evacuated,
         evacuations_age_ms = millis(evacuated_age.unwrap_or_default()); "worker contact of this planner");
 }
--- a/crates/stairstalld/src/batch/telemetry.rs
+++ b/crates/stairstalld/src/batch/telemetry.rs
@@ -78,6 +78,7 @@
     open_jobs: IntGauge,
     runs: IntGauge,
     oldest_fitting_wait: IntGauge,
+    idle_jobs: IntGauge,
     oldest_guaranteed_wait: IntGauge,
     silent_workers: IntGauge,
     unselected_workers: IntGauge,
@@ -100,6 +101,10 @@
                 "stairstall_oldest_fitting_wait_milliseconds",
                 "How long a step has waited for placements at most although its tasks fit",
             ),
+            idle_jobs: gauge(
+                "stairstall_idle_jobs",
+                "Jobs that have had nothing running for a second although a step fits twice over",
+            ),
             oldest_guaranteed_wait: gauge(
                 "stairstall_oldest_guaranteed_wait_milliseconds",
                 "How long a step of a guaranteed job has waited for placements at most",
@@ -146,6 +151,7 @@
             &self.open_jobs,
             &self.runs,
             &self.oldest_fitting_wait,
+            &self.idle_jobs,
             &self.oldest_guaranteed_wait,
             &self.silent_workers,
             &self.unselected_workers,
@@ -371,6 +377,10 @@
         self.planner.oldest_fitting_wait.set(gauge_millis(waited));
     }
 
+    pub(crate) fn idle_jobs(&self, count: usize) {
+        self.planner.idle_jobs.set(gauge_count(count));
+    }
+
     pub(crate) fn oldest_guaranteed_wait(&self, waited: Duration) {
         self.planner
             .oldest_guaranteed_wait
--- a/crates/stairstalld/src/batch/tenure.rs
+++ b/crates/stairstalld/src/batch/tenure.rs
@@ -249,6 +249,11 @@
         is_known.then(|| self.planner().unstored_tasks())
     }
 
+    /// Returns how many jobs have had nothing running for a while although a step fits.
+    pub(crate) fn idle_jobs(&self) -> usize {
+        self.planner().idle_jobs()
+    }
+
     /// Returns the step that has waited longest although its tasks fit, if there is one.
     pub(crate) fn oldest_fitting_wait(&self) -> Option<OldestWait> {
         self.planner().oldest_fitting_wait(self.now())
