--- a/crates/stairstall-core/tests/batch/main.rs
+++ b/crates/stairstall-core/tests/batch/main.rs
@@ -13,6 +13,7 @@
 mod flow;
 mod guarantees;
 mod harness;
+mod idle_jobs;
 mod lasting;
 mod leaving;
 mod locality;
--- a/crates/stairstalld/tests/batch/cluster.rs
+++ b/crates/stairstalld/tests/batch/cluster.rs
@@ -25,6 +25,13 @@
 /// The daemon's program of this version.
 const PROGRAM: &str = env!("CARGO_BIN_EXE_stairstalld");
 pub const CALL_TIMEOUT: Duration = Duration::from_secs(3);
+/// Flags of a daemon that a test does not set otherwise.
+const DEFAULT_FLAGS: [(&str, &str); 4] = [
+    ("--hold-max-ms", "3000"),
+    ("--stop-max-ms", "100"),
+    ("--role-lease-ms", "1000"),
+    ("--drain-delay-ms", "200"),
+];
 
 /// A daemon as a process of its own; dropping it kills the process.
 #[derive(Debug)]
@@ -93,13 +100,12 @@
             .args(["--health-listen", local, "--rpc-listen", local])
             .args(["--metrics-listen", local])
             .args(["--store", &link.address().to_string()])
-            .args(["--hold-max-ms", "3000", "--stop-max-ms", "100"])
-            .args(["--role-lease-ms", "1000"])
-            .args(if flags.contains(&"--drain-delay-ms") {
-                &[][..]
-            } else {
-                &["--drain-delay-ms", "200"]
-            })
+            .args(
+                DEFAULT_FLAGS
+                    .iter()
+                    .filter(|(name, _)| !flags.contains(name))
+                    .flat_map(|(name, value)| [name, value]),
+            )
             .args(flags)
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
