fix(core): a gang that finds no workers leaves the start window open to others

Cause: place_step asked for the start window before it looked for workers; a gang wider than what is left of it closes it for all that come after, also when it could not start anyway. Class: what is held for one is held before it is known whether that one can use it.

Now a gang asks for the window once it has found workers.

--- a/crates/stairstall-core/src/batch/planner/end_listing.rs
+++ b/crates/stairstall-core/src/batch/planner/end_listing.rs
@@ -101,7 +101,7 @@
         let Some(index) = suitable else {
             return;
         };
-        if self.startable_count(candidate, false, 1, pass) == 0 {
+        if self.startable_tasks(candidate, 1, pass) == 0 {
             return;
         }
         let scope = SearchScope {
--- a/crates/stairstall-core/src/batch/planner/flow.rs
+++ b/crates/stairstall-core/src/batch/planner/flow.rs
@@ -142,39 +142,54 @@
         usize::try_from(window).unwrap_or(usize::MAX).max(1)
     }
 
-    /// Returns how many of `count` tasks may be placed now; for a gang all or none. Work that is
-    /// not urgent is placed no faster than its starts are answered.
+    /// Returns how many of `count` tasks that are no gang may be placed now. Work that is not urgent
+    /// is placed no faster than its starts are answered.
+    pub(super) fn startable_tasks(
+        &mut self,
+        candidate: &Candidate,
+        count: usize,
+        pass: &mut Pass,
+    ) -> usize {
+        if candidate.rank <= URGENT_RANK {
+            return count;
+        }
+        let (in_flight, window) = self.start_window_state(pass);
+        let startable = count.min(window.saturating_sub(in_flight));
+        self.flow.starts_limited |= startable < count;
+        startable
+    }
+
+    /// Returns whether a gang of `count` tasks that has found workers may be placed now.
     ///
     /// A gang that does not fit into the rest of the start window blocks later candidates, since a
     /// wide gang would otherwise never start. A gang wider than the whole window starts once no
     /// other start is in flight.
-    pub(super) fn startable_count(
+    pub(super) fn may_start_gang(
         &mut self,
         candidate: &Candidate,
-        gang: bool,
         count: usize,
         pass: &mut Pass,
-    ) -> usize {
+    ) -> bool {
         if candidate.rank <= URGENT_RANK {
-            return count;
+            return true;
         }
-        let window = self.flow.start_window(&self.policy.flow);
-        let window = usize::try_from(window).unwrap_or(usize::MAX).max(1);
+        let (in_flight, window) = self.start_window_state(pass);
+        let fits = in_flight == 0 || in_flight + count <= window;
+        if !fits {
+            pass.starts_in_flight = Some(in_flight.max(window));
+            self.flow.starts_limited = true;
+        }
+        fits
+    }
+
+    /// Returns how many starts are in flight and how many may be.
+    fn start_window_state(&self, pass: &mut Pass) -> (usize, usize) {
         let in_flight = *pass
             .starts_in_flight
             .get_or_insert_with(|| self.starts_in_flight());
-        let left = window.saturating_sub(in_flight);
-        let fits = count <= left || in_flight == 0;
-        let startable_count = match (gang, fits) {
-            (true, true) => count,
-            (true, false) => {
-                pass.starts_in_flight = Some(in_flight.max(window));
-                0
-            }
-            (false, _) => count.min(left),
-        };
-        self.flow.starts_limited |= startable_count < count;
-        startable_count
+        let window = self.flow.start_window(&self.policy.flow);
+        let window = usize::try_from(window).unwrap_or(usize::MAX).max(1);
+        (in_flight, window)
     }
 
     /// Returns whether a step that is not urgent can't start because of the starts in flight.
--- a/crates/stairstall-core/src/batch/planner/placement.rs
+++ b/crates/stairstall-core/src/batch/planner/placement.rs
@@ -47,13 +47,18 @@
                 break;
             }
             let count = allowed_count(&step, waiting.len(), allowance);
-            let count = self.startable_count(candidate, step.gang, count, pass);
+            let count = if step.gang {
+                count
+            } else {
+                self.startable_tasks(candidate, count, pass)
+            };
             if !self.may_fit(candidate, &step, scope, count, pass, now) {
                 continue;
             }
             let workers = self.candidate_workers(candidate, &step, scope, pass, now);
             let workers = self.filter_by_ticket(key, workers, waiting.len(), now);
-            let choice = search(&step, count, scope, workers, paces.as_ref());
+            let choice = search(&step, count, scope, workers, paces.as_ref())
+                .filter(|_| !step.gang || self.may_start_gang(candidate, count, pass));
             let choice = choice.filter(|choice| {
                 self.is_preemption_worthwhile(candidate, &step, choice, pass, now)
             });
