fix(core): no preference holds a job back for long where most of the fleet is free

Cause: each wait for something better had a bound of its own: data's rack and one rack up to the caller's estimate, which is wrong by up to 0.9; headroom and reservations none; a preempted gang's rest doubles. Class: a preference that may last without a bound becomes a refusal. The promise that such waits are bounded stood nowhere.

Now one bound stands above all: a job that has had nothing running for 2 s (placement.max_idle) while its step fits twice over and under half of its service is in use may use whatever is free: a gang whole, of other steps one task. Kept: capacity, labels, spread, tickets, crash isolation, the start window, and the workers of a gang that is expected to start within a second.

--- a/crates/stairstall-core/src/batch/planner/candidate_worker.rs
+++ b/crates/stairstall-core/src/batch/planner/candidate_worker.rs
@@ -18,6 +18,38 @@
     pub(super) near: bool,
     /// Whether runs of less urgent ranks may be preempted.
     pub(super) preempts: bool,
+    /// Whether the step leaves headroom and the reservations of gangs that come before it alone.
+    pub(super) yields: bool,
+}
+
+impl SearchScope {
+    /// Free capacity near the step's data, or on a single rack.
+    pub(super) const NEAR: Self = Self {
+        near: true,
+        preempts: false,
+        yields: true,
+    };
+
+    /// Free capacity anywhere.
+    pub(super) const ANYWHERE: Self = Self {
+        near: false,
+        ..Self::NEAR
+    };
+
+    /// Free capacity anywhere, whatever it is kept for: for a job that has had nothing running for
+    /// too long.
+    pub(super) const WHATEVER_IS_FREE: Self = Self {
+        yields: false,
+        ..Self::ANYWHERE
+    };
+
+    /// Returns this scope with the capacity that preemption frees.
+    pub(super) const fn preempting(self) -> Self {
+        Self {
+            preempts: true,
+            ..self
+        }
+    }
 }
 
 /// A worker considered for the tasks of one step.
--- a/crates/stairstall-core/src/batch/planner/end_listing.rs
+++ b/crates/stairstall-core/src/batch/planner/end_listing.rs
@@ -104,10 +104,7 @@
         if self.startable_tasks(candidate, 1, pass) == 0 {
             return;
         }
-        let scope = SearchScope {
-            near: false,
-            preempts: false,
-        };
+        let scope = SearchScope::ANYWHERE;
         let takes_verification = |worker: &Worker| worker.takes_verification_run(now.at);
         let workers =
             self.candidate_workers_where(candidate, step, scope, pass, now, takes_verification);
--- a/crates/stairstall-core/src/batch/planner/idle_jobs.rs
+++ b/crates/stairstall-core/src/batch/planner/idle_jobs.rs
@@ -7,9 +7,9 @@
 use super::pass::{CapacityKind, Pass};
 use super::pool::RunState;
 use super::{Now, Planner};
-use crate::JobId;
-use crate::batch::{Decision, DecisionKind, GroupKey};
+use crate::batch::{Decision, DecisionKind, GroupKey, Resources};
 use crate::time::millis;
+use crate::{JobId, ServiceId};
 
 /// How long a job has nothing running although a step fits before it is reported. Well above the
 /// time that a start takes.
@@ -90,16 +90,58 @@
         open.filter(|job| job.idle_reported).count()
     }
 
+    /// Returns whether a step may use all free capacity because its job has had nothing running for
+    /// too long.
+    ///
+    /// What the planner prefers (workers near the data, headroom, reservations, workers that have
+    /// done such work) makes this job faster, or others. Where most of the fleet is free, none of it
+    /// may delay a job that could run for longer than this.
+    pub(super) fn is_idle_for_too_long(
+        &self,
+        candidate: &Candidate,
+        pass: &mut Pass,
+        now: Now,
+    ) -> bool {
+        self.idle_time(&candidate.key.job, now) >= self.policy.placement.max_idle
+            && self.is_mostly_free(&candidate.key, pass)
+            && self.fits_beside_others(&candidate.key, pass)
+    }
+
+    /// Returns whether under half of a step's service is in use, by its accelerators or, where it has
+    /// none, by its processors.
+    fn is_mostly_free(&self, key: &GroupKey, pass: &mut Pass) -> bool {
+        let Some(service) = self.service_of(key) else {
+            return false;
+        };
+        *pass
+            .mostly_free
+            .entry(service)
+            .or_insert_with_key(|service| self.is_service_mostly_free(service))
+    }
+
+    fn is_service_mostly_free(&self, service: &ServiceId) -> bool {
+        let workers = self.workers.values().filter(|w| w.is_listed);
+        let workers = workers.filter(|w| w.listed.service == *service);
+        let (mut free, mut capacity) = (Resources::default(), Resources::default());
+        for worker in workers {
+            free = free.saturating_add(&worker.free_now());
+            capacity = capacity.saturating_add(&worker.listed.capacity);
+        }
+        let (free, capacity) = if capacity.accelerators > 0 {
+            (free.accelerators, capacity.accelerators)
+        } else {
+            (free.cpu_millis, capacity.cpu_millis)
+        };
+        free > capacity / 2
+    }
+
     /// Returns whether one task of a step, or its whole gang, fits on the free capacity of the fleet
     /// and leaves capacity for as much again.
     pub(super) fn fits_beside_others(&self, key: &GroupKey, pass: &mut Pass) -> bool {
         let Some(step) = self.step(key) else {
             return false;
         };
-        let scope = SearchScope {
-            near: false,
-            preempts: false,
-        };
+        let scope = SearchScope::ANYWHERE;
         let tasks = if step.gang { step.count } else { 1 };
         let ceiling = self.ceiling(key, step, scope.near, CapacityKind::Free, pass);
         ceiling.total >= tasks.saturating_mul(FITS_TIMES)
--- a/crates/stairstall-core/src/batch/planner/pass.rs
+++ b/crates/stairstall-core/src/batch/planner/pass.rs
@@ -43,6 +43,8 @@
     pub(super) starts_in_flight: Option<usize>,
     /// Whether a worker may get a verification run, once computed.
     pub(super) has_verifiable_worker: Option<bool>,
+    /// Whether under half of a service is in use, once computed.
+    pub(super) mostly_free: BTreeMap<ServiceId, bool>,
     /// Cost of preempting each running gang, once computed.
     pub(super) gang_preemption_costs: Option<BTreeMap<GroupKey, u64>>,
 }
--- a/crates/stairstall-core/src/batch/planner/placement.rs
+++ b/crates/stairstall-core/src/batch/planner/placement.rs
@@ -18,7 +18,7 @@
 mod scope;
 
 pub(super) use choose::PlacementChoice;
-use choose::{allowed_count, search};
+use choose::{allowed_count, min_count, search};
 use cost::PaceCosts;
 pub(super) use reservations::Reservation;
 
@@ -42,11 +42,17 @@
         }
         let mut allowance = self.accelerator_allowance(candidate, pass, now);
         let paces = self.pace_costs(candidate, &step, now);
+        let ready = waiting.len();
         for scope in self.scopes(candidate, &step, ready_since, pass, now) {
-            if waiting.is_empty() {
+            let has_placed = waiting.len() < ready;
+            if waiting.is_empty() || has_placed && !scope.yields {
                 break;
             }
-            let count = allowed_count(&step, waiting.len(), allowance);
+            let count = if scope.yields {
+                allowed_count(&step, waiting.len(), allowance)
+            } else {
+                min_count(&step, waiting.len())
+            };
             let count = if step.gang {
                 count
             } else {
@@ -108,10 +114,7 @@
         if candidate.rank > URGENT_RANK || scope.preempts {
             return None;
         }
-        let scope = SearchScope {
-            preempts: true,
-            ..scope
-        };
+        let scope = scope.preempting();
         let count = free.workers.len();
         if !self.may_fit(candidate, step, scope, count, pass, now) {
             return None;
@@ -213,7 +216,11 @@
     ) -> Vec<CandidateWorker> {
         let key = &candidate.key;
         let urgent = candidate.rank <= URGENT_RANK;
-        let required_health = self.required_health(key, urgent, self.waiting_time(key, now));
+        let required_health = if scope.yields {
+            self.required_health(key, urgent, self.waiting_time(key, now))
+        } else {
+            RequiredHealth::Any
+        };
         let service = self.service_of(key);
         let job = self.jobs.get(&key.job);
         let caller_zone = job
@@ -247,7 +254,9 @@
             })
             .filter(|(_, w)| isolation.allows(w, now.at))
             .filter(|(_, w)| !scope.near || w.is_near(step))
-            .filter(|(id, _)| urgent || self.may_use_worker(candidate, step, id, reserved, now))
+            .filter(|(id, _)| {
+                urgent || self.may_use_worker(candidate, step, scope, id, reserved, now)
+            })
             .filter(|(_, w)| w.is_healthy(required_health, now.at))
             .map(|(id, w)| CandidateWorker {
                 worker: id.clone(),
--- a/crates/stairstall-core/src/batch/planner/placement/choose.rs
+++ b/crates/stairstall-core/src/batch/planner/placement/choose.rs
@@ -149,6 +149,11 @@
     count.min(limit)
 }
 
+/// Returns the fewest tasks of a step with which its job has something running.
+pub(super) fn min_count(step: &StepSpec, waiting: usize) -> usize {
+    if step.gang { waiting } else { 1 }
+}
+
 /// A way to place one more task on a worker.
 struct PlacementOption {
     /// Sort key, cheapest first: cost, when the newest victim began, whether the zone differs from
--- a/crates/stairstall-core/src/batch/planner/placement/reservations.rs
+++ b/crates/stairstall-core/src/batch/planner/placement/reservations.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::super::candidate::Candidate;
+use super::super::candidate_worker::SearchScope;
 use super::super::pass::{ReservedWorkers, ReservingGang};
 use super::super::pool::Worker;
 use super::super::{Now, Planner};
@@ -23,6 +24,10 @@
 /// would waste the capacity that was set aside.
 const RESERVATION_GRACE: Duration = Duration::from_secs(1);
 
+/// A gang that is expected to start within this time keeps its workers also from a job that has had
+/// nothing running for too long.
+const BINDING_RESERVATION: Duration = Duration::from_secs(1);
+
 /// The workers on which a waiting gang can start earliest, and when.
 #[derive(Debug, Clone)]
 pub(in crate::batch::planner) struct Reservation {
@@ -126,6 +131,7 @@
         &self,
         candidate: &Candidate,
         step: &StepSpec,
+        scope: SearchScope,
         id: &WorkerId,
         reserved: &ReservedWorkers,
         now: Now,
@@ -133,7 +139,8 @@
         let Some(reserving) = reserved.workers.get(id) else {
             return true;
         };
-        if reserving.yields_to(candidate) {
+        let starts_soon = reserving.backfill_until <= now.at + BINDING_RESERVATION;
+        if reserving.yields_to(candidate) || !scope.yields && !starts_soon {
             return true;
         }
         self.ends_by(reserving.backfill_until, candidate, step, id, now)
--- a/crates/stairstall-core/src/batch/planner/placement/scope.rs
+++ b/crates/stairstall-core/src/batch/planner/placement/scope.rs
@@ -22,30 +22,21 @@
         now: Now,
     ) -> Vec<SearchScope> {
         let urgent = candidate.rank <= URGENT_RANK;
-        let mut scopes = vec![SearchScope {
-            near: true,
-            preempts: false,
-        }];
+        let mut scopes = vec![SearchScope::NEAR];
         if urgent {
-            scopes.push(SearchScope {
-                near: true,
-                preempts: true,
-            });
+            scopes.push(SearchScope::NEAR.preempting());
         }
         let prefers_near = step.near_rack.is_some() || (step.gang && step.same_rack);
         let waited = now.at - ready_since;
         if prefers_near && self.may_go_far(candidate, step, waited, pass, now) {
-            scopes.push(SearchScope {
-                near: false,
-                preempts: false,
-            });
+            scopes.push(SearchScope::ANYWHERE);
             if urgent {
-                scopes.push(SearchScope {
-                    near: false,
-                    preempts: true,
-                });
+                scopes.push(SearchScope::ANYWHERE.preempting());
             }
         }
+        if self.is_idle_for_too_long(candidate, pass, now) {
+            scopes.push(SearchScope::WHATEVER_IS_FREE);
+        }
         scopes
     }
 
@@ -97,10 +88,7 @@
         now: Now,
     ) -> NearCapacity {
         let key = &candidate.key;
-        let scope = SearchScope {
-            near: true,
-            preempts: false,
-        };
+        let scope = SearchScope::NEAR;
         let whole = self.ceiling(key, step, scope.near, CapacityKind::Whole, pass);
         if !whole.allows(step, step.count, scope) {
             return self.missing_near_capacity(step);
--- a/crates/stairstall-core/src/batch/planner/queue.rs
+++ b/crates/stairstall-core/src/batch/planner/queue.rs
@@ -80,10 +80,7 @@
         let mut waiting = group.tasks.iter().filter(|task| task.is_waiting());
         let may_start = waiting.any(|task| !self.is_blocked_by_losses(task));
         let count = if step.gang { step.count } else { 1 };
-        let scope = SearchScope {
-            near: false,
-            preempts: false,
-        };
+        let scope = SearchScope::ANYWHERE;
         let ceiling = self.ceiling(key, step, scope.near, CapacityKind::Whole, pass);
         may_start && ceiling.allows(step, count, scope)
     }
--- a/crates/stairstall-core/src/batch/planner/waiting.rs
+++ b/crates/stairstall-core/src/batch/planner/waiting.rs
@@ -74,10 +74,7 @@
             return false;
         };
         let waits = group.tasks.iter().any(Task::is_waiting);
-        let scope = SearchScope {
-            near: false,
-            preempts: false,
-        };
+        let scope = SearchScope::ANYWHERE;
         waits
             && self
                 .ceiling(key, step, scope.near, CapacityKind::Free, pass)
@@ -186,10 +183,7 @@
     /// Returns whether one task of a step, or its whole gang, fits on the free capacity near its
     /// data, on a single rack if the gang requests one.
     fn fits_near(&self, key: &GroupKey, pass: &mut Pass) -> bool {
-        let scope = SearchScope {
-            near: true,
-            preempts: false,
-        };
+        let scope = SearchScope::NEAR;
         self.step(key).is_some_and(|step| {
             self.ceiling(key, step, scope.near, CapacityKind::Free, pass)
                 .allows(step, step.count, scope)
@@ -198,10 +192,7 @@
 
     /// Returns whether a step would fit once all runs that its rank may preempt have ended.
     fn fits_after_preemption(&self, candidate: &Candidate, pass: &mut Pass) -> bool {
-        let scope = SearchScope {
-            near: false,
-            preempts: true,
-        };
+        let scope = SearchScope::ANYWHERE.preempting();
         let preemptor = self.preemptor(candidate.rank, Duration::MAX);
         let kind = CapacityKind::AfterPreemption(preemptor);
         self.step(&candidate.key).is_some_and(|step| {
--- a/crates/stairstall-core/src/batch/policy/planner.rs
+++ b/crates/stairstall-core/src/batch/policy/planner.rs
@@ -18,6 +18,11 @@
     /// How long work waits for a worker to come back to the rack of its data where none is left.
     #[serde(with = "super::millis")]
     pub rack_return_wait: Duration,
+    /// How long a job may have nothing running while under half of its service is in use and a step
+    /// of it fits twice over, whatever that capacity is kept for. Well below the 3 s after which the
+    /// platform counts the job as lost: a pass and a start come on top.
+    #[serde(with = "super::millis")]
+    pub max_idle: Duration,
     /// How long other work waits for a worker that is not suspect.
     #[serde(rename = "suspect_patience", with = "super::millis")]
     pub suspect_wait: Duration,
@@ -60,6 +65,7 @@
             min_run_time: Duration::from_millis(200),
             locality_wait_urgent: Duration::from_millis(900),
             rack_return_wait: Duration::from_secs(2),
+            max_idle: Duration::from_secs(2),
             suspect_wait: Duration::from_secs(3),
             suspect_wait_urgent: Duration::from_secs(1),
             reserve_after: Duration::from_millis(1_500),
