--- a/crates/stairstall-core/tests/batch/idle_jobs.rs
+++ b/crates/stairstall-core/tests/batch/idle_jobs.rs
@@ -1,15 +1,18 @@
 //! A job with nothing running starts within a bound if under half of the fleet is in use and a step of
 //! it fits twice over, whatever better place the planner would rather wait for.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-use stairstall_core::Timestamp;
+use quickcheck::{Gen, QuickCheck};
 use stairstall_core::batch::{
-    AcceptedJob, Bounds, DecisionKind, Now, OrderKind, Planner, StepSpec, VmLimits, WaitReason,
+    AcceptedJob, Bounds, CallerState, DecisionKind, Now, OrderKind, Planner, RunEndKind, StepSpec,
+    TaskKey, VmLimits, WaitReason,
 };
+use stairstall_core::{JobId, Timestamp};
 
-use crate::harness::{Fleet, START_UNIX_MS, bounds, catalog, gang, id, job, step};
+use crate::harness::{Fleet, SPAN_MS, START_UNIX_MS, bounds, catalog, gang, id, job, step};
 
 /// How long the platform lets a job have nothing running although there is capacity for it twice
 /// over.
@@ -257,3 +260,156 @@
         .filter(|decision| decision.kind == DecisionKind::Idle);
     assert!(idle.any(|decision| decision.why.contains("it starts after")));
 }
+
+/// How long each task works in generated loads, whatever its estimate says.
+const WORK_MS: u64 = 2_000;
+/// How long a generated load lasts.
+const TICKS: u32 = 300;
+/// Time between two of its jobs.
+const TICKS_PER_JOB: u32 = 3;
+const TESTS: u64 = 15;
+const SEEDS: std::ops::RangeInclusive<u64> = 1..=4;
+
+/// What a generated job is made of.
+type Shape = (u8, u8, u8, u8, u16);
+
+fn generated_job(number: usize, shape: Shape) -> AcceptedJob {
+    let (kind, width, accelerators, rack, estimate) = shape;
+    let width = u32::from(width) % 60 + 1;
+    let accelerators = 1 << (accelerators % 4);
+    let is_gang = kind % 2 == 0;
+    let mut step = if is_gang {
+        gang(width, accelerators)
+    } else {
+        step(width, accelerators)
+    };
+    step.same_rack = is_gang && kind / 2 % 2 == 0;
+    step.near_rack = (kind / 4 % 3 == 0).then(|| format!("r{}", rack % 4));
+    step.max_per_worker = (kind / 16 % 4 == 0).then_some(2);
+    step.estimate_ms = u64::from(estimate) % 20_000 + 100;
+    job(&format!("job-{number}"), kind / 64 % 3, vec![step])
+}
+
+/// Accelerators of a job's tasks.
+type Needs = BTreeMap<JobId, u32>;
+
+/// Ends what has done its work; a gang ends as a whole.
+fn end_what_is_done(fleet: &mut Fleet) {
+    let workers = fleet.workers.values();
+    let running = workers.flat_map(|worker| &worker.running);
+    let done: Vec<TaskKey> = running
+        .filter(|(_, (_, worked_ms, _))| *worked_ms >= SPAN_MS)
+        .map(|(task, _)| task.clone())
+        .collect();
+    for task in done {
+        fleet.end_everywhere(&task, RunEndKind::Done);
+    }
+}
+
+/// Returns for how many tasks of a step workers have capacity.
+fn room_for(fleet: &Fleet, needs: &Needs, step: &StepSpec) -> u32 {
+    let free = fleet.workers.values().map(|worker| {
+        let used: u32 = worker
+            .running
+            .keys()
+            .map(|task| needs[&task.group.job])
+            .sum();
+        ((8 - used) / step.needs.accelerators).min(step.max_per_worker.unwrap_or(u32::MAX))
+    });
+    free.sum()
+}
+
+fn used_accelerators(fleet: &Fleet, needs: &Needs) -> u32 {
+    let workers = fleet.workers.values();
+    let running = workers.flat_map(|worker| worker.running.keys());
+    running.map(|task| needs[&task.group.job]).sum()
+}
+
+/// Returns the jobs that had nothing running for too long in a generated load.
+fn idle_jobs_in(shapes: &[Shape]) -> Vec<String> {
+    let mut fleet = usual_fleet(4);
+    for worker in fleet.workers.values_mut() {
+        worker.span_ms = Some(WORK_MS);
+    }
+    let mut jobs: Vec<(AcceptedJob, u64)> = Vec::new();
+    let mut found = Vec::new();
+    let mut needs = Needs::new();
+    let mut shapes = shapes.iter().enumerate();
+    for tick in 0..TICKS {
+        if tick % TICKS_PER_JOB == 0
+            && let Some((number, shape)) = shapes.next()
+        {
+            let job = generated_job(number, *shape);
+            let accepted_unix_ms = fleet.now().unix_ms;
+            let job = AcceptedJob {
+                accepted_unix_ms,
+                ..job
+            };
+            let accelerators = job.spec.steps[0].needs.accelerators;
+            needs.insert(job.id.clone(), accelerators);
+            fleet.submit(job.clone());
+            jobs.push((job, fleet.at_ms));
+        }
+        fleet.pass(TICK_MS);
+        end_what_is_done(&mut fleet);
+        let is_mostly_free = used_accelerators(&fleet, &needs) < 160;
+        let now = fleet.now();
+        jobs.retain(|(job, _)| {
+            !matches!(
+                fleet.planner.caller_state(&job.id),
+                Some(CallerState::Ended(_))
+            )
+        });
+        for (job, active_at) in &mut jobs {
+            let step = &job.spec.steps[0];
+            let tasks = if step.gang { step.count } else { 1 };
+            let is_due = fleet.planner.wait_status(&job.id, now).is_some();
+            let fits = is_due && is_mostly_free && room_for(&fleet, &needs, step) >= 2 * tasks;
+            if !fits || runs(&fleet, job.id.as_str()) {
+                *active_at = fleet.at_ms;
+            } else if fleet.at_ms - *active_at > MAX_IDLE_MS {
+                found.push(format!("{}: {step:?}", job.id));
+                *active_at = fleet.at_ms;
+            }
+        }
+    }
+    found
+}
+
+fn runs(fleet: &Fleet, name: &str) -> bool {
+    let workers = fleet.workers.values();
+    let mut running = workers.flat_map(|worker| worker.running.keys());
+    running.any(|task| task.group.job == id(name))
+}
+
+#[allow(clippy::needless_pass_by_value, reason = "a property owns its input")]
+fn no_job_is_idle(shapes: Vec<Shape>) -> bool {
+    idle_jobs_in(&shapes).is_empty()
+}
+
+/// The invariant, in generated loads of gangs and loose steps with data, spread limits and estimates
+/// that say nothing.
+#[test]
+fn no_job_is_idle_beside_room_in_generated_loads() {
+    for seed in SEEDS {
+        println!("seed {seed}");
+        QuickCheck::new()
+            .rng(Gen::from_size_and_seed(60, seed))
+            .tests(TESTS)
+            .quickcheck(no_job_is_idle as fn(Vec<Shape>) -> bool);
+    }
+}
+
+/// Urgent work on one rack, then a loose step of a lower rank.
+#[test]
+fn no_job_is_idle_behind_urgent_gangs() {
+    let found = idle_jobs_in(&[
+        (255, 36, 54, 5, 0),
+        (81, 34, 5, 0, 3_677),
+        (197, 245, 110, 0, 0),
+        (0, 78, 59, 7, 394),
+        (78, 42, 0, 0, 0),
+        (255, 98, 63, 0, 0),
+    ]);
+    assert!(found.is_empty(), "{found:#?}");
+}
