--- a/crates/stairstall-standin/src/cluster/daemon.rs
+++ b/crates/stairstall-standin/src/cluster/daemon.rs
@@ -57,6 +57,7 @@
                 &plan.drain_delay.as_millis().to_string(),
             ])
             .args(&plan.flags)
+            .envs(plan.environment.iter().cloned())
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
             .stderr(Stdio::inherit())
--- a/crates/stairstall-standin/src/cluster/plan.rs
+++ b/crates/stairstall-standin/src/cluster/plan.rs
@@ -32,6 +32,8 @@
     pub drain_delay: Duration,
     /// More flags for the daemons.
     pub flags: Vec<String>,
+    /// Environment variables for the daemons.
+    pub environment: Vec<(String, String)>,
 }
 
 impl ClusterPlan {
@@ -52,6 +54,7 @@
             vm_list_lag: Duration::from_secs(5),
             drain_delay: Duration::from_millis(500),
             flags: Vec::new(),
+            environment: Vec::new(),
         }
     }
 
