fix(http): a body costs no more than its bytes

A body that came in pieces was kept as the pieces: each holds a part of a receive buffer, 384 MB for 8 MB sent in pieces of ten bytes (tests/memory, the mode with zones of its own). Class: a limit counts what was sent, not what is held.

BodyBuffer collects a body in one allocation that grows at most to twice its bytes and says how much it will grow first.

--- a/crates/stairstall-http/src/client.rs
+++ b/crates/stairstall-http/src/client.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode, header};
 use hyper_util::client::legacy::Client;
@@ -15,7 +15,7 @@
 use serde::de::DeserializeOwned;
 use tokio::time::Instant;
 
-use crate::CallError;
+use crate::{BodyBuffer, CallError};
 
 /// Body of an outgoing request.
 pub type Body = Full<Bytes>;
@@ -251,14 +251,15 @@
 }
 
 /// Reads a complete body of at most `limit` bytes.
-async fn read_limited(body: Incoming, limit: usize) -> Result<Bytes, CallError> {
-    let collected = Limited::new(body, limit).collect().await;
-    collected
-        .map(http_body_util::Collected::to_bytes)
-        .map_err(|error| match error.downcast::<hyper::Error>() {
-            Ok(error) => CallError::Truncated(*error),
-            Err(_) => CallError::BodyTooLarge(limit),
-        })
+async fn read_limited(mut body: Incoming, limit: usize) -> Result<Bytes, CallError> {
+    let too_large = |_| CallError::BodyTooLarge(limit);
+    let mut buffer = BodyBuffer::new(limit);
+    while let Some(frame) = body.frame().await {
+        if let Ok(piece) = frame.map_err(CallError::Truncated)?.into_data() {
+            buffer.push(&piece).map_err(too_large)?;
+        }
+    }
+    Ok(buffer.into_bytes())
 }
 
 /// Awaits a call for `timeout`; `None` if it takes longer.
--- a/crates/stairstall-http/src/lib.rs
+++ b/crates/stairstall-http/src/lib.rs
@@ -5,8 +5,10 @@
 //! request can have reached the server: the connection was never established,
 //! or a pooled connection closed before the request was written.
 
+mod body_buffer;
 mod client;
 mod error;
 
+pub use body_buffer::{BodyBuffer, BodyTooLong};
 pub use client::{Body, HttpClient, JsonRequest, JsonResponse};
 pub use error::CallError;
