fix(server): what callers hold is bounded by the VM's memory and open files

Class: a limit for each and none for all.

Now each address admits connections and bytes of bodies up to a tenth of the VM's, and when that is used up the connection that has stood unfinished for longest is closed; what is being handled never is. Heads end at 16 KB. Bodies are collected in one allocation that counts before it grows.

--- a/crates/stairstalld/src/batch/caller_api.rs
+++ b/crates/stairstalld/src/batch/caller_api.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use futures::FutureExt;
-use http_body_util::{BodyExt, Collected, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use stairstall_core::batch::{
     AcceptedJob, Access, Admission, AdmissionRefusal, AdmissionRefusalReason, BatchSpec,
     CallerState, Catalog, Route,
@@ -21,6 +21,8 @@
 use super::node::Node;
 use super::queries;
 use super::rpc::JobAnswer;
+use crate::incoming::{BODY_RETRY_AFTER, GAVE_WAY};
+use crate::request_body::{BodyError, read_whole};
 use crate::response::ErrorResponse;
 
 /// `Retry-After` delay for callers while the store does not serve this daemon.
@@ -314,23 +316,18 @@
         mut request: Request,
     ) -> std::result::Result<BatchSpec, ErrorResponse> {
         let limit = self.catalog.max_body_bytes;
-        let body = std::mem::take(request.body_mut());
-        let collected = tokio::time::timeout(BODY_TIMEOUT, Limited::new(body, limit).collect());
-        let body = collected
-            .await
-            .map_err(|_| ErrorResponse::bad_request("body", "the body took too long"))?
-            .map(Collected::to_bytes)
-            .map_err(|error| {
-                if error.is::<LengthLimitError>() {
-                    let error = format!("the body is longer than {limit} bytes");
-                    return ErrorResponse::new(
-                        StatusCode::PAYLOAD_TOO_LARGE,
-                        Verdict::NotRun,
-                        error,
-                    );
-                }
-                ErrorResponse::bad_request("body", "the body broke off")
-            })?;
+        let read = tokio::time::timeout(BODY_TIMEOUT, read_whole(&mut request, limit)).await;
+        let read =
+            read.map_err(|_| ErrorResponse::bad_request("body", "the body took too long"))?;
+        let body = read.map_err(|error| match error {
+            BodyError::TooLong => ErrorResponse::new(
+                StatusCode::PAYLOAD_TOO_LARGE,
+                Verdict::NotRun,
+                format!("the body is longer than {limit} bytes"),
+            ),
+            BodyError::BrokeOff => ErrorResponse::bad_request("body", "the body broke off"),
+            BodyError::GaveWay => ErrorResponse::unavailable(GAVE_WAY, BODY_RETRY_AFTER),
+        })?;
         let spec = self
             .node
             .dialect
--- a/crates/stairstalld/src/batch/health.rs
+++ b/crates/stairstalld/src/batch/health.rs
@@ -71,6 +71,7 @@
     let catalog_age = node.known_catalog.age(node.clock.now());
     node.telemetry
         .catalog_age(catalog_age.unwrap_or(Duration::MAX));
+    node.telemetry.intake(node.intake.in_use());
     if let Some(tenure) = node.tenure() {
         let (open_jobs, runs) = tenure.load_counts();
         node.telemetry.contact(&tenure.contact_lag());
--- a/crates/stairstalld/src/batch/node.rs
+++ b/crates/stairstalld/src/batch/node.rs
@@ -24,6 +24,7 @@
 use crate::background::{EndedTask, TaskOwner};
 use crate::clock::{Clock, unix_millis};
 use crate::daemon::lock;
+use crate::intake::Intake;
 
 /// Slowest link, in megabits per second, on which two listings are read concurrently. At this rate
 /// the TCP windows of two connections, about 130 kB, are transferred in 0.1 s, well below the time
@@ -87,6 +88,8 @@
     /// The lease of refusal records, and the retry times given to refused callers.
     pub(crate) refusals: Refusals,
     pub(crate) telemetry: Telemetry,
+    /// What callers hold.
+    pub(crate) intake: Arc<Intake>,
     pub(crate) catalog: watch::Sender<Option<Arc<Catalog>>>,
     /// The latest known planner.
     pub(crate) planner: watch::Sender<Option<PlannerRecord>>,
@@ -138,6 +141,7 @@
             load: LoadCache::new(&settings.policy.admission),
             refusals: Refusals::new(&settings.policy.admission),
             telemetry: Telemetry::new(),
+            intake: Intake::new(settings.intake),
             catalog: watch::channel(None).0,
             planner: watch::channel(None).0,
             offer: watch::channel(None).0,
--- a/crates/stairstalld/src/batch/serve.rs
+++ b/crates/stairstalld/src/batch/serve.rs
@@ -14,6 +14,7 @@
 use super::settings::BatchSettings;
 use super::{caller_api, catalog, health, reachability, role, rpc};
 use crate::background::{RequiredTasks, spawn_kept};
+use crate::intake::{Intake, IntakeLimits};
 use crate::serve::{RunError, system_error};
 use crate::server::Server;
 use crate::shutdown::{self, DrainOutcome, Shutdown, Signals};
@@ -81,10 +82,14 @@
         signals.hangup,
     ));
     let required = RequiredTasks::new(Arc::clone(&node) as _);
-    required.spawn("health", serve_router(health, health::health_router(&node)));
+    let checks = node.settings.intake.for_checks();
+    required.spawn(
+        "health",
+        serve_router(health, health::health_router(&node), checks),
+    );
     required.spawn(
         "metrics",
-        serve_router(metrics, health::metrics_router(&node)),
+        serve_router(metrics, health::metrics_router(&node), checks),
     );
     required.spawn("rpc", rpc.clone().stopped());
 
@@ -94,8 +99,13 @@
         delay: node.settings.drain_delay,
         limit: node.settings.drain_limit,
     };
-    let server = Server::new(callers, caller_api::router(&node), HEAD_TIMEOUT)
-        .run_until(shutdown.clone().stop_requested(signals.stop));
+    let server = Server::new(
+        callers,
+        caller_api::router(&node),
+        HEAD_TIMEOUT,
+        Arc::clone(&node.intake),
+    )
+    .run_until(shutdown.clone().stop_requested(signals.stop));
     let drained = shutdown.drain(tokio::spawn(server)).await;
     role::wait_until_released(&node).await;
     role.abort();
@@ -128,7 +138,7 @@
     Ok((listener, bound))
 }
 
-async fn serve_router(listener: TcpListener, router: viz::Router) {
-    let server = Server::new(listener, router, HEAD_TIMEOUT);
+async fn serve_router(listener: TcpListener, router: viz::Router, limits: IntakeLimits) {
+    let server = Server::new(listener, router, HEAD_TIMEOUT, Intake::new(limits));
     server.run_until(std::future::pending()).await;
 }
--- a/crates/stairstalld/src/batch/settings.rs
+++ b/crates/stairstalld/src/batch/settings.rs
@@ -7,6 +7,8 @@
 use stairstall_core::batch::{Bounds, Policy, VmLimits};
 use stairstall_core::{VmId, ZoneId};
 
+use crate::intake::IntakeLimits;
+use crate::settings::intake::{self, BYTES_PER_MB, RawIntake};
 use crate::settings::{
     InvalidSetting, InvalidSettings, Validator, parse_arguments, parse_command_line, string_option,
 };
@@ -26,8 +28,6 @@
 
 /// Bytes in one megabit.
 const BYTES_PER_MBIT: u64 = 125_000;
-/// Bytes in one megabyte.
-const BYTES_PER_MB: u64 = 1_000_000;
 
 /// Unchecked settings as they were given.
 #[derive(Debug, Clone)]
@@ -45,6 +45,7 @@
     link_mbps: String,
     memory_mb: String,
     open_files: String,
+    intake: RawIntake,
     store_timeout_ms: String,
     role_lease_ms: String,
     hold_max_ms: String,
@@ -91,6 +92,8 @@
     pub memory_mb: u32,
     /// Number of files and connections that this daemon may have open; 0 if it is not limited.
     pub open_files: u32,
+    /// What callers may hold.
+    pub intake: IntakeLimits,
     /// Timeout of a call to the store.
     pub store_timeout: Duration,
     /// Length of the lease on the planner role.
@@ -202,6 +205,7 @@
         "Files and connections that this daemon may have open; 0 sets no limit",
         "0"
     );
+    let intake = intake::parser();
     let store_timeout_ms = flag!(
         "store-timeout-ms",
         "STAIRSTALL_STORE_TIMEOUT_MS",
@@ -294,6 +298,7 @@
         link_mbps,
         memory_mb,
         open_files,
+        intake,
         store_timeout_ms,
         role_lease_ms,
         hold_max_ms,
@@ -364,6 +369,10 @@
         let link_mbps = parse_rounded_up(checks, "--link-mbps", &raw.link_mbps);
         let memory_mb = parse_limit(checks, "--memory-mb", &raw.memory_mb);
         let open_files = parse_limit(checks, "--open-files", &raw.open_files);
+        let memory_bytes = u64::from(memory_mb.unwrap_or(0)) * BYTES_PER_MB;
+        let intake = raw
+            .intake
+            .read(checks, memory_bytes, open_files.unwrap_or(0).into());
         let store_timeout = checks.millis("--store-timeout-ms", &raw.store_timeout_ms, 10, 10_000);
         let role_lease = checks.millis("--role-lease-ms", &raw.role_lease_ms, 500, 60_000);
         let bounds = Self::read_bounds(raw, checks);
@@ -385,6 +394,7 @@
             link_mbps: link_mbps?,
             memory_mb: memory_mb?,
             open_files: open_files?,
+            intake: intake?,
             store_timeout: store_timeout?,
             role_lease: role_lease?,
             bounds: bounds?,
--- a/crates/stairstalld/src/batch/telemetry.rs
+++ b/crates/stairstalld/src/batch/telemetry.rs
@@ -11,6 +11,8 @@
 use stairstall_core::batch::{ContactLag, PaceSummary};
 use stairstall_ports::RefusedEntry;
 
+use crate::intake::IntakeUse;
+
 /// Upper bounds of the histogram buckets, in seconds.
 const BUCKETS: [f64; 14] = [
     0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0,
@@ -38,6 +40,7 @@
     /// Version of the configuration whose refused entries are shown.
     refused_version: AtomicU64,
     load_age: IntGauge,
+    intake: IntGaugeVec,
     planner: PlannerGauges,
     dropped_lines: IntGauge,
 }
@@ -242,6 +245,14 @@
             )
             .expect("constant names are valid"),
             refused_version: AtomicU64::new(0),
+            intake: IntGaugeVec::new(
+                Opts::new(
+                    "stairstall_caller_intake",
+                    "What callers hold, and what has given way since the start",
+                ),
+                &["what"],
+            )
+            .expect("constant names are valid"),
             catalog_age: gauge(
                 "stairstall_catalog_age_milliseconds",
                 "Since the configuration was known to be the newest",
@@ -258,7 +269,7 @@
     }
 
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 17] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 18] = [
             Box::new(self.calls.clone()),
             Box::new(self.call_time.clone()),
             Box::new(self.store_calls.clone()),
@@ -275,6 +286,7 @@
             Box::new(self.catalog_age.clone()),
             Box::new(self.refused_entries.clone()),
             Box::new(self.load_age.clone()),
+            Box::new(self.intake.clone()),
             Box::new(self.dropped_lines.clone()),
         ];
         for collector in collectors.into_iter().chain(self.planner.collectors()) {
@@ -364,6 +376,13 @@
         true
     }
 
+    pub(crate) fn intake(&self, in_use: IntakeUse) {
+        for (name, value) in in_use.named() {
+            let value = i64::try_from(value).unwrap_or(i64::MAX);
+            self.intake.with_label_values(&[name]).set(value);
+        }
+    }
+
     pub(crate) fn catalog_age(&self, age: Duration) {
         self.catalog_age.set(gauge_millis(age));
     }
--- a/crates/stairstalld/src/daemon.rs
+++ b/crates/stairstalld/src/daemon.rs
@@ -20,6 +20,7 @@
 use crate::clock::Clock;
 use crate::dispatch::Dispatcher;
 use crate::holder::Query;
+use crate::intake::Intake;
 use crate::metrics::Metrics;
 use crate::retention::Retention;
 use crate::settings::Settings;
@@ -57,6 +58,8 @@
     pub(crate) vms: watch::Sender<Arc<VmList>>,
     pub(crate) role: Mutex<Role>,
     pub(crate) retries: Mutex<RetryBudget>,
+    /// What callers hold.
+    pub(crate) intake: Arc<Intake>,
     /// Sends queries to this daemon's placement role.
     pub(crate) holder_queries: mpsc::Sender<Query>,
     /// True once the daemon was asked to stop.
@@ -114,6 +117,7 @@
             vms: watch::channel(Arc::default()).0,
             role: Mutex::default(),
             retries: Mutex::default(),
+            intake: Intake::new(settings.intake),
             holder_queries,
             leaving: watch::channel(false).0,
             store_answered_at: Mutex::new(None),
--- a/crates/stairstalld/src/peers.rs
+++ b/crates/stairstalld/src/peers.rs
@@ -192,6 +192,9 @@
         daemon
             .metrics
             .gauge("call.in_flight", daemon.dispatcher.in_flight() as u64);
+        for (name, value) in daemon.intake.in_use().named() {
+            daemon.metrics.gauge(&format!("intake.{name}"), value);
+        }
         tokio::time::sleep(MemberTable::INTERVAL).await;
     }
 }
--- a/crates/stairstalld/src/serve.rs
+++ b/crates/stairstalld/src/serve.rs
@@ -95,8 +95,13 @@
         delay: daemon.settings.drain_delay,
         limit: daemon.settings.drain_limit,
     };
-    let server = Server::new(listener, api::router(&daemon), HEAD_TIMEOUT)
-        .run_until(shutdown.clone().stop_requested(signals.stop));
+    let server = Server::new(
+        listener,
+        api::router(&daemon),
+        HEAD_TIMEOUT,
+        Arc::clone(&daemon.intake),
+    )
+    .run_until(shutdown.clone().stop_requested(signals.stop));
     let serving = tokio::spawn(server);
     let result = drain(&daemon, &shutdown, serving).await;
     let _ = rpc.stop();
--- a/crates/stairstalld/src/server.rs
+++ b/crates/stairstalld/src/server.rs
@@ -1,12 +1,17 @@
 //! HTTP server for callers, health checks and metrics. A planned stop drops no request that has
 //! arrived.
 
+use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::future::BoxFuture;
+use hyper::Request;
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
+use hyper::service::Service;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -14,6 +19,8 @@
 use tokio::time::Instant;
 use viz::{Responder, Router, Tree};
 
+use crate::intake::{ConnectionHandle, Intake, OpenConnection};
+
 /// How long a stopping server reads on before it takes a connection for idle, or the queue of
 /// connections that wait to be accepted for empty.
 const QUIET: Duration = Duration::from_millis(50);
@@ -43,6 +50,8 @@
     listener: TcpListener,
     tree: Arc<Tree>,
     connections: http1::Builder,
+    /// What its connections hold.
+    intake: Arc<Intake>,
     open: JoinSet<()>,
     /// Becomes true when connections should close once they are idle.
     closing: watch::Sender<bool>,
@@ -51,12 +60,19 @@
 impl Server {
     /// Creates a server. A caller may take `head_timeout` to send a request's head, or leave its
     /// connection idle for as long.
-    pub(crate) fn new(listener: TcpListener, router: Router, head_timeout: Duration) -> Self {
+    pub(crate) fn new(
+        listener: TcpListener,
+        router: Router,
+        head_timeout: Duration,
+        intake: Arc<Intake>,
+    ) -> Self {
         let mut connections = http1::Builder::new();
         connections
             .timer(TokioTimer::new())
-            .header_read_timeout(head_timeout);
+            .header_read_timeout(head_timeout)
+            .max_buf_size(intake.limits().head_bytes);
         Self {
+            intake,
             listener,
             tree: Arc::new(router.into()),
             connections,
@@ -124,33 +140,86 @@
     }
 
     fn serve(&mut self, stream: TcpStream, address: SocketAddr) {
+        let Some(open) = self.intake.admit() else {
+            log::info!(target: "listen", caller:% = address; "refused: all connections are being answered");
+            return;
+        };
         // The head and the body of a response are often two writes. With Nagle's algorithm the
         // second one waits for the caller's delayed acknowledgement, about 40 ms.
         if let Err(error) = stream.set_nodelay(true) {
             log::debug!(target: "listen", caller:% = address, error:% = error; "small writes may be delayed");
         }
-        let responder = Responder::new(Arc::clone(&self.tree), Some(Arc::new(address)));
+        let responder = CountedResponder {
+            responder: Responder::new(Arc::clone(&self.tree), Some(Arc::new(address))),
+            handle: open.handle().clone(),
+        };
         let connection = self
             .connections
             .serve_connection(TokioIo::new(stream), responder);
-        let mut closing = self.closing.subscribe();
+        let closing = self.closing.subscribe();
         self.open.spawn(async move {
-            let mut connection = pin!(connection);
-            let ended = tokio::select! {
-                biased;
-                ended = connection.as_mut() => ended,
-                () = wait_until_idle_may_close(&mut closing) => {
-                    connection.as_mut().graceful_shutdown();
-                    connection.await
-                }
-            };
-            if let Err(error) = ended {
+            if let Err(error) = serve_connection(connection, &open, closing, address).await {
                 log::debug!(target: "listen", caller:% = address, error:% = error; "a connection broke off");
             }
         });
     }
 }
 
+type HttpConnection = http1::Connection<TokioIo<TcpStream>, CountedResponder>;
+
+/// Serves a connection until it ends, has to close once it is idle, or has to give way.
+async fn serve_connection(
+    connection: HttpConnection,
+    open: &OpenConnection,
+    mut closing: watch::Receiver<bool>,
+    address: SocketAddr,
+) -> hyper::Result<()> {
+    let mut connection = pin!(connection);
+    let mut is_closing = false;
+    loop {
+        tokio::select! {
+            biased;
+            ended = connection.as_mut() => return ended,
+            () = open.must_close() => {
+                log::info!(target: "listen", caller:% = address; "closed unfinished: others need its place");
+                if !open.handle().is_handling() {
+                    return Ok(());
+                }
+                // A request has arrived in the same moment; it is answered first.
+                connection.as_mut().graceful_shutdown();
+            }
+            () = wait_until_idle_may_close(&mut closing), if !is_closing => {
+                is_closing = true;
+                connection.as_mut().graceful_shutdown();
+            }
+        }
+    }
+}
+
+/// Answers requests and says when each begins and ends.
+struct CountedResponder {
+    responder: Responder<Arc<SocketAddr>>,
+    handle: ConnectionHandle,
+}
+
+impl Service<Request<Incoming>> for CountedResponder {
+    type Response = viz::Response;
+    type Error = Infallible;
+    type Future = BoxFuture<'static, Result<viz::Response, Infallible>>;
+
+    fn call(&self, mut request: Request<Incoming>) -> Self::Future {
+        let handle = self.handle.clone();
+        handle.begin_request();
+        request.extensions_mut().insert(handle.clone());
+        let answer = self.responder.call(request);
+        Box::pin(async move {
+            let answer = answer.await;
+            handle.end_request();
+            answer
+        })
+    }
+}
+
 /// Waits until the server closes idle connections and what had arrived by then has been read.
 async fn wait_until_idle_may_close(closing: &mut watch::Receiver<bool>) {
     // An error means that the server is gone; its connections then close as well.
--- a/crates/stairstalld/src/settings.rs
+++ b/crates/stairstalld/src/settings.rs
@@ -7,6 +7,11 @@
 use bpaf::{Args, OptionParser, ParseFailure, Parser, construct, long};
 use stairstall_core::{VmId, ZoneId};
 
+use self::intake::{RawIntake, RawVmLimits};
+use crate::intake::IntakeLimits;
+
+pub(crate) mod intake;
+
 /// Width of the help text, in characters.
 const HELP_WIDTH: usize = 100;
 
@@ -25,6 +30,8 @@
     drain_limit_ms: String,
     max_body_bytes: String,
     max_waiting: String,
+    vm_limits: RawVmLimits,
+    intake: RawIntake,
     log: String,
 }
 
@@ -55,6 +62,8 @@
     pub max_body_bytes: usize,
     /// Maximum number of waiting requests per service.
     pub max_waiting: usize,
+    /// What callers may hold.
+    pub intake: IntakeLimits,
     /// Log filter, for example `info` or `stairstalld=debug`.
     pub log: String,
 }
@@ -204,6 +213,8 @@
         "Most requests of a service that wait",
     )
     .fallback("1000".to_owned());
+    let vm_limits = intake::vm_parser();
+    let intake = intake::parser();
     let log = string_option(
         "log",
         "STAIRSTALL_LOG",
@@ -223,6 +234,8 @@
         drain_limit_ms,
         max_body_bytes,
         max_waiting,
+        vm_limits,
+        intake,
         log,
     })
     .to_options()
@@ -378,6 +391,8 @@
         let max_body_bytes =
             validator.size("--max-body-bytes", &raw.max_body_bytes, 1, 64 * 1024 * 1024);
         let max_waiting = validator.size("--max-waiting", &raw.max_waiting, 1, 1_000_000);
+        let (memory_bytes, open_files) = raw.vm_limits.read(validator);
+        let intake = raw.intake.read(validator, memory_bytes, open_files);
         if listen.is_some() && listen == rpc_listen && listen.is_some_and(|a| a.port() != 0) {
             validator.reject(
                 "--rpc-listen",
@@ -398,6 +413,7 @@
             drain_limit: drain_limit?,
             max_body_bytes: max_body_bytes?,
             max_waiting: max_waiting?,
+            intake: intake?,
             log: raw.log.clone(),
         })
     }
