fix(follow): the list of VMs is read each second however slowly it is answered

Found by reading, while a_leaving_minion_gets_nothing_new was looked into: the second between two reads began when the answer was there, so a slow or silent list was read every 1.8 to 2 s, and a minion that leaves got new requests for that much longer. Class: a period that begins when the work before it ends.

--- a/crates/stairstall-standin/src/vm_list.rs
+++ b/crates/stairstall-standin/src/vm_list.rs
@@ -1,4 +1,5 @@
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -23,6 +24,15 @@
     /// Entries of any form as JSON text, as another writer may leave them.
     odd: Arc<Mutex<Vec<String>>>,
     lag: Duration,
+    reads: Arc<Reads>,
+}
+
+/// How the list is read.
+#[derive(Debug, Default)]
+struct Reads {
+    count: AtomicUsize,
+    /// How long an answer takes, in milliseconds.
+    delay_ms: AtomicU64,
 }
 
 impl VmListStandin {
@@ -40,18 +50,38 @@
         let shown = Arc::clone(&versions);
         let odd = Arc::<Mutex<Vec<String>>>::default();
         let shown_odd = Arc::clone(&odd);
+        let reads = Arc::<Reads>::default();
+        let counted = Arc::clone(&reads);
         let server = Server::start(move |_| {
             let list = with_odd(&visible(&shown), &shown_odd);
-            Box::pin(async move { Some(answer(StatusCode::OK, list)) })
+            counted.count.fetch_add(1, Ordering::SeqCst);
+            let delay = Duration::from_millis(counted.delay_ms.load(Ordering::SeqCst));
+            Box::pin(async move {
+                tokio::time::sleep(delay).await;
+                Some(answer(StatusCode::OK, list))
+            })
         });
         Ok(Self {
             server: server.await?,
             versions,
             odd,
             lag,
+            reads,
         })
     }
 
+    /// Makes each answer take so long from now on.
+    pub fn set_delay(&self, delay: Duration) {
+        let ms = u64::try_from(delay.as_millis()).unwrap_or(u64::MAX);
+        self.reads.delay_ms.store(ms, Ordering::SeqCst);
+    }
+
+    /// Returns how often the list was read.
+    #[must_use]
+    pub fn reads(&self) -> usize {
+        self.reads.count.load(Ordering::SeqCst)
+    }
+
     /// Returns where it listens.
     #[must_use]
     pub const fn address(&self) -> SocketAddr {
--- a/crates/stairstalld/src/follow.rs
+++ b/crates/stairstalld/src/follow.rs
@@ -11,6 +11,8 @@
 use stairstall_core::routing::MinionInfo;
 use stairstall_store::{Event, StoreError};
 
+use tokio::time::MissedTickBehavior;
+
 use crate::daemon::{Daemon, lock};
 use crate::keys;
 
@@ -114,14 +116,16 @@
 
 /// Reads the platform's list of VMs for as long as the daemon runs.
 pub(crate) async fn follow_vms(daemon: Arc<Daemon>) {
+    let mut due = tokio::time::interval(VM_LIST_INTERVAL);
+    due.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
+        due.tick().await;
         match read_vms(&daemon).await {
             Ok(list) => apply_vms(&daemon, list),
             Err(error) => {
                 log::debug!(target: "vms", error:% = error; "could not read the list of VMs");
             }
         }
-        tokio::time::sleep(VM_LIST_INTERVAL).await;
     }
 }
 
--- a/crates/stairstalld/tests/requests.rs
+++ b/crates/stairstalld/tests/requests.rs
@@ -250,6 +250,17 @@
     );
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn the_list_of_vms_is_read_each_second_however_slowly_it_is_answered() {
+    let cluster = start(plan().with_sizes(1, 1, 1)).await;
+    cluster.vm_list.set_delay(Duration::from_millis(800));
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let before = cluster.vm_list.reads();
+    tokio::time::sleep(Duration::from_secs(10)).await;
+    let reads = cluster.vm_list.reads() - before;
+    assert!(reads >= 9, "{reads} reads in 10 s");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_leaving_minion_gets_nothing_new() {
     for by_own_word in [true, false] {
