--- a/crates/stairstall-core/src/batch/planner/idle_jobs.rs
+++ b/crates/stairstall-core/src/batch/planner/idle_jobs.rs
@@ -149,7 +149,7 @@
 
     /// Returns whether a job has runs beyond planned ones.
     fn has_active_run(&self, id: &JobId) -> bool {
-        let mut runs = self.run_index.of_job(id).into_iter();
+        let mut runs = self.run_index.iter_job(id);
         runs.any(|(worker, task)| {
             self.run_at(&worker, &task)
                 .is_some_and(|run| run.state != RunState::Planned)
--- a/crates/stairstall-core/src/batch/planner/runs.rs
+++ b/crates/stairstall-core/src/batch/planner/runs.rs
@@ -42,14 +42,17 @@
 
     /// Returns the runs of a job, ordered by worker.
     pub(super) fn of_job(&self, job: &JobId) -> Vec<(WorkerId, TaskKey)> {
-        let mut runs: Vec<_> = self
-            .groups_of(job)
-            .flat_map(|(key, runs)| keys(key, runs))
-            .collect();
+        let mut runs: Vec<_> = self.iter_job(job).collect();
         runs.sort();
         runs
     }
 
+    /// Returns the runs of a job, ordered by step and task.
+    pub(super) fn iter_job(&self, job: &JobId) -> impl Iterator<Item = (WorkerId, TaskKey)> {
+        let groups = self.groups_of(job);
+        groups.flat_map(|(key, runs)| keys(key, runs))
+    }
+
     /// Returns the runs of a step, ordered by worker.
     pub(super) fn of_group(&self, key: &GroupKey) -> Vec<(WorkerId, TaskKey)> {
         let runs = self.0.get(key).into_iter();
--- a/crates/stairstalld/src/intake.rs
+++ b/crates/stairstalld/src/intake.rs
@@ -119,6 +119,9 @@
     by_id: BTreeMap<u64, Entry>,
     next_id: u64,
     body_bytes: usize,
+    /// Connections that were closed or refused so far.
+    closed: u64,
+    refused: u64,
 }
 
 impl Entries {
@@ -128,17 +131,21 @@
     }
 
     /// Closes the connection that has been unfinished for longest among those that pass a test.
-    /// Returns which it was.
-    fn close_oldest(&mut self, test: impl Fn(&Entry) -> bool) -> Option<u64> {
+    /// Returns whether there was one.
+    fn close_oldest(&mut self, test: impl Fn(&Entry) -> bool) -> bool {
         let unfinished = self
             .by_id
             .iter_mut()
             .filter(|(_, entry)| !entry.is_closing && entry.phase != Phase::Handling)
             .filter(|(_, entry)| test(entry));
-        let (id, oldest) = unfinished.min_by_key(|(id, entry)| (entry.since, **id))?;
+        let oldest = unfinished.min_by_key(|(id, entry)| (entry.since, **id));
+        let Some((_, oldest)) = oldest else {
+            return false;
+        };
         oldest.is_closing = true;
         oldest.close.notify_one();
-        Some(*id)
+        self.closed += 1;
+        true
     }
 }
 
@@ -172,7 +179,6 @@
 pub(crate) struct Intake {
     limits: IntakeLimits,
     entries: Mutex<Entries>,
-    counts: Mutex<(u64, u64)>,
     /// Told whenever bytes are free again.
     released: Notify,
 }
@@ -182,7 +188,6 @@
         Arc::new(Self {
             limits,
             entries: Mutex::default(),
-            counts: Mutex::default(),
             released: Notify::new(),
         })
     }
@@ -193,13 +198,12 @@
 
     /// Returns how much callers hold now.
     pub(crate) fn in_use(&self) -> IntakeUse {
-        let (closed, refused) = *lock(&self.counts);
         let entries = self.entries();
         IntakeUse {
             connections: entries.by_id.len(),
             body_bytes: entries.body_bytes,
-            closed,
-            refused,
+            closed: entries.closed,
+            refused: entries.refused,
         }
     }
 
@@ -211,12 +215,10 @@
     /// there are too many. Returns `None` if the requests of all others are being handled.
     pub(crate) fn admit(self: &Arc<Self>) -> Option<OpenConnection> {
         let mut entries = self.entries();
-        if entries.open() >= self.limits.connections {
-            if entries.close_oldest(|_| true).is_none() {
-                lock(&self.counts).1 += 1;
-                return None;
-            }
-            lock(&self.counts).0 += 1;
+        let is_full = entries.open() >= self.limits.connections;
+        if is_full && !entries.close_oldest(|_| true) {
+            entries.refused += 1;
+            return None;
         }
         let id = entries.next_id;
         entries.next_id += 1;
@@ -362,9 +364,8 @@
             }
             let holds_body =
                 |entry: &Entry| entry.phase == Phase::ReadingBody && entry.body_bytes > 0;
-            match entries.close_oldest(holds_body) {
-                Some(_) => lock(&self.intake.counts).0 += 1,
-                None => return Ok(false),
+            if !entries.close_oldest(holds_body) {
+                return Ok(false);
             }
         }
     }
