test: the play of the site's work checks the workers' promises too, and reads in steps

What it printed before, it now asserts: no promise that workers saw broken, and each job whose tasks are done is shown as completed.

--- a/crates/stairstalld/tests/site/idle.rs
+++ b/crates/stairstalld/tests/site/idle.rs
@@ -15,8 +15,6 @@
 struct Watched {
     job: Job,
     idle_since: Option<Instant>,
-    /// The longest time that it stood still so far.
-    longest: Duration,
     is_reported: bool,
 }
 
@@ -67,7 +65,6 @@
         let watched = Watched {
             job,
             idle_since: None,
-            longest: Duration::ZERO,
             is_reported: false,
         };
         self.open.insert(watched.job.id.clone(), watched);
@@ -105,58 +102,45 @@
             .map(job_of)
             .collect();
         let done = done_tasks(records);
-        let half_empty_since = if used_share < 0.5 {
-            Some(*self.half_empty_since.get_or_insert(now))
-        } else {
-            None
-        };
-        self.half_empty_since = half_empty_since;
+        self.half_empty_since =
+            (used_share < 0.5).then(|| *self.half_empty_since.get_or_insert(now));
+        let none = BTreeSet::new();
         for watched in self.open.values_mut() {
             let id = watched.job.id.as_str();
-            let none = BTreeSet::new();
-            let step = due_step(&watched.job, done.get(id).unwrap_or(&none));
-            let fits = step.is_some_and(|step| {
-                let count = if step.gang { step.count } else { 1 };
-                room(free, step).0 >= 2 * count
-            });
-            if running.contains(id) || !fits {
+            let step = due_step(&watched.job, done.get(id).unwrap_or(&none)).cloned();
+            let step = step.filter(|step| !running.contains(id) && fits_twice(free, step));
+            let Some(step) = step else {
                 watched.idle_since = None;
                 watched.is_reported = false;
                 continue;
-            }
+            };
             let since = *watched.idle_since.get_or_insert(now);
-            let stood = now - since;
-            watched.longest = watched.longest.max(stood);
-            if stood <= MAX_IDLE || watched.is_reported {
+            if now - since <= MAX_IDLE || watched.is_reported {
                 continue;
             }
             watched.is_reported = true;
             let runs = records.iter().filter(|record| job_of(record) == id).count();
-            let step = step.expect("it fits");
-            let (total, best) = room(free, step);
+            let (total, best) = room(free, &step);
+            let Job { kind, customer, .. } = &watched.job;
             self.found.push(Idle {
                 id: id.to_owned(),
-                since: stood,
+                since: now - since,
                 what: format!(
-                    "{} of customer {}: {} tasks of {:?}, gang {}, one rack {}, near {:?}, spread {:?}, \
-                     estimate {} ms, {runs} runs so far; room for {total}, {best} on its rack; {:.2} in use",
-                    watched.job.kind,
-                    watched.job.customer,
-                    step.count,
-                    step.needs,
-                    step.gang,
-                    step.same_rack,
-                    step.near,
-                    step.spread,
-                    step.estimate_ms,
-                    used_share
+                    "{kind} of customer {customer}, {runs} runs so far; room for {total}, {best} on its rack; \
+                     {used_share:.2} in use; {step:?}"
                 ),
-                fleet_half_empty: half_empty_since.is_some_and(|half| half <= since),
+                fleet_half_empty: self.half_empty_since.is_some_and(|half| half <= since),
             });
         }
     }
 }
 
+/// Returns whether one task of a step, or its whole gang, fits on the free capacity twice over.
+fn fits_twice(free: &[FreeCapacity], step: &Step) -> bool {
+    let count = if step.gang { step.count } else { 1 };
+    room(free, step).0 >= 2 * count
+}
+
 /// Returns by job which of its tasks were done, by step and index.
 fn done_tasks(records: &[RunRecord]) -> BTreeMap<&str, BTreeSet<(usize, &str)>> {
     let mut done: BTreeMap<&str, BTreeSet<(usize, &str)>> = BTreeMap::new();
--- a/crates/stairstalld/tests/site/mixed_work.rs
+++ b/crates/stairstalld/tests/site/mixed_work.rs
@@ -17,6 +17,10 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// How long after the traffic jobs may take to end.
 const FINISH: Duration = Duration::from_secs(14);
+/// How long a planner has before jobs come.
+const BEFORE_TRAFFIC: Duration = Duration::from_secs(4);
+/// Accelerators of a worker.
+const ACCELERATORS: usize = 8;
 const DEADLINE: Duration = Duration::from_secs(3);
 const SEEDS: [u64; 1] = [5];
 const SECONDS: u64 = 20;
@@ -127,81 +131,81 @@
     sent.spawn(async move { callers.submit(at, job).await });
 }
 
-async fn play(seed: u64, seconds: u64, limits_processors: bool) -> Vec<Idle> {
+/// Hands jobs in and watches them until all have ended, or for [`FINISH`] after the traffic.
+async fn play(seed: u64, seconds: u64, limits_processors: bool) -> Play {
     let site = Site::start(limits_processors).await;
     let shared = Arc::<Shared>::default();
+    let load_percent = number("STAIRSTALL_SITE_LOAD", LOAD_PERCENT);
     let callers = Arc::new(Callers {
         http: HttpClient::new(Duration::from_millis(500), 4),
         addresses: site.daemons.iter().map(|daemon| daemon.address).collect(),
         shared: Arc::clone(&shared),
-        load_percent: u32::try_from(number("STAIRSTALL_SITE_LOAD", LOAD_PERCENT)).unwrap_or(100),
+        load_percent: u32::try_from(load_percent).unwrap_or(100),
     });
-    tokio::time::sleep(Duration::from_secs(4)).await;
-    let begun = Instant::now();
-    let until = begun + Duration::from_secs(seconds);
+    tokio::time::sleep(BEFORE_TRAFFIC).await;
+    let traffic_ends = Instant::now() + Duration::from_secs(seconds);
     let mut traffic = JoinSet::new();
     for kind in &KINDS {
-        traffic.spawn(hand_in(Arc::clone(&callers), kind, seed, until));
+        traffic.spawn(hand_in(Arc::clone(&callers), kind, seed, traffic_ends));
     }
     let mut asking = JoinSet::new();
-    let mut used_shares = Vec::new();
-    loop {
+    while !is_over(&shared, traffic_ends) {
         tokio::time::sleep(CHECK_INTERVAL).await;
-        let records = site.workers.records();
-        let free = site.workers.free_capacity();
-        let free_gpu: u64 = free.iter().map(|worker| worker.free.gpu).sum();
-        #[allow(clippy::cast_precision_loss, reason = "a few thousand accelerators")]
-        let used = 1.0 - free_gpu as f64 / (free.len().max(1) * 8) as f64;
-        used_shares.push(used);
-        let done = {
-            let mut idle = lock(&shared.idle);
-            let done = idle.take_done(&records);
-            idle.check(&records, &free, used);
-            done
-        };
-        for (number, job) in done.into_iter().enumerate() {
+        for (number, job) in check(&site, &shared).into_iter().enumerate() {
             let callers = Arc::clone(&callers);
             asking.spawn(async move { callers.ask(number, job).await });
         }
-        let over = begun.elapsed().as_secs() >= seconds;
-        let open = lock(&shared.idle).open();
-        if over && (open == 0 || begun.elapsed() > Duration::from_secs(seconds) + FINISH) {
-            break;
-        }
     }
     while traffic.join_next().await.is_some() {}
-    let mut wrong = Vec::new();
+    let mut broken: Vec<String> = site
+        .workers
+        .violations()
+        .iter()
+        .map(ToString::to_string)
+        .collect();
     while let Some(ended) = asking.join_next().await {
-        wrong.extend(ended.expect("it asks"));
+        broken.extend(ended.expect("it asks"));
     }
     let idle = lock(&shared.idle);
-    let used: Vec<String> = used_shares
-        .iter()
-        .step_by(8)
-        .map(|used| format!("{used:.2}"))
-        .collect();
     println!(
-        "seed {seed}: {} ended, {} open; answers {:?}; in use {}; runs {}; broken {:?}; not shown {wrong:?}",
+        "seed {seed}: {} ended, {} open; answers {:?}; {} runs",
         idle.ended,
         idle.open(),
         lock(&shared.answers),
-        used.join(" "),
         site.workers.records().len(),
-        site.workers.violations().len(),
     );
-    for found in &idle.found {
-        let half = if found.fleet_half_empty {
-            "HALF EMPTY"
-        } else {
-            ""
-        };
-        println!(
-            "IDLE {half} {} for {:?}: {}",
-            found.id, found.since, found.what
-        );
-    }
     keep_logs(&site, seed);
-    idle.found.clone()
+    Play {
+        idle: idle.found.clone(),
+        broken,
+    }
+}
+
+/// What a play has found.
+struct Play {
+    idle: Vec<Idle>,
+    /// Promises that workers saw broken, and jobs that were not shown as completed.
+    broken: Vec<String>,
+}
+
+fn is_over(shared: &Shared, traffic_ends: Instant) -> bool {
+    let has_open = lock(&shared.idle).open() > 0;
+    let now = Instant::now();
+    now >= traffic_ends && (!has_open || now >= traffic_ends + FINISH)
+}
+
+/// Notes which jobs stand still; returns those whose tasks are all done.
+fn check(site: &Site, shared: &Shared) -> Vec<Job> {
+    let records = site.workers.records();
+    let free = site.workers.free_capacity();
+    let free_accelerators: u64 = free.iter().map(|worker| worker.free.gpu).sum();
+    let accelerators = free.len().max(1) * ACCELERATORS;
+    #[allow(clippy::cast_precision_loss, reason = "a few thousand accelerators")]
+    let used_share = 1.0 - free_accelerators as f64 / accelerators as f64;
+    let mut idle = lock(&shared.idle);
+    let done = idle.take_done(&records);
+    idle.check(&records, &free, used_share);
+    done
 }
 
 fn keep_logs(site: &Site, seed: u64) {
@@ -245,11 +249,20 @@
     }
     let limits = std::env::var("STAIRSTALL_SITE_LIMITS").is_ok();
     for seed in seeds {
-        let found = play(seed, number("STAIRSTALL_SITE_SECONDS", SECONDS), limits).await;
-        assert!(
-            found.is_empty(),
-            "seed {seed}: {} jobs stood still",
-            found.len()
-        );
+        let play = play(seed, number("STAIRSTALL_SITE_SECONDS", SECONDS), limits).await;
+        for found in &play.idle {
+            let half = if found.fleet_half_empty {
+                "HALF EMPTY "
+            } else {
+                ""
+            };
+            println!(
+                "IDLE {half}{} for {:?}: {}",
+                found.id, found.since, found.what
+            );
+        }
+        assert!(play.broken.is_empty(), "seed {seed}: {:#?}", play.broken);
+        let idle = play.idle.len();
+        assert!(idle == 0, "seed {seed}: {idle} jobs stood still");
     }
 }
