fix(server): a body that is announced too long is read to the limit before it is refused

What callers saw: a caller whose body is longer than allowed could lose the 413: the connection was closed while it still sent (BrokenPipe). Cause: refused by the announced length, before anything was read; the code before read up to the limit. What is read counts as held, as before.

--- a/crates/stairstalld/src/request_body.rs
+++ b/crates/stairstalld/src/request_body.rs
@@ -1,7 +1,6 @@
 //! Reads request bodies into one piece of memory that counts.
 
 use bytes::Bytes;
-use http_body::Body as _;
 use http_body_util::BodyExt;
 use stairstall_http::BodyBuffer;
 use viz::{Body, Request};
@@ -42,9 +41,6 @@
     limit: usize,
     handle: Option<&ConnectionHandle>,
 ) -> Result<Bytes, BodyError> {
-    if body.size_hint().lower() > limit as u64 {
-        return Err(BodyError::TooLong);
-    }
     let too_long = |_| BodyError::TooLong;
     let mut buffer = BodyBuffer::new(limit);
     while let Some(frame) = body.frame().await {
