fix(core): a date that a gang has missed keeps its workers from no idle job

Cause: a gang that is expected to start within a second keeps its workers also from a job that has had nothing running for too long; a gang that is stopped again and again is expected so each time. Class: a preference that may last without a bound becomes a refusal.

The gang's step notes when its workers were first kept in that way; a second and a half later it keeps them from idle jobs no more, whatever dates follow.

idle_jobs::no_job_is_idle_behind_urgent_gangs failed before and passes; all idle_jobs and turns pass but for with_learnt_run_times_too…, red before too.

--- a/crates/stairstall-core/src/batch/planner/job.rs
+++ b/crates/stairstall-core/src/batch/planner/job.rs
@@ -72,6 +72,9 @@
     pub(super) last_failed_gang_run: u32,
     /// When it became ready to start.
     pub(super) ready_since: Option<Timestamp>,
+    /// When its reserved workers were first kept also from jobs that had nothing running for too
+    /// long.
+    pub(super) bound_since: Option<Timestamp>,
     /// Highest progress that a run has reported, in percent.
     pub(super) percent: u8,
     /// The adviser's answers, if the queue requires tickets.
--- a/crates/stairstall-core/src/batch/planner/placement/reservations.rs
+++ b/crates/stairstall-core/src/batch/planner/placement/reservations.rs
@@ -28,6 +28,9 @@
 /// nothing running for too long.
 const BINDING_RESERVATION: Duration = Duration::from_secs(1);
 
+/// How long after such a date a gang has missed it. The workers' stops and reports take a moment.
+const MISSED_AFTER: Duration = Duration::from_millis(500);
+
 /// The workers on which a waiting gang can start earliest, and when.
 #[derive(Debug, Clone)]
 pub(in crate::batch::planner) struct Reservation {
@@ -89,7 +92,15 @@
                 }),
                 workers: found.workers,
             };
+            let starts_soon = reservation.expected_start <= now.at + BINDING_RESERVATION;
             self.reservations.insert(key.clone(), reservation);
+            let group = self
+                .jobs
+                .get_mut(&key.job)
+                .and_then(|job| job.group_mut(key));
+            if let Some(group) = group.filter(|_| starts_soon) {
+                group.bound_since.get_or_insert(now.at);
+            }
         }
         if let Some(reservation) = self.reservations.get(key) {
             reserved.add(candidate, reservation);
@@ -139,13 +150,24 @@
         let Some(reserving) = reserved.workers.get(id) else {
             return true;
         };
-        let starts_soon = reserving.backfill_until <= now.at + BINDING_RESERVATION;
-        if reserving.yields_to(candidate) || !scope.yields && !starts_soon {
+        let is_binding = scope.yields || self.is_binding(reserving, now);
+        if reserving.yields_to(candidate) || !is_binding {
             return true;
         }
         self.ends_by(reserving.backfill_until, candidate, step, id, now)
     }
 
+    /// Returns whether a gang keeps its workers also from a job that has had nothing running for too
+    /// long: it is expected to start soon, and has not missed such a date before. A gang that is
+    /// stopped again and again would otherwise keep them from that job for good.
+    fn is_binding(&self, reserving: &ReservingGang, now: Now) -> bool {
+        let starts_soon = reserving.backfill_until <= now.at + BINDING_RESERVATION;
+        let bound_since = self.group_of(&reserving.gang).and_then(|g| g.bound_since);
+        let has_missed =
+            bound_since.is_some_and(|since| now.at - since > BINDING_RESERVATION + MISSED_AFTER);
+        starts_soon && !has_missed
+    }
+
     /// Returns whether a task of a step should end by a deadline on a worker, judged by the 90th
     /// percentile of its run time.
     fn ends_by(
