--- a/crates/stairstall-core/src/batch/planner/candidate_worker.rs
+++ b/crates/stairstall-core/src/batch/planner/candidate_worker.rs
@@ -18,8 +18,10 @@
     pub(super) near: bool,
     /// Whether runs of less urgent ranks may be preempted.
     pub(super) preempts: bool,
-    /// Whether the step leaves headroom and the reservations of gangs that come before it alone.
+    /// Whether the step leaves headroom alone, and workers that may be unhealthy.
     pub(super) yields: bool,
+    /// Whether the step leaves the reservations of gangs that come before it alone.
+    pub(super) keeps_reservations: bool,
 }
 
 impl SearchScope {
@@ -28,6 +30,7 @@
         near: true,
         preempts: false,
         yields: true,
+        keeps_reservations: true,
     };
 
     /// Free capacity anywhere.
@@ -36,13 +39,20 @@
         ..Self::NEAR
     };
 
-    /// Free capacity anywhere, whatever it is kept for: for a job that has had nothing running for
+    /// Free capacity anywhere that no gang has reserved: for a job that has had nothing running for
     /// too long.
-    pub(super) const WHATEVER_IS_FREE: Self = Self {
+    pub(super) const UNRESERVED: Self = Self {
         yields: false,
         ..Self::ANYWHERE
     };
 
+    /// Free capacity anywhere, whatever it is kept for: for such a job while most of its service is
+    /// free.
+    pub(super) const WHATEVER_IS_FREE: Self = Self {
+        keeps_reservations: false,
+        ..Self::UNRESERVED
+    };
+
     /// Returns this scope with the capacity that preemption frees.
     pub(super) const fn preempting(self) -> Self {
         Self {
--- a/crates/stairstall-core/src/batch/planner/idle_jobs.rs
+++ b/crates/stairstall-core/src/batch/planner/idle_jobs.rs
@@ -90,21 +90,29 @@
         open.filter(|job| job.idle_reported).count()
     }
 
-    /// Returns whether a step may use all free capacity because its job has had nothing running for
-    /// too long.
+    /// Returns which free capacity a step may use because its job has had nothing running for too
+    /// long, or `None` if it has not.
     ///
-    /// What the planner prefers (workers near the data, headroom, reservations, workers that have
-    /// done such work) makes this job faster, or others. Where most of the fleet is free, none of it
-    /// may delay a job that could run for longer than this.
-    pub(super) fn is_idle_for_too_long(
+    /// What the planner prefers (workers near the data, headroom, workers that have done such work)
+    /// makes this job faster, or others. It may delay no job that could run for longer than this,
+    /// however full the service is. Where most of the service is free, neither may a reservation.
+    pub(super) fn idle_scope(
         &self,
         candidate: &Candidate,
         pass: &mut Pass,
         now: Now,
-    ) -> bool {
-        self.idle_time(&candidate.key.job, now) >= self.policy.placement.max_idle
-            && self.is_mostly_free(&candidate.key, pass)
-            && self.fits_beside_others(&candidate.key, pass)
+    ) -> Option<SearchScope> {
+        let policy = &self.policy.placement;
+        let idle_time = self.idle_time(&candidate.key.job, now);
+        if idle_time < policy.max_idle.min(policy.max_idle_when_busy) {
+            return None;
+        }
+        let (limit, scope) = if self.is_mostly_free(&candidate.key, pass) {
+            (policy.max_idle, SearchScope::WHATEVER_IS_FREE)
+        } else {
+            (policy.max_idle_when_busy, SearchScope::UNRESERVED)
+        };
+        (idle_time >= limit && self.fits_beside_others(&candidate.key, pass)).then_some(scope)
     }
 
     /// Returns whether under half of a step's service is in use, by its accelerators or, where it has
--- a/crates/stairstall-core/src/batch/planner/placement/reservations.rs
+++ b/crates/stairstall-core/src/batch/planner/placement/reservations.rs
@@ -150,7 +150,7 @@
         let Some(reserving) = reserved.workers.get(id) else {
             return true;
         };
-        let is_binding = scope.yields || self.is_binding(reserving, now);
+        let is_binding = scope.keeps_reservations || self.is_binding(reserving, now);
         if reserving.yields_to(candidate) || !is_binding {
             return true;
         }
--- a/crates/stairstall-core/src/batch/planner/placement/scope.rs
+++ b/crates/stairstall-core/src/batch/planner/placement/scope.rs
@@ -34,9 +34,7 @@
                 scopes.push(SearchScope::ANYWHERE.preempting());
             }
         }
-        if self.is_idle_for_too_long(candidate, pass, now) {
-            scopes.push(SearchScope::WHATEVER_IS_FREE);
-        }
+        scopes.extend(self.idle_scope(candidate, pass, now));
         scopes
     }
 
--- a/crates/stairstall-core/src/batch/policy/planner.rs
+++ b/crates/stairstall-core/src/batch/policy/planner.rs
@@ -23,6 +23,10 @@
     /// platform counts the job as lost: a pass and a start come on top.
     #[serde(with = "super::millis")]
     pub max_idle: Duration,
+    /// The same while half of the service or more is in use. Longer, since what the job takes then
+    /// is likely to be preempted by urgent work.
+    #[serde(with = "super::millis")]
+    pub max_idle_when_busy: Duration,
     /// How long other work waits for a worker that is not suspect.
     #[serde(rename = "suspect_patience", with = "super::millis")]
     pub suspect_wait: Duration,
@@ -66,6 +70,7 @@
             locality_wait_urgent: Duration::from_millis(900),
             rack_return_wait: Duration::from_secs(2),
             max_idle: Duration::from_secs(2),
+            max_idle_when_busy: Duration::from_millis(2_400),
             suspect_wait: Duration::from_secs(3),
             suspect_wait_urgent: Duration::from_secs(1),
             reserve_after: Duration::from_millis(1_500),
--- a/crates/stairstall-core/tests/batch/idle_jobs.rs
+++ b/crates/stairstall-core/tests/batch/idle_jobs.rs
@@ -172,6 +172,64 @@
     assert!(waited < MAX_IDLE_MS, "it waited {waited} ms");
 }
 
+/// The same with more than half of the fleet in use.
+#[test]
+fn headroom_holds_no_job_back_for_long_in_a_busy_fleet() {
+    let bounds = Bounds {
+        stop_max: Duration::from_secs(2),
+        ..bounds()
+    };
+    let mut fleet = fleet(10, VmLimits::default(), bounds);
+    hand_in(
+        &mut fleet,
+        job("most", 1, vec![lasting(60_000, step(500, 1))]),
+    );
+    let mut ticks = 0;
+    let mut keep_coming = |fleet: &mut Fleet| {
+        match ticks % 5 {
+            0 => hand_in(fleet, job(&format!("u{ticks}"), 0, vec![step(5, 8)])),
+            2 => end_urgent(fleet),
+            _ => {}
+        }
+        ticks += 1;
+    };
+    for _ in 0..100 {
+        keep_coming(&mut fleet);
+        fleet.pass(TICK_MS);
+    }
+    hand_in(&mut fleet, job("low", 2, vec![lasting(1_000, step(1, 1))]));
+    let waited = wait_of_with(&mut fleet, "low", keep_coming);
+    assert!(waited < MAX_IDLE_MS, "it waited {waited} ms");
+}
+
+/// Ends the runs of all jobs whose names say that they are urgent.
+fn end_urgent(fleet: &mut Fleet) {
+    let workers = fleet.workers.values();
+    let running = workers.flat_map(|worker| worker.running.keys());
+    let urgent = running.filter(|task| task.group.job.as_str().starts_with('u'));
+    let urgent: Vec<TaskKey> = urgent.cloned().collect();
+    for task in urgent {
+        fleet.end_everywhere(&task, RunEndKind::Done);
+    }
+}
+
+/// Each rack has some room, but none has enough.
+#[test]
+fn a_gang_that_wants_one_rack_goes_on_several_in_time_in_a_busy_fleet() {
+    let mut fleet = usual_fleet(4);
+    for rack in 0..4 {
+        let name = format!("some-{rack}");
+        let near = near(&format!("r{rack}"), lasting(60_000, step(50, 1)));
+        hand_in(&mut fleet, job(&name, 1, vec![near]));
+    }
+    fleet.pass(TICK_MS);
+    let mut wide = gang(40, 1);
+    wide.same_rack = true;
+    hand_in(&mut fleet, job("wide", 1, vec![lasting(15_000, wide)]));
+    let waited = wait_of(&mut fleet, "wide");
+    assert!(waited < MAX_IDLE_MS, "it waited {waited} ms");
+}
+
 /// A gang that can't start reserves workers on which smaller work would fit.
 #[test]
 fn a_reservation_holds_no_job_back_for_long() {
