--- a/crates/stairstall-core/tests/batch/idle_jobs.rs
+++ b/crates/stairstall-core/tests/batch/idle_jobs.rs
@@ -16,10 +16,13 @@
 
 /// How long the platform lets a job have nothing running although there is capacity for it twice
 /// over.
-const MAX_IDLE_MS: u64 = 3_000;
+pub(crate) const MAX_IDLE_MS: u64 = 3_000;
 const TICK_MS: u64 = 100;
 /// How long a job is given until it must have started in these tests.
-const PATIENCE_MS: u64 = 20_000;
+pub(crate) const PATIENCE_MS: u64 = 20_000;
+/// How long each planner has the role: just under its own bound on idle time.
+const TENURE_MS: u64 = 1_900;
+const PLANNER_CHANGES: u32 = 3;
 
 /// Racks of ten workers with 8 accelerators each.
 fn racks(count: usize) -> Vec<(String, String)> {
@@ -146,6 +149,25 @@
     assert!(waited < MAX_IDLE_MS, "it waited {waited} ms");
 }
 
+/// Each successor starts the job's idle time anew.
+#[test]
+fn changes_of_planner_hold_no_job_back_for_long() {
+    let mut fleet = usual_fleet(4);
+    let full = job("full", 1, vec![near("r0", step(80, 1))]);
+    let wide = job("wide", 1, vec![near("r0", lasting(15_000, gang(20, 1)))]);
+    hand_in(&mut fleet, full.clone());
+    fleet.pass(TICK_MS);
+    hand_in(&mut fleet, wide.clone());
+    let handed_in = fleet.at_ms;
+    for _ in 0..PLANNER_CHANGES {
+        fleet.pass(TENURE_MS);
+        fleet.succeed(&[full.clone(), wide.clone()]);
+    }
+    wait_of(&mut fleet, "wide");
+    let waited = fleet.at_ms - handed_in;
+    assert!(waited < MAX_IDLE_MS, "it waited {waited} ms");
+}
+
 /// Urgent work that ends soon keeps almost all workers free for more of it.
 #[test]
 fn headroom_holds_no_job_back_for_long() {
