--- a/crates/stairstalld/src/batch/role/tests.rs
+++ b/crates/stairstalld/src/batch/role/tests.rs
@@ -17,6 +17,7 @@
     WatchBatch, WorkerAddress, WorkerCalls, WorkerFault,
 };
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 
 use super::super::node::Node;
 use super::super::settings::BatchSettings;
@@ -89,11 +90,41 @@
     }
 }
 
-/// The platform's store with a trap.
+/// Holds back listings of jobs while it is closed.
+#[derive(Debug, Default)]
+struct Gate {
+    closed: watch::Sender<bool>,
+    waiting: AtomicU32,
+}
+
+impl Gate {
+    fn close(&self) {
+        self.closed.send_replace(true);
+    }
+
+    fn open(&self) {
+        self.closed.send_replace(false);
+    }
+
+    fn is_waited_for(&self) -> bool {
+        self.waiting.load(Ordering::SeqCst) > 0
+    }
+
+    async fn pass(&self) {
+        self.waiting.fetch_add(1, Ordering::SeqCst);
+        let mut closed = self.closed.subscribe();
+        // The sender is in this gate, so it outlasts the wait.
+        let _ = closed.wait_for(|closed| !closed).await;
+        self.waiting.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+/// The platform's store with a trap and a gate.
 #[derive(Debug)]
 struct TrappedStore {
     store: PlatformStore,
     trap: Arc<Trap>,
+    gate: Arc<Gate>,
 }
 
 impl SharedStore for TrappedStore {
@@ -111,7 +142,12 @@
         after: &'a str,
         timeout: Duration,
     ) -> BoxFuture<'a, Result<Page, StoreFault>> {
-        self.store.range(prefix, after, timeout)
+        Box::pin(async move {
+            if prefix == crate::keys::JOBS {
+                self.gate.pass().await;
+            }
+            self.store.range(prefix, after, timeout).await
+        })
     }
 
     fn watch<'a>(
@@ -190,6 +226,7 @@
 struct Planning {
     node: Arc<Node>,
     trap: Arc<Trap>,
+    gate: Arc<Gate>,
     workers: StandinWorkers,
     address: String,
     http: HttpClient,
@@ -198,13 +235,18 @@
 
 impl Planning {
     async fn start(call: Call) -> Self {
+        Self::start_with(call, &configuration(1)).await
+    }
+
+    async fn start_with(call: Call, configuration: &Value) -> Self {
         let store = StandinStore::start().await.expect("a store");
-        store.put(PlatformDialect.configuration_key(), &configuration(1));
+        store.put(PlatformDialect.configuration_key(), configuration);
         let workers = StandinWorkers::start(&store, "desk", 4)
             .await
             .expect("workers");
         let trap = Trap::new(call);
-        let node = Arc::new(build_node(&store, &trap));
+        let gate = Arc::new(Gate::default());
+        let node = Arc::new(build_node(&store, &trap, &gate));
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address").to_string();
         let server = viz::Server::new(listener, caller_api::router(&node));
@@ -213,6 +255,7 @@
         let planning = Self {
             node,
             trap,
+            gate,
             workers,
             address,
             http: HttpClient::new(Duration::from_millis(500), 4),
@@ -283,7 +326,7 @@
     configuration
 }
 
-fn build_node(store: &StandinStore, trap: &Arc<Trap>) -> Node {
+fn build_node(store: &StandinStore, trap: &Arc<Trap>, gate: &Arc<Gate>) -> Node {
     let local = "127.0.0.1:0";
     let address = store.address().to_string();
     let lease_ms = ROLE_LEASE.as_millis().to_string();
@@ -314,6 +357,7 @@
     let store = TrappedStore {
         store: PlatformStore::new(http.clone(), address, settings.store_timeout),
         trap: Arc::clone(trap),
+        gate: Arc::clone(gate),
     };
     let workers = TrappedWorkers {
         workers: PlatformWorkers::new(http),
@@ -441,3 +485,22 @@
     let passed = planning.trap.passed();
     wait_until("the next watch", || planning.trap.passed() > passed).await;
 }
+
+/// The planner takes the configuration as its tenure begins, and later ones only once that has loaded the jobs.
+#[tokio::test]
+async fn a_configuration_that_comes_into_force_while_a_tenure_loads_reaches_its_planner() {
+    let mut without_workers = configuration(1);
+    without_workers["routes"][0]["service"] = json!("elsewhere");
+    let planning = Planning::start_with(Call::RenewLease, &without_workers).await;
+    let tenure = planning.node.tenure().expect("it plans");
+    planning.gate.close();
+    tenure.end("the test says so");
+    wait_until("the load", || planning.gate.is_waited_for()).await;
+    let key = PlatformDialect.configuration_key();
+    planning.store.put(key, &configuration(2));
+    let is_in_force = || planning.node.catalog_version() == 2;
+    wait_until("the configuration", is_in_force).await;
+    planning.gate.open();
+    planning.wait_for_tenure_after(tenure.token()).await;
+    planning.finish_job("0000000000000001").await;
+}
