fix(batch): a configuration that comes into force while a tenure loads reaches its planner

What callers saw: a job whose queue only the newer configuration sends to a service with workers stayed queued until the next version, or for good. Cause: a tenure takes the configuration when it begins and is told of later ones only once it has loaded; what came into force in between (0.05 to 1 s) was told to nobody. Class: a gap between a copy and the subscription to its changes.

A tenure takes the configuration again once it can be told of changes.

--- a/crates/stairstalld/src/batch/tenure.rs
+++ b/crates/stairstalld/src/batch/tenure.rs
@@ -367,6 +367,10 @@
     } = load_state(node, tenure).await;
     tenure.loaded.store(true, Ordering::Release);
     node.set_tenure(Some(Arc::clone(tenure)));
+    // A configuration that came into force while this was loading found no tenure to tell.
+    if let Some(catalog) = node.current_catalog() {
+        tenure.set_catalog(catalog);
+    }
     let took = node.clock.now() - started;
     node.telemetry.takeover(took);
     let (open_jobs, _) = tenure.load_counts();
