test: the plays of planned work take the large site's shape: zones, VMs, jobs and troubles

Adds a shape to planned_work: five zones, strong and small VMs, 1,100 workers in racks of 20, three kinds of jobs, cancellations and jobs that can't be done, and troubles of the store, zones, workers and all daemons at once. Each form of LOST is a check. The stand-in's workers can leave on notice and fail what they run.

--- a/crates/stairstalld/tests/planned/main.rs
+++ b/crates/stairstalld/tests/planned/main.rs
@@ -4,6 +4,12 @@
 
 #[path = "../batch/cluster.rs"]
 mod cluster;
+#[path = "../site/idle.rs"]
+#[allow(dead_code, reason = "which steps are due and fit is all that is used")]
+mod idle;
+#[path = "../site/jobs.rs"]
+#[allow(dead_code, reason = "the site program uses the rest")]
+mod jobs;
 mod planned_stop;
 mod planned_work;
 mod stalled_stop;
--- a/crates/stairstalld/tests/planned/planned_work.rs
+++ b/crates/stairstalld/tests/planned/planned_work.rs
@@ -9,6 +9,8 @@
 //! `STAIRSTALL_PLANNED_SHAPE=grown` plays as many daemons, workers and callers as a grown site has;
 //! with `STAIRSTALL_PLANNED_IDS=shared` a worker begins each life under its ID.
 //! `STAIRSTALL_PLANNED_CORE_PERCENT` gives small VMs another share of a core.
+//! `STAIRSTALL_PLANNED_SHAPE=large` plays the large site, with its zones, VMs, kinds of jobs and troubles;
+//! `STAIRSTALL_PLANNED_DAEMONS`, `_WORKERS`, `_CALLERS` and `_CALLS_PER_JOB` change a shape's size.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -25,8 +27,10 @@
 use tokio::task::JoinSet;
 
 use crate::cluster::{Daemon, configuration, configuration_with_q9};
+use crate::jobs::Job;
 
 mod calm;
+mod large;
 pub(crate) mod open_connection;
 mod processor_limit;
 mod troubles;
@@ -70,6 +74,8 @@
 /// How often the balancer asks for readiness.
 const READINESS_INTERVAL: Duration = Duration::from_secs(1);
 const ACCELERATORS: usize = 8;
+/// One question in so many cancels the job instead, in the large shape.
+const CALLS_PER_CANCELLATION: u32 = 400;
 const VIOLATIONS_SHOWN: usize = 20;
 const DEFAULT_SEEDS: [u64; 2] = [1, 2];
 const DEFAULT_SECONDS: u64 = 10;
@@ -85,6 +91,8 @@
     callers: usize,
     /// One call in so many hands a job in.
     calls_per_job: u32,
+    /// Whether it is the large site's, with its zones, VMs and jobs.
+    is_large: bool,
 }
 
 const SMALL: Shape = Shape {
@@ -92,6 +100,7 @@
     workers: 24,
     callers: 32,
     calls_per_job: 8,
+    is_large: false,
 };
 
 const GROWN: Shape = Shape {
@@ -99,15 +108,20 @@
     workers: 350,
     callers: 97,
     calls_per_job: 6,
+    is_large: false,
 };
 
 /// What callers know of a job.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct Accepted {
     at: Instant,
     tasks: usize,
     /// Since when none of its tasks has been running, if it is open.
     idle_since: Option<Instant>,
+    /// The job itself, in the large shape.
+    job: Option<Arc<Job>>,
+    /// Whether its cancellation was sent.
+    is_cancelled: bool,
 }
 
 /// What callers, the balancer and the operator share.
@@ -131,6 +145,11 @@
     late: Mutex<Duration>,
     /// The logs of all daemons, also of those that have ended.
     logs: Mutex<Vec<Arc<Mutex<Vec<String>>>>>,
+    is_large: bool,
+    /// Since when under half of the accelerators have been in use, if they are.
+    half_empty_since: Mutex<Option<Instant>>,
+    /// Who accepted a job last.
+    last_acceptor: Mutex<Option<SocketAddr>>,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -236,6 +255,9 @@
         match exchange.await {
             Exchange::Answered(answer) => {
                 self.shared.count(format!("{method} {}", answer.status));
+                if method == "POST" && answer.status == 200 {
+                    *lock(&self.shared.last_acceptor) = Some(connection.address());
+                }
                 if !answer.closes {
                     self.connection = Some(connection);
                 }
@@ -274,6 +296,14 @@
 
     async fn submit(&mut self) {
         self.next_job += 1;
+        if self.shape.is_large {
+            let (path, job) = large::draw(&mut self.random, self.number, self.next_job);
+            let tasks = job.steps.iter().map(|step| step.count).sum::<u64>();
+            let tasks = usize::try_from(tasks).unwrap_or(usize::MAX);
+            let body = job.body.clone();
+            self.hand_in(path, body, tasks, Some(job)).await;
+            return;
+        }
         let id = format!("{:08x}{:08x}", self.number + 1, self.next_job);
         let queue = self.random.random_range(0..3);
         let ms = self.random.random_range(500..4_000);
@@ -286,6 +316,12 @@
         }
         let body = json!({"spec": format!("ms={ms}"), "steps": steps});
         let path = format!("/q{queue}/{id}");
+        let tasks = tasks + usize::from(follows);
+        self.hand_in(path, body, tasks, None).await;
+    }
+
+    /// Hands a job in, as often as a caller does.
+    async fn hand_in(&mut self, path: String, body: Value, tasks: usize, job: Option<Arc<Job>>) {
         for _ in 0..4 {
             let is_slow = self.random.random_range(0..5) == 0;
             let gap = is_slow.then(|| self.random.random_range(50..2_000));
@@ -294,8 +330,10 @@
             if answer.is_some_and(|(status, _)| status == 200) {
                 let accepted = Accepted {
                     at: Instant::now(),
-                    tasks: tasks + usize::from(follows),
+                    tasks,
                     idle_since: None,
+                    job,
+                    is_cancelled: false,
                 };
                 lock(&self.shared.accepted).insert(path.clone(), accepted);
                 self.own_jobs.push(path);
@@ -308,6 +346,10 @@
     async fn ask(&mut self) {
         let index = self.random.random_range(0..self.own_jobs.len());
         let path = self.own_jobs[index].clone();
+        if self.shape.is_large && self.random.random_range(0..CALLS_PER_CANCELLATION) == 0 {
+            self.cancel(&path).await;
+            return;
+        }
         let asked_at = Instant::now();
         let Some((status, body)) = self.call("GET", &path, &Value::Null, None).await else {
             return;
@@ -316,6 +358,19 @@
     }
 }
 
+impl Caller {
+    /// Cancels one of its jobs.
+    async fn cancel(&mut self, path: &str) {
+        if let Some(job) = lock(&self.shared.accepted).get_mut(path) {
+            job.is_cancelled = true;
+        }
+        let answer = self.call("DELETE", path, &Value::Null, None).await;
+        if answer.is_some_and(|(status, _)| (200..300).contains(&status)) {
+            self.workers.note_cancelled(&path[4..]);
+        }
+    }
+}
+
 /// Checks what a daemon says of an accepted job.
 fn check_state(
     shared: &Shared,
@@ -325,15 +380,24 @@
     status: u16,
     body: &[u8],
 ) {
-    let accepted = lock(&shared.accepted).get(path).copied();
-    let is_visible = accepted.is_some_and(|job| asked_at - job.at > VISIBLE_AFTER);
+    let accepted = lock(&shared.accepted).get(path).cloned();
+    if accepted.as_ref().is_some_and(|job| job.is_cancelled) {
+        return;
+    }
+    let is_visible = accepted
+        .as_ref()
+        .is_some_and(|job| asked_at - job.at > VISIBLE_AFTER);
     let state = serde_json::from_slice::<Value>(body).unwrap_or_default();
     let state = state["state"].as_str().unwrap_or_default();
     let is_unknown = matches!(status, 404 | 410) && is_visible;
     if state == "completed" {
         lock(&shared.completed).insert(path.to_owned());
     }
-    let may_fail = || workers.most_lost_under(&path[4..]) >= MAX_CRASHES;
+    let job = accepted.and_then(|accepted| accepted.job);
+    let may_fail = || match &job {
+        Some(job) => large::may_fail(workers, &workers.records(), path, job),
+        None => workers.most_lost_under(&path[4..]) >= MAX_CRASHES,
+    };
     let is_failed = state == "failed" && !may_fail();
     if is_unknown || is_failed || state == "cancelled" {
         let time = time_of_day();
@@ -355,16 +419,25 @@
 impl Site {
     async fn start(kind: Kind, shape: Shape, seed: u64) -> Self {
         let store = StandinStore::start().await.expect("a store");
-        store.put("op/config", &configuration(1));
-        let workers = if shares_ids() {
+        store.put("op/config", &configuration_of(shape.is_large, 1));
+        let workers = if shape.is_large {
+            large::start_workers(&store, shape).await
+        } else if shares_ids() {
             StandinWorkers::start(&store, "desk", shape.workers).await
         } else {
             StandinWorkers::start_with_new_ids(&store, "desk", shape.workers).await
         };
         let store = Arc::new(store);
-        let shared = Arc::<Shared>::default();
-        let starting = (0..shape.daemons).map(|_| start_daemon(kind, &store, &shared));
-        let daemons: Vec<Daemon> = join_all(starting).await;
+        let shared = Arc::new(Shared {
+            is_large: shape.is_large,
+            ..Shared::default()
+        });
+        let mut daemons: Vec<Daemon> = Vec::new();
+        while daemons.len() < shape.daemons {
+            let more = large::STARTS_AT_ONCE.min(shape.daemons - daemons.len());
+            let starting = (0..more).map(|_| start_daemon(kind, &store, &shared));
+            daemons.extend(join_all(starting).await);
+        }
         let daemons = daemons.into_iter();
         Self {
             store: Arc::clone(&store),
@@ -444,11 +517,7 @@
     /// Writes the next configuration, which adds a queue or removes it.
     fn reconfigure(&mut self) {
         self.version += 1;
-        let next = if self.version.is_multiple_of(2) {
-            configuration_with_q9(self.version)
-        } else {
-            configuration(self.version)
-        };
+        let next = configuration_of(self.shared.is_large, self.version);
         self.store.put("op/config", &next);
     }
 
@@ -461,9 +530,15 @@
             let index = self.random.random_range(0..self.daemons.len());
             match self.random.random_range(0..8) {
                 0..4 => {
-                    let series = self.random.random_range(1..=self.daemons.len() / 4);
+                    let mut series = self.random.random_range(1..=self.daemons.len() / 4);
+                    if self.shared.is_large && self.random.random_range(0..3) == 0 {
+                        series = self.daemons.len();
+                    }
                     for offset in 0..series {
                         let index = (index + offset) % self.daemons.len();
+                        if self.shared.is_large && Instant::now() >= until {
+                            break;
+                        }
                         self.stop_and_start(index, &mut in_flight);
                         let gap = self.random.random_range(0..700);
                         tokio::time::sleep(Duration::from_millis(gap)).await;
@@ -512,7 +587,7 @@
 
     /// Returns how long after the traffic jobs may take to end.
     fn finish(&self) -> Duration {
-        if !self.kind.has_stalls() {
+        if !self.kind.has_stalls() || self.shared.is_large {
             return FINISH;
         }
         if shares_ids() {
@@ -524,6 +599,7 @@
     /// Asks for every accepted job after the traffic.
     async fn check_ends(&self) {
         let until = Instant::now() + self.finish();
+        let mut answered = BTreeSet::new();
         let mut open: BTreeSet<String> = lock(&self.shared.accepted).keys().cloned().collect();
         let address = self.daemons[0].lock().await.address;
         let mut connection = OpenConnection::open(address).await.expect("a connection");
@@ -545,8 +621,12 @@
                     answer.status,
                     &answer.body,
                 );
+                answered.insert(path.clone());
                 let body: Value = serde_json::from_slice(&answer.body).unwrap_or_default();
-                if body["state"] != "completed" {
+                let is_over = lock(&self.shared.accepted).get(&path).is_some_and(|job| {
+                    job.is_cancelled || job.job.is_some() && body["state"] == "failed"
+                });
+                if body["state"] != "completed" && !is_over {
                     left.insert(path);
                 }
             }
@@ -554,6 +634,11 @@
             tokio::time::sleep(Duration::from_millis(200)).await;
         }
         for path in open {
+            // Work of the large shape may take longer; standing still is checked meanwhile.
+            if self.shared.is_large && answered.contains(&path) {
+                self.shared.count("open at the end".to_owned());
+                continue;
+            }
             let lines = self.workers.history_of(&path[4..]).join("\n");
             self.shared.report(format!("{path} has not ended\n{lines}"));
         }
@@ -567,7 +652,15 @@
         for path in lock(&self.shared.completed).iter() {
             let id = &path[4..];
             let count = done.get(id).map_or(0, BTreeSet::len);
-            let tasks = lock(&self.shared.accepted).get(path).map(|job| job.tasks);
+            let accepted = lock(&self.shared.accepted).get(path).cloned();
+            if let Some(job) = accepted.as_ref().and_then(|accepted| accepted.job.as_ref()) {
+                if !large::is_done(&records, path, job) {
+                    self.shared
+                        .report(format!("{path}: completed before all tasks are done"));
+                }
+                continue;
+            }
+            let tasks = accepted.map(|job| job.tasks);
             if tasks != Some(count) {
                 self.shared.report(format!(
                     "{path}: completed with {count} of {tasks:?} tasks done"
@@ -581,7 +674,11 @@
 async fn watch_idle_jobs(workers: Arc<StandinWorkers>, shared: Arc<Shared>) {
     loop {
         tokio::time::sleep(IDLE_CHECK_INTERVAL).await;
-        check_idle_jobs(&workers, &shared);
+        if shared.is_large {
+            large::check_idle_jobs(&workers, &shared);
+        } else {
+            check_idle_jobs(&workers, &shared);
+        }
     }
 }
 
@@ -622,13 +719,29 @@
     }
 }
 
+/// Returns a version of the configuration; every second one has a queue more.
+fn configuration_of(is_large: bool, version: u64) -> Value {
+    if is_large {
+        large::configuration(version)
+    } else if version.is_multiple_of(2) {
+        configuration_with_q9(version)
+    } else {
+        configuration(version)
+    }
+}
+
 async fn start_daemon(kind: Kind, store: &StandinStore, shared: &Arc<Shared>) -> Daemon {
     let number = shared.next_vm.fetch_add(1, Ordering::SeqCst);
-    let zone = ["zone-a", "zone-b", "zone-c"][number % 3];
     let name = format!("vm-{number}");
-    let delay = DRAIN_DELAY_MS.to_string();
-    let flags = ["--drain-delay-ms", &delay, "--config-apply-ms", "3000"];
-    let daemon = Daemon::start_in(zone, &name, store, &flags).await;
+    let daemon = if shared.is_large {
+        let flags = large::flags_of(number);
+        Daemon::start_in(large::zone_of(number), &name, store, &flags).await
+    } else {
+        let zone = ["zone-a", "zone-b", "zone-c"][number % 3];
+        let delay = DRAIN_DELAY_MS.to_string();
+        let flags = ["--drain-delay-ms", &delay, "--config-apply-ms", "3000"];
+        Daemon::start_in(zone, &name, store, &flags).await
+    };
     if let (Kind::SmallVms, Some(id)) = (kind, daemon.id()) {
         tokio::spawn(limit_processor(id, Arc::clone(shared)));
     }
@@ -757,7 +870,8 @@
     {
         println!("{cut}");
     }
-    if !violations.is_empty() {
+    let keeps_all = std::env::var("STAIRSTALL_PLANNED_LOGS").is_ok();
+    if keeps_all || !violations.is_empty() {
         keep_logs(&site, seed);
     }
     let shown = violations.iter().take(VIOLATIONS_SHOWN);
@@ -805,12 +919,25 @@
 }
 
 fn shape() -> Shape {
-    match std::env::var("STAIRSTALL_PLANNED_SHAPE").as_deref() {
+    let shape = match std::env::var("STAIRSTALL_PLANNED_SHAPE").as_deref() {
         Ok("grown") => GROWN,
+        Ok("large") => large::SHAPE,
         _ => SMALL,
+    };
+    Shape {
+        daemons: size_or("STAIRSTALL_PLANNED_DAEMONS", shape.daemons),
+        workers: size_or("STAIRSTALL_PLANNED_WORKERS", shape.workers),
+        callers: size_or("STAIRSTALL_PLANNED_CALLERS", shape.callers),
+        calls_per_job: size_or("STAIRSTALL_PLANNED_CALLS_PER_JOB", shape.calls_per_job),
+        ..shape
     }
 }
 
+fn size_or<T: std::str::FromStr>(name: &str, default: T) -> T {
+    let given = std::env::var(name).ok();
+    given.and_then(|text| text.parse().ok()).unwrap_or(default)
+}
+
 fn length(default: u64) -> Duration {
     let seconds = std::env::var("STAIRSTALL_PLANNED_SECONDS").ok();
     let seconds = seconds.and_then(|s| s.parse().ok());
--- /dev/null
+++ b/crates/stairstalld/tests/planned/planned_work/large.rs
@@ -0,0 +1,234 @@
+//! The shape of the large site: five zones, strong and small VMs, three kinds of jobs, some of which
+//! are cancelled or can't be done.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use rand::RngExt;
+use rand_pcg::Pcg64Mcg;
+use serde_json::{Value, json};
+use stairstall_platform_standin::{Capacity, Deployment, RunRecord, StandinStore, StandinWorkers};
+
+use super::{Accepted, CALM_BEFORE, MAX_CRASHES, MAX_IDLE, Shape, Shared, lock, time_of_day};
+use crate::idle::{done_tasks, due_step, fits_twice};
+use crate::jobs::{Job, Jobs, Kind, LARGE_KINDS};
+
+pub(super) const ZONES: [&str; 5] = ["zone-a", "zone-b", "zone-c", "zone-d", "zone-e"];
+/// Fewer daemons than the site's 147, which `STAIRSTALL_PLANNED_DAEMONS` can ask for.
+pub(super) const SHAPE: Shape = Shape {
+    daemons: 50,
+    workers: 1_100,
+    callers: 120,
+    calls_per_job: 45,
+    is_large: true,
+};
+const RACK: usize = 20;
+const RACKS: usize = SHAPE.workers / RACK;
+/// One VM in so many is a strong one.
+const STRONG_ONE_IN: usize = 10;
+/// One job in so many can't be done: all its runs fail, or its first task crashes its workers.
+const HOPELESS_ONE_IN: u32 = 50;
+/// How many daemons start at once.
+pub(super) const STARTS_AT_ONCE: usize = 16;
+
+/// What a VM has: percent of a core, megabytes, open files, megabits a second.
+const STRONG: [&str; 4] = ["50", "512", "8192", "200"];
+const SMALL: [&str; 4] = ["12", "160", "4100", "20"];
+
+/// Returns the zone of a VM.
+pub(super) const fn zone_of(number: usize) -> &'static str {
+    ZONES[number % ZONES.len()]
+}
+
+/// Returns the flags of a VM's daemon.
+pub(super) fn flags_of(number: usize) -> Vec<&'static str> {
+    let is_strong = (number / ZONES.len()).is_multiple_of(STRONG_ONE_IN);
+    let [cpu, memory, files, link] = if is_strong { STRONG } else { SMALL };
+    let own = [
+        "--cpu-percent",
+        cpu,
+        "--memory-mb",
+        memory,
+        "--open-files",
+        files,
+        "--link-mbps",
+        link,
+    ];
+    let times = [
+        "--hold-max-ms",
+        "6000",
+        "--stop-max-ms",
+        "400",
+        "--reclaim-ms",
+        "2900",
+        "--config-apply-ms",
+        "4000",
+        "--evacuate-ms",
+        "5000",
+        "--drain-delay-ms",
+        "2500",
+        "--far-factor",
+        "3",
+    ];
+    own.into_iter().chain(times).collect()
+}
+
+/// Returns a configuration with the site's three queues, and one more in every second version.
+pub(super) fn configuration(version: u64) -> Value {
+    let mut routes: Vec<Value> = LARGE_KINDS.iter().map(route).collect();
+    if version.is_multiple_of(2) {
+        let mut more = route(&LARGE_KINDS[2]);
+        more["name"] = json!("q9");
+        more["pathPrefix"] = json!("/q9/");
+        routes.push(more);
+    }
+    // Versions differ in a time limit too.
+    routes[0]["timeoutMs"] = json!(3_000 + version % 3 * 500);
+    json!({"version": version, "routes": routes, "services": [], "limits": {"maxBodyBytes": 262_144},
+        "tenants": [
+            {"name": "mesa", "apiKeys": ["key-mesa"], "guaranteed": {"gpu": 5_456}},
+            {"name": "fonts", "apiKeys": ["key-fonts"], "guaranteed": {"gpu": 80}}]})
+}
+
+fn route(kind: &Kind) -> Value {
+    let name = format!("q{}", kind.priority);
+    json!({"name": name, "host": "jobs.example", "pathPrefix": format!("/{name}/"), "timeoutMs": 3000,
+        "targetLatencyMs": kind.objective_ms, "priority": kind.priority, "service": "desk",
+        "attempts": kind.attempts, "stretch": kind.stretch})
+}
+
+pub(super) async fn start_workers(
+    store: &StandinStore,
+    shape: Shape,
+) -> std::io::Result<StandinWorkers> {
+    let deployment = Deployment {
+        count: shape.workers,
+        rack: RACK,
+        zones: ZONES.to_vec(),
+        capacity: Capacity {
+            cpu: 32_000,
+            mem_mb: 65_536,
+            gpu: 8,
+        },
+        hold_max: Duration::from_secs(6),
+        gang_wait: Duration::from_secs(5),
+        stop: Duration::from_millis(400),
+        far_factor: 3,
+    };
+    StandinWorkers::start_deployment(store, "desk", &deployment).await
+}
+
+/// Draws a job of a caller; the kinds come as often as at the site.
+pub(super) fn draw(random: &mut Pcg64Mcg, caller: usize, number: u64) -> (String, Arc<Job>) {
+    let total: f64 = LARGE_KINDS.iter().map(|kind| kind.per_s).sum();
+    let mut left = random.random_range(0.0..total);
+    let kind = LARGE_KINDS.iter().find(|kind| {
+        left -= kind.per_s;
+        left < 0.0
+    });
+    let kind = kind.unwrap_or(&LARGE_KINDS[1]);
+    let mut jobs = Jobs {
+        random: random.clone(),
+        racks: RACKS,
+        customers: 1,
+        load_percent: 100,
+        next: (caller as u64 + 1) << 32 | number,
+    };
+    let mut job = jobs.draw(kind);
+    *random = jobs.random;
+    if random.random_range(0..HOPELESS_ONE_IN) == 0 {
+        let how = if random.random_range(0..3) == 0 {
+            "crash=0"
+        } else {
+            "fail"
+        };
+        let spec = job.body["spec"].as_str().unwrap_or_default();
+        job.body["spec"] = json!(format!("{spec} {how}"));
+    }
+    (format!("/q{}/{}", kind.priority, job.id), Arc::new(job))
+}
+
+/// Returns whether a job may be shown as failed: a task has failed as often as it may, or too many
+/// workers have crashed under one.
+pub(super) fn may_fail(
+    workers: &StandinWorkers,
+    records: &[RunRecord],
+    path: &str,
+    job: &Job,
+) -> bool {
+    let kind = LARGE_KINDS.iter().find(|kind| kind.name == job.kind);
+    let attempts = kind.map_or(1, |kind| usize::from(kind.attempts));
+    let id = &path[4..];
+    let failed = records
+        .iter()
+        .filter(|record| record.how == Some("failed") && record.task.split('.').next() == Some(id));
+    // The runs of a gang are counted for the gang.
+    let is_gang = job.steps.iter().any(|step| step.gang);
+    let mut by_task = std::collections::BTreeMap::<&str, BTreeSet<(u64, &str)>>::new();
+    for record in failed {
+        let group = record.task.rsplit_once('.').map_or("", |(group, _)| group);
+        let (key, member) = if is_gang {
+            (group, "")
+        } else {
+            (record.task.as_str(), record.worker.as_str())
+        };
+        by_task.entry(key).or_default().insert((record.run, member));
+    }
+    by_task.values().any(|runs| runs.len() >= attempts)
+        || workers.most_lost_under(id) >= MAX_CRASHES
+}
+
+/// Returns whether all tasks of a job were done.
+pub(super) fn is_done(records: &[RunRecord], path: &str, job: &Job) -> bool {
+    let done = done_tasks(records);
+    done.get(&path[4..])
+        .is_some_and(|done| due_step(job, done).is_none())
+}
+
+/// Notes which open jobs have had nothing running for too long although there is room twice over.
+pub(super) fn check_idle_jobs(workers: &StandinWorkers, shared: &Shared) {
+    let records = workers.records();
+    let free = workers.free_capacity();
+    let running: BTreeSet<&str> = records
+        .iter()
+        .filter(|record| record.how.is_none())
+        .map(super::job_of)
+        .collect();
+    let done = done_tasks(&records);
+    let now = Instant::now();
+    let is_calm = shared.calm.lasted() >= CALM_BEFORE;
+    let none = BTreeSet::new();
+    for (path, accepted) in lock(&shared.accepted).iter_mut() {
+        let Accepted {
+            job: Some(job),
+            is_cancelled,
+            ..
+        } = accepted
+        else {
+            continue;
+        };
+        let id = &path[4..];
+        let due = due_step(job, done.get(id).unwrap_or(&none));
+        let due = due.filter(|step| is_calm && !running.contains(id) && fits_twice(&free, step));
+        let Some(step) = due.filter(|_| !*is_cancelled && !is_hopeless(job)) else {
+            accepted.idle_since = None;
+            continue;
+        };
+        let since = *accepted.idle_since.get_or_insert(now);
+        if now - since > MAX_IDLE && !may_fail(workers, &records, path, job) {
+            let time = time_of_day();
+            let (kind, elapsed) = (job.kind, now - since);
+            shared.report(format!(
+                "{time} {path}: LOST idle: nothing runs for {elapsed:?}, {kind}, {step:?}"
+            ));
+            accepted.idle_since = None;
+        }
+    }
+}
+
+fn is_hopeless(job: &Job) -> bool {
+    let spec = job.body["spec"].as_str().unwrap_or_default();
+    spec.split(' ')
+        .any(|word| word == "fail" || word.starts_with("crash="))
+}
--- a/crates/stairstalld/tests/planned/planned_work/troubles.rs
+++ b/crates/stairstalld/tests/planned/planned_work/troubles.rs
@@ -53,6 +53,10 @@
     StoreLinks(Vec<usize>, LinkMode, u64),
     WorkerLinks(Vec<usize>, LinkMode, u64),
     WorkerCrashes(Vec<usize>, u64),
+    /// Workers that leave on short notice.
+    WorkersLeave(Vec<usize>, u64),
+    /// Workers that fail all that ends there.
+    WorkersFail(Vec<usize>, u64),
 }
 
 /// Returns the signals of a stall that ends about when the drain delay of a planned stop does.
@@ -102,6 +106,9 @@
             let calm_until = until.min(Instant::now() + QUIET);
             tokio::time::sleep_until(calm_until.into()).await;
         }
+        if self.shared.is_large {
+            self.strike_all();
+        }
         while let Some(ended) = self.in_flight.join_next().await {
             if let Err(error) = ended {
                 self.shared.report(format!("a trouble: {error}"));
@@ -110,7 +117,11 @@
     }
 
     fn draw(&mut self) -> Trouble {
-        let kinds = if self.kind == Kind::Stalls { 5 } else { 16 };
+        let kinds = match (self.kind, self.shared.is_large) {
+            (Kind::Stalls, _) => 5,
+            (_, true) => 24,
+            (_, false) => 16,
+        };
         match self.random.random_range(0..kinds) {
             0 => Trouble::Stall(self.one_daemon(), self.stall_ms()),
             1 | 2 => Trouble::Stall(self.planner(), self.stall_ms()),
@@ -132,10 +143,51 @@
                 let workers = self.some_workers();
                 Trouble::WorkerLinks(workers, self.link_mode(), self.ms(300..6_000))
             }
-            _ => Trouble::WorkerCrashes(self.some_workers(), self.ms(300..4_000)),
+            15 => Trouble::WorkerCrashes(self.some_workers(), self.ms(300..4_000)),
+            16 | 17 => {
+                let slow = LinkMode::Delay(Duration::from_millis(self.ms(50..600)));
+                Trouble::StoreLinks(self.all_daemons(), slow, self.ms(2_000..6_000))
+            }
+            18 => Trouble::StoreLinks(self.all_daemons(), LinkMode::Silent, self.ms(2_000..6_000)),
+            19 | 20 => {
+                let zone = self.zone_of_workers();
+                Trouble::WorkerLinks(zone, self.link_mode(), self.ms(3_000..6_000))
+            }
+            21 => Trouble::WorkersLeave(self.some_workers(), self.ms(500..2_500)),
+            22 => Trouble::WorkersFail(self.some_workers(), self.ms(3_000..6_500)),
+            _ => Trouble::Kill(self.last_acceptor(), self.ms(500..3_000)),
         }
     }
 
+    /// Kills all daemons at once; they are started again.
+    fn strike_all(&mut self) {
+        let away_ms = self.ms(100..1_000);
+        self.strike(Trouble::Kill(self.all_daemons(), away_ms));
+    }
+
+    fn all_daemons(&self) -> Vec<usize> {
+        (0..self.daemons.len()).collect()
+    }
+
+    fn zone_of_workers(&mut self) -> Vec<usize> {
+        let zones = super::large::ZONES.len();
+        let zone = self.random.random_range(0..zones);
+        let count = self.workers.count();
+        (zone * count / zones..(zone + 1) * count / zones).collect()
+    }
+
+    /// Returns who accepted a job last; nobody if that one is being stopped.
+    fn last_acceptor(&self) -> Vec<usize> {
+        let Some(address) = *lock(&self.shared.last_acceptor) else {
+            return Vec::new();
+        };
+        let is_it = |index: &usize| {
+            let daemon = self.daemons[*index].try_lock();
+            daemon.is_ok_and(|daemon| daemon.address == address)
+        };
+        (0..self.daemons.len()).filter(is_it).collect()
+    }
+
     fn ms(&mut self, range: std::ops::Range<u64>) -> u64 {
         self.random.random_range(range)
     }
@@ -189,6 +241,7 @@
     fn strike(&mut self, trouble: Trouble) {
         let disturbance = Calm::disturb(&self.shared.calm);
         self.shared.note(&format!("{trouble:?}"));
+        let away = Duration::from_millis(800);
         let store = Arc::clone(&self.store);
         let workers = Arc::clone(&self.workers);
         let shared = Arc::clone(&self.shared);
@@ -264,6 +317,29 @@
                     drop(disturbance);
                 });
             }
+            Trouble::WorkersLeave(indices, notice_ms) => {
+                let notice = Duration::from_millis(notice_ms);
+                for index in indices {
+                    workers.leave(index, notice, away);
+                }
+                self.in_flight.spawn(async move {
+                    tokio::time::sleep(notice + away).await;
+                    drop(disturbance);
+                });
+            }
+            Trouble::WorkersFail(indices, ms) => {
+                self.in_flight.spawn(async move {
+                    for index in &indices {
+                        workers.set_failing(*index, true);
+                    }
+                    tokio::time::sleep(Duration::from_millis(ms)).await;
+                    for index in &indices {
+                        workers.set_failing(*index, false);
+                    }
+                    shared.note("no worker fails all any more");
+                    drop(disturbance);
+                });
+            }
             Trouble::WorkerCrashes(indices, away_ms) => {
                 let away = Duration::from_millis(away_ms);
                 for index in indices {
--- a/crates/stairstalld/tests/site/idle.rs
+++ b/crates/stairstalld/tests/site/idle.rs
@@ -136,13 +136,13 @@
 }
 
 /// Returns whether one task of a step, or its whole gang, fits on the free capacity twice over.
-fn fits_twice(free: &[FreeCapacity], step: &Step) -> bool {
+pub fn fits_twice(free: &[FreeCapacity], step: &Step) -> bool {
     let count = if step.gang { step.count } else { 1 };
     room(free, step).0 >= 2 * count
 }
 
 /// Returns by job which of its tasks were done, by step and index.
-fn done_tasks(records: &[RunRecord]) -> BTreeMap<&str, BTreeSet<(usize, &str)>> {
+pub fn done_tasks(records: &[RunRecord]) -> BTreeMap<&str, BTreeSet<(usize, &str)>> {
     let mut done: BTreeMap<&str, BTreeSet<(usize, &str)>> = BTreeMap::new();
     for record in records.iter().filter(|record| record.how == Some("done")) {
         let Some(step) = step_of(record) else {
@@ -156,7 +156,7 @@
 }
 
 /// Returns the first step of which tasks are left. One end of a gang as done stands for all.
-fn due_step<'a>(job: &'a Job, done: &BTreeSet<(usize, &str)>) -> Option<&'a Step> {
+pub fn due_step<'a>(job: &'a Job, done: &BTreeSet<(usize, &str)>) -> Option<&'a Step> {
     let left = |(index, step): &(usize, &Step)| {
         let done = done.iter().filter(|(of, _)| of == index).count() as u64;
         done < if step.gang { 1 } else { step.count }
