--- a/crates/stairstalld/tests/planned/planned_work/large.rs
+++ b/crates/stairstalld/tests/planned/planned_work/large.rs
@@ -199,6 +199,13 @@
     let now = Instant::now();
     let is_calm = shared.calm.lasted() >= CALM_BEFORE;
     let none = BTreeSet::new();
+    let free_accelerators: u64 = free.iter().map(|worker| worker.free.gpu).sum();
+    let is_half_empty = free_accelerators * 2 > (free.len() * super::ACCELERATORS) as u64;
+    let half_empty_since = {
+        let mut since = lock(&shared.half_empty_since);
+        *since = is_half_empty.then(|| since.unwrap_or(now));
+        *since
+    };
     for (path, accepted) in lock(&shared.accepted).iter_mut() {
         let Accepted {
             job: Some(job),
@@ -219,8 +226,14 @@
         if now - since > MAX_IDLE && !may_fail(workers, &records, path, job) {
             let time = time_of_day();
             let (kind, elapsed) = (job.kind, now - since);
+            let half = if half_empty_since.is_some_and(|half| half <= since) {
+                "under half"
+            } else {
+                "not under half"
+            };
             shared.report(format!(
-                "{time} {path}: LOST idle: nothing runs for {elapsed:?}, {kind}, {step:?}"
+                "{time} {path}: LOST idle, {half} in use, {free_accelerators} free: \
+                 nothing runs for {elapsed:?}, {kind}, {step:?}"
             ));
             accepted.idle_since = None;
         }
