--- a/crates/stairstalld/tests/planned/planned_work.rs
+++ b/crates/stairstalld/tests/planned/planned_work.rs
@@ -76,6 +76,8 @@
 const ACCELERATORS: usize = 8;
 /// One question in so many cancels the job instead, in the large shape.
 const CALLS_PER_CANCELLATION: u32 = 400;
+/// One piece of planned work in so many begins at the planner, in the large shape.
+const PLANNER_ONE_IN: u32 = 3;
 const VIOLATIONS_SHOWN: usize = 20;
 const DEFAULT_SEEDS: [u64; 2] = [1, 2];
 const DEFAULT_SECONDS: u64 = 10;
@@ -527,7 +529,10 @@
         while Instant::now() < until {
             let pause = self.random.random_range(100..1_200);
             tokio::time::sleep(Duration::from_millis(pause)).await;
-            let index = self.random.random_range(0..self.daemons.len());
+            let mut index = self.random.random_range(0..self.daemons.len());
+            if self.shared.is_large && self.random.random_range(0..PLANNER_ONE_IN) == 0 {
+                index = troubles::planner_of(&self.daemons).unwrap_or(index);
+            }
             match self.random.random_range(0..8) {
                 0..4 => {
                     let mut series = self.random.random_range(1..=self.daemons.len() / 4);
--- a/crates/stairstalld/tests/planned/planned_work/troubles.rs
+++ b/crates/stairstalld/tests/planned/planned_work/troubles.rs
@@ -66,6 +66,17 @@
     [(begins_ms, Signal::SIGSTOP), (ends_ms, Signal::SIGCONT)]
 }
 
+/// Returns who took the planner's role last; nobody if that one is being stopped.
+pub(super) fn planner_of(daemons: &[Arc<tokio::sync::Mutex<Daemon>>]) -> Option<usize> {
+    let taken = |index: usize| {
+        let daemon = daemons[index].try_lock().ok()?;
+        let last = daemon.log_lines("acquired the planner role").pop()?;
+        Some((last, index))
+    };
+    let planner = (0..daemons.len()).filter_map(taken).max();
+    planner.map(|(_, index)| index)
+}
+
 /// Who draws troubles and carries them out.
 pub(super) struct Troubles {
     kind: Kind,
@@ -227,15 +238,8 @@
         (first..first + some).map(|index| index % count).collect()
     }
 
-    /// Returns who took the planner's role last; nobody if that one is being stopped.
     fn planner(&self) -> Vec<usize> {
-        let taken = |index: usize| {
-            let daemon = self.daemons[index].try_lock().ok()?;
-            let last = daemon.log_lines("acquired the planner role").pop()?;
-            Some((last, index))
-        };
-        let planner = (0..self.daemons.len()).filter_map(taken).max();
-        planner.map(|(_, index)| index).into_iter().collect()
+        planner_of(&self.daemons).into_iter().collect()
     }
 
     fn strike(&mut self, trouble: Trouble) {
