--- a/crates/stairstalld/tests/batch/cluster.rs
+++ b/crates/stairstalld/tests/batch/cluster.rs
@@ -93,7 +93,7 @@
         name: &str,
         flags: &[&str],
     ) -> Self {
-        let local = "127.0.0.1:0";
+        let local = &local_address();
         let mut child = Command::new(program)
             .arg("batch")
             .args(["--vm", name, "--zone", zone, "--listen", local])
@@ -204,6 +204,14 @@
     }
 }
 
+/// Returns the address on which daemons of this process listen, with any port: a loopback address of
+/// its own, so that a port that a daemon has left is never taken over by a daemon of another test
+/// program, to which callers and peers that still know the old address would then speak.
+fn local_address() -> String {
+    let [_, high, middle, low] = std::process::id().to_be_bytes();
+    format!("127.{}.{middle}.{low}:0", 64 | high)
+}
+
 async fn read_log(
     stdout: BufReader<tokio::process::ChildStdout>,
     lines: Arc<Mutex<Vec<String>>>,
