--- a/crates/stairstalld/tests/planned/main.rs
+++ b/crates/stairstalld/tests/planned/main.rs
@@ -7,6 +7,7 @@
 #[path = "../site/idle.rs"]
 #[allow(dead_code, reason = "which steps are due and fit is all that is used")]
 mod idle;
+mod idle_over_tenures;
 #[path = "../site/jobs.rs"]
 #[allow(dead_code, reason = "the site program uses the rest")]
 mod jobs;
