--- a/crates/stairstall-standin/src/link.rs
+++ b/crates/stairstall-standin/src/link.rs
@@ -8,6 +8,9 @@
 use tokio::sync::watch;
 use tokio::task::{JoinHandle, JoinSet};
 
+/// How long after a connection could not be accepted the next is tried.
+const ACCEPT_AGAIN_AFTER: Duration = Duration::from_millis(10);
+
 /// What a link does with the bytes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LinkMode {
@@ -138,7 +141,12 @@
     opened: Arc<AtomicU64>,
 ) {
     let mut connections = JoinSet::new();
-    while let Ok((inner, _)) = listener.accept().await {
+    loop {
+        // Without a free file, whoever waits is accepted later.
+        let Ok((inner, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_AGAIN_AFTER).await;
+            continue;
+        };
         while connections.try_join_next().is_some() {}
         let mode = mode.subscribe();
         if *mode.borrow() == LinkMode::Cut {
--- a/crates/stairstall-standin/src/server.rs
+++ b/crates/stairstall-standin/src/server.rs
@@ -3,6 +3,7 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures::future::BoxFuture;
@@ -17,6 +18,9 @@
 use tokio::net::TcpListener;
 use tokio::task::{JoinHandle, JoinSet};
 
+/// How long after a connection could not be accepted the next is tried.
+const ACCEPT_AGAIN_AFTER: Duration = Duration::from_millis(10);
+
 /// Body of a stand-in's answer.
 pub type Answer = Response<BoxBody<Bytes, std::io::Error>>;
 
@@ -64,7 +68,12 @@
     H: Fn(Request<Incoming>) -> Handled + Send + Sync + 'static,
 {
     let mut connections = JoinSet::new();
-    while let Ok((stream, _)) = listener.accept().await {
+    loop {
+        // Without a free file, whoever waits is accepted later.
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_AGAIN_AFTER).await;
+            continue;
+        };
         while connections.try_join_next().is_some() {}
         let _ = stream.set_nodelay(true);
         let handler = Arc::clone(&handler);
--- a/crates/stairstalld/tests/planned/planned_work/large.rs
+++ b/crates/stairstalld/tests/planned/planned_work/large.rs
@@ -12,7 +12,7 @@
 
 use super::{Accepted, CALM_BEFORE, MAX_CRASHES, MAX_IDLE, Shape, Shared, lock, time_of_day};
 use crate::idle::{done_tasks, due_step, fits_twice};
-use crate::jobs::{Job, Jobs, Kind, LARGE_KINDS};
+use crate::jobs::{Job, Jobs, Kind};
 
 pub(super) const ZONES: [&str; 5] = ["zone-a", "zone-b", "zone-c", "zone-d", "zone-e"];
 /// Fewer daemons than the site's 147, which `STAIRSTALL_PLANNED_DAEMONS` can ask for.
@@ -36,6 +36,73 @@
 const STRONG: [&str; 4] = ["50", "512", "8192", "200"];
 const SMALL: [&str; 4] = ["12", "160", "4100", "20"];
 
+/// The kinds of jobs of the large site.
+const LARGE_KINDS: [Kind; 3] = [
+    Kind {
+        name: "reply-draft",
+        per_s: 3.42,
+        before: 27,
+        priority: 1,
+        attempts: 2,
+        stretch: 3.0,
+        objective_ms: 1_000,
+        work_ms: (8_500.0, 0.3, 11_000.0),
+        width: (26.0, 0.8, 160.0),
+        steps: (1.0, 1),
+        cpu: 13_000,
+        mem_mb: 26_000,
+        accelerators: &[1, 2, 4, 8, 8],
+        gang: true,
+        tight: 0.6,
+        near: 0.3,
+        spread: 0.0,
+        estimate_off: 0.5,
+        fails_once: 0.005,
+    },
+    Kind {
+        name: "urgency-sort",
+        per_s: 19.6,
+        before: 0,
+        priority: 0,
+        attempts: 2,
+        stretch: 1.5,
+        objective_ms: 250,
+        work_ms: (2_500.0, 0.5, 8_000.0),
+        width: (7.6, 0.8, 46.0),
+        steps: (1.0, 1),
+        cpu: 3_700,
+        mem_mb: 9_800,
+        accelerators: &[1, 2, 4, 8, 8],
+        gang: true,
+        tight: 0.8,
+        near: 0.0,
+        spread: 0.0,
+        estimate_off: 0.2,
+        fails_once: 0.05,
+    },
+    Kind {
+        name: "backlog-tag",
+        per_s: 4.2,
+        before: 31,
+        priority: 2,
+        attempts: 4,
+        stretch: 3.0,
+        objective_ms: 3_000,
+        work_ms: (6_100.0, 0.3, 11_000.0),
+        width: (78.0, 0.8, 470.0),
+        steps: (1.3, 3),
+        cpu: 2_800,
+        mem_mb: 4_100,
+        accelerators: &[1],
+        gang: false,
+        tight: 0.0,
+        near: 0.12,
+        spread: 0.12,
+        estimate_off: 0.9,
+        fails_once: 0.02,
+    },
+];
+
 /// Returns the zone of a VM.
 pub(super) const fn zone_of(number: usize) -> &'static str {
     ZONES[number % ZONES.len()]
--- a/crates/stairstalld/tests/planned/planned_work/troubles.rs
+++ b/crates/stairstalld/tests/planned/planned_work/troubles.rs
@@ -11,7 +11,7 @@
 use tokio::sync::OwnedMutexGuard;
 use tokio::task::JoinSet;
 
-use super::calm::Calm;
+use super::calm::{Calm, Disturbance};
 use super::{DRAIN_DELAY_MS, Shared, Site, lock, start_daemon};
 use crate::cluster::Daemon;
 
@@ -23,6 +23,9 @@
 /// Stalls that are the most frequent, in milliseconds.
 const SHORT_STALL_MS: std::ops::Range<u64> = 200..1_800;
 
+/// How long a worker that has left is away until the next comes.
+const LEFT_FOR: Duration = Duration::from_millis(800);
+
 /// What goes wrong in a play.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Kind {
@@ -245,9 +248,7 @@
     fn strike(&mut self, trouble: Trouble) {
         let disturbance = Calm::disturb(&self.shared.calm);
         self.shared.note(&format!("{trouble:?}"));
-        let away = Duration::from_millis(800);
         let store = Arc::clone(&self.store);
-        let workers = Arc::clone(&self.workers);
         let shared = Arc::clone(&self.shared);
         match trouble {
             Trouble::Stall(indices, ms) => {
@@ -308,6 +309,15 @@
                     drop(disturbance);
                 });
             }
+            trouble => self.strike_workers(trouble, disturbance),
+        }
+    }
+
+    /// Carries out a trouble of workers.
+    fn strike_workers(&mut self, trouble: Trouble, disturbance: Disturbance) {
+        let workers = Arc::clone(&self.workers);
+        let shared = Arc::clone(&self.shared);
+        match trouble {
             Trouble::WorkerLinks(indices, mode, ms) => {
                 self.in_flight.spawn(async move {
                     for index in &indices {
@@ -323,6 +333,7 @@
             }
             Trouble::WorkersLeave(indices, notice_ms) => {
                 let notice = Duration::from_millis(notice_ms);
+                let away = LEFT_FOR;
                 for index in indices {
                     workers.leave(index, notice, away);
                 }
@@ -354,6 +365,7 @@
                     drop(disturbance);
                 });
             }
+            _ => {}
         }
     }
 
--- a/crates/stairstalld/tests/site/jobs.rs
+++ b/crates/stairstalld/tests/site/jobs.rs
@@ -42,25 +42,25 @@
     pub stretch: f64,
     pub objective_ms: u64,
     /// Mean, relative spread and longest of a task's work in milliseconds.
-    work_ms: (f64, f64, f64),
+    pub work_ms: (f64, f64, f64),
     /// Mean, relative spread and most of the tasks of a step.
-    width: (f64, f64, f64),
+    pub width: (f64, f64, f64),
     /// Mean and most of the steps.
-    steps: (f64, u64),
-    cpu: u64,
-    mem_mb: u64,
-    accelerators: &'static [u64],
-    gang: bool,
+    pub steps: (f64, u64),
+    pub cpu: u64,
+    pub mem_mb: u64,
+    pub accelerators: &'static [u64],
+    pub gang: bool,
     /// Share of its gangs that want one rack.
-    tight: f64,
+    pub tight: f64,
     /// Share of its steps that have their data in a rack.
-    near: f64,
+    pub near: f64,
     /// Share of its steps of which one worker carries few tasks.
-    spread: f64,
+    pub spread: f64,
     /// By what share an estimate may be wrong.
-    estimate_off: f64,
+    pub estimate_off: f64,
     /// Share of its jobs of which one run fails.
-    fails_once: f64,
+    pub fails_once: f64,
 }
 
 pub const KINDS: [Kind; 3] = [
@@ -129,73 +129,6 @@
     },
 ];
 
-/// The kinds of the large site. Requests carry what tasks do in a text that all steps share.
-pub const LARGE_KINDS: [Kind; 3] = [
-    Kind {
-        name: "reply-draft",
-        per_s: 3.42,
-        before: 27,
-        priority: 1,
-        attempts: 2,
-        stretch: 3.0,
-        objective_ms: 1_000,
-        work_ms: (8_500.0, 0.3, 11_000.0),
-        width: (26.0, 0.8, 160.0),
-        steps: (1.0, 1),
-        cpu: 13_000,
-        mem_mb: 26_000,
-        accelerators: &[1, 2, 4, 8, 8],
-        gang: true,
-        tight: 0.6,
-        near: 0.3,
-        spread: 0.0,
-        estimate_off: 0.5,
-        fails_once: 0.005,
-    },
-    Kind {
-        name: "urgency-sort",
-        per_s: 19.6,
-        before: 0,
-        priority: 0,
-        attempts: 2,
-        stretch: 1.5,
-        objective_ms: 250,
-        work_ms: (2_500.0, 0.5, 8_000.0),
-        width: (7.6, 0.8, 46.0),
-        steps: (1.0, 1),
-        cpu: 3_700,
-        mem_mb: 9_800,
-        accelerators: &[1, 2, 4, 8, 8],
-        gang: true,
-        tight: 0.8,
-        near: 0.0,
-        spread: 0.0,
-        estimate_off: 0.2,
-        fails_once: 0.05,
-    },
-    Kind {
-        name: "backlog-tag",
-        per_s: 4.2,
-        before: 31,
-        priority: 2,
-        attempts: 4,
-        stretch: 3.0,
-        objective_ms: 3_000,
-        work_ms: (6_100.0, 0.3, 11_000.0),
-        width: (78.0, 0.8, 470.0),
-        steps: (1.3, 3),
-        cpu: 2_800,
-        mem_mb: 4_100,
-        accelerators: &[1],
-        gang: false,
-        tight: 0.0,
-        near: 0.12,
-        spread: 0.12,
-        estimate_off: 0.9,
-        fails_once: 0.02,
-    },
-];
-
 /// Draws jobs; the same for the same seed.
 pub struct Jobs {
     pub random: Pcg64Mcg,
