--- a/crates/stairstalld/tests/site/jobs.rs
+++ b/crates/stairstalld/tests/site/jobs.rs
@@ -42,25 +42,25 @@
     pub stretch: f64,
     pub objective_ms: u64,
     /// Mean, relative spread and longest of a task's work in milliseconds.
-    work_ms: (f64, f64, f64),
+    pub work_ms: (f64, f64, f64),
     /// Mean, relative spread and most of the tasks of a step.
-    width: (f64, f64, f64),
+    pub width: (f64, f64, f64),
     /// Mean and most of the steps.
-    steps: (f64, u64),
-    cpu: u64,
-    mem_mb: u64,
-    accelerators: &'static [u64],
-    gang: bool,
+    pub steps: (f64, u64),
+    pub cpu: u64,
+    pub mem_mb: u64,
+    pub accelerators: &'static [u64],
+    pub gang: bool,
     /// Share of its gangs that want one rack.
-    tight: f64,
+    pub tight: f64,
     /// Share of its steps that have their data in a rack.
-    near: f64,
+    pub near: f64,
     /// Share of its steps of which one worker carries few tasks.
-    spread: f64,
+    pub spread: f64,
     /// By what share an estimate may be wrong.
-    estimate_off: f64,
+    pub estimate_off: f64,
     /// Share of its jobs of which one run fails.
-    fails_once: f64,
+    pub fails_once: f64,
 }
 
 pub const KINDS: [Kind; 3] = [
