feat(observability): how late the planner's own process is, and what its passes take

The contact line and two gauges tell the two apart now: late_ms and pass_ms. Nothing is decided by them.

--- a/crates/stairstall-core/src/batch/planner.rs
+++ b/crates/stairstall-core/src/batch/planner.rs
@@ -34,6 +34,7 @@
 mod learned;
 mod load;
 mod orders;
+mod own_load;
 mod paces;
 mod pass;
 mod placement;
@@ -141,6 +142,9 @@
     has_urgent_arrival: bool,
     /// Time of the last scheduling pass.
     last_pass_at: Option<Timestamp>,
+    /// Whether the last tick ran a scheduling pass.
+    last_tick_had_pass: bool,
+    own_load: own_load::OwnLoad,
     /// When to run the next scheduling pass even if nothing changes, because wait limits expire.
     replan_at: Option<Timestamp>,
     /// Whether the start of a planned run may have become possible since the last tick.
@@ -200,6 +204,8 @@
             worker_set_version: 0,
             has_urgent_arrival: false,
             last_pass_at: None,
+            last_tick_had_pass: false,
+            own_load: own_load::OwnLoad::default(),
             replan_at: None,
             starts_due: false,
             superseded: false,
@@ -337,6 +343,7 @@
             self.replan = false;
             self.has_urgent_arrival = false;
             self.last_pass_at = Some(now.at);
+            self.last_tick_had_pass = true;
             self.check_suspect_zones(now);
             self.replan_at = if self.has_enough_reports(now) {
                 let waits = self.plan(now);
--- a/crates/stairstall-core/src/batch/planner/flow.rs
+++ b/crates/stairstall-core/src/batch/planner/flow.rs
@@ -36,6 +36,10 @@
     /// How far a worker's clock has fallen behind the planner's between two readings, at most, in
     /// this tenure.
     pub clock_drift: Duration,
+    /// How late this process runs what is due; answers wait as long before they are read.
+    pub lateness: Duration,
+    /// What a scheduling pass takes on this VM, in the mean.
+    pub pass: Duration,
 }
 
 /// Capacity of this VM, and the measured size of reports.
@@ -231,6 +235,8 @@
             free_accelerators: self.free_accelerators(&mut Pass::default()),
             unusable_accelerators: unusable.fold(0, u32::saturating_add),
             clock_drift: self.flow.clock_drift,
+            lateness: self.own_load.lateness,
+            pass: self.own_load.pass,
         }
     }
 
--- a/crates/stairstall-core/tests/batch/flow.rs
+++ b/crates/stairstall-core/tests/batch/flow.rs
@@ -340,3 +340,19 @@
     assert!(fleet.given.iter().all(|order| held.contains(&order.worker)));
     assert_eq!(fleet.planner.open_jobs(), 0);
 }
+
+/// Guards against a planner that falls behind and looks as if its workers were silent.
+#[test]
+fn a_planner_says_how_late_its_own_process_is() {
+    let mut fleet = Fleet::new(&[("w1", "r1")]);
+    let now = fleet.now();
+    fleet.planner.tick(now);
+    fleet
+        .planner
+        .record_tick_duration(Duration::from_millis(40));
+    fleet.planner.record_lateness(Duration::from_millis(300));
+    fleet.planner.record_lateness(Duration::from_millis(2));
+    let lag = fleet.planner.contact_lag(now);
+    assert_eq!(lag.pass, Duration::from_millis(10));
+    assert_eq!(lag.lateness, Duration::from_millis(240));
+}
--- a/crates/stairstalld/src/batch/telemetry.rs
+++ b/crates/stairstalld/src/batch/telemetry.rs
@@ -89,6 +89,8 @@
     report_wait: IntGauge,
     starts_under_way: IntGauge,
     clock_drift: IntGauge,
+    lateness: IntGauge,
+    pass: IntGauge,
     evacuated_zones: IntGauge,
     evacuations_age: IntGauge,
     known_paces: IntGauge,
@@ -133,6 +135,14 @@
                 "stairstall_worker_clock_drift_milliseconds",
                 "How far a worker's clock fell behind between two readings, at the most",
             ),
+            lateness: gauge(
+                "stairstall_planner_lateness_milliseconds",
+                "How late the planner's process runs what is due",
+            ),
+            pass: gauge(
+                "stairstall_planner_pass_milliseconds",
+                "What a pass over the waiting work takes, in the mean",
+            ),
             evacuated_zones: gauge(
                 "stairstall_evacuated_zones",
                 "Availability zones in which nothing may start",
@@ -162,6 +172,8 @@
             &self.report_wait,
             &self.starts_under_way,
             &self.clock_drift,
+            &self.lateness,
+            &self.pass,
             &self.evacuated_zones,
             &self.evacuations_age,
             &self.known_paces,
@@ -428,6 +440,8 @@
             .set(gauge_millis(lag.oldest_report));
         self.planner.report_wait.set(gauge_millis(lag.report_wait));
         self.planner.clock_drift.set(gauge_millis(lag.clock_drift));
+        self.planner.lateness.set(gauge_millis(lag.lateness));
+        self.planner.pass.set(gauge_millis(lag.pass));
         self.planner
             .starts_under_way
             .set(gauge_count(lag.starts_in_flight));
--- a/crates/stairstalld/src/batch/tenure.rs
+++ b/crates/stairstalld/src/batch/tenure.rs
@@ -12,6 +12,7 @@
 use stairstall_core::{JobId, Lease};
 use stairstall_ports::Revision;
 use tokio::sync::{Notify, watch};
+use tokio::time::Instant;
 
 use super::evacuated_zones::OperatorKeys;
 use super::node::Node;
@@ -393,6 +394,7 @@
         "writer",
         writer::run(Arc::clone(node), Arc::clone(tenure), revisions),
     );
+    tasks.spawn("lateness", measure_lateness(Arc::clone(tenure)));
     tasks.spawn(
         "maintenance",
         maintenance::run(Arc::clone(node), Arc::clone(tenure)),
@@ -407,7 +409,9 @@
             continue;
         }
         let (orders, decisions, summaries) = tenure.with_planner(|planner, now| {
+            let began = Instant::now();
             let orders = planner.tick(now);
+            planner.record_tick_duration(began.elapsed());
             (orders, planner.take_decisions(), planner.take_summaries())
         });
         for summary in &summaries {
@@ -422,6 +426,19 @@
     }
 }
 
+/// Interval at which the process measures how late it is.
+const LATENESS_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Measures how late this process runs what is due, for as long as the tenure lasts.
+async fn measure_lateness(tenure: Arc<Tenure>) {
+    loop {
+        let due = Instant::now() + LATENESS_INTERVAL;
+        tokio::time::sleep_until(due).await;
+        let late = due.elapsed();
+        tenure.with_planner(|planner, _| planner.record_lateness(late));
+    }
+}
+
 /// Timeout of a call to the adviser.
 const ADVICE_TIMEOUT: Duration = Duration::from_millis(1_800);
 
