perf(core): the cheapest worker for each of many tasks is found without a look at all

A profile: half of a pass went through all workers for each member of a gang (1,100 times 46). Class: work that grows with the product of two sizes.

A heap holds the options' keys; stale ones are passed over. The choice is the same.

--- a/crates/stairstall-core/src/batch/planner/placement/choose.rs
+++ b/crates/stairstall-core/src/batch/planner/placement/choose.rs
@@ -1,6 +1,7 @@
 //! Choice of workers for tasks among the suitable candidates.
 
-use std::collections::BTreeMap;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
 
 use super::super::candidate_worker::{self, CandidateWorker, SearchScope, Selection};
 use super::cost::PaceCosts;
@@ -154,11 +155,13 @@
     if step.gang { waiting } else { 1 }
 }
 
+/// Sort key of a placement, cheapest first: cost, when the newest victim began, whether the zone
+/// differs from the caller's, then the accelerators and CPU that stay free.
+type SortKey = (u64, Option<Timestamp>, bool, u32, u32);
+
 /// A way to place one more task on a worker.
 struct PlacementOption {
-    /// Sort key, cheapest first: cost, when the newest victim began, whether the zone differs from
-    /// the caller's, then the accelerators and CPU that stay free.
-    sort_key: (u64, Option<Timestamp>, bool, u32, u32),
+    sort_key: SortKey,
     /// Cost of preempting the victims, in core-milliseconds.
     cost: u64,
     victims: Vec<TaskKey>,
@@ -199,6 +202,45 @@
     }
 }
 
+/// The options of all workers.
+struct PlacementOptions {
+    by_worker: Vec<Option<PlacementOption>>,
+    /// The keys of these options with the index of the worker, cheapest first. It also holds keys of
+    /// options that have changed since; these are passed over.
+    cheapest: BinaryHeap<Reverse<(SortKey, usize)>>,
+}
+
+impl PlacementOptions {
+    fn new(workers: &[CandidateWorker], needs: &Resources) -> Self {
+        let options = workers.iter().map(|worker| worker.placement_option(needs));
+        let by_worker: Vec<Option<PlacementOption>> = options.collect();
+        let keys = by_worker.iter().enumerate();
+        let keys = keys.filter_map(|(index, option)| Some((option.as_ref()?.sort_key, index)));
+        Self {
+            cheapest: keys.map(Reverse).collect(),
+            by_worker,
+        }
+    }
+
+    /// Removes and returns the cheapest option and the index of its worker.
+    fn take_cheapest(&mut self) -> Option<(usize, PlacementOption)> {
+        while let Some(Reverse((key, index))) = self.cheapest.pop() {
+            let is_current = |option: &mut PlacementOption| option.sort_key == key;
+            if let Some(option) = self.by_worker[index].take_if(is_current) {
+                return Some((index, option));
+            }
+        }
+        None
+    }
+
+    /// Replaces the option of a worker.
+    fn set(&mut self, index: usize, option: Option<PlacementOption>) {
+        let key = option.as_ref().map(|option| option.sort_key);
+        self.cheapest.extend(key.map(|key| Reverse((key, index))));
+        self.by_worker[index] = option;
+    }
+}
+
 /// Chooses a worker for each of `count` tasks, cheapest first.
 ///
 /// After each choice, only the options of the workers that it changed are computed again.
@@ -212,19 +254,10 @@
     all_or_none: bool,
     paces: Option<&PaceCosts>,
 ) -> Option<PlacementChoice> {
-    let mut options: Vec<Option<PlacementOption>> = workers
-        .iter()
-        .map(|worker| worker.placement_option(needs))
-        .collect();
+    let mut options = PlacementOptions::new(&workers, needs);
     let mut choice = PlacementChoice::default();
     for _ in 0..count {
-        let sort_keys = options.iter().enumerate();
-        let sort_keys =
-            sort_keys.filter_map(|(index, option)| Some((option.as_ref()?.sort_key, index)));
-        let Some((_, index)) = sort_keys.min() else {
-            break;
-        };
-        let Some(option) = options[index].take() else {
+        let Some((index, option)) = options.take_cheapest() else {
             break;
         };
         let cost = option.cost.saturating_add(workers[index].penalty);
@@ -232,7 +265,7 @@
         choice.in_other_zones += usize::from(workers[index].in_other_zone);
         for victim in option.victims {
             for changed in candidate_worker::preempt(&mut workers, index, &victim) {
-                options[changed] = workers[changed].placement_option(needs);
+                options.set(changed, workers[changed].placement_option(needs));
             }
             choice.victims.push((workers[index].worker.clone(), victim));
         }
@@ -244,7 +277,7 @@
         if let Some(paces) = paces {
             worker.mark_pace_pending(paces);
         }
-        options[index] = worker.placement_option(needs);
+        options.set(index, worker.placement_option(needs));
     }
     let enough = if all_or_none {
         choice.workers.len() == count
