perf(core): no workers are searched for gangs while the start window is used up

If as many starts are in flight as may be, the search is left out; a queue with tickets asks for them all the same. What is placed is the same.

Core batch: 284 passed.

--- a/crates/stairstall-core/src/batch/planner/flow.rs
+++ b/crates/stairstall-core/src/batch/planner/flow.rs
@@ -186,6 +186,22 @@
         fits
     }
 
+    /// Returns whether as many starts are in flight as may be, so that workers need not be searched
+    /// for a gang that is not urgent. A queue with tickets asks for them all the same.
+    pub(super) fn is_start_window_used_up(
+        &mut self,
+        candidate: &Candidate,
+        pass: &mut Pass,
+    ) -> bool {
+        if candidate.rank <= URGENT_RANK || self.ticket_validity(&candidate.key).is_some() {
+            return false;
+        }
+        let (in_flight, window) = self.start_window_state(pass);
+        let is_used_up = in_flight >= window;
+        self.flow.starts_limited |= is_used_up;
+        is_used_up
+    }
+
     /// Returns how many starts are in flight and how many may be.
     fn start_window_state(&self, pass: &mut Pass) -> (usize, usize) {
         let in_flight = *pass
--- a/crates/stairstall-core/src/batch/planner/placement.rs
+++ b/crates/stairstall-core/src/batch/planner/placement.rs
@@ -58,7 +58,8 @@
             } else {
                 self.startable_tasks(candidate, count, pass)
             };
-            if !self.may_fit(candidate, &step, scope, count, pass, now) {
+            let may_start = !step.gang || !self.is_start_window_used_up(candidate, pass);
+            if !may_start || !self.may_fit(candidate, &step, scope, count, pass, now) {
                 continue;
             }
             let workers = self.candidate_workers(candidate, &step, scope, pass, now);
