feat(observability): a call that ends without an answer leaves a line and a count

A call whose handling was dropped (its caller left, its connection broke, the drain limit was reached) left nothing: the line was written after the answer alone.

`open_call` holds a call from its arrival: dropped without an answer it writes a `call` line with status=0 and counts as status="dropped". Each `call` line that is no success names the stage that the call was in last and the caller's address. Answers are unchanged.

--- a/crates/stairstalld/src/batch.rs
+++ b/crates/stairstalld/src/batch.rs
@@ -6,7 +6,8 @@
 //! orders to start and stop the task.
 //!
 //! - [`settings`]: settings from flags and environment variables, checked at start.
-//! - `caller_api`: the HTTP interface for callers; `admission`, `accept` and `queries` implement it.
+//! - `caller_api`: the HTTP interface for callers; `admission`, `accept` and `queries` implement it,
+//!   `open_call` logs and counts each call.
 //! - `catalog`: follows the operators' configuration.
 //! - `role`: acquires, renews and releases the planner role.
 //! - `tenure`: runs the planner while the daemon holds the role. `worker_links` polls workers and
@@ -28,6 +29,7 @@
 mod load;
 mod maintenance;
 mod node;
+mod open_call;
 mod orders;
 mod predecessor;
 mod queries;
--- a/crates/stairstalld/src/batch/accept.rs
+++ b/crates/stairstalld/src/batch/accept.rs
@@ -7,6 +7,7 @@
 
 use super::admission::{self, RefusalOutcome};
 use super::node::Node;
+use super::open_call::{CallProgress, CallStage};
 use super::rpc::{PeerClient, may_have_run};
 use super::stored_job::StoredJob;
 use super::{encoding, queries};
@@ -62,7 +63,13 @@
 ///
 /// The write is idempotent, since the name identifies the job. A peer can therefore be tried even
 /// after a write that may have succeeded.
-pub(crate) async fn accept(node: &Node, job: &mut AcceptedJob, called_at: Timestamp) -> Acceptance {
+pub(crate) async fn accept(
+    node: &Node,
+    job: &mut AcceptedJob,
+    called_at: Timestamp,
+    progress: &CallProgress,
+) -> Acceptance {
+    progress.enter(CallStage::StoreWrite);
     let fail_fast = node.store_health.should_fail_fast(node.clock.now());
     let mut outcome = if fail_fast {
         Acceptance::NotKept
@@ -72,6 +79,7 @@
     if outcome.is_settled() {
         return outcome;
     }
+    progress.enter(CallStage::Relay);
     for rpc in relays(node) {
         let Some(client) = node.peer_clients.client(&rpc) else {
             continue;
@@ -237,7 +245,13 @@
 }
 
 /// Cancels a job; relays the cancellation to peers if the store does not serve this daemon.
-pub(crate) async fn cancel(node: &Node, id: &JobId, customer: Option<&CustomerId>) -> Cancellation {
+pub(crate) async fn cancel(
+    node: &Node,
+    id: &JobId,
+    customer: Option<&CustomerId>,
+    progress: &CallProgress,
+) -> Cancellation {
+    progress.enter(CallStage::StoreWrite);
     let fail_fast = node.store_health.should_fail_fast(node.clock.now());
     let outcome = if fail_fast {
         Cancellation::Unsettled
@@ -247,6 +261,7 @@
     if outcome != Cancellation::Unsettled {
         return outcome;
     }
+    progress.enter(CallStage::Relay);
     for rpc in relays(node) {
         let Some(client) = node.peer_clients.client(&rpc) else {
             continue;
--- a/crates/stairstalld/src/batch/caller_api.rs
+++ b/crates/stairstalld/src/batch/caller_api.rs
@@ -19,6 +19,7 @@
 use super::admission::{self, RefusalOutcome};
 use super::catalog;
 use super::node::Node;
+use super::open_call::{CallProgress, CallStage, OpenCall};
 use super::queries;
 use super::rpc::JobAnswer;
 use crate::incoming::{BODY_RETRY_AFTER, GAVE_WAY};
@@ -48,18 +49,16 @@
     customer: Option<CustomerId>,
     /// The path after the route's prefix.
     rest: String,
+    progress: &'a CallProgress,
 }
 
 async fn serve(node: &Node, request: Request) -> Response {
-    let started = node.clock.now();
-    let kind = call_kind(request.method());
-    let target = format!("{} {}", request.method(), request.uri().path());
+    let open = OpenCall::new(node, &request);
     // Also a task that leaves because a tenure is over, which `catch_panic` lets pass.
-    let outcome = AssertUnwindSafe(respond(node, request))
+    let outcome = AssertUnwindSafe(respond(node, request, open.progress()))
         .catch_unwind()
         .await;
     let outcome = outcome.unwrap_or_else(|_| Err(internal_failure()));
-    let took = node.clock.now() - started;
     let (response, why) = match outcome {
         Ok(response) => (response, String::new()),
         Err(failure) => {
@@ -67,20 +66,8 @@
             (failure.into(), why)
         }
     };
-    let status = response.status().as_u16();
     let response = close_if_not_ready(node, response);
-    node.telemetry.call(kind, status, took);
-    let version = node.catalog_version();
-    let catalog_age = node.known_catalog.age(node.clock.now());
-    let catalog_age_ms = catalog_age.map(crate::clock::millis);
-    let ms = crate::clock::millis(took);
-    if response.status().is_success() && kind == "ask" {
-        log::debug!(target: "call", call:% = target, status, ms, catalog = version,
-            catalog_age_ms:? = catalog_age_ms; "{why}");
-    } else {
-        log::info!(target: "call", call:% = target, status, ms, catalog = version,
-            catalog_age_ms:? = catalog_age_ms; "{why}");
-    }
+    open.answered(response.status(), &why);
     response
 }
 
@@ -94,16 +81,11 @@
     response
 }
 
-/// Returns the kind of a call as it is named in logs and metrics.
-fn call_kind(method: &Method) -> &'static str {
-    match *method {
-        Method::POST => "submit",
-        Method::DELETE => "cancel",
-        _ => "ask",
-    }
-}
-
-async fn respond(node: &Node, request: Request) -> std::result::Result<Response, ErrorResponse> {
+async fn respond(
+    node: &Node,
+    request: Request,
+    progress: &CallProgress,
+) -> std::result::Result<Response, ErrorResponse> {
     let called_at = node.clock.now();
     if node.current_catalog().is_none() {
         return Err(no_catalog());
@@ -134,6 +116,7 @@
         route,
         customer,
         rest,
+        progress,
     };
     let limit = time_limit(&call, &request).saturating_sub(node.clock.now() - called_at);
     let response = tokio::time::timeout(limit, call.dispatch(request)).await;
@@ -244,7 +227,9 @@
         request: Request,
     ) -> std::result::Result<Response, ErrorResponse> {
         let called_at = self.node.clock.now();
+        self.progress.enter(CallStage::Body);
         let spec = self.read_spec(request).await?;
+        self.progress.enter(CallStage::Admission);
         let mut job = AcceptedJob {
             id,
             customer: self.customer.clone(),
@@ -258,7 +243,7 @@
         if let Admission::Refuse(refusal) = admission::decide(self.node, &job) {
             return self.refuse(job, &refusal).await;
         }
-        let acceptance = accept::accept(self.node, &mut job, called_at).await;
+        let acceptance = accept::accept(self.node, &mut job, called_at, self.progress).await;
         log::info!(target: "accept", job:% = job.id, queue:% = job.queue.name,
             tasks = job.spec.steps.iter().map(|s| s.count).sum::<u32>();
             "{acceptance:?}");
@@ -267,6 +252,7 @@
                 self.node
                     .telemetry
                     .admission(job.queue.priority, "accepted");
+                self.progress.enter(CallStage::Notice);
                 queries::notify_accepted(self.node, job).await;
                 Ok(empty_response(StatusCode::OK))
             }
@@ -287,6 +273,7 @@
         job: AcceptedJob,
         refusal: &AdmissionRefusal,
     ) -> std::result::Result<Response, ErrorResponse> {
+        self.progress.enter(CallStage::StoreWrite);
         let outcome = admission::store_refusal(self.node, &job).await;
         if outcome != RefusalOutcome::Refused {
             log::info!(target: "admission", job:% = job.id, queue:% = job.queue.name;
@@ -339,7 +326,7 @@
     }
 
     async fn state(&self, id: &JobId) -> std::result::Result<Response, ErrorResponse> {
-        let answer = queries::job(self.node, id)
+        let answer = queries::job(self.node, id, self.progress)
             .await
             .map_err(|fault| unreadable_job(&fault))?;
         match answer {
@@ -361,6 +348,7 @@
         &self,
         id: &JobId,
     ) -> std::result::Result<Response, ErrorResponse> {
+        self.progress.enter(CallStage::StoreJob);
         queries::read_stored(self.node, id)
             .await
             .map_err(|fault| unreadable_job(&fault))?;
@@ -372,10 +360,11 @@
     }
 
     async fn cancel(&self, id: &JobId) -> std::result::Result<Response, ErrorResponse> {
-        let outcome = accept::cancel(self.node, id, self.customer.as_ref()).await;
+        let outcome = accept::cancel(self.node, id, self.customer.as_ref(), self.progress).await;
         log::info!(target: "cancel", job:% = id; "{outcome:?}");
         match outcome {
             Cancellation::Cancelled => {
+                self.progress.enter(CallStage::Notice);
                 queries::notify_cancelled(self.node, id.clone()).await;
                 Ok(empty_response(StatusCode::OK))
             }
@@ -390,6 +379,7 @@
     }
 
     async fn pending(&self) -> std::result::Result<Response, ErrorResponse> {
+        self.progress.enter(CallStage::Planner);
         let pending = queries::pending(self.node, &self.route.queue.name).await;
         let pending = pending.ok_or_else(|| {
             ErrorResponse::unavailable("the planner can't be asked", STORE_RETRY_AFTER)
--- a/crates/stairstalld/src/batch/queries.rs
+++ b/crates/stairstalld/src/batch/queries.rs
@@ -6,18 +6,24 @@
 
 use super::encoding;
 use super::node::Node;
+use super::open_call::{CallProgress, CallStage};
 use super::rpc::{JobAnswer, PeerClient, SubmitAnswer};
 use super::stored_job::StoredJob;
 use crate::keys;
 
 /// Returns what is known about a job. The answer is [`JobAnswer::Unknown`] only if the store has no
 /// such job.
-pub(crate) async fn job(node: &Node, id: &JobId) -> Result<JobAnswer, StoreFault> {
+pub(crate) async fn job(
+    node: &Node,
+    id: &JobId,
+    call: &CallProgress,
+) -> Result<JobAnswer, StoreFault> {
+    call.enter(CallStage::Planner);
     let answer = from_planner(node, id).await;
     if matches!(answer, JobAnswer::Known { .. }) {
         return Ok(answer);
     }
-    from_store(node, id, answer == JobAnswer::Unknown).await
+    from_store(node, id, answer == JobAnswer::Unknown, call).await
 }
 
 async fn from_planner(node: &Node, id: &JobId) -> JobAnswer {
@@ -54,7 +60,9 @@
     node: &Node,
     id: &JobId,
     is_unknown_to_planner: bool,
+    call: &CallProgress,
 ) -> Result<JobAnswer, StoreFault> {
+    call.enter(CallStage::StoreJob);
     let Some(item) = read_stored(node, id).await? else {
         return Ok(JobAnswer::Unknown);
     };
@@ -65,6 +73,7 @@
     };
     let customer = accepted.customer.clone();
     let key = keys::batch_progress(id);
+    call.enter(CallStage::StoreProgress);
     let item = node
         .store_call("read progress", node.store.get(&key))
         .await?;
@@ -80,6 +89,7 @@
             return Ok(JobAnswer::Unknown);
         }
         state = CallerState::Queued;
+        call.enter(CallStage::Notice);
         notify_accepted(node, accepted).await;
     }
     Ok(JobAnswer::Known {
--- a/crates/stairstalld/src/batch/telemetry.rs
+++ b/crates/stairstalld/src/batch/telemetry.rs
@@ -304,6 +304,11 @@
             .observe(took.as_secs_f64());
     }
 
+    /// Counts a call that was dropped before it had an answer.
+    pub(crate) fn dropped_call(&self, kind: &'static str) {
+        self.calls.with_label_values(&[kind, "dropped"]).inc();
+    }
+
     pub(crate) fn store_call(&self, kind: &'static str, outcome: &'static str, took: Duration) {
         self.store_calls.with_label_values(&[kind, outcome]).inc();
         self.store_time
--- a/crates/stairstalld/src/server.rs
+++ b/crates/stairstalld/src/server.rs
@@ -34,6 +34,10 @@
 /// How often a stopping server tries again after that.
 const ACCEPT_RETRIES: u32 = 50;
 
+/// The address that a request came from; found in the extensions of requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct CallerAddress(pub(crate) SocketAddr);
+
 /// Outcome of accepting a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Accepted {
@@ -152,6 +156,7 @@
         let responder = CountedResponder {
             responder: Responder::new(Arc::clone(&self.tree), Some(Arc::new(address))),
             handle: open.handle().clone(),
+            caller: CallerAddress(address),
         };
         let connection = self
             .connections
@@ -200,6 +205,7 @@
 struct CountedResponder {
     responder: Responder<Arc<SocketAddr>>,
     handle: ConnectionHandle,
+    caller: CallerAddress,
 }
 
 impl Service<Request<Incoming>> for CountedResponder {
@@ -211,6 +217,7 @@
         let handle = self.handle.clone();
         handle.begin_request();
         request.extensions_mut().insert(handle.clone());
+        request.extensions_mut().insert(self.caller);
         let answer = self.responder.call(request);
         Box::pin(async move {
             let answer = answer.await;
--- a/crates/stairstalld/tests/batch/cluster.rs
+++ b/crates/stairstalld/tests/batch/cluster.rs
@@ -392,6 +392,23 @@
         answer.ok().map(|answer| answer.status)
     }
 
+    /// Returns a daemon's metrics whose lines begin with a name.
+    pub async fn metric(&self, daemon: usize, name: &str) -> Vec<String> {
+        let address = self.daemons[daemon].metrics.to_string();
+        let call = JsonRequest {
+            method: Method::GET,
+            address: &address,
+            path: "/metrics",
+            headers: &[],
+            body: Vec::new(),
+        };
+        let answer = self.http.exchange(call, CALL_TIMEOUT).await;
+        let answer = answer.expect("metrics");
+        let text = String::from_utf8_lossy(&answer.body).into_owned();
+        let lines = text.lines().filter(|line| line.starts_with(name));
+        lines.map(str::to_owned).collect()
+    }
+
     /// Hands a job in until it is taken or refused for good; returns the last status.
     pub async fn submit(&self, daemon: usize, path: &str, body: &Value) -> Option<StatusCode> {
         let answer = self.call(daemon, Method::POST, path, body).await;
--- a/crates/stairstalld/tests/batch/main.rs
+++ b/crates/stairstalld/tests/batch/main.rs
@@ -6,6 +6,7 @@
 mod cluster;
 mod contacts;
 mod directory;
+mod dropped_calls;
 mod evacuation;
 mod explain;
 mod faults;
