feat(observability): why a question about a job was answered by 410 or 503

Each such question now leaves a line of target `lookup` with what the planner said, what the store had, and whether the job is another customer's; both are enums that `queries::job` returns beside its answer. Answers are unchanged; that one customer can't learn of another's job is tested with it.

--- a/crates/stairstalld/src/batch/caller_api.rs
+++ b/crates/stairstalld/src/batch/caller_api.rs
@@ -326,20 +326,21 @@
     }
 
     async fn state(&self, id: &JobId) -> std::result::Result<Response, ErrorResponse> {
-        let answer = queries::job(self.node, id, self.progress)
-            .await
-            .map_err(|fault| unreadable_job(&fault))?;
-        match answer {
-            JobAnswer::Known {
-                customer, state, ..
-            } => {
-                if customer != self.customer {
-                    return self.no_job_like_unknown(id).await;
-                }
-                Ok(self.state_response(state))
-            }
-            JobAnswer::Unknown | JobAnswer::NotPlanner => Err(no_such_job()),
+        let lookup = queries::job(self.node, id, self.progress).await;
+        let is_foreign = matches!(&lookup.answer,
+            Ok(JobAnswer::Known { customer, .. }) if *customer != self.customer);
+        let (planner, store) = (lookup.planner, lookup.store);
+        let response = match lookup.answer {
+            Ok(JobAnswer::Known { .. }) if is_foreign => self.no_job_like_unknown(id).await,
+            Ok(JobAnswer::Known { state, .. }) => return Ok(self.state_response(state)),
+            Ok(JobAnswer::Unknown | JobAnswer::NotPlanner) => Err(no_such_job()),
+            Err(fault) => Err(unreadable_job(&fault)),
+        };
+        if let Err(failure) = &response {
+            log::info!(target: "lookup", job:% = id, planner = planner.as_str(),
+                store = store.as_str(), foreign = is_foreign; "{}", failure.body.error);
         }
+        response
     }
 
     /// Answers a question about another customer's job as one about a job that does not exist, after
--- a/crates/stairstalld/src/batch/queries.rs
+++ b/crates/stairstalld/src/batch/queries.rs
@@ -11,35 +11,128 @@
 use super::stored_job::StoredJob;
 use crate::keys;
 
-/// Returns what is known about a job. The answer is [`JobAnswer::Unknown`] only if the store has no
-/// such job.
-pub(crate) async fn job(
-    node: &Node,
-    id: &JobId,
-    call: &CallProgress,
-) -> Result<JobAnswer, StoreFault> {
+/// What the planner said when it was asked for a job. Logged under these names.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum PlannerReply {
+    /// It knows the job.
+    Known,
+    /// It does not know the job.
+    Unknown,
+    /// No other daemon is known to hold the role, and this one doesn't.
+    NoPlanner,
+    /// The daemon that was asked does not hold the role, has not loaded the jobs, is without a valid
+    /// lease, or holds the job back.
+    NotPlanner,
+    /// The same of this daemon, which holds the role.
+    NotServing,
+    /// It did not answer.
+    NoAnswer,
+}
+
+impl PlannerReply {
+    /// Returns the name used in logs.
+    pub(crate) const fn as_str(self) -> &'static str {
+        match self {
+            Self::Known => "known",
+            Self::Unknown => "unknown",
+            Self::NoPlanner => "no-planner",
+            Self::NotPlanner => "not-planner",
+            Self::NotServing => "not-serving",
+            Self::NoAnswer => "no-answer",
+        }
+    }
+
+    /// Returns what an answer says; `otherwise` where it is that of no planner.
+    const fn from_answer(answer: &JobAnswer, otherwise: Self) -> Self {
+        match answer {
+            JobAnswer::Known { .. } => Self::Known,
+            JobAnswer::Unknown => Self::Unknown,
+            JobAnswer::NotPlanner => otherwise,
+        }
+    }
+}
+
+/// What the store had of a job that was asked for. Logged under these names.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum StoreFinding {
+    /// It was not asked.
+    NotAsked,
+    /// The job.
+    Job,
+    /// Nothing under the job's key.
+    Absent,
+    /// The record of a refusal, or of the cancellation of an ID that no job had.
+    Refused,
+    /// The shortened record of an ended job without its progress: its removal is under way.
+    Trimmed,
+    /// It did not answer, or has what can't be read.
+    Unreadable,
+}
+
+impl StoreFinding {
+    /// Returns the name used in logs.
+    pub(crate) const fn as_str(self) -> &'static str {
+        match self {
+            Self::NotAsked => "not-asked",
+            Self::Job => "job",
+            Self::Absent => "absent",
+            Self::Refused => "refused",
+            Self::Trimmed => "trimmed",
+            Self::Unreadable => "unreadable",
+        }
+    }
+}
+
+/// Whom a lookup asked for a job, and what they said.
+#[derive(Debug)]
+pub(crate) struct Lookup {
+    pub(crate) planner: PlannerReply,
+    pub(crate) store: StoreFinding,
+    /// The outcome; [`JobAnswer::Unknown`] only if the store has no such job.
+    pub(crate) answer: Result<JobAnswer, StoreFault>,
+}
+
+/// Looks a job up.
+pub(crate) async fn job(node: &Node, id: &JobId, call: &CallProgress) -> Lookup {
     call.enter(CallStage::Planner);
-    let answer = from_planner(node, id).await;
-    if matches!(answer, JobAnswer::Known { .. }) {
-        return Ok(answer);
+    let (planner, answer) = from_planner(node, id).await;
+    if planner == PlannerReply::Known {
+        return Lookup {
+            planner,
+            store: StoreFinding::NotAsked,
+            answer: Ok(answer),
+        };
+    }
+    let found = from_store(node, id, planner == PlannerReply::Unknown, call).await;
+    let (store, answer) = match found {
+        Ok((store, answer)) => (store, Ok(answer)),
+        Err(fault) => (StoreFinding::Unreadable, Err(fault)),
+    };
+    Lookup {
+        planner,
+        store,
+        answer,
     }
-    from_store(node, id, answer == JobAnswer::Unknown, call).await
 }
 
-async fn from_planner(node: &Node, id: &JobId) -> JobAnswer {
+async fn from_planner(node: &Node, id: &JobId) -> (PlannerReply, JobAnswer) {
     if let Some(tenure) = node.tenure() {
-        return tenure.job(id);
+        let answer = tenure.job(id);
+        let reply = PlannerReply::from_answer(&answer, PlannerReply::NotServing);
+        return (reply, answer);
     }
     let Some(planner) = node.remote_planner() else {
-        return JobAnswer::NotPlanner;
+        return (PlannerReply::NoPlanner, JobAnswer::NotPlanner);
     };
     let Some(client) = node.peer_clients.client(&planner.rpc) else {
-        return JobAnswer::NotPlanner;
+        return (PlannerReply::NoPlanner, JobAnswer::NotPlanner);
     };
     let sent_at = node.clock.now();
     let answer = client.job(id.clone()).await;
     node.peer_clients.record_call(&planner.rpc, &answer);
-    let answer = answer.unwrap_or(JobAnswer::NotPlanner);
+    let Ok(answer) = answer else {
+        return (PlannerReply::NoAnswer, JobAnswer::NotPlanner);
+    };
     if let JobAnswer::Known {
         catalog_confirmation,
         ..
@@ -47,7 +140,8 @@
     {
         node.record_catalog_confirmation(*catalog_confirmation, sent_at);
     }
-    answer
+    let reply = PlannerReply::from_answer(&answer, PlannerReply::NotPlanner);
+    (reply, answer)
 }
 
 /// Reads what the store has under a job's own key.
@@ -61,15 +155,15 @@
     id: &JobId,
     is_unknown_to_planner: bool,
     call: &CallProgress,
-) -> Result<JobAnswer, StoreFault> {
+) -> Result<(StoreFinding, JobAnswer), StoreFault> {
     call.enter(CallStage::StoreJob);
     let Some(item) = read_stored(node, id).await? else {
-        return Ok(JobAnswer::Unknown);
+        return Ok((StoreFinding::Absent, JobAnswer::Unknown));
     };
     let undecodable = |e: encoding::EncodingError| StoreFault::Unexpected(e.to_string());
     let found = StoredJob::read(&item.value).map_err(undecodable)?;
     let Some(accepted) = found.accepted() else {
-        return Ok(JobAnswer::Unknown);
+        return Ok((StoreFinding::Refused, JobAnswer::Unknown));
     };
     let customer = accepted.customer.clone();
     let key = keys::batch_progress(id);
@@ -86,17 +180,18 @@
     if is_unknown_to_planner && progress.outcome.is_none() {
         if accepted.is_trimmed() {
             // They were removed between the two reads.
-            return Ok(JobAnswer::Unknown);
+            return Ok((StoreFinding::Trimmed, JobAnswer::Unknown));
         }
         state = CallerState::Queued;
         call.enter(CallStage::Notice);
         notify_accepted(node, accepted).await;
     }
-    Ok(JobAnswer::Known {
+    let answer = JobAnswer::Known {
         customer,
         state,
         catalog_confirmation: None,
-    })
+    };
+    Ok((StoreFinding::Job, answer))
 }
 
 /// Notifies the planner of an accepted job. If the call fails, the planner finds the job when it
--- a/crates/stairstalld/tests/batch/main.rs
+++ b/crates/stairstalld/tests/batch/main.rs
@@ -13,6 +13,7 @@
 mod last_ends;
 mod learnt;
 mod leaving;
+mod lookups;
 mod path;
 mod policy;
 mod reach;
