feat(observability): connections that end other than cleanly, and what is open at a stop

A connection that gave way, timed out in a head or broke off was told at most by a debug line, and what a stop cut was only counted as "calls aborted".

Such an end is now one `closed` line with cause, phase, phase_ms and whether a request had no answer; figures head_timeouts and broke_off of the intake count them beside those that gave way. Idle connections that are closed leave nothing: hyper calls their time-out one of a head too, so what it has read tells them apart. A stop logs what connections are doing as it is requested and at the drain limit, there with up to 20 open requests.

The unit tests of the intake only pass the caller's address that `admit` now takes.

--- a/crates/stairstalld/src/batch/serve.rs
+++ b/crates/stairstalld/src/batch/serve.rs
@@ -98,6 +98,7 @@
         leaving: node.leaving.clone(),
         delay: node.settings.drain_delay,
         limit: node.settings.drain_limit,
+        intake: Arc::clone(&node.intake),
     };
     let server = Server::new(
         callers,
--- a/crates/stairstalld/src/intake.rs
+++ b/crates/stairstalld/src/intake.rs
@@ -5,11 +5,14 @@
 //! what they send are still answered.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
 
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use crate::clock::millis;
 use crate::daemon::lock;
 
 /// Share of the VM's memory and open files for callers, in percent. Workers may take up to the rest
@@ -94,7 +97,7 @@
 
 /// What the connection of a caller is doing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Phase {
+pub(crate) enum Phase {
     /// It waits for a request, or for the rest of its head.
     ReadingHead,
     /// It waits for the rest of a body.
@@ -103,8 +106,66 @@
     Handling,
 }
 
+impl Phase {
+    /// Returns the name used in logs.
+    pub(crate) const fn as_str(self) -> &'static str {
+        match self {
+            Self::ReadingHead => "reading-head",
+            Self::ReadingBody => "reading-body",
+            Self::Handling => "handling",
+        }
+    }
+
+    /// Returns whether a request has arrived, at least its head, that has no answer yet.
+    pub(crate) const fn has_request(self) -> bool {
+        !matches!(self, Self::ReadingHead)
+    }
+}
+
+/// Why a connection ended other than by its caller's or the server's closing it between requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum CloseCause {
+    /// It was unfinished for so long that it gave way to others.
+    GaveWay,
+    /// Its caller took too long to send the rest of a head.
+    HeadTimeout,
+    /// It broke, its caller left, or what it sent was not HTTP.
+    BrokeOff,
+}
+
+impl CloseCause {
+    /// Returns the name used in logs.
+    pub(crate) const fn as_str(self) -> &'static str {
+        match self {
+            Self::GaveWay => "gave-way",
+            Self::HeadTimeout => "head-timeout",
+            Self::BrokeOff => "broke-off",
+        }
+    }
+}
+
+/// What one connection is doing, for logs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct ConnectionState {
+    pub(crate) caller: SocketAddr,
+    pub(crate) phase: Phase,
+    /// For how long it has been in this phase.
+    pub(crate) phase_age: Duration,
+}
+
+/// What the connections of one address are doing, for logs.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct IntakeSummary {
+    pub(crate) open: usize,
+    pub(crate) handling: usize,
+    pub(crate) reading_bodies: usize,
+    /// For how long a request has been in its phase, at the most.
+    pub(crate) oldest: Duration,
+}
+
 #[derive(Debug)]
 struct Entry {
+    caller: SocketAddr,
     phase: Phase,
     /// Since when it has been in this phase.
     since: Instant,
@@ -114,6 +175,16 @@
     close: Arc<Notify>,
 }
 
+impl Entry {
+    fn state(&self) -> ConnectionState {
+        ConnectionState {
+            caller: self.caller,
+            phase: self.phase,
+            phase_age: self.since.elapsed(),
+        }
+    }
+}
+
 #[derive(Debug, Default)]
 struct Entries {
     by_id: BTreeMap<u64, Entry>,
@@ -122,6 +193,9 @@
     /// Connections that were closed or refused so far.
     closed: u64,
     refused: u64,
+    /// Connections that ended in the midst of a head, by time and otherwise, or of a request.
+    head_timeouts: u64,
+    broke_off: u64,
 }
 
 impl Entries {
@@ -160,16 +234,22 @@
     pub closed: u64,
     /// Connections that were closed at once, since all others were being answered.
     pub refused: u64,
+    /// Connections whose callers took too long to send the rest of a head.
+    pub head_timeouts: u64,
+    /// Connections that broke, or whose callers left, in the midst of a head or a request.
+    pub broke_off: u64,
 }
 
 impl IntakeUse {
     /// Returns the figures with the names that they have in metrics.
-    pub(crate) const fn named(self) -> [(&'static str, u64); 4] {
+    pub(crate) const fn named(self) -> [(&'static str, u64); 6] {
         [
             ("connections", self.connections as u64),
             ("body_bytes", self.body_bytes as u64),
             ("closed", self.closed),
             ("refused", self.refused),
+            ("head_timeouts", self.head_timeouts),
+            ("broke_off", self.broke_off),
         ]
     }
 }
@@ -204,16 +284,48 @@
             body_bytes: entries.body_bytes,
             closed: entries.closed,
             refused: entries.refused,
+            head_timeouts: entries.head_timeouts,
+            broke_off: entries.broke_off,
+        }
+    }
+
+    /// Returns a summary of what the connections are doing.
+    pub(crate) fn summary(&self) -> IntakeSummary {
+        let states = self.states();
+        let count = |phase| states.iter().filter(|state| state.phase == phase).count();
+        let requests = states.iter().filter(|state| state.phase.has_request());
+        IntakeSummary {
+            open: states.len(),
+            handling: count(Phase::Handling),
+            reading_bodies: count(Phase::ReadingBody),
+            oldest: requests
+                .map(|state| state.phase_age)
+                .max()
+                .unwrap_or_default(),
         }
     }
 
+    /// Returns the connections whose requests have no answer yet, at most `most`, those that have
+    /// been in their phase for longest first.
+    pub(crate) fn open_requests(&self, most: usize) -> Vec<ConnectionState> {
+        let mut states = self.states();
+        states.retain(|state| state.phase.has_request());
+        states.sort_by_key(|state| std::cmp::Reverse(state.phase_age));
+        states.truncate(most);
+        states
+    }
+
+    fn states(&self) -> Vec<ConnectionState> {
+        self.entries().by_id.values().map(Entry::state).collect()
+    }
+
     fn entries(&self) -> MutexGuard<'_, Entries> {
         lock(&self.entries)
     }
 
     /// Admits a new connection, for which the one that has been unfinished for longest is closed if
     /// there are too many. Returns `None` if the requests of all others are being handled.
-    pub(crate) fn admit(self: &Arc<Self>) -> Option<OpenConnection> {
+    pub(crate) fn admit(self: &Arc<Self>, caller: SocketAddr) -> Option<OpenConnection> {
         let mut entries = self.entries();
         let is_full = entries.open() >= self.limits.connections;
         if is_full && !entries.close_oldest(|_| true) {
@@ -224,6 +336,7 @@
         entries.next_id += 1;
         let close = Arc::new(Notify::new());
         let entry = Entry {
+            caller,
             phase: Phase::ReadingHead,
             since: Instant::now(),
             body_bytes: 0,
@@ -253,6 +366,23 @@
         &self.handle
     }
 
+    /// Logs and counts the end of the connection. One that broke off between requests, or in the
+    /// midst of a head, is no news.
+    pub(crate) fn log_close(&self, cause: CloseCause) {
+        let Some(state) = self.handle.count_close(cause) else {
+            return;
+        };
+        let is_news = cause != CloseCause::BrokeOff || state.phase.has_request();
+        let level = if is_news {
+            log::Level::Info
+        } else {
+            log::Level::Debug
+        };
+        log::log!(target: "closed", level, cause = cause.as_str(), phase = state.phase.as_str(),
+            phase_ms = millis(state.phase_age), unanswered = u8::from(state.phase.has_request()),
+            caller:% = state.caller; "a connection ended other than cleanly");
+    }
+
     /// Waits until the connection has to give way.
     pub(crate) async fn must_close(&self) {
         self.close.notified().await;
@@ -290,6 +420,18 @@
         }
     }
 
+    /// Counts the end of the connection; returns what it was doing. That others needed its place was
+    /// counted when it was told.
+    fn count_close(&self, cause: CloseCause) -> Option<ConnectionState> {
+        let mut entries = self.intake.entries();
+        match cause {
+            CloseCause::GaveWay => {}
+            CloseCause::HeadTimeout => entries.head_timeouts += 1,
+            CloseCause::BrokeOff => entries.broke_off += 1,
+        }
+        entries.by_id.get(&self.id).map(Entry::state)
+    }
+
     /// Records that a request's head has been read.
     pub(crate) fn begin_request(&self) {
         self.enter(Phase::Handling);
--- a/crates/stairstalld/src/intake/tests.rs
+++ b/crates/stairstalld/src/intake/tests.rs
@@ -1,7 +1,10 @@
+use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
 use super::{Intake, IntakeLimits, IntakeSettings, MustGiveWay, OpenConnection};
 
+const CALLER: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 1);
+
 const LIMITS: IntakeLimits = IntakeLimits {
     connections: 3,
     body_bytes: 1_000,
@@ -51,11 +54,11 @@
 #[tokio::test]
 async fn the_connection_that_waits_for_longest_gives_way() {
     let intake = Intake::new(LIMITS);
-    let first = intake.admit().expect("a place");
-    let second = intake.admit().expect("a place");
-    let third = intake.admit().expect("a place");
+    let first = intake.admit(CALLER).expect("a place");
+    let second = intake.admit(CALLER).expect("a place");
+    let third = intake.admit(CALLER).expect("a place");
     first.handle().begin_request();
-    let fourth = intake.admit().expect("the place of the second");
+    let fourth = intake.admit(CALLER).expect("the place of the second");
     assert!(is_told_to_close(&second).await);
     assert!(!is_told_to_close(&first).await, "its request is handled");
     assert!(!is_told_to_close(&third).await && !is_told_to_close(&fourth).await);
@@ -65,27 +68,27 @@
 #[test]
 fn a_connection_is_refused_while_all_others_are_answered() {
     let intake = Intake::new(LIMITS);
-    let open: Vec<OpenConnection> = (0..3).filter_map(|_| intake.admit()).collect();
+    let open: Vec<OpenConnection> = (0..3).filter_map(|_| intake.admit(CALLER)).collect();
     for connection in &open {
         connection.handle().begin_request();
     }
-    assert!(intake.admit().is_none());
+    assert!(intake.admit(CALLER).is_none());
     open[0].handle().end_request();
-    assert!(intake.admit().is_some());
+    assert!(intake.admit(CALLER).is_some());
     assert_eq!(intake.in_use().refused, 1);
 }
 
 #[tokio::test]
 async fn the_body_that_is_unfinished_for_longest_gives_way() {
     let intake = Intake::new(LIMITS);
-    let slow = intake.admit().expect("a place");
+    let slow = intake.admit(CALLER).expect("a place");
     slow.handle().begin_body();
     assert_eq!(slow.handle().reserve(600).await, Ok(()));
-    let whole = intake.admit().expect("a place");
+    let whole = intake.admit(CALLER).expect("a place");
     whole.handle().begin_body();
     assert_eq!(whole.handle().reserve(300).await, Ok(()));
     whole.handle().end_body();
-    let new = intake.admit().expect("a place");
+    let new = intake.admit(CALLER).expect("a place");
     new.handle().begin_body();
     let handle = new.handle().clone();
     let reserving = tokio::spawn(async move { handle.reserve(500).await });
@@ -101,11 +104,11 @@
 #[tokio::test]
 async fn a_body_that_is_the_oldest_itself_gives_way() {
     let intake = Intake::new(LIMITS);
-    let handled = intake.admit().expect("a place");
+    let handled = intake.admit(CALLER).expect("a place");
     handled.handle().begin_body();
     assert_eq!(handled.handle().reserve(700).await, Ok(()));
     handled.handle().end_body();
-    let slow = intake.admit().expect("a place");
+    let slow = intake.admit(CALLER).expect("a place");
     slow.handle().begin_body();
     assert_eq!(slow.handle().reserve(300).await, Ok(()));
     assert_eq!(slow.handle().reserve(100).await, Err(MustGiveWay));
@@ -115,7 +118,7 @@
 #[tokio::test]
 async fn a_body_that_is_alone_is_taken_whatever_its_length() {
     let intake = Intake::new(LIMITS);
-    let only = intake.admit().expect("a place");
+    let only = intake.admit(CALLER).expect("a place");
     only.handle().begin_body();
     assert_eq!(only.handle().reserve(900).await, Ok(()));
     assert_eq!(only.handle().reserve(5_000).await, Ok(()));
--- a/crates/stairstalld/src/serve.rs
+++ b/crates/stairstalld/src/serve.rs
@@ -94,6 +94,7 @@
         leaving: daemon.leaving.clone(),
         delay: daemon.settings.drain_delay,
         limit: daemon.settings.drain_limit,
+        intake: Arc::clone(&daemon.intake),
     };
     let server = Server::new(
         listener,
--- a/crates/stairstalld/src/server.rs
+++ b/crates/stairstalld/src/server.rs
@@ -3,7 +3,7 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::pin::pin;
+use std::pin::{Pin, pin};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -19,7 +19,7 @@
 use tokio::time::Instant;
 use viz::{Responder, Router, Tree};
 
-use crate::intake::{ConnectionHandle, Intake, OpenConnection};
+use crate::intake::{CloseCause, ConnectionHandle, Intake, OpenConnection};
 
 /// How long a stopping server reads on before it takes a connection for idle, or the queue of
 /// connections that wait to be accepted for empty.
@@ -144,7 +144,7 @@
     }
 
     fn serve(&mut self, stream: TcpStream, address: SocketAddr) {
-        let Some(open) = self.intake.admit() else {
+        let Some(open) = self.intake.admit(address) else {
             log::info!(target: "listen", caller:% = address; "refused: all connections are being answered");
             return;
         };
@@ -163,8 +163,8 @@
             .serve_connection(TokioIo::new(stream), responder);
         let closing = self.closing.subscribe();
         self.open.spawn(async move {
-            if let Err(error) = serve_connection(connection, &open, closing, address).await {
-                log::debug!(target: "listen", caller:% = address, error:% = error; "a connection broke off");
+            if let Err(cause) = serve_connection(connection, &open, closing).await {
+                open.log_close(cause);
             }
         });
     }
@@ -173,34 +173,54 @@
 type HttpConnection = http1::Connection<TokioIo<TcpStream>, CountedResponder>;
 
 /// Serves a connection until it ends, has to close once it is idle, or has to give way.
+///
+/// # Errors
+///
+/// Returns why the connection ended, unless it ended cleanly: also one that is idle for too long
+/// does.
 async fn serve_connection(
-    connection: HttpConnection,
+    mut connection: HttpConnection,
     open: &OpenConnection,
     mut closing: watch::Receiver<bool>,
-    address: SocketAddr,
-) -> hyper::Result<()> {
-    let mut connection = pin!(connection);
+) -> Result<(), CloseCause> {
     let mut is_closing = false;
     loop {
         tokio::select! {
             biased;
-            ended = connection.as_mut() => return ended,
+            ended = &mut connection => return match ended {
+                Ok(()) => Ok(()),
+                Err(error) => close_cause(&error, connection).map_or(Ok(()), Err),
+            },
             () = open.must_close() => {
-                log::info!(target: "listen", caller:% = address; "closed unfinished: others need its place");
                 if !open.handle().is_handling() {
-                    return Ok(());
+                    return Err(CloseCause::GaveWay);
                 }
                 // A request has arrived in the same moment; it is answered first.
-                connection.as_mut().graceful_shutdown();
+                close_when_idle(&mut connection);
             }
             () = wait_until_idle_may_close(&mut closing), if !is_closing => {
                 is_closing = true;
-                connection.as_mut().graceful_shutdown();
+                close_when_idle(&mut connection);
             }
         }
     }
 }
 
+/// Makes a connection close as soon as it has no request to answer.
+fn close_when_idle(connection: &mut HttpConnection) {
+    Pin::new(connection).graceful_shutdown();
+}
+
+/// Returns why a connection ended, or `None` if it was idle for too long: nothing of a head came.
+fn close_cause(error: &hyper::Error, connection: HttpConnection) -> Option<CloseCause> {
+    if !error.is_timeout() {
+        log::debug!(target: "listen", error:% = error; "a connection broke off");
+        return Some(CloseCause::BrokeOff);
+    }
+    let is_idle = connection.into_parts().read_buf.is_empty();
+    (!is_idle).then_some(CloseCause::HeadTimeout)
+}
+
 /// Answers requests and says when each begins and ends.
 struct CountedResponder {
     responder: Responder<Arc<SocketAddr>>,
@@ -254,3 +274,6 @@
         ErrorKind::ConnectionRefused | ErrorKind::ConnectionAborted | ErrorKind::ConnectionReset
     )
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/stairstalld/src/shutdown.rs
+++ b/crates/stairstalld/src/shutdown.rs
@@ -1,5 +1,6 @@
 //! Signals, and a graceful stop.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use stairstall_core::VmId;
@@ -7,12 +8,17 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
+use crate::clock::millis;
+use crate::intake::Intake;
 use crate::serve::{RunError, system_error};
 
 /// How much longer than the limit calls may take that have arrived, or were answered, while the process
 /// did not run.
 const LIMIT_MARGIN: Duration = Duration::from_millis(300);
 
+/// Number of requests that are named when they are open at the drain limit.
+const LOGGED_REQUESTS: usize = 20;
+
 /// The signals that a daemon handles. A signal whose handler is not installed ends the process, so
 /// they are installed before the daemon listens.
 #[derive(Debug)]
@@ -58,6 +64,8 @@
     pub(crate) delay: Duration,
     /// How long calls in flight may take after the delay.
     pub(crate) limit: Duration,
+    /// What callers' connections are doing, for log lines.
+    pub(crate) intake: Arc<Intake>,
 }
 
 /// Outcome of waiting for open calls.
@@ -77,12 +85,30 @@
             _ = signals.interrupt.recv() => {}
         }
         log::info!(target: "stop", vm:% = self.vm,
-            delay_ms = crate::clock::millis(self.delay);
+            delay_ms = millis(self.delay);
             "stop requested: health checks fail from now on, calls are still accepted");
+        self.log_connections("connections as the stop is requested");
         self.leaving.send_replace(true);
         tokio::time::sleep(self.delay).await;
     }
 
+    fn log_connections(&self, text: &str) {
+        let summary = self.intake.summary();
+        log::info!(target: "stop", vm:% = self.vm, open = summary.open,
+            handling = summary.handling, reading_bodies = summary.reading_bodies,
+            oldest_ms = millis(summary.oldest); "{text}");
+    }
+
+    /// Logs what is still open at the drain limit.
+    fn log_open_requests(&self) {
+        self.log_connections("the drain limit is reached");
+        for request in self.intake.open_requests(LOGGED_REQUESTS) {
+            log::warn!(target: "stop", vm:% = self.vm, caller:% = request.caller,
+                phase = request.phase.as_str(), phase_ms = millis(request.phase_age);
+                "a request without an answer at the drain limit");
+        }
+    }
+
     /// Waits for a server to answer the open calls, up to the limit.
     ///
     /// # Errors
@@ -96,10 +122,13 @@
         };
         let ended = tokio::select! {
             ended = &mut server => ended,
-            () = limit => match tokio::time::timeout(LIMIT_MARGIN, server).await {
-                Ok(ended) => ended,
-                Err(_) => return Ok(DrainOutcome::TimedOut),
-            },
+            () = limit => {
+                let Ok(ended) = tokio::time::timeout(LIMIT_MARGIN, server).await else {
+                    self.log_open_requests();
+                    return Ok(DrainOutcome::TimedOut);
+                };
+                ended
+            }
         };
         let ended = ended.map_err(std::io::Error::other);
         ended
--- a/crates/stairstalld/tests/batch/dropped_calls.rs
+++ b/crates/stairstalld/tests/batch/dropped_calls.rs
@@ -76,6 +76,18 @@
     cluster.daemons[0].stop().await;
     let line = call_line(&cluster, &path).await;
     assert!(line.contains(" stage=body "), "{line}");
+    let daemon = &cluster.daemons[0];
+    for text in [
+        "connections as the stop is requested",
+        "the drain limit is reached",
+    ] {
+        let lines = daemon.log_lines(text);
+        assert_eq!(lines.len(), 1, "{lines:?}");
+        assert!(lines[0].contains(" reading_bodies=1 "), "{lines:?}");
+    }
+    let named = daemon.log_lines("a request without an answer at the drain limit");
+    assert_eq!(named.len(), 1, "{named:?}");
+    assert!(named[0].contains(" phase=reading-body "), "{named:?}");
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -101,3 +113,21 @@
         "{line}"
     );
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_connection_that_breaks_during_a_request_leaves_a_line() {
+    let mut cluster = Cluster::start(1, 1).await;
+    let path = format!("/q0/{}", cluster.new_id());
+    cluster.daemons[0].store.set(LinkMode::Delay(SLOW));
+    let stream = send(&cluster, "POST", &path, &job(1, "ms=50").to_string()).await;
+    let caller = stream.local_addr().expect("an address");
+    tokio::time::sleep(SLOW / 4).await;
+    drop(stream);
+    cluster.daemons[0].wait_for_line(" closed cause=").await;
+    let lines = cluster.daemons[0].log_lines(" closed cause=");
+    assert_eq!(lines.len(), 1, "{lines:?}");
+    let said = " closed cause=broke-off phase=handling phase_ms=";
+    assert!(lines[0].contains(said), "{lines:?}");
+    let caller = format!(" unanswered=1 caller={caller} ");
+    assert!(lines[0].contains(&caller), "{lines:?}");
+}
