feat(observability): left_out counts lines of its own target; ends that are not done are setbacks

`left_out` stood in the next line of any target, so that it said neither which lines were missing nor whether the target that one reads is whole. It now counts the line's own target. And the ends that matter, those of runs that failed, lapsed or were stopped, were left out among the hundreds a second that are done: they get the log target (and the kind of decision) `setback`, with the same keys.

--- a/crates/stairstall-core/src/batch/decision.rs
+++ b/crates/stairstall-core/src/batch/decision.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::TaskKey;
+use super::{RunEndKind, TaskKey};
 use crate::{JobId, WorkerId, ZoneId};
 
 /// Kind of a decision.
@@ -18,8 +18,10 @@
     Begin,
     /// A run is stopped.
     Stop,
-    /// A run ended, or is known to be over.
+    /// A run is done.
     End,
+    /// A run ended otherwise, or is known to be over.
+    Setback,
     /// A run was lost with its worker.
     Loss,
     /// A run that another planner had started was adopted.
@@ -33,6 +35,15 @@
 }
 
 impl DecisionKind {
+    /// Returns the kind of a decision about a run's end.
+    #[must_use]
+    pub const fn of_end(end: RunEndKind) -> Self {
+        match end {
+            RunEndKind::Done => Self::End,
+            _ => Self::Setback,
+        }
+    }
+
     /// Returns the name used in logs.
     #[must_use]
     pub const fn as_str(self) -> &'static str {
@@ -43,6 +54,7 @@
             Self::Begin => "begin",
             Self::Stop => "stop",
             Self::End => "end",
+            Self::Setback => "setback",
             Self::Loss => "loss",
             Self::Adopt => "adopt",
             Self::Outcome => "outcome",
--- a/crates/stairstall-core/src/batch/planner/run_ends.rs
+++ b/crates/stairstall-core/src/batch/planner/run_ends.rs
@@ -42,7 +42,7 @@
             |run| describe_progress(run, now),
         );
         self.decisions.push(Decision::of_run(
-            DecisionKind::End,
+            DecisionKind::of_end(end.kind),
             &end.task,
             end.run,
             id,
@@ -85,7 +85,8 @@
                 continue;
             }
             let why = format!("{}; its worker is no longer known", end.kind.as_str());
-            let decision = Decision::of_run(DecisionKind::End, &end.task, end.run, id, why);
+            let kind = DecisionKind::of_end(end.kind);
+            let decision = Decision::of_run(kind, &end.task, end.run, id, why);
             self.decisions.push(decision);
             if end.kind == RunEndKind::Done {
                 self.complete_task(&end.task, now);
@@ -324,7 +325,7 @@
             return;
         };
         self.decisions.push(Decision::of_run(
-            DecisionKind::End,
+            DecisionKind::of_end(kind),
             task,
             run.number,
             id,
--- a/crates/stairstalld/src/logging.rs
+++ b/crates/stairstalld/src/logging.rs
@@ -85,16 +85,22 @@
     }
 }
 
+/// The lines of one target.
+#[derive(Debug, Default)]
+struct TargetLines {
+    /// Lines within the current second.
+    current: u32,
+    /// Lines dropped since the last one that was written.
+    dropped: u64,
+}
+
 /// Limits the lines per second of each target.
 #[derive(Debug)]
 struct RateLimiter {
     lines_per_target: u32,
     /// The current second since the logger was started.
     second: u64,
-    /// Lines of each target within the current second.
-    lines: HashMap<String, u32>,
-    /// Lines dropped since the last one that was written.
-    dropped: u64,
+    targets: HashMap<String, TargetLines>,
 }
 
 impl RateLimiter {
@@ -102,25 +108,27 @@
         Self {
             lines_per_target,
             second: 0,
-            lines: HashMap::new(),
-            dropped: 0,
+            targets: HashMap::new(),
         }
     }
 
-    /// Returns how many lines were dropped before this one, or none if this line must be dropped.
+    /// Returns how many lines of the target were dropped before this one, or none if this line must
+    /// be dropped.
     fn admit(&mut self, target: &str, second: u64) -> Option<u64> {
         if self.second != second {
             self.second = second;
-            self.lines.clear();
+            for lines in self.targets.values_mut() {
+                lines.current = 0;
+            }
         }
-        let count = self.lines.entry(target.to_owned()).or_default();
-        *count += 1;
-        if *count > self.lines_per_target {
-            self.dropped += 1;
+        let lines = self.targets.entry(target.to_owned()).or_default();
+        lines.current += 1;
+        if lines.current > self.lines_per_target {
+            lines.dropped += 1;
             DROPPED.fetch_add(1, Ordering::Relaxed);
             return None;
         }
-        Some(std::mem::take(&mut self.dropped))
+        Some(std::mem::take(&mut lines.dropped))
     }
 }
 
--- a/crates/stairstalld/tests/batch/path.rs
+++ b/crates/stairstalld/tests/batch/path.rs
@@ -119,6 +119,37 @@
     assert_eq!(cluster.runs_of(&path[4..]), 3);
 }
 
+/// Ends that are not `done` have a log target of their own, which those of a busy fleet can't fill.
+#[tokio::test(flavor = "multi_thread")]
+async fn ends_that_are_not_done_are_logged_as_setbacks() {
+    let mut cluster = Cluster::start(1, 4).await;
+    let (fails, ends) = (cluster.new_id(), cluster.new_id());
+    let work = [
+        (&fails, "ms=30 fail", "failed"),
+        (&ends, "ms=30", "completed"),
+    ];
+    for (id, payload, state) in work {
+        let path = format!("/q2/{id}");
+        cluster.submit(0, &path, &job(1, payload)).await;
+        cluster.wait_for(&path, state).await;
+    }
+    let lines_of = |target: &str, id: &str| {
+        let lines = cluster.daemons[0].log_lines(target).into_iter();
+        lines.filter(|line| line.contains(id)).collect::<Vec<_>>()
+    };
+    let setbacks = lines_of("INFO setback ", &fails);
+    assert_eq!(setbacks.len(), 3, "{setbacks:?}");
+    for line in &setbacks {
+        let values = key_values(line);
+        for key in ["token", "job", "task", "run", "worker"] {
+            assert!(values.contains_key(key), "{key} is missing in {line}");
+        }
+    }
+    assert!(lines_of("INFO end ", &fails).is_empty());
+    assert!(lines_of("INFO setback ", &ends).is_empty());
+    assert_eq!(lines_of("INFO end ", &ends).len(), 1);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_cancelled_job_stops_and_starts_nothing_more() {
     let mut cluster = Cluster::start(2, 2).await;
