feat(observability): a progress write that fails or is slow leaves a line

A job's end is shown, and a worker may forget it, once the planner has stored it; that such a write failed or hung was in debug lines of each store call alone. It is now a warn line of target `writer` with the number of jobs, the first of them, the time and the outcome.

--- a/crates/stairstalld/src/batch/writer.rs
+++ b/crates/stairstalld/src/batch/writer.rs
@@ -15,6 +15,7 @@
 use super::encoding;
 use super::node::Node;
 use super::tenure::Tenure;
+use crate::clock::millis;
 use crate::keys;
 
 /// Revisions of the progress keys by job.
@@ -22,6 +23,8 @@
 
 /// Delay after a failed write.
 const RETRY_DELAY: Duration = Duration::from_millis(40);
+/// Time above which a write is logged as slow.
+const SLOW_WRITE: Duration = Duration::from_millis(500);
 /// Interval at which jobs are removed whose retention period after their end is over.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(5);
 /// Number of expired jobs removed by one write. It has three entries for each job and one for the
@@ -33,9 +36,31 @@
     writes: Vec<ProgressWrite>,
     /// Total length of the written values, in bytes.
     bytes: usize,
+    /// Time from sending it to its outcome.
+    took: Duration,
     outcome: Result<CommitOutcome, StoreFault>,
 }
 
+impl CompletedWrite {
+    /// Logs a write that failed or was slow: until it is stored, its jobs' ends are shown to nobody
+    /// and their workers keep them.
+    fn log_trouble(&self, token: u64) {
+        let is_stored = matches!(self.outcome, Ok(CommitOutcome::Done(_)));
+        if is_stored && self.took <= SLOW_WRITE {
+            return;
+        }
+        let outcome = match &self.outcome {
+            Ok(CommitOutcome::Done(_)) => "done".to_owned(),
+            Ok(CommitOutcome::Conflict(_)) => "conflict".to_owned(),
+            Ok(CommitOutcome::LeaseExpired) => "lease-expired".to_owned(),
+            Err(fault) => fault.to_string(),
+        };
+        let first = self.writes.first().map(|write| write.job.to_string());
+        log::warn!(target: "writer", token, jobs = self.writes.len(),
+            job:% = first.unwrap_or_default(), ms = millis(self.took); "progress write: {outcome}");
+    }
+}
+
 /// The progress writes of one tenure.
 struct Writer {
     node: Arc<Node>,
@@ -122,11 +147,13 @@
         self.bytes_in_flight += bytes;
         let node = Arc::clone(&self.node);
         let write = async move {
+            let sent_at = Instant::now();
             let call = node.store.commit(commit);
             let outcome = node.store_call("write progress", call).await;
             CompletedWrite {
                 writes,
                 bytes,
+                took: sent_at.elapsed(),
                 outcome,
             }
         };
@@ -175,6 +202,7 @@
         let Ok(Some(completed)) = completed else {
             return;
         };
+        completed.log_trouble(self.tenure.token());
         self.bytes_in_flight -= completed.bytes;
         for write in &completed.writes {
             self.jobs_in_flight.remove(&write.job);
--- a/crates/stairstalld/tests/batch/main.rs
+++ b/crates/stairstalld/tests/batch/main.rs
@@ -22,3 +22,4 @@
 mod soak;
 mod unreadable_entries;
 mod versions;
+mod writes;
