fix(writer): records of ended jobs whose removal failed are removed later, not forgotten

What was wrong: a removal counted as done when the store had answered at all, so also with a conflict (another planner holds the role), and the planner had dropped the jobs before. After a failure their records stayed in the store until the next planner loaded them, and the line said done=true.

Cause: `done` was "no fault" instead of "committed"; the IDs were kept nowhere.

Change: expired jobs stay with the writer until their removal is committed. A conflict of the role ends the tenure, as for progress. A pass ends at the first failure and goes on in the next, 5 s later. Since a try without an answer may have been carried out, and the name may have been handed in anew, each removal holds only while the progress has the revision that is known. That is a fourth entry for each job: 7 jobs a write instead of 9.

Tests first, batch writes: a removal during an outage, and one that conflicts: both failed before (never removed; done=true) and pass. The third guards the mend itself: it fails without the condition ("the next job is kept").

--- a/crates/stairstalld/src/batch/writer.rs
+++ b/crates/stairstalld/src/batch/writer.rs
@@ -27,9 +27,9 @@
 const SLOW_WRITE: Duration = Duration::from_millis(500);
 /// Interval at which jobs are removed whose retention period after their end is over.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(5);
-/// Number of expired jobs removed by one write. It has three entries for each job and one for the
-/// role; the store accepts 32.
-const JOBS_PER_REMOVAL: usize = 9;
+/// Number of expired jobs removed by one write. It has four entries for each job and one for the role;
+/// the store accepts 32.
+const JOBS_PER_REMOVAL: usize = 7;
 
 /// A completed write and its outcome.
 struct CompletedWrite {
@@ -61,6 +61,15 @@
     }
 }
 
+/// A job that the planner has dropped because its retention period is over.
+#[derive(Debug, Clone)]
+struct ExpiredJob {
+    id: JobId,
+    /// Revision of its progress. If the progress has another one, or none, the records were removed by
+    /// an earlier try that got no answer, and those that are there belong to the next job of the name.
+    progress: Revision,
+}
+
 /// The progress writes of one tenure.
 struct Writer {
     node: Arc<Node>,
@@ -70,6 +79,8 @@
     jobs_in_flight: BTreeSet<JobId>,
     /// Total length of the values that are being written, in bytes.
     bytes_in_flight: usize,
+    /// Expired jobs whose records are not known to be removed.
+    expired: Vec<ExpiredJob>,
     /// When expired jobs were last removed.
     last_removal_at: Instant,
     in_flight: FuturesUnordered<BoxFuture<'static, CompletedWrite>>,
@@ -86,6 +97,7 @@
         revisions,
         jobs_in_flight: BTreeSet::new(),
         bytes_in_flight: 0,
+        expired: Vec::new(),
         last_removal_at: Instant::now(),
         in_flight: FuturesUnordered::new(),
     };
@@ -119,7 +131,7 @@
     async fn wait_for_work(&mut self) {
         if self.last_removal_at.elapsed() >= EXPIRY_INTERVAL {
             self.last_removal_at = Instant::now();
-            remove_expired(&self.node, &self.tenure, &mut self.revisions).await;
+            self.remove_expired().await;
         }
         if self.tenure.with_planner(|planner, _| planner.has_writes()) {
             return;
@@ -238,6 +250,77 @@
             Ok(CommitOutcome::LeaseExpired) | Err(_) => false,
         }
     }
+
+    /// Removes the records of expired jobs. What fails is tried again at the next call.
+    async fn remove_expired(&mut self) {
+        for id in self.tenure.with_planner(Planner::take_expired) {
+            let progress = self.revisions.remove(&id).unwrap_or_default();
+            self.expired.push(ExpiredJob { id, progress });
+        }
+        while !self.expired.is_empty() {
+            let count = self.expired.len().min(JOBS_PER_REMOVAL);
+            let commit = self.build_removal(&self.expired[..count]);
+            let removed = self
+                .node
+                .store_call("forget", self.node.store.commit(commit));
+            let removed = removed.await;
+            let is_done = matches!(removed, Ok(CommitOutcome::Done(_)));
+            log::info!(target: "forget", jobs = count, done = is_done; "removing expired jobs");
+            match removed {
+                Ok(CommitOutcome::Done(_)) => drop(self.expired.drain(..count)),
+                Ok(CommitOutcome::Conflict(items)) => {
+                    if !self.drop_changed(count, &items) {
+                        return;
+                    }
+                }
+                Ok(CommitOutcome::LeaseExpired) | Err(_) => return,
+            }
+        }
+    }
+
+    fn build_removal(&self, jobs: &[ExpiredJob]) -> Commit {
+        let commit = Commit::default().when(keys::PLANNER_ROLE, self.tenure.role_revision);
+        jobs.iter().fold(commit, |commit, job| {
+            commit
+                .when(keys::batch_progress(&job.id), job.progress)
+                .remove(keys::batch_job(&job.id))
+                .remove(keys::batch_cancellation(&job.id))
+                .remove(keys::batch_progress(&job.id))
+        })
+    }
+
+    /// Handles the conflict of a removal of the first `count` expired jobs: drops those whose progress
+    /// is not the one that is known. Returns whether there were any; ends the tenure if another planner
+    /// holds the role.
+    fn drop_changed(&mut self, count: usize, items: &[Item]) -> bool {
+        if !holds_role(&self.tenure, items) {
+            return false;
+        }
+        let is_unchanged = |job: &ExpiredJob| {
+            let key = keys::batch_progress(&job.id);
+            let found = items.iter().find(|item| item.key == key);
+            found.is_some_and(|item| item.revision == job.progress)
+        };
+        let tried: Vec<ExpiredJob> = self.expired.drain(..count).collect();
+        let (unchanged, changed): (Vec<_>, Vec<_>) = tried.into_iter().partition(is_unchanged);
+        for job in &changed {
+            log::info!(target: "forget", job:% = job.id; "its records are gone, or those of another job");
+        }
+        self.expired.extend(unchanged);
+        !changed.is_empty()
+    }
+}
+
+/// Returns whether this planner still holds the role by the items of a conflict; ends the tenure if
+/// not.
+fn holds_role(tenure: &Tenure, items: &[Item]) -> bool {
+    let holds_role = items
+        .iter()
+        .any(|item| item.key == keys::PLANNER_ROLE && item.revision == tenure.role_revision);
+    if !holds_role {
+        tenure.end("another planner holds the role in the store");
+    }
+    holds_role
 }
 
 /// Handles a failed condition: ends the tenure if another planner holds the role, else takes over
@@ -248,11 +331,7 @@
     writes: &[ProgressWrite],
     items: &[Item],
 ) {
-    let holds_role = items
-        .iter()
-        .any(|item| item.key == keys::PLANNER_ROLE && item.revision == tenure.role_revision);
-    if !holds_role {
-        tenure.end("another planner holds the role in the store");
+    if !holds_role(tenure, items) {
         return;
     }
     for write in writes {
@@ -262,20 +341,3 @@
         revisions.insert(write.job.clone(), revision);
     }
 }
-
-/// Removes the records of expired jobs.
-async fn remove_expired(node: &Node, tenure: &Tenure, revisions: &mut Revisions) {
-    let expired = tenure.with_planner(Planner::take_expired);
-    for ids in expired.chunks(JOBS_PER_REMOVAL) {
-        let mut commit = Commit::default().when(keys::PLANNER_ROLE, tenure.role_revision);
-        for id in ids {
-            revisions.remove(id);
-            commit = commit
-                .remove(keys::batch_job(id))
-                .remove(keys::batch_cancellation(id))
-                .remove(keys::batch_progress(id));
-        }
-        let removed = node.store_call("forget", node.store.commit(commit)).await;
-        log::info!(target: "forget", jobs = ids.len(), done = removed.is_ok(); "removing expired jobs");
-    }
-}
