--- a/crates/stairstall-core/tests/batch/takeover.rs
+++ b/crates/stairstall-core/tests/batch/takeover.rs
@@ -1,11 +1,29 @@
 //! A planner that takes over knows what its predecessor may have started.
 
-use stairstall_core::batch::{AcceptedJob, OrderKind, RunEndKind};
+use stairstall_core::batch::{AcceptedJob, OrderKind, RunEndKind, TaskKey};
 use stairstall_core::claim::Mark;
 
 use crate::harness::{Fleet, HOLD_MAX, gang, id, job, step, task};
+use crate::idle_jobs::{MAX_IDLE_MS, PATIENCE_MS};
 
 const BOTH: [(&str, &str); 2] = [("w1", "r1"), ("w2", "r1")];
+const SIX: [(&str, &str); 6] = [
+    ("w1", "r1"),
+    ("w2", "r1"),
+    ("w3", "r1"),
+    ("w4", "r1"),
+    ("w5", "r1"),
+    ("w6", "r1"),
+];
+
+/// Returns how long a task waits until it is started again.
+fn wait_for_next_start(fleet: &mut Fleet, key: &TaskKey) -> u64 {
+    let (since, starts) = (fleet.at_ms, fleet.starts_of(key));
+    while fleet.starts_of(key) == starts && fleet.at_ms - since < PATIENCE_MS {
+        fleet.pass(100);
+    }
+    fleet.at_ms - since
+}
 
 #[test]
 fn no_start_is_sent_before_its_place_is_written_down() {
@@ -282,3 +300,26 @@
     let stops = fleet.given.iter().filter(|o| o.kind == OrderKind::Stop);
     assert!(stops.into_iter().all(|stop| stop.task == key));
 }
+
+/// Its worker leaves while nobody plans, the other member ends as broken, and the successor waits for the lease.
+#[test]
+fn a_gang_whose_member_left_with_its_planner_starts_again_in_time() {
+    let mut fleet = Fleet::new(&SIX);
+    for worker in fleet.workers.values_mut() {
+        worker.span_ms = Some(2_000);
+    }
+    fleet.hold_all();
+    let accepted = job("j", 2, vec![gang(2, 8)]);
+    fleet.submit(accepted.clone());
+    fleet.pass(500);
+    let key = task("j", 0, 0);
+    let left = fleet.place_of(&key).expect("it runs");
+    fleet.announce_leaving(&left, 2_500);
+    fleet.pass(500);
+    assert_eq!(fleet.place_of(&key).as_ref(), Some(&left), "it runs on");
+    fleet.crash_for(&left, 2 * PATIENCE_MS);
+    fleet.lose_crashed();
+    fleet.succeed(&[accepted]);
+    let waited = wait_for_next_start(&mut fleet, &key);
+    assert!(waited < MAX_IDLE_MS, "it waited {waited} ms");
+}
