--- a/crates/stairstall-core/tests/batch/takeover.rs
+++ b/crates/stairstall-core/tests/batch/takeover.rs
@@ -1,5 +1,6 @@
 //! A planner that takes over knows what its predecessor may have started.
 
+use stairstall_core::WorkerId;
 use stairstall_core::batch::{AcceptedJob, OrderKind, RunEndKind, TaskKey};
 use stairstall_core::claim::Mark;
 
@@ -323,3 +324,40 @@
     let waited = wait_for_next_start(&mut fleet, &key);
     assert!(waited < MAX_IDLE_MS, "it waited {waited} ms");
 }
+
+/// The successor restores a run whose end was heard, and whose worker has left, while nothing could be stored.
+#[test]
+fn a_release_that_could_not_be_stored_holds_no_job_back_for_long() {
+    let mut fleet = Fleet::new(&SIX);
+    fleet.hold_all();
+    let accepted = job("j", 2, vec![step(1, 8)]);
+    fleet.submit(accepted.clone());
+    fleet.pass(500);
+    let key = task("j", 0, 0);
+    let left = fleet.place_of(&key).expect("it runs");
+    fleet.writes = false;
+    fleet.announce_leaving(&left, 0);
+    fleet.pass(500);
+    assert_eq!(ends_at(&fleet, &left), 1, "it is stopped there");
+    leave(&mut fleet, &left);
+    let unstored = fleet.planner.unstored_tasks();
+    fleet.succeed(&[accepted]);
+    let now = fleet.now();
+    fleet.planner.restore_done_tasks(&unstored, now);
+    fleet.writes = true;
+    let waited = wait_for_next_start(&mut fleet, &key);
+    assert!(waited < MAX_IDLE_MS, "it waited {waited} ms");
+}
+
+/// Returns how many ends a worker has listed so far.
+fn ends_at(fleet: &Fleet, id: &WorkerId) -> usize {
+    fleet.workers[id].ended.len()
+}
+
+/// Lets a worker leave as it has announced.
+fn leave(fleet: &mut Fleet, id: &WorkerId) {
+    fleet.workers.remove(id);
+    fleet.listed.remove(id);
+    let now = fleet.now();
+    fleet.planner.handle_unlisted_worker(id, now);
+}
