--- a/crates/stairstall-core/src/batch/planner/own_load.rs
+++ b/crates/stairstall-core/src/batch/planner/own_load.rs
@@ -25,7 +25,7 @@
     /// Records how long the last call of [`Planner::tick`] took on the clock.
     pub fn record_tick_duration(&mut self, took: Duration) {
         if std::mem::take(&mut self.last_tick_had_pass) {
-            let older = self.own_load.pass - self.own_load.pass / MEAN_WEIGHT_DIVISOR;
+            let older = self.own_load.pass * (MEAN_WEIGHT_DIVISOR - 1) / MEAN_WEIGHT_DIVISOR;
             self.own_load.pass = older + took / MEAN_WEIGHT_DIVISOR;
         }
     }
