--- a/crates/stairstall-core/tests/batch/idle_jobs.rs
+++ b/crates/stairstall-core/tests/batch/idle_jobs.rs
@@ -17,7 +17,7 @@
 /// How long the platform lets a job have nothing running although there is capacity for it twice
 /// over.
 pub(crate) const MAX_IDLE_MS: u64 = 3_000;
-const TICK_MS: u64 = 100;
+pub(crate) const TICK_MS: u64 = 100;
 /// How long a job is given until it must have started in these tests.
 pub(crate) const PATIENCE_MS: u64 = 20_000;
 /// How long each planner has the role: just under its own bound on idle time.
@@ -30,7 +30,7 @@
         .collect()
 }
 
-fn fleet(count: usize, limits: VmLimits, bounds: Bounds) -> Fleet {
+pub(crate) fn fleet(count: usize, limits: VmLimits, bounds: Bounds) -> Fleet {
     let racks = racks(count);
     let listed: Vec<(&str, &str)> = racks
         .iter()
@@ -48,25 +48,25 @@
     fleet
 }
 
-fn usual_fleet(racks: usize) -> Fleet {
+pub(crate) fn usual_fleet(racks: usize) -> Fleet {
     fleet(racks, VmLimits::default(), bounds())
 }
 
-fn near(rack: &str, step: StepSpec) -> StepSpec {
+pub(crate) fn near(rack: &str, step: StepSpec) -> StepSpec {
     StepSpec {
         near_rack: Some(rack.to_owned()),
         ..step
     }
 }
 
-fn lasting(ms: u64, step: StepSpec) -> StepSpec {
+pub(crate) fn lasting(ms: u64, step: StepSpec) -> StepSpec {
     StepSpec {
         estimate_ms: ms,
         ..step
     }
 }
 
-fn hand_in(fleet: &mut Fleet, job: AcceptedJob) {
+pub(crate) fn hand_in(fleet: &mut Fleet, job: AcceptedJob) {
     let now = fleet.now();
     let job = AcceptedJob {
         accepted_unix_ms: now.unix_ms,
@@ -75,7 +75,7 @@
     fleet.planner.submit(job, now);
 }
 
-fn has_started(fleet: &Fleet, name: &str) -> bool {
+pub(crate) fn has_started(fleet: &Fleet, name: &str) -> bool {
     let is_start = |kind: &OrderKind| matches!(kind, OrderKind::Start { .. });
     let orders = fleet.given.iter();
     let mut starts = orders.filter(|order| is_start(&order.kind));
@@ -92,12 +92,12 @@
     fleet.at_ms - handed_in
 }
 
-fn wait_of(fleet: &mut Fleet, name: &str) -> u64 {
+pub(crate) fn wait_of(fleet: &mut Fleet, name: &str) -> u64 {
     wait_of_with(fleet, name, |_| {})
 }
 
 /// Fills a rack with work that does not end.
-fn fill(fleet: &mut Fleet, rack: &str) {
+pub(crate) fn fill(fleet: &mut Fleet, rack: &str) {
     let name = format!("full-{rack}");
     hand_in(fleet, job(&name, 1, vec![near(rack, step(80, 1))]));
     fleet.pass(TICK_MS);
@@ -231,7 +231,7 @@
 }
 
 /// Ends the runs of all jobs whose names say that they are urgent.
-fn end_urgent(fleet: &mut Fleet) {
+pub(crate) fn end_urgent(fleet: &mut Fleet) {
     let workers = fleet.workers.values();
     let running = workers.flat_map(|worker| worker.running.keys());
     let urgent = running.filter(|task| task.group.job.as_str().starts_with('u'));
--- a/crates/stairstall-core/tests/batch/main.rs
+++ b/crates/stairstall-core/tests/batch/main.rs
@@ -14,6 +14,7 @@
 mod guarantees;
 mod harness;
 mod idle_jobs;
+mod idle_review;
 mod lasting;
 mod leaving;
 mod locality;
