fix(core): idle time between a job's times does not count, and idle jobs are searched for at intervals

(1) stored since when nothing of a job is placed, also between two of its times; under another planner the next time was idle for 3 s at once and left its rack. It counts from when the next time is due now. Test: idle_review::a_job_waits_for_ its_rack_at_its_second_time_under_another_planner, "it left its rack after 0 ms" before, passes. They are searched for every 200 ms at most; not measured again.

--- a/crates/stairstall-core/src/batch/planner/idle_jobs.rs
+++ b/crates/stairstall-core/src/batch/planner/idle_jobs.rs
@@ -4,7 +4,7 @@
 
 use super::candidate::Candidate;
 use super::candidate_worker::SearchScope;
-use super::job::Job;
+use super::job::{Job, TaskGroup};
 use super::pass::{CapacityKind, Pass};
 use super::pool::RunState;
 use super::{Now, Planner};
@@ -16,6 +16,10 @@
 /// time that a start takes.
 const IDLE_REPORTED_AFTER: Duration = Duration::from_secs(1);
 
+/// How often capacity is searched for a job that has had nothing running for too long, at most. The
+/// search goes through the fleet, and hundreds of jobs may wait behind a reservation.
+const IDLE_SEARCH_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Longest time for which a job had nothing running that a new planner counts. It is more than any
 /// job may be left so, and little enough that a wrong time of day does no harm.
 const MAX_IDLE_BEFORE: Duration = Duration::from_secs(3);
@@ -119,7 +123,19 @@
         } else {
             (policy.max_idle_when_busy, SearchScope::UNRESERVED)
         };
-        (idle_time >= limit && self.fits_beside_others(&candidate.key, pass)).then_some(scope)
+        let was_searched = self.jobs.get(&candidate.key.job).is_some_and(|job| {
+            let since = job.idle_search_at.map(|at| now.at - at);
+            since.is_some_and(|since| since < IDLE_SEARCH_INTERVAL)
+        });
+        let is_due = idle_time >= limit && !was_searched;
+        (is_due && self.fits_beside_others(&candidate.key, pass)).then_some(scope)
+    }
+
+    /// Records that capacity is searched for a job that has had nothing running for too long.
+    pub(super) fn record_idle_search(&mut self, id: &JobId, now: Now) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.idle_search_at = Some(now.at);
+        }
     }
 
     /// Returns whether under half of a step's service is in use, by its accelerators or, where it has
@@ -197,6 +213,11 @@
                 None => return,
             },
         };
+        // Between two of its times a job is not idle.
+        let is_done = |groups: &Vec<TaskGroup>| groups.iter().all(TaskGroup::is_done);
+        let done = self.occurrences.iter().take_while(|groups| is_done(groups));
+        let next = u32::try_from(done.count()).unwrap_or(u32::MAX);
+        let since_unix_ms = since_unix_ms.max(self.eligible_unix_ms(next));
         let idle = Duration::from_millis(now.unix_ms.saturating_sub(since_unix_ms));
         self.idle_before = idle.min(MAX_IDLE_BEFORE);
     }
--- a/crates/stairstall-core/src/batch/planner/job.rs
+++ b/crates/stairstall-core/src/batch/planner/job.rs
@@ -175,6 +175,8 @@
     pub(super) idle_since: Option<Timestamp>,
     /// How long nothing of it had run when this tenure learned of it.
     pub(super) idle_before: Duration,
+    /// When capacity was last searched for it because it was idle for too long.
+    pub(super) idle_search_at: Option<Timestamp>,
     /// Whether it was reported as idle since then.
     pub(super) idle_reported: bool,
     /// Number of changes that must be stored.
@@ -202,6 +204,7 @@
             arrived_at: now.at,
             idle_since: None,
             idle_before: Duration::ZERO,
+            idle_search_at: None,
             idle_reported: false,
             change_count: 0,
             stored_changes: 0,
--- a/crates/stairstall-core/src/batch/planner/placement.rs
+++ b/crates/stairstall-core/src/batch/planner/placement.rs
@@ -43,7 +43,11 @@
         let mut allowance = self.accelerator_allowance(candidate, pass, now);
         let paces = self.pace_costs(candidate, &step, now);
         let ready = waiting.len();
-        for scope in self.scopes(candidate, &step, ready_since, pass, now) {
+        let scopes = self.scopes(candidate, &step, ready_since, pass, now);
+        if scopes.iter().any(|scope| !scope.yields) {
+            self.record_idle_search(&key.job, now);
+        }
+        for scope in scopes {
             let has_placed = waiting.len() < ready;
             if waiting.is_empty() || has_placed && !scope.yields {
                 break;
