refactor(core): a job's idle time stands in one type; lateness wakes nobody

The measured lateness is recorded without waking the planning loop and the writer ten times a second, from which nothing follows.

--- a/crates/stairstall-core/src/batch/planner.rs
+++ b/crates/stairstall-core/src/batch/planner.rs
@@ -28,6 +28,7 @@
 mod headroom;
 mod held_back;
 mod idle_jobs;
+mod idle_time;
 mod incarnations;
 mod job;
 mod job_sync;
@@ -142,8 +143,6 @@
     has_urgent_arrival: bool,
     /// Time of the last scheduling pass.
     last_pass_at: Option<Timestamp>,
-    /// Whether the last tick ran a scheduling pass.
-    last_tick_had_pass: bool,
     own_load: own_load::OwnLoad,
     /// When to run the next scheduling pass even if nothing changes, because wait limits expire.
     replan_at: Option<Timestamp>,
@@ -204,7 +203,6 @@
             worker_set_version: 0,
             has_urgent_arrival: false,
             last_pass_at: None,
-            last_tick_had_pass: false,
             own_load: own_load::OwnLoad::default(),
             replan_at: None,
             starts_due: false,
@@ -343,7 +341,7 @@
             self.replan = false;
             self.has_urgent_arrival = false;
             self.last_pass_at = Some(now.at);
-            self.last_tick_had_pass = true;
+            self.own_load.has_run_pass = true;
             self.check_suspect_zones(now);
             self.replan_at = if self.has_enough_reports(now) {
                 let waits = self.plan(now);
--- a/crates/stairstall-core/src/batch/planner/flow.rs
+++ b/crates/stairstall-core/src/batch/planner/flow.rs
@@ -217,9 +217,8 @@
         let tasks = self
             .step(key)
             .map_or(0, |step| if step.gang { step.count } else { 1 });
-        let in_flight = self.starts_in_flight() as u64;
-        let window = self.flow.start_window(&self.policy.flow).max(1);
-        in_flight > 0 && in_flight + u64::from(tasks) > window
+        let (in_flight, window) = self.start_window_state(&mut Pass::default());
+        in_flight > 0 && in_flight + tasks as usize > window
     }
 
     /// Records that a start was answered or timed out, so that further starts may be sent.
--- a/crates/stairstall-core/src/batch/planner/idle_jobs.rs
+++ b/crates/stairstall-core/src/batch/planner/idle_jobs.rs
@@ -4,6 +4,7 @@
 
 use super::candidate::Candidate;
 use super::candidate_worker::SearchScope;
+use super::idle_time::IdleTime;
 use super::job::{Job, TaskGroup};
 use super::pass::{CapacityKind, Pass};
 use super::pool::RunState;
@@ -16,14 +17,6 @@
 /// time that a start takes.
 const IDLE_REPORTED_AFTER: Duration = Duration::from_secs(1);
 
-/// How often capacity is searched for a job that has had nothing running for too long, at most. The
-/// search goes through the fleet, and hundreds of jobs may wait behind a reservation.
-const IDLE_SEARCH_INTERVAL: Duration = Duration::from_millis(200);
-
-/// Longest time for which a job had nothing running that a new planner counts. It is more than any
-/// job may be left so, and little enough that a wrong time of day does no harm.
-const MAX_IDLE_BEFORE: Duration = Duration::from_secs(3);
-
 /// How many times over a step has to fit so that its job counts as idle beside capacity. What fits
 /// only once may be meant for other work.
 const FITS_TIMES: u32 = 2;
@@ -38,11 +31,9 @@
                 continue;
             };
             if runs {
-                job.idle_since = None;
-                job.idle_before = Duration::ZERO;
-                job.idle_reported = false;
+                job.idle_time = IdleTime::default();
             } else {
-                job.idle_since.get_or_insert(now.at);
+                job.idle_time.begin(now.at);
             }
         }
     }
@@ -52,10 +43,9 @@
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
-        let idle_ms = millis(job.idle_time(now));
-        job.idle_since = None;
-        job.idle_before = Duration::ZERO;
-        if std::mem::take(&mut job.idle_reported) {
+        let ended = std::mem::take(&mut job.idle_time);
+        if ended.is_reported {
+            let idle_ms = millis(ended.duration(now.at));
             let why = format!("it starts after {idle_ms} ms with nothing running");
             let decision = Decision::of_job(DecisionKind::Idle, id, why);
             self.decisions.push(decision);
@@ -65,7 +55,7 @@
     /// Returns for how long a job has had nothing running although a step may start.
     pub(super) fn idle_time(&self, id: &JobId, now: Now) -> Duration {
         let job = self.jobs.get(id);
-        job.map_or(Duration::ZERO, |job| job.idle_time(now))
+        job.map_or(Duration::ZERO, |job| job.idle_time.duration(now.at))
     }
 
     /// Reports once which jobs have had nothing running for a while although a step fits.
@@ -73,7 +63,10 @@
         let mut pass = Pass::default();
         for candidate in candidates {
             let id = &candidate.key.job;
-            let is_reported = self.jobs.get(id).is_none_or(|job| job.idle_reported);
+            let is_reported = self
+                .jobs
+                .get(id)
+                .is_none_or(|job| job.idle_time.is_reported);
             let is_due = self.idle_time(id, now) >= IDLE_REPORTED_AFTER;
             if is_reported || !is_due || !self.fits_beside_others(&candidate.key, &mut pass) {
                 continue;
@@ -89,7 +82,7 @@
             self.decisions
                 .push(Decision::of_job(DecisionKind::Idle, id, why));
             if let Some(job) = self.jobs.get_mut(id) {
-                job.idle_reported = true;
+                job.idle_time.is_reported = true;
             }
         }
     }
@@ -98,7 +91,7 @@
     #[must_use]
     pub fn idle_jobs(&self) -> usize {
         let open = self.jobs.values().filter(|job| job.outcome.is_none());
-        open.filter(|job| job.idle_reported).count()
+        open.filter(|job| job.idle_time.is_reported).count()
     }
 
     /// Returns which free capacity a step may use because its job has had nothing running for too
@@ -123,18 +116,15 @@
         } else {
             (policy.max_idle_when_busy, SearchScope::UNRESERVED)
         };
-        let was_searched = self.jobs.get(&candidate.key.job).is_some_and(|job| {
-            let since = job.idle_search_at.map(|at| now.at - at);
-            since.is_some_and(|since| since < IDLE_SEARCH_INTERVAL)
-        });
-        let is_due = idle_time >= limit && !was_searched;
+        let job = self.jobs.get(&candidate.key.job)?;
+        let is_due = idle_time >= limit && job.idle_time.may_search(now.at);
         (is_due && self.fits_beside_others(&candidate.key, pass)).then_some(scope)
     }
 
     /// Records that capacity is searched for a job that has had nothing running for too long.
     pub(super) fn record_idle_search(&mut self, id: &JobId, now: Now) {
         if let Some(job) = self.jobs.get_mut(id) {
-            job.idle_search_at = Some(now.at);
+            job.idle_time.record_search(now.at);
         }
     }
 
@@ -189,17 +179,13 @@
 }
 
 impl Job {
-    /// Returns for how long nothing of the job has run although a step may start.
-    fn idle_time(&self, now: Now) -> Duration {
-        let since = self.idle_since.map(|since| now.at - since);
-        since.map_or(Duration::ZERO, |idle| self.idle_before + idle)
-    }
-
-    /// Returns since when nothing of the job has been placed, or `None` while something is.
+    /// Returns since when nothing of the job has been placed, or `None` while something is and once
+    /// the job has ended.
     pub(super) fn idle_since_unix_ms(&self, now: Now) -> Option<u64> {
         let mut tasks = self.occurrences.iter().flatten().flat_map(|g| &g.tasks);
-        let is_idle = tasks.all(|task| task.worker.is_none());
-        is_idle.then(|| now.unix_ms.saturating_sub(millis(self.idle_time(now))))
+        let is_idle = self.outcome.is_none() && tasks.all(|task| task.worker.is_none());
+        let idle_ms = millis(self.idle_time.duration(now.at));
+        is_idle.then(|| now.unix_ms.saturating_sub(idle_ms))
     }
 
     /// Restores for how long nothing of the job had run under earlier planners. Without that, each
@@ -219,6 +205,6 @@
         let next = u32::try_from(done.count()).unwrap_or(u32::MAX);
         let since_unix_ms = since_unix_ms.max(self.eligible_unix_ms(next));
         let idle = Duration::from_millis(now.unix_ms.saturating_sub(since_unix_ms));
-        self.idle_before = idle.min(MAX_IDLE_BEFORE);
+        self.idle_time = IdleTime::restored(idle);
     }
 }
--- a/crates/stairstall-core/src/batch/planner/job.rs
+++ b/crates/stairstall-core/src/batch/planner/job.rs
@@ -10,6 +10,7 @@
 
 use super::Now;
 use super::advice::Advice;
+use super::idle_time::IdleTime;
 
 /// State of one task.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -171,14 +172,8 @@
     pub(super) has_started: bool,
     /// When this planner first received the job.
     pub(super) arrived_at: Timestamp,
-    /// Since when nothing of it runs although a step may start, in this tenure.
-    pub(super) idle_since: Option<Timestamp>,
-    /// How long nothing of it had run when this tenure learned of it.
-    pub(super) idle_before: Duration,
-    /// When capacity was last searched for it because it was idle for too long.
-    pub(super) idle_search_at: Option<Timestamp>,
-    /// Whether it was reported as idle since then.
-    pub(super) idle_reported: bool,
+    /// For how long nothing of it has run although a step may start.
+    pub(super) idle_time: IdleTime,
     /// Number of changes that must be stored.
     pub(super) change_count: u64,
     /// Number of those changes that are stored.
@@ -202,10 +197,7 @@
             ended_unix_ms: 0,
             has_started: false,
             arrived_at: now.at,
-            idle_since: None,
-            idle_before: Duration::ZERO,
-            idle_search_at: None,
-            idle_reported: false,
+            idle_time: IdleTime::default(),
             change_count: 0,
             stored_changes: 0,
             trim_state: TrimState::default(),
--- a/crates/stairstall-core/src/batch/planner/own_load.rs
+++ b/crates/stairstall-core/src/batch/planner/own_load.rs
@@ -15,6 +15,8 @@
 /// Measurements of the planner's own process.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub(super) struct OwnLoad {
+    /// Whether the last tick ran a pass.
+    pub(super) has_run_pass: bool,
     /// Running mean of what a pass takes on the clock.
     pub(super) pass: Duration,
     /// The latest measurements of lateness, the highest ones for longer.
@@ -24,7 +26,7 @@
 impl Planner {
     /// Records how long the last call of [`Planner::tick`] took on the clock.
     pub fn record_tick_duration(&mut self, took: Duration) {
-        if std::mem::take(&mut self.last_tick_had_pass) {
+        if std::mem::take(&mut self.own_load.has_run_pass) {
             let older = self.own_load.pass * (MEAN_WEIGHT_DIVISOR - 1) / MEAN_WEIGHT_DIVISOR;
             self.own_load.pass = older + took / MEAN_WEIGHT_DIVISOR;
         }
--- a/crates/stairstall-core/src/batch/planner/progress.rs
+++ b/crates/stairstall-core/src/batch/planner/progress.rs
@@ -144,9 +144,7 @@
             occurrences: occurrences
                 .map(|groups| groups.iter().map(TaskGroup::progress).collect())
                 .collect(),
-            idle_since_unix_ms: self
-                .idle_since_unix_ms(now)
-                .filter(|_| self.outcome.is_none()),
+            idle_since_unix_ms: self.idle_since_unix_ms(now),
             timeline: self.outcome.is_none().then(|| self.timeline.to_stored(now)),
         }
     }
--- a/crates/stairstalld/src/batch/tenure.rs
+++ b/crates/stairstalld/src/batch/tenure.rs
@@ -435,7 +435,8 @@
         let due = Instant::now() + LATENESS_INTERVAL;
         tokio::time::sleep_until(due).await;
         let late = due.elapsed();
-        tenure.with_planner(|planner, _| planner.record_lateness(late));
+        // Nothing follows from it, so that neither the planning loop nor the writer has to wake.
+        tenure.planner().record_lateness(late);
     }
 }
 
