--- a/crates/stairstall-standin/src/link.rs
+++ b/crates/stairstall-standin/src/link.rs
@@ -8,8 +8,7 @@
 use tokio::sync::watch;
 use tokio::task::{JoinHandle, JoinSet};
 
-/// How long after a connection could not be accepted the next is tried.
-const ACCEPT_AGAIN_AFTER: Duration = Duration::from_millis(10);
+use crate::server::accept_next;
 
 /// What a link does with the bytes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -142,11 +141,7 @@
 ) {
     let mut connections = JoinSet::new();
     loop {
-        // Without a free file, whoever waits is accepted later.
-        let Ok((inner, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_AGAIN_AFTER).await;
-            continue;
-        };
+        let inner = accept_next(&listener).await;
         while connections.try_join_next().is_some() {}
         let mode = mode.subscribe();
         if *mode.borrow() == LinkMode::Cut {
--- a/crates/stairstall-standin/src/server.rs
+++ b/crates/stairstall-standin/src/server.rs
@@ -15,7 +15,7 @@
 use hyper_util::rt::TokioIo;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{JoinHandle, JoinSet};
 
 /// How long after a connection could not be accepted the next is tried.
@@ -63,17 +63,23 @@
     }
 }
 
+/// Accepts the next connection. Without a free file, whoever waits is accepted later.
+pub(crate) async fn accept_next(listener: &TcpListener) -> TcpStream {
+    loop {
+        if let Ok((stream, _)) = listener.accept().await {
+            return stream;
+        }
+        tokio::time::sleep(ACCEPT_AGAIN_AFTER).await;
+    }
+}
+
 async fn accept<H>(listener: TcpListener, handler: Arc<H>)
 where
     H: Fn(Request<Incoming>) -> Handled + Send + Sync + 'static,
 {
     let mut connections = JoinSet::new();
     loop {
-        // Without a free file, whoever waits is accepted later.
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_AGAIN_AFTER).await;
-            continue;
-        };
+        let stream = accept_next(&listener).await;
         while connections.try_join_next().is_some() {}
         let _ = stream.set_nodelay(true);
         let handler = Arc::clone(&handler);
