--- a/crates/stairstall-core/tests/batch/idle_jobs.rs
+++ b/crates/stairstall-core/tests/batch/idle_jobs.rs
@@ -66,12 +66,17 @@
     }
 }
 
+/// Returns a job as it is stored when it is handed in now.
+pub(crate) fn accepted_now(fleet: &Fleet, job: AcceptedJob) -> AcceptedJob {
+    AcceptedJob {
+        accepted_unix_ms: fleet.now().unix_ms,
+        ..job
+    }
+}
+
 pub(crate) fn hand_in(fleet: &mut Fleet, job: AcceptedJob) {
+    let job = accepted_now(fleet, job);
     let now = fleet.now();
-    let job = AcceptedJob {
-        accepted_unix_ms: now.unix_ms,
-        ..job
-    };
     fleet.planner.submit(job, now);
 }
 
@@ -156,11 +161,8 @@
     let wide = job("wide", 1, vec![near("r0", lasting(15_000, gang(20, 1)))]);
     hand_in(&mut fleet, full.clone());
     fleet.pass(TICK_MS);
+    let wide = accepted_now(&fleet, wide);
     hand_in(&mut fleet, wide.clone());
-    let wide = AcceptedJob {
-        accepted_unix_ms: fleet.now().unix_ms,
-        ..wide
-    };
     let handed_in = fleet.at_ms;
     let mut planner_began = fleet.at_ms;
     while !has_started(&fleet, "wide") && fleet.at_ms - handed_in < PATIENCE_MS {
@@ -174,19 +176,23 @@
     assert!(waited < MAX_IDLE_MS, "it waited {waited} ms");
 }
 
-/// Urgent work that ends soon keeps almost all workers free for more of it.
-#[test]
-fn headroom_holds_no_job_back_for_long() {
+/// Returns how long a job of low rank waits beside waves of urgent work, which end soon and keep
+/// almost all free workers for more of them. `lasting_tasks` of other work run all the while.
+fn wait_beside_waves(lasting_tasks: u32) -> u64 {
     let bounds = Bounds {
         stop_max: Duration::from_secs(2),
         ..bounds()
     };
     let mut fleet = fleet(10, VmLimits::default(), bounds);
+    if lasting_tasks > 0 {
+        let most = lasting(60_000, step(lasting_tasks, 1));
+        hand_in(&mut fleet, job("most", 1, vec![most]));
+    }
     let mut ticks = 0;
     let mut keep_coming = |fleet: &mut Fleet| {
         match ticks % 5 {
             0 => hand_in(fleet, job(&format!("u{ticks}"), 0, vec![step(5, 8)])),
-            2 => fleet.end_all(),
+            2 => end_urgent(fleet),
             _ => {}
         }
         ticks += 1;
@@ -196,37 +202,19 @@
         fleet.pass(TICK_MS);
     }
     hand_in(&mut fleet, job("low", 2, vec![lasting(1_000, step(1, 1))]));
-    let waited = wait_of_with(&mut fleet, "low", keep_coming);
+    wait_of_with(&mut fleet, "low", keep_coming)
+}
+
+#[test]
+fn headroom_holds_no_job_back_for_long() {
+    let waited = wait_beside_waves(0);
     assert!(waited < MAX_IDLE_MS, "it waited {waited} ms");
 }
 
 /// The same with more than half of the fleet in use.
 #[test]
 fn headroom_holds_no_job_back_for_long_in_a_busy_fleet() {
-    let bounds = Bounds {
-        stop_max: Duration::from_secs(2),
-        ..bounds()
-    };
-    let mut fleet = fleet(10, VmLimits::default(), bounds);
-    hand_in(
-        &mut fleet,
-        job("most", 1, vec![lasting(60_000, step(500, 1))]),
-    );
-    let mut ticks = 0;
-    let mut keep_coming = |fleet: &mut Fleet| {
-        match ticks % 5 {
-            0 => hand_in(fleet, job(&format!("u{ticks}"), 0, vec![step(5, 8)])),
-            2 => end_urgent(fleet),
-            _ => {}
-        }
-        ticks += 1;
-    };
-    for _ in 0..100 {
-        keep_coming(&mut fleet);
-        fleet.pass(TICK_MS);
-    }
-    hand_in(&mut fleet, job("low", 2, vec![lasting(1_000, step(1, 1))]));
-    let waited = wait_of_with(&mut fleet, "low", keep_coming);
+    let waited = wait_beside_waves(500);
     assert!(waited < MAX_IDLE_MS, "it waited {waited} ms");
 }
 
@@ -258,13 +246,13 @@
     assert!(waited < MAX_IDLE_MS, "it waited {waited} ms");
 }
 
-/// A gang that can't start reserves workers on which smaller work would fit.
-#[test]
-fn a_reservation_holds_no_job_back_for_long() {
+/// Returns how long a small job waits beside a gang that can't start and reserves workers on which it
+/// would fit, while so many accelerators of 160 are in use.
+pub(crate) fn wait_beside_reservation(in_use: u32) -> u64 {
     let mut fleet = usual_fleet(2);
     hand_in(
         &mut fleet,
-        job("some", 1, vec![lasting(60_000, step(70, 1))]),
+        job("some", 1, vec![lasting(60_000, step(in_use, 1))]),
     );
     fleet.pass(TICK_MS);
     hand_in(
@@ -276,7 +264,12 @@
         &mut fleet,
         job("small", 2, vec![lasting(90_000, step(4, 1))]),
     );
-    let waited = wait_of(&mut fleet, "small");
+    wait_of(&mut fleet, "small")
+}
+
+#[test]
+fn a_reservation_holds_no_job_back_for_long() {
+    let waited = wait_beside_reservation(70);
     assert!(waited < MAX_IDLE_MS, "it waited {waited} ms");
 }
 
--- a/crates/stairstall-core/tests/batch/idle_review.rs
+++ b/crates/stairstall-core/tests/batch/idle_review.rs
@@ -1,4 +1,5 @@
-//! Jobs that stand still beside room, or are taken to: cases that a review of issue 71 has found.
+//! Jobs that stand still beside room for longer than they may, or that are taken to: across changes of
+//! planner, beside urgent starts and reservations, and for single tasks.
 
 use std::collections::BTreeSet;
 
@@ -8,19 +9,23 @@
 
 use crate::harness::{Fleet, START_UNIX_MS, bounds, gang, id, job, step, task};
 use crate::idle_jobs::{
-    MAX_IDLE_MS, PATIENCE_MS, TICK_MS, end_urgent, fill, fleet, hand_in, has_started, lasting,
-    near, usual_fleet, wait_of,
+    MAX_IDLE_MS, PATIENCE_MS, TICK_MS, accepted_now, end_urgent, fill, fleet, hand_in, has_started,
+    lasting, near, usual_fleet, wait_beside_reservation, wait_of,
 };
 
 /// Members of a gang that is wider than what may be started at a time.
 const GANG_ABOVE_WINDOW: u32 = 60;
 
-/// Returns a job as it is stored when it is handed in now.
-fn accepted_now(fleet: &Fleet, job: AcceptedJob) -> AcceptedJob {
-    AcceptedJob {
-        accepted_unix_ms: fleet.now().unix_ms,
-        ..job
-    }
+/// Returns a fleet in which the gang `wide` waits for a full rack, and the jobs as they are stored.
+fn gang_whose_rack_is_full() -> (Fleet, [AcceptedJob; 2]) {
+    let mut fleet = usual_fleet(4);
+    let full = job("full", 1, vec![near("r0", step(80, 1))]);
+    hand_in(&mut fleet, full.clone());
+    fleet.pass(TICK_MS);
+    let wide = job("wide", 1, vec![near("r0", lasting(15_000, gang(20, 1)))]);
+    let wide = accepted_now(&fleet, wide);
+    hand_in(&mut fleet, wide.clone());
+    (fleet, [full, wide])
 }
 
 /// Plays a job of two times whose rack is full for 300 ms after the second of them. Returns how long
@@ -81,13 +86,7 @@
 /// The planner stores a place and is gone before it sends the start.
 #[test]
 fn a_start_that_was_not_sent_holds_no_job_back_for_long() {
-    let mut fleet = usual_fleet(4);
-    let full = job("full", 1, vec![near("r0", step(80, 1))]);
-    hand_in(&mut fleet, full.clone());
-    fleet.pass(TICK_MS);
-    let wide = job("wide", 1, vec![near("r0", lasting(15_000, gang(20, 1)))]);
-    let wide = accepted_now(&fleet, wide);
-    hand_in(&mut fleet, wide.clone());
+    let (mut fleet, stored) = gang_whose_rack_is_full();
     let handed_in = fleet.at_ms;
     fleet.pass(1_900);
     assert!(!has_started(&fleet, "wide"));
@@ -102,7 +101,7 @@
             .placements
             .is_empty()
     );
-    fleet.succeed(&[full, wide]);
+    fleet.succeed(&stored);
     wait_of(&mut fleet, "wide");
     let waited = fleet.at_ms - handed_in;
     assert!(waited < MAX_IDLE_MS, "it waited {waited} ms");
@@ -127,16 +126,10 @@
 /// A successor plans only once enough workers have answered it.
 #[test]
 fn the_first_reports_of_a_successor_count_as_idle_time() {
-    let mut fleet = usual_fleet(4);
-    let full = job("full", 1, vec![near("r0", step(80, 1))]);
-    hand_in(&mut fleet, full.clone());
-    fleet.pass(TICK_MS);
-    let wide = job("wide", 1, vec![near("r0", lasting(15_000, gang(20, 1)))]);
-    let wide = accepted_now(&fleet, wide);
-    hand_in(&mut fleet, wide.clone());
+    let (mut fleet, stored) = gang_whose_rack_is_full();
     let handed_in = fleet.at_ms;
     fleet.pass(1_000);
-    fleet.succeed(&[full, wide]);
+    fleet.succeed(&stored);
     for _ in 0..15 {
         fleet.at_ms += TICK_MS;
         fleet.planner.tick(fleet.now());
@@ -147,25 +140,10 @@
     assert!(waited < MAX_IDLE_MS, "it waited {waited} ms");
 }
 
-/// A gang that can't start reserves workers on which smaller work would fit, most of the fleet in use.
+/// The same as below half in use, with more than half of the fleet in use.
 #[test]
 fn a_reservation_holds_no_job_back_for_long_in_a_busy_fleet() {
-    let mut fleet = usual_fleet(2);
-    hand_in(
-        &mut fleet,
-        job("some", 1, vec![lasting(60_000, step(90, 1))]),
-    );
-    fleet.pass(TICK_MS);
-    hand_in(
-        &mut fleet,
-        job("wide", 1, vec![lasting(60_000, gang(120, 1))]),
-    );
-    fleet.pass(1_600);
-    hand_in(
-        &mut fleet,
-        job("small", 2, vec![lasting(90_000, step(4, 1))]),
-    );
-    let waited = wait_of(&mut fleet, "small");
+    let waited = wait_beside_reservation(90);
     assert!(waited < MAX_IDLE_MS, "it waited {waited} ms");
 }
 
--- a/crates/stairstall-core/tests/batch/locality.rs
+++ b/crates/stairstall-core/tests/batch/locality.rs
@@ -114,9 +114,8 @@
     }
 }
 
-/// A job may have nothing running for a while, and waits for its rack that long.
-#[test]
-fn a_job_waits_for_its_rack_where_that_is_soon_free() {
+/// Returns a fleet with a job whose rack is full of short work.
+fn with_job_whose_rack_is_soon_free() -> Fleet {
     let mut fleet = fleet();
     let short = StepSpec {
         estimate_ms: 20_000,
@@ -124,6 +123,13 @@
     };
     fill_rack(&mut fleet, &short);
     fleet.submit(job("j", 2, vec![near("r1", 30_000)]));
+    fleet
+}
+
+/// A job may have nothing running for a while, and waits for its rack that long.
+#[test]
+fn a_job_waits_for_its_rack_where_that_is_soon_free() {
+    let mut fleet = with_job_whose_rack_is_soon_free();
     fleet.pass(2_000);
     assert_eq!(place(&fleet, "j"), None);
     fleet
@@ -136,13 +142,7 @@
 /// Guards against a job that stands still for its rack, although it fits twice over elsewhere.
 #[test]
 fn a_job_does_not_wait_for_its_rack_for_longer_than_it_may_stand_still() {
-    let mut fleet = fleet();
-    let short = StepSpec {
-        estimate_ms: 20_000,
-        ..step(1, 8)
-    };
-    fill_rack(&mut fleet, &short);
-    fleet.submit(job("j", 2, vec![near("r1", 30_000)]));
+    let mut fleet = with_job_whose_rack_is_soon_free();
     fleet.pass(IDLE_LIMIT_MS);
     let elsewhere = place(&fleet, "j").expect("it runs");
     assert!(["w3", "w4"].contains(&elsewhere.as_str()), "{elsewhere}");
--- a/crates/stairstalld/tests/batch/dropped_calls.rs
+++ b/crates/stairstalld/tests/batch/dropped_calls.rs
@@ -13,13 +13,16 @@
 /// How long the store's answers take, so that a call is still open when its caller leaves.
 const SLOW: Duration = Duration::from_millis(600);
 
-/// Sends a whole request on a connection of its own.
-async fn send(cluster: &Cluster, method: &str, path: &str, body: &str) -> TcpStream {
+/// Sends a request that hands a job in on a connection of its own; the last bytes of its body are left
+/// out.
+async fn send(cluster: &Cluster, path: &str, left_out: usize) -> TcpStream {
+    let body = job(1, "ms=50").to_string();
+    let sent = &body[..body.len() - left_out];
     let opened = TcpStream::connect(cluster.daemons[0].address).await;
     let mut stream = opened.expect("a connection");
     let request = format!(
-        "{method} {path} HTTP/1.1\r\nHost: jobs.example\r\nAuthorization: Bearer key-mesa\r\n\
-         Content-Length: {}\r\n\r\n{body}",
+        "POST {path} HTTP/1.1\r\nHost: jobs.example\r\nAuthorization: Bearer key-mesa\r\n\
+         Content-Length: {}\r\n\r\n{sent}",
         body.len()
     );
     stream.write_all(request.as_bytes()).await.expect("sent");
@@ -40,7 +43,7 @@
     let mut cluster = Cluster::start(1, 1).await;
     let path = format!("/q0/{}", cluster.new_id());
     cluster.daemons[0].store.set(LinkMode::Delay(SLOW));
-    let stream = send(&cluster, "POST", &path, &job(1, "ms=50").to_string()).await;
+    let stream = send(&cluster, &path, 0).await;
     let caller = stream.local_addr().expect("an address");
     tokio::time::sleep(SLOW / 4).await;
     drop(stream);
@@ -62,16 +65,7 @@
     let daemon = crate::cluster::Daemon::start_with("vm-stops", &cluster.store, &flags).await;
     cluster.daemons[0] = daemon;
     cluster.daemons[0].wait_for_line("in force").await;
-    let body = job(1, "ms=50").to_string();
-    let unfinished = &body[..body.len() - 1];
-    let opened = TcpStream::connect(cluster.daemons[0].address).await;
-    let mut stream = opened.expect("a connection");
-    let head = format!(
-        "POST {path} HTTP/1.1\r\nHost: jobs.example\r\nAuthorization: Bearer key-mesa\r\n\
-         Content-Length: {}\r\n\r\n{unfinished}",
-        body.len()
-    );
-    stream.write_all(head.as_bytes()).await.expect("sent");
+    let _stream = send(&cluster, &path, 1).await;
     tokio::time::sleep(Duration::from_millis(100)).await;
     cluster.daemons[0].stop().await;
     let line = call_line(&cluster, &path).await;
@@ -119,7 +113,7 @@
     let mut cluster = Cluster::start(1, 1).await;
     let path = format!("/q0/{}", cluster.new_id());
     cluster.daemons[0].store.set(LinkMode::Delay(SLOW));
-    let stream = send(&cluster, "POST", &path, &job(1, "ms=50").to_string()).await;
+    let stream = send(&cluster, &path, 0).await;
     let caller = stream.local_addr().expect("an address");
     tokio::time::sleep(SLOW / 4).await;
     drop(stream);
