feat(observability): a line says what the planner did and which bounds it kept to

A planner on a small VM was not late and no worker was silent, yet jobs stood for 46 s beside thousands of free accelerators. Nothing in the log said what its processor did, nor which bound held starts back.

--- a/crates/stairstall-core/src/batch.rs
+++ b/crates/stairstall-core/src/batch.rs
@@ -48,8 +48,8 @@
 };
 pub use peers::{PeerAddress, PeerTable};
 pub use planner::{
-    AdviceRequest, Bounds, ContactLag, Now, OldestWait, Order, OrderKind, Planner, ProgressWrite,
-    UnstoredTasks, VmLimits,
+    Activity, AdviceRequest, Bounds, ContactLag, Now, OldestWait, Order, OrderKind, Planner,
+    ProgressWrite, UnstoredTasks, VmLimits,
 };
 pub use policy::{
     AcceptancePolicy, AdmissionPolicy, AdvicePolicy, FlowPolicy, HeadroomPolicy, HealthPolicy,
--- a/crates/stairstall-core/src/batch/planner.rs
+++ b/crates/stairstall-core/src/batch/planner.rs
@@ -8,6 +8,7 @@
 };
 use crate::{JobId, Timestamp, WorkerId, ZoneId};
 
+mod activity;
 mod addresses;
 mod adopt;
 mod advice;
@@ -58,6 +59,7 @@
 mod victims;
 mod waiting;
 
+pub use activity::Activity;
 pub use advice::AdviceRequest;
 pub use bounds::{Bounds, Now, VmLimits};
 pub use carry_over::UnstoredTasks;
@@ -144,6 +146,7 @@
     /// Time of the last scheduling pass.
     last_pass_at: Option<Timestamp>,
     own_load: own_load::OwnLoad,
+    activity: activity::ActivityCounts,
     /// When to run the next scheduling pass even if nothing changes, because wait limits expire.
     replan_at: Option<Timestamp>,
     /// Whether the start of a planned run may have become possible since the last tick.
@@ -204,6 +207,7 @@
             has_urgent_arrival: false,
             last_pass_at: None,
             own_load: own_load::OwnLoad::default(),
+            activity: activity::ActivityCounts::default(),
             replan_at: None,
             starts_due: false,
             superseded: false,
@@ -345,6 +349,7 @@
             self.check_suspect_zones(now);
             self.replan_at = if self.has_enough_reports(now) {
                 let waits = self.plan(now);
+                self.activity.record_pass(self.flow.are_starts_limited());
                 waits.then(|| now.at + Self::MAX_TICK_INTERVAL)
             } else {
                 Some(now.at + REPORTS_CHECK_INTERVAL)
--- a/crates/stairstall-core/src/batch/planner/contact.rs
+++ b/crates/stairstall-core/src/batch/planner/contact.rs
@@ -83,6 +83,7 @@
         if request.token == worker.fencing_token {
             worker.set_report_pending(false);
         }
+        self.activity.record_report(request.max_wait.is_zero());
         let acknowledged = match worker
             .incarnation_state
             .answer_source(report.incarnation, sent_at)
@@ -138,10 +139,14 @@
             absent.retain(|task| *task != running.task);
             self.handle_running_task(id, running, now);
         }
-        let new_ends = report
+        let listed = report.ended.len() as u64;
+        let new_ends: Vec<_> = report
             .ended
             .into_iter()
-            .filter(|end| end.number > last_end_seen);
+            .filter(|end| end.number > last_end_seen)
+            .collect();
+        let new = new_ends.len() as u64;
+        self.activity.record_ends(new, listed - new);
         for end in new_ends {
             absent.retain(|task| *task != end.task);
             self.handle_run_end(id, &end, now);
--- a/crates/stairstall-core/src/batch/planner/flow.rs
+++ b/crates/stairstall-core/src/batch/planner/flow.rs
@@ -88,6 +88,11 @@
         count_within(policy.start_window, link_per_s.min(cpu_per_s))
     }
 
+    /// Returns whether tasks for which capacity is free wait until earlier starts are answered.
+    pub(super) const fn are_starts_limited(&self) -> bool {
+        self.starts_limited
+    }
+
     /// Returns how many requests that only find out whether a worker answers may be in flight.
     fn contact_window(&self, policy: &FlowPolicy) -> u64 {
         let link_per_s = self.limits.link_bytes_per_s / u64::from(policy.message_bytes);
@@ -207,9 +212,18 @@
         let in_flight = *pass
             .starts_in_flight
             .get_or_insert_with(|| self.starts_in_flight());
+        (in_flight, self.start_window())
+    }
+
+    /// Returns how many starts may be unanswered at the same time: at least one.
+    pub(super) fn start_window(&self) -> usize {
         let window = self.flow.start_window(&self.policy.flow);
-        let window = usize::try_from(window).unwrap_or(usize::MAX).max(1);
-        (in_flight, window)
+        usize::try_from(window).unwrap_or(usize::MAX).max(1)
+    }
+
+    /// Returns how many reports per second this VM is taken to afford.
+    pub(super) fn affordable_reports_per_s(&self) -> u64 {
+        self.flow.reports_per_s(&self.policy.flow)
     }
 
     /// Returns whether a step that is not urgent can't start because of the starts in flight.
--- a/crates/stairstall-core/src/batch/planner/own_load.rs
+++ b/crates/stairstall-core/src/batch/planner/own_load.rs
@@ -26,6 +26,7 @@
 impl Planner {
     /// Records how long the last call of [`Planner::tick`] took on the clock.
     pub fn record_tick_duration(&mut self, took: Duration) {
+        self.activity.record_tick(took);
         if std::mem::take(&mut self.own_load.has_run_pass) {
             let older = self.own_load.pass * (MEAN_WEIGHT_DIVISOR - 1) / MEAN_WEIGHT_DIVISOR;
             self.own_load.pass = older + took / MEAN_WEIGHT_DIVISOR;
--- a/crates/stairstall-core/src/batch/planner/start_outcomes.rs
+++ b/crates/stairstall-core/src/batch/planner/start_outcomes.rs
@@ -12,6 +12,7 @@
         let id = &order.worker;
         let task = &order.task;
         self.record_start_answered();
+        self.activity.record_start_outcome();
         if outcome == StartOutcome::OtherLife {
             self.drop_unstarted_runs(order, now);
             self.end_incarnation(id, "another incarnation answered a start", now);
--- a/crates/stairstall-core/src/batch/planner/starts.rs
+++ b/crates/stairstall-core/src/batch/planner/starts.rs
@@ -182,6 +182,7 @@
         let Some(job) = self.jobs.get(&task.group.job) else {
             return;
         };
+        self.activity.record_start();
         self.orders.push(Order {
             worker: id.clone(),
             task: task.clone(),
--- a/crates/stairstalld/src/batch/maintenance.rs
+++ b/crates/stairstalld/src/batch/maintenance.rs
@@ -4,13 +4,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use stairstall_core::batch::{AcceptedJob, LearnedEstimates, OldestWait};
+use stairstall_core::batch::{AcceptedJob, LearnedEstimates, OldestWait, Planner};
 use stairstall_ports::{Commit, CommitOutcome};
 
 use super::node::Node;
 use super::tenure::Tenure;
 use super::{encoding, role};
-use crate::clock::millis;
+use crate::clock::{ProcessorUse, millis};
 use crate::keys;
 
 /// Interval between rounds of maintenance.
@@ -28,6 +28,7 @@
 /// Does the periodic work for as long as the tenure lasts.
 pub(crate) async fn run(node: Arc<Node>, tenure: Arc<Tenure>) {
     let mut stored = LearnedEstimates::default();
+    let mut processor = ProcessorUse::default();
     for round in 1_u64.. {
         tokio::time::sleep(ROUND_INTERVAL).await;
         if !tenure.is_active() {
@@ -35,6 +36,7 @@
         }
         if round.is_multiple_of(ROUNDS_PER_STATUS) {
             log_contact_lag(&tenure);
+            log_activity(&node, &tenure, &mut processor);
             log_oldest_waits(&tenure);
             log_paces(&tenure);
             log_usage(&tenure);
@@ -65,6 +67,20 @@
         evacuations_age_ms = millis(evacuated_age.unwrap_or_default()); "worker contact of this planner");
 }
 
+/// Logs what the planner did since the last round, and the bounds that it kept to.
+fn log_activity(node: &Node, tenure: &Tenure, processor: &mut ProcessorUse) {
+    let done = tenure.with_planner(Planner::take_activity);
+    let period_ms = millis(done.period).max(1);
+    let used_ms = millis(processor.take());
+    log::info!(target: "activity", token = tenure.token(), period_ms,
+        cpu_percent = node.settings.cpu_percent, used_percent = used_ms * 100 / period_ms,
+        passes = done.passes, tick_ms = millis(done.tick_time), limited_passes = done.limited_passes,
+        reports = done.reports, immediate_reports = done.immediate_reports,
+        ends = done.ends, repeated_ends = done.repeated_ends, starts = done.starts, start_outcomes = done.start_outcomes,
+        start_window = done.start_window, reports_per_s = done.affordable_reports_per_s,
+        contact_window = done.contact_window; "what this planner did, and its bounds");
+}
+
 /// Logs which step has waited longest although its tasks fit on free capacity, and which of a
 /// guaranteed job has waited longest, if there are such steps.
 fn log_oldest_waits(tenure: &Tenure) {
--- a/crates/stairstalld/src/clock.rs
+++ b/crates/stairstalld/src/clock.rs
@@ -53,6 +53,22 @@
     time.map_or(Duration::ZERO, Duration::from)
 }
 
+/// Measures the processor time that this process uses.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct ProcessorUse {
+    /// Processor time of the process at the last reading.
+    last: Duration,
+}
+
+impl ProcessorUse {
+    /// Returns the processor time used since the last call, or since the process started.
+    pub(crate) fn take(&mut self) -> Duration {
+        let used = clock_gettime(ClockId::CLOCK_PROCESS_CPUTIME_ID);
+        let used = used.map_or(self.last, Duration::from);
+        used.saturating_sub(std::mem::replace(&mut self.last, used))
+    }
+}
+
 /// Returns a duration in whole milliseconds.
 pub(crate) fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
