fix(core): passes take a share of the time that follows from what they are seen to take

Cause: the time between two passes was 5 us a worker, whatever a pass takes. Change: a pass is followed by four times its measured length, one for urgent jobs that have just arrived by one and a half times. The interval per worker stays the least. Test: pacing::passes_take_a_share_of_the_time_however_long_they_are (10 ms between passes of 40 ms before). A 0.5-core VM, whose passes take 2 to 4 ms, waits 10 to 20 ms instead of 5.5.

--- a/crates/stairstall-core/src/batch/planner/timing.rs
+++ b/crates/stairstall-core/src/batch/planner/timing.rs
@@ -5,25 +5,42 @@
 use super::job::Job;
 use super::{Now, Planner};
 
+/// Share of the time that scheduling passes may take, in percent.
+const MAX_PASS_PERCENT: u32 = 20;
+/// The same while urgent jobs have just arrived.
+const MAX_URGENT_PASS_PERCENT: u32 = 40;
+
 impl Planner {
     /// Returns whether a scheduling pass is due. A pass that is requested too soon after the last
     /// one is postponed.
-    ///
-    /// A pass goes through the whole fleet. With thousands of workers, a pass for each run end
-    /// would take the processor time that reports need. Newly arrived urgent jobs are not delayed.
     pub(super) fn is_pass_due(&mut self, now: Now) -> bool {
-        let is_due = self.replan_at.is_some_and(|at| now.at >= at);
-        if !self.replan || self.has_urgent_arrival {
-            return is_due || self.has_urgent_arrival;
+        if !self.replan && !self.has_urgent_arrival {
+            return self.replan_at.is_some_and(|at| now.at >= at);
         }
-        let gap = self.policy.flow.pass_interval(self.workers.len());
-        let earliest = self.last_pass_at.map(|at| at + gap);
-        let is_too_soon = earliest.is_some_and(|at| now.at < at);
-        if is_too_soon {
+        let Some(last_pass_at) = self.last_pass_at else {
+            return true;
+        };
+        let earliest = last_pass_at + self.pass_interval();
+        let is_due = now.at >= earliest || self.replan_at.is_some_and(|at| now.at >= at);
+        if !is_due {
             self.replan = false;
-            self.replan_at = self.replan_at.min(earliest).or(earliest);
+            self.replan_at = Some(self.replan_at.map_or(earliest, |at| at.min(earliest)));
+        }
+        is_due
+    }
+
+    /// Returns the shortest time from the start of one scheduling pass to the next.
+    ///
+    /// A pass goes through the whole fleet. With thousands of workers, a pass for each run end
+    /// would take the processor time that reports and starts need, and the more of it, the slower
+    /// the VM is. Newly arrived urgent jobs wait for less.
+    fn pass_interval(&self) -> Duration {
+        let pass = self.own_load.pass;
+        if self.has_urgent_arrival {
+            return pass * 100 / MAX_URGENT_PASS_PERCENT;
         }
-        !is_too_soon || is_due
+        let usual = self.policy.flow.pass_interval(self.workers.len());
+        usual.max(pass * 100 / MAX_PASS_PERCENT)
     }
 
     /// Returns whether the evacuated zones are known and the workers have had enough time to report
--- a/crates/stairstall-core/tests/batch/main.rs
+++ b/crates/stairstall-core/tests/batch/main.rs
@@ -21,6 +21,7 @@
 mod lossy;
 mod odd_entries;
 mod paces;
+mod pacing;
 mod reach;
 mod records;
 mod restarts;
