fix(core): starts and reports follow what the planner's VM is seen to complete

Cause: the start window came from the announced processor and an assumed 100 us a message. On one VM it bound while the processor was half idle; on another, reports (which nothing bound once their wait is at its 2 s) and passes left no time for starts. Urgent starts counted against other work but were not bounded; a gang wider than the window needed it empty, and closed it to all behind it. Change: every 100 ms the daemon measures for which share of the time its runtime is busy, which holds the time it waits for its share of the processor. The window grows while it holds work back and answers come in time, and shrinks while they come late; what the VM announces is where it begins, its link stays a bound. A saturated process leaves workers alone for up to half the lease of a start between two reports. Urgent starts take at most half of the window from other work; a gang of any width starts once half of the window is free. While starts are what is short, jobs that have had nothing running for too long come before other work that is not urgent.

--- a/crates/stairstall-core/src/batch/planner.rs
+++ b/crates/stairstall-core/src/batch/planner.rs
@@ -38,6 +38,7 @@
 mod orders;
 mod own_load;
 mod paces;
+mod pacing;
 mod pass;
 mod placement;
 mod pool;
@@ -147,6 +148,7 @@
     last_pass_at: Option<Timestamp>,
     own_load: own_load::OwnLoad,
     activity: activity::ActivityCounts,
+    pacing: pacing::Pacing,
     /// When to run the next scheduling pass even if nothing changes, because wait limits expire.
     replan_at: Option<Timestamp>,
     /// Whether the start of a planned run may have become possible since the last tick.
@@ -208,6 +210,7 @@
             last_pass_at: None,
             own_load: own_load::OwnLoad::default(),
             activity: activity::ActivityCounts::default(),
+            pacing: pacing::Pacing::default(),
             replan_at: None,
             starts_due: false,
             superseded: false,
--- a/crates/stairstall-core/src/batch/planner/flow.rs
+++ b/crates/stairstall-core/src/batch/planner/flow.rs
@@ -40,6 +40,10 @@
     pub lateness: Duration,
     /// What a scheduling pass takes on this VM, in the mean.
     pub pass: Duration,
+    /// Share of the time in which this process is busy, in percent.
+    pub busy_percent: u32,
+    /// How long a worker is left alone after its report.
+    pub poll_pause: Duration,
 }
 
 /// Capacity of this VM, and the measured size of reports.
@@ -81,11 +85,18 @@
         link_reports_per_s.min(cpu_reports_per_s).max(1)
     }
 
-    /// Returns how many starts may be unanswered at the same time.
-    fn start_window(&self, policy: &FlowPolicy) -> u64 {
-        let link_per_s = self.limits.link_bytes_per_s / u64::from(policy.start_bytes);
-        let cpu_per_s = self.messages_per_s(policy, policy.cpu_percent);
-        count_within(policy.start_window, link_per_s.min(cpu_per_s))
+    /// Returns how many starts the CPU that the VM announces should complete in time.
+    fn announced_start_window(&self, policy: &FlowPolicy) -> u64 {
+        count_within(
+            policy.start_window,
+            self.messages_per_s(policy, policy.cpu_percent),
+        )
+    }
+
+    /// Returns how many starts the link can transfer in time.
+    fn link_start_window(&self, policy: &FlowPolicy) -> u64 {
+        let per_s = self.limits.link_bytes_per_s / u64::from(policy.start_bytes);
+        count_within(policy.start_window, per_s)
     }
 
     /// Returns whether tasks for which capacity is free wait until earlier starts are answered.
@@ -120,6 +131,15 @@
     }
 }
 
+/// Returns whether so many more starts may go out together beside those in flight.
+const fn fits_window(in_flight: usize, count: usize, window: usize) -> bool {
+    in_flight + count <= window || in_flight <= window / 2
+}
+
+fn as_count(number: u64) -> usize {
+    usize::try_from(number).unwrap_or(usize::MAX)
+}
+
 /// Returns how many messages at a rate fall within a time.
 fn count_within(window: Duration, per_s: u64) -> u64 {
     per_s.saturating_mul(millis(window)) / 1000
@@ -164,15 +184,17 @@
         }
         let (in_flight, window) = self.start_window_state(pass);
         let startable = count.min(window.saturating_sub(in_flight));
-        self.flow.starts_limited |= startable < count;
+        if startable < count {
+            self.record_starts_held_back();
+        }
         startable
     }
 
     /// Returns whether a gang of `count` tasks that has found workers may be placed now.
     ///
     /// A gang that does not fit into the rest of the start window blocks later candidates, since a
-    /// wide gang would otherwise never start. A gang wider than the whole window starts once no
-    /// other start is in flight.
+    /// wide gang would otherwise never start. It starts once half of the window is free, however
+    /// wide it is.
     pub(super) fn may_start_gang(
         &mut self,
         candidate: &Candidate,
@@ -183,10 +205,10 @@
             return true;
         }
         let (in_flight, window) = self.start_window_state(pass);
-        let fits = in_flight == 0 || in_flight + count <= window;
+        let fits = fits_window(in_flight, count, window);
         if !fits {
             pass.starts_in_flight = Some(in_flight.max(window));
-            self.flow.starts_limited = true;
+            self.record_starts_held_back();
         }
         fits
     }
@@ -203,22 +225,28 @@
         }
         let (in_flight, window) = self.start_window_state(pass);
         let is_used_up = in_flight >= window;
-        self.flow.starts_limited |= is_used_up;
+        if is_used_up {
+            self.record_starts_held_back();
+        }
         is_used_up
     }
 
     /// Returns how many starts are in flight and how many may be.
     fn start_window_state(&self, pass: &mut Pass) -> (usize, usize) {
+        let window = self.start_window();
         let in_flight = *pass
             .starts_in_flight
-            .get_or_insert_with(|| self.starts_in_flight());
-        (in_flight, self.start_window())
+            .get_or_insert_with(|| self.starts_before_others(window));
+        (in_flight, window)
     }
 
     /// Returns how many starts may be unanswered at the same time: at least one.
     pub(super) fn start_window(&self) -> usize {
-        let window = self.flow.start_window(&self.policy.flow);
-        usize::try_from(window).unwrap_or(usize::MAX).max(1)
+        let policy = &self.policy.flow;
+        let announced = self.flow.announced_start_window(policy);
+        let link = self.flow.link_start_window(policy);
+        self.pacing
+            .start_window(as_count(announced), as_count(link))
     }
 
     /// Returns how many reports per second this VM is taken to afford.
@@ -232,7 +260,13 @@
             .step(key)
             .map_or(0, |step| if step.gang { step.count } else { 1 });
         let (in_flight, window) = self.start_window_state(&mut Pass::default());
-        in_flight > 0 && in_flight + tasks as usize > window
+        !fits_window(in_flight, tasks as usize, window)
+    }
+
+    /// Records that work for which there is capacity waits until earlier starts are answered.
+    const fn record_starts_held_back(&mut self) {
+        self.flow.starts_limited = true;
+        self.pacing.record_held_back();
     }
 
     /// Records that a start was answered or timed out, so that further starts may be sent.
@@ -266,22 +300,40 @@
             clock_drift: self.flow.clock_drift,
             lateness: self.own_load.lateness,
             pass: self.own_load.pass,
+            busy_percent: self.pacing.busy_percent(),
+            poll_pause: self.pacing.poll_pause(),
         }
     }
 
     /// Counts the runs that wait for an answer to their start, or for their placement to be stored.
     /// Runs that wait for preempted work to stop do not count.
     fn starts_in_flight(&self) -> usize {
-        let runs = self
-            .workers
-            .values()
-            .flat_map(|worker| worker.runs.values());
-        runs.filter(|run| !run.restored)
-            .filter(|run| match run.state {
-                RunState::Starting => run.answered_at.is_none(),
-                RunState::Planned => run.rank > URGENT_RANK,
-                RunState::Running | RunState::Stopping => false,
-            })
-            .count()
+        let (urgent, other) = self.starts_in_flight_by_urgency();
+        urgent + other
+    }
+
+    /// Counts the starts in flight that hold back work that is not urgent. Urgent starts are not
+    /// bounded, but they take at most half of the window from other work: it would never start
+    /// beside a steady flow of them.
+    fn starts_before_others(&self, window: usize) -> usize {
+        let (urgent, other) = self.starts_in_flight_by_urgency();
+        urgent.min(window / 2) + other
+    }
+
+    /// Counts the starts in flight of urgent work and of other work.
+    fn starts_in_flight_by_urgency(&self) -> (usize, usize) {
+        let runs = self.workers.values().flat_map(|w| w.runs.values());
+        let (mut urgent, mut other) = (0, 0);
+        for run in runs.filter(|run| !run.restored) {
+            let is_urgent = run.rank <= URGENT_RANK;
+            match run.state {
+                RunState::Starting if run.answered_at.is_some() => {}
+                RunState::Starting if is_urgent => urgent += 1,
+                RunState::Starting => other += 1,
+                RunState::Planned if !is_urgent => other += 1,
+                RunState::Planned | RunState::Running | RunState::Stopping => {}
+            }
+        }
+        (urgent, other)
     }
 }
--- a/crates/stairstall-core/src/batch/planner/idle_jobs.rs
+++ b/crates/stairstall-core/src/batch/planner/idle_jobs.rs
@@ -121,6 +121,24 @@
         (is_due && self.fits_beside_others(&candidate.key, pass)).then_some(scope)
     }
 
+    /// Starts a task, or a gang, of each job that has had nothing running for too long, the longest
+    /// idle first.
+    ///
+    /// Where starts are what is short, newer jobs and other tasks of running ones would otherwise
+    /// take all of them.
+    pub(super) fn place_idle_jobs(&mut self, candidates: &[Candidate], pass: &mut Pass, now: Now) {
+        let mut idle: Vec<(Duration, &Candidate)> = candidates
+            .iter()
+            .map(|candidate| (self.idle_time(&candidate.key.job, now), candidate))
+            .collect();
+        idle.sort_by_key(|(idle_time, _)| std::cmp::Reverse(*idle_time));
+        for (_, candidate) in idle {
+            if let Some(scope) = self.idle_scope(candidate, pass, now) {
+                self.place_step_within(candidate, Some(scope), pass, now);
+            }
+        }
+    }
+
     /// Records that capacity is searched for a job that has had nothing running for too long.
     pub(super) fn record_idle_search(&mut self, id: &JobId, now: Now) {
         if let Some(job) = self.jobs.get_mut(id) {
--- a/crates/stairstall-core/src/batch/planner/placement.rs
+++ b/crates/stairstall-core/src/batch/planner/placement.rs
@@ -26,6 +26,18 @@
     /// Places the waiting tasks of a step as far as workers are found, and reserves workers for a
     /// gang that has waited too long.
     pub(super) fn place_step(&mut self, candidate: &Candidate, pass: &mut Pass, now: Now) {
+        self.place_step_within(candidate, None, pass, now);
+    }
+
+    /// Places the waiting tasks of a step within a search scope, or within all scopes that it may
+    /// use.
+    pub(super) fn place_step_within(
+        &mut self,
+        candidate: &Candidate,
+        scope: Option<SearchScope>,
+        pass: &mut Pass,
+        now: Now,
+    ) {
         let key = &candidate.key;
         let Some((step, group)) = self
             .jobs
@@ -43,7 +55,10 @@
         let mut allowance = self.accelerator_allowance(candidate, pass, now);
         let paces = self.pace_costs(candidate, &step, now);
         let ready = waiting.len();
-        let scopes = self.scopes(candidate, &step, ready_since, pass, now);
+        let scopes = match scope {
+            Some(scope) => vec![scope],
+            None => self.scopes(candidate, &step, ready_since, pass, now),
+        };
         if scopes.iter().any(|scope| !scope.yields) {
             self.record_idle_search(&key.job, now);
         }
--- a/crates/stairstall-core/src/batch/planner/start_outcomes.rs
+++ b/crates/stairstall-core/src/batch/planner/start_outcomes.rs
@@ -40,6 +40,9 @@
         if outcome != StartOutcome::Unknown {
             run.late_start_until = None;
         }
+        if outcome.is_answer() {
+            self.pacing.record_start_answer(now.at - run.ordered_at);
+        }
         if let StartOutcome::Started { .. } = outcome {
             run.answered_at = run.answered_at.or(Some(now.at));
             run.start_confirmed = true;
--- a/crates/stairstall-core/src/batch/worker.rs
+++ b/crates/stairstall-core/src/batch/worker.rs
@@ -183,6 +183,17 @@
     Unknown,
 }
 
+impl StartOutcome {
+    /// Returns whether the worker has answered.
+    #[must_use]
+    pub const fn is_answer(self) -> bool {
+        match self {
+            Self::Started { .. } | Self::Refused(_) | Self::Unhealthy | Self::OtherLife => true,
+            Self::NotSent | Self::Unknown => false,
+        }
+    }
+}
+
 /// Result of a stop order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StopOutcome {
--- a/crates/stairstalld/src/batch/maintenance.rs
+++ b/crates/stairstalld/src/batch/maintenance.rs
@@ -63,7 +63,8 @@
         starts_under_way = lag.starts_in_flight, unselected = lag.unselected,
         free_accelerators = lag.free_accelerators, unusable_accelerators = lag.unusable_accelerators,
         clock_drift_ms = millis(lag.clock_drift),
-        late_ms = millis(lag.lateness), pass_ms = millis(lag.pass), evacuated_zones = evacuated,
+        late_ms = millis(lag.lateness), pass_ms = millis(lag.pass),
+        busy_percent = lag.busy_percent, poll_pause_ms = millis(lag.poll_pause), evacuated_zones = evacuated,
         evacuations_age_ms = millis(evacuated_age.unwrap_or_default()); "worker contact of this planner");
 }
 
--- a/crates/stairstalld/src/batch/tenure.rs
+++ b/crates/stairstalld/src/batch/tenure.rs
@@ -265,6 +265,11 @@
         self.planner().oldest_guaranteed_wait(self.now())
     }
 
+    /// Returns how long to wait before a worker that has answered is polled again.
+    pub(crate) fn poll_pause(&self) -> Duration {
+        self.planner().poll_pause()
+    }
+
     /// Returns how current the planner's contact with its workers is.
     pub(crate) fn contact_lag(&self) -> ContactLag {
         self.planner().contact_lag(self.now())
@@ -394,7 +399,7 @@
         "writer",
         writer::run(Arc::clone(node), Arc::clone(tenure), revisions),
     );
-    tasks.spawn("lateness", measure_lateness(Arc::clone(tenure)));
+    tasks.spawn("load", measure_load(Arc::clone(tenure)));
     tasks.spawn(
         "maintenance",
         maintenance::run(Arc::clone(node), Arc::clone(tenure)),
@@ -426,18 +431,66 @@
     }
 }
 
-/// Interval at which the process measures how late it is.
-const LATENESS_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval at which the process measures how late and how busy it is.
+const LOAD_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Measures how late this process runs what is due, for as long as the tenure lasts.
-async fn measure_lateness(tenure: Arc<Tenure>) {
+/// Measures how late this process runs what is due, and how busy it is, for as long as the tenure
+/// lasts.
+async fn measure_load(tenure: Arc<Tenure>) {
+    let mut busy = BusyMeter::start();
     loop {
-        let due = Instant::now() + LATENESS_INTERVAL;
+        let due = Instant::now() + LOAD_INTERVAL;
         tokio::time::sleep_until(due).await;
         let late = due.elapsed();
-        // Nothing follows from it, so that neither the planning loop nor the writer has to wake.
-        tenure.planner().record_lateness(late);
+        let busy_percent = busy.take();
+        // Neither the planning loop nor the writer has to wake for it.
+        let now = tenure.now();
+        let mut planner = tenure.planner();
+        planner.record_lateness(late);
+        planner.record_busy(busy_percent, now);
+    }
+}
+
+/// Measures for which share of the time this process has had something to do.
+///
+/// A process that has used up its share of the processor, and waits for more, counts as busy: so
+/// this says how much more the VM can do, whatever it announces.
+#[derive(Debug)]
+struct BusyMeter {
+    measured_at: Instant,
+    /// Time for which the runtime had been busy by then.
+    busy: Duration,
+}
+
+impl BusyMeter {
+    fn start() -> Self {
+        Self {
+            measured_at: Instant::now(),
+            busy: runtime_busy_time(),
+        }
     }
+
+    /// Returns the share of the time since the last call, in percent.
+    fn take(&mut self) -> u32 {
+        let next = Self::start();
+        let elapsed_us = next
+            .measured_at
+            .duration_since(self.measured_at)
+            .as_micros();
+        let busy_us = next.busy.saturating_sub(self.busy).as_micros();
+        *self = next;
+        let percent = busy_us * 100 / elapsed_us.max(1);
+        u32::try_from(percent).map_or(100, |percent| percent.min(100))
+    }
+}
+
+/// Returns for how long the runtime's threads have been busy since it was started.
+fn runtime_busy_time() -> Duration {
+    let metrics = tokio::runtime::Handle::current().metrics();
+    let threads = 0..metrics.num_workers();
+    threads
+        .map(|thread| metrics.worker_total_busy_duration(thread))
+        .sum()
 }
 
 /// Timeout of a call to the adviser.
--- a/crates/stairstalld/src/batch/worker_links.rs
+++ b/crates/stairstalld/src/batch/worker_links.rs
@@ -251,6 +251,7 @@
         Ok(report) => {
             node.telemetry.report("ok");
             let has_run_ends = !report.ended.is_empty();
+            let answered_at = node.clock.now();
             let written = tenure.write_done.notified();
             let is_leaving = tenure.with_planner(|planner, now| {
                 planner.handle_worker_report(&worker.id, &request, sent_at, report, now);
@@ -264,6 +265,10 @@
                 };
                 let _ = tokio::time::timeout(wait, written).await;
             }
+            let pause = tenure.poll_pause();
+            if !is_leaving && !pause.is_zero() {
+                tokio::time::sleep(pause.saturating_sub(node.clock.now() - answered_at)).await;
+            }
         }
         Err(WorkerFault::OtherLife) => {
             node.telemetry.report("other life");
