--- a/crates/stairstall-core/src/batch/planner.rs
+++ b/crates/stairstall-core/src/batch/planner.rs
@@ -8,6 +8,7 @@
 };
 use crate::{JobId, Timestamp, WorkerId, ZoneId};
 
+mod activity;
 mod addresses;
 mod adopt;
 mod advice;
@@ -37,6 +38,7 @@
 mod orders;
 mod own_load;
 mod paces;
+mod pacing;
 mod pass;
 mod placement;
 mod pool;
@@ -58,6 +60,7 @@
 mod victims;
 mod waiting;
 
+pub use activity::Activity;
 pub use advice::AdviceRequest;
 pub use bounds::{Bounds, Now, VmLimits};
 pub use carry_over::UnstoredTasks;
@@ -144,6 +147,8 @@
     /// Time of the last scheduling pass.
     last_pass_at: Option<Timestamp>,
     own_load: own_load::OwnLoad,
+    activity: activity::ActivityCounts,
+    pacing: pacing::Pacing,
     /// When to run the next scheduling pass even if nothing changes, because wait limits expire.
     replan_at: Option<Timestamp>,
     /// Whether the start of a planned run may have become possible since the last tick.
@@ -204,6 +209,8 @@
             has_urgent_arrival: false,
             last_pass_at: None,
             own_load: own_load::OwnLoad::default(),
+            activity: activity::ActivityCounts::default(),
+            pacing: pacing::Pacing::default(),
             replan_at: None,
             starts_due: false,
             superseded: false,
@@ -345,6 +352,7 @@
             self.check_suspect_zones(now);
             self.replan_at = if self.has_enough_reports(now) {
                 let waits = self.plan(now);
+                self.activity.record_pass(self.flow.are_starts_limited());
                 waits.then(|| now.at + Self::MAX_TICK_INTERVAL)
             } else {
                 Some(now.at + REPORTS_CHECK_INTERVAL)
--- a/crates/stairstall-core/src/batch/planner/start_outcomes.rs
+++ b/crates/stairstall-core/src/batch/planner/start_outcomes.rs
@@ -12,6 +12,7 @@
         let id = &order.worker;
         let task = &order.task;
         self.record_start_answered();
+        self.activity.record_start_outcome();
         if outcome == StartOutcome::OtherLife {
             self.drop_unstarted_runs(order, now);
             self.end_incarnation(id, "another incarnation answered a start", now);
@@ -39,6 +40,9 @@
         if outcome != StartOutcome::Unknown {
             run.late_start_until = None;
         }
+        if outcome.is_answer() {
+            self.pacing.record_start_answer(now.at - run.ordered_at);
+        }
         if let StartOutcome::Started { .. } = outcome {
             run.answered_at = run.answered_at.or(Some(now.at));
             run.start_confirmed = true;
