fix(core): a start withheld by the planner's own lapsed lease says nothing of the worker

Cause: an order that the daemon did not send because its own lease was not valid was passed to the planner as 'not sent', which marks the worker unresponsive without condition. Three of these in a zone mark the whole zone, though none of the workers was called. Change: an outcome of its own, 'withheld'. The run is given up or tried again as before, the worker stays in contact. A failed connection stays 'not sent' and a sign of the worker.

--- a/crates/stairstall-core/src/batch/planner/start_outcomes.rs
+++ b/crates/stairstall-core/src/batch/planner/start_outcomes.rs
@@ -129,7 +129,7 @@
                 Some(now.at + self.policy.health.suspect_after_refusal);
         }
         let not_started = match outcome {
-            StartOutcome::NotSent | StartOutcome::Unhealthy => true,
+            StartOutcome::NotSent | StartOutcome::Withheld | StartOutcome::Unhealthy => true,
             StartOutcome::Refused(reason) => reason != RefusalReason::OldRun,
             _ => false,
         };
@@ -148,6 +148,9 @@
                 now,
             );
         } else if matches!(outcome, StartOutcome::Unknown | StartOutcome::NotSent) {
+            self.mark_unresponsive_unless_answered(id, task);
+            self.retry_start(order, now);
+        } else if outcome == StartOutcome::Withheld {
             self.retry_start(order, now);
         } else if outcome == StartOutcome::Refused(RefusalReason::OldRun) {
             // The run has ended on this worker, or the worker refuses to start it from now on. The
@@ -161,7 +164,6 @@
 
     fn retry_start(&mut self, order: &Order, now: Now) {
         let (id, task) = (&order.worker, &order.task);
-        self.mark_unresponsive_unless_answered(id, task);
         let run = self.run_at(id, task);
         let attempts = run.map_or(0, |run| run.start_attempts);
         let is_done = run.is_some_and(|run| run.redundant_since.is_some());
--- a/crates/stairstall-core/src/batch/worker.rs
+++ b/crates/stairstall-core/src/batch/worker.rs
@@ -177,8 +177,11 @@
     Unhealthy,
     /// Another incarnation of the worker answered: the intended one has ended.
     OtherLife,
-    /// The order was not sent.
+    /// The order was not sent because the worker could not be reached.
     NotSent,
+    /// The planner did not send the order because its own lease was not valid. This says nothing
+    /// about the worker.
+    Withheld,
     /// The order may have been carried out, or may be later.
     Unknown,
 }
--- a/crates/stairstall-core/tests/batch/silence.rs
+++ b/crates/stairstall-core/tests/batch/silence.rs
@@ -236,3 +236,29 @@
     let told = decisions.iter().find(|d| d.why.starts_with("no end "));
     assert!(told.is_some(), "{decisions:?}");
 }
+
+/// Guards against a planner whose own lease has lapsed taking the workers that it did not call for
+/// silent ones, and their zone with them.
+#[test]
+fn a_start_that_the_planner_withheld_says_nothing_of_its_worker() {
+    let names: Vec<String> = (0..10).map(|n| format!("w{n}")).collect();
+    let workers: Vec<(&str, &str)> = names.iter().map(|name| (name.as_str(), "r1")).collect();
+    let mut fleet = Fleet::new(&workers);
+    fleet.hold_all();
+    fleet.place(job("j", 2, vec![step(4, 8)]));
+    let starts = fleet.planner.tick(fleet.now());
+    assert_eq!(starts.len(), 4);
+    fleet.at_ms += 1_000;
+    let now = fleet.now();
+    for start in &starts {
+        fleet
+            .planner
+            .handle_start_outcome(start, StartOutcome::Withheld, now);
+    }
+    fleet.planner.tick(now);
+    assert_eq!(fleet.planner.contact_lag(now).unresponsive, 0);
+    fleet.settle();
+    for index in 0..4 {
+        assert!(fleet.place_of(&task("j", 0, index)).is_some());
+    }
+}
--- a/crates/stairstalld/src/batch/orders.rs
+++ b/crates/stairstalld/src/batch/orders.rs
@@ -57,7 +57,7 @@
                     StartOutcome::Unknown
                 })
             } else {
-                StartOutcome::NotSent
+                StartOutcome::Withheld
             };
             node.telemetry.order("start", start_label(outcome));
             tenure.with_planner(|planner, now| planner.handle_start_outcome(&order, outcome, now));
@@ -92,6 +92,7 @@
         StartOutcome::Unhealthy => "unhealthy",
         StartOutcome::OtherLife => "other life",
         StartOutcome::NotSent => "not sent",
+        StartOutcome::Withheld => "withheld",
         StartOutcome::Unknown => "unknown",
     }
 }
