fix(core): each changed job gets its turn among the progress writes

Cause: pending progress writes were ordered by priority and job ID, without age. While more jobs change than one write takes, those of high IDs or low urgency were never written: their placements don't start, and their run ends are not acknowledged. Change: urgent jobs first, among equals the oldest change first. A job that three writes have passed over may go first in a quarter of each write (at least one job), oldest first, so that its wait is bound by the number of writes. A failed write keeps its age.

--- a/crates/stairstall-core/src/batch/planner.rs
+++ b/crates/stairstall-core/src/batch/planner.rs
@@ -57,6 +57,7 @@
 mod usage;
 mod victims;
 mod waiting;
+mod write_queue;
 
 pub use advice::AdviceRequest;
 pub use bounds::{Bounds, Now, VmLimits};
@@ -108,7 +109,7 @@
     advice_requests: Vec<AdviceRequest>,
     decisions: Vec<Decision>,
     /// Jobs with changes that are not being written to the store yet.
-    changed_jobs: BTreeSet<JobId>,
+    changed_jobs: write_queue::WriteQueue,
     /// Jobs that have changed since their timelines were last updated.
     changed_timelines: BTreeSet<JobId>,
     summaries: Vec<JobSummary>,
@@ -182,7 +183,7 @@
             orders: Vec::new(),
             advice_requests: Vec::new(),
             decisions: Vec::new(),
-            changed_jobs: BTreeSet::new(),
+            changed_jobs: write_queue::WriteQueue::default(),
             changed_timelines: BTreeSet::new(),
             summaries: Vec::new(),
             demand: UrgentDemand::default(),
--- a/crates/stairstall-core/src/batch/planner/progress.rs
+++ b/crates/stairstall-core/src/batch/planner/progress.rs
@@ -34,7 +34,8 @@
         !self.changed_jobs.is_empty()
     }
 
-    /// Removes and returns up to `max` pending progress writes, urgent jobs first.
+    /// Removes and returns up to `max` pending progress writes: urgent jobs first, but a share of
+    /// them for jobs that several writes have passed over.
     ///
     /// Jobs in `busy` are skipped, because an earlier write of theirs is still in progress. Their
     /// writes stay pending.
@@ -44,18 +45,14 @@
         busy: &BTreeSet<JobId>,
         now: Now,
     ) -> Vec<ProgressWrite> {
-        let writable = self.changed_jobs.iter().filter(|id| !busy.contains(*id));
-        let mut writable: Vec<(u8, &JobId)> =
-            writable.map(|id| (self.priority_of(id), id)).collect();
-        writable.sort_unstable();
-        let ids: Vec<JobId> = writable
-            .into_iter()
-            .take(max)
-            .map(|(_, id)| id.clone())
-            .collect();
+        let jobs = &self.jobs;
+        let priority_of = |id: &JobId| {
+            let job = jobs.get(id);
+            job.map_or(u8::MAX, |job| job.accepted.queue.priority)
+        };
+        let ids = self.changed_jobs.take(max, busy, priority_of);
         ids.into_iter()
             .filter_map(|id| {
-                self.changed_jobs.remove(&id);
                 let job = self.jobs.get(&id)?;
                 Some(ProgressWrite {
                     change: job.change_count,
@@ -66,13 +63,9 @@
             .collect()
     }
 
-    fn priority_of(&self, id: &JobId) -> u8 {
-        let job = self.jobs.get(id);
-        job.map_or(u8::MAX, |job| job.accepted.queue.priority)
-    }
-
     /// Handles the completion of a write: the changes of a job up to `change` are stored.
     pub fn progress_written(&mut self, id: &JobId, change: u64) {
+        self.changed_jobs.remove_in_progress(id);
         if let Some(job) = self.jobs.get_mut(id) {
             job.stored_changes = job.stored_changes.max(change);
             self.starts_due = true;
@@ -83,7 +76,9 @@
     /// Handles a write that may not have been stored: it is to be written again.
     pub fn progress_write_failed(&mut self, id: &JobId) {
         if self.jobs.contains_key(id) {
-            self.changed_jobs.insert(id.clone());
+            self.changed_jobs.record_failed(id);
+        } else {
+            self.changed_jobs.remove_in_progress(id);
         }
     }
 
--- a/crates/stairstall-core/tests/batch/records.rs
+++ b/crates/stairstall-core/tests/batch/records.rs
@@ -118,3 +118,96 @@
     assert!(fleet.given.is_empty());
     assert_eq!(fleet.planner.caller_state(&id("j")), None);
 }
+
+/// Takes the writes of a commit; returns the jobs in it. All have changed again once it is stored.
+fn store_and_change(fleet: &mut Fleet, max: usize) -> Vec<String> {
+    let now = fleet.now();
+    let writes = fleet.planner.take_writes(max, &BTreeSet::new(), now);
+    for write in &writes {
+        fleet.planner.progress_written(&write.job, write.change);
+        fleet.planner.progress_write_failed(&write.job);
+    }
+    writes.iter().map(|write| write.job.to_string()).collect()
+}
+
+/// Submits jobs that have their places and wait to be written.
+fn submit_unwritten(fleet: &mut Fleet, count: u32, priority: u8) -> BTreeSet<String> {
+    let names = (0..count).map(|n| format!("p{priority}-{n:02}"));
+    let names: BTreeSet<String> = names.collect();
+    for name in &names {
+        fleet.submit(job(name, priority, vec![step(1, 1)]));
+    }
+    names
+}
+
+/// Returns how many commits it takes until each of the jobs was in one.
+fn commits_until_all(fleet: &mut Fleet, jobs: &BTreeSet<String>, max: usize) -> usize {
+    let mut missing = jobs.clone();
+    for commit in 1..=200 {
+        for name in store_and_change(fleet, max) {
+            missing.remove(&name);
+        }
+        if missing.is_empty() {
+            return commit;
+        }
+    }
+    panic!(
+        "{} of {} were never written: {missing:?}",
+        missing.len(),
+        jobs.len()
+    );
+}
+
+/// Guards against jobs whose changes are never written, because jobs with lower IDs change again
+/// with each commit.
+#[test]
+fn a_change_is_written_however_often_other_jobs_change() {
+    let names = ["w1", "w2", "w3", "w4", "w5", "w6"].map(|name| (name, "r1"));
+    let mut fleet = Fleet::new(&names);
+    fleet.hold_all();
+    fleet.writes = false;
+    let jobs = submit_unwritten(&mut fleet, 40, 2);
+    let commits = commits_until_all(&mut fleet, &jobs, 15);
+    assert_eq!(commits, 3);
+}
+
+/// Guards against the same among jobs of which some are more urgent.
+#[test]
+fn a_change_is_written_however_often_more_urgent_jobs_change() {
+    let names = ["w1", "w2", "w3", "w4", "w5", "w6"].map(|name| (name, "r1"));
+    for max in [1, 2, 15] {
+        let mut fleet = Fleet::new(&names);
+        fleet.hold_all();
+        fleet.writes = false;
+        let waiting = submit_unwritten(&mut fleet, 10, 2);
+        let urgent = submit_unwritten(&mut fleet, 20, 0);
+        let commits = commits_until_all(&mut fleet, &waiting, max);
+        let share = (max / 4).max(1);
+        let bound = 3 + (waiting.len() + urgent.len()).div_ceil(share);
+        assert!(
+            commits <= bound,
+            "{commits} commits of {max}, {bound} allowed"
+        );
+        let next = store_and_change(&mut fleet, max);
+        let urgent_share = next.iter().filter(|name| urgent.contains(*name)).count();
+        assert!(urgent_share >= max - share, "{next:?}");
+    }
+}
+
+/// Guards against a change that loses its age when its write fails.
+#[test]
+fn a_failed_write_keeps_its_turn() {
+    let mut fleet = Fleet::new(&[("w1", "r1"), ("w2", "r1")]);
+    fleet.hold_all();
+    fleet.writes = false;
+    submit_unwritten(&mut fleet, 3, 2);
+    let now = fleet.now();
+    let first = fleet.planner.take_writes(1, &BTreeSet::new(), now);
+    submit_unwritten(&mut fleet, 1, 1);
+    fleet.submit(job("a-later", 2, vec![step(1, 1)]));
+    fleet.planner.progress_write_failed(&first[0].job);
+    let now = fleet.now();
+    let next = fleet.planner.take_writes(5, &BTreeSet::new(), now);
+    let names: Vec<&str> = next.iter().map(|write| write.job.as_str()).collect();
+    assert_eq!(names, ["p1-00", "p2-00", "p2-01", "p2-02", "a-later"]);
+}
