fix(daemon): a worker is polled again once its own run ends are stored

Cause: after a report with run ends the next poll waited for any write. While other jobs' writes were stored first, the poll carried no acknowledgement, and the worker listed the same run end again, once for every write. Change: the wait goes on until a run end of this worker may be acknowledged. The first wait, for a write, and the upper bounds (write_wait, leaving_write_wait) are as before.

--- a/crates/stairstall-core/src/batch/planner/contact.rs
+++ b/crates/stairstall-core/src/batch/planner/contact.rs
@@ -20,15 +20,11 @@
     pub fn report_request(&mut self, id: &WorkerId, now: Now) -> Option<ReportRequest> {
         let report_wait = self.report_wait();
         let awaits_clock = self.awaits_clock(self.workers.get(id)?, now.at);
-        let (jobs, held_back) = (&self.jobs, &self.held_back);
+        let acknowledgeable = self.acknowledgeable_end(id)?;
         let late = self.policy.orders.late_start;
         let worker = self.workers.get_mut(id)?;
         // Requests are sent one at a time, so an earlier one has been given up.
         worker.late_acknowledgements.record_no_answer();
-        let acknowledgeable = worker.incarnation_state.acknowledgeable(|id, change| {
-            let is_stored = jobs.get(id).is_none_or(|job| job.stored_changes >= change);
-            is_stored && !held_back.contains(id)
-        });
         let clock = worker.incarnation_state.clock();
         let deadline_ms = clock.map(|clock| clock.deadline(self.bounds.lease_duration, now.at));
         let acknowledged_end = worker
@@ -52,6 +48,31 @@
         Some(request)
     }
 
+    /// Returns the highest run end of a worker that may be acknowledged.
+    fn acknowledgeable_end(&mut self, id: &WorkerId) -> Option<u64> {
+        let (jobs, held_back) = (&self.jobs, &self.held_back);
+        let worker = self.workers.get_mut(id)?;
+        let acknowledgeable = worker.incarnation_state.acknowledgeable(|id, change| {
+            let is_stored = jobs.get(id).is_none_or(|job| job.stored_changes >= change);
+            is_stored && !held_back.contains(id)
+        });
+        Some(acknowledgeable)
+    }
+
+    /// Returns whether a worker has run ends whose changes are not stored yet, and none that the
+    /// next request could acknowledge: it would only list the same run ends again.
+    pub fn awaits_stored_ends(&mut self, id: &WorkerId) -> bool {
+        let Some(acknowledgeable) = self.acknowledgeable_end(id) else {
+            return false;
+        };
+        let worker = self.workers.get(id);
+        worker.is_some_and(|worker| {
+            let incarnation = &worker.incarnation_state;
+            let acknowledges = incarnation.next_acknowledgement(acknowledgeable) > 0;
+            incarnation.has_unstored_ends() && !acknowledges
+        })
+    }
+
     /// Returns whether it has to be found out whether a worker answers, and which incarnation does.
     /// Until then it gets no work.
     #[must_use]
--- a/crates/stairstall-core/tests/batch/ends.rs
+++ b/crates/stairstall-core/tests/batch/ends.rs
@@ -1,5 +1,7 @@
 //! Ends are written down before a worker may forget them.
 
+use std::collections::BTreeSet;
+
 use stairstall_core::batch::{
     CallerState, Decision, DecisionKind, Order, OrderKind, Outcome, RunEndKind, StartOutcome,
     StepSpec,
@@ -123,3 +125,39 @@
         assert_eq!(fleet.starts_of(&key), starts, "it was done before");
     }
 }
+
+/// Guards against a worker that is asked again and again while its ends wait to be stored.
+#[test]
+fn a_worker_awaits_its_own_ends_until_one_may_be_acknowledged() {
+    let mut fleet = Fleet::new(&[("w1", "r1")]);
+    fleet.hold_all();
+    fleet.submit(job("first", 2, vec![step(1, 1)]));
+    fleet.submit(job("second", 2, vec![step(1, 1)]));
+    let w1 = "w1".parse().expect("an id");
+    assert!(!fleet.planner.awaits_stored_ends(&w1), "nothing has ended");
+    for name in ["first", "second"] {
+        fleet.worker("w1").end(&task(name, 0, 0), RunEndKind::Done);
+    }
+    fleet.hold_all();
+    assert!(fleet.planner.awaits_stored_ends(&w1));
+    let now = fleet.now();
+    let writes = fleet.planner.take_writes(2, &BTreeSet::new(), now);
+    assert_eq!(writes.len(), 2);
+    fleet
+        .planner
+        .progress_written(&writes[0].job, writes[0].change);
+    assert!(
+        !fleet.planner.awaits_stored_ends(&w1),
+        "the first is stored"
+    );
+    fleet.hold_all();
+    assert!(fleet.planner.awaits_stored_ends(&w1), "the second is not");
+    fleet
+        .planner
+        .progress_written(&writes[1].job, writes[1].change);
+    assert!(!fleet.planner.awaits_stored_ends(&w1));
+    fleet.hold_all();
+    assert_eq!(fleet.worker("w1").forgotten, 2);
+    let unknown = "w9".parse().expect("an id");
+    assert!(!fleet.planner.awaits_stored_ends(&unknown));
+}
--- a/crates/stairstalld/src/batch/worker_links.rs
+++ b/crates/stairstalld/src/batch/worker_links.rs
@@ -9,6 +9,7 @@
 use stairstall_core::WorkerId;
 use stairstall_core::batch::{Order, ReportRequest};
 use stairstall_ports::{WorkerAddress, WorkerFault};
+use tokio::sync::futures::Notified;
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 use tokio::sync::{Notify, Semaphore, SemaphorePermit};
 
@@ -262,7 +263,8 @@
                 } else {
                     policy.write_wait
                 };
-                let _ = tokio::time::timeout(wait, written).await;
+                let stored = wait_for_stored_ends(tenure, &worker.id, written);
+                let _ = tokio::time::timeout(wait, stored).await;
             }
         }
         Err(WorkerFault::OtherLife) => {
@@ -283,3 +285,14 @@
         }
     }
 }
+
+/// Waits for the next write, `written`, and on until a run end of the worker may be acknowledged.
+async fn wait_for_stored_ends(tenure: &Tenure, id: &WorkerId, mut written: Notified<'_>) {
+    loop {
+        written.await;
+        written = tenure.write_done.notified();
+        if !tenure.with_planner(|planner, _| planner.awaits_stored_ends(id)) {
+            return;
+        }
+    }
+}
--- a/crates/stairstalld/tests/batch/contacts.rs
+++ b/crates/stairstalld/tests/batch/contacts.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use hyper::StatusCode;
+use serde_json::json;
 use stairstall_standin::LinkMode;
 
 use crate::cluster::{Cluster, Daemon, PATIENCE, job};
@@ -82,3 +83,55 @@
     assert!(used.len() > HELD, "{} workers are used", used.len());
     cluster.assert_no_violations();
 }
+
+/// Returns how many reports a daemon's planner has got.
+async fn reports(cluster: &Cluster) -> u64 {
+    let lines = cluster.metric(0, "stairstall_holds_total").await;
+    let counted = lines.iter().find(|line| line.contains("\"ok\""));
+    let count = counted.and_then(|line| line.rsplit(' ').next()?.parse().ok());
+    count.unwrap_or_else(|| panic!("no count in {lines:?}"))
+}
+
+/// Guards against a planner that asks each worker again after every write while the worker's own run
+/// end waits to be stored: the more ends there are, the more often each of them is listed.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_worker_whose_end_is_not_stored_yet_is_not_asked_after_each_write() {
+    /// Delay of each direction to the store.
+    const DELAY: Duration = Duration::from_millis(10);
+    const MAX_REPORTS_PER_END: u64 = 8;
+    let mut cluster = Cluster::start(0, WORKERS).await;
+    let one_by_one = [
+        "--policy",
+        "writing.max_under_way=1",
+        "--policy",
+        "writing.jobs_per_write=1",
+        "--role-lease-ms",
+        "20000",
+    ];
+    let daemon = Daemon::start_with("vm-0", &cluster.store, &one_by_one).await;
+    cluster.daemons.push(daemon);
+    cluster.wait_until_planned().await;
+    let whole_worker = json!({"spec": "ms=4000", "steps": [
+        {"count": 1, "cpu": 1000, "memMb": 500, "gpu": 8, "estimateMs": 4000}]});
+    let ids: Vec<String> = (0..WORKERS).map(|_| cluster.new_id()).collect();
+    let paths: Vec<String> = ids.iter().map(|id| format!("/q2/{id}")).collect();
+    for path in &paths {
+        cluster.submit(0, path, &whole_worker).await;
+    }
+    for path in &paths {
+        cluster.wait_for(path, "running").await;
+    }
+    cluster.daemons[0].store.set(LinkMode::Delay(DELAY));
+    cluster.daemons[0].wait_for_line(" end token=").await;
+    let before = reports(&cluster).await;
+    for path in &paths {
+        cluster.wait_for(path, "completed").await;
+    }
+    let reports = reports(&cluster).await - before;
+    let workers = u64::try_from(WORKERS).expect("a count");
+    println!("{reports} reports of {workers} ends");
+    assert!(
+        reports <= workers * MAX_REPORTS_PER_END,
+        "{reports} reports of {workers} ends"
+    );
+}
