--- a/crates/stairstall-core/src/batch/planner.rs
+++ b/crates/stairstall-core/src/batch/planner.rs
@@ -302,7 +302,8 @@
         self.record_forecast(&accepted, now);
         self.mark_timeline_changed(&id);
         self.has_urgent_arrival |= accepted.queue.priority == 0;
-        let job = Job::new(Arc::new(accepted), now);
+        let mut job = Job::new(Arc::new(accepted), now);
+        job.restore_idle_time(None, now);
         self.jobs.insert(id.clone(), job);
         self.record_demand(&id, now);
         self.replan = true;
--- a/crates/stairstall-core/src/batch/planner/idle_jobs.rs
+++ b/crates/stairstall-core/src/batch/planner/idle_jobs.rs
@@ -188,8 +188,9 @@
         is_idle.then(|| now.unix_ms.saturating_sub(idle_ms))
     }
 
-    /// Restores for how long nothing of the job had run under earlier planners. Without that, each
-    /// change of planner would let it wait as long again.
+    /// Restores for how long nothing of the job had run before this planner learned of it: since its
+    /// acceptance, or as an earlier planner has stored it. Without that, a job that is announced late
+    /// and each change of planner would let it wait as long again.
     pub(super) fn restore_idle_time(&mut self, progress: Option<&Progress>, now: Now) {
         let since_unix_ms = match progress {
             None => self.eligible_unix_ms(0),
@@ -203,7 +204,9 @@
         let is_done = |groups: &Vec<TaskGroup>| groups.iter().all(TaskGroup::is_done);
         let done = self.occurrences.iter().take_while(|groups| is_done(groups));
         let next = u32::try_from(done.count()).unwrap_or(u32::MAX);
-        let since_unix_ms = since_unix_ms.max(self.eligible_unix_ms(next));
+        let since_unix_ms = since_unix_ms
+            .max(self.eligible_unix_ms(next))
+            .max(self.accepted.accepted_unix_ms);
         let idle = Duration::from_millis(now.unix_ms.saturating_sub(since_unix_ms));
         self.idle_time = IdleTime::restored(idle);
     }
