fix(core): isolation of a last attempt gives way to idle jobs

Cause: a task on its last attempt avoids workers with freshly started runs for suspect_wait (3 s), also when its job has had nothing running for too long. Beside work that starts on each worker again and again it stood for 3,145 ms. All other preferences give way in the search for idle jobs. Change: the search for idle jobs (SearchScope::yields is false) no longer avoids fresh starts. Other work still keeps away from the last attempt once it has started.

--- a/crates/stairstall-core/src/batch/planner/candidate_worker.rs
+++ b/crates/stairstall-core/src/batch/planner/candidate_worker.rs
@@ -18,7 +18,8 @@
     pub(super) near: bool,
     /// Whether runs of less urgent ranks may be preempted.
     pub(super) preempts: bool,
-    /// Whether the step leaves headroom alone, and workers that may be unhealthy.
+    /// Whether the step leaves headroom alone, and avoids workers that may be unhealthy or, on its
+    /// last attempt, have freshly started runs.
     pub(super) yields: bool,
     /// Whether the step leaves the reservations of gangs that come before it alone.
     pub(super) keeps_reservations: bool,
--- a/crates/stairstall-core/src/batch/planner/crashes/isolation.rs
+++ b/crates/stairstall-core/src/batch/planner/crashes/isolation.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::super::candidate_worker::SearchScope;
 use super::super::pool::{CrashSuspicion, Run, Worker};
 use super::super::{Now, Planner};
 use crate::batch::{GroupKey, TaskKey, TaskLosses};
@@ -33,6 +34,7 @@
         &self,
         key: &GroupKey,
         urgent: bool,
+        scope: SearchScope,
         now: Now,
     ) -> Isolation<'_> {
         let job = self.jobs.get_key_value(&key.job).map(|(id, _)| id);
@@ -45,7 +47,7 @@
         Isolation {
             job,
             fresh_start: self.policy.health.fresh_start,
-            avoids_fresh_starts: is_last_attempt && within_wait_limit,
+            avoids_fresh_starts: is_last_attempt && within_wait_limit && scope.yields,
         }
     }
 }
@@ -55,8 +57,8 @@
 pub(in crate::batch::planner) struct Isolation<'a> {
     job: Option<&'a JobId>,
     fresh_start: Duration,
-    /// Whether the step has a task on its last attempt and has not yet waited so long that it may
-    /// start next to freshly started runs.
+    /// Whether the step has a task on its last attempt, and neither the step nor its job has waited
+    /// so long that it may start next to freshly started runs.
     avoids_fresh_starts: bool,
 }
 
--- a/crates/stairstall-core/src/batch/planner/placement.rs
+++ b/crates/stairstall-core/src/batch/planner/placement.rs
@@ -245,7 +245,7 @@
         }
         let search_costs = search.as_ref().zip(pass.gang_preemption_costs.as_ref());
         let reserved = &pass.reserved;
-        let isolation = self.isolation(key, urgent, now);
+        let isolation = self.isolation(key, urgent, scope, now);
         let knows_paces = self.paces.is_heterogeneous();
         let workers = self
             .workers
