fix(core): reservations give way to idle jobs in a busy fleet too

Cause: above half in use the search for idle jobs left reservations alone in full, which the rule on idle jobs does not allow. A small job stood for 20 s (the test's limit) beside a gang that could start in 60 s. Change: a reservation gives way once the step has fitted twice over for as long as its job may be idle. Below half in use it gives way as before, whatever fitted earlier. A gang that starts soon keeps its workers only as long as the job's total stays within max_idle and BINDING_RESERVATION. Unreserved capacity is searched first. Searches are spaced by step, not by job, so that one step cannot keep another of its job from being searched for, and capacity is counted anew after each placement of an idle job.

--- a/crates/stairstall-core/src/batch/planner/candidate_worker.rs
+++ b/crates/stairstall-core/src/batch/planner/candidate_worker.rs
@@ -47,8 +47,7 @@
         ..Self::ANYWHERE
     };
 
-    /// Free capacity anywhere, whatever it is kept for: for such a job while most of its service is
-    /// free.
+    /// Free capacity anywhere, whatever it is kept for: for such a job where nothing else is free.
     pub(super) const WHATEVER_IS_FREE: Self = Self {
         keeps_reservations: false,
         ..Self::UNRESERVED
--- a/crates/stairstall-core/src/batch/planner/idle_jobs.rs
+++ b/crates/stairstall-core/src/batch/planner/idle_jobs.rs
@@ -17,6 +17,10 @@
 /// time that a start takes.
 const IDLE_REPORTED_AFTER: Duration = Duration::from_secs(1);
 
+/// How often capacity is searched for a job that has had nothing running for too long, at most. The
+/// search goes through the fleet, and hundreds of jobs may wait behind a reservation.
+const SEARCH_INTERVAL: Duration = Duration::from_millis(200);
+
 /// How many times over a step has to fit so that its job counts as idle beside capacity. What fits
 /// only once may be meant for other work.
 const FITS_TIMES: u32 = 2;
@@ -94,37 +98,72 @@
         open.filter(|job| job.idle_time.is_reported).count()
     }
 
-    /// Returns which free capacity a step may use because its job has had nothing running for too
-    /// long, or `None` if it has not.
+    /// Returns which free capacity to search, in this order, because a step's job has had nothing
+    /// running for too long; none if it has not.
     ///
     /// What the planner prefers (workers near the data, headroom, workers that have done such work)
     /// makes this job faster, or others. It may delay no job that could run for longer than this,
-    /// however full the service is. Where most of the service is free, neither may a reservation.
-    pub(super) fn idle_scope(
-        &self,
+    /// however full the service is. Neither may a reservation, once the step has fitted for that
+    /// long if most of the service is in use. What is reserved is used only where nothing else is
+    /// free.
+    pub(super) fn idle_scopes(
+        &mut self,
         candidate: &Candidate,
         pass: &mut Pass,
         now: Now,
-    ) -> Option<SearchScope> {
+    ) -> Vec<SearchScope> {
+        let key = &candidate.key;
+        self.track_fit(key, pass, now);
         let policy = &self.policy.placement;
-        let idle_time = self.idle_time(&candidate.key.job, now);
+        let idle_time = self.idle_time(&key.job, now);
         if idle_time < policy.max_idle.min(policy.max_idle_when_busy) {
-            return None;
+            return Vec::new();
         }
-        let (limit, scope) = if self.is_mostly_free(&candidate.key, pass) {
-            (policy.max_idle, SearchScope::WHATEVER_IS_FREE)
+        let is_mostly_free = self.is_mostly_free(key, pass);
+        let policy = &self.policy.placement;
+        let limit = if is_mostly_free {
+            policy.max_idle
         } else {
-            (policy.max_idle_when_busy, SearchScope::UNRESERVED)
+            policy.max_idle_when_busy
         };
-        let job = self.jobs.get(&candidate.key.job)?;
-        let is_due = idle_time >= limit && job.idle_time.may_search(now.at);
-        (is_due && self.fits_beside_others(&candidate.key, pass)).then_some(scope)
+        let searched_at = self.group_of(key).and_then(|group| group.idle_search_at);
+        let may_search = searched_at.is_none_or(|at| now.at - at >= SEARCH_INTERVAL);
+        if idle_time < limit || !may_search || !self.fits_beside_others(key, pass) {
+            return Vec::new();
+        }
+        let mut scopes = vec![SearchScope::UNRESERVED];
+        let has_fitted = is_mostly_free || self.idle_beside_capacity(key, now) >= limit;
+        if !self.reservations.is_empty() && has_fitted {
+            scopes.push(SearchScope::WHATEVER_IS_FREE);
+        }
+        scopes
+    }
+
+    /// Records that a step does not fit beside others at the moment. That matters for reservations
+    /// alone.
+    fn track_fit(&mut self, key: &GroupKey, pass: &mut Pass, now: Now) {
+        if self.reservations.is_empty() || self.fits_beside_others(key, pass) {
+            return;
+        }
+        let job = self.jobs.get_mut(&key.job);
+        if let Some(group) = job.and_then(|job| job.group_mut(key)) {
+            group.did_not_fit_at = Some(now.at);
+        }
+    }
+
+    /// Returns for how long a step's job has had nothing running although the step fits beside
+    /// others.
+    pub(super) fn idle_beside_capacity(&self, key: &GroupKey, now: Now) -> Duration {
+        let idle_time = self.idle_time(&key.job, now);
+        let did_not_fit_at = self.group_of(key).and_then(|group| group.did_not_fit_at);
+        did_not_fit_at.map_or(idle_time, |at| idle_time.min(now.at - at))
     }
 
-    /// Records that capacity is searched for a job that has had nothing running for too long.
-    pub(super) fn record_idle_search(&mut self, id: &JobId, now: Now) {
-        if let Some(job) = self.jobs.get_mut(id) {
-            job.idle_time.record_search(now.at);
+    /// Records that capacity is searched for a step whose job has had nothing running for too long.
+    pub(super) fn record_idle_search(&mut self, key: &GroupKey, now: Now) {
+        let job = self.jobs.get_mut(&key.job);
+        if let Some(group) = job.and_then(|job| job.group_mut(key)) {
+            group.idle_search_at = Some(now.at);
         }
     }
 
--- a/crates/stairstall-core/src/batch/planner/job.rs
+++ b/crates/stairstall-core/src/batch/planner/job.rs
@@ -76,6 +76,10 @@
     /// When its reserved workers were first kept also from jobs that had nothing running for too
     /// long.
     pub(super) bound_since: Option<Timestamp>,
+    /// When it was last seen not to fit on the free capacity beside others.
+    pub(super) did_not_fit_at: Option<Timestamp>,
+    /// When capacity was last searched for it because its job was idle for too long.
+    pub(super) idle_search_at: Option<Timestamp>,
     /// Highest progress that a run has reported, in percent.
     pub(super) percent: u8,
     /// The adviser's answers, if the queue requires tickets.
--- a/crates/stairstall-core/src/batch/planner/placement.rs
+++ b/crates/stairstall-core/src/batch/planner/placement.rs
@@ -45,7 +45,7 @@
         let ready = waiting.len();
         let scopes = self.scopes(candidate, &step, ready_since, pass, now);
         if scopes.iter().any(|scope| !scope.yields) {
-            self.record_idle_search(&key.job, now);
+            self.record_idle_search(key, now);
         }
         for scope in scopes {
             let has_placed = waiting.len() < ready;
@@ -88,7 +88,7 @@
                 let placed: Vec<u32> = waiting.drain(..choice.workers.len()).collect();
                 self.commit_placement(candidate, &step, &placed, &choice, scope, now);
                 pass.record_placed(choice.workers.len(), accelerators);
-                if !choice.victims.is_empty() {
+                if !choice.victims.is_empty() || !scope.yields {
                     pass.invalidate_capacity();
                 }
             }
--- a/crates/stairstall-core/src/batch/planner/placement/reservations.rs
+++ b/crates/stairstall-core/src/batch/planner/placement/reservations.rs
@@ -150,7 +150,7 @@
         let Some(reserving) = reserved.workers.get(id) else {
             return true;
         };
-        let is_binding = scope.keeps_reservations || self.is_binding(reserving, now);
+        let is_binding = scope.keeps_reservations || self.is_binding(reserving, candidate, now);
         if reserving.yields_to(candidate) || !is_binding {
             return true;
         }
@@ -160,8 +160,13 @@
     /// Returns whether a gang keeps its workers also from a job that has had nothing running for too
     /// long: it is expected to start soon, and has not missed such a date before. A gang that is
     /// stopped again and again would otherwise keep them from that job for good.
-    fn is_binding(&self, reserving: &ReservingGang, now: Now) -> bool {
-        let starts_soon = reserving.backfill_until <= now.at + BINDING_RESERVATION;
+    ///
+    /// A job that has been idle for longer than most may waits for less time.
+    fn is_binding(&self, reserving: &ReservingGang, candidate: &Candidate, now: Now) -> bool {
+        let idle_time = self.idle_beside_capacity(&candidate.key, now);
+        let longest = self.policy.placement.max_idle + BINDING_RESERVATION;
+        let patience = longest.saturating_sub(idle_time).min(BINDING_RESERVATION);
+        let starts_soon = reserving.backfill_until <= now.at + patience;
         let bound_since = self.group_of(&reserving.gang).and_then(|g| g.bound_since);
         let has_missed =
             bound_since.is_some_and(|since| now.at - since > BINDING_RESERVATION + MISSED_AFTER);
--- a/crates/stairstall-core/src/batch/planner/placement/scope.rs
+++ b/crates/stairstall-core/src/batch/planner/placement/scope.rs
@@ -14,7 +14,7 @@
 impl Planner {
     /// Returns the search scopes to try, in this order.
     pub(super) fn scopes(
-        &self,
+        &mut self,
         candidate: &Candidate,
         step: &StepSpec,
         ready_since: Timestamp,
@@ -34,7 +34,7 @@
                 scopes.push(SearchScope::ANYWHERE.preempting());
             }
         }
-        scopes.extend(self.idle_scope(candidate, pass, now));
+        scopes.extend(self.idle_scopes(candidate, pass, now));
         scopes
     }
 
