fix(core): count idle time of each long-running task on its own

Cause: idle time was counted by job, while a task that lasts has to run whether or not others of its job do. Such a task waited for its rack for as long as its estimate beside another of its job (20 s, the test's limit). Change: a waiting task of a long-running step notes since when it waits; a placement that is given up does not end that. The step gives up its preferences when its job, or one such task, has been idle for too long.

--- a/crates/stairstall-core/src/batch/planner/idle_jobs.rs
+++ b/crates/stairstall-core/src/batch/planner/idle_jobs.rs
@@ -26,9 +26,11 @@
 const FITS_TIMES: u32 = 2;
 
 impl Planner {
-    /// Records since when the jobs of these candidates have had nothing running.
+    /// Records since when the jobs of these candidates have had nothing running, and since when
+    /// their long-running tasks wait.
     pub(super) fn track_idle_jobs(&mut self, candidates: &[Candidate], now: Now) {
         for candidate in candidates {
+            self.track_idle_tasks(&candidate.key, now);
             let id = &candidate.key.job;
             let runs = self.has_active_run(id);
             let Some(job) = self.jobs.get_mut(id) else {
@@ -42,6 +44,21 @@
         }
     }
 
+    /// Records since when the waiting tasks of a long-running step wait. Each of them has to run,
+    /// whether or not others of its job do.
+    fn track_idle_tasks(&mut self, key: &GroupKey, now: Now) {
+        let Some(job) = self.jobs.get_mut(&key.job) else {
+            return;
+        };
+        if !job.step(key).is_some_and(|step| step.long_running) {
+            return;
+        }
+        let tasks = job.group_mut(key).into_iter().flat_map(|g| &mut g.tasks);
+        for task in tasks.filter(|task| task.is_waiting()) {
+            task.idle_since.get_or_insert(now.at);
+        }
+    }
+
     /// Records that a run of a job starts.
     pub(super) fn end_idle_time(&mut self, id: &JobId, now: Now) {
         let Some(job) = self.jobs.get_mut(id) else {
@@ -98,8 +115,8 @@
         open.filter(|job| job.idle_time.is_reported).count()
     }
 
-    /// Returns which free capacity to search, in this order, because a step's job has had nothing
-    /// running for too long; none if it has not.
+    /// Returns which free capacity to search, in this order, because a step has been idle for too
+    /// long; none if it has not.
     ///
     /// What the planner prefers (workers near the data, headroom, workers that have done such work)
     /// makes this job faster, or others. It may delay no job that could run for longer than this,
@@ -115,7 +132,7 @@
         let key = &candidate.key;
         self.track_fit(key, pass, now);
         let policy = &self.policy.placement;
-        let idle_time = self.idle_time(&key.job, now);
+        let idle_time = self.step_idle_time(key, now);
         if idle_time < policy.max_idle.min(policy.max_idle_when_busy) {
             return Vec::new();
         }
@@ -151,15 +168,27 @@
         }
     }
 
-    /// Returns for how long a step's job has had nothing running although the step fits beside
-    /// others.
+    /// Returns for how long a step has been idle: its job has had nothing running, or one of its
+    /// tasks has waited, if the step is long-running.
+    fn step_idle_time(&self, key: &GroupKey, now: Now) -> Duration {
+        let tasks = self
+            .group_of(key)
+            .into_iter()
+            .flat_map(|group| &group.tasks);
+        let waiting = tasks.filter(|task| task.is_waiting());
+        let longest = waiting.filter_map(|task| task.idle_since).min();
+        let longest = longest.map_or(Duration::ZERO, |since| now.at - since);
+        longest.max(self.idle_time(&key.job, now))
+    }
+
+    /// Returns for how long a step has been idle although it fits beside others.
     pub(super) fn idle_beside_capacity(&self, key: &GroupKey, now: Now) -> Duration {
-        let idle_time = self.idle_time(&key.job, now);
+        let idle_time = self.step_idle_time(key, now);
         let did_not_fit_at = self.group_of(key).and_then(|group| group.did_not_fit_at);
         did_not_fit_at.map_or(idle_time, |at| idle_time.min(now.at - at))
     }
 
-    /// Records that capacity is searched for a step whose job has had nothing running for too long.
+    /// Records that capacity is searched for a step that has been idle for too long.
     pub(super) fn record_idle_search(&mut self, key: &GroupKey, now: Now) {
         let job = self.jobs.get_mut(&key.job);
         if let Some(group) = job.and_then(|job| job.group_mut(key)) {
--- a/crates/stairstall-core/src/batch/planner/run_ends.rs
+++ b/crates/stairstall-core/src/batch/planner/run_ends.rs
@@ -289,6 +289,8 @@
         };
         if entry.worker.as_ref() == Some(id) {
             entry.worker = None;
+            // A placement that was given up has ended no wait.
+            entry.idle_since = entry.idle_since.filter(|_| run.state == RunState::Planned);
             self.record_release(key, run);
         }
         self.mark_timeline_changed(&key.job);
