fix(core): a stored place ends no idle time, a start does

Cause: the stored idle time of a job was dropped as soon as anything of it was placed. Change: the time is stored until something is started. A successor counts it on, and drops it once a worker lists one of the job's runs or an end of one; while workers have not reported yet on placed runs, the job is taken neither for idle nor for running.

--- a/crates/stairstall-core/src/batch/planner/adopt.rs
+++ b/crates/stairstall-core/src/batch/planner/adopt.rs
@@ -45,6 +45,7 @@
             self.stop_run(id, &running.task, "no task waits for this run", now);
             return;
         }
+        self.end_idle_time(&key.job, now);
         let incarnation = self.incarnation_of(id);
         if let Some(job) = self.jobs.get_mut(&key.job) {
             job.has_started = true;
@@ -129,6 +130,7 @@
     /// if its job has ended or its gang is incomplete.
     pub(super) fn check_restored_run(&mut self, id: &WorkerId, task: &TaskKey, now: Now) {
         let key = &task.group;
+        self.end_idle_time(&key.job, now);
         let Some(job) = self.jobs.get(&key.job) else {
             return;
         };
--- a/crates/stairstall-core/src/batch/planner/idle_jobs.rs
+++ b/crates/stairstall-core/src/batch/planner/idle_jobs.rs
@@ -32,14 +32,14 @@
         for candidate in candidates {
             self.track_idle_tasks(&candidate.key, now);
             let id = &candidate.key.job;
-            let runs = self.has_active_run(id);
+            let activity = self.activity(id);
             let Some(job) = self.jobs.get_mut(id) else {
                 continue;
             };
-            if runs {
-                job.idle_time = IdleTime::default();
-            } else {
-                job.idle_time.begin(now.at);
+            match activity {
+                Activity::Runs => job.idle_time = IdleTime::default(),
+                Activity::Idle => job.idle_time.begin(now.at),
+                Activity::Unknown => {}
             }
         }
     }
@@ -237,22 +237,42 @@
     }
 
     /// Returns whether a job has runs beyond planned ones.
-    fn has_active_run(&self, id: &JobId) -> bool {
-        let mut runs = self.run_index.iter_job(id);
-        runs.any(|(worker, task)| {
-            self.run_at(&worker, &task)
-                .is_some_and(|run| run.state != RunState::Planned)
-        })
+    fn activity(&self, id: &JobId) -> Activity {
+        let runs = self.run_index.iter_job(id);
+        let mut is_known = true;
+        for run in runs.filter_map(|(worker, task)| self.run_at(&worker, &task)) {
+            if run.restored {
+                is_known = false;
+            } else if run.state != RunState::Planned {
+                return Activity::Runs;
+            }
+        }
+        if is_known {
+            Activity::Idle
+        } else {
+            Activity::Unknown
+        }
     }
 }
 
+/// Whether anything of a job runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Activity {
+    Runs,
+    Idle,
+    /// An earlier planner has placed runs, and their workers have not said yet whether these have
+    /// started.
+    Unknown,
+}
+
 impl Job {
-    /// Returns since when nothing of the job has been placed, or `None` while something is and once
+    /// Returns since when nothing of the job has been started, or `None` while something is and once
     /// the job has ended.
     pub(super) fn idle_since_unix_ms(&self, now: Now) -> Option<u64> {
         let mut tasks = self.occurrences.iter().flatten().flat_map(|g| &g.tasks);
-        let is_idle = self.outcome.is_none() && tasks.all(|task| task.worker.is_none());
+        let is_idle = self.idle_time.is_running() || tasks.all(|task| task.worker.is_none());
         let idle_ms = millis(self.idle_time.duration(now.at));
+        let is_idle = is_idle && self.outcome.is_none();
         is_idle.then(|| now.unix_ms.saturating_sub(idle_ms))
     }
 
@@ -264,7 +284,7 @@
             None => self.eligible_unix_ms(0),
             Some(progress) => match progress.idle_since_unix_ms {
                 Some(since) => since,
-                // Something is placed, or an older daemon has written this.
+                // Something was started, or an older daemon has written this.
                 None => return,
             },
         };
@@ -275,7 +295,9 @@
         let since_unix_ms = since_unix_ms
             .max(self.eligible_unix_ms(next))
             .max(self.accepted.accepted_unix_ms);
-        let idle = Duration::from_millis(now.unix_ms.saturating_sub(since_unix_ms));
-        self.idle_time = IdleTime::restored(idle);
+        let idle_ms = now.unix_ms.checked_sub(since_unix_ms);
+        self.idle_time = idle_ms.map_or_else(IdleTime::default, |idle_ms| {
+            IdleTime::restored(Duration::from_millis(idle_ms), now.at)
+        });
     }
 }
--- a/crates/stairstall-core/src/batch/planner/idle_time.rs
+++ b/crates/stairstall-core/src/batch/planner/idle_time.rs
@@ -11,7 +11,7 @@
 /// The idle time of one job. The default is that of a job that is not idle.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub(super) struct IdleTime {
-    /// Since when it is idle, in this tenure.
+    /// Since when it is idle, as far as this tenure knows.
     since: Option<Timestamp>,
     /// How long it had been idle when this tenure learned of it.
     before: Duration,
@@ -20,9 +20,10 @@
 }
 
 impl IdleTime {
-    /// Creates the idle time of a job that was idle for `before` under earlier planners.
-    pub(super) fn restored(before: Duration) -> Self {
+    /// Creates the idle time of a job that was idle for `before` when this tenure learned of it.
+    pub(super) fn restored(before: Duration, at: Timestamp) -> Self {
         Self {
+            since: Some(at),
             before: before.min(MAX_BEFORE),
             ..Self::default()
         }
@@ -33,6 +34,11 @@
         self.since.get_or_insert(at);
     }
 
+    /// Returns whether the job is idle.
+    pub(super) const fn is_running(&self) -> bool {
+        self.since.is_some()
+    }
+
     /// Returns for how long the job has been idle.
     pub(super) fn duration(&self, at: Timestamp) -> Duration {
         let since = self.since.map(|since| at - since);
--- a/crates/stairstall-core/src/batch/planner/run_ends.rs
+++ b/crates/stairstall-core/src/batch/planner/run_ends.rs
@@ -66,6 +66,8 @@
         }
         self.update_checkpoint(end);
         if let Some(run) = run {
+            // An earlier planner may have started it.
+            self.end_idle_time(&end.task.group.job, now);
             self.release_task(id, &end.task, &run, end.kind.as_str());
         }
         if end.kind != RunEndKind::Done {
--- a/crates/stairstall-core/src/batch/record.rs
+++ b/crates/stairstall-core/src/batch/record.rs
@@ -296,8 +296,8 @@
     /// Progress by occurrence, then by step. Occurrences that have not started may be missing.
     #[serde(default)]
     pub occurrences: Vec<Vec<GroupProgress>>,
-    /// Since when nothing of the job has been placed, in milliseconds since the Unix epoch; none
-    /// while something is, and once the job has ended. Older daemons don't say.
+    /// Since when nothing of the job had been started when this was written, in milliseconds since
+    /// the Unix epoch; none while something was, and once the job has ended. Older daemons don't say.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub idle_since_unix_ms: Option<u64>,
     /// Timeline of the job up to this write; none once the job has ended.
