fix(core): a gang that ended for a departed member does not wait for its lease

Change: once all members of a gang's run but one are known to have ended as broken, that one is over: none else can have ended first. If its worker is no longer listed and does not answer, its run is ended at once and counts as a silent loss, as at the end of its lease. Members that are listed or answer are still waited for, since they may list another end; so are several departed members, a departed member beside one that ended by itself, and a start that may still be carried out.

--- a/crates/stairstall-core/src/batch/planner/job.rs
+++ b/crates/stairstall-core/src/batch/planner/job.rs
@@ -36,6 +36,8 @@
     pub(super) checkpoint: Option<String>,
     /// Last run whose failure was counted.
     pub(super) last_failed_run: u32,
+    /// Last run that ended because another member of its gang had ended.
+    pub(super) last_broken_run: u32,
     /// Worker of its last failed run.
     pub(super) failed_on: Option<WorkerId>,
     /// How often it was moved because it stalled or was a straggler. For a gang, only the first
--- a/crates/stairstall-core/src/batch/planner/run_ends.rs
+++ b/crates/stairstall-core/src/batch/planner/run_ends.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::job::Job;
-use super::pool::{Run, RunState};
+use super::pool::{Run, RunState, Worker};
 use super::{Now, Planner};
 use crate::batch::{
     Decision, DecisionKind, GroupKey, Outcome, RunEnd, RunEndKind, Setback, TaskKey,
@@ -73,9 +73,58 @@
         if end.kind != RunEndKind::Done {
             self.stop_gang(&end.task, end.run, "another member of its gang ended", now);
         }
+        if end.kind == RunEndKind::GangBroken {
+            self.record_broken(&end.task, end.run);
+            self.end_departed_member(&end.task.group, end.run, now);
+        }
         self.latest_change(&end.task.group.job)
     }
 
+    /// Records that a run ended because another member of its gang had ended.
+    fn record_broken(&mut self, task: &TaskKey, run: u32) {
+        let job = self.jobs.get_mut(&task.group.job);
+        if let Some(entry) = job.and_then(|job| job.task_mut(task)) {
+            entry.last_broken_run = entry.last_broken_run.max(run);
+        }
+    }
+
+    /// Ends the run of a gang's last member whose end is not known, if its worker is no longer listed
+    /// and does not answer.
+    ///
+    /// All other members ended because another one had ended, which can only be this one. So its
+    /// lease need not be waited for.
+    fn end_departed_member(&mut self, key: &GroupKey, number: u32, now: Now) {
+        let Some((id, task)) = self.only_unbroken_member(key, number) else {
+            return;
+        };
+        let has_departed = |worker: &Worker| !worker.is_listed && !worker.is_in_contact();
+        if !self.workers.get(&id).is_some_and(has_departed) {
+            return;
+        }
+        let run = self.run_at(&id, &task);
+        let run = run.filter(|run| run.number == number && !run.may_start_late(now.at));
+        let Some(run) = run.cloned() else {
+            return;
+        };
+        self.count_silence(&id, &[(task.clone(), run)]);
+        let why = "its worker is no longer listed, and its gang ended without it";
+        self.end_unreported_run(&id, &task, RunEndKind::LeaseExpired, why, now);
+        self.remove_if_gone(&id, now);
+    }
+
+    /// Returns the only member of a gang that is not known to have ended because of another one in
+    /// the run `number`, and its worker.
+    fn only_unbroken_member(&self, key: &GroupKey, number: u32) -> Option<(WorkerId, TaskKey)> {
+        self.step(key).filter(|step| step.gang)?;
+        let group = self.group_of(key)?;
+        let tasks = (0..).zip(&group.tasks);
+        let mut unbroken = tasks.filter(|(_, task)| task.last_broken_run != number);
+        let (index, task) = unbroken.next()?;
+        let is_only = unbroken.next().is_none() && group.tasks.len() > 1;
+        let id = task.worker.clone().filter(|_| is_only)?;
+        Some((id, key.task(index)))
+    }
+
     /// Handles run ends reported by a worker that is no longer known: finished tasks are not
     /// started again, and failures count.
     pub(super) fn handle_late_run_ends(&mut self, id: &WorkerId, ended: &[RunEnd], now: Now) {
--- a/crates/stairstall-core/tests/batch/takeover.rs
+++ b/crates/stairstall-core/tests/batch/takeover.rs
@@ -325,6 +325,50 @@
     assert!(waited < MAX_IDLE_MS, "it waited {waited} ms");
 }
 
+/// Returns how long a gang of three waits for its next start after a takeover, if the workers of so
+/// many members crash with the planner and one of the others ends in its own way.
+fn wait_of_gang_without(crashed: u32, own_end: Option<RunEndKind>) -> u64 {
+    let mut fleet = Fleet::new(&SIX);
+    fleet.hold_all();
+    let accepted = job("j", 2, vec![gang(3, 8)]);
+    fleet.submit(accepted.clone());
+    fleet.pass(500);
+    for index in 0..crashed {
+        let place = fleet.place_of(&task("j", 0, index)).expect("it runs");
+        fleet.crash_for(&place, 2 * PATIENCE_MS);
+    }
+    fleet.lose_crashed();
+    if let Some(kind) = own_end {
+        let last = task("j", 0, 2);
+        let place = fleet.place_of(&last).expect("it runs");
+        fleet.worker(place.as_str()).end(&last, kind);
+    }
+    fleet.succeed(&[accepted]);
+    wait_for_next_start(&mut fleet, &task("j", 0, 0))
+}
+
+#[test]
+fn the_lease_of_a_gangs_only_departed_member_is_not_waited_for() {
+    let waited = wait_of_gang_without(1, None);
+    assert!(waited < MAX_IDLE_MS, "it waited {waited} ms");
+}
+
+/// Nothing says which of them has ended.
+#[test]
+fn the_leases_of_several_departed_members_are_waited_for() {
+    let waited = wait_of_gang_without(2, None);
+    let lease_ms = u64::try_from(HOLD_MAX.as_millis()).expect("small");
+    assert!(waited >= lease_ms, "it waited {waited} ms");
+}
+
+/// The gang ended because of another member than the departed one.
+#[test]
+fn the_lease_of_a_member_that_did_not_end_its_gang_is_waited_for() {
+    let waited = wait_of_gang_without(1, Some(RunEndKind::Stopped));
+    let lease_ms = u64::try_from(HOLD_MAX.as_millis()).expect("small");
+    assert!(waited >= lease_ms, "it waited {waited} ms");
+}
+
 /// The successor restores a run whose end was heard, and whose worker has left, while nothing could be stored.
 #[test]
 fn a_release_that_could_not_be_stored_holds_no_job_back_for_long() {
