--- a/crates/stairstall-core/src/batch/planner/pass.rs
+++ b/crates/stairstall-core/src/batch/planner/pass.rs
@@ -99,7 +99,8 @@
 }
 
 impl Pass {
-    /// Discards the cached facts that a preemption invalidates.
+    /// Discards the cached facts that a preemption invalidates. Whether a step fits beside others is
+    /// also counted anew once reserved capacity was used.
     pub(super) fn invalidate_capacity(&mut self) {
         self.ceilings.clear();
         self.free_accelerators = None;
--- a/crates/stairstall-core/src/batch/planner/placement.rs
+++ b/crates/stairstall-core/src/batch/planner/placement.rs
@@ -88,7 +88,7 @@
                 let placed: Vec<u32> = waiting.drain(..choice.workers.len()).collect();
                 self.commit_placement(candidate, &step, &placed, &choice, scope, now);
                 pass.record_placed(choice.workers.len(), accelerators);
-                if !choice.victims.is_empty() || !scope.yields {
+                if !choice.victims.is_empty() || !scope.keeps_reservations {
                     pass.invalidate_capacity();
                 }
             }
--- a/crates/stairstall-core/tests/batch/idle_review.rs
+++ b/crates/stairstall-core/tests/batch/idle_review.rs
@@ -123,6 +123,38 @@
     assert!(waited < MAX_IDLE_MS, "it waited {waited} ms");
 }
 
+/// A place is stored with the idle time before it, since a planner may be gone before it sends the
+/// start. Where the start was sent, that time is over.
+#[test]
+fn what_ran_under_an_earlier_planner_ends_its_idle_time() {
+    let mut fleet = usual_fleet(4);
+    let first = StepSpec {
+        depends_on: Vec::new(),
+        ..step(1, 1)
+    };
+    let second = StepSpec {
+        depends_on: vec![0],
+        ..near("r0", lasting(15_000, step(1, 1)))
+    };
+    let twice = accepted_now(&fleet, job("twice", 1, vec![first, second]));
+    let full = accepted_now(&fleet, job("full", 1, vec![near("r0", step(80, 1))]));
+    hand_in(&mut fleet, full.clone());
+    fleet.pass(TICK_MS);
+    fleet.submit(twice.clone());
+    fleet.pass(4_000);
+    fleet.succeed(&[twice, full]);
+    fleet.pass(1_000);
+    fleet.end_everywhere(&task("twice", 0, 0), RunEndKind::Done);
+    let second = task("twice", 1, 0);
+    let ended = fleet.at_ms;
+    while fleet.starts_of(&second) == 0 && fleet.at_ms - ended < PATIENCE_MS {
+        fleet.pass(TICK_MS);
+    }
+    let waited = fleet.at_ms - ended;
+    assert!(waited >= 1_900, "it left its rack after {waited} ms");
+    assert!(waited < MAX_IDLE_MS, "it waited {waited} ms");
+}
+
 /// A successor plans only once enough workers have answered it.
 #[test]
 fn the_first_reports_of_a_successor_count_as_idle_time() {
