--- a/crates/stairstall-core/src/batch/planner/activity.rs
+++ b/crates/stairstall-core/src/batch/planner/activity.rs
@@ -28,6 +28,8 @@
     pub starts: u64,
     /// Number of start orders whose outcome was handled.
     pub start_outcomes: u64,
+    /// Running mean of the starts that were completed per second while there were more to complete.
+    pub completed_starts_per_s: Option<u32>,
     /// How many starts may be in flight.
     pub start_window: usize,
     /// How many reports per second the VM is taken to afford.
@@ -82,6 +84,7 @@
         let ended = std::mem::replace(&mut self.activity, next);
         Activity {
             period: now.at - ended.began_at,
+            completed_starts_per_s: self.pacing.starts_per_s(),
             start_window: self.start_window(),
             affordable_reports_per_s: self.affordable_reports_per_s(),
             contact_window: self.contact_window(),
--- a/crates/stairstall-core/src/batch/planner/candidate_worker.rs
+++ b/crates/stairstall-core/src/batch/planner/candidate_worker.rs
@@ -18,7 +18,8 @@
     pub(super) near: bool,
     /// Whether runs of less urgent ranks may be preempted.
     pub(super) preempts: bool,
-    /// Whether the step leaves headroom alone, and workers that may be unhealthy.
+    /// Whether the step leaves headroom alone, and avoids workers that may be unhealthy or, on its
+    /// last attempt, have freshly started runs.
     pub(super) yields: bool,
     /// Whether the step leaves the reservations of gangs that come before it alone.
     pub(super) keeps_reservations: bool,
@@ -46,8 +47,7 @@
         ..Self::ANYWHERE
     };
 
-    /// Free capacity anywhere, whatever it is kept for: for such a job while most of its service is
-    /// free.
+    /// Free capacity anywhere, whatever it is kept for: for such a job where nothing else is free.
     pub(super) const WHATEVER_IS_FREE: Self = Self {
         keeps_reservations: false,
         ..Self::UNRESERVED
--- a/crates/stairstall-core/src/batch/planner/idle_jobs.rs
+++ b/crates/stairstall-core/src/batch/planner/idle_jobs.rs
@@ -17,27 +17,48 @@
 /// time that a start takes.
 const IDLE_REPORTED_AFTER: Duration = Duration::from_secs(1);
 
+/// How often capacity is searched for a job that has had nothing running for too long, at most. The
+/// search goes through the fleet, and hundreds of jobs may wait behind a reservation.
+const SEARCH_INTERVAL: Duration = Duration::from_millis(200);
+
 /// How many times over a step has to fit so that its job counts as idle beside capacity. What fits
 /// only once may be meant for other work.
 const FITS_TIMES: u32 = 2;
 
 impl Planner {
-    /// Records since when the jobs of these candidates have had nothing running.
+    /// Records since when the jobs of these candidates have had nothing running, and since when
+    /// their long-running tasks wait.
     pub(super) fn track_idle_jobs(&mut self, candidates: &[Candidate], now: Now) {
         for candidate in candidates {
+            self.track_idle_tasks(&candidate.key, now);
             let id = &candidate.key.job;
-            let runs = self.has_active_run(id);
+            let activity = self.activity(id);
             let Some(job) = self.jobs.get_mut(id) else {
                 continue;
             };
-            if runs {
-                job.idle_time = IdleTime::default();
-            } else {
-                job.idle_time.begin(now.at);
+            match activity {
+                Activity::Runs => job.idle_time = IdleTime::default(),
+                Activity::Idle => job.idle_time.begin(now.at),
+                Activity::Unknown => {}
             }
         }
     }
 
+    /// Records since when the waiting tasks of a long-running step wait. Each of them has to run,
+    /// whether or not others of its job do.
+    fn track_idle_tasks(&mut self, key: &GroupKey, now: Now) {
+        let Some(job) = self.jobs.get_mut(&key.job) else {
+            return;
+        };
+        if !job.step(key).is_some_and(|step| step.long_running) {
+            return;
+        }
+        let tasks = job.group_mut(key).into_iter().flat_map(|g| &mut g.tasks);
+        for task in tasks.filter(|task| task.is_waiting()) {
+            task.idle_since.get_or_insert(now.at);
+        }
+    }
+
     /// Records that a run of a job starts.
     pub(super) fn end_idle_time(&mut self, id: &JobId, now: Now) {
         let Some(job) = self.jobs.get_mut(id) else {
@@ -94,31 +115,45 @@
         open.filter(|job| job.idle_time.is_reported).count()
     }
 
-    /// Returns which free capacity a step may use because its job has had nothing running for too
-    /// long, or `None` if it has not.
+    /// Returns which free capacity to search, in this order, because a step has been idle for too
+    /// long; none if it has not.
     ///
     /// What the planner prefers (workers near the data, headroom, workers that have done such work)
     /// makes this job faster, or others. It may delay no job that could run for longer than this,
-    /// however full the service is. Where most of the service is free, neither may a reservation.
-    pub(super) fn idle_scope(
-        &self,
+    /// however full the service is. Neither may a reservation, once the step has fitted for that
+    /// long if most of the service is in use. What is reserved is used only where nothing else is
+    /// free.
+    pub(super) fn idle_scopes(
+        &mut self,
         candidate: &Candidate,
         pass: &mut Pass,
         now: Now,
-    ) -> Option<SearchScope> {
+    ) -> Vec<SearchScope> {
+        let key = &candidate.key;
+        self.track_fit(key, pass, now);
         let policy = &self.policy.placement;
-        let idle_time = self.idle_time(&candidate.key.job, now);
+        let idle_time = self.step_idle_time(key, now);
         if idle_time < policy.max_idle.min(policy.max_idle_when_busy) {
-            return None;
+            return Vec::new();
         }
-        let (limit, scope) = if self.is_mostly_free(&candidate.key, pass) {
-            (policy.max_idle, SearchScope::WHATEVER_IS_FREE)
+        let is_mostly_free = self.is_mostly_free(key, pass);
+        let policy = &self.policy.placement;
+        let limit = if is_mostly_free {
+            policy.max_idle
         } else {
-            (policy.max_idle_when_busy, SearchScope::UNRESERVED)
+            policy.max_idle_when_busy
         };
-        let job = self.jobs.get(&candidate.key.job)?;
-        let is_due = idle_time >= limit && job.idle_time.may_search(now.at);
-        (is_due && self.fits_beside_others(&candidate.key, pass)).then_some(scope)
+        let searched_at = self.group_of(key).and_then(|group| group.idle_search_at);
+        let may_search = searched_at.is_none_or(|at| now.at - at >= SEARCH_INTERVAL);
+        if idle_time < limit || !may_search || !self.fits_beside_others(key, pass) {
+            return Vec::new();
+        }
+        let mut scopes = vec![SearchScope::UNRESERVED];
+        let has_fitted = is_mostly_free || self.idle_beside_capacity(key, now) >= limit;
+        if !self.reservations.is_empty() && has_fitted {
+            scopes.push(SearchScope::WHATEVER_IS_FREE);
+        }
+        scopes
     }
 
     /// Starts a task, or a gang, of each job that has had nothing running for too long, the longest
@@ -129,20 +164,54 @@
     pub(super) fn place_idle_jobs(&mut self, candidates: &[Candidate], pass: &mut Pass, now: Now) {
         let mut idle: Vec<(Duration, &Candidate)> = candidates
             .iter()
-            .map(|candidate| (self.idle_time(&candidate.key.job, now), candidate))
+            .map(|candidate| (self.step_idle_time(&candidate.key, now), candidate))
             .collect();
         idle.sort_by_key(|(idle_time, _)| std::cmp::Reverse(*idle_time));
         for (_, candidate) in idle {
-            if let Some(scope) = self.idle_scope(candidate, pass, now) {
-                self.place_step_within(candidate, Some(scope), pass, now);
+            let scopes = self.idle_scopes(candidate, pass, now);
+            if !scopes.is_empty() {
+                self.place_step_within(candidate, Some(scopes), pass, now);
             }
         }
     }
 
-    /// Records that capacity is searched for a job that has had nothing running for too long.
-    pub(super) fn record_idle_search(&mut self, id: &JobId, now: Now) {
-        if let Some(job) = self.jobs.get_mut(id) {
-            job.idle_time.record_search(now.at);
+    /// Records that a step does not fit beside others at the moment. That matters for reservations
+    /// alone.
+    fn track_fit(&mut self, key: &GroupKey, pass: &mut Pass, now: Now) {
+        if self.reservations.is_empty() || self.fits_beside_others(key, pass) {
+            return;
+        }
+        let job = self.jobs.get_mut(&key.job);
+        if let Some(group) = job.and_then(|job| job.group_mut(key)) {
+            group.did_not_fit_at = Some(now.at);
+        }
+    }
+
+    /// Returns for how long a step has been idle: its job has had nothing running, or one of its
+    /// tasks has waited, if the step is long-running.
+    fn step_idle_time(&self, key: &GroupKey, now: Now) -> Duration {
+        let tasks = self
+            .group_of(key)
+            .into_iter()
+            .flat_map(|group| &group.tasks);
+        let waiting = tasks.filter(|task| task.is_waiting());
+        let longest = waiting.filter_map(|task| task.idle_since).min();
+        let longest = longest.map_or(Duration::ZERO, |since| now.at - since);
+        longest.max(self.idle_time(&key.job, now))
+    }
+
+    /// Returns for how long a step has been idle although it fits beside others.
+    pub(super) fn idle_beside_capacity(&self, key: &GroupKey, now: Now) -> Duration {
+        let idle_time = self.step_idle_time(key, now);
+        let did_not_fit_at = self.group_of(key).and_then(|group| group.did_not_fit_at);
+        did_not_fit_at.map_or(idle_time, |at| idle_time.min(now.at - at))
+    }
+
+    /// Records that capacity is searched for a step that has been idle for too long.
+    pub(super) fn record_idle_search(&mut self, key: &GroupKey, now: Now) {
+        let job = self.jobs.get_mut(&key.job);
+        if let Some(group) = job.and_then(|job| job.group_mut(key)) {
+            group.idle_search_at = Some(now.at);
         }
     }
 
@@ -187,33 +256,54 @@
     }
 
     /// Returns whether a job has runs beyond planned ones.
-    fn has_active_run(&self, id: &JobId) -> bool {
-        let mut runs = self.run_index.iter_job(id);
-        runs.any(|(worker, task)| {
-            self.run_at(&worker, &task)
-                .is_some_and(|run| run.state != RunState::Planned)
-        })
+    fn activity(&self, id: &JobId) -> Activity {
+        let runs = self.run_index.iter_job(id);
+        let mut is_known = true;
+        for run in runs.filter_map(|(worker, task)| self.run_at(&worker, &task)) {
+            if run.restored {
+                is_known = false;
+            } else if run.state != RunState::Planned {
+                return Activity::Runs;
+            }
+        }
+        if is_known {
+            Activity::Idle
+        } else {
+            Activity::Unknown
+        }
     }
 }
 
+/// Whether anything of a job runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Activity {
+    Runs,
+    Idle,
+    /// An earlier planner has placed runs, and their workers have not said yet whether these have
+    /// started.
+    Unknown,
+}
+
 impl Job {
-    /// Returns since when nothing of the job has been placed, or `None` while something is and once
+    /// Returns since when nothing of the job has been started, or `None` while something is and once
     /// the job has ended.
     pub(super) fn idle_since_unix_ms(&self, now: Now) -> Option<u64> {
         let mut tasks = self.occurrences.iter().flatten().flat_map(|g| &g.tasks);
-        let is_idle = self.outcome.is_none() && tasks.all(|task| task.worker.is_none());
+        let is_idle = self.idle_time.is_running() || tasks.all(|task| task.worker.is_none());
         let idle_ms = millis(self.idle_time.duration(now.at));
+        let is_idle = is_idle && self.outcome.is_none();
         is_idle.then(|| now.unix_ms.saturating_sub(idle_ms))
     }
 
-    /// Restores for how long nothing of the job had run under earlier planners. Without that, each
-    /// change of planner would let it wait as long again.
+    /// Restores for how long nothing of the job had run before this planner learned of it: since its
+    /// acceptance, or as an earlier planner has stored it. Without that, a job that is announced late
+    /// and each change of planner would let it wait as long again.
     pub(super) fn restore_idle_time(&mut self, progress: Option<&Progress>, now: Now) {
         let since_unix_ms = match progress {
             None => self.eligible_unix_ms(0),
             Some(progress) => match progress.idle_since_unix_ms {
                 Some(since) => since,
-                // Something is placed, or an older daemon has written this.
+                // Something was started, or an older daemon has written this.
                 None => return,
             },
         };
@@ -221,8 +311,12 @@
         let is_done = |groups: &Vec<TaskGroup>| groups.iter().all(TaskGroup::is_done);
         let done = self.occurrences.iter().take_while(|groups| is_done(groups));
         let next = u32::try_from(done.count()).unwrap_or(u32::MAX);
-        let since_unix_ms = since_unix_ms.max(self.eligible_unix_ms(next));
-        let idle = Duration::from_millis(now.unix_ms.saturating_sub(since_unix_ms));
-        self.idle_time = IdleTime::restored(idle);
+        let since_unix_ms = since_unix_ms
+            .max(self.eligible_unix_ms(next))
+            .max(self.accepted.accepted_unix_ms);
+        let idle_ms = now.unix_ms.checked_sub(since_unix_ms);
+        self.idle_time = idle_ms.map_or_else(IdleTime::default, |idle_ms| {
+            IdleTime::restored(Duration::from_millis(idle_ms), now.at)
+        });
     }
 }
--- a/crates/stairstall-core/src/batch/planner/job.rs
+++ b/crates/stairstall-core/src/batch/planner/job.rs
@@ -28,12 +28,16 @@
     /// Until when the start of the run may be carried out although it got no answer, in
     /// milliseconds since the Unix epoch.
     pub(super) late_start_until_unix_ms: Option<u64>,
+    /// Since when it waits for a start, if its step is long-running.
+    pub(super) idle_since: Option<Timestamp>,
     /// Number of failed runs.
     pub(super) failures: u32,
     /// Its latest checkpoint.
     pub(super) checkpoint: Option<String>,
     /// Last run whose failure was counted.
     pub(super) last_failed_run: u32,
+    /// Last run that ended because another member of its gang had ended.
+    pub(super) last_broken_run: u32,
     /// Worker of its last failed run.
     pub(super) failed_on: Option<WorkerId>,
     /// How often it was moved because it stalled or was a straggler. For a gang, only the first
@@ -76,6 +80,10 @@
     /// When its reserved workers were first kept also from jobs that had nothing running for too
     /// long.
     pub(super) bound_since: Option<Timestamp>,
+    /// When it was last seen not to fit on the free capacity beside others.
+    pub(super) did_not_fit_at: Option<Timestamp>,
+    /// When capacity was last searched for it because its job was idle for too long.
+    pub(super) idle_search_at: Option<Timestamp>,
     /// Highest progress that a run has reported, in percent.
     pub(super) percent: u8,
     /// The adviser's answers, if the queue requires tickets.
--- a/crates/stairstall-core/src/batch/planner/placement.rs
+++ b/crates/stairstall-core/src/batch/planner/placement.rs
@@ -29,12 +29,11 @@
         self.place_step_within(candidate, None, pass, now);
     }
 
-    /// Places the waiting tasks of a step within a search scope, or within all scopes that it may
-    /// use.
+    /// Places the waiting tasks of a step within these search scopes, or within all that it may use.
     pub(super) fn place_step_within(
         &mut self,
         candidate: &Candidate,
-        scope: Option<SearchScope>,
+        scopes: Option<Vec<SearchScope>>,
         pass: &mut Pass,
         now: Now,
     ) {
@@ -55,12 +54,10 @@
         let mut allowance = self.accelerator_allowance(candidate, pass, now);
         let paces = self.pace_costs(candidate, &step, now);
         let ready = waiting.len();
-        let scopes = match scope {
-            Some(scope) => vec![scope],
-            None => self.scopes(candidate, &step, ready_since, pass, now),
-        };
+        let scopes =
+            scopes.unwrap_or_else(|| self.scopes(candidate, &step, ready_since, pass, now));
         if scopes.iter().any(|scope| !scope.yields) {
-            self.record_idle_search(&key.job, now);
+            self.record_idle_search(key, now);
         }
         for scope in scopes {
             let has_placed = waiting.len() < ready;
@@ -103,7 +100,7 @@
                 let placed: Vec<u32> = waiting.drain(..choice.workers.len()).collect();
                 self.commit_placement(candidate, &step, &placed, &choice, scope, now);
                 pass.record_placed(choice.workers.len(), accelerators);
-                if !choice.victims.is_empty() {
+                if !choice.victims.is_empty() || !scope.keeps_reservations {
                     pass.invalidate_capacity();
                 }
             }
@@ -260,7 +257,7 @@
         }
         let search_costs = search.as_ref().zip(pass.gang_preemption_costs.as_ref());
         let reserved = &pass.reserved;
-        let isolation = self.isolation(key, urgent, now);
+        let isolation = self.isolation(key, urgent, scope, now);
         let knows_paces = self.paces.is_heterogeneous();
         let workers = self
             .workers
--- a/crates/stairstall-core/src/batch/worker.rs
+++ b/crates/stairstall-core/src/batch/worker.rs
@@ -192,7 +192,7 @@
     pub const fn is_answer(self) -> bool {
         match self {
             Self::Started { .. } | Self::Refused(_) | Self::Unhealthy | Self::OtherLife => true,
-            Self::NotSent | Self::Unknown => false,
+            Self::Withheld | Self::NotSent | Self::Unknown => false,
         }
     }
 }
--- a/crates/stairstalld/src/batch/maintenance.rs
+++ b/crates/stairstalld/src/batch/maintenance.rs
@@ -78,6 +78,7 @@
         passes = done.passes, tick_ms = millis(done.tick_time), limited_passes = done.limited_passes,
         reports = done.reports, immediate_reports = done.immediate_reports,
         ends = done.ends, repeated_ends = done.repeated_ends, starts = done.starts, start_outcomes = done.start_outcomes,
+        starts_per_s = done.completed_starts_per_s.unwrap_or(0),
         start_window = done.start_window, reports_per_s = done.affordable_reports_per_s,
         contact_window = done.contact_window; "what this planner did, and its bounds");
 }
