fix(core,daemon): a planner on a weak or late VM is relieved by a daemon that can hold the role better

Cause: once a weak VM had become planner (all strong VMs down at that moment), it kept the role: `maintenance` offered it to a stronger VM only while the planner left workers out, which no VM of a site with 1,100 workers does. An offer asked the two best known peers each time, also those that had just refused or did not answer, since a missing answer was not recorded: two dead strong VMs shut out all others until they were forgotten (5 introduction intervals). Whoever was asked looked at nothing of its own strength.

Change: `RoleRelief` in the core decides when to offer and to whom: to daemons with a smaller shortfall once the tenure has lasted `role.min_tenure` (4 s), at most every `role.offer_interval` (2 s), those that refused or did not answer last; a planner that has been late (`role.late_from`) in most measurements of the last 3 s also offers to its equals, after `role.late_min_tenure` (20 s). `accepts_relief` decides who accepts: no weaker than asked for, running for `role.min_uptime` (3 s), not late itself. The daemon measures its lateness where it wakes for the store's ping anyway. A leaving planner asks on these terms with any shortfall, and those that refused once more without them, so that it still hands its role over in a fleet that has just started. Daemons of other versions: the offer has one optional field more; without it a daemon accepts as before. No call by other daemons is added: one that starts introduces itself within 1.25 s, and of N daemons 8 a second do, strong ones among them by their share.

Ruled out: a change of `introduction_interval` (with one strong VM in ten the planner hears of one within 1.3 s on the mean, at any N).

--- a/crates/stairstall-core/src/batch.rs
+++ b/crates/stairstall-core/src/batch.rs
@@ -23,8 +23,10 @@
 mod peers;
 mod planner;
 mod policy;
+mod recent_lateness;
 mod record;
 mod resources;
+mod role_relief;
 mod run_time;
 mod scheduling;
 mod spec;
@@ -57,11 +59,13 @@
     ReportPolicy, RolePolicy, RunPacePolicy, RunTimePolicy, SchedulingPolicy, TakeoverPolicy,
     VictimPolicy, WorkerPacePolicy, WritePolicy,
 };
+pub use recent_lateness::RecentLateness;
 pub use record::{
     AcceptedJob, CallerState, GroupProgress, Outcome, Progress, RunPlacement, SilentWorker,
     TaskLosses,
 };
 pub use resources::Resources;
+pub use role_relief::{ReliefOffer, RoleRelief, Strength, accepts_relief};
 pub use run_time::{EstimatedWork, RunTime, RunTimeObservation, RunTimes, StoredRatios};
 pub use scheduling::{
     AgedStep, CompletionObjective, CustomerUsage, CustomerUsageTotal, FleetCapacity, SchedulingKey,
--- a/crates/stairstall-core/src/batch/peers.rs
+++ b/crates/stairstall-core/src/batch/peers.rs
@@ -166,16 +166,25 @@
         introduced.take(MAX_INTRODUCED).collect()
     }
 
-    /// Returns the peers to offer the planner role to, the best first: by capacity, then those of
-    /// other zones, then those heard of last.
+    /// Returns the peers to offer the planner role to, of those that pass a test. The best come
+    /// first: those that may answer, then by capacity, then those of other zones, then those heard
+    /// of last.
     #[must_use]
-    pub fn successor_candidates(&self, at: Timestamp) -> Vec<PeerAddress> {
+    pub fn successor_candidates(
+        &self,
+        at: Timestamp,
+        may_plan: impl Fn(&PeerAddress) -> bool,
+    ) -> Vec<PeerAddress> {
         let forget_after = self.forget_after();
-        let is_recent = |peer: &&Peer| at - peer.introduced_at <= forget_after;
-        let mut peers: Vec<&Peer> = self.peers.values().filter(is_recent).collect();
+        let is_candidate = |peer: &&Peer| {
+            let is_recent = at - peer.introduced_at <= forget_after;
+            is_recent && may_plan(&peer.address)
+        };
+        let mut peers: Vec<&Peer> = self.peers.values().filter(is_candidate).collect();
         peers.sort_by_key(|peer| {
             let is_same_zone = peer.address.zone == self.zone;
             (
+                peer.has_failed,
                 peer.address.capacity_shortfall_percent,
                 is_same_zone,
                 std::cmp::Reverse(peer.introduced_at),
--- a/crates/stairstall-core/src/batch/policy/daemon.rs
+++ b/crates/stairstall-core/src/batch/policy/daemon.rs
@@ -133,6 +133,23 @@
     pub handover_wait: Duration,
     /// Number of renewals within one lease.
     pub renewals_per_lease: u32,
+    /// How long a planner plans at least before it offers the role to a daemon on a stronger VM.
+    #[serde(with = "super::millis")]
+    pub min_tenure: Duration,
+    /// The same for a planner whose only weakness is that its process is measured to be late. Well
+    /// above the time that a handover costs, since load may make every planner late.
+    #[serde(with = "super::millis")]
+    pub late_min_tenure: Duration,
+    /// How long a daemon must have been running before it accepts the role from a planner that goes
+    /// on without it.
+    #[serde(with = "super::millis")]
+    pub min_uptime: Duration,
+    /// Shortest time between two offers of a planner that is not leaving.
+    #[serde(with = "super::millis")]
+    pub offer_interval: Duration,
+    /// From which lateness a measurement of the daemon's process counts as late.
+    #[serde(with = "super::millis")]
+    pub late_from: Duration,
 }
 
 impl Default for RolePolicy {
@@ -144,6 +161,11 @@
             strong_link_mbps: 100,
             handover_wait: Duration::from_millis(1_500),
             renewals_per_lease: 4,
+            min_tenure: Duration::from_secs(4),
+            late_min_tenure: Duration::from_secs(20),
+            min_uptime: Duration::from_secs(3),
+            offer_interval: Duration::from_secs(2),
+            late_from: Duration::from_millis(50),
         }
     }
 }
--- a/crates/stairstall-core/tests/batch/main.rs
+++ b/crates/stairstall-core/tests/batch/main.rs
@@ -24,6 +24,7 @@
 mod reach;
 mod records;
 mod restarts;
+mod role_relief;
 mod room;
 mod run_times;
 mod silence;
--- a/crates/stairstall-core/tests/batch/reach.rs
+++ b/crates/stairstall-core/tests/batch/reach.rs
@@ -119,7 +119,7 @@
     reach.record_introduction(peer("a2", "a"), ms(10_000));
     reach.record_introduction(peer("c1", "c"), ms(9_000));
     reach.record_introduction(peer("c2", "c"), ms(0));
-    let successors = reach.successor_candidates(ms(10_000));
+    let successors = reach.successor_candidates(ms(10_000), |_| true);
     let names: Vec<&str> = successors.iter().map(|p| p.vm.as_str()).collect();
     assert_eq!(names, ["c1", "a2"], "a daemon long silent is not asked");
 }
--- a/crates/stairstalld/src/batch/maintenance.rs
+++ b/crates/stairstalld/src/batch/maintenance.rs
@@ -1,10 +1,10 @@
-//! Periodic work of the planner: shortens the records of ended jobs, stores learned estimates and
-//! logs status lines.
+//! Periodic work of the planner: shortens the records of ended jobs, stores learned estimates, offers
+//! the role to a daemon that can hold it better and logs status lines.
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use stairstall_core::batch::{AcceptedJob, LearnedEstimates, OldestWait};
+use stairstall_core::batch::{AcceptedJob, LearnedEstimates, OldestWait, RoleRelief};
 use stairstall_ports::{Commit, CommitOutcome};
 
 use super::node::Node;
@@ -28,6 +28,7 @@
 /// Does the periodic work for as long as the tenure lasts.
 pub(crate) async fn run(node: Arc<Node>, tenure: Arc<Tenure>) {
     let mut stored = LearnedEstimates::default();
+    let mut relief = RoleRelief::new(node.settings.policy.role, node.clock.now());
     for round in 1_u64.. {
         tokio::time::sleep(ROUND_INTERVAL).await;
         if !tenure.is_active() {
@@ -39,9 +40,7 @@
             log_paces(&tenure);
             log_usage(&tenure);
         }
-        if tenure.leaves_workers_out() {
-            role::offer_to_stronger(&node, &tenure).await;
-        }
+        role::offer_relief(&node, &tenure, &mut relief).await;
         if node.settings.policy.run_times.is_stored && round.is_multiple_of(ROUNDS_PER_LEARNED) {
             store_learned(&node, &tenure, &mut stored).await;
         }
--- a/crates/stairstalld/src/batch/node.rs
+++ b/crates/stairstalld/src/batch/node.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use stairstall_core::batch::{Catalog, Now, PeerAddress, PeerTable, Planner, UnstoredTasks};
+use stairstall_core::batch::{
+    Catalog, Now, PeerAddress, PeerTable, Planner, RecentLateness, Strength, UnstoredTasks,
+};
 use stairstall_core::claim::Mark;
 use stairstall_core::{Timestamp, VmId};
 use stairstall_ports::{Adviser, Dialect, Item, Revision, SharedStore, StoreFault, WorkerCalls};
@@ -59,13 +61,18 @@
     }
 }
 
-/// Offers the role of a leaving planner to another daemon.
+/// Offers the role of a planner to another daemon.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct RoleOffer {
-    /// The record of the leaving planner.
+    /// The record of the planner.
     pub(crate) record: PlannerRecord,
-    /// Revision of the write by which the leaving planner acquired the role.
+    /// Revision of the write by which the planner acquired the role.
     pub(crate) revision: u64,
+    /// The highest capacity shortfall, in percent, with which a daemon should accept, if it has been
+    /// running for a while and is not late. Absent if any daemon should accept, since the planner is
+    /// leaving and nobody else wants the role.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) max_shortfall_percent: Option<u32>,
 }
 
 /// Shared state of one daemon.
@@ -83,6 +90,8 @@
     pub(crate) peer_clients: PeerClients,
     /// The other daemons that this one knows.
     pub(crate) peer_table: Mutex<PeerTable>,
+    /// How late this process has been in the last seconds.
+    pub(crate) lateness: Mutex<RecentLateness>,
     /// The latest summary of the fleet's load.
     pub(crate) load: LoadCache,
     /// The lease of refusal records, and the retry times given to refused callers.
@@ -93,7 +102,7 @@
     pub(crate) catalog: watch::Sender<Option<Arc<Catalog>>>,
     /// The latest known planner.
     pub(crate) planner: watch::Sender<Option<PlannerRecord>>,
-    /// The offer of a leaving planner to hand its role to this daemon.
+    /// The offer of a planner to hand its role to this daemon.
     pub(crate) offer: watch::Sender<Option<RoleOffer>>,
     /// Tasks that were done at the end of this daemon's last tenure although that may not be stored.
     pub(crate) unstored_tasks: Mutex<Vec<UnstoredTasks>>,
@@ -138,6 +147,7 @@
             adviser,
             peer_clients: PeerClients::new(settings.policy.acceptance.peer_timeout),
             peer_table: Mutex::new(PeerTable::new(settings.zone.clone(), settings.policy.peers)),
+            lateness: Mutex::new(RecentLateness::new(settings.policy.role.late_from)),
             load: LoadCache::new(&settings.policy.admission),
             refusals: Refusals::new(&settings.policy.admission),
             telemetry: Telemetry::new(),
@@ -199,6 +209,14 @@
         }
     }
 
+    /// Returns how well this daemon can hold the planner role.
+    pub(crate) fn strength(&self) -> Strength {
+        Strength {
+            capacity_shortfall_percent: role::capacity_shortfall_percent(&self.settings),
+            is_late: lock(&self.lateness).is_mostly_late(),
+        }
+    }
+
     /// Records that a peer did not answer. Its connections are dropped, since the other end may
     /// have disappeared without closing them.
     pub(crate) fn peer_failed(&self, rpc: &str) {
--- a/crates/stairstalld/src/batch/reachability.rs
+++ b/crates/stairstalld/src/batch/reachability.rs
@@ -8,6 +8,7 @@
 use futures::future::join_all;
 use stairstall_core::Timestamp;
 use stairstall_core::batch::{Catalog, PeerAddress};
+use tokio::time::Instant;
 
 use super::node::Node;
 use super::rpc::{PeerClient, PeerUpdate};
@@ -23,11 +24,14 @@
     tokio::join!(ping_store(&node), probe_peers(&node), announce(&node));
 }
 
-/// Pings the store whenever no other call has completed for a while.
+/// Pings the store whenever no other call has completed for a while. Each time it wakes it measures
+/// how late this process is.
 async fn ping_store(node: &Node) {
     let policy = &node.settings.policy.peers;
     loop {
-        tokio::time::sleep(policy.ping_after / 2).await;
+        let due = Instant::now() + policy.ping_after / 2;
+        tokio::time::sleep_until(due).await;
+        lock(&node.lateness).record(due.elapsed());
         let now = node.clock.now();
         if !node.store_health.is_quiet(now, policy.ping_after) {
             continue;
--- a/crates/stairstalld/src/batch/role.rs
+++ b/crates/stairstalld/src/batch/role.rs
@@ -26,7 +26,7 @@
 pub(crate) use acquire::{AcquiredRole, capacity_shortfall_percent};
 use acquire::{LastTenure, acquire, acquire_delay};
 use handover::{acquire_from, hand_over, next_offer};
-pub(crate) use handover::{handle_offer, offer_to_stronger, wait_until_released};
+pub(crate) use handover::{handle_offer, offer_relief, wait_until_released};
 
 /// Delay before a failed store call is retried.
 const STORE_RETRY_DELAY: Duration = Duration::from_millis(200);
--- a/crates/stairstalld/src/batch/tenure.rs
+++ b/crates/stairstalld/src/batch/tenure.rs
@@ -270,11 +270,6 @@
         self.planner().contact_lag(self.now())
     }
 
-    /// Returns whether this VM can't hold connections to all workers.
-    pub(crate) fn leaves_workers_out(&self) -> bool {
-        self.planner().unselected_workers() > 0
-    }
-
     /// Returns the number of evacuated zones, and the age of the list of them if it is known.
     pub(crate) fn evacuated_zones(&self) -> (usize, Option<Duration>) {
         let planner = self.planner();
--- a/crates/stairstalld/tests/batch/main.rs
+++ b/crates/stairstalld/tests/batch/main.rs
@@ -17,6 +17,7 @@
 mod path;
 mod policy;
 mod reach;
+mod relief;
 mod restarts;
 mod silent_watches;
 mod soak;
