fix(core): lateness moves the role only from a planner whose VM was announced strong

Cause: a weak planner that was late offered its role to equally weak ones. In a fleet of small VMs the load makes any planner late, so that the move can't gain what it costs.

Change: lateness counts for a planner without an announced shortfall; a weak one offers its role to stronger ones alone. `a_weak_planner_that_is_late_keeps_its_role_...` fails on the commit before (offered to "small").

--- a/crates/stairstall-core/src/batch/policy/daemon.rs
+++ b/crates/stairstall-core/src/batch/policy/daemon.rs
@@ -136,8 +136,8 @@
     /// How long a planner plans at least before it offers the role to a daemon on a stronger VM.
     #[serde(with = "super::millis")]
     pub min_tenure: Duration,
-    /// The same for a planner whose only weakness is that its process is measured to be late. Well
-    /// above the time that a handover costs, since load may make every planner late.
+    /// The same for a planner on a VM that was announced strong and whose process is measured to be
+    /// late. Well above the time that a handover costs, since load may make every planner late.
     #[serde(with = "super::millis")]
     pub late_min_tenure: Duration,
     /// How long a daemon must have been running before it accepts the role from a planner that goes
--- a/crates/stairstall-core/src/batch/role_relief.rs
+++ b/crates/stairstall-core/src/batch/role_relief.rs
@@ -26,9 +26,10 @@
 
 /// Decides in one tenure when the planner offers its role to a daemon that can hold it better.
 ///
-/// A weak VM may become planner while all strong ones are down. A tenure has to last a while before
-/// the role moves, and longer if the planner is only measured to be late, so that VMs that come and
-/// go, or a load that makes every planner late, can't hand the role round.
+/// A weak VM may become planner while all strong ones are down, and a VM that was announced strong
+/// may be slow: its process is then late most of the time. A tenure has to last a while before the
+/// role moves, and longer if the planner is only measured to be late, so that VMs that come and go,
+/// or a load that makes every planner late, can't hand the role round.
 #[derive(Debug, Clone)]
 pub struct RoleRelief {
     policy: RolePolicy,
@@ -100,12 +101,11 @@
     /// role should stay.
     fn max_shortfall_percent(&self, own: Strength, now: Timestamp) -> Option<u32> {
         let lasted = now - self.began_at;
-        let is_relieved_for_lateness = own.is_late && lasted >= self.policy.late_min_tenure;
-        if is_relieved_for_lateness {
-            return Some(own.capacity_shortfall_percent);
+        match own.capacity_shortfall_percent.checked_sub(1) {
+            // A weak planner may well be late for its load, and an equal one would be as late.
+            Some(lower) => (lasted >= self.policy.min_tenure).then_some(lower),
+            None => (own.is_late && lasted >= self.policy.late_min_tenure).then_some(0),
         }
-        let lower = own.capacity_shortfall_percent.checked_sub(1);
-        lower.filter(|_| lasted >= self.policy.min_tenure)
     }
 }
 
--- a/crates/stairstall-core/tests/batch/role_relief.rs
+++ b/crates/stairstall-core/tests/batch/role_relief.rs
@@ -140,6 +140,18 @@
     assert_eq!(found, ["strong"], "a weaker one is not asked");
 }
 
+/// A handover between equals costs what it can't gain, if it is their load that makes them late.
+#[test]
+fn a_weak_planner_that_is_late_keeps_its_role_while_nobody_is_stronger() {
+    let mut relief = RoleRelief::new(policy(), start());
+    let ripe = start() + policy().late_min_tenure * 2;
+    let table = peers(&[("small", 80)], ripe);
+    assert_eq!(asked(&mut relief, late(WEAK), &table, ripe), None);
+    let table = peers(&[("small", 80), ("strong", 0)], ripe);
+    let found = asked(&mut relief, late(WEAK), &table, ripe).expect("an offer");
+    assert_eq!(found, ["strong"]);
+}
+
 /// Returns a record in which each of some measurements was late or not.
 fn measured(measurements: impl IntoIterator<Item = bool>) -> RecentLateness {
     let mut recent = RecentLateness::new(policy().late_from);
