fix(daemon): a new planner's other tasks run while it loads the stored jobs

Cause: job_watch::load decoded and restored all jobs in one turn of the daemon's only thread. The renewal of the role's lease (1 s) runs on the same thread. Planning begins after it has returned, as before. The stored values are decoded one by one and dropped as they are read.

--- a/crates/stairstalld/src/batch/job_watch.rs
+++ b/crates/stairstalld/src/batch/job_watch.rs
@@ -31,6 +31,10 @@
     Duration::from_millis(400),
 ];
 
+/// Number of stored jobs that are handled before other tasks run. Handling thousands at once would
+/// delay the renewal of the planner's lease.
+const JOBS_PER_TURN: usize = 50;
+
 /// Timeout for reading the learned estimates. They are optional, so the takeover waits no longer
 /// for them.
 const LEARNED_READ_TIMEOUT: Duration = Duration::from_millis(400);
@@ -79,64 +83,110 @@
 
 /// Loads all stored jobs into the planner. Returns the revision from which to poll for changes,
 /// and the revisions of the progress keys.
-pub(crate) fn load(stored: StoredJobs, tenure: &Tenure) -> (Revision, Revisions) {
+///
+/// Other tasks run in between. The planner must not plan until this has returned.
+pub(crate) async fn load(stored: StoredJobs, tenure: &Tenure) -> (Revision, Revisions) {
     if let Some(learned) = stored.learned {
         log::info!(target: "intake", token = tenure.token(), run_times = learned.run_times.len(),
             paces = learned.paces.len(); "read learned estimates");
         tenure.with_planner(|planner, now| planner.restore_learned_estimates(learned, now));
     }
-    let mut revisions = Revisions::new();
-    let mut progress: BTreeMap<JobId, Progress> = BTreeMap::new();
-    let mut unreadable = BTreeSet::new();
-    for item in stored.progress {
+    let mut progress = read_progress(stored.progress).await;
+    let jobs = read_jobs(stored.jobs, &mut progress).await;
+    let unreadable = progress.unreadable;
+    tenure.with_planner(|planner, _| planner.hold_back_jobs(unreadable));
+    for (number, job) in (1..).zip(jobs.accepted) {
+        let found = progress.by_job.get(&job.id);
+        let is_cancelled = jobs.cancelled.contains(&job.id);
+        tenure.with_planner(|planner, now| planner.restore_job(job, found, is_cancelled, now));
+        yield_after_turn(number).await;
+    }
+    (stored.at, progress.revisions)
+}
+
+/// Lets other tasks run after every [`JOBS_PER_TURN`] jobs.
+async fn yield_after_turn(handled: usize) {
+    if handled.is_multiple_of(JOBS_PER_TURN) {
+        tokio::task::yield_now().await;
+    }
+}
+
+/// The stored progress of all jobs.
+#[derive(Debug, Default)]
+struct StoredProgress {
+    by_job: BTreeMap<JobId, Progress>,
+    revisions: Revisions,
+    /// Jobs of which something can't be read.
+    unreadable: BTreeSet<JobId>,
+}
+
+/// Decodes the progress of all jobs.
+async fn read_progress(items: Vec<Item>) -> StoredProgress {
+    let mut read = StoredProgress::default();
+    for (number, item) in (1..).zip(items) {
+        read.add(&item);
+        yield_after_turn(number).await;
+    }
+    read
+}
+
+impl StoredProgress {
+    fn add(&mut self, item: &Item) {
         let Ok(StoreKey::BatchProgress(id)) = item.key.parse() else {
-            continue;
+            return;
         };
-        revisions.insert(id.clone(), item.revision);
+        self.revisions.insert(id.clone(), item.revision);
         match encoding::decode(&item.value) {
             Ok(found) => {
-                progress.insert(id, found);
+                self.by_job.insert(id, found);
             }
             Err(error) => {
                 log::error!(target: "intake", job:% = id, why:% = error;
                     "can't decode the job's progress; none of its tasks is started in this tenure");
-                unreadable.insert(id);
+                self.unreadable.insert(id);
             }
         }
     }
-    let cancelled: BTreeSet<JobId> = stored
-        .jobs
-        .iter()
-        .filter_map(|item| match item.key.parse() {
-            Ok(StoreKey::BatchCancellation(id)) => Some(id),
-            _ => None,
-        })
-        .collect();
-    let mut jobs = Vec::new();
-    for item in &stored.jobs {
-        match StoredItem::read(item) {
-            StoredItem::Job(job) => jobs.push(*job),
-            StoredItem::Unreadable(id) => {
-                unreadable.insert(id);
-            }
-            StoredItem::Other => {}
-        }
-    }
-    for job in &jobs {
-        if progress.get(&job.id).is_some_and(|found| !found.fits(job)) {
+
+    /// Marks a job as unreadable if the stored progress is not that of the job.
+    fn check(&mut self, job: &AcceptedJob) {
+        let found = self.by_job.get(&job.id);
+        if found.is_some_and(|found| !found.fits(job)) {
             log::error!(target: "intake", job:% = job.id;
                 "the job's progress is not that of the job; none of its tasks is started in this tenure");
-            unreadable.insert(job.id.clone());
+            self.unreadable.insert(job.id.clone());
         }
     }
-    tenure.with_planner(|planner, _| planner.hold_back_jobs(unreadable));
-    for job in jobs {
-        let id = job.id.clone();
-        tenure.with_planner(|planner, now| {
-            planner.restore_job(job, progress.get(&id), cancelled.contains(&id), now);
-        });
+}
+
+/// All jobs that were accepted, and those that were cancelled.
+#[derive(Debug, Default)]
+struct ReadJobs {
+    accepted: Vec<AcceptedJob>,
+    cancelled: BTreeSet<JobId>,
+}
+
+/// Decodes the records of all jobs. Marks those as unreadable that can't be planned.
+async fn read_jobs(items: Vec<Item>, progress: &mut StoredProgress) -> ReadJobs {
+    let mut read = ReadJobs::default();
+    for (number, item) in (1..).zip(items) {
+        yield_after_turn(number).await;
+        if let Ok(StoreKey::BatchCancellation(id)) = item.key.parse() {
+            read.cancelled.insert(id);
+            continue;
+        }
+        match StoredItem::read(&item) {
+            StoredItem::Job(job) => {
+                progress.check(&job);
+                read.accepted.push(*job);
+            }
+            StoredItem::Unreadable(id) => {
+                progress.unreadable.insert(id);
+            }
+            StoredItem::Other => {}
+        }
     }
-    (stored.at, revisions)
+    read
 }
 
 /// What the store has under a key.
@@ -237,3 +287,6 @@
         _ => {}
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/stairstalld/src/batch/tenure.rs
+++ b/crates/stairstalld/src/batch/tenure.rs
@@ -487,7 +487,7 @@
             // A short response, read concurrently so that a slow store adds its latency only once.
             let zones = evacuated_zones::load(node, tenure);
             let ((directory_at, stored), operator_keys) = futures::try_join!(listings, zones)?;
-            let (jobs_at, revisions) = job_watch::load(stored, tenure);
+            let (jobs_at, revisions) = job_watch::load(stored, tenure).await;
             let unstored = lock(&node.unstored_tasks).clone();
             tenure.with_planner(|planner, now| planner.restore_done_tasks(&unstored, now));
             Ok::<_, stairstall_ports::StoreFault>(LoadedState {
