fix(core): a zone is suspect only if more workers are silent there than answer

Cause: three workers without an answer made all workers of their zone unresponsive that had not answered for 200 ms, however many the zone has and although their reports were not due: a report is due after 1.1 s to 2 s. Planned runs there were given up, with their gangs. Change: a zone is suspect if enough of its workers are silent (as before: three) and they are more than have answered within the recent time. That time is longer by the planner's own lateness. Workers that are unresponsive only because of others, or are not selected, don't count as silent. Answers from before a loss may count for a moment, so the zone is checked again until they don't. The open report of a worker is no criterion: it is open in a zone that was just lost, too.

--- a/crates/stairstall-core/src/batch/planner.rs
+++ b/crates/stairstall-core/src/batch/planner.rs
@@ -133,8 +133,9 @@
     last_new_report_at: Option<Timestamp>,
     /// Workers to ask for a report immediately.
     workers_to_poll: Vec<WorkerId>,
-    /// Zones in which a worker has become unresponsive since they were last checked.
-    zones_to_check: BTreeSet<ZoneId>,
+    /// Zones in which a worker has become unresponsive, and until when they are checked. `None`
+    /// until the first check after that.
+    zones_to_check: BTreeMap<ZoneId, Option<Timestamp>>,
     /// The guaranteed jobs when the ranks of runs were last set. `None` if a run was adopted or
     /// restored since then.
     ranked_guaranteed_jobs: Option<BTreeSet<JobId>>,
@@ -199,7 +200,7 @@
             first_tick_at: None,
             last_new_report_at: None,
             workers_to_poll: Vec::new(),
-            zones_to_check: BTreeSet::new(),
+            zones_to_check: BTreeMap::new(),
             ranked_guaranteed_jobs: None,
             worker_set_version: 0,
             has_urgent_arrival: false,
--- a/crates/stairstall-core/tests/batch/silence.rs
+++ b/crates/stairstall-core/tests/batch/silence.rs
@@ -1,7 +1,7 @@
 //! Orders without answers, and workers and zones that do not answer.
 
 use stairstall_core::WorkerId;
-use stairstall_core::batch::{OrderKind, StartOutcome, StopOutcome};
+use stairstall_core::batch::{Order, OrderKind, StartOutcome, StopOutcome};
 
 use crate::harness::{Fleet, gang, id, job, step, task};
 
@@ -262,3 +262,101 @@
         assert!(fleet.place_of(&task("j", 0, index)).is_some());
     }
 }
+
+/// Number of workers in a large zone.
+const ZONE_WORKERS: usize = 220;
+/// Interval between the reports of two of its workers: each is heard about every 1.5 s.
+const REPORT_INTERVAL_MS: u64 = 6;
+/// Longer than the time between two passes over that many workers.
+const PASS_INTERVAL_MS: u64 = 100;
+/// How long a start is waited for.
+const ORDER_TIMEOUT_MS: u64 = 350;
+
+/// Returns a zone whose workers report in turn, the next worker to report, and starts that were sent
+/// to some of its workers.
+fn large_zone(starts: u32) -> (Fleet, usize, Vec<Order>) {
+    let names: Vec<String> = (0..ZONE_WORKERS).map(|n| format!("w{n:03}")).collect();
+    let workers: Vec<(&str, &str)> = names.iter().map(|name| (name.as_str(), "r1")).collect();
+    let mut fleet = Fleet::new(&workers);
+    fleet.hold_all();
+    let busy = u32::try_from(ZONE_WORKERS).expect("a count");
+    fleet.submit(job("long", 2, vec![step(busy, 7)]));
+    let next = report_in_turn(&mut fleet, 0, 3_000, &[]);
+    fleet.at_ms += PASS_INTERVAL_MS;
+    fleet.settle();
+    fleet.place(job("j", 0, vec![step(starts, 1)]));
+    let orders = fleet.planner.tick(fleet.now());
+    assert_eq!(orders.len(), starts as usize);
+    (fleet, next, orders)
+}
+
+/// Lets workers report one after the other for a while, but for some of them.
+fn report_in_turn(fleet: &mut Fleet, mut next: usize, ms: u64, silent: &[Order]) -> usize {
+    let until = fleet.at_ms + ms;
+    while fleet.at_ms < until {
+        fleet.at_ms += REPORT_INTERVAL_MS;
+        for worker in fleet.workers.values_mut() {
+            worker.work(REPORT_INTERVAL_MS);
+        }
+        let id: WorkerId = format!("w{next:03}").parse().expect("an id");
+        if !silent.iter().any(|order| order.worker == id) {
+            fleet.hold(&id);
+        }
+        next = (next + 1) % ZONE_WORKERS;
+    }
+    next
+}
+
+/// Leaves starts without an answer; returns how many workers are unresponsive then.
+fn leave_all_unanswered(fleet: &mut Fleet, orders: &[Order]) -> usize {
+    for order in orders {
+        fleet.leave_unanswered(order);
+    }
+    let now = fleet.now();
+    fleet.planner.tick(now);
+    fleet.planner.contact_lag(now).unresponsive
+}
+
+/// Guards against a few late answers that take all places of a large zone, whose workers report less
+/// often than every 200 ms.
+#[test]
+fn a_few_starts_without_an_answer_cast_no_doubt_on_a_large_zone_that_reports() {
+    let (mut fleet, next, orders) = large_zone(3);
+    report_in_turn(&mut fleet, next, ORDER_TIMEOUT_MS, &orders);
+    assert_eq!(leave_all_unanswered(&mut fleet, &orders), 3);
+}
+
+/// Guards against the same while the planner is late and has handled no answer for a while.
+#[test]
+fn a_planner_that_is_late_does_not_doubt_a_large_zone() {
+    let (mut fleet, next, orders) = large_zone(3);
+    report_in_turn(&mut fleet, next, ORDER_TIMEOUT_MS, &orders);
+    fleet.at_ms += 400;
+    fleet
+        .planner
+        .record_lateness(std::time::Duration::from_millis(400));
+    assert_eq!(leave_all_unanswered(&mut fleet, &orders), 3);
+}
+
+/// A zone that is lost: nobody there has answered since the starts were sent.
+#[test]
+fn a_few_starts_without_an_answer_cast_doubt_on_a_large_zone_that_is_silent() {
+    let (mut fleet, _, orders) = large_zone(3);
+    fleet.at_ms += ORDER_TIMEOUT_MS;
+    assert_eq!(leave_all_unanswered(&mut fleet, &orders), ZONE_WORKERS);
+}
+
+/// A zone that is lost just after the starts were sent: some have answered since, so that the first
+/// starts without an answer don't tell yet.
+#[test]
+fn a_large_zone_that_falls_silent_is_in_doubt_without_another_start() {
+    let (mut fleet, next, orders) = large_zone(3);
+    report_in_turn(&mut fleet, next, ORDER_TIMEOUT_MS - 100, &orders);
+    fleet.at_ms += 100;
+    leave_all_unanswered(&mut fleet, &orders);
+    fleet.at_ms += 200;
+    let now = fleet.now();
+    fleet.planner.tick(now);
+    let unresponsive = fleet.planner.contact_lag(now).unresponsive;
+    assert_eq!(unresponsive, ZONE_WORKERS);
+}
