--- a/crates/stairstalld/src/batch/predecessor.rs
+++ b/crates/stairstalld/src/batch/predecessor.rs
@@ -30,15 +30,12 @@
     unstored: Vec<UnstoredJob>,
 }
 
-/// Tasks of one job that are done, each by occurrence, step and index, and tasks with the number of
-/// the last run that is over.
+/// Tasks of one job that are done, each by occurrence, step and index.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 struct UnstoredJob {
     job: JobId,
     mark: Mark,
     done: Vec<(u32, u32, u32)>,
-    #[serde(default)]
-    released: Vec<((u32, u32, u32), u32)>,
 }
 
 impl From<&UnstoredTasks> for UnstoredJob {
@@ -48,30 +45,16 @@
             job: tasks.job.clone(),
             mark: tasks.mark.clone(),
             done: tasks.done.iter().map(position).collect(),
-            released: tasks
-                .released
-                .iter()
-                .map(|(task, run)| (position(task), *run))
-                .collect(),
         }
     }
 }
 
 impl From<UnstoredJob> for UnstoredTasks {
     fn from(found: UnstoredJob) -> Self {
-        let UnstoredJob {
-            job,
-            mark,
-            done,
-            released,
-        } = found;
+        let UnstoredJob { job, mark, done } = found;
         let task = |(occurrence, step, index)| TaskKey::new(job.clone(), occurrence, step, index);
         Self {
             done: done.into_iter().map(task).collect(),
-            released: released
-                .into_iter()
-                .map(|(position, run)| (task(position), run))
-                .collect(),
             mark,
             job,
         }
