--- a/crates/stairstall-core/src/batch/planner/idle_jobs.rs
+++ b/crates/stairstall-core/src/batch/planner/idle_jobs.rs
@@ -162,12 +162,18 @@
     /// Where starts are what is short, newer jobs and other tasks of running ones would otherwise
     /// take all of them.
     pub(super) fn place_idle_jobs(&mut self, candidates: &[Candidate], pass: &mut Pass, now: Now) {
+        let policy = &self.policy.placement;
+        let limit = policy.max_idle.min(policy.max_idle_when_busy);
         let mut idle: Vec<(Duration, &Candidate)> = candidates
             .iter()
             .map(|candidate| (self.step_idle_time(&candidate.key, now), candidate))
+            .filter(|(idle_time, _)| *idle_time >= limit)
             .collect();
         idle.sort_by_key(|(idle_time, _)| std::cmp::Reverse(*idle_time));
         for (_, candidate) in idle {
+            if self.is_start_window_used_up(candidate, pass) {
+                return;
+            }
             let scopes = self.idle_scopes(candidate, pass, now);
             if !scopes.is_empty() {
                 self.place_step_within(candidate, Some(scopes), pass, now);
--- a/crates/stairstall-core/src/batch/planner/pacing.rs
+++ b/crates/stairstall-core/src/batch/planner/pacing.rs
@@ -6,10 +6,11 @@
 
 use std::time::Duration;
 
+use super::pool::Worker;
 use super::{Now, Planner};
-use crate::Timestamp;
 use crate::batch::FlowPolicy;
 use crate::time::millis;
+use crate::{Timestamp, WorkerId};
 
 /// Share of the time, in percent, from which the process counts as saturated.
 const SATURATED_PERCENT: u32 = 90;
@@ -22,7 +23,7 @@
 /// The pause before a poll changes by one part in this many of its maximum at a time.
 const PAUSE_STEP_DIVISOR: u32 = 10;
 /// Number of starts that may always be in flight.
-const MIN_START_WINDOW: usize = 8;
+const MIN_START_WINDOW: usize = 16;
 
 /// What the planner measures of its pace, and the limits that follow from it.
 #[derive(Debug, Clone, Copy, Default)]
@@ -37,8 +38,10 @@
     answer_time: Duration,
     /// Whether the start window held work back since then.
     is_held_back: bool,
-    /// Whether it did in the period before.
-    was_held_back: bool,
+    /// Whether it has done so since the last scheduling pass began.
+    is_held_back_since_pass: bool,
+    /// Whether a start got no answer since the last measurement.
+    has_unanswered: bool,
     /// Running mean of the starts that were answered per second while the process was saturated or
     /// work was held back.
     starts_per_s: Option<u32>,
@@ -58,11 +61,18 @@
     /// Records that the start window holds work back.
     pub(super) const fn record_held_back(&mut self) {
         self.is_held_back = true;
+        self.is_held_back_since_pass = true;
     }
 
-    /// Returns whether starts, rather than workers, are what waiting work lacks.
-    pub(super) const fn has_held_back(&self) -> bool {
-        self.is_held_back || self.was_held_back
+    /// Records that a start got no answer within its time limit.
+    pub(super) const fn record_unanswered_start(&mut self) {
+        self.has_unanswered = true;
+    }
+
+    /// Records that a scheduling pass begins. Returns whether starts, rather than workers, are what
+    /// work has lacked since the one before.
+    pub(super) const fn begin_pass(&mut self) -> bool {
+        std::mem::replace(&mut self.is_held_back_since_pass, false)
     }
 
     pub(super) const fn busy_percent(&self) -> u32 {
@@ -96,11 +106,13 @@
         self.busy_percent <= SPARE_PERCENT
     }
 
-    /// Adapts the limits to a measurement of the process. `window` is the current start window.
+    /// Adapts the limits to a measurement of the process. `window` is the current start window,
+    /// `pass` the time for which a scheduling pass keeps answers from being read.
     fn adapt(
         &mut self,
         busy_percent: u32,
         window: usize,
+        pass: Duration,
         max_pause: Duration,
         policy: &FlowPolicy,
         now: Now,
@@ -113,34 +125,36 @@
         let answered = std::mem::take(&mut self.answered_starts);
         let answer_time = std::mem::take(&mut self.answer_time);
         let is_held_back = std::mem::take(&mut self.is_held_back);
-        self.was_held_back = is_held_back;
-        let is_late = answered > 0 && answer_time / answered > policy.start_window;
+        let has_unanswered = std::mem::take(&mut self.has_unanswered);
+        let in_time = policy.start_window + pass;
+        let is_late = answered > 0 && answer_time / answered > in_time;
         self.measure_starts(answered, now.at - measured_at, is_held_back);
-        self.adapt_start_window(is_late, is_held_back, window);
-        self.adapt_poll_pause(is_held_back, max_pause);
+        let may_grow = is_held_back && answered > 0 && !has_unanswered;
+        self.adapt_start_window(is_late, may_grow, window);
+        self.adapt_poll_pause(max_pause);
     }
 
     /// Adds to the window while it holds work back and answers come in time, and takes a share off
     /// it while they come late.
-    fn adapt_start_window(&mut self, is_late: bool, is_held_back: bool, window: usize) {
+    fn adapt_start_window(&mut self, is_late: bool, may_grow: bool, window: usize) {
         let change = window / WINDOW_CHANGE_DIVISOR + 1;
         if is_late {
             let least = MIN_START_WINDOW.min(window);
             self.start_window = Some(window.saturating_sub(change).max(least));
-        } else if is_held_back && self.has_spare_time() {
+        } else if may_grow && self.has_spare_time() {
             self.start_window = Some(window + change);
-        } else if is_held_back {
+        } else if may_grow {
             self.start_window = Some(window + 1);
         }
     }
 
     /// Polls workers less often while the process is saturated, and more often again once it has
     /// time for it.
-    fn adapt_poll_pause(&mut self, is_held_back: bool, max_pause: Duration) {
+    fn adapt_poll_pause(&mut self, max_pause: Duration) {
         let step = max_pause / PAUSE_STEP_DIVISOR;
         if self.is_saturated() {
             self.poll_pause = (self.poll_pause + step).min(max_pause);
-        } else if self.has_spare_time() && !is_held_back {
+        } else if self.has_spare_time() {
             self.poll_pause = self.poll_pause.saturating_sub(step);
         }
     }
@@ -171,25 +185,31 @@
     pub fn record_busy(&mut self, percent: u32, now: Now) {
         let window = self.start_window();
         let max_pause = self.max_poll_pause();
+        let pass = self.own_load.pass;
+        let policy = &self.policy.flow;
         self.pacing
-            .adapt(percent, window, max_pause, &self.policy.flow, now);
+            .adapt(percent, window, pass, max_pause, policy, now);
     }
 
     /// Returns how long to wait before a worker that has answered is polled again.
     ///
     /// A planner whose process is saturated hears of ends later, and of several at a time, so that
-    /// time is left for starts.
+    /// time is left for starts. A worker on which something waits for its next report is polled at
+    /// once.
     #[must_use]
-    pub fn poll_pause(&self) -> Duration {
+    pub fn poll_pause(&self, id: &WorkerId) -> Duration {
+        let worker = self.workers.get(id);
+        if worker.is_none_or(Worker::awaits_report) {
+            return Duration::ZERO;
+        }
         self.pacing.poll_pause()
     }
 
-    /// Returns the longest pause before a poll: the lease of a start has to be renewed in time.
+    /// Returns the longest pause before a poll: the leases of starts and of runs have to be renewed in
+    /// time.
     fn max_poll_pause(&self) -> Duration {
-        self.policy
-            .orders
-            .start_lease
-            .min(self.bounds.lease_duration)
-            / 2
+        let lease = self.bounds.lease_duration;
+        let beside_wait = lease.saturating_sub(self.report_wait());
+        self.policy.orders.start_lease.min(beside_wait) / 2
     }
 }
--- a/crates/stairstall-core/src/batch/planner/placement.rs
+++ b/crates/stairstall-core/src/batch/planner/placement.rs
@@ -54,6 +54,7 @@
         let mut allowance = self.accelerator_allowance(candidate, pass, now);
         let paces = self.pace_costs(candidate, &step, now);
         let ready = waiting.len();
+        let has_own_scopes = scopes.is_some();
         let scopes =
             scopes.unwrap_or_else(|| self.scopes(candidate, &step, ready_since, pass, now));
         if scopes.iter().any(|scope| !scope.yields) {
@@ -105,6 +106,9 @@
                 }
             }
         }
+        if has_own_scopes {
+            return;
+        }
         if !waiting.is_empty() {
             self.place_verification_run(candidate, &step, &waiting, pass, now);
         }
--- a/crates/stairstall-core/src/batch/planner/pool.rs
+++ b/crates/stairstall-core/src/batch/planner/pool.rs
@@ -433,6 +433,14 @@
         })
     }
 
+    /// Returns whether something waits for the worker's next report: a run that is to start or is
+    /// being stopped, or contact.
+    pub(super) fn awaits_report(&self) -> bool {
+        let is_awaited = |run: &Run| matches!(run.state, RunState::Planned | RunState::Stopping);
+        let is_verified = self.incarnation_state.end_listing.is_verified();
+        self.needs_contact() || !is_verified || self.runs.values().any(is_awaited)
+    }
+
     /// Returns whether it has runs for which no start was sent yet.
     pub(super) fn has_planned_runs(&self) -> bool {
         self.runs.values().any(|run| run.state == RunState::Planned)
--- a/crates/stairstall-core/src/batch/planner/queue.rs
+++ b/crates/stairstall-core/src/batch/planner/queue.rs
@@ -23,12 +23,13 @@
         let mut pass = Pass::default();
         let aged = self.promote_oldest_aged(&mut candidates, &mut pass, now);
         pass.reserved = self.renew_reservations(&candidates, now);
+        let lacks_starts = self.pacing.begin_pass();
         let is_first = |one: &Candidate| one.rank <= URGENT_RANK || one.scheduling_key.is_aged();
         let (first, others) = candidates.split_at(candidates.partition_point(is_first));
         for candidate in first {
             self.place_step(candidate, &mut pass, now);
         }
-        if self.pacing.has_held_back() {
+        if lacks_starts {
             self.place_idle_jobs(others, &mut pass, now);
         }
         for candidate in others {
--- a/crates/stairstall-core/src/batch/planner/start_outcomes.rs
+++ b/crates/stairstall-core/src/batch/planner/start_outcomes.rs
@@ -42,6 +42,8 @@
         }
         if outcome.is_answer() {
             self.pacing.record_start_answer(now.at - run.ordered_at);
+        } else if outcome == StartOutcome::Unknown {
+            self.pacing.record_unanswered_start();
         }
         if let StartOutcome::Started { .. } = outcome {
             run.answered_at = run.answered_at.or(Some(now.at));
--- a/crates/stairstall-core/src/batch/planner/timing.rs
+++ b/crates/stairstall-core/src/batch/planner/timing.rs
@@ -9,6 +9,8 @@
 const MAX_PASS_PERCENT: u32 = 20;
 /// The same while urgent jobs have just arrived.
 const MAX_URGENT_PASS_PERCENT: u32 = 40;
+/// Longest time between two passes that follows from what passes take.
+const MAX_PASS_INTERVAL: Duration = Duration::from_millis(500);
 
 impl Planner {
     /// Returns whether a scheduling pass is due. A pass that is requested too soon after the last
@@ -37,10 +39,11 @@
     fn pass_interval(&self) -> Duration {
         let pass = self.own_load.pass;
         if self.has_urgent_arrival {
-            return pass * 100 / MAX_URGENT_PASS_PERCENT;
+            return (pass * 100 / MAX_URGENT_PASS_PERCENT).min(Self::MAX_TICK_INTERVAL);
         }
+        let measured = (pass * 100 / MAX_PASS_PERCENT).min(MAX_PASS_INTERVAL);
         let usual = self.policy.flow.pass_interval(self.workers.len());
-        usual.max(pass * 100 / MAX_PASS_PERCENT)
+        usual.max(measured)
     }
 
     /// Returns whether the evacuated zones are known and the workers have had enough time to report
--- a/crates/stairstall-core/tests/batch/main.rs
+++ b/crates/stairstall-core/tests/batch/main.rs
@@ -25,6 +25,7 @@
 mod reach;
 mod records;
 mod restarts;
+mod review_pacing;
 mod role_relief;
 mod room;
 mod run_times;
--- a/crates/stairstall-core/tests/batch/pacing.rs
+++ b/crates/stairstall-core/tests/batch/pacing.rs
@@ -24,6 +24,11 @@
     fleet(20, WEAK, bounds())
 }
 
+/// Returns the pause before a poll of a worker on which nothing waits for its report.
+fn poll_pause(fleet: &Fleet) -> Duration {
+    fleet.planner.contact_lag(fleet.now()).poll_pause
+}
+
 /// Plans, lets the places be written down, and returns the starts that then go out.
 fn starts(fleet: &mut Fleet) -> Vec<Order> {
     let now = fleet.now();
@@ -83,13 +88,13 @@
 #[test]
 fn a_saturated_process_leaves_workers_alone_for_longer_but_within_their_leases() {
     let mut fleet = weak_fleet();
-    assert_eq!(fleet.planner.poll_pause(), Duration::ZERO);
+    assert_eq!(poll_pause(&fleet), Duration::ZERO);
     last_starts(&mut fleet, 30, 0, SATURATED);
-    let pause = fleet.planner.poll_pause();
+    let pause = poll_pause(&fleet);
     assert!(pause > Duration::from_millis(500), "{pause:?}");
     assert!(pause <= Duration::from_millis(750), "{pause:?}");
     last_starts(&mut fleet, 30, 0, SPARE);
-    assert_eq!(fleet.planner.poll_pause(), Duration::ZERO);
+    assert_eq!(poll_pause(&fleet), Duration::ZERO);
 }
 
 /// Guards against passes that follow each other without a pause on a slow VM.
--- a/crates/stairstalld/src/batch/tenure.rs
+++ b/crates/stairstalld/src/batch/tenure.rs
@@ -9,7 +9,7 @@
     AcceptedJob, Catalog, ContactLag, CustomerUsageTotal, Decision, JobExplanation, JobPhase,
     JobSummary, LoadSummary, Now, OldestWait, PaceSummary, Planner, UnstoredTasks,
 };
-use stairstall_core::{JobId, Lease};
+use stairstall_core::{JobId, Lease, WorkerId};
 use stairstall_ports::Revision;
 use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
@@ -266,8 +266,8 @@
     }
 
     /// Returns how long to wait before a worker that has answered is polled again.
-    pub(crate) fn poll_pause(&self) -> Duration {
-        self.planner().poll_pause()
+    pub(crate) fn poll_pause(&self, id: &WorkerId) -> Duration {
+        self.planner().poll_pause(id)
     }
 
     /// Returns how current the planner's contact with its workers is.
--- a/crates/stairstalld/src/batch/worker_links.rs
+++ b/crates/stairstalld/src/batch/worker_links.rs
@@ -12,6 +12,7 @@
 use tokio::sync::futures::Notified;
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 use tokio::sync::{Notify, Semaphore, SemaphorePermit};
+use tokio::time::Instant;
 
 use super::node::Node;
 use super::orders;
@@ -252,7 +253,7 @@
         Ok(report) => {
             node.telemetry.report("ok");
             let has_run_ends = !report.ended.is_empty();
-            let answered_at = node.clock.now();
+            let answered_at = Instant::now();
             let written = tenure.write_done.notified();
             let is_leaving = tenure.with_planner(|planner, now| {
                 planner.handle_worker_report(&worker.id, &request, sent_at, report, now);
@@ -267,9 +268,8 @@
                 let stored = wait_for_stored_ends(tenure, &worker.id, written);
                 let _ = tokio::time::timeout(wait, stored).await;
             }
-            let pause = tenure.poll_pause();
-            if !is_leaving && !pause.is_zero() {
-                tokio::time::sleep(pause.saturating_sub(node.clock.now() - answered_at)).await;
+            if !is_leaving {
+                pause_before_poll(tenure, &worker.id, control, answered_at).await;
             }
         }
         Err(WorkerFault::OtherLife) => {
@@ -291,6 +291,28 @@
     }
 }
 
+/// Waits before a worker that answered at `answered_at` is polled again, unless something waits for
+/// its next report.
+async fn pause_before_poll(
+    tenure: &Tenure,
+    id: &WorkerId,
+    control: &PollControl,
+    answered_at: Instant,
+) {
+    loop {
+        let left = tenure.poll_pause(id).saturating_sub(answered_at.elapsed());
+        if left.is_zero() || control.is_closed() {
+            return;
+        }
+        if tokio::time::timeout(left, control.wake.notified())
+            .await
+            .is_err()
+        {
+            return;
+        }
+    }
+}
+
 /// Waits for the next write, `written`, and on until a run end of the worker may be acknowledged.
 async fn wait_for_stored_ends(tenure: &Tenure, id: &WorkerId, mut written: Notified<'_>) {
     loop {
