test: the large shape holds daemons to their VMs' processor shares

Cause: daemons of the large shape were told their VM's share of a core by flag, but their processes were not held to it, so that small VMs planned as quickly as strong ones. Change: STAIRSTALL_PLANNED_HELD=100 holds each daemon to its VM's share, another number to so many percent of it; STAIRSTALL_PLANNED_VMS=small plays without strong VMs, STAIRSTALL_PLANNED_STOPS=none without planned work. A new play kills the daemons of all strong VMs at once (large shape only; it returns at once in others). Without the new variables plays are as before.

--- a/crates/stairstalld/tests/planned/planned_work.rs
+++ b/crates/stairstalld/tests/planned/planned_work.rs
@@ -10,11 +10,14 @@
 //! with `STAIRSTALL_PLANNED_IDS=shared` a worker begins each life under its ID.
 //! `STAIRSTALL_PLANNED_CORE_PERCENT` gives small VMs another share of a core.
 //! `STAIRSTALL_PLANNED_SHAPE=large` plays the large site, with its zones, VMs, kinds of jobs and troubles;
+//! with `STAIRSTALL_PLANNED_HELD=100` each daemon has no more processor time than its VM gives it, with
+//! another number so many percent of that; with `STAIRSTALL_PLANNED_VMS=small` there are no strong VMs and
+//! with `STAIRSTALL_PLANNED_STOPS=none` there is no planned work.
 //! `STAIRSTALL_PLANNED_DAEMONS`, `_WORKERS`, `_CALLERS` and `_CALLS_PER_JOB` change a shape's size.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -37,6 +40,7 @@
 
 use calm::Calm;
 use open_connection::{Exchange, OpenConnection};
+use processor_limit::Held;
 use troubles::{Kind, Troubles};
 
 /// Longest time between a request's last byte and the end of its connection without an answer.
@@ -67,6 +71,8 @@
 /// Processor time that a small VM gives a daemon in 100 ms. A planner of the debug build runs for a fifth
 /// of the time in the small shape.
 const SMALL_VM_SHARE: Duration = Duration::from_millis(25);
+/// What a daemon uses of its share, in percent, that is noted.
+const MUCH_OF_SHARE_PERCENT: u128 = 60;
 /// How often it is looked how late this process itself is.
 const LATENESS_INTERVAL: Duration = Duration::from_millis(50);
 /// How long callers wait for an answer.
@@ -148,6 +154,12 @@
     /// The logs of all daemons, also of those that have ended.
     logs: Mutex<Vec<Arc<Mutex<Vec<String>>>>>,
     is_large: bool,
+    /// Where daemons run on strong VMs.
+    strong: Mutex<BTreeSet<SocketAddr>>,
+    /// Whether the strong VMs have ended: those that start are small.
+    strong_vms_gone: AtomicBool,
+    /// How much of its share a daemon that was held to one had, at most.
+    most_of_share_percent: Mutex<u128>,
     /// Since when under half of the accelerators have been in use, if they are.
     half_empty_since: Mutex<Option<Instant>>,
     /// Who accepted a job last.
@@ -525,6 +537,10 @@
 
     /// Draws planned work for a while; some of it comes in series that overlap.
     async fn operate(&mut self, until: Instant) {
+        if std::env::var("STAIRSTALL_PLANNED_STOPS").is_ok_and(|stops| stops == "none") {
+            tokio::time::sleep_until(until.into()).await;
+            return;
+        }
         let mut in_flight = JoinSet::new();
         while Instant::now() < until {
             let pause = self.random.random_range(100..1_200);
@@ -738,8 +754,10 @@
 async fn start_daemon(kind: Kind, store: &StandinStore, shared: &Arc<Shared>) -> Daemon {
     let number = shared.next_vm.fetch_add(1, Ordering::SeqCst);
     let name = format!("vm-{number}");
+    let are_strong_gone = shared.strong_vms_gone.load(Ordering::SeqCst);
+    let is_strong = shared.is_large && large::is_strong(number) && !are_strong_gone;
     let daemon = if shared.is_large {
-        let flags = large::flags_of(number);
+        let flags = large::flags_of(is_strong);
         Daemon::start_in(large::zone_of(number), &name, store, &flags).await
     } else {
         let zone = ["zone-a", "zone-b", "zone-c"][number % 3];
@@ -747,22 +765,49 @@
         let flags = ["--drain-delay-ms", &delay, "--config-apply-ms", "3000"];
         Daemon::start_in(zone, &name, store, &flags).await
     };
-    if let (Kind::SmallVms, Some(id)) = (kind, daemon.id()) {
-        tokio::spawn(limit_processor(id, Arc::clone(shared)));
+    if is_strong {
+        lock(&shared.strong).insert(daemon.address);
+        shared.note(&format!("{name} at {} is strong", daemon.address));
+    }
+    let share = if kind == Kind::SmallVms {
+        Some(small_vm_share())
+    } else {
+        large::held_share(is_strong).filter(|_| shared.is_large)
+    };
+    if let (Some(share), Some(id)) = (share, daemon.id()) {
+        tokio::spawn(limit_processor(id, name, share, Arc::clone(shared)));
     }
     shared.add_log(&daemon);
     daemon
 }
 
-/// Gives a daemon the processor time of a small VM and counts how often it stood still for that.
-async fn limit_processor(id: u32, shared: Arc<Shared>) {
+/// Returns the processor time that a small VM gives a daemon in each period.
+fn small_vm_share() -> Duration {
     let percent = std::env::var("STAIRSTALL_PLANNED_CORE_PERCENT").ok();
     let percent = percent.and_then(|percent| percent.parse::<u32>().ok());
-    let share = percent.map_or(SMALL_VM_SHARE, |percent| {
+    percent.map_or(SMALL_VM_SHARE, |percent| {
         processor_limit::PERIOD * percent / 100
-    });
-    processor_limit::limit(id, share, || {
-        shared.count("standing still for a share that is used up".to_owned());
+    })
+}
+
+/// Gives a daemon the processor time of its VM and counts how often it stood still for that.
+async fn limit_processor(id: u32, name: String, share: Duration, shared: Arc<Shared>) {
+    let mut stops = 0;
+    processor_limit::limit(id, share, |held| match held {
+        Held::Stopped => {
+            stops += 1;
+            shared.count("standing still for a share that is used up".to_owned());
+        }
+        Held::Used(percent) => {
+            let mut most = lock(&shared.most_of_share_percent);
+            *most = percent.max(*most);
+            if percent >= MUCH_OF_SHARE_PERCENT {
+                shared.note(&format!(
+                    "{name} used {percent}% of its share, stood still {stops} times"
+                ));
+            }
+            stops = 0;
+        }
     })
     .await;
 }
@@ -860,13 +905,14 @@
     violations.extend(site.workers.violations().iter().map(ToString::to_string));
     println!(
         "{kind:?}, seed {seed}: {busiest}; {} connections to workers; {} jobs accepted, all asked for {:?} after the traffic; answers {:?}, cut within \
-         the slack {:?}; this process late by up to {:?}; load {}",
+         the slack {:?}; this process late by up to {:?}; at most {}% of a share; load {}",
         site.workers.connections_opened(),
         lock(&shared.accepted).len(),
         traffic_ended.elapsed(),
         lock(&shared.answers),
         lock(&shared.cut_soon),
         lock(&shared.late),
+        lock(&shared.most_of_share_percent),
         load(),
     );
     for cut in lock(&shared.notes)
@@ -969,6 +1015,17 @@
     }
 }
 
+/// No accepted job is lost at the large site where all strong VMs end at once, so that a small one plans.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_job_is_lost_after_all_strong_vms_have_gone() {
+    if !shape().is_large {
+        return;
+    }
+    for seed in seeds_or(&TROUBLE_SEEDS) {
+        play(Kind::StrongVmsGone, shape(), seed, length(TROUBLE_SECONDS)).await;
+    }
+}
+
 /// No accepted job is lost or runs twice where daemons stall meanwhile, also the planner.
 #[tokio::test(flavor = "multi_thread")]
 async fn no_job_is_lost_while_daemons_stall() {
--- a/crates/stairstalld/tests/planned/planned_work/large.rs
+++ b/crates/stairstalld/tests/planned/planned_work/large.rs
@@ -10,6 +10,7 @@
 use serde_json::{Value, json};
 use stairstall_platform_standin::{Capacity, Deployment, RunRecord, StandinStore, StandinWorkers};
 
+use super::processor_limit::PERIOD;
 use super::{Accepted, CALM_BEFORE, MAX_CRASHES, MAX_IDLE, Shape, Shared, lock, time_of_day};
 use crate::idle::{done_tasks, due_step, fits_twice};
 use crate::jobs::{Job, Jobs, Kind};
@@ -108,9 +109,24 @@
     ZONES[number % ZONES.len()]
 }
 
+/// Returns whether a VM is a strong one. `STAIRSTALL_PLANNED_VMS=small` makes all of them small.
+pub(super) fn is_strong(number: usize) -> bool {
+    let are_all_small = std::env::var("STAIRSTALL_PLANNED_VMS").is_ok_and(|vms| vms == "small");
+    !are_all_small && (number / ZONES.len()).is_multiple_of(STRONG_ONE_IN)
+}
+
+/// Returns the processor time that a VM gives its daemon in each period, if daemons are held to it:
+/// `STAIRSTALL_PLANNED_HELD` says to how many percent of it.
+pub(super) fn held_share(is_strong: bool) -> Option<Duration> {
+    let held = std::env::var("STAIRSTALL_PLANNED_HELD").ok()?;
+    let held: u32 = held.parse().ok()?;
+    let [cpu, ..] = if is_strong { STRONG } else { SMALL };
+    let cpu: u32 = cpu.parse().ok()?;
+    Some(PERIOD * cpu * held / 10_000)
+}
+
 /// Returns the flags of a VM's daemon.
-pub(super) fn flags_of(number: usize) -> Vec<&'static str> {
-    let is_strong = (number / ZONES.len()).is_multiple_of(STRONG_ONE_IN);
+pub(super) fn flags_of(is_strong: bool) -> Vec<&'static str> {
     let [cpu, memory, files, link] = if is_strong { STRONG } else { SMALL };
     let own = [
         "--cpu-percent",
--- a/crates/stairstalld/tests/planned/planned_work/troubles.rs
+++ b/crates/stairstalld/tests/planned/planned_work/troubles.rs
@@ -1,6 +1,7 @@
 //! Draws what goes wrong on real machines beside planned work, and carries it out.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use nix::sys::signal::Signal;
@@ -35,6 +36,8 @@
     SmallVms,
     /// Daemons stall too.
     Stalls,
+    /// Planned work while all strong VMs end at once and stay away.
+    StrongVmsGone,
     /// Daemons stall and are killed; the store, links and workers fail.
     Failures,
 }
@@ -106,6 +109,10 @@
 
     /// Draws troubles in windows until a time, then waits for the last of them to end.
     pub(super) async fn run(mut self, until: Instant) {
+        if self.kind == Kind::StrongVmsGone {
+            self.end_strong_vms(until).await;
+            return;
+        }
         if !self.kind.has_stalls() {
             return;
         }
@@ -173,6 +180,39 @@
         }
     }
 
+    /// Kills the daemons of all strong VMs at once, after a third of the time that is left. Small VMs
+    /// take their places at the end of it.
+    async fn end_strong_vms(&mut self, until: Instant) {
+        let left = until.saturating_duration_since(Instant::now());
+        tokio::time::sleep(left / 3).await;
+        self.shared.strong_vms_gone.store(true, Ordering::SeqCst);
+        let disturbance = Calm::disturb(&self.shared.calm);
+        let strong = self.take(&self.strong_vms());
+        let mut gone = Vec::new();
+        for (index, mut daemon) in strong {
+            let what = format!("kill of strong {index}, {}", daemon.address);
+            self.shared.note(&what);
+            daemon.kill().await;
+            gone.push((index, daemon));
+        }
+        drop(disturbance);
+        tokio::time::sleep_until(until.into()).await;
+        for (index, mut daemon) in gone {
+            lock(&self.shared.ready).remove(&index);
+            *daemon = start_daemon(self.kind, &self.store, &self.shared).await;
+        }
+    }
+
+    /// Returns the daemons on strong VMs, except those that are being stopped.
+    fn strong_vms(&self) -> Vec<usize> {
+        let strong = lock(&self.shared.strong);
+        let is_strong = |index: &usize| {
+            let daemon = self.daemons[*index].try_lock();
+            daemon.is_ok_and(|daemon| strong.contains(&daemon.address))
+        };
+        (0..self.daemons.len()).filter(is_strong).collect()
+    }
+
     /// Kills all daemons at once; they are started again.
     fn strike_all(&mut self) {
         let away_ms = self.ms(100..1_000);
