--- a/crates/stairstalld/tests/planned/planned_work/troubles.rs
+++ b/crates/stairstalld/tests/planned/planned_work/troubles.rs
@@ -24,6 +24,9 @@
 /// Stalls that are the most frequent, in milliseconds.
 const SHORT_STALL_MS: std::ops::Range<u64> = 200..1_800;
 
+/// How often it is looked whether a strong VM is left after the others have ended.
+const STRONG_VMS_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// How long a worker that has left is away until the next comes.
 const LEFT_FOR: Duration = Duration::from_millis(800);
 
@@ -180,23 +183,23 @@
         }
     }
 
-    /// Kills the daemons of all strong VMs at once, after a third of the time that is left. Small VMs
-    /// take their places at the end of it.
+    /// Kills the daemons of all strong VMs at once, after a third of the time that is left; those that
+    /// are being stopped or started then, right after that. Small VMs take their places at the end.
     async fn end_strong_vms(&mut self, until: Instant) {
         let left = until.saturating_duration_since(Instant::now());
         tokio::time::sleep(left / 3).await;
         self.shared.strong_vms_gone.store(true, Ordering::SeqCst);
-        let disturbance = Calm::disturb(&self.shared.calm);
-        let strong = self.take(&self.strong_vms());
         let mut gone = Vec::new();
-        for (index, mut daemon) in strong {
-            let what = format!("kill of strong {index}, {}", daemon.address);
-            self.shared.note(&what);
-            daemon.kill().await;
-            gone.push((index, daemon));
+        while Instant::now() < until {
+            for (index, mut daemon) in self.take(&self.strong_vms()) {
+                let _disturbance = Calm::disturb(&self.shared.calm);
+                let what = format!("kill of strong {index}, {}", daemon.address);
+                self.shared.note(&what);
+                daemon.kill().await;
+                gone.push((index, daemon));
+            }
+            tokio::time::sleep(STRONG_VMS_CHECK_INTERVAL).await;
         }
-        drop(disturbance);
-        tokio::time::sleep_until(until.into()).await;
         for (index, mut daemon) in gone {
             lock(&self.shared.ready).remove(&index);
             *daemon = start_daemon(self.kind, &self.store, &self.shared).await;
