test: what a held daemon used is measured beside the limiter

Cause: clippy found a field that only one of the limiter's two users read, and unchecked subtractions of durations. Change: the limiter only limits; a loop beside it measures each second.

--- a/crates/stairstalld/tests/planned/planned_work.rs
+++ b/crates/stairstalld/tests/planned/planned_work.rs
@@ -40,7 +40,6 @@
 
 use calm::Calm;
 use open_connection::{Exchange, OpenConnection};
-use processor_limit::Held;
 use troubles::{Kind, Troubles};
 
 /// Longest time between a request's last byte and the end of its connection without an answer.
@@ -72,7 +71,9 @@
 /// of the time in the small shape.
 const SMALL_VM_SHARE: Duration = Duration::from_millis(25);
 /// What a daemon uses of its share, in percent, that is noted.
-const MUCH_OF_SHARE_PERCENT: u128 = 60;
+const MUCH_OF_SHARE_PERCENT: f64 = 60.0;
+/// How often it is measured what a daemon used of its share.
+const SHARE_MEASURED_INTERVAL: Duration = Duration::from_secs(1);
 /// How often it is looked how late this process itself is.
 const LATENESS_INTERVAL: Duration = Duration::from_millis(50);
 /// How long callers wait for an answer.
@@ -159,7 +160,7 @@
     /// Whether the strong VMs have ended: those that start are small.
     strong_vms_gone: AtomicBool,
     /// How much of its share a daemon that was held to one had, at most.
-    most_of_share_percent: Mutex<u128>,
+    most_of_share_percent: Mutex<f64>,
     /// Since when under half of the accelerators have been in use, if they are.
     half_empty_since: Mutex<Option<Instant>>,
     /// Who accepted a job last.
@@ -792,24 +793,36 @@
 
 /// Gives a daemon the processor time of its VM and counts how often it stood still for that.
 async fn limit_processor(id: u32, name: String, share: Duration, shared: Arc<Shared>) {
-    let mut stops = 0;
-    processor_limit::limit(id, share, |held| match held {
-        Held::Stopped => {
-            stops += 1;
-            shared.count("standing still for a share that is used up".to_owned());
-        }
-        Held::Used(percent) => {
+    let stops = AtomicUsize::new(0);
+    let limited = processor_limit::limit(id, share, || {
+        stops.fetch_add(1, Ordering::SeqCst);
+        shared.count("standing still for a share that is used up".to_owned());
+    });
+    tokio::join!(limited, measure_share(id, &name, share, &shared, &stops));
+}
+
+/// Notes how much of its share a daemon uses that is held to one, until it ends.
+async fn measure_share(id: u32, name: &str, share: Duration, shared: &Shared, stops: &AtomicUsize) {
+    let mut before = (Instant::now(), Duration::ZERO);
+    while let Some((used, _)) = processor_limit::processor_times(id) {
+        let now = Instant::now();
+        let periods = (now - before.0).as_secs_f64() / processor_limit::PERIOD.as_secs_f64();
+        let in_this_time = used.saturating_sub(before.1);
+        let percent = 100.0 * in_this_time.as_secs_f64() / (share.as_secs_f64() * periods);
+        let stops = stops.swap(0, Ordering::SeqCst);
+        // The first look only says what it used before.
+        if !before.1.is_zero() {
             let mut most = lock(&shared.most_of_share_percent);
             *most = percent.max(*most);
             if percent >= MUCH_OF_SHARE_PERCENT {
                 shared.note(&format!(
-                    "{name} used {percent}% of its share, stood still {stops} times"
+                    "{name} used {percent:.0}% of its share, stood still {stops} times"
                 ));
             }
-            stops = 0;
         }
-    })
-    .await;
+        before = (now, used);
+        tokio::time::sleep(SHARE_MEASURED_INTERVAL).await;
+    }
 }
 
 /// Gives new connections to the daemons that are ready; one that misses twice gets none.
@@ -905,7 +918,7 @@
     violations.extend(site.workers.violations().iter().map(ToString::to_string));
     println!(
         "{kind:?}, seed {seed}: {busiest}; {} connections to workers; {} jobs accepted, all asked for {:?} after the traffic; answers {:?}, cut within \
-         the slack {:?}; this process late by up to {:?}; at most {}% of a share; load {}",
+         the slack {:?}; this process late by up to {:?}; at most {:.0}% of a share; load {}",
         site.workers.connections_opened(),
         lock(&shared.accepted).len(),
         traffic_ended.elapsed(),
--- a/crates/stairstalld/tests/planned/planned_work/processor_limit.rs
+++ b/crates/stairstalld/tests/planned/planned_work/processor_limit.rs
@@ -10,42 +10,24 @@
 pub(super) const PERIOD: Duration = Duration::from_millis(100);
 /// Shortest time between two looks at how much was used.
 const SHORTEST_POLL: Duration = Duration::from_millis(1);
-/// Over how many periods it is measured how much of its share a process had.
-const MEASURED_PERIODS: u32 = 10;
-
-/// What is said of a process that is limited.
-#[derive(Debug, Clone, Copy)]
-pub(super) enum Held {
-    /// It stands still until the next period: its share is used up.
-    Stopped,
-    /// It had so much of its share over some periods, in percent.
-    Used(u128),
-}
-
 /// Stops a child of this process by signal whenever it has used its share of a period, until it ends.
 ///
 /// A process that runs all the time uses what is left no sooner than after so long: the next look
 /// comes then. What it uses beyond its share is taken from the next periods.
-pub(super) async fn limit(id: u32, share: Duration, mut on: impl FnMut(Held)) {
+pub(super) async fn limit(id: u32, share: Duration, mut on_stop: impl FnMut()) {
     let mut period_ends = Instant::now() + PERIOD;
     let Some(mut used_before) = processor_time(id) else {
         return;
     };
-    let mut measured_from = (Instant::now(), used_before);
     while let Some(used) = processor_time(id) {
         let now = Instant::now();
         while now >= period_ends {
             period_ends += PERIOD;
             used_before = used.min(used_before + share);
         }
-        let measured = now - measured_from.0;
-        if measured >= PERIOD * MEASURED_PERIODS {
-            on(Held::Used(percent(used - measured_from.1, share, measured)));
-            measured_from = (now, used);
-        }
-        let left = share.saturating_sub(used - used_before);
+        let left = share.saturating_sub(used.saturating_sub(used_before));
         if left.is_zero() {
-            on(Held::Stopped);
+            on_stop();
             signal_child(id, Signal::SIGSTOP);
             tokio::time::sleep_until(period_ends.into()).await;
             signal_child(id, Signal::SIGCONT);
@@ -55,12 +37,6 @@
     }
 }
 
-/// Returns how much of a share for each period was used in a time, in percent.
-fn percent(used: Duration, share: Duration, time: Duration) -> u128 {
-    let due = share.as_micros() * time.as_micros() / PERIOD.as_micros();
-    used.as_micros() * 100 / due.max(1)
-}
-
 fn processor_time(id: u32) -> Option<Duration> {
     processor_times(id).map(|(ran, _)| ran)
 }
--- a/crates/stairstalld/tests/site/site.rs
+++ b/crates/stairstalld/tests/site/site.rs
@@ -147,7 +147,7 @@
     let daemon = Daemon::start_in(zone, &format!("vm-{number}"), store, &flags).await;
     if let Some(id) = daemon.id().filter(|_| limits_processors) {
         let share = processor_limit::PERIOD * vm.core_percent / 100;
-        tokio::spawn(processor_limit::limit(id, share, |_| {}));
+        tokio::spawn(processor_limit::limit(id, share, || {}));
     }
     daemon
 }
