--- a/crates/stairstalld/tests/planned/planned_work/processor_limit.rs
+++ b/crates/stairstalld/tests/planned/planned_work/processor_limit.rs
@@ -8,28 +8,32 @@
 
 /// How often a share is given out anew.
 pub(super) const PERIOD: Duration = Duration::from_millis(100);
-/// How often it is looked how much was used.
-const POLL: Duration = Duration::from_millis(4);
-
+/// Shortest time between two looks at how much was used.
+const SHORTEST_POLL: Duration = Duration::from_millis(1);
 /// Stops a child of this process by signal whenever it has used its share of a period, until it ends.
+///
+/// A process that runs all the time uses what is left no sooner than after so long: the next look
+/// comes then. What it uses beyond its share is taken from the next periods.
 pub(super) async fn limit(id: u32, share: Duration, mut on_stop: impl FnMut()) {
     let mut period_ends = Instant::now() + PERIOD;
     let Some(mut used_before) = processor_time(id) else {
         return;
     };
     while let Some(used) = processor_time(id) {
-        if Instant::now() >= period_ends {
-            period_ends = Instant::now() + PERIOD;
-            used_before = used;
+        let now = Instant::now();
+        while now >= period_ends {
+            period_ends += PERIOD;
+            used_before = used.min(used_before + share);
         }
-        if used.saturating_sub(used_before) < share {
-            tokio::time::sleep(POLL).await;
-            continue;
+        let left = share.saturating_sub(used.saturating_sub(used_before));
+        if left.is_zero() {
+            on_stop();
+            signal_child(id, Signal::SIGSTOP);
+            tokio::time::sleep_until(period_ends.into()).await;
+            signal_child(id, Signal::SIGCONT);
+        } else {
+            tokio::time::sleep(left.max(SHORTEST_POLL)).await;
         }
-        on_stop();
-        signal_child(id, Signal::SIGSTOP);
-        tokio::time::sleep_until(period_ends.into()).await;
-        signal_child(id, Signal::SIGCONT);
     }
 }
 
--- a/crates/stairstalld/tests/planned/planned_work/troubles.rs
+++ b/crates/stairstalld/tests/planned/planned_work/troubles.rs
@@ -1,6 +1,7 @@
 //! Draws what goes wrong on real machines beside planned work, and carries it out.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use nix::sys::signal::Signal;
@@ -23,6 +24,9 @@
 /// Stalls that are the most frequent, in milliseconds.
 const SHORT_STALL_MS: std::ops::Range<u64> = 200..1_800;
 
+/// How often it is looked whether a strong VM is left after the others have ended.
+const STRONG_VMS_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// How long a worker that has left is away until the next comes.
 const LEFT_FOR: Duration = Duration::from_millis(800);
 
@@ -35,6 +39,8 @@
     SmallVms,
     /// Daemons stall too.
     Stalls,
+    /// Planned work while all strong VMs end at once and stay away.
+    StrongVmsGone,
     /// Daemons stall and are killed; the store, links and workers fail.
     Failures,
 }
@@ -106,6 +112,10 @@
 
     /// Draws troubles in windows until a time, then waits for the last of them to end.
     pub(super) async fn run(mut self, until: Instant) {
+        if self.kind == Kind::StrongVmsGone {
+            self.end_strong_vms(until).await;
+            return;
+        }
         if !self.kind.has_stalls() {
             return;
         }
@@ -173,6 +183,39 @@
         }
     }
 
+    /// Kills the daemons of all strong VMs at once, after a third of the time that is left; those that
+    /// are being stopped or started then, right after that. Small VMs take their places at the end.
+    async fn end_strong_vms(&mut self, until: Instant) {
+        let left = until.saturating_duration_since(Instant::now());
+        tokio::time::sleep(left / 3).await;
+        self.shared.strong_vms_gone.store(true, Ordering::SeqCst);
+        let mut gone = Vec::new();
+        while Instant::now() < until {
+            for (index, mut daemon) in self.take(&self.strong_vms()) {
+                let _disturbance = Calm::disturb(&self.shared.calm);
+                let what = format!("kill of strong {index}, {}", daemon.address);
+                self.shared.note(&what);
+                daemon.kill().await;
+                gone.push((index, daemon));
+            }
+            tokio::time::sleep(STRONG_VMS_CHECK_INTERVAL).await;
+        }
+        for (index, mut daemon) in gone {
+            lock(&self.shared.ready).remove(&index);
+            *daemon = start_daemon(self.kind, &self.store, &self.shared).await;
+        }
+    }
+
+    /// Returns the daemons on strong VMs, except those that are being stopped.
+    fn strong_vms(&self) -> Vec<usize> {
+        let strong = lock(&self.shared.strong);
+        let is_strong = |index: &usize| {
+            let daemon = self.daemons[*index].try_lock();
+            daemon.is_ok_and(|daemon| strong.contains(&daemon.address))
+        };
+        (0..self.daemons.len()).filter(is_strong).collect()
+    }
+
     /// Kills all daemons at once; they are started again.
     fn strike_all(&mut self) {
         let away_ms = self.ms(100..1_000);
