--- a/crates/stairstall-core/src/batch/planner/idle_jobs.rs
+++ b/crates/stairstall-core/src/batch/planner/idle_jobs.rs
@@ -21,6 +21,10 @@
 /// search goes through the fleet, and hundreds of jobs may wait behind a reservation.
 const SEARCH_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Number of idle jobs that a pass searches capacity for ahead of other work. Each search goes
+/// through the fleet for a single task or gang.
+const MAX_IDLE_SEARCHES: usize = 8;
+
 /// How many times over a step has to fit so that its job counts as idle beside capacity. What fits
 /// only once may be meant for other work.
 const FITS_TIMES: u32 = 2;
@@ -170,12 +174,14 @@
             .filter(|(idle_time, _)| *idle_time >= limit)
             .collect();
         idle.sort_by_key(|(idle_time, _)| std::cmp::Reverse(*idle_time));
+        let mut searches = 0;
         for (_, candidate) in idle {
-            if self.is_start_window_used_up(candidate, pass) {
+            if searches == MAX_IDLE_SEARCHES || self.is_start_window_used_up(candidate, pass) {
                 return;
             }
             let scopes = self.idle_scopes(candidate, pass, now);
             if !scopes.is_empty() {
+                searches += 1;
                 self.place_step_within(candidate, Some(scopes), pass, now);
             }
         }
--- a/crates/stairstall-core/tests/batch/review_pacing.rs
+++ b/crates/stairstall-core/tests/batch/review_pacing.rs
@@ -72,7 +72,7 @@
         listed.draining = false;
         listed.remaining_ms = None;
     }
-    fleet.succeed(&[accepted.clone()]);
+    fleet.succeed(std::slice::from_ref(&accepted));
     fleet.writes = true;
     fleet.pass(3_000);
     assert_eq!(
