--- a/crates/stairstall-core/src/batch/planner.rs
+++ b/crates/stairstall-core/src/batch/planner.rs
@@ -136,9 +136,8 @@
     last_new_report_at: Option<Timestamp>,
     /// Workers to ask for a report immediately.
     workers_to_poll: Vec<WorkerId>,
-    /// Zones in which a worker has become unresponsive, and until when they are checked. `None`
-    /// until the first check after that.
-    zones_to_check: BTreeMap<ZoneId, Option<Timestamp>>,
+    /// Zones in which a worker has become unresponsive since they were last checked.
+    zones_to_check: BTreeSet<ZoneId>,
     /// The guaranteed jobs when the ranks of runs were last set. `None` if a run was adopted or
     /// restored since then.
     ranked_guaranteed_jobs: Option<BTreeSet<JobId>>,
@@ -205,7 +204,7 @@
             first_tick_at: None,
             last_new_report_at: None,
             workers_to_poll: Vec::new(),
-            zones_to_check: BTreeMap::new(),
+            zones_to_check: BTreeSet::new(),
             ranked_guaranteed_jobs: None,
             worker_set_version: 0,
             has_urgent_arrival: false,
--- a/crates/stairstall-core/src/batch/planner/contact.rs
+++ b/crates/stairstall-core/src/batch/planner/contact.rs
@@ -272,57 +272,32 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        let was_in_contact = worker.is_in_contact();
-        worker.set_contact(false);
-        if !was_in_contact {
+        if !worker.is_in_contact() {
             return;
         }
+        worker.set_contact(false);
         let zone = worker.listed.zone.clone();
         self.workers_to_poll.push(id.clone());
         self.mark_timelines_changed_at(id);
         self.decisions.push(Decision::of_worker(id, "unresponsive"));
-        self.zones_to_check.insert(zone, None);
+        self.zones_to_check.insert(zone);
     }
 
     /// Marks the workers of a zone as unresponsive, except those that have answered recently, if
-    /// one of its workers has become unresponsive and the zone is suspect.
+    /// enough of its workers are unresponsive and one of them became so since the last check.
     ///
     /// When a zone is lost, its workers fall silent one by one. A check for each of them would take
     /// time that grows with the square of the fleet.
     pub(super) fn check_suspect_zones(&mut self, now: Now) {
-        let window = self.recent_contact();
-        for (zone, check_until) in std::mem::take(&mut self.zones_to_check) {
-            let check_until = check_until.unwrap_or(now.at + window);
-            if self.is_zone_suspect(&zone, window, now) {
-                self.mark_unresponsive_where(|worker| worker.listed.zone == zone, window, now);
-            } else if now.at < check_until {
-                // Answers from before the zone was lost may still count as recent.
-                self.zones_to_check.insert(zone, Some(check_until));
-            }
-        }
-    }
-
-    /// Returns whether a zone may be lost: enough of its workers are silent, and they are more than
-    /// have answered recently.
-    ///
-    /// Where the planner or single workers are slow, some answers are late, but the other workers of
-    /// the zone still answer: the more of them there are, the more answers come in. After the loss
-    /// of a zone, nothing answers there.
-    fn is_zone_suspect(&self, zone: &ZoneId, window: Duration, now: Now) -> bool {
         let threshold = usize::from(self.policy.health.suspect_zone_workers);
-        let in_zone = || self.workers.values().filter(|w| w.listed.zone == *zone);
-        let silent = in_zone().filter(|w| w.is_silent()).count();
-        if silent < threshold {
-            return false;
+        for zone in std::mem::take(&mut self.zones_to_check) {
+            let is_unresponsive_there =
+                |w: &&Worker| !w.is_in_contact() && w.is_listed && w.listed.zone == zone;
+            let unresponsive = self.workers.values().filter(is_unresponsive_there);
+            if unresponsive.take(threshold).count() >= threshold {
+                self.mark_zone_unresponsive(&zone, now);
+            }
         }
-        let answering = in_zone().filter(|w| w.has_answered_within(window, now.at));
-        silent > answering.filter(|w| w.is_in_contact()).count()
-    }
-
-    /// Returns within what time an answer counts as recent. A planner that is late has handled none
-    /// of the answers that came in meanwhile.
-    fn recent_contact(&self) -> Duration {
-        self.policy.health.recent_contact + self.own_load.lateness
     }
 
     /// Marks a worker as unresponsive because an order about a run got no answer, unless the worker
@@ -330,8 +305,8 @@
     /// late.
     ///
     /// Marking a worker without need is costly. It gets no work until its next report. Three such
-    /// workers at once (the default of `suspect_zone_workers`) make their whole zone unresponsive
-    /// if fewer have answered there recently, and no planned run is started there then.
+    /// workers at once (the default of `suspect_zone_workers`) make their whole zone unresponsive,
+    /// and no planned run is started there then.
     pub(super) fn mark_unresponsive_unless_answered(&mut self, id: &WorkerId, task: &TaskKey) {
         let Some(worker) = self.workers.get(id) else {
             return;
@@ -344,6 +319,11 @@
         }
     }
 
+    /// Marks the workers of a zone as unresponsive, except those that have answered recently.
+    fn mark_zone_unresponsive(&mut self, zone: &ZoneId, now: Now) {
+        self.mark_unresponsive_where(|worker| worker.listed.zone == *zone, now);
+    }
+
     /// Marks the idle workers as unresponsive, except those that have answered recently, so that
     /// they are polled before they get new work. Called when a start outcome shows that the
     /// directory is outdated. Workers with runs are polled all the time anyway.
@@ -351,24 +331,24 @@
     /// Without this, a task may be sent to one worker after another whose incarnation has ended, as
     /// with four workers within 45 ms.
     pub(super) fn mark_idle_workers_unresponsive(&mut self, now: Now) {
-        let window = self.policy.health.recent_contact;
-        self.mark_unresponsive_where(|worker| !worker.is_busy(), window, now);
+        self.mark_unresponsive_where(|worker| !worker.is_busy(), now);
     }
 
-    /// Marks the workers that pass a test as unresponsive, except those that have answered within
-    /// `window`.
-    fn mark_unresponsive_where(
-        &mut self,
-        test: impl Fn(&Worker) -> bool,
-        window: Duration,
-        now: Now,
-    ) {
-        let workers = self.workers.values_mut();
-        let to_mark = workers
+    /// Marks the workers that pass a test as unresponsive, except those that have answered
+    /// recently.
+    fn mark_unresponsive_where(&mut self, test: impl Fn(&Worker) -> bool, now: Now) {
+        let recent_contact = self.policy.health.recent_contact;
+        let to_mark = self
+            .workers
+            .values_mut()
             .filter(|w| w.is_in_contact() && test(w))
-            .filter(|w| !w.has_answered_within(window, now.at));
+            .filter(|w| {
+                w.incarnation_state
+                    .last_answer_at
+                    .is_none_or(|at| now.at - at > recent_contact)
+            });
         for worker in to_mark {
-            worker.presume_silent();
+            worker.set_contact(false);
             self.workers_to_poll.push(worker.listed.id.clone());
         }
     }
--- a/crates/stairstall-core/src/batch/planner/pool.rs
+++ b/crates/stairstall-core/src/batch/planner/pool.rs
@@ -48,8 +48,6 @@
     occupied: Resources,
     /// Whether the worker answers; `false` while it is unresponsive.
     contact: bool,
-    /// Whether it is unresponsive only because of other workers, and was not called since.
-    is_presumed_silent: bool,
     /// Whether the planner keeps in contact with it, as far as its VM can hold connections.
     is_selected: bool,
     /// Whether a report was requested and the request has neither been answered nor failed.
@@ -85,7 +83,6 @@
             has_unsettled: false,
             occupied: Resources::default(),
             contact: true,
-            is_presumed_silent: false,
             is_selected: true,
             report_pending: false,
             lease_until: None,
@@ -323,25 +320,6 @@
 
     pub(super) const fn set_contact(&mut self, contact: bool) {
         self.contact = contact;
-        self.is_presumed_silent = false;
-    }
-
-    /// Marks it as unresponsive because of other workers.
-    pub(super) const fn presume_silent(&mut self) {
-        self.contact = false;
-        self.is_presumed_silent = true;
-    }
-
-    /// Returns whether it should answer, but a call to it got no answer.
-    pub(super) const fn is_silent(&self) -> bool {
-        let is_expected = self.is_listed && self.is_selected;
-        is_expected && !self.contact && !self.is_presumed_silent
-    }
-
-    /// Returns whether it has answered within `window`.
-    pub(super) fn has_answered_within(&self, window: Duration, at: Timestamp) -> bool {
-        let last = self.incarnation_state.last_answer_at;
-        last.is_some_and(|last| at - last <= window)
     }
 
     pub(super) const fn is_selected(&self) -> bool {
--- a/crates/stairstall-core/src/batch/policy/health.rs
+++ b/crates/stairstall-core/src/batch/policy/health.rs
@@ -24,7 +24,7 @@
     #[serde(with = "super::millis")]
     pub suspect_after_stall: Duration,
     /// Number of silent workers in a zone from which every worker of the zone counts as
-    /// unresponsive until it answers, if more are silent there than have answered recently.
+    /// unresponsive until it answers.
     #[serde(rename = "doubtful_zone")]
     pub suspect_zone_workers: u16,
     /// Whether a worker that reports stays responsive although an order to it got no answer.
