--- a/crates/stairstall-core/tests/batch/pacing.rs
+++ b/crates/stairstall-core/tests/batch/pacing.rs
@@ -9,7 +9,7 @@
 use crate::idle_jobs::{MAX_IDLE_MS, PATIENCE_MS, TICK_MS, fleet, hand_in, lasting};
 
 /// A VM that announces an eighth of a core: 45 starts at a time.
-const WEAK: VmLimits = VmLimits {
+pub(crate) const WEAK: VmLimits = VmLimits {
     cpu_percent: 12,
     link_bytes_per_s: 125_000_000,
     memory_bytes: u64::MAX,
@@ -17,8 +17,8 @@
 };
 const ANNOUNCED_WINDOW: usize = 45;
 /// Share of the time in which a process with time to spare is busy, and a saturated one, in percent.
-const SPARE: u32 = 30;
-const SATURATED: u32 = 100;
+pub(crate) const SPARE: u32 = 30;
+pub(crate) const SATURATED: u32 = 100;
 
 fn weak_fleet() -> Fleet {
     fleet(20, WEAK, bounds())
@@ -30,7 +30,7 @@
 }
 
 /// Plans, lets the places be written down, and returns the starts that then go out.
-fn starts(fleet: &mut Fleet) -> Vec<Order> {
+pub(crate) fn starts(fleet: &mut Fleet) -> Vec<Order> {
     let now = fleet.now();
     fleet
         .planner
--- a/crates/stairstall-core/tests/batch/review_pacing.rs
+++ b/crates/stairstall-core/tests/batch/review_pacing.rs
@@ -7,29 +7,7 @@
 
 use crate::harness::{Fleet, bounds, job, step, task};
 use crate::idle_jobs::{MAX_IDLE_MS, PATIENCE_MS, TICK_MS, fleet, hand_in, lasting};
-
-const WEAK: VmLimits = VmLimits {
-    cpu_percent: 12,
-    link_bytes_per_s: 125_000_000,
-    memory_bytes: u64::MAX,
-    open_files: u64::MAX,
-};
-const SPARE: u32 = 30;
-const SATURATED: u32 = 100;
-
-/// Plans, lets the places be written down, and returns the starts that then go out.
-fn starts(fleet: &mut Fleet) -> Vec<Order> {
-    let now = fleet.now();
-    fleet
-        .planner
-        .set_evacuated_zones(BTreeSet::new(), now.at, now);
-    fleet.hold_all();
-    fleet.planner.tick(now);
-    fleet.write_all();
-    let orders = fleet.planner.tick(now);
-    let is_start = |order: &Order| matches!(order.kind, OrderKind::Start { .. });
-    orders.into_iter().filter(is_start).collect()
-}
+use crate::pacing::{SATURATED, SPARE, WEAK, starts};
 
 fn answer(fleet: &mut Fleet, orders: &[Order]) {
     for order in orders {
