review: jobs on a queue with advice never run on minions that came back (case 5)

Cause: an incarnation that may not list its first ends gets a verification run only, and none is placed for a step that needs tickets. Case: the planner is killed; then two of 16 minions crash and come back under their ids. A job that requires their label comes 20 s later.

--- a/review/standin-2/bed.py
+++ b/review/standin-2/bed.py
@@ -271,17 +271,23 @@
             return 100 if ran > 0.2 else 0
         return min(99, int(100 * ran / max(self.work_s, 0.001)))
 
+    def figure(self):
+        """The tail of its answers in ms if it serves, a quarter of its target; otherwise its CPU."""
+        target_ms = self.step.get("targetMs", 0)
+        return target_ms // 4 if target_ms else self.step.get("cpu", 0)
+
 
 class Minion:
     """A life of a machine. Its tasks run as long as the case's table of jobs says."""
 
     serial = 0
 
-    def __init__(self, bed, machine, zone, rack, capacity, port=0):
+    def __init__(self, bed, machine, zone, rack, capacity, port=0, kind="a", former_id=None):
         Minion.serial += 1
         self.bed, self.machine, self.zone, self.rack = bed, machine, zone, rack
-        self.capacity, self.wanted_port = capacity, port
-        self.id = f"i-{Minion.serial:08x}"
+        self.capacity, self.wanted_port, self.kind = capacity, port, kind
+        self.id = former_id or f"i-{Minion.serial:08x}"
+        self.born_unix_ms = int(time.time() * 1000)
         self.born = time.monotonic()
         self.fence = 0
         self.deadline_ms = 0
@@ -309,12 +315,14 @@
             "state": self.state,
             "coldLeftMs": 0,
             "capacity": self.capacity,
-            "labels": ["a", self.rack],
+            "labels": [self.kind, self.rack],
             "clockMs": self.clock_ms(),
             "seq": int((time.monotonic() - self.born) / HEARTBEAT_S),
         }
         if self.remaining_ms is not None:
             entry["remainingMs"] = self.remaining_ms
+        if self.bed.names_born:
+            entry["born"] = self.born_unix_ms
         self.bed.store.beats[f"servers/{self.id}"] = time.monotonic()
         self.bed.store.put(f"servers/{self.id}", entry)
 
@@ -354,10 +362,12 @@
             self.deadline_ms = max(self.deadline_ms, cut)
 
     def used(self):
+        """What its tasks take of its room; the CPU of those that fill is not counted."""
         total = {"cpu": 0, "memMb": 0, "gpu": 0}
         for run in self.runs.values():
             for name in total:
-                total[name] += run.step.get(name, 0)
+                is_counted = name != "cpu" or not run.step.get("fills")
+                total[name] += run.step.get(name, 0) if is_counted else 0
         return total
 
     async def handle(self, method, path, query, headers, body):
@@ -416,8 +426,11 @@
                 await asyncio.wait_for(self.ended.wait(), wait_s)
             except asyncio.TimeoutError:
                 pass
-        running = [[r.task, r.number, "", r.percent()] for r in self.runs.values()]
-        return 200, {"clockMs": self.clock_ms(), "running": running, "finished": self.ends[:500]}
+        running = [[r.task, r.number, "", r.percent(), r.figure()] for r in self.runs.values()]
+        answer = {"clockMs": self.clock_ms(), "running": running, "finished": self.ends[:500]}
+        if self.bed.names_born:
+            answer["born"] = self.born_unix_ms
+        return 200, answer
 
     def crash(self, how="crashes"):
         """Ends this life without a word: connections break and all that runs is lost."""
@@ -454,6 +467,7 @@
             "listen": {"http": f"127.0.0.1:{self.http}", "readiness": f"127.0.0.1:{self.readiness}"},
             "portRange": self.ports,
             "platform": {"address": self.bed.store.address},
+            "advice": self.bed.advice_address,
         }
 
         def gap(match):
@@ -522,11 +536,37 @@
     return await asyncio.wait_for(exchange(), timeout)
 
 
+class Adviser:
+    """The service at `advice`: lets every minion that it is asked about run the step."""
+
+    decide_s, each_s, valid_ms = 0.02, 0.001, 3000
+
+    def __init__(self, record):
+        self.record = record
+        self.turn = asyncio.Lock()
+        self.server = HttpServer(self.handle)
+
+    async def open(self):
+        await self.server.open()
+        self.address = f"127.0.0.1:{self.server.port}"
+
+    async def handle(self, method, path, query, headers, body):
+        form = json.loads(body)
+        async with self.turn:
+            await asyncio.sleep(self.decide_s + self.each_s * len(form["workers"]))
+        self.record(f"adviser is asked for {form['step']} about {form['workers']}: good")
+        good = [[worker, f"{form['step']}-{worker}"] for worker in form["workers"]]
+        return 200, {"good": good, "validMs": self.valid_ms}
+
+
 class Bed:
     """A small deployment: a store, minions, daemons and a table of what jobs do."""
 
     service = "triage"
     host = "desk.example"
+    # Whether minions say when their life began, and may come back under their former id.
+    names_born = False
+    advice_address = ""
 
     def __init__(self, folder):
         self.folder = tempfile.mkdtemp(prefix="review-")
@@ -575,8 +615,8 @@
             "public": False,
         }
 
-    async def add_minion(self, machine, zone, rack, capacity, port=0):
-        minion = Minion(self, machine, zone, rack, capacity, port)
+    async def add_minion(self, machine, zone, rack, capacity, port=0, kind="a", former_id=None):
+        minion = Minion(self, machine, zone, rack, capacity, port, kind, former_id)
         await minion.open()
         self.minions.append(minion)
         self.record(f"minion {minion.id} of {machine} in {zone} joins")
@@ -587,10 +627,26 @@
         minion.crash()
         self.minions.remove(minion)
         await asyncio.sleep(down_s)
+        former_id = minion.id if self.names_born else None
         return await self.add_minion(
-            minion.machine, minion.zone, minion.rack, minion.capacity, minion.port
+            minion.machine, minion.zone, minion.rack, minion.capacity, minion.port, minion.kind, former_id
         )
 
+    def planner(self):
+        """Returns the daemon that gives the orders, by the record that it keeps in the store."""
+        item = self.store.items.get("stairstall/role/planner")
+        if item is None:
+            return None
+        name = json.loads(base64.b64decode(item["value"]))["vm"]
+        return next((daemon for daemon in self.daemons if daemon.name == name), None)
+
+    async def kill(self, daemon, down_s):
+        """Kills a daemon; it is started again after a while."""
+        daemon.signal(signal.SIGKILL)
+        await daemon.process.wait()
+        await asyncio.sleep(down_s)
+        await daemon.open()
+
     def holder_of(self, task):
         """Returns the minion on which a task runs."""
         for minion in self.minions:
