review: the stand-ins take free ports, and exit with 2 where a play can't run

Cause: plays side by side met each other's ports, and an error of a script would have exited with 1. Change: ports come from below those of outgoing connections; any error, a daemon that ends on its own, or SIGTERM ends a play with 2 and all of its processes.

--- a/review/standin-2/bed.py
+++ b/review/standin-2/bed.py
@@ -8,6 +8,7 @@
 import base64
 import json
 import os
+import random
 import re
 import signal
 import socket
@@ -23,6 +24,7 @@
 STOP_S = 0.2
 STORE_ANSWER_S = 0.004
 HISTORY = 20_000
+TAKEN_PORTS = set()
 SETTINGS = {
     "bounds": {
         "holdMaxMs": 10000,
@@ -56,9 +58,17 @@
 
 
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Returns a free port below those that the system gives to outgoing connections."""
+    while True:
+        port = random.randrange(10_000, 30_000)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in TAKEN_PORTS:
+            TAKEN_PORTS.add(port)
+            return port
 
 
 async def read_head(reader):
@@ -709,10 +719,17 @@
 
     async def run():
         bed = Bed(folder)
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         try:
             await bed.store.open()
-            return await asyncio.wait_for(case(bed, trouble), limit_s)
-        except (CouldNotRun, asyncio.TimeoutError, OSError) as error:
+            broken = await asyncio.wait_for(case(bed, trouble), limit_s)
+            ended = [daemon.name for daemon in bed.daemons if daemon.process.returncode is not None]
+            if ended:
+                raise CouldNotRun(f"{ended} ended during the play")
+            return broken
+        except (Exception, asyncio.CancelledError) as error:
             bed.record(f"the case could not run: {error!r}")
             return None
         finally:
