--- a/review/6/case.py
+++ b/review/6/case.py
@@ -50,9 +50,12 @@
         await asyncio.gather(*(bed.crash(minion, DOWN_S) for minion in kind_b))
     await asyncio.sleep(CALM_S)
     if await bed.submit(PREFIX, SECOND, [STEP], KEY, work_s=1.5) != 200:
-        bed.record("the second job was not accepted")
-        return ""
+        raise CouldNotRun("the second job was not accepted")
     accepted_at = bed.record.now()
+    room, share = bed.room_for(STEP), bed.share_in_use()
+    bed.record(f"room for {room} tasks of the step; {share:.2f} of the service in use")
+    if room < 2 * STEP["count"] or share >= 0.5:
+        raise CouldNotRun("there is not the room that the rule names")
     await wait_for(lambda: done(SECOND) == STEP["count"], WATCH_S)
     state = await bed.state(PREFIX, SECOND, KEY, quiet=False)
     starts = [round(start[0] - accepted_at, 3) for start in bed.starts if start[1].startswith(SECOND)]
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -50,6 +50,10 @@
         holder = bed.holder_of(f"{JOB}.0.0.0")
         holder.crash()
         bed.minions.remove(holder)
+        room, share = bed.room_for(STEP), bed.share_in_use()
+        bed.record(f"room for {room} tasks of the step; {share:.2f} of the service in use")
+        if room < 2 or share >= 0.5:
+            raise CouldNotRun("there is not the room that the rule names")
     await wait_for(all_run, WATCH_S)
     idle = sum(not minion.runs for minion in bed.minions)
     took = bed.record.now() - lost_at
--- a/review/standin-2/bed.py
+++ b/review/standin-2/bed.py
@@ -501,7 +501,7 @@
         self.process = await asyncio.create_subprocess_exec(
             os.path.join(ROOT, words[0]), *words[1:], cwd=ROOT, env=env, stdout=log, stderr=log
         )
-        self.bed.record(f"daemon {self.name} started")
+        self.bed.record(f"daemon {self.name} started as process {self.process.pid}")
 
     async def wait_ready(self, limit_s=10.0):
         until = time.monotonic() + limit_s
@@ -523,6 +523,7 @@
         if self.process and self.process.returncode is None:
             self.process.kill()
             await self.process.wait()
+            self.bed.record(f"process {self.process.pid} ended")
 
 
 async def call(port, method, path, headers=None, body=None, timeout=3.0):
@@ -664,6 +665,22 @@
                 return minion
         return None
 
+    def room_for(self, step):
+        """Returns how many tasks of a step the free room of the minions holds."""
+        count = 0
+        for minion in self.minions:
+            if step.get("requirements", minion.kind) != minion.kind:
+                continue
+            used = minion.used()
+            asked = [name for name in used if step.get(name, 0)]
+            count += min((minion.capacity[name] - used[name]) // step[name] for name in asked)
+        return count
+
+    def share_in_use(self):
+        """Returns the share of the service's GPUs that is in use."""
+        used = sum(minion.used()["gpu"] for minion in self.minions)
+        return used / sum(minion.capacity["gpu"] for minion in self.minions)
+
     async def start_daemons(self, zones):
         for index, zone in enumerate(zones):
             daemon = Daemon(self, f"edge-{zone}-{index + 1}", zone)
