feat(core): a job that is idle beyond its bound is logged with all that may keep it

Each second an overdue job now says whether it fits and when it last did not, when workers were last searched, how full the start window is, and how many of the workers on which it fits are reserved and bound.

--- a/crates/stairstall-core/src/batch/planner/flow.rs
+++ b/crates/stairstall-core/src/batch/planner/flow.rs
@@ -232,7 +232,7 @@
     }
 
     /// Returns how many starts are in flight and how many may be.
-    fn start_window_state(&self, pass: &mut Pass) -> (usize, usize) {
+    pub(super) fn start_window_state(&self, pass: &mut Pass) -> (usize, usize) {
         let window = self.start_window();
         let in_flight = *pass
             .starts_in_flight
--- a/crates/stairstall-core/src/batch/planner/idle_jobs.rs
+++ b/crates/stairstall-core/src/batch/planner/idle_jobs.rs
@@ -13,6 +13,8 @@
 use crate::time::millis;
 use crate::{JobId, ServiceId};
 
+mod overdue;
+
 /// How long a job has nothing running although a step fits before it is reported. Well above the
 /// time that a start takes.
 const IDLE_REPORTED_AFTER: Duration = Duration::from_secs(1);
--- a/crates/stairstall-core/src/batch/planner/idle_time.rs
+++ b/crates/stairstall-core/src/batch/planner/idle_time.rs
@@ -17,6 +17,8 @@
     before: Duration,
     /// Whether it was reported as idle.
     pub(super) is_reported: bool,
+    /// When it was last reported as idle beyond its bound.
+    pub(super) overdue_reported_at: Option<Timestamp>,
 }
 
 impl IdleTime {
--- a/crates/stairstall-core/src/batch/planner/placement/reservations.rs
+++ b/crates/stairstall-core/src/batch/planner/placement/reservations.rs
@@ -138,7 +138,7 @@
 
     /// Returns whether a step may use a worker: no gang of higher precedence has reserved it, or
     /// the step's task should end before that gang's earliest expected start.
-    pub(super) fn may_use_worker(
+    pub(in crate::batch::planner) fn may_use_worker(
         &self,
         candidate: &Candidate,
         step: &StepSpec,
--- a/crates/stairstall-core/src/batch/planner/queue.rs
+++ b/crates/stairstall-core/src/batch/planner/queue.rs
@@ -36,6 +36,7 @@
             self.place_step(candidate, &mut pass, now);
         }
         self.report_idle_jobs(&candidates, now);
+        self.report_overdue_jobs(&candidates, &pass.reserved, now);
         if aged.is_some_and(|key| !self.has_waiting_tasks(&key)) {
             self.last_aged_at = Some(now.at);
         }
