fix(core): a reservation whose date has passed binds no idle job

Callers saw accepted jobs stand still for 3 to 20 s beside free accelerators, all of which a gang had reserved. Cause: the date of a reservation only moves forward, so that once it has passed it was taken for near, whatever was left of the job's patience; the limit of 1.5 s began only when the *current* expected start was near, which urgent work on the reserved workers puts off again and again. What was left of 3 s, besides, was nothing: a gang bound its workers until the job had been idle for 3.0 s.

--- a/crates/stairstall-core/src/batch/planner/placement/reservations.rs
+++ b/crates/stairstall-core/src/batch/planner/placement/reservations.rs
@@ -28,6 +28,11 @@
 /// nothing running for too long.
 const BINDING_RESERVATION: Duration = Duration::from_secs(1);
 
+/// How long a job has had nothing running beside capacity when no reservation keeps workers from it any
+/// more. What is left of the 3 s after which the platform counts it as lost is for a pass, the write of
+/// its placement and the start.
+const LONGEST_BOUND_IDLE: Duration = Duration::from_millis(2_700);
+
 /// How long after such a date a gang has missed it. The workers' stops and reports take a moment.
 const MISSED_AFTER: Duration = Duration::from_millis(500);
 
@@ -158,19 +163,18 @@
     }
 
     /// Returns whether a gang keeps its workers also from a job that has had nothing running for too
-    /// long: it is expected to start soon, and has not missed such a date before. A gang that is
-    /// stopped again and again would otherwise keep them from that job for good.
-    ///
-    /// A job that has been idle for longer than most may waits for less time.
+    /// long: it is expected to start before that job has to, and has not missed such a date before. A
+    /// gang that is stopped again and again, or whose start is put off again and again, would
+    /// otherwise keep them from that job for good.
     fn is_binding(&self, reserving: &ReservingGang, candidate: &Candidate, now: Now) -> bool {
         let idle_time = self.idle_beside_capacity(&candidate.key, now);
-        let longest = self.policy.placement.max_idle + BINDING_RESERVATION;
-        let patience = longest.saturating_sub(idle_time).min(BINDING_RESERVATION);
-        let starts_soon = reserving.backfill_until <= now.at + patience;
+        let left = LONGEST_BOUND_IDLE.saturating_sub(idle_time);
+        let starts_soon = reserving.backfill_until <= now.at + left.min(BINDING_RESERVATION);
+        let has_passed = now.at - reserving.backfill_until > MISSED_AFTER;
         let bound_since = self.group_of(&reserving.gang).and_then(|g| g.bound_since);
         let has_missed =
             bound_since.is_some_and(|since| now.at - since > BINDING_RESERVATION + MISSED_AFTER);
-        starts_soon && !has_missed
+        !left.is_zero() && starts_soon && !has_passed && !has_missed
     }
 
     /// Returns whether a task of a step should end by a deadline on a worker, judged by the 90th
