fix(core): a search that the start window cut short is no search

An idle job is searched workers for every 200 ms at most. The search was noted before it was known whether a start could go out, also for a gang that had found workers and waited for the window, so that the starts that came free in the next 200 ms went to wide steps before it.

--- a/crates/stairstall-core/src/batch/planner/placement.rs
+++ b/crates/stairstall-core/src/batch/planner/placement.rs
@@ -57,9 +57,6 @@
         let has_own_scopes = scopes.is_some();
         let scopes =
             scopes.unwrap_or_else(|| self.scopes(candidate, &step, ready_since, pass, now));
-        if scopes.iter().any(|scope| !scope.yields) {
-            self.record_idle_search(key, now);
-        }
         for scope in scopes {
             let has_placed = waiting.len() < ready;
             if waiting.is_empty() || has_placed && !scope.yields {
@@ -81,8 +78,12 @@
             }
             let workers = self.candidate_workers(candidate, &step, scope, pass, now);
             let workers = self.filter_by_ticket(key, workers, waiting.len(), now);
-            let choice = search(&step, count, scope, workers, paces.as_ref())
-                .filter(|_| !step.gang || self.may_start_gang(candidate, count, pass));
+            let choice = search(&step, count, scope, workers, paces.as_ref());
+            if choice.is_none() && !scope.yields {
+                self.record_idle_search(key, now);
+            }
+            let choice =
+                choice.filter(|_| !step.gang || self.may_start_gang(candidate, count, pass));
             let choice = choice.filter(|choice| {
                 self.is_preemption_worthwhile(candidate, &step, choice, pass, now)
             });
