fix(core): a moment without room starts no wait behind a reservation anew

The planner counts places that are planned and ends it has not heard of, so it sees such moments where workers have room.

--- a/crates/stairstall-core/src/batch/planner/job.rs
+++ b/crates/stairstall-core/src/batch/planner/job.rs
@@ -80,7 +80,9 @@
     /// When its reserved workers were first kept also from jobs that had nothing running for too
     /// long.
     pub(super) bound_since: Option<Timestamp>,
-    /// When it was last seen not to fit on the free capacity beside others.
+    /// Since when it has not fitted on the free capacity beside others, if it does not.
+    pub(super) misfit_since: Option<Timestamp>,
+    /// When it last had not fitted for longer than a moment.
     pub(super) did_not_fit_at: Option<Timestamp>,
     /// When capacity was last searched for it because its job was idle for too long.
     pub(super) idle_search_at: Option<Timestamp>,
