--- a/crates/stairstall-core/src/batch/planner.rs
+++ b/crates/stairstall-core/src/batch/planner.rs
@@ -355,7 +355,7 @@
             self.replan_at = if self.has_enough_reports(now) {
                 let waits = self.plan(now);
                 self.activity.record_pass(self.flow.are_starts_limited());
-                waits.then(|| now.at + self.recheck_interval(now))
+                waits.then(|| now.at + Self::MAX_TICK_INTERVAL)
             } else {
                 Some(now.at + REPORTS_CHECK_INTERVAL)
             };
--- a/crates/stairstall-core/src/batch/planner/idle_jobs.rs
+++ b/crates/stairstall-core/src/batch/planner/idle_jobs.rs
@@ -23,19 +23,15 @@
 /// search goes through the fleet, and hundreds of jobs may wait behind a reservation.
 const SEARCH_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Longest time between two passes while a job has had nothing running for about as long as it may. What
-/// is free then may not be free at a later pass.
-const RECHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// How long a step does not fit before that ends the time for which it has fitted. The planner also
+/// counts places that are only planned and run ends that it has not heard of, so that it sees moments
+/// without capacity that the workers do not have.
+const MOMENT: Duration = Duration::from_millis(100);
 
 /// Number of idle jobs that a pass searches capacity for ahead of other work. Each search goes
 /// through the fleet for a single task or gang.
 const MAX_IDLE_SEARCHES: usize = 8;
 
-/// How long a step does not fit before that ends the time for which it has fitted. The planner also
-/// counts places that are only planned and run ends that it has not heard of, so that it sees moments
-/// without capacity that the workers do not have.
-const MOMENT: Duration = Duration::from_secs(1);
-
 /// How many times over a step has to fit so that its job counts as idle beside capacity. What fits
 /// only once may be meant for other work.
 const FITS_TIMES: u32 = 2;
@@ -171,19 +167,6 @@
         scopes
     }
 
-    /// Returns the longest time until the next pass over waiting work.
-    pub(super) fn recheck_interval(&self, now: Now) -> Duration {
-        let policy = &self.policy.placement;
-        let limit = policy.max_idle.min(policy.max_idle_when_busy);
-        let open = self.jobs.values().filter(|job| job.outcome.is_none());
-        let mut idle_times = open.map(|job| job.idle_time.duration(now.at));
-        if idle_times.any(|idle_time| idle_time + Self::MAX_TICK_INTERVAL >= limit) {
-            RECHECK_INTERVAL
-        } else {
-            Self::MAX_TICK_INTERVAL
-        }
-    }
-
     /// Starts a task, or a gang, of each job that has had nothing running for too long, the longest
     /// idle first.
     ///
@@ -239,8 +222,7 @@
     /// Returns for how long a step has been idle although it fits beside others, apart from moments.
     pub(super) fn idle_beside_capacity(&self, key: &GroupKey, now: Now) -> Duration {
         let idle_time = self.step_idle_time(key, now);
-        let group = self.group_of(key);
-        let did_not_fit_at = group.and_then(|group| group.did_not_fit_at);
+        let did_not_fit_at = self.group_of(key).and_then(|group| group.did_not_fit_at);
         did_not_fit_at.map_or(idle_time, |at| idle_time.min(now.at - at))
     }
 
@@ -324,12 +306,12 @@
 impl TaskGroup {
     /// Records whether the step fits on the free capacity beside others.
     fn record_fit(&mut self, fits: bool, at: Timestamp) {
-        let since = *self.misfit_since.get_or_insert(at);
+        let since = *self.unfit_since.get_or_insert(at);
         if at - since >= MOMENT {
             self.did_not_fit_at = Some(at);
         }
         if fits {
-            self.misfit_since = None;
+            self.unfit_since = None;
         }
     }
 }
--- a/crates/stairstall-core/src/batch/planner/job.rs
+++ b/crates/stairstall-core/src/batch/planner/job.rs
@@ -81,7 +81,7 @@
     /// long.
     pub(super) bound_since: Option<Timestamp>,
     /// Since when it has not fitted on the free capacity beside others, if it does not.
-    pub(super) misfit_since: Option<Timestamp>,
+    pub(super) unfit_since: Option<Timestamp>,
     /// When it last had not fitted for longer than a moment.
     pub(super) did_not_fit_at: Option<Timestamp>,
     /// When capacity was last searched for it because its job was idle for too long.
