fix(core): all overdue tasks that last start at once

Each task of a step that lasts has to run, but once its rack was full one of them was placed every 200 ms, as is right where one running task is enough. The tasks that have waited for too long are now placed together, the one that waits longest first.

--- a/crates/stairstall-core/src/batch/planner/idle_jobs.rs
+++ b/crates/stairstall-core/src/batch/planner/idle_jobs.rs
@@ -219,6 +219,20 @@
         longest.max(self.idle_time(&key.job, now))
     }
 
+    /// Returns how many waiting tasks of a long-running step have waited for longer than a job may be
+    /// idle.
+    pub(super) fn overdue_tasks(&self, key: &GroupKey, waiting: &[u32], now: Now) -> usize {
+        let policy = &self.policy.placement;
+        let limit = policy.max_idle.min(policy.max_idle_when_busy);
+        let Some(group) = self.group_of(key) else {
+            return 0;
+        };
+        let idle_since = waiting
+            .iter()
+            .filter_map(|index| group.tasks[*index as usize].idle_since);
+        idle_since.filter(|since| now.at - *since >= limit).count()
+    }
+
     /// Returns for how long a step has been idle although it fits beside others, apart from moments.
     pub(super) fn idle_beside_capacity(&self, key: &GroupKey, now: Now) -> Duration {
         let idle_time = self.step_idle_time(key, now);
--- a/crates/stairstall-core/src/batch/planner/placement.rs
+++ b/crates/stairstall-core/src/batch/planner/placement.rs
@@ -51,6 +51,9 @@
         if step.gang && waiting.len() != group.tasks.len() {
             return;
         }
+        if step.long_running {
+            waiting.sort_by_key(|index| group.tasks[*index as usize].idle_since);
+        }
         let mut allowance = self.accelerator_allowance(candidate, pass, now);
         let paces = self.pace_costs(candidate, &step, now);
         let ready = waiting.len();
@@ -59,13 +62,14 @@
             scopes.unwrap_or_else(|| self.scopes(candidate, &step, ready_since, pass, now));
         for scope in scopes {
             let has_placed = waiting.len() < ready;
-            if waiting.is_empty() || has_placed && !scope.yields {
+            let may_wait = !step.long_running && has_placed;
+            if waiting.is_empty() || may_wait && !scope.yields {
                 break;
             }
             let count = if scope.yields {
                 allowed_count(&step, waiting.len(), allowance)
             } else {
-                min_count(&step, waiting.len())
+                min_count(&step, waiting.len(), self.overdue_tasks(key, &waiting, now))
             };
             let count = if step.gang {
                 count
@@ -73,7 +77,13 @@
                 self.startable_tasks(candidate, count, pass)
             };
             let may_start = !step.gang || !self.is_start_window_used_up(candidate, pass);
-            if !may_start || !self.may_fit(candidate, &step, scope, count, pass, now) {
+            if !may_start || count == 0 {
+                continue;
+            }
+            if !self.may_fit(candidate, &step, scope, count, pass, now) {
+                if !scope.yields {
+                    self.record_idle_search(key, now);
+                }
                 continue;
             }
             let workers = self.candidate_workers(candidate, &step, scope, pass, now);
--- a/crates/stairstall-core/src/batch/planner/placement/choose.rs
+++ b/crates/stairstall-core/src/batch/planner/placement/choose.rs
@@ -150,9 +150,16 @@
     count.min(limit)
 }
 
-/// Returns the fewest tasks of a step with which its job has something running.
-pub(super) fn min_count(step: &StepSpec, waiting: usize) -> usize {
-    if step.gang { waiting } else { 1 }
+/// Returns the fewest tasks of a step that have to start for it not to be idle: a whole gang, each
+/// overdue task of a step that lasts, one task of any other step.
+pub(super) fn min_count(step: &StepSpec, waiting: usize, overdue: usize) -> usize {
+    if step.gang {
+        waiting
+    } else if step.long_running {
+        overdue
+    } else {
+        1
+    }
 }
 
 /// Sort key of a placement, cheapest first: cost, when the newest victim began, whether the zone
