fix(tests): a daemon that has ended can be waited for and killed again

A play whose planned stop ended with an exit code other than 0 killed the ended process afterwards, and one that could not start the next process kept the ended one in its place: both waited for the reader of its log a second time and panicked with 'JoinHandle polled after completion', which hid what the process had said. The reader is waited for once, and an ended process isn't killed. No check changes.

--- a/crates/stairstalld/tests/batch/cluster.rs
+++ b/crates/stairstalld/tests/batch/cluster.rs
@@ -44,8 +44,8 @@
     pub peers: Option<Link>,
     child: Child,
     lines: Arc<Mutex<Vec<String>>>,
-    /// Reads its log; ends with that.
-    log_reader: JoinHandle<()>,
+    /// Reads its log and ends with that; none once that has been waited for.
+    log_reader: Option<JoinHandle<()>>,
 }
 
 impl Daemon {
@@ -116,7 +116,7 @@
         let lines = Arc::new(Mutex::new(Vec::new()));
         let (sender, serving) = oneshot::channel();
         let log = read_log(BufReader::new(stdout), Arc::clone(&lines), sender);
-        let log_reader = tokio::spawn(log);
+        let log_reader = Some(tokio::spawn(log));
         let line = tokio::time::timeout(START_TIMEOUT, serving).await;
         let line = line.expect("started in time").expect("a line");
         let address = |field: &str| {
@@ -172,15 +172,22 @@
         }
     }
 
+    /// Kills the process, unless it has ended.
     pub async fn kill(&mut self) {
-        self.child.kill().await.expect("it is our own process");
+        if !self.has_ended() {
+            self.child.kill().await.expect("it is our own process");
+        }
         self.finish_log().await;
     }
 
     /// Reads what a process that has ended logged last.
     async fn finish_log(&mut self) {
-        let ended = tokio::time::timeout(PATIENCE, &mut self.log_reader).await;
+        let Some(log_reader) = self.log_reader.as_mut() else {
+            return;
+        };
+        let ended = tokio::time::timeout(PATIENCE, log_reader).await;
         ended.expect("its log ends with it").expect("it is read");
+        self.log_reader = None;
     }
 
     /// Asks it to stop and waits for its exit code.
