test(planned): workers of the large site may keep their IDs

STAIRSTALL_PLANNED_IDS=shared had no effect on the large shape: start_deployment always began lives under new IDs. A Deployment now says whether IDs are shared.

--- a/crates/stairstalld/tests/planned/planned_work.rs
+++ b/crates/stairstalld/tests/planned/planned_work.rs
@@ -7,7 +7,7 @@
 //!
 //! `STAIRSTALL_PLANNED_SEEDS=1,2,3` names seeds, `STAIRSTALL_PLANNED_SECONDS` how long each runs and
 //! `STAIRSTALL_PLANNED_SHAPE=grown` plays as many daemons, workers and callers as a grown site has;
-//! with `STAIRSTALL_PLANNED_IDS=shared` a worker begins each life under its ID.
+//! with `STAIRSTALL_PLANNED_IDS=shared` a worker begins each life under its ID, in every shape.
 //! `STAIRSTALL_PLANNED_CORE_PERCENT` gives small VMs another share of a core.
 //! `STAIRSTALL_PLANNED_SHAPE=large` plays the large site, with its zones, VMs, kinds of jobs and troubles;
 //! with `STAIRSTALL_PLANNED_HELD=100` each daemon has no more processor time than its VM gives it, with
--- a/crates/stairstalld/tests/planned/planned_work/large.rs
+++ b/crates/stairstalld/tests/planned/planned_work/large.rs
@@ -198,6 +198,7 @@
         gang_wait: Duration::from_secs(5),
         stop: Duration::from_millis(400),
         far_factor: 3,
+        shares_ids: super::shares_ids(),
     };
     StandinWorkers::start_deployment(store, "desk", &deployment).await
 }
--- a/crates/stairstalld/tests/site/site.rs
+++ b/crates/stairstalld/tests/site/site.rs
@@ -91,6 +91,7 @@
             gang_wait: Duration::from_secs(4),
             stop: Duration::from_millis(400),
             far_factor: 3,
+            shares_ids: false,
         };
         let workers = StandinWorkers::start_deployment(&store, "desk", &deployment).await;
         let vms = ZONES.iter().flat_map(|zone| {
