test(planned): plays of stalls no longer run out of open files

A connection of a daemon to a worker took three open files of the play: two of the worker's link and one of its server.

STAIRSTALL_PLANNED_PROGRAM names another build of the daemon, so that two builds can be played under one harness.

--- a/crates/stairstalld/tests/batch/cluster.rs
+++ b/crates/stairstalld/tests/batch/cluster.rs
@@ -85,6 +85,18 @@
         Self::launch(program, link, None, "zone-a", name, &[]).await
     }
 
+    /// Starts a daemon of another program and zone with further flags and waits until it serves.
+    pub async fn start_program_in(
+        program: &str,
+        zone: &str,
+        name: &str,
+        store: &StandinStore,
+        flags: &[&str],
+    ) -> Self {
+        let link = Link::start(store.address()).await.expect("a link");
+        Self::launch(program, link, None, zone, name, flags).await
+    }
+
     async fn launch(
         program: &str,
         link: Link,
--- a/crates/stairstalld/tests/planned/planned_work.rs
+++ b/crates/stairstalld/tests/planned/planned_work.rs
@@ -13,6 +13,7 @@
 //! with `STAIRSTALL_PLANNED_HELD=100` each daemon has no more processor time than its VM gives it, with
 //! another number so many percent of that; with `STAIRSTALL_PLANNED_VMS=small` there are no strong VMs and
 //! with `STAIRSTALL_PLANNED_STOPS=none` there is no planned work.
+//! `STAIRSTALL_PLANNED_PROGRAM` names another build of the daemon, to play it beside this one.
 //! `STAIRSTALL_PLANNED_DAEMONS`, `_WORKERS`, `_CALLERS` and `_CALLS_PER_JOB` change a shape's size.
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -436,7 +437,7 @@
         let store = StandinStore::start().await.expect("a store");
         store.put("op/config", &configuration_of(shape.is_large, 1));
         let workers = if shape.is_large {
-            large::start_workers(&store, shape).await
+            large::start_workers(&store, shape, kind.has_worker_links()).await
         } else if shares_ids() {
             StandinWorkers::start(&store, "desk", shape.workers).await
         } else {
@@ -752,6 +753,14 @@
     }
 }
 
+/// Starts a daemon of the program that is played.
+async fn start_program(zone: &str, name: &str, store: &StandinStore, flags: &[&str]) -> Daemon {
+    match std::env::var("STAIRSTALL_PLANNED_PROGRAM") {
+        Ok(program) => Daemon::start_program_in(&program, zone, name, store, flags).await,
+        Err(_) => Daemon::start_in(zone, name, store, flags).await,
+    }
+}
+
 async fn start_daemon(kind: Kind, store: &StandinStore, shared: &Arc<Shared>) -> Daemon {
     let number = shared.next_vm.fetch_add(1, Ordering::SeqCst);
     let name = format!("vm-{number}");
@@ -759,12 +768,12 @@
     let is_strong = shared.is_large && large::is_strong(number) && !are_strong_gone;
     let daemon = if shared.is_large {
         let flags = large::flags_of(is_strong);
-        Daemon::start_in(large::zone_of(number), &name, store, &flags).await
+        start_program(large::zone_of(number), &name, store, &flags).await
     } else {
         let zone = ["zone-a", "zone-b", "zone-c"][number % 3];
         let delay = DRAIN_DELAY_MS.to_string();
         let flags = ["--drain-delay-ms", &delay, "--config-apply-ms", "3000"];
-        Daemon::start_in(zone, &name, store, &flags).await
+        start_program(zone, &name, store, &flags).await
     };
     if is_strong {
         lock(&shared.strong).insert(daemon.address);
--- a/crates/stairstalld/tests/planned/planned_work/large.rs
+++ b/crates/stairstalld/tests/planned/planned_work/large.rs
@@ -184,6 +184,7 @@
 pub(super) async fn start_workers(
     store: &StandinStore,
     shape: Shape,
+    has_links: bool,
 ) -> std::io::Result<StandinWorkers> {
     let deployment = Deployment {
         count: shape.workers,
@@ -199,6 +200,7 @@
         stop: Duration::from_millis(400),
         far_factor: 3,
         shares_ids: super::shares_ids(),
+        has_links,
     };
     StandinWorkers::start_deployment(store, "desk", &deployment).await
 }
--- a/crates/stairstalld/tests/planned/planned_work/troubles.rs
+++ b/crates/stairstalld/tests/planned/planned_work/troubles.rs
@@ -49,6 +49,11 @@
     pub(super) const fn has_stalls(self) -> bool {
         matches!(self, Self::Stalls | Self::Failures)
     }
+
+    /// Whether links to workers fail.
+    pub(super) const fn has_worker_links(self) -> bool {
+        matches!(self, Self::Failures)
+    }
 }
 
 /// One trouble, by how many milliseconds it lasts.
--- a/crates/stairstalld/tests/site/site.rs
+++ b/crates/stairstalld/tests/site/site.rs
@@ -92,6 +92,7 @@
             stop: Duration::from_millis(400),
             far_factor: 3,
             shares_ids: false,
+            has_links: true,
         };
         let workers = StandinWorkers::start_deployment(&store, "desk", &deployment).await;
         let vms = ZONES.iter().flat_map(|zone| {
