test(core): no run begins beside an earlier one, also with new IDs and the store down

Whatever makes a wait shorter can run a task twice. A run that begins while another one of its task is at work elsewhere, or after its task was done, fails the test.

--- a/crates/stairstall-core/tests/batch/lossy.rs
+++ b/crates/stairstall-core/tests/batch/lossy.rs
@@ -16,6 +16,7 @@
 mod clocks;
 mod farewells;
 mod network;
+mod overlaps;
 mod worker;
 mod world;
 
@@ -47,6 +48,8 @@
         write_ms: 20,
         directory_ms: 20,
         clock_percent: 100,
+        clock_spread_percent: 0,
+        has_new_ids: false,
     };
     let mut world = World::new(1, habits, Pcg64Mcg::seed_from_u64(1));
     world.pass(100);
@@ -313,6 +316,8 @@
         write_ms: [20, 300, 1_500][random.random_range(0..3)],
         directory_ms: [20, 600, 3_000][random.random_range(0..3)],
         clock_percent: day.clock_percent,
+        clock_spread_percent: 0,
+        has_new_ids: false,
     };
     let mut world = World::new(day.workers, habits, random);
     world.reaches_unmet = day.reaches_unmet;
--- a/crates/stairstall-core/tests/batch/lossy/clocks.rs
+++ b/crates/stairstall-core/tests/batch/lossy/clocks.rs
@@ -24,6 +24,8 @@
         write_ms: 20,
         directory_ms: 20,
         clock_percent,
+        clock_spread_percent: 0,
+        has_new_ids: false,
     };
     let mut world = World::new(workers, habits, Pcg64Mcg::seed_from_u64(1));
     world.pass(idle_ms);
--- a/crates/stairstall-core/tests/batch/lossy/farewells.rs
+++ b/crates/stairstall-core/tests/batch/lossy/farewells.rs
@@ -33,6 +33,8 @@
         write_ms: 20,
         directory_ms,
         clock_percent: 100,
+        clock_spread_percent: 0,
+        has_new_ids: false,
     }
 }
 
--- a/crates/stairstall-core/tests/batch/lossy/network.rs
+++ b/crates/stairstall-core/tests/batch/lossy/network.rs
@@ -33,6 +33,8 @@
     Report(WorkerReport),
     Start(StartOutcome),
     Stop(StopOutcome),
+    /// Another life answers at the worker's address.
+    OtherLife,
 }
 
 /// A call on its way.
--- a/crates/stairstall-core/tests/batch/lossy/world.rs
+++ b/crates/stairstall-core/tests/batch/lossy/world.rs
@@ -17,9 +17,12 @@
 use crate::harness::{START_UNIX_MS, bounds, catalog, worker};
 
 mod leaving;
+mod rebirth;
+mod store;
 
 pub use leaving::Farewell;
 use leaving::Leaving;
+use store::StoreOutage;
 
 /// How long the world stands still between two looks at it, in milliseconds.
 const STEP_MS: u64 = 10;
@@ -57,6 +60,8 @@
     Leave(WorkerId),
     /// An end as done counts as taken note of.
     Noted(TaskKey),
+    /// The store does not answer for so long.
+    StoreDown(u64),
 }
 
 /// What is under way to the planner.
@@ -97,8 +102,12 @@
     pub write_ms: u64,
     /// How far the planner's directory is behind at most, in milliseconds.
     pub directory_ms: u64,
-    /// How fast the workers' clocks go, in percent of the planner's.
+    /// How fast the slowest of the workers' clocks goes, in percent of the planner's.
     pub clock_percent: u64,
+    /// By how many percent more a clock may go, drawn for each life.
+    pub clock_spread_percent: u64,
+    /// Whether each life of a worker has an ID of its own, and reports no incarnation.
+    pub has_new_ids: bool,
 }
 
 /// Everything.
@@ -146,6 +155,11 @@
     noted_done: BTreeSet<TaskKey>,
     /// By task, the workers that were lost while it may have run there.
     lost_under: BTreeMap<TaskKey, usize>,
+    /// The ID of the next life at the same address, by the ID of the life before.
+    replaced_by: BTreeMap<WorkerId, WorkerId>,
+    store_outage: Option<StoreOutage>,
+    /// Runs that began.
+    pub begun: u64,
 }
 
 impl World {
@@ -183,6 +197,9 @@
             writes: Timeline::new(),
             noted_done: BTreeSet::new(),
             lost_under: BTreeMap::new(),
+            replaced_by: BTreeMap::new(),
+            store_outage: None,
+            begun: 0,
         };
         for index in 0..workers {
             let name = format!("w{index}");
@@ -235,8 +252,7 @@
         self.planner = Planner::new(token, bounds());
         self.planner.set_catalog(Arc::new(catalog(0)));
         for (id, life) in &self.lives {
-            let mut listed = self.listed[id].clone();
-            listed.incarnation = Some(life.incarnation());
+            let listed = listed_as(&self.listed[id], life, self.habits);
             self.planner.handle_listed_worker(listed, now);
         }
         for (id, job) in &self.jobs {
@@ -284,29 +300,42 @@
     fn begin(&mut self, id: &WorkerId, directory_ms: u64) {
         let capacity = self.listed[id].capacity;
         let token = self.tokens.get(id).copied().unwrap_or(0);
-        let Habits {
-            forgetting,
-            clock_percent,
-            ..
-        } = self.habits;
+        let forgetting = self.habits.forgetting;
+        let clock_percent = self.draw_clock_percent();
         let life = Life::born(self.at_ms, token, capacity, forgetting, clock_percent);
-        let mut listed = self.listed[id].clone();
-        listed.incarnation = Some(life.incarnation());
+        let listed = listed_as(&self.listed[id], &life, self.habits);
         self.lives.insert(id.clone(), life);
         let news = Event::Listed(id.clone(), Some(listed));
         self.events.push(self.at_ms + directory_ms, news);
         self.tell(format_args!("{id} begins a life"));
     }
 
+    fn draw_clock_percent(&mut self) -> u64 {
+        let Habits {
+            clock_percent,
+            clock_spread_percent,
+            ..
+        } = self.habits;
+        if clock_spread_percent == 0 {
+            return clock_percent;
+        }
+        clock_percent + self.random.random_range(0..=clock_spread_percent)
+    }
+
     fn behind(&mut self) -> u64 {
         self.random.random_range(0..=self.habits.directory_ms)
     }
 
     fn take_events(&mut self) {
         for event in self.events.take(self.at_ms) {
+            let Some(event) = self.defer_by_outage(event) else {
+                continue;
+            };
             match event {
-                Event::Crash(id, away_ms) => self.crash(&id, away_ms),
+                Event::Crash(id, away_ms) => self.crash(&self.current_id(&id), away_ms),
+                Event::StoreDown(for_ms) => self.begin_store_outage(for_ms),
                 Event::Cut(id, for_ms) => {
+                    let id = self.current_id(&id);
                     self.tell(format_args!("{id} is cut off for {for_ms}"));
                     self.cut_until_ms.insert(id, self.at_ms + for_ms);
                 }
@@ -318,6 +347,7 @@
                 Event::Noted(task) => self.note_done(task),
                 Event::Begin(id) => {
                     let behind_ms = self.behind();
+                    let id = self.id_of_next_life(id);
                     self.begin(&id, behind_ms);
                 }
                 Event::Listed(id, listed) => {
@@ -351,7 +381,7 @@
         self.events
             .push(self.at_ms + away_ms, Event::Begin(id.clone()));
         let lapses = Event::Lapse(id.clone(), life.born_ms);
-        if away_ms >= ENTRY_MS {
+        if away_ms >= ENTRY_MS || self.habits.has_new_ids {
             self.events.push(self.at_ms + ENTRY_MS, lapses);
         }
         self.tell(format_args!(
@@ -405,6 +435,7 @@
             return;
         }
         let Some(life) = self.lives.get_mut(&sent.worker) else {
+            self.refuse_where_replaced(&sent);
             self.refuse_where_left(sent);
             return;
         };
@@ -466,6 +497,7 @@
     }
 
     fn check_begin(&mut self, order: &Order) {
+        self.begun += 1;
         let (task, run, id) = (&order.task, order.run, &order.worker);
         if self.noted_done.contains(task) {
             let what = format!("{task} run {run} begins at {id} after it was done");
@@ -524,7 +556,8 @@
                 continue;
             };
             if at_ms >= waiting.until_ms || !life.ended.is_empty() {
-                let report = life.report(at_ms);
+                let mut report = life.report(at_ms);
+                report.incarnation = report.incarnation.filter(|_| !self.habits.has_new_ids);
                 self.answer(waiting.sent, Answer::Report(report));
             } else {
                 self.waiting.push(waiting);
@@ -562,6 +595,11 @@
             (Call::Stop(order), Answer::Stop(outcome)) => {
                 self.planner.handle_stop_outcome(order, outcome, now);
             }
+            (Call::Hold(_), Answer::OtherLife) => {
+                let id = &sent.worker;
+                self.planner
+                    .end_incarnation(id, "another life answered", now);
+            }
             _ => unreachable!("answers fit their calls"),
         }
     }
@@ -586,6 +624,9 @@
 
     /// Asks each worker that the planner knows, one request at a time.
     fn ask(&mut self) {
+        if !self.has_role() {
+            return;
+        }
         for id in self.planner.take_workers_to_poll() {
             if let Some(Asking::Rests(_)) = self.asking.get(&id) {
                 self.asking.insert(id, Asking::Rests(self.at_ms));
@@ -613,19 +654,14 @@
 
     fn plan(&mut self) {
         let now = self.now();
-        self.planner
-            .set_evacuated_zones(BTreeSet::new(), now.at, now);
-        for (token, write) in self.writes.take(self.at_ms) {
-            if self.unwritten.as_ref() == Some(&write.job) {
-                self.writes.push(self.at_ms + STEP_MS, (token, write));
-                continue;
-            }
-            // A write of an earlier planner fails: the role is no longer its own.
-            if token == self.planner.token() {
-                self.busy.remove(&write.job);
-                self.planner.progress_written(&write.job, write.change);
-                self.kept.insert(write.job, write.progress);
-            }
+        self.end_store_outage();
+        if self.store_outage.is_none() {
+            self.planner
+                .set_evacuated_zones(BTreeSet::new(), now.at, now);
+            self.finish_writes();
+        }
+        if !self.has_role() {
+            return;
         }
         for order in self.planner.tick(now) {
             let id = order.worker.clone();
@@ -654,6 +690,22 @@
         }
     }
 
+    /// Takes the answers of the store to writes.
+    fn finish_writes(&mut self) {
+        for (token, write) in self.writes.take(self.at_ms) {
+            if self.unwritten.as_ref() == Some(&write.job) {
+                self.writes.push(self.at_ms + STEP_MS, (token, write));
+                continue;
+            }
+            // A write of an earlier planner fails: the role is no longer its own.
+            if token == self.planner.token() {
+                self.busy.remove(&write.job);
+                self.planner.progress_written(&write.job, write.change);
+                self.kept.insert(write.job, write.progress);
+            }
+        }
+    }
+
     /// Names the jobs that have not ended, or were given up without a cause.
     pub fn lost(&self) -> Vec<String> {
         let mut lost = Vec::new();
@@ -686,6 +738,14 @@
     }
 }
 
+/// Returns the directory entry of a life.
+fn listed_as(listed: &ListedWorker, life: &Life, habits: Habits) -> ListedWorker {
+    ListedWorker {
+        incarnation: Some(life.incarnation()).filter(|_| !habits.has_new_ids),
+        ..listed.clone()
+    }
+}
+
 /// Returns how long the planner's daemon waits for an answer.
 fn patience_ms(call: &Call) -> u64 {
     match call {
