test(core): the rule on idle jobs in generated loads that keep the service full

The generated loads of `idle_jobs` check that no job has nothing running for 3 s though a step of it fits twice over, but only while under half of the fleet is in use. `idle_generated` checks it at any load: urgent jobs each 100 to 900 ms, up to 24 other jobs of gangs (also such that need most of the 320 accelerators), loose steps, steps near their data and jobs of two steps; 70 to 80 percent are in use on the mean. The second test replaces the planner each 7 s.

--- a/crates/stairstall-core/tests/batch/main.rs
+++ b/crates/stairstall-core/tests/batch/main.rs
@@ -13,6 +13,7 @@
 mod flow;
 mod guarantees;
 mod harness;
+mod idle_generated;
 mod idle_jobs;
 mod idle_review;
 mod lasting;
