fix(core): verification runs work on queues with advice

Cause: place_verification_run returned at once for a step that needs tickets, and an unverified incarnation gets nothing but verification runs until it has listed an end. Change: the workers of a verification run pass the same ticket filter as those of any placement, so that the adviser is asked about them and its ticket goes with the start. A short task may verify a worker where the adviser has denied all verified ones, as where none of them could run the step. Why it works: the run keeps its short lease, which no report extends, so that nothing can finish there unseen; only what the start carries has changed. Tests: a_task_that_needs_a_ticket_shows_that_ends_are_listed and a_short_task_shows_that_ends_are_listed_where_all_other_workers_are_denied failed before, and pass now; a_denied_worker_gets_no_verification_run holds on both.

--- a/crates/stairstall-core/src/batch/planner/advice.rs
+++ b/crates/stairstall-core/src/batch/planner/advice.rs
@@ -124,6 +124,12 @@
             && group.is_some_and(|group| group.advice.ticket(id, now.at, margin).is_none())
     }
 
+    /// Returns whether the adviser has denied a worker to a step.
+    pub(super) fn is_denied(&self, key: &GroupKey, id: &WorkerId) -> bool {
+        let group = self.group_of(key);
+        group.is_some_and(|group| group.advice.denied.contains(id))
+    }
+
     /// Keeps the workers that have a valid ticket. Requests advice about further workers if fewer
     /// than `tasks` have one.
     pub(super) fn filter_by_ticket(
--- a/crates/stairstall-core/src/batch/planner/end_listing.rs
+++ b/crates/stairstall-core/src/batch/planner/end_listing.rs
@@ -75,7 +75,8 @@
 
     /// Places a waiting task of a step on an unverified worker, as a run that can't finish there.
     ///
-    /// Only called for tasks that have found no other place, which lose nothing by it.
+    /// Only called for tasks that have found no other place, which lose nothing by it. A step that
+    /// needs tickets gets them for such workers too, and waits until the adviser has answered.
     pub(super) fn place_verification_run(
         &mut self,
         candidate: &Candidate,
@@ -84,17 +85,13 @@
         pass: &mut Pass,
         now: Now,
     ) {
-        let needs_ticket = self.ticket_validity(&candidate.key).is_some();
-        if needs_ticket || !self.has_verifiable_worker(pass, now.at) {
+        if !self.has_verifiable_worker(pass, now.at) {
             return;
         }
         let key = &candidate.key;
         // Where every worker that could run the step is unverified, none of its tasks would ever
         // start if each of them is too short.
-        let has_verified_worker = self
-            .ceiling(key, step, false, CapacityKind::Whole, pass)
-            .total
-            > 0;
+        let has_verified_worker = self.has_verified_worker(key, step, pass);
         let mut tasks = waiting.iter().copied();
         let suitable =
             tasks.find(|index| !has_verified_worker || self.cannot_finish(key, step, *index));
@@ -108,6 +105,7 @@
         let takes_verification = |worker: &Worker| worker.takes_verification_run(now.at);
         let workers =
             self.candidate_workers_where(candidate, step, scope, pass, now, takes_verification);
+        let workers = self.filter_by_ticket(key, workers, 1, now);
         if let Some(choice) = choose_one(step, scope, workers) {
             self.commit_placement(candidate, step, &[index], &choice, scope, now);
             pass.record_placed(1, step.needs.accelerators);
@@ -115,6 +113,24 @@
         }
     }
 
+    /// Returns whether a worker that lists its run ends could run a task of a step, now or once other
+    /// work has ended.
+    fn has_verified_worker(&self, key: &GroupKey, step: &StepSpec, pass: &mut Pass) -> bool {
+        let ceiling = self.ceiling(key, step, false, CapacityKind::Whole, pass);
+        if ceiling.total == 0 || self.ticket_validity(key).is_none() {
+            return ceiling.total > 0;
+        }
+        let service = self.service_of(key);
+        let needs = step.reserved_resources();
+        let mut workers = self.workers.iter().filter(|(_, worker)| {
+            worker.takes_tasks()
+                && worker.has_required_label(step)
+                && service.as_ref() == Some(&worker.listed.service)
+                && needs.fits_in(&worker.listed.capacity)
+        });
+        workers.any(|(id, _)| !self.is_denied(key, id))
+    }
+
     fn has_verifiable_worker(&self, pass: &mut Pass, at: Timestamp) -> bool {
         *pass.has_verifiable_worker.get_or_insert_with(|| {
             let mut workers = self.workers.values();
--- a/crates/stairstall-core/tests/batch/end_listing.rs
+++ b/crates/stairstall-core/tests/batch/end_listing.rs
@@ -17,6 +17,9 @@
 const LATE_MS: u64 = 13_000;
 /// Longest lease that a start may carry whose run must not finish, in milliseconds.
 const SHORT_LEASE_MS: u64 = 100;
+/// How long a ticket of the adviser stays valid, in milliseconds.
+const TICKET_MS: u64 = 3_000;
+const TICKET: &str = "ticket";
 
 fn fleet(workers: &[(&str, &str)]) -> Fleet {
     let mut fleet = Fleet::new(workers);
@@ -177,12 +180,15 @@
     assert_eq!(fleet.starts_of(&key), 5);
 }
 
-fn short_job() -> AcceptedJob {
-    let spec = StepSpec {
+fn short_step() -> StepSpec {
+    StepSpec {
         estimate_ms: 300,
         ..step(1, 8)
-    };
-    job("short", 2, vec![spec])
+    }
+}
+
+fn short_job() -> AcceptedJob {
+    job("short", 2, vec![short_step()])
 }
 
 #[test]
@@ -252,6 +258,105 @@
     }
 }
 
+/// Returns a job on a queue whose steps need tickets.
+fn advised(mut accepted: AcceptedJob) -> AcceptedJob {
+    "advised".clone_into(&mut accepted.queue.name);
+    accepted.queue.ticket_valid_ms = Some(TICKET_MS);
+    accepted
+}
+
+/// Answers all requests to the adviser: grants the workers for which `is_granted` holds.
+fn advise(fleet: &mut Fleet, is_granted: impl Fn(&WorkerId) -> bool) {
+    let now = fleet.now();
+    for request in fleet.planner.take_advice_requests() {
+        let granted = request.workers.iter().filter(|id| is_granted(id));
+        let granted = granted.map(|id| (id.clone(), TICKET.to_owned())).collect();
+        fleet.planner.handle_advice(&request, granted, now);
+    }
+    fleet.settle();
+}
+
+fn tickets_of_starts(fleet: &Fleet, name: &str) -> Vec<Option<String>> {
+    let starts = fleet
+        .given
+        .iter()
+        .filter(|order| order.task.group.job == id(name));
+    let ticket = |order: &Order| match &order.kind {
+        OrderKind::Start { ticket, .. } => Some(ticket.clone()),
+        OrderKind::Stop => None,
+    };
+    starts.filter_map(ticket).collect()
+}
+
+/// A step that needs tickets never got a verification run. Where all queues of a service need them,
+/// a worker that had restarted soon after a takeover got no work any more.
+#[test]
+fn a_task_that_needs_a_ticket_shows_that_ends_are_listed() {
+    for spec in [step(1, 1), short_step(), gang(2, 1)] {
+        let mut fleet = restarted_after_a_late_acknowledgement();
+        fleet.pass(LATE_MS + 500);
+        fleet.submit(advised(job("second", 2, vec![spec])));
+        let key = task("second", 0, 0);
+        assert_eq!(fleet.starts_of(&key), 0, "the adviser has not answered");
+        advise(&mut fleet, |_| true);
+        assert_eq!(fleet.starts_of(&key), 1);
+        assert_last_lease_is_short(&mut fleet);
+        let request = fleet.hold(&w1()).expect("the end of the run is waited for");
+        assert_eq!(request.deadline_ms, None, "its lease must not be extended");
+        fleet.worker("w1").end(&key, RunEndKind::LeaseExpired);
+        for _ in 0..5 {
+            fleet.pass(100);
+            advise(&mut fleet, |_| true);
+        }
+        assert_eq!(fleet.starts_of(&key), 2, "it has listed an end");
+        let tickets = tickets_of_starts(&fleet, "second");
+        let has_ticket = |ticket: &Option<String>| ticket.as_deref() == Some(TICKET);
+        assert!(tickets.iter().all(has_ticket), "{tickets:?}");
+    }
+}
+
+#[test]
+fn a_denied_worker_gets_no_verification_run() {
+    let mut fleet = restarted_after_a_late_acknowledgement();
+    fleet.pass(LATE_MS + 500);
+    fleet.submit(advised(job("second", 2, vec![step(1, 1)])));
+    for _ in 0..30 {
+        advise(&mut fleet, |_| false);
+        fleet.pass(100);
+    }
+    assert_eq!(fleet.starts_of(&task("second", 0, 0)), 0);
+}
+
+/// A worker that the adviser denies counts as one that could run the step no more than a worker
+/// that is too small for it.
+#[test]
+fn a_short_task_shows_that_ends_are_listed_where_all_other_workers_are_denied() {
+    let mut fleet = fleet(&[("w1", "r1"), ("w2", "r1")]);
+    fleet.submit(job("long", 2, vec![step(1, 8)]));
+    let busy = fleet.place_of(&task("long", 0, 0)).expect("it runs");
+    let idle = if busy == w1() { "w2" } else { "w1" };
+    let idle: WorkerId = idle.parse().expect("an id");
+    fleet.submit(job("first", 2, vec![step(1, 8)]));
+    fleet
+        .worker(idle.as_str())
+        .end(&task("first", 0, 0), RunEndKind::Done);
+    fleet.hold(&idle);
+    fleet.settle();
+    let now = fleet.now();
+    fleet.planner.report_request(&idle, now).expect("an end");
+    fleet.planner.handle_report_failure(&idle, now);
+    fleet.cut_off(&idle);
+    fleet.at_ms += 500;
+    fleet.restart_cut_off(&idle);
+    fleet.pass(LATE_MS + 500);
+    fleet.submit(advised(short_job()));
+    for _ in 0..10 {
+        advise(&mut fleet, |id| *id == idle);
+        fleet.pass(100);
+    }
+    assert_eq!(fleet.place_of(&task("short", 0, 0)), Some(idle));
+}
+
 /// The worker was unlisted meanwhile, so that the planner knew it no longer.
 #[test]
 fn a_late_acknowledgement_is_remembered_while_its_id_is_away() {
