--- a/crates/stairstall-core/src/batch/planner/placement.rs
+++ b/crates/stairstall-core/src/batch/planner/placement.rs
@@ -46,7 +46,8 @@
             return;
         };
         let mut waiting = group.waiting();
-        waiting.retain(|index| !self.is_blocked_by_losses(&group.tasks[*index as usize]));
+        waiting
+            .retain(|index| !self.is_blocked_by_losses(&step, &group.tasks[*index as usize], now));
         let ready_since = group.ready_since.unwrap_or(now.at);
         if step.gang && waiting.len() != group.tasks.len() {
             return;
@@ -316,7 +317,8 @@
             })
             .filter(|worker| worker.spread_left > 0)
             .collect();
-        self.keep_guarantees_claimable(candidate, step, workers)
+        let workers = self.limit_victims(step, workers, now);
+        self.keep_guarantees_claimable(candidate, step, scope, workers, pass)
     }
 
     /// Returns the health that a worker must have shown to get a task of this step.
