feat(core): a job that waits for an earlier planner's lease says so

The reason now names the run, the worker and how long its lease may last ("run 1 on i-22-1: its lease may run for 3120 ms more"), in `idle`, `waiting` and `explain`, also for a step of which only such runs are left. The test was written with the change; before it the reason did not exist.

--- a/crates/stairstall-core/src/batch/explanation.rs
+++ b/crates/stairstall-core/src/batch/explanation.rs
@@ -65,7 +65,7 @@
             _ => None,
         };
         Self {
-            reason: status.reason.as_str().to_owned(),
+            reason: status.reason.to_string(),
             rank: status.rank,
             timeliness: status.timeliness,
             used_ms: millis(status.customer_usage),
--- a/crates/stairstall-core/src/batch/planner/idle_jobs.rs
+++ b/crates/stairstall-core/src/batch/planner/idle_jobs.rs
@@ -98,7 +98,7 @@
             }
             let reason = self
                 .wait_status(id, now)
-                .map_or("nothing", |status| status.reason.as_str());
+                .map_or_else(|| "nothing".to_owned(), |status| status.reason.to_string());
             let why = format!(
                 "nothing of it runs for {} ms, step {} fits {FITS_TIMES} times over, waits for {reason}",
                 millis(self.idle_time(id, now)),
--- a/crates/stairstall-core/src/batch/planner/waiting.rs
+++ b/crates/stairstall-core/src/batch/planner/waiting.rs
@@ -134,7 +134,8 @@
                     return Some((key, Some(WaitReason::PendingStart)));
                 }
                 if !group.is_done() {
-                    return None;
+                    let reason = self.earlier_lease(&key, now)?;
+                    return Some((key, Some(reason)));
                 }
             }
         }
@@ -154,6 +155,10 @@
         if let Some(expected_start) = self.expected_start(&candidate.key) {
             return WaitReason::ReservedCapacity(expected_start - now.at);
         }
+        let is_gang = self.step(&candidate.key).is_some_and(|step| step.gang);
+        if is_gang && let Some(reason) = self.earlier_lease(&candidate.key, now) {
+            return reason;
+        }
         let accelerators = self.step(&candidate.key).map_or(0, |step| {
             let tasks = if step.gang { step.count } else { 1 };
             step.needs.accelerators.saturating_mul(tasks)
@@ -180,6 +185,27 @@
         }
     }
 
+    /// Returns the lease of a step that may last longest, among those of runs that earlier planners
+    /// started at workers that do not answer.
+    fn earlier_lease(&self, key: &GroupKey, now: Now) -> Option<WaitReason> {
+        let group = self.group_of(key)?;
+        let placed = (0..).zip(&group.tasks).filter(|(_, task)| !task.done);
+        let leases = placed.filter_map(|(index, task)| {
+            let worker = self.workers.get(task.worker.as_ref()?)?;
+            let run = worker.runs.get(&key.task(index))?;
+            let waits = run.restored && !worker.is_in_contact();
+            waits.then(|| WaitReason::EarlierLease {
+                run: run.number,
+                worker: worker.listed.id.clone(),
+                left: worker.lease_end().unwrap_or(now.at) - now.at,
+            })
+        });
+        leases.max_by_key(|reason| match reason {
+            WaitReason::EarlierLease { left, .. } => *left,
+            _ => Duration::ZERO,
+        })
+    }
+
     /// Returns whether one task of a step, or its whole gang, fits on the free capacity near its
     /// data, on a single rack if the gang requests one.
     fn fits_near(&self, key: &GroupKey, pass: &mut Pass) -> bool {
--- a/crates/stairstall-core/src/batch/scheduling/waiting.rs
+++ b/crates/stairstall-core/src/batch/scheduling/waiting.rs
@@ -1,11 +1,14 @@
 //! Why a job waits, as reported to operators and callers.
 
+use std::fmt;
 use std::time::Duration;
 
 use super::Timeliness;
+use crate::WorkerId;
+use crate::time::millis;
 
 /// What a job waits for.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub enum WaitReason {
     /// The time of its next scheduled occurrence.
     ScheduledTime,
@@ -28,12 +31,21 @@
     /// Its start: it has placements, but runs are still being stopped there or the record is still
     /// being stored.
     PendingStart,
+    /// The end of the lease of a run that an earlier planner started, at a worker that does not answer.
+    EarlierLease {
+        /// Number of the run.
+        run: u32,
+        /// The worker.
+        worker: WorkerId,
+        /// How long the lease may still last.
+        left: Duration,
+    },
 }
 
 impl WaitReason {
-    /// Returns the text shown to operators.
+    /// Returns the text shown to operators, without details.
     #[must_use]
-    pub const fn as_str(self) -> &'static str {
+    pub const fn as_str(&self) -> &'static str {
         match self {
             Self::ScheduledTime => "its time",
             Self::EarlierStep => "an earlier step",
@@ -45,12 +57,28 @@
             Self::ReservedForOthers => "room that is reserved for a gang before it",
             Self::NotPreemptible => "room that is held by work it can't preempt",
             Self::PendingStart => "its start",
+            Self::EarlierLease { .. } => "the end of a lease at a worker that does not answer",
+        }
+    }
+}
+
+impl fmt::Display for WaitReason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::EarlierLease { run, worker, left } => {
+                let left_ms = millis(*left);
+                write!(
+                    f,
+                    "run {run} on {worker}: its lease may run for {left_ms} ms more"
+                )
+            }
+            _ => f.write_str(self.as_str()),
         }
     }
 }
 
 /// Scheduling state of a waiting job.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WaitStatus {
     /// Rank: 0 for a guaranteed job, 1 for other urgent work, then by priority.
     pub rank: u8,
--- a/crates/stairstall-core/tests/batch/lease_ends.rs
+++ b/crates/stairstall-core/tests/batch/lease_ends.rs
@@ -236,3 +236,29 @@
     let explained = fleet.planner.explain(&id("j"), fleet.now());
     assert_eq!(explained.expect("it is known").steps[0].waiting, 0);
 }
+
+/// Nothing is before it, and it has room: what it waits for has to be said.
+#[test]
+fn a_job_that_waits_for_a_lease_says_at_which_worker() {
+    let gang = (gang(3, 8), RunEndKind::Stopped);
+    let singles = (step(3, 8), RunEndKind::Done);
+    for (step, end) in [gang, singles] {
+        let (mut fleet, accepted) = running(vec![step]);
+        let lost = fleet.place_of(&task("j", 0, 1)).expect("it runs");
+        fleet.cut_off(&lost);
+        unlist(&mut fleet, &lost);
+        for index in [0, 2] {
+            let key = task("j", 0, index);
+            let place = fleet.place_of(&key).expect("it runs");
+            fleet.worker(place.as_str()).end(&key, end);
+        }
+        fleet.succeed(&[accepted]);
+        fleet.pass(1_000);
+        let status = fleet.planner.wait_status(&id("j"), fleet.now());
+        let reason = status.expect("it waits").reason.to_string();
+        let left_ms = reason.strip_prefix(&format!("run 1 on {lost}: its lease may run for "));
+        let left_ms = left_ms.and_then(|left| left.strip_suffix(" ms more"));
+        let left_ms: u64 = left_ms.and_then(|left| left.parse().ok()).expect(&reason);
+        assert!((5_000..6_000).contains(&left_ms), "{reason}");
+    }
+}
--- a/crates/stairstalld/src/batch/maintenance.rs
+++ b/crates/stairstalld/src/batch/maintenance.rs
@@ -95,7 +95,7 @@
 
 fn log_wait(tenure: &Tenure, oldest: &OldestWait, guaranteed: bool) {
     log::info!(target: "waiting", token = tenure.token(), job:% = oldest.group.job,
-        step:% = oldest.group, guaranteed, waited_ms = millis(oldest.waited); "{}", oldest.reason.as_str());
+        step:% = oldest.group, guaranteed, waited_ms = millis(oldest.waited); "{}", oldest.reason);
 }
 
 /// Logs how many workers differ in pace.
