--- a/crates/stairstall-core/tests/batch/main.rs
+++ b/crates/stairstall-core/tests/batch/main.rs
@@ -18,6 +18,7 @@
 mod idle_jobs;
 mod idle_review;
 mod lasting;
+mod lease_ends;
 mod leaving;
 mod locality;
 mod lossy;
