fix(stairstalld): a successor learns of done tasks before it learns of leases

Found by review: what the planner before had told was handed over in two steps, leases first. A tick between the two would have released the runs of tasks that are done, so that they could run twice. Both are handed over at once now, done tasks first, as the load of stored jobs does.

--- a/crates/stairstalld/src/batch/predecessor.rs
+++ b/crates/stairstalld/src/batch/predecessor.rs
@@ -156,35 +156,36 @@
 }
 
 /// Takes over what the previous planner could not store, and what it knows of leases.
+///
+/// The planner learns of both at once, of tasks that are done first: a run whose lease is told to be
+/// over may have finished its task.
 fn take_over(node: &Node, tenure: &Tenure, superseded: Superseded) {
-    if let Some(left) = superseded.lease_ends {
-        take_over_lease_ends(node, tenure, left);
-    }
     let found = superseded.unstored.into_iter();
     let unstored: Vec<UnstoredTasks> = found.map(UnstoredTasks::from).collect();
-    if unstored.is_empty() {
-        return;
-    }
+    let ends = superseded
+        .lease_ends
+        .map(|left| left.into_lease_ends(node.clock.now()));
+    // Kept as well: the stored jobs may not be loaded yet, and this tenure may end before they are.
+    lock(&node.unstored_tasks).extend(unstored.iter().cloned());
+    let is_used = tenure.with_planner(|planner, now| {
+        planner.restore_done_tasks(&unstored, now);
+        ends.as_ref()
+            .is_some_and(|ends| planner.restore_lease_ends(ends))
+    });
     log::info!(target: "role", token = tenure.token(), jobs = unstored.len(),
         tasks = unstored.iter().map(|job| job.done.len()).sum::<usize>();
         "previous planner told which tasks are done");
-    // Kept as well: the stored jobs may not be loaded yet, and this tenure may end before they are.
-    lock(&node.unstored_tasks).extend(unstored.iter().cloned());
-    tenure.with_planner(|planner, now| planner.restore_done_tasks(&unstored, now));
-}
-
-/// Takes over until when runs may go on, unless another tenure was in between.
-fn take_over_lease_ends(node: &Node, tenure: &Tenure, left: LeasesLeft) {
-    let workers = left.left_ms.len();
-    let over = left.left_ms.iter().filter(|(_, left)| *left == 0).count();
-    let longest_ms = left.left_ms.iter().map(|(_, left)| *left).max();
-    let ends = left.into_lease_ends(node.clock.now());
-    let is_used = tenure.with_planner(|planner, _| planner.restore_lease_ends(&ends));
-    log::info!(target: "role", token = tenure.token(), told_by = ends.token, used = is_used, workers, over,
-        longest_ms = longest_ms.unwrap_or_default();
+    let Some(ends) = ends else {
+        return;
+    };
+    let left = ends.left(node.clock.now());
+    let over = left.iter().filter(|(_, left)| left.is_zero()).count();
+    let longest = left.iter().map(|(_, left)| *left).max();
+    log::info!(target: "role", token = tenure.token(), told_by = ends.token, used = is_used,
+        workers = left.len(), over,
+        longest_ms = crate::clock::millis(longest.unwrap_or_default());
         "previous planner told until when runs may go on at workers that don't answer");
     if is_used {
-        // Kept as well: this tenure may end before the stored jobs are loaded.
         *lock(&node.lease_ends) = ends;
     }
 }
--- a/crates/stairstalld/src/batch/tenure.rs
+++ b/crates/stairstalld/src/batch/tenure.rs
@@ -558,8 +558,8 @@
             let unstored = lock(&node.unstored_tasks).clone();
             let lease_ends = lock(&node.lease_ends).clone();
             tenure.with_planner(|planner, now| {
-                planner.restore_lease_ends(&lease_ends);
                 planner.restore_done_tasks(&unstored, now);
+                planner.restore_lease_ends(&lease_ends);
             });
             Ok::<_, stairstall_ports::StoreFault>(LoadedState {
                 directory_at,
