--- a/crates/stairstall-core/src/batch/planner/idle_jobs/overdue.rs
+++ b/crates/stairstall-core/src/batch/planner/idle_jobs/overdue.rs
@@ -18,6 +18,9 @@
 /// How often an overdue job is reported.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Number of overdue jobs that a pass reports. Each report goes through the fleet.
+const MAX_REPORTS: usize = 8;
+
 /// Everything that may keep a step of an overdue job from starting.
 #[derive(Debug)]
 struct Hindrances {
@@ -53,7 +56,11 @@
         let policy = &self.policy.placement;
         let limit = policy.max_idle.max(policy.max_idle_when_busy) + OVERDUE_AFTER;
         let mut pass = Pass::default();
+        let mut reports = 0;
         for candidate in candidates {
+            if reports == MAX_REPORTS {
+                return;
+            }
             let id = &candidate.key.job;
             let is_due = self.jobs.get(id).is_some_and(|job| {
                 let idle = &job.idle_time;
@@ -65,6 +72,7 @@
             }
             let hindrances = self.hindrances(candidate, reserved, &mut pass, now);
             self.report_overdue(id, &hindrances, now);
+            reports += 1;
         }
     }
 
