fix(core): whether a reservation binds follows its gang's expected start

Found by review: the date up to which others may work on reserved workers only moves forward, so that a gang whose first estimate was early would never keep its workers from idle jobs, also not in the second before its start.

--- a/crates/stairstall-core/src/batch/planner/pass.rs
+++ b/crates/stairstall-core/src/batch/planner/pass.rs
@@ -24,6 +24,8 @@
     pub(super) usage_level: u64,
     /// Time by which other work on the reserved capacity must end.
     pub(super) backfill_until: Timestamp,
+    /// When it is now expected to start.
+    pub(super) expected_start: Timestamp,
 }
 
 /// Facts about the fleet that stay valid until a run is preempted.
--- a/crates/stairstall-core/src/batch/planner/placement/reservations.rs
+++ b/crates/stairstall-core/src/batch/planner/placement/reservations.rs
@@ -169,12 +169,11 @@
     fn is_binding(&self, reserving: &ReservingGang, candidate: &Candidate, now: Now) -> bool {
         let idle_time = self.idle_beside_capacity(&candidate.key, now);
         let left = LONGEST_BOUND_IDLE.saturating_sub(idle_time);
-        let starts_soon = reserving.backfill_until <= now.at + left.min(BINDING_RESERVATION);
-        let has_passed = now.at - reserving.backfill_until > MISSED_AFTER;
+        let starts_soon = reserving.expected_start <= now.at + left.min(BINDING_RESERVATION);
         let bound_since = self.group_of(&reserving.gang).and_then(|g| g.bound_since);
         let has_missed =
             bound_since.is_some_and(|since| now.at - since > BINDING_RESERVATION + MISSED_AFTER);
-        !left.is_zero() && starts_soon && !has_passed && !has_missed
+        !left.is_zero() && starts_soon && !has_missed
     }
 
     /// Returns whether a task of a step should end by a deadline on a worker, judged by the 90th
@@ -262,6 +261,7 @@
             rank: reservation.rank,
             usage_level: candidate.scheduling_key.usage_level,
             backfill_until: reservation.backfill_until,
+            expected_start: reservation.expected_start,
         };
         for id in &reservation.workers {
             self.workers.insert(id.clone(), reserving.clone());
