--- a/crates/stairstall-core/src/batch/planner/idle_jobs.rs
+++ b/crates/stairstall-core/src/batch/planner/idle_jobs.rs
@@ -196,10 +196,7 @@
 
     /// Records whether a step fits beside others at the moment. That matters for reservations alone.
     fn track_fit(&mut self, key: &GroupKey, pass: &mut Pass, now: Now) {
-        if self.reservations.is_empty() {
-            return;
-        }
-        let fits = self.fits_beside_others(key, pass);
+        let fits = self.reservations.is_empty() || self.fits_beside_others(key, pass);
         let job = self.jobs.get_mut(&key.job);
         if let Some(group) = job.and_then(|job| job.group_mut(key)) {
             group.record_fit(fits, now.at);
@@ -230,7 +227,9 @@
         let idle_since = waiting
             .iter()
             .filter_map(|index| group.tasks[*index as usize].idle_since);
-        idle_since.filter(|since| now.at - *since >= limit).count()
+        let overdue = idle_since.filter(|since| now.at - *since >= limit).count();
+        // How long a job has been idle outlasts a change of the planner; how long a task has does not.
+        overdue.max(usize::from(self.idle_time(&key.job, now) >= limit))
     }
 
     /// Returns for how long a step has been idle although it fits beside others, apart from moments.
--- a/crates/stairstall-core/src/batch/planner/placement.rs
+++ b/crates/stairstall-core/src/batch/planner/placement.rs
@@ -78,7 +78,8 @@
                 self.startable_tasks(candidate, count, pass)
             };
             let may_start = !step.gang || !self.is_start_window_used_up(candidate, pass);
-            if !may_start || count == 0 {
+            let asks_for_tickets = self.ticket_validity(key).is_some();
+            if !may_start || count == 0 && !asks_for_tickets {
                 continue;
             }
             if !self.may_fit(candidate, &step, scope, count, pass, now) {
@@ -90,11 +91,12 @@
             let workers = self.candidate_workers(candidate, &step, scope, pass, now);
             let workers = self.filter_by_ticket(key, workers, waiting.len(), now);
             let choice = search(&step, count, scope, workers, paces.as_ref());
-            if choice.is_none() && !scope.yields {
+            let may_start =
+                choice.is_none() || !step.gang || self.may_start_gang(candidate, count, pass);
+            if may_start && !scope.yields {
                 self.record_idle_search(key, now);
             }
-            let choice =
-                choice.filter(|_| !step.gang || self.may_start_gang(candidate, count, pass));
+            let choice = choice.filter(|_| may_start);
             let choice = choice.filter(|choice| {
                 self.is_preemption_worthwhile(candidate, &step, choice, pass, now)
             });
--- a/crates/stairstall-core/tests/batch/idle_generated.rs
+++ b/crates/stairstall-core/tests/batch/idle_generated.rs
@@ -274,6 +274,6 @@
 }
 
 #[test]
-fn no_job_is_idle_beside_room_however_full_the_service_is_as_planners_change() {
+fn no_job_is_idle_as_planners_change_however_full_the_service_is() {
     check(true);
 }
