fix(core): claims preempt tasks that may be away

Cause: Run::is_preemptible_by exempted every run whose step has mayMiss, however many of its tasks may be away; what keeps guaranteed accelerators claimable looks only when such tasks are placed, not when the fleet shrinks. Change: such runs may be preempted by guaranteed jobs, after all others. Each search for victims is limited to mayMiss less the tasks of the step that are away: not placed, not listed as running, being stopped, at a worker that is silent, leaving or in an evacuated zone. For the longest stop after a takeover none is taken, since an earlier planner's stop may be under way. Gangs with mayMiss are still never preempted. placement.rs has one more line. Why it works: AVAIL asks that fewer than mayMiss others are away when a task is stopped; the count errs to the side of away, and a stop counts from its order on, so that two claims share the limit. Tests: of five, a_claim_preempts_as_many…, two_claims_share… and a_claim_just_after_a_takeover_counts… failed before; a_claim_preempts_no_more… and a_claim_preempts_nothing_while… hold on both.

--- a/crates/stairstall-core/src/batch/planner.rs
+++ b/crates/stairstall-core/src/batch/planner.rs
@@ -12,6 +12,7 @@
 mod addresses;
 mod adopt;
 mod advice;
+mod availability;
 mod bounds;
 mod candidate;
 mod candidate_worker;
--- a/crates/stairstall-core/src/batch/planner/candidate_worker.rs
+++ b/crates/stairstall-core/src/batch/planner/candidate_worker.rs
@@ -97,6 +97,8 @@
     /// are spread.
     began: Option<Timestamp>,
     gang: bool,
+    /// Whether its step limits how many of its tasks may be away from their work.
+    is_limited: bool,
     /// Whether it has to end even if its resources are not needed, because it would disturb the
     /// step.
     disturbs: bool,
@@ -151,7 +153,8 @@
     pub(super) tasks: Vec<TaskKey>,
 }
 
-/// The runs of one worker that may be preempted: those that have to be first, then the cheapest.
+/// The runs of one worker that may be preempted: those that have to be first, then the cheapest, and
+/// last those whose step limits how many of its tasks may be away.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Victims(Vec<Victim>);
 
@@ -173,10 +176,20 @@
                 cost: search.cost_of(task, run, gang_costs, policy),
                 began: run.began.map(|(at, _)| at),
                 gang: run.gang,
+                is_limited: run.limits_unavailable,
                 disturbs: run.disturbs(step),
             })
             .collect();
-        let sort_key = |victim: &Victim| (!victim.disturbs, victim.cost, victim.began);
+        let sort_key = |victim: &Victim| {
+            let Victim {
+                disturbs,
+                is_limited,
+                cost,
+                began,
+                ..
+            } = *victim;
+            (!disturbs, is_limited, cost, began)
+        };
         victims.sort_by(|a, b| {
             sort_key(a)
                 .cmp(&sort_key(b))
@@ -283,4 +296,40 @@
         });
         self.victims.0.len() < before
     }
+
+    /// Returns whether it has victims whose step limits how many of its tasks may be away.
+    pub(super) fn has_limited_victims(&self) -> bool {
+        self.victims.0.iter().any(|victim| victim.is_limited)
+    }
+
+    /// Returns when the newest run began that has to be preempted for a task with these `needs`.
+    pub(super) fn newest_victim_began(&self, needs: &Resources) -> Option<Timestamp> {
+        let required = needs.saturating_add(&self.shortage);
+        let selection = self.victims.select(&required, &self.free);
+        selection.and_then(|selection| selection.newest)
+    }
+
+    /// Counts the victims that have to be preempted for a task with these `needs` as gone, and the
+    /// task as placed. Returns those whose step limits how many of its tasks may be away, or `None`
+    /// if the task does not fit.
+    pub(super) fn preempt_for(&mut self, needs: &Resources) -> Option<Vec<TaskKey>> {
+        let required = needs.saturating_add(&self.shortage);
+        let selected = self.victims.select(&required, &self.free)?.tasks;
+        let limited = self.victims.0.iter();
+        let limited = limited.filter(|victim| victim.is_limited && selected.contains(&victim.task));
+        let limited = limited.map(|victim| victim.task.clone()).collect();
+        self.remove_victims(|victim| selected.contains(&victim.task));
+        self.free = self.free.saturating_sub(needs);
+        Some(limited)
+    }
+
+    /// Keeps, of the victims whose step limits how many of its tasks may be away, only these tasks.
+    /// Returns whether the worker can be used without the others.
+    pub(super) fn keep_limited_victims(&mut self, kept: &[TaskKey]) -> bool {
+        let is_exempt = |victim: &Victim| victim.is_limited && !kept.contains(&victim.task);
+        let victims = &mut self.victims.0;
+        let can_be_used = !victims.iter().any(|v| is_exempt(v) && v.disturbs);
+        victims.retain(|victim| !is_exempt(victim));
+        can_be_used
+    }
 }
--- a/crates/stairstall-core/src/batch/planner/placement.rs
+++ b/crates/stairstall-core/src/batch/planner/placement.rs
@@ -305,6 +305,7 @@
             })
             .filter(|worker| worker.spread_left > 0)
             .collect();
+        let workers = self.limit_victims(step, workers, now);
         self.keep_guarantees_claimable(candidate, step, workers)
     }
 
--- a/crates/stairstall-core/src/batch/planner/pool/run.rs
+++ b/crates/stairstall-core/src/batch/planner/pool/run.rs
@@ -116,10 +116,12 @@
 
     /// Returns whether a step may preempt it.
     ///
-    /// A long-running run is only preempted by a guaranteed job, and not at all if its step limits
-    /// how many of its tasks may be away.
+    /// A long-running run is only preempted by a guaranteed job. Where its step limits how many of
+    /// its tasks may be away, the limit is applied to the victims of each search, and a gang is
+    /// never preempted.
     pub(in crate::batch::planner) const fn is_preemptible_by(&self, preemptor: Preemptor) -> bool {
-        let gives_way = !self.long_running || preemptor.is_guaranteed && !self.limits_unavailable;
+        let has_limit = self.limits_unavailable;
+        let gives_way = !self.long_running || preemptor.is_guaranteed && !(has_limit && self.gang);
         let is_protected = self.rank <= preemptor.protected_rank;
         gives_way && !is_protected && !matches!(self.state, RunState::Stopping)
     }
--- a/crates/stairstall-core/tests/batch/guarantees.rs
+++ b/crates/stairstall-core/tests/batch/guarantees.rs
@@ -6,10 +6,10 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use stairstall_core::batch::{AcceptedJob, RunEndKind, StepSpec, TaskKey};
+use stairstall_core::batch::{AcceptedJob, OrderKind, RunEndKind, StepSpec, TaskKey};
 use stairstall_core::{CustomerId, JobId};
 
-use crate::harness::{Fleet, catalog, gang, job, step, task};
+use crate::harness::{Fleet, STOP_MAX, catalog, gang, job, step, task};
 
 const WORKERS: [(&str, &str); 6] = [
     ("w1", "r1"),
@@ -244,6 +244,136 @@
     assert_eq!(preempted, BTreeSet::new());
 }
 
+/// Submits work with an availability bound that takes the whole fleet, before the catalog guarantees
+/// anything.
+fn with_bounded_work(count: u32, accelerators: u32, max_unavailable: u32) -> (Fleet, Vec<TaskKey>) {
+    let mut fleet = Fleet::new(&WORKERS);
+    fleet.hold_all();
+    let spec = StepSpec {
+        needs: step(1, accelerators).needs,
+        ..available(count, max_unavailable)
+    };
+    fleet.submit(of_other("serving", 2, vec![spec]));
+    fleet.pass(4_000);
+    let tasks = tasks_of("serving", count);
+    assert_eq!(running(&fleet, &tasks).len(), tasks.len());
+    fleet.planner.set_catalog(Arc::new(catalog(GUARANTEED)));
+    (fleet, tasks)
+}
+
+/// Submits a claim that can't begin, and asserts that nothing is stopped for it.
+fn assert_stops_nothing(fleet: &mut Fleet, steps: Vec<StepSpec>, tasks: &[TaskKey]) {
+    let before = running(fleet, tasks);
+    let claim = AcceptedJob {
+        accepted_unix_ms: fleet.now().unix_ms,
+        ..job("claim", 0, steps)
+    };
+    fleet.submit(claim);
+    fleet.pass(2 * START_LIMIT_MS);
+    assert_eq!(running(fleet, tasks), before);
+    assert_eq!(stops_of(fleet, tasks), 0);
+}
+
+fn stops_of(fleet: &Fleet, tasks: &[TaskKey]) -> usize {
+    let stops = fleet
+        .given
+        .iter()
+        .filter(|order| order.kind == OrderKind::Stop);
+    stops.filter(|order| tasks.contains(&order.task)).count()
+}
+
+/// A claim waited for as long as such work had the whole fleet: when workers are lost or a guarantee
+/// is raised, nothing of it was moved (`review/7`).
+#[test]
+fn a_claim_preempts_as_many_tasks_with_an_availability_bound_as_may_be_away() {
+    for (count, accelerators, max_unavailable, steps, expected) in [
+        (6, 8, 1, vec![step(1, 8)], 1),
+        (6, 8, 2, vec![step(1, 8)], 1),
+        (12, 4, 2, vec![step(1, 8)], 2),
+        (48, 1, 8, vec![step(1, 8)], 8),
+        (48, 1, 8, vec![step(8, 1)], 8),
+        (12, 4, 2, vec![step(2, 4)], 2),
+        (12, 4, 2, vec![gang(2, 4)], 2),
+    ] {
+        let (mut fleet, tasks) = with_bounded_work(count, accelerators, max_unavailable);
+        let preempted = claim(&mut fleet, job("claim", 0, steps.clone()), &tasks);
+        assert_eq!(preempted.len(), expected, "{steps:?}");
+        assert_eq!(stops_of(&fleet, &tasks), expected, "{steps:?}");
+    }
+}
+
+#[test]
+fn a_claim_preempts_no_more_tasks_with_an_availability_bound_than_may_be_away() {
+    for (count, accelerators, max_unavailable, steps) in [
+        (6, 8, 0, vec![step(1, 8)]),
+        (12, 4, 1, vec![step(1, 8)]),
+        (48, 1, 7, vec![step(1, 8)]),
+        (48, 1, 7, vec![gang(8, 1)]),
+        (12, 4, 1, vec![gang(2, 4)]),
+    ] {
+        let (mut fleet, tasks) = with_bounded_work(count, accelerators, max_unavailable);
+        assert_stops_nothing(&mut fleet, steps, &tasks);
+    }
+}
+
+/// Guards against a stop beside a task that is away for another cause.
+#[test]
+fn a_claim_preempts_nothing_while_a_lost_task_uses_up_the_availability_bound() {
+    let (mut fleet, tasks) = with_bounded_work(6, 8, 1);
+    let lost = fleet.place_of(&tasks[0]).expect("it runs");
+    fleet.crash_for(&lost, 60_000);
+    fleet.lose_crashed();
+    fleet.pass(1_000);
+    assert_stops_nothing(&mut fleet, vec![step(1, 8)], &tasks);
+}
+
+/// Guards against a second claim that preempts another task while the first one's victim is away.
+#[test]
+fn two_claims_share_an_availability_bound() {
+    let (mut fleet, tasks) = with_bounded_work(6, 8, 1);
+    fleet.planner.set_catalog(Arc::new(catalog(2 * GUARANTEED)));
+    claim(&mut fleet, job("first", 0, vec![step(1, 8)]), &tasks);
+    let second = AcceptedJob {
+        accepted_unix_ms: fleet.now().unix_ms,
+        ..job("second", 0, vec![step(1, 8)])
+    };
+    fleet.submit(second);
+    fleet.pass(2 * START_LIMIT_MS);
+    assert_eq!(stops_of(&fleet, &tasks), 1);
+    // The first claim's worker is free once it has ended.
+    end_job(&mut fleet, &"first".parse().expect("an id"), 1);
+    assert!(fleet.place_of(&task("second", 0, 0)).is_some());
+    assert_eq!(stops_of(&fleet, &tasks), 1);
+}
+
+/// An earlier planner's stop may be under way at a worker that still lists the run.
+#[test]
+fn a_claim_just_after_a_takeover_counts_stops_that_may_be_under_way() {
+    let (mut fleet, tasks) = with_bounded_work(6, 8, 1);
+    let spec = StepSpec {
+        needs: step(1, 8).needs,
+        ..available(6, 1)
+    };
+    let other = of_other("serving", 2, vec![spec]);
+    fleet.succeed(&[other]);
+    let took_over_ms = fleet.at_ms;
+    fleet.planner.set_catalog(Arc::new(catalog(GUARANTEED)));
+    fleet.hold_all();
+    let accepted = AcceptedJob {
+        accepted_unix_ms: fleet.now().unix_ms,
+        ..job("claim", 0, vec![step(1, 8)])
+    };
+    fleet.submit(accepted.clone());
+    while stops_of(&fleet, &tasks) == 0 && fleet.at_ms < took_over_ms + START_LIMIT_MS {
+        fleet.pass(10);
+    }
+    let stop_max_ms = u64::try_from(STOP_MAX.as_millis()).expect("small");
+    assert!(fleet.at_ms >= took_over_ms + stop_max_ms);
+    fleet.pass(500);
+    assert!(has_begun(&fleet, &accepted));
+    assert_eq!(stops_of(&fleet, &tasks), 1);
+}
+
 /// Without guarantees such work may take the whole fleet.
 #[test]
 fn work_with_an_availability_bound_takes_all_that_is_not_guaranteed() {
