fix(core): tasks that may be away count as claimable

Cause: keep_guarantees_claimable refused every worker to such a step while the workers without such tasks have fewer accelerators than are guaranteed; it counted no task as preemptible, and held however long the task had waited. Change: workers whose tasks with mayMiss may all be away at once count as claimable too; tasks that wait use that number up, but for the one that is placed.

--- a/crates/stairstall-core/src/batch/planner/placement.rs
+++ b/crates/stairstall-core/src/batch/planner/placement.rs
@@ -306,7 +306,7 @@
             .filter(|worker| worker.spread_left > 0)
             .collect();
         let workers = self.limit_victims(step, workers, now);
-        self.keep_guarantees_claimable(candidate, step, workers)
+        self.keep_guarantees_claimable(candidate, step, scope, workers, pass)
     }
 
     /// Returns the health that a worker must have shown to get a task of this step.
--- a/crates/stairstall-core/tests/batch/guarantees.rs
+++ b/crates/stairstall-core/tests/batch/guarantees.rs
@@ -374,6 +374,72 @@
     assert_eq!(stops_of(&fleet, &tasks), 1);
 }
 
+/// A catalog that guarantees a customer, who has no job, so many accelerators.
+fn with_guarantee(accelerators: u32) -> Fleet {
+    let mut fleet = fleet();
+    fleet.planner.set_catalog(Arc::new(catalog(accelerators)));
+    fleet
+}
+
+fn whole(count: u32, max_unavailable: u32) -> StepSpec {
+    StepSpec {
+        needs: step(1, 8).needs,
+        ..available(count, max_unavailable)
+    }
+}
+
+/// Loses the worker of a task for good, and lets the planner notice.
+fn lose_worker_of(fleet: &mut Fleet, task: &TaskKey) {
+    let place = fleet.place_of(task).expect("it runs");
+    fleet.crash_for(&place, 60_000);
+    fleet.lose_crashed();
+}
+
+/// A task was never started again once its worker was lost, since the idle workers alone had fewer
+/// accelerators than were guaranteed (`review/8`).
+#[test]
+fn a_lost_task_with_an_availability_bound_starts_again_where_claims_can_preempt_another() {
+    for (guaranteed, count, max_unavailable) in [(32, 2, 1), (24, 3, 1), (16, 4, 1), (16, 4, 2)] {
+        let mut fleet = with_guarantee(guaranteed);
+        fleet.submit(of_other("serving", 2, vec![whole(count, max_unavailable)]));
+        fleet.pass(4_000);
+        let tasks = tasks_of("serving", count);
+        assert_eq!(running(&fleet, &tasks).len(), tasks.len());
+        lose_worker_of(&mut fleet, &tasks[0]);
+        fleet.pass(17_000);
+        assert_eq!(running(&fleet, &tasks).len(), tasks.len());
+        let claimed = job("claim", 0, vec![step(guaranteed / 8, 8)]);
+        let preempted = claim(&mut fleet, claimed, &tasks);
+        assert!(preempted.len() <= max_unavailable as usize);
+    }
+}
+
+/// Guards against a task that may never start beside a guarantee of more than is left, though that
+/// is not used and most workers are idle.
+#[test]
+fn a_task_with_an_availability_bound_does_not_wait_for_ever_for_an_unused_guarantee() {
+    for guaranteed in [40, 48] {
+        let mut fleet = with_guarantee(guaranteed);
+        fleet.submit(of_other("serving", 2, vec![whole(2, 0)]));
+        fleet.pass(6_000);
+        let tasks = tasks_of("serving", 2);
+        assert_eq!(running(&fleet, &tasks).len(), 2, "{guaranteed} guaranteed");
+    }
+}
+
+/// Guards against a step that counts on tasks that may be away while others of it wait: a claim could
+/// preempt none of them.
+#[test]
+fn waiting_tasks_use_up_an_availability_bound() {
+    let mut fleet = fleet();
+    fleet.submit(of_other("serving", 2, vec![whole(7, 1)]));
+    fleet.pass(10_000);
+    let tasks = tasks_of("serving", 7);
+    assert_eq!(running(&fleet, &tasks).len(), 5, "one worker is left");
+    let preempted = claim(&mut fleet, job("claim", 0, vec![step(1, 8)]), &tasks);
+    assert_eq!(preempted, BTreeSet::new());
+}
+
 /// Without guarantees such work may take the whole fleet.
 #[test]
 fn work_with_an_availability_bound_takes_all_that_is_not_guaranteed() {
