fix(core): work that lasts is not given up for crashes

Cause: fail_crashing_jobs ended a job at max_crashes lost workers under one task, also where its step is long-running. Evidence: work_that_lasts_is_not_given_up_for_crashes below, at the code before: the job is gone after the third crash. Change: long-running tasks fail no job by crashes, and don't wait until silent workers have answered. From the number of crashes on at which other work fails, each start is one in isolation, as a last attempt was, and two starts of the task are at least 5 s apart. placement.rs: two arguments more. Why it works: the pause counts from the last start, so that a task that had worked waits for nothing, and one that crashes its worker at once is back within 6 s. 5 s are more than a worker usually needs to restart. For it: work_that_lasts_is_not_given_up_for_crashes, work_that_lasts_and_crashes_its_workers_takes_one_at_a_time (4.8 to 6 s between starts, neighbours go on) and nothing_starts_beside_work_that_lasts_and_may_crash_its_worker (after 3 and 10 crashes). All three failed before. Work with an end is given up as before, by the same tests. The soak and the tests of the daemon were not run.

--- a/crates/stairstall-core/src/batch/planner/crashes.rs
+++ b/crates/stairstall-core/src/batch/planner/crashes.rs
@@ -1,4 +1,5 @@
-//! Counts worker crashes per task and fails jobs whose tasks keep crashing workers.
+//! Counts worker crashes per task and fails jobs whose tasks keep crashing workers. Long-running
+//! tasks are contained instead.
 //!
 //! A crashed worker reports no ends for its runs, so the loss of the worker is the only sign that a
 //! task crashes its workers. Each loss is counted before the task starts again, and the counts are
@@ -9,7 +10,9 @@
 use super::job::Task;
 use super::pool::{Run, RunState, Worker};
 use super::{Now, Planner};
-use crate::batch::{Decision, DecisionKind, Outcome, Progress, SilentWorker, TaskKey, TaskLosses};
+use crate::batch::{
+    Decision, DecisionKind, Outcome, Progress, SilentWorker, StepSpec, TaskKey, TaskLosses,
+};
 use crate::time::millis;
 use crate::{JobId, Timestamp, WorkerId};
 
@@ -107,9 +110,15 @@
 
     /// Fails the jobs of tasks that keep crashing workers. Each further start would take down
     /// another worker with everything that runs on it.
+    ///
+    /// A long-running task is to run again however it ends. It starts in isolation and not too soon
+    /// after its last start instead.
     pub(super) fn fail_crashing_jobs(&mut self, tasks: &[TaskKey], now: Now) {
         for task in tasks {
             let job = &task.group.job;
+            if self.step(&task.group).is_none_or(|step| step.long_running) {
+                continue;
+            }
             let is_open = self.jobs.get(job).is_some_and(|job| job.outcome.is_none());
             let losses = self.task(task).map(|task| &task.losses);
             if let Some(losses) = losses.filter(|losses| is_open && self.reaches_loss_limit(losses))
@@ -205,9 +214,17 @@
         losses.crashes >= health.max_crashes || all >= health.max_losses
     }
 
-    /// Returns whether a task must not start until it is known whether it has crashed workers.
-    pub(super) fn is_blocked_by_losses(&self, task: &Task) -> bool {
-        self.reaches_loss_limit(&task.losses.assuming_crashed())
+    /// Returns whether a task of a step must not start now because it may have crashed workers: until
+    /// it is known whether it has, or, if the step is long-running, until some time after its last
+    /// start.
+    pub(super) fn is_blocked_by_losses(&self, step: &StepSpec, task: &Task, now: Now) -> bool {
+        let may_crash_workers = self.reaches_loss_limit(&task.losses.assuming_crashed());
+        if !step.long_running {
+            return may_crash_workers;
+        }
+        let interval = self.policy.health.crashing_start_interval;
+        let has_just_started = task.started_at.is_some_and(|at| now.at - at < interval);
+        may_crash_workers && has_just_started
     }
 }
 
--- a/crates/stairstall-core/src/batch/planner/job.rs
+++ b/crates/stairstall-core/src/batch/planner/job.rs
@@ -28,6 +28,8 @@
     /// Until when the start of the run may be carried out although it got no answer, in
     /// milliseconds since the Unix epoch.
     pub(super) late_start_until_unix_ms: Option<u64>,
+    /// When the last start order for it was sent, by this planner.
+    pub(super) started_at: Option<Timestamp>,
     /// Since when it waits for a start, if its step is long-running.
     pub(super) idle_since: Option<Timestamp>,
     /// Number of failed runs.
--- a/crates/stairstall-core/src/batch/planner/placement.rs
+++ b/crates/stairstall-core/src/batch/planner/placement.rs
@@ -46,7 +46,8 @@
             return;
         };
         let mut waiting = group.waiting();
-        waiting.retain(|index| !self.is_blocked_by_losses(&group.tasks[*index as usize]));
+        waiting
+            .retain(|index| !self.is_blocked_by_losses(&step, &group.tasks[*index as usize], now));
         let ready_since = group.ready_since.unwrap_or(now.at);
         if step.gang && waiting.len() != group.tasks.len() {
             return;
--- a/crates/stairstall-core/src/batch/planner/pool/run.rs
+++ b/crates/stairstall-core/src/batch/planner/pool/run.rs
@@ -27,7 +27,7 @@
     None,
     /// It may have crashed workers that were lost while it ran.
     Some,
-    /// The next crash makes it fail.
+    /// The next crash makes it fail, or it is long-running and has reached that number of crashes.
     LastAttempt,
 }
 
--- a/crates/stairstall-core/src/batch/planner/queue.rs
+++ b/crates/stairstall-core/src/batch/planner/queue.rs
@@ -72,7 +72,7 @@
                 (since_unix_ms <= now.unix_ms).then_some((aged, index))
             });
         // A step that fits on no current worker would block this for all others.
-        let aged = aged.filter(|(aged, _)| self.fits_on_empty_fleet(&aged.key, pass));
+        let aged = aged.filter(|(aged, _)| self.fits_on_empty_fleet(&aged.key, pass, now));
         let (aged, index) = aged.min()?;
         let first = candidates.partition_point(|candidate| candidate.rank <= URGENT_RANK);
         candidates[index].scheduling_key = SchedulingKey::aged();
@@ -82,12 +82,12 @@
 
     /// Returns whether a step would fit on the current workers if nothing else ran, and at least
     /// one of its waiting tasks may start.
-    fn fits_on_empty_fleet(&self, key: &GroupKey, pass: &mut Pass) -> bool {
+    fn fits_on_empty_fleet(&self, key: &GroupKey, pass: &mut Pass, now: Now) -> bool {
         let Some((step, group)) = self.step(key).zip(self.jobs[&key.job].group(key)) else {
             return false;
         };
         let mut waiting = group.tasks.iter().filter(|task| task.is_waiting());
-        let may_start = waiting.any(|task| !self.is_blocked_by_losses(task));
+        let may_start = waiting.any(|task| !self.is_blocked_by_losses(step, task, now));
         let count = if step.gang { step.count } else { 1 };
         let scope = SearchScope::ANYWHERE;
         let ceiling = self.ceiling(key, step, scope.near, CapacityKind::Whole, pass);
--- a/crates/stairstall-core/src/batch/planner/starts.rs
+++ b/crates/stairstall-core/src/batch/planner/starts.rs
@@ -197,6 +197,9 @@
         });
         if let Some(job) = self.jobs.get_mut(&task.group.job) {
             job.timeline.starts = job.timeline.starts.saturating_add(1);
+            if let Some(entry) = job.task_mut(task) {
+                entry.started_at = Some(now.at);
+            }
         }
         self.end_idle_time(&task.group.job, now);
         self.mark_timeline_changed(&task.group.job);
--- a/crates/stairstall-core/src/batch/policy/health.rs
+++ b/crates/stairstall-core/src/batch/policy/health.rs
@@ -53,6 +53,12 @@
     /// crashed. Healthy workers register again within 2 s of the store's return.
     #[serde(rename = "vanished_after", with = "super::millis")]
     pub presumed_crashed_after: Duration,
+    /// Minimum time between two starts of a long-running task under which as many workers have
+    /// crashed as make another task fail. Longer than a worker usually needs to restart, so that the
+    /// task takes away one worker at a time, and short enough for a task that has to be back within
+    /// 6 s.
+    #[serde(with = "super::millis")]
+    pub crashing_start_interval: Duration,
     /// How long a long-running task must be at work before its earlier crashes no longer count.
     #[serde(with = "super::millis")]
     pub crashes_forgiven_after: Duration,
@@ -74,6 +80,7 @@
             fresh_start: Duration::from_secs(1),
             restart_time: Duration::from_secs(1),
             presumed_crashed_after: Duration::from_secs(10),
+            crashing_start_interval: Duration::from_secs(5),
             crashes_forgiven_after: Duration::from_secs(600),
         }
     }
