fix(core): a planner that can't read a job tells of no worker that its runs are over

Found by review. A planner that holds a job back does not know of that job's runs, so that a worker on which another run ended could be called free although one of them goes on; the next planner, which reads the job, would start it again. Of steps that limit how many tasks may be away one task is placed per search again, since each placement may take from what guaranteed jobs can claim.

--- a/crates/stairstall-core/src/batch/planner/lease_ends.rs
+++ b/crates/stairstall-core/src/batch/planner/lease_ends.rs
@@ -121,7 +121,9 @@
     pub fn retire(&mut self, now: Now) -> LeaseEnds {
         self.is_retired = true;
         let over = self.releases.workers(now.at);
-        let over = over.filter(|id| self.has_no_runs_at(id));
+        // Runs of jobs that this planner can't read may go on at any worker.
+        let knows_all_runs = self.held_back.is_empty();
+        let over = over.filter(|id| knows_all_runs && self.has_no_runs_at(id));
         let over = over.map(|id| (id.clone(), now.at));
         let busy = self.workers.iter().filter(|(_, w)| w.may_run_unasked());
         let busy = busy.filter(|(id, _)| !self.releases.has_failed(id));
--- a/crates/stairstall-core/src/batch/planner/placement/choose.rs
+++ b/crates/stairstall-core/src/batch/planner/placement/choose.rs
@@ -151,11 +151,12 @@
 }
 
 /// Returns the fewest tasks of a step that have to start for it not to be idle: a whole gang, each
-/// overdue task of a step that lasts, one task of any other step.
+/// overdue task of a step that lasts, one task of any other step. Also one where the step limits how
+/// many of its tasks may be away: each may keep accelerators from guaranteed jobs.
 pub(super) fn min_count(step: &StepSpec, waiting: usize, overdue: usize) -> usize {
     if step.gang {
         waiting
-    } else if step.long_running {
+    } else if step.long_running && !step.limits_unavailable() {
         overdue
     } else {
         1
