--- a/crates/stairstall-core/src/batch/planner/placement.rs
+++ b/crates/stairstall-core/src/batch/planner/placement.rs
@@ -63,8 +63,8 @@
             scopes.unwrap_or_else(|| self.scopes(candidate, &step, ready_since, pass, now));
         for scope in scopes {
             let has_placed = waiting.len() < ready;
-            let may_wait = !step.long_running && has_placed;
-            if waiting.is_empty() || may_wait && !scope.yields {
+            let is_running = has_placed && !step.long_running;
+            if waiting.is_empty() || is_running && !scope.yields {
                 break;
             }
             let count = if scope.yields {
--- a/crates/stairstall-core/tests/batch/idle_full_fleet.rs
+++ b/crates/stairstall-core/tests/batch/idle_full_fleet.rs
@@ -3,30 +3,17 @@
 
 use std::collections::BTreeSet;
 
-use stairstall_core::batch::{Order, RunEndKind, StepSpec, TaskKey, VmLimits};
+use stairstall_core::batch::{Order, StepSpec, VmLimits};
 
-use crate::harness::{Fleet, SPAN_MS, bounds, gang, job, step, task};
+use crate::harness::{Fleet, bounds, gang, job, step, task};
 use crate::idle_jobs::{
-    MAX_IDLE_MS, PATIENCE_MS, TICK_MS, end_urgent, fill, fleet, hand_in, has_started, lasting,
-    near, usual_fleet,
+    MAX_IDLE_MS, PATIENCE_MS, TICK_MS, end_urgent, end_what_is_done, fill, fleet, hand_in,
+    has_started, lasting, near, usual_fleet,
 };
 
 /// Members of a gang that needs almost the whole fleet of 160 accelerators.
 const ALMOST_ALL: u32 = 158;
 
-/// Ends the runs that have done their work.
-fn end_done(fleet: &mut Fleet) {
-    let workers = fleet.workers.values();
-    let running = workers.flat_map(|worker| &worker.running);
-    let done: Vec<TaskKey> = running
-        .filter(|(_, (_, worked_ms, _))| *worked_ms >= SPAN_MS)
-        .map(|(task, _)| task.clone())
-        .collect();
-    for task in done {
-        fleet.end_everywhere(&task, RunEndKind::Done);
-    }
-}
-
 /// Returns how long a small job waits that is handed in so long after a gang that needs almost the whole
 /// fleet. Urgent work goes on starting on the workers that the gang has reserved.
 fn wait_beside_date_that_passes(after_ms: u64) -> u64 {
@@ -43,7 +30,7 @@
         }
         ticks += 1;
         fleet.pass(TICK_MS);
-        end_done(fleet);
+        end_what_is_done(fleet);
     };
     for _ in 0..35 {
         pass(&mut fleet);
--- a/crates/stairstall-core/tests/batch/idle_jobs.rs
+++ b/crates/stairstall-core/tests/batch/idle_jobs.rs
@@ -373,7 +373,7 @@
 type Needs = BTreeMap<JobId, u32>;
 
 /// Ends what has done its work; a gang ends as a whole.
-fn end_what_is_done(fleet: &mut Fleet) {
+pub(crate) fn end_what_is_done(fleet: &mut Fleet) {
     let workers = fleet.workers.values();
     let running = workers.flat_map(|worker| &worker.running);
     let done: Vec<TaskKey> = running
