--- a/crates/stairstall-core/src/batch/planner/placement.rs
+++ b/crates/stairstall-core/src/batch/planner/placement.rs
@@ -46,7 +46,8 @@
             return;
         };
         let mut waiting = group.waiting();
-        waiting.retain(|index| !self.is_blocked_by_losses(&group.tasks[*index as usize]));
+        waiting
+            .retain(|index| !self.is_blocked_by_losses(&step, &group.tasks[*index as usize], now));
         let ready_since = group.ready_since.unwrap_or(now.at);
         if step.gang && waiting.len() != group.tasks.len() {
             return;
@@ -77,7 +78,8 @@
                 self.startable_tasks(candidate, count, pass)
             };
             let may_start = !step.gang || !self.is_start_window_used_up(candidate, pass);
-            if !may_start || count == 0 {
+            let asks_for_tickets = self.ticket_validity(key).is_some();
+            if !may_start || count == 0 && !asks_for_tickets {
                 continue;
             }
             if !self.may_fit(candidate, &step, scope, count, pass, now) {
@@ -89,11 +91,12 @@
             let workers = self.candidate_workers(candidate, &step, scope, pass, now);
             let workers = self.filter_by_ticket(key, workers, waiting.len(), now);
             let choice = search(&step, count, scope, workers, paces.as_ref());
-            if choice.is_none() && !scope.yields {
+            let may_start =
+                choice.is_none() || !step.gang || self.may_start_gang(candidate, count, pass);
+            if may_start && !scope.yields {
                 self.record_idle_search(key, now);
             }
-            let choice =
-                choice.filter(|_| !step.gang || self.may_start_gang(candidate, count, pass));
+            let choice = choice.filter(|_| may_start);
             let choice = choice.filter(|choice| {
                 self.is_preemption_worthwhile(candidate, &step, choice, pass, now)
             });
@@ -316,7 +319,8 @@
             })
             .filter(|worker| worker.spread_left > 0)
             .collect();
-        self.keep_guarantees_claimable(candidate, step, workers)
+        let workers = self.limit_victims(step, workers, now);
+        self.keep_guarantees_claimable(candidate, step, scope, workers, pass)
     }
 
     /// Returns the health that a worker must have shown to get a task of this step.
