feat(core): waits for unverified workers and for guarantees are told apart

No decision changes. Change: two more reasons of a wait; `idle` lines count unverified workers; a line of target `worker` says that one gets a run that can't finish; `unverified` in the `contact` line and a gauge, stairstall_unverified_workers. Tests: a_job_that_waits_for_unverified_workers_says_so and a_task_that_waits_for_a_guarantee_says_so, both new. The set-up that two tests of end_listing repeated is one function now; their assertions are as they were.

--- a/crates/stairstall-core/src/batch/planner/end_listing.rs
+++ b/crates/stairstall-core/src/batch/planner/end_listing.rs
@@ -107,6 +107,10 @@
             self.candidate_workers_where(candidate, step, scope, pass, now, takes_verification);
         let workers = self.filter_by_ticket(key, workers, 1, now);
         if let Some(choice) = choose_one(step, scope, workers) {
+            let worker = choice.workers.first();
+            let why = "it gets a run that can't finish, to see whether it lists the end";
+            let decision = worker.map(|id| Decision::of_worker(id, why));
+            self.decisions.extend(decision);
             self.commit_placement(candidate, step, &[index], &choice, scope, now);
             pass.record_placed(1, step.needs.accelerators);
             pass.has_verifiable_worker = None;
--- a/crates/stairstall-core/src/batch/planner/flow.rs
+++ b/crates/stairstall-core/src/batch/planner/flow.rs
@@ -21,6 +21,8 @@
 pub struct ContactLag {
     /// Number of listed workers that are unresponsive.
     pub unresponsive: usize,
+    /// Number of listed workers that answer and may not list their run ends.
+    pub unverified: usize,
     /// Longest time since a responsive worker with runs last answered.
     pub oldest_report: Duration,
     /// How long workers are told to wait for a run to end before they report.
@@ -285,12 +287,16 @@
         let unusable = unusable.map(|w| w.listed.capacity.accelerators);
         let listed = self.workers.values().filter(|w| w.is_listed);
         let (responsive, unresponsive): (Vec<_>, Vec<_>) = listed.partition(|w| w.is_in_contact());
+        let unverified = responsive.iter();
+        let unverified = unverified.filter(|w| !w.incarnation_state.end_listing.is_verified());
+        let unverified = unverified.count();
         let busy = responsive.into_iter().filter(|w| !w.runs.is_empty());
         let ages = busy
             .filter_map(|w| w.incarnation_state.last_answer_at)
             .map(|at| now.at - at);
         ContactLag {
             unresponsive: unresponsive.len(),
+            unverified,
             oldest_report: ages.max().unwrap_or_default(),
             report_wait: self.report_wait(),
             starts_in_flight: self.starts_in_flight(),
--- a/crates/stairstall-core/src/batch/planner/guarantees.rs
+++ b/crates/stairstall-core/src/batch/planner/guarantees.rs
@@ -58,6 +58,32 @@
         workers
     }
 
+    /// Returns whether a task of a step fits on workers, and each of them is kept for guaranteed jobs.
+    pub(super) fn is_kept_for_guarantees(&self, candidate: &Candidate) -> bool {
+        let Some(step) = self.step(&candidate.key) else {
+            return false;
+        };
+        if candidate.rank == GUARANTEED_RANK || !step.limits_unavailable() {
+            return false;
+        }
+        let guaranteed = self.catalog.total_guaranteed();
+        let claimable_workers = self.claimable_workers(candidate);
+        let claimable = claimable_workers.values().copied();
+        let claimable = claimable.fold(0, u32::saturating_add);
+        let service = self.service_of(&candidate.key);
+        let needs = step.reserved_resources();
+        let mut fitting = self.workers.iter().filter(|(_, worker)| {
+            worker.takes_tasks()
+                && worker.has_required_label(step)
+                && service.as_ref() == Some(&worker.listed.service)
+                && needs.fits_in(&worker.free())
+        });
+        fitting.all(|(id, _)| {
+            let accelerators = claimable_workers.get(id);
+            accelerators.is_some_and(|accelerators| claimable - accelerators < guaranteed)
+        })
+    }
+
     /// Returns the workers of a step's service that guaranteed jobs could claim as a whole, each with
     /// its accelerators, once a waiting task of the step has been placed.
     ///
--- a/crates/stairstall-core/src/batch/planner/idle_jobs.rs
+++ b/crates/stairstall-core/src/batch/planner/idle_jobs.rs
@@ -100,7 +100,7 @@
                 .get(id)
                 .is_none_or(|job| job.idle_time.is_reported);
             let is_due = self.idle_time(id, now) >= IDLE_REPORTED_AFTER;
-            if is_reported || !is_due || !self.fits_beside_others(&candidate.key, &mut pass) {
+            if is_reported || !is_due || !self.fits_with_unverified(&candidate.key, &mut pass) {
                 continue;
             }
             let reason = self
@@ -278,12 +278,21 @@
     /// Returns whether one task of a step, or its whole gang, fits on the free capacity of the fleet
     /// and leaves capacity for as much again.
     pub(super) fn fits_beside_others(&self, key: &GroupKey, pass: &mut Pass) -> bool {
+        self.fits_twice(key, CapacityKind::Free, pass)
+    }
+
+    /// Returns the same where unverified workers count too, as they do for whoever looks at the fleet.
+    pub(super) fn fits_with_unverified(&self, key: &GroupKey, pass: &mut Pass) -> bool {
+        self.fits_twice(key, CapacityKind::FreeWithUnverified, pass)
+    }
+
+    fn fits_twice(&self, key: &GroupKey, kind: CapacityKind, pass: &mut Pass) -> bool {
         let Some(step) = self.step(key) else {
             return false;
         };
         let scope = SearchScope::ANYWHERE;
         let tasks = if step.gang { step.count } else { 1 };
-        let ceiling = self.ceiling(key, step, scope.near, CapacityKind::Free, pass);
+        let ceiling = self.ceiling(key, step, scope.near, kind, pass);
         ceiling.total >= tasks.saturating_mul(FITS_TIMES)
     }
 
--- a/crates/stairstall-core/src/batch/planner/idle_jobs/overdue.rs
+++ b/crates/stairstall-core/src/batch/planner/idle_jobs/overdue.rs
@@ -39,6 +39,8 @@
 #[derive(Debug, Default)]
 struct FreeWorkers {
     all: usize,
+    /// Those beside these that may not list their run ends.
+    unverified: usize,
     reserved: usize,
     /// Those that are kept from the job although it is overdue.
     bound: usize,
@@ -67,7 +69,7 @@
                 let is_recent = |at: Timestamp| now.at - at < REPORT_INTERVAL;
                 idle.duration(now.at) >= limit && !idle.overdue_reported_at.is_some_and(is_recent)
             });
-            if !is_due || !self.fits_beside_others(&candidate.key, &mut pass) {
+            if !is_due || !self.fits_with_unverified(&candidate.key, &mut pass) {
                 continue;
             }
             let hindrances = self.hindrances(candidate, reserved, &mut pass, now);
@@ -131,12 +133,16 @@
         let needs = step.reserved_resources();
         let mut gangs = BTreeSet::new();
         let fitting = self.workers.iter().filter(|(_, worker)| {
-            worker.takes_tasks()
+            worker.accepts_starts()
                 && worker.has_required_label(step)
                 && worker.listed.service == service
                 && needs.fits_in(&worker.free())
         });
-        for (id, _) in fitting {
+        for (id, worker) in fitting {
+            if !worker.takes_tasks() {
+                found.unverified += 1;
+                continue;
+            }
             found.all += 1;
             if let Some(reserving) = reserved.workers.get(id) {
                 found.reserved += 1;
@@ -162,7 +168,8 @@
         write!(
             f,
             "overdue: nothing of it runs for {} ms, step {} fits {} times, did not fit: {}, searched: {}, \
-             {} of {} starts in flight, fits on {} workers, {} of them reserved by {} gangs, {} bound",
+             {} of {} starts in flight, fits on {} workers, {} of them reserved by {} gangs, {} bound, \
+             and on {} unverified ones",
             millis(self.idle),
             self.step,
             self.fits,
@@ -174,6 +181,7 @@
             self.workers.reserved,
             self.workers.reserving_gangs,
             self.workers.bound,
+            self.workers.unverified,
         )
     }
 }
--- a/crates/stairstall-core/src/batch/planner/pass.rs
+++ b/crates/stairstall-core/src/batch/planner/pass.rs
@@ -58,6 +58,8 @@
     Whole,
     /// The capacity that neither a run nor a planned run uses.
     Free,
+    /// The same, with that of unverified workers.
+    FreeWithUnverified,
     /// The capacity that should be free by then, as far as the ends of runs can be expected.
     FreeBy(Timestamp),
     /// The capacity that is free once all runs that such a step may preempt have ended.
@@ -154,7 +156,8 @@
         let workers = self
             .workers
             .values()
-            .filter(|w| w.takes_tasks() && w.has_required_label(step) && (!near || w.is_near(step)))
+            .filter(|w| w.is_counted_for(ceiling_key.kind))
+            .filter(|w| w.has_required_label(step) && (!near || w.is_near(step)))
             .filter(|w| ceiling_key.service.as_ref() == Some(&w.listed.service));
         let min_progress = self.policy.placement.min_progress_percent;
         for worker in workers {
@@ -182,10 +185,17 @@
 }
 
 impl Worker {
+    fn is_counted_for(&self, kind: CapacityKind) -> bool {
+        match kind {
+            CapacityKind::FreeWithUnverified => self.accepts_starts(),
+            _ => self.takes_tasks(),
+        }
+    }
+
     fn capacity_of(&self, kind: CapacityKind, min_progress_percent: u8) -> Resources {
         match kind {
             CapacityKind::Whole => self.listed.capacity,
-            CapacityKind::Free => self.free(),
+            CapacityKind::Free | CapacityKind::FreeWithUnverified => self.free(),
             CapacityKind::FreeBy(until) => self.free_by(until, min_progress_percent),
             CapacityKind::AfterPreemption(preemptor) => self.free_after_preemption(preemptor),
         }
--- a/crates/stairstall-core/src/batch/planner/waiting.rs
+++ b/crates/stairstall-core/src/batch/planner/waiting.rs
@@ -70,6 +70,10 @@
     /// Returns whether a step waits for placements and one of its tasks, or its whole gang, fits on
     /// the free capacity of the fleet.
     pub(super) fn fits_now(&self, key: &GroupKey, pass: &mut Pass) -> bool {
+        self.waits_and_fits(key, CapacityKind::Free, pass)
+    }
+
+    fn waits_and_fits(&self, key: &GroupKey, kind: CapacityKind, pass: &mut Pass) -> bool {
         let (Some(step), Some(group)) = (self.step(key), self.group_of(key)) else {
             return false;
         };
@@ -77,7 +81,7 @@
         let scope = SearchScope::ANYWHERE;
         waits
             && self
-                .ceiling(key, step, scope.near, CapacityKind::Free, pass)
+                .ceiling(key, step, scope.near, kind, pass)
                 .allows(step, step.count, scope)
     }
 
@@ -173,11 +177,17 @@
         if is_reserved {
             WaitReason::Headroom
         } else if !self.fits_now(&candidate.key, &mut pass) {
-            WaitReason::Capacity
+            if self.waits_and_fits(&candidate.key, CapacityKind::FreeWithUnverified, &mut pass) {
+                WaitReason::UnverifiedWorkers
+            } else {
+                WaitReason::Capacity
+            }
         } else if !self.fits_near(&candidate.key, &mut pass) {
             WaitReason::Locality
         } else if candidate.rank > URGENT_RANK && self.is_start_window_closed(&candidate.key) {
             WaitReason::StartWindow
+        } else if self.is_kept_for_guarantees(candidate) {
+            WaitReason::KeptForGuarantees
         } else if !self.reservations.is_empty() {
             WaitReason::ReservedForOthers
         } else {
--- a/crates/stairstall-core/src/batch/scheduling/waiting.rs
+++ b/crates/stairstall-core/src/batch/scheduling/waiting.rs
@@ -26,6 +26,10 @@
     StartWindow,
     /// Capacity that is free but reserved for gangs that come before it.
     ReservedForOthers,
+    /// Capacity on workers that may not list their run ends.
+    UnverifiedWorkers,
+    /// Capacity that guaranteed jobs could not claim any more.
+    KeptForGuarantees,
     /// Capacity held by runs that its rank can't preempt.
     NotPreemptible,
     /// Its start: it has placements, but runs are still being stopped there or the record is still
@@ -55,6 +59,8 @@
             Self::Locality => "room near its data or on one rack",
             Self::StartWindow => "answers to the starts before it",
             Self::ReservedForOthers => "room that is reserved for a gang before it",
+            Self::UnverifiedWorkers => "workers that may not list their run ends",
+            Self::KeptForGuarantees => "room that guaranteed jobs may claim",
             Self::NotPreemptible => "room that is held by work it can't preempt",
             Self::PendingStart => "its start",
             Self::EarlierLease { .. } => "the end of a lease at a worker that does not answer",
--- a/crates/stairstall-core/tests/batch/end_listing.rs
+++ b/crates/stairstall-core/tests/batch/end_listing.rs
@@ -6,11 +6,12 @@
 
 use stairstall_core::WorkerId;
 use stairstall_core::batch::{
-    AcceptedJob, CallerState, Order, OrderKind, Outcome, ReportRequest, RunEndKind, StepSpec,
-    WorkerReport,
+    AcceptedJob, CallerState, DecisionKind, Order, OrderKind, Outcome, ReportRequest, RunEndKind,
+    StepSpec, WaitReason, WorkerReport,
 };
 
 use crate::harness::{Fleet, gang, id, job, step, task};
+use crate::idle_jobs::{accepted_now, lasting};
 
 const COMPLETED: Option<CallerState> = Some(CallerState::Ended(Outcome::Completed));
 /// How long a call without an answer may still be carried out, in milliseconds.
@@ -191,8 +192,9 @@
     job("short", 2, vec![short_step()])
 }
 
-#[test]
-fn a_short_task_does_not_run_where_its_end_may_stay_hidden() {
+/// Returns a fleet of two workers: a verified one that is full with work that does not end, and one
+/// that restarted after a late acknowledgement.
+fn beside_a_busy_worker() -> (Fleet, WorkerId) {
     let mut fleet = fleet(&[("w1", "r1"), ("w2", "r1")]);
     fleet.submit(job("long", 2, vec![step(1, 8)]));
     let busy = fleet.place_of(&task("long", 0, 0)).expect("it runs");
@@ -211,6 +213,12 @@
     fleet.at_ms += 500;
     fleet.restart_cut_off(&idle);
     fleet.pass(LATE_MS + 500);
+    (fleet, idle)
+}
+
+#[test]
+fn a_short_task_does_not_run_where_its_end_may_stay_hidden() {
+    let (mut fleet, _) = beside_a_busy_worker();
     fleet.submit(short_job());
     fleet.pass(2_000);
     assert_eq!(
@@ -220,6 +228,26 @@
     );
 }
 
+/// Such a job was in no line of the log: the capacity of unverified workers did not count.
+#[test]
+fn a_job_that_waits_for_unverified_workers_says_so() {
+    let (mut fleet, _) = beside_a_busy_worker();
+    let spec = lasting(300, step(1, 4));
+    fleet.submit(accepted_now(&fleet, job("short", 2, vec![spec])));
+    fleet.pass(1_500);
+    let status = fleet.planner.wait_status(&id("short"), fleet.now());
+    let reason = status.map(|status| status.reason);
+    assert_eq!(reason, Some(WaitReason::UnverifiedWorkers));
+    let decisions = fleet.planner.take_decisions();
+    let mut idle = decisions.iter().filter(|d| d.kind == DecisionKind::Idle);
+    assert!(idle.any(|decision| {
+        decision
+            .why
+            .contains(WaitReason::UnverifiedWorkers.as_str())
+    }));
+    assert_eq!(fleet.planner.contact_lag(fleet.now()).unverified, 1);
+}
+
 /// A soak's job waited for ever: all six workers had restarted soon after a takeover, and nothing
 /// waited but its one short task (seed 9110, "not ended: running").
 #[test]
@@ -331,24 +359,7 @@
 /// that is too small for it.
 #[test]
 fn a_short_task_shows_that_ends_are_listed_where_all_other_workers_are_denied() {
-    let mut fleet = fleet(&[("w1", "r1"), ("w2", "r1")]);
-    fleet.submit(job("long", 2, vec![step(1, 8)]));
-    let busy = fleet.place_of(&task("long", 0, 0)).expect("it runs");
-    let idle = if busy == w1() { "w2" } else { "w1" };
-    let idle: WorkerId = idle.parse().expect("an id");
-    fleet.submit(job("first", 2, vec![step(1, 8)]));
-    fleet
-        .worker(idle.as_str())
-        .end(&task("first", 0, 0), RunEndKind::Done);
-    fleet.hold(&idle);
-    fleet.settle();
-    let now = fleet.now();
-    fleet.planner.report_request(&idle, now).expect("an end");
-    fleet.planner.handle_report_failure(&idle, now);
-    fleet.cut_off(&idle);
-    fleet.at_ms += 500;
-    fleet.restart_cut_off(&idle);
-    fleet.pass(LATE_MS + 500);
+    let (mut fleet, idle) = beside_a_busy_worker();
     fleet.submit(advised(short_job()));
     for _ in 0..10 {
         advise(&mut fleet, |id| *id == idle);
--- a/crates/stairstall-core/tests/batch/guarantees.rs
+++ b/crates/stairstall-core/tests/batch/guarantees.rs
@@ -6,10 +6,10 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use stairstall_core::batch::{AcceptedJob, OrderKind, RunEndKind, StepSpec, TaskKey};
+use stairstall_core::batch::{AcceptedJob, OrderKind, RunEndKind, StepSpec, TaskKey, WaitReason};
 use stairstall_core::{CustomerId, JobId};
 
-use crate::harness::{Fleet, STOP_MAX, catalog, gang, job, step, task};
+use crate::harness::{Fleet, STOP_MAX, catalog, gang, id, job, step, task};
 
 const WORKERS: [(&str, &str); 6] = [
     ("w1", "r1"),
@@ -440,6 +440,17 @@
     assert_eq!(preempted, BTreeSet::new());
 }
 
+/// Operators were told that it waits for capacity, behind others.
+#[test]
+fn a_task_that_waits_for_a_guarantee_says_so() {
+    let mut fleet = fleet();
+    fleet.submit(of_other("serving", 2, vec![available(48, 1)]));
+    fleet.pass(10_000);
+    let status = fleet.planner.wait_status(&id("serving"), fleet.now());
+    let reason = status.map(|status| status.reason);
+    assert_eq!(reason, Some(WaitReason::KeptForGuarantees));
+}
+
 /// Without guarantees such work may take the whole fleet.
 #[test]
 fn work_with_an_availability_bound_takes_all_that_is_not_guaranteed() {
--- a/crates/stairstalld/src/batch/telemetry.rs
+++ b/crates/stairstalld/src/batch/telemetry.rs
@@ -84,6 +84,7 @@
     idle_jobs: IntGauge,
     oldest_guaranteed_wait: IntGauge,
     silent_workers: IntGauge,
+    unverified_workers: IntGauge,
     unselected_workers: IntGauge,
     oldest_report: IntGauge,
     report_wait: IntGauge,
@@ -115,6 +116,10 @@
                 "How long a step of a guaranteed job has waited for placements at most",
             ),
             silent_workers: gauge("stairstall_silent_workers", "Workers that do not answer"),
+            unverified_workers: gauge(
+                "stairstall_unverified_workers",
+                "Workers that answer and may not list their run ends",
+            ),
             unselected_workers: gauge(
                 "stairstall_unselected_workers",
                 "Workers that the planner's VM can't hold connections to",
@@ -167,6 +172,7 @@
             &self.idle_jobs,
             &self.oldest_guaranteed_wait,
             &self.silent_workers,
+            &self.unverified_workers,
             &self.unselected_workers,
             &self.oldest_report,
             &self.report_wait,
@@ -437,6 +443,9 @@
         self.planner
             .silent_workers
             .set(gauge_count(lag.unresponsive));
+        self.planner
+            .unverified_workers
+            .set(gauge_count(lag.unverified));
         self.planner
             .unselected_workers
             .set(gauge_count(lag.unselected));
