fix(core): a start does not wait for a clock value that nobody asks for

What callers saw: nothing reported. Cause: the value of a worker's clock that a start needs may grow too old while the placement is stored; the worker was polled for it only as the run was placed, and an idle worker is looked at every 2 s. Evidence: a trace of the gates of can_start_now: stored, in contact, nothing in flight, clock value too old from 48.38 s on, no poll until the run was placed anew at 49.29 s. Change: each tick polls the workers of planned runs whose clock value is too old, unless a report is on its way. Why it works: the report brings the value within a round trip, and its answer makes starts due.

--- a/crates/stairstall-core/src/batch/planner/pool.rs
+++ b/crates/stairstall-core/src/batch/planner/pool.rs
@@ -336,6 +336,10 @@
         self.contact &= is_selected;
     }
 
+    pub(super) const fn is_report_pending(&self) -> bool {
+        self.report_pending
+    }
+
     pub(super) const fn set_report_pending(&mut self, pending: bool) {
         self.report_pending = pending;
     }
--- a/crates/stairstall-core/src/batch/planner/starts.rs
+++ b/crates/stairstall-core/src/batch/planner/starts.rs
@@ -23,6 +23,9 @@
                 continue;
             }
             let is_gang = self.step(&key).is_some_and(|step| step.gang);
+            for (id, _) in &members {
+                self.poll_for_clock(id, now);
+            }
             let (verifying, members): (Vec<_>, Vec<_>) = members
                 .into_iter()
                 .partition(|(id, _)| self.is_unverified(id));
@@ -139,9 +142,12 @@
         has_starts && !self.knows_clock(worker, at)
     }
 
-    /// Polls a worker at once if a planned run there waits for the value of its clock.
+    /// Polls a worker at once if a planned run there waits for the value of its clock, unless a report
+    /// is on its way.
+    ///
+    /// A value that was recent enough when the run was placed may be too old once that is stored.
     pub(super) fn poll_for_clock(&mut self, id: &WorkerId, now: Now) {
-        let worker = self.workers.get(id);
+        let worker = self.workers.get(id).filter(|w| !w.is_report_pending());
         if worker.is_some_and(|worker| self.awaits_clock(worker, now.at)) {
             self.workers_to_poll.push(id.clone());
         }
--- a/crates/stairstall-core/tests/batch/lossy/clocks.rs
+++ b/crates/stairstall-core/tests/batch/lossy/clocks.rs
@@ -17,6 +17,11 @@
 /// Long enough for a slow clock to fall behind by more than a message's margin, in milliseconds.
 const IDLE_MS: u64 = 88_000;
 
+/// How long the store may take to write a placement, in milliseconds.
+const SLOW_WRITE_MS: u64 = 600;
+/// How long a start may take beyond that, with a report before it, in milliseconds.
+const START_MS: u64 = 150;
+
 fn idle(workers: usize, clock_percent: u64, idle_ms: u64) -> World {
     let habits = Habits {
         forgetting: Forgetting::AtEachRequest,
@@ -96,3 +101,19 @@
     };
     check(seeds(ROUGH_SEEDS), day);
 }
+
+/// A start waited for up to 2 s: the value of its worker's clock was recent enough when the run was placed, too old
+/// once that was stored, and the worker was idle, so that nobody asked for another.
+#[test]
+fn a_clock_value_that_grows_old_while_a_placement_is_stored_delays_no_start() {
+    for idle_ms in (6_800..7_600).step_by(20) {
+        let mut world = idle(1, 100, idle_ms);
+        world.habits.write_ms = SLOW_WRITE_MS;
+        let limit_ms = world.at_ms + SLOW_WRITE_MS + START_MS;
+        world.submit(single("j", 7_400));
+        while world.begun == 0 && world.at_ms < limit_ms {
+            world.pass(10);
+        }
+        assert_eq!(world.begun, 1, "{}", world.story("j"));
+    }
+}
