--- a/crates/stairstall-core/tests/batch/guarantees.rs
+++ b/crates/stairstall-core/tests/batch/guarantees.rs
@@ -414,6 +414,32 @@
     }
 }
 
+/// Once workers were lost, less than the guarantee could be claimed, and every start was refused from then on, also
+/// one that takes nothing from a claim: above half in use a lost task never started again (a variant of
+/// `review/8`, docs/incidents/claimable-accelerators.md).
+#[test]
+fn a_lost_task_starts_again_where_its_start_takes_nothing_from_a_claim_however_full_the_service_is()
+{
+    for (guaranteed, count, max_unavailable, others) in
+        [(32, 3, 1, 2), (40, 2, 1, 2), (32, 3, 2, 1), (48, 1, 1, 3)]
+    {
+        let mut fleet = with_guarantee(guaranteed);
+        fleet.submit(of_other("serving", 2, vec![whole(count, max_unavailable)]));
+        fleet.pass(4_000);
+        let tasks = tasks_of("serving", count);
+        assert_eq!(running(&fleet, &tasks).len(), tasks.len());
+        fleet.submit(of_other("batch", 2, vec![step(others, 8)]));
+        fleet.pass(500);
+        lose_worker_of(&mut fleet, &tasks[0]);
+        let claimable = 40 - 8 * (count - 1);
+        fleet.pass(17_000);
+        assert_eq!(running(&fleet, &tasks).len(), tasks.len(), "{guaranteed}");
+        let claimed = guaranteed.min(claimable) / 8;
+        let preempted = claim(&mut fleet, job("claim", 0, vec![step(claimed, 8)]), &tasks);
+        assert!(preempted.len() <= max_unavailable as usize);
+    }
+}
+
 /// Guards against a task that may never start beside a guarantee of more than is left, though that
 /// is not used and most workers are idle.
 #[test]
