--- a/crates/stairstall-core/tests/batch/guarantees.rs
+++ b/crates/stairstall-core/tests/batch/guarantees.rs
@@ -39,7 +39,7 @@
 }
 
 /// Work of a customer without a guarantee.
-fn of_other(name: &str, priority: u8, steps: Vec<StepSpec>) -> AcceptedJob {
+pub(crate) fn of_other(name: &str, priority: u8, steps: Vec<StepSpec>) -> AcceptedJob {
     AcceptedJob {
         customer: Some("other".parse::<CustomerId>().expect("an id")),
         ..job(name, priority, steps)
--- a/crates/stairstall-core/tests/batch/main.rs
+++ b/crates/stairstall-core/tests/batch/main.rs
@@ -12,6 +12,7 @@
 mod fences;
 mod flow;
 mod guarantees;
+mod guarantees_generated;
 mod harness;
 mod idle_full_fleet;
 mod idle_generated;
