--- a/crates/stairstall-core/src/batch/planner/end_listing.rs
+++ b/crates/stairstall-core/src/batch/planner/end_listing.rs
@@ -181,8 +181,9 @@
     /// Returns the estimated work of a task that begins anew, or `None` if it does not end by itself:
     /// it lasts, or can't begin without the other members of its gang.
     fn work_of_one(&self) -> Option<Duration> {
-        let ends = !self.long_running && !(self.gang && self.count > 1);
-        ends.then(|| Duration::from_millis(self.estimate_ms))
+        let has_others = self.gang && self.count > 1;
+        let has_no_end = self.long_running || has_others;
+        (!has_no_end).then(|| Duration::from_millis(self.estimate_ms))
     }
 }
 
--- a/crates/stairstall-core/tests/batch/end_listing.rs
+++ b/crates/stairstall-core/tests/batch/end_listing.rs
@@ -272,10 +272,7 @@
         fleet
             .worker(idle.as_str())
             .end(&key, RunEndKind::LeaseExpired);
-        for _ in 0..10 {
-            fleet.pass(100);
-            advise(&mut fleet, |id| *id == idle);
-        }
+        pass_with_advice(&mut fleet, 1_000, |id| *id == idle);
         assert_eq!(fleet.starts_of(&key), 2, "{estimate_ms} ms of work");
         fleet.worker(idle.as_str()).end(&key, RunEndKind::Done);
         fleet.pass(500);
@@ -390,6 +387,14 @@
     fleet.settle();
 }
 
+/// Lets time pass while the adviser answers.
+fn pass_with_advice(fleet: &mut Fleet, ms: u64, is_granted: impl Fn(&WorkerId) -> bool) {
+    for _ in 0..ms / 100 {
+        fleet.pass(100);
+        advise(fleet, &is_granted);
+    }
+}
+
 fn tickets_of_starts(fleet: &Fleet, name: &str) -> Vec<Option<String>> {
     let starts = fleet
         .given
@@ -418,10 +423,7 @@
         let request = fleet.hold(&w1()).expect("the end of the run is waited for");
         assert_eq!(request.deadline_ms, None, "its lease must not be extended");
         fleet.worker("w1").end(&key, RunEndKind::LeaseExpired);
-        for _ in 0..5 {
-            fleet.pass(100);
-            advise(&mut fleet, |_| true);
-        }
+        pass_with_advice(&mut fleet, 500, |_| true);
         assert_eq!(fleet.starts_of(&key), 2, "it has listed an end");
         let tickets = tickets_of_starts(&fleet, "second");
         let has_ticket = |ticket: &Option<String>| ticket.as_deref() == Some(TICKET);
--- a/crates/stairstall-core/tests/batch/guarantees_generated.rs
+++ b/crates/stairstall-core/tests/batch/guarantees_generated.rs
@@ -159,9 +159,9 @@
         let mut claimable = 0;
         for counts in workers {
             if counts.iter().all(|(index, count)| *count <= left[*index]) {
-                counts
-                    .iter()
-                    .for_each(|(index, count)| left[*index] -= count);
+                for (index, count) in counts {
+                    left[*index] -= count;
+                }
                 claimable += 1;
             }
         }
--- a/crates/stairstall-core/tests/batch/lossy/doubt.rs
+++ b/crates/stairstall-core/tests/batch/lossy/doubt.rs
@@ -123,9 +123,9 @@
 }
 
 /// Hands in a job and follows it to its end. Returns what went wrong.
-fn follow(world: &mut World, name: &str, spec: StepSpec) -> Option<String> {
+fn follow(world: &mut World, name: &str, spec: &StepSpec) -> Option<String> {
     let tasks = if spec.gang { spec.count } else { 1 };
-    if room_for(world, &spec) < 2 * tasks {
+    if room_for(world, spec) < 2 * tasks {
         return None;
     }
     let accepted = accepted_now(world, name, spec.clone());
@@ -139,7 +139,7 @@
         if state == Some(CallerState::Ended(Outcome::Completed)) {
             return None;
         }
-        if is_at_work(world, &id) || room_for(world, &spec) < 2 * tasks {
+        if is_at_work(world, &id) || room_for(world, spec) < 2 * tasks {
             idle_since_ms = world.at_ms;
         }
         let idle_ms = world.at_ms - idle_since_ms;
@@ -185,7 +185,7 @@
     for index in 0..jobs {
         let spec = random_form(&mut world.random);
         let name = format!("after{index}");
-        if let Some(fault) = follow(&mut world, &name, spec) {
+        if let Some(fault) = follow(&mut world, &name, &spec) {
             findings
                 .faults
                 .push(format!("{fault}\n{}", world.story(&name)));
--- a/crates/stairstalld/src/batch/maintenance.rs
+++ b/crates/stairstalld/src/batch/maintenance.rs
@@ -58,7 +58,8 @@
     let lag = tenure.contact_lag();
     let (evacuated, evacuated_age) = tenure.evacuated_zones();
     log::info!(target: "contact", token = tenure.token(), silent = lag.unresponsive,
-        unverified = lag.unverified, oldest_report_ms = millis(lag.oldest_report), report_wait_ms = millis(lag.report_wait),
+        unverified = lag.unverified, oldest_report_ms = millis(lag.oldest_report),
+        report_wait_ms = millis(lag.report_wait),
         starts_under_way = lag.starts_in_flight, unselected = lag.unselected,
         free_accelerators = lag.free_accelerators, unusable_accelerators = lag.unusable_accelerators,
         clock_drift_ms = millis(lag.clock_drift),
