perf(core): why a step waits for a guarantee is found out without a copy of the fleet a worker

Found on reading the whole change again. is_kept_for_guarantees copied the budget, with an entry for each claimable worker, for each worker that it looked at: with thousands of them, all refused, an explanation or an idle line would hold up the planner. What is refused takes nothing from the budget, so one is enough; the answer is the same. (By reading; not measured.) A comment of lossy::doubt said the opposite of the line below it.

--- a/crates/stairstall-core/src/batch/planner/guarantees.rs
+++ b/crates/stairstall-core/src/batch/planner/guarantees.rs
@@ -51,7 +51,7 @@
         let Some(step) = self.step(&candidate.key) else {
             return false;
         };
-        let Some(budget) = self.claim_budget(candidate, step) else {
+        let Some(mut budget) = self.claim_budget(candidate, step) else {
             return false;
         };
         let service = self.service_of(&candidate.key);
@@ -62,7 +62,8 @@
                 && service.as_ref() == Some(&worker.listed.service)
                 && needs.fits_in(&worker.free())
         });
-        fitting.all(|(id, _)| budget.clone().take(id) == Taking::Refused)
+        // What is refused takes nothing from the budget.
+        fitting.all(|(id, _)| budget.take(id) == Taking::Refused)
     }
 
     /// Returns what a step may take of the accelerators that guaranteed jobs could claim, or `None` if
@@ -164,7 +165,7 @@
 }
 
 /// What a step may take of the accelerators that guaranteed jobs could claim.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 struct ClaimBudget {
     /// By worker that could be claimed as a whole, its accelerators.
     workers: BTreeMap<WorkerId, u32>,
--- a/crates/stairstall-core/tests/batch/lossy/doubt.rs
+++ b/crates/stairstall-core/tests/batch/lossy/doubt.rs
@@ -170,7 +170,7 @@
         has_new_ids: false,
     };
     let mut world = World::new(WORKERS, habits, random);
-    // A late call of an earlier planner can reach a life that answered nobody (docs/OPEN.md, 35).
+    // Late calls of the earlier planner also reach lives that have answered nobody: they hide their first ends.
     world.reaches_unmet = true;
     trouble(&mut world);
     world.habits.trouble = Trouble::default();
